--- /dev/null
+++ b/include/parsleyring/Actions.h
@@ -0,0 +1,119 @@
+#ifndef PARSLEYRING_ACTIONS_H
+#define PARSLEYRING_ACTIONS_H
+
+#include "parsleyring/Types.h"
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace parsleyring {
+
+// Outputs of Router::handle(). The shell executes them in the order given.
+
+/// Open a stream to the first stage of the route.
+struct StartCompletion {
+  RequestNumber m_Request = 0;
+  AttemptNumber m_Attempt = 0;
+  std::uint32_t m_Epoch = 0;
+  std::vector<Stage> m_Route;
+  /// Position of the first token wanted: the number of tokens delivered.
+  std::uint32_t m_StartPosition = 0;
+};
+
+/// Send a service call to an endpoint.
+struct StartServiceCall {
+  RequestNumber m_Request = 0;
+  AttemptNumber m_Attempt = 0;
+  std::string m_Endpoint;
+  std::string m_Address;
+  /// A pooled connection may be silently dead, which would leave the outcome
+  /// unknown; non-idempotent calls use a new one.
+  bool m_UseFreshConnection = false;
+  Duration m_Timeout{};
+};
+
+/// Close the attempt's connection. AttemptEnded still follows.
+struct CancelAttempt {
+  AttemptNumber m_Attempt = 0;
+};
+
+/// The token of the event being handled is good: append it to the answer.
+struct DeliverToken {
+  RequestNumber m_Request = 0;
+  std::uint32_t m_Position = 0;
+};
+
+/// The answer of the service attempt that just ended goes to the caller.
+struct DeliverServiceAnswer {
+  RequestNumber m_Request = 0;
+  AttemptNumber m_Attempt = 0;
+};
+
+/// The end of a request. Nothing follows for it.
+struct FinishRequest {
+  RequestNumber m_Request = 0;
+  Outcome m_Outcome = Outcome::Completed;
+  int m_Status = 200;
+  std::string m_Code; ///< Machine-readable reason; empty on success.
+  std::string m_Message;
+  std::uint32_t m_RetryAfterSeconds = 0; ///< 0: no Retry-After header.
+};
+
+/// Ask the claims module for the right to run a non-idempotent call that has
+/// an idempotency key. ClaimSettled follows, no later than the deadline.
+struct RequestClaim {
+  RequestNumber m_Request = 0;
+  std::string m_Account;
+  std::string m_IdempotencyKey;
+  std::string m_BodySha256;
+  Time m_Deadline;
+};
+
+enum class ClaimEnd { Released, Completed };
+
+/// A granted claim ended: provably not run, or run.
+struct EndClaim {
+  RequestNumber m_Request = 0;
+  ClaimEnd m_End = ClaimEnd::Completed;
+  int m_Status = 0; ///< HTTP status of the service's answer, if it came.
+};
+
+/// Tell the peers at once that an endpoint is leaving.
+struct AnnounceLeaving {
+  std::string m_Endpoint;
+  std::string m_Incarnation;
+};
+
+enum class AuditKind {
+  Admission,
+  Route,
+  AttemptEnd,
+  Retry,
+  Claim,
+  Outcome,
+  Configuration,
+  Membership,
+  Endpoint,
+  Event,
+};
+
+std::string_view name(AuditKind Value);
+std::optional<AuditKind> auditKindFromName(std::string_view Name);
+
+/// One audit record. The writer adds sequence number, VM and incarnation.
+struct WriteAudit {
+  AuditKind m_Kind = AuditKind::Admission;
+  Time m_At;
+  RequestNumber m_Request = 0; ///< 0: not about one request.
+  std::string m_FieldsJson;    ///< A JSON object.
+};
+
+using Action =
+    std::variant<StartCompletion, StartServiceCall, CancelAttempt, DeliverToken,
+                 DeliverServiceAnswer, FinishRequest, RequestClaim, EndClaim,
+                 AnnounceLeaving, WriteAudit>;
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_ACTIONS_H
--- /dev/null
+++ b/include/parsleyring/Document.h
@@ -0,0 +1,92 @@
+#ifndef PARSLEYRING_DOCUMENT_H
+#define PARSLEYRING_DOCUMENT_H
+
+#include "parsleyring/Types.h"
+
+#include <string>
+#include <vector>
+
+namespace parsleyring {
+
+enum class Preference { Recovery, Throughput };
+enum class PoolKind { Engine, Service };
+
+std::string_view name(Preference Value);
+std::string_view name(PoolKind Value);
+std::optional<Preference> preferenceFromName(std::string_view Name);
+std::optional<PoolKind> poolKindFromName(std::string_view Name);
+
+struct Policy {
+  Preference m_Preference = Preference::Recovery;
+  /// One of the names in routeStrategyNames().
+  std::string m_RouteStrategy = "estimated-cost";
+};
+
+struct ClientAccount {
+  std::string m_Name;
+  std::vector<std::string> m_KeySha256; ///< Lower-case hex; never the key.
+  double m_Share = 1;                   ///< Weight in the fair queue.
+  double m_RequestsPerSecond = 10;      ///< Over all VMs together.
+  std::uint32_t m_MaxOutstanding = 100; ///< Over all VMs together.
+};
+
+struct Pipeline {
+  std::string m_Name;
+  std::uint32_t m_Layers = 0;
+  std::string m_Pool;
+  std::uint32_t m_MaxTokens = 512;
+};
+
+struct EndpointSpec {
+  std::string m_Name; ///< Unique in the document.
+  std::string m_Address;
+  std::string m_FailureDomain;
+  std::string m_Accelerator;
+  LayerRange m_Layers;                ///< Empty for plain services.
+  std::uint32_t m_Slots = 8;          ///< Requests served side by side.
+  std::uint32_t m_TokenMicros = 1000; ///< Unloaded time of a token, in us.
+};
+
+struct Pool {
+  std::string m_Name;
+  PoolKind m_Kind = PoolKind::Engine;
+  std::uint32_t m_QueueLimit = 200;
+  double m_RetryBudget = 0.1; ///< Retries per request received.
+  std::uint32_t m_RequestTimeoutMillis = 30000;
+  std::vector<EndpointSpec> m_Endpoints;
+};
+
+/// Marks the calls of a service pool that must not run twice.
+struct Rule {
+  std::string m_Pool;
+  std::string m_Method; ///< Upper case, or "*" for any.
+  std::string m_Path;   ///< Prefix of the path below the pool, with "/".
+  bool m_IsIdempotent = false;
+};
+
+struct Link {
+  std::string m_From; ///< Failure domain.
+  std::string m_To;
+  std::uint32_t m_OneWayMicros = 0;
+};
+
+/// The configuration that operators publish through the console.
+struct Document {
+  Policy m_Policy;
+  std::vector<ClientAccount> m_Accounts;
+  std::vector<Pipeline> m_Pipelines;
+  std::vector<Pool> m_Pools;
+  std::vector<Rule> m_Rules;
+  std::vector<Link> m_Links;
+
+  const ClientAccount *accountByKeyHash(std::string_view KeySha256) const;
+  const Pipeline *pipeline(std::string_view Name) const;
+  const Pool *pool(std::string_view Name) const;
+  /// True unless the first rule that matches says otherwise.
+  bool isIdempotent(std::string_view Pool, std::string_view Method,
+                    std::string_view Path) const;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_DOCUMENT_H
--- /dev/null
+++ b/include/parsleyring/Events.h
@@ -0,0 +1,239 @@
+#ifndef PARSLEYRING_EVENTS_H
+#define PARSLEYRING_EVENTS_H
+
+#include "parsleyring/Document.h"
+#include "parsleyring/Types.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace parsleyring {
+
+// Inputs of Router::handle(). Payloads stay with the caller of the Router; the
+// events carry what the decisions need. Each event lists its fields in
+// describe(), which the trace codec uses for reading and writing.
+
+/// A well-formed completion request.
+struct CompletionArrived {
+  RequestNumber m_Request = 0;
+  std::string m_AccountKeySha256;
+  std::string m_Pipeline;
+  std::uint32_t m_PromptTokens = 0; ///< Estimate: one token per 4 bytes.
+  std::uint32_t m_MaxTokens = 0;
+  std::int32_t m_Priority = 0; ///< Greater goes first within an account.
+  /// Hashes of the prompt's prefixes in steps of 256 bytes, shortest first.
+  std::vector<std::uint64_t> m_PrefixHashes;
+
+  template <typename Self, typename Visitor>
+  static void describe(Self &Event, Visitor &&Visit) {
+    Visit("request", Event.m_Request);
+    Visit("account_key_sha256", Event.m_AccountKeySha256);
+    Visit("pipeline", Event.m_Pipeline);
+    Visit("prompt_tokens", Event.m_PromptTokens);
+    Visit("max_tokens", Event.m_MaxTokens);
+    Visit("priority", Event.m_Priority);
+    Visit("prefix_hashes", Event.m_PrefixHashes);
+  }
+};
+
+/// A call of a plain service.
+struct ServiceCallArrived {
+  RequestNumber m_Request = 0;
+  std::string m_AccountKeySha256;
+  std::string m_Pool;
+  std::string m_Method;
+  std::string m_Path;
+  std::string m_IdempotencyKey; ///< Empty if the caller sent none.
+  std::string m_BodySha256;
+
+  template <typename Self, typename Visitor>
+  static void describe(Self &Event, Visitor &&Visit) {
+    Visit("request", Event.m_Request);
+    Visit("account_key_sha256", Event.m_AccountKeySha256);
+    Visit("pool", Event.m_Pool);
+    Visit("method", Event.m_Method);
+    Visit("path", Event.m_Path);
+    Visit("idempotency_key", Event.m_IdempotencyKey);
+    Visit("body_sha256", Event.m_BodySha256);
+  }
+};
+
+/// The caller's connection is gone; nobody waits for the answer.
+struct CallerGone {
+  RequestNumber m_Request = 0;
+
+  template <typename Self, typename Visitor>
+  static void describe(Self &Event, Visitor &&Visit) {
+    Visit("request", Event.m_Request);
+  }
+};
+
+/// A token came back on the stream of an attempt.
+struct TokenArrived {
+  AttemptNumber m_Attempt = 0;
+  std::uint32_t m_Position = 0; ///< 0 is the first generated token.
+  std::vector<Hop> m_Hops;
+
+  template <typename Self, typename Visitor>
+  static void describe(Self &Event, Visitor &&Visit) {
+    Visit("attempt", Event.m_Attempt);
+    Visit("position", Event.m_Position);
+    Visit("hops", Event.m_Hops);
+  }
+};
+
+enum class AttemptResult {
+  Finished,       ///< Engine: explicit end. Service: whole answer received.
+  ConnectFailed,  ///< No byte of the request was sent.
+  RefusedNotRun,  ///< The endpoint states that it did not run the request.
+  RefusedLeaving, ///< As above, since the endpoint is draining.
+  Rejected,       ///< Engine answered 4xx: a repeat would fail as well.
+  ConnectionLost, ///< Sent in part or whole; no whole answer.
+  TimedOut,       ///< Sent; no answer within the attempt's time limit.
+  Malformed,      ///< The answer cannot be understood.
+  Cancelled,      ///< Ended by CancelAttempt.
+};
+
+std::string_view name(AttemptResult Value);
+std::optional<AttemptResult> attemptResultFromName(std::string_view Name);
+
+/// Last event of every attempt that was started.
+struct AttemptEnded {
+  AttemptNumber m_Attempt = 0;
+  AttemptResult m_Result = AttemptResult::Finished;
+  int m_Status = 0; ///< HTTP status; 0 if there was none.
+  std::string m_Detail;
+
+  template <typename Self, typename Visitor>
+  static void describe(Self &Event, Visitor &&Visit) {
+    Visit("attempt", Event.m_Attempt);
+    Visit("result", Event.m_Result);
+    Visit("status", Event.m_Status);
+    Visit("detail", Event.m_Detail);
+  }
+};
+
+/// A load report of an endpoint, polled by this VM or spread by a peer.
+struct LoadReported {
+  std::string m_Endpoint;
+  std::string m_Incarnation; ///< Of the endpoint's process.
+  Time m_ReportedAt;
+  std::uint32_t m_Running = 0;
+  std::uint32_t m_Waiting = 0;
+  bool m_IsDraining = false;
+  std::vector<std::uint64_t> m_CachedPrefixes;
+
+  template <typename Self, typename Visitor>
+  static void describe(Self &Event, Visitor &&Visit) {
+    Visit("endpoint", Event.m_Endpoint);
+    Visit("incarnation", Event.m_Incarnation);
+    Visit("reported_at", Event.m_ReportedAt);
+    Visit("running", Event.m_Running);
+    Visit("waiting", Event.m_Waiting);
+    Visit("draining", Event.m_IsDraining);
+    Visit("cached_prefixes", Event.m_CachedPrefixes);
+  }
+};
+
+enum class LeavingSign { VMList, LoadReport, Answer, Peer };
+
+std::string_view name(LeavingSign Value);
+std::optional<LeavingSign> leavingSignFromName(std::string_view Name);
+
+/// An endpoint is leaving: no new work for this incarnation of it. An empty
+/// incarnation stands for the one known now.
+struct EndpointLeaving {
+  std::string m_Endpoint;
+  std::string m_Incarnation;
+  LeavingSign m_Sign = LeavingSign::VMList;
+
+  template <typename Self, typename Visitor>
+  static void describe(Self &Event, Visitor &&Visit) {
+    Visit("endpoint", Event.m_Endpoint);
+    Visit("incarnation", Event.m_Incarnation);
+    Visit("sign", Event.m_Sign);
+  }
+};
+
+/// Membership as this VM sees it: live peers and their use of the limits.
+struct PeersChanged {
+  std::uint32_t m_LivePeers = 0; ///< Without this VM.
+  /// Outstanding requests at the peers, per client account.
+  std::map<std::string, std::uint32_t> m_PeerOutstanding;
+  /// Failure domains none of whose peers is heard from.
+  std::vector<std::string> m_UnreachableDomains;
+
+  template <typename Self, typename Visitor>
+  static void describe(Self &Event, Visitor &&Visit) {
+    Visit("live_peers", Event.m_LivePeers);
+    Visit("peer_outstanding", Event.m_PeerOutstanding);
+    Visit("unreachable_domains", Event.m_UnreachableDomains);
+  }
+};
+
+/// A newer configuration is in force from now on.
+struct ConfigurationApplied {
+  ConfigurationVersion m_Version = 0;
+  std::shared_ptr<const Document> m_Document;
+
+  template <typename Self, typename Visitor>
+  static void describe(Self &Event, Visitor &&Visit) {
+    Visit("version", Event.m_Version);
+    Visit("document", Event.m_Document);
+  }
+};
+
+enum class ClaimResult {
+  Granted,     ///< This VM alone may dispatch, once.
+  InProgress,  ///< Claimed before; not known to have ended.
+  Completed,   ///< Ran before; the answer is not kept.
+  AnswerKept,  ///< Ran before; the shell has the kept answer and sends it.
+  BodyDiffers, ///< The key was used with another body.
+  Unavailable, ///< The platform did not settle the claim in time.
+  KeyRejected, ///< The key is too old or malformed.
+};
+
+std::string_view name(ClaimResult Value);
+std::optional<ClaimResult> claimResultFromName(std::string_view Name);
+
+/// Answer to the action RequestClaim.
+struct ClaimSettled {
+  RequestNumber m_Request = 0;
+  ClaimResult m_Result = ClaimResult::Unavailable;
+  std::string m_Detail;
+
+  template <typename Self, typename Visitor>
+  static void describe(Self &Event, Visitor &&Visit) {
+    Visit("request", Event.m_Request);
+    Visit("result", Event.m_Result);
+    Visit("detail", Event.m_Detail);
+  }
+};
+
+/// From now on new requests are refused as not run.
+struct DrainStarted {
+  template <typename Self, typename Visitor>
+  static void describe(Self &, Visitor &&) {}
+};
+
+/// Sent every TickInterval.
+struct Tick {
+  template <typename Self, typename Visitor>
+  static void describe(Self &, Visitor &&) {}
+};
+
+using Event = std::variant<CompletionArrived, ServiceCallArrived, CallerGone,
+                           TokenArrived, AttemptEnded, LoadReported,
+                           EndpointLeaving, PeersChanged, ConfigurationApplied,
+                           ClaimSettled, DrainStarted, Tick>;
+
+/// Name of the event's type as it stands in traces, for example
+/// "token-arrived".
+std::string_view name(const Event &Value);
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_EVENTS_H
--- /dev/null
+++ b/include/parsleyring/PlatformClient.h
@@ -0,0 +1,65 @@
+#ifndef PARSLEYRING_PLATFORMCLIENT_H
+#define PARSLEYRING_PLATFORMCLIENT_H
+
+#include "parsleyring/Types.h"
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+namespace parsleyring {
+
+/// The platform's key-value service did not answer, or answered with an error.
+class PlatformError : public std::runtime_error {
+public:
+  enum class Kind {
+    NotSent,     ///< The call had no effect.
+    Unknown,     ///< A write may have taken effect; read it back.
+    RateLimited, ///< The call was refused; it had no effect.
+  };
+
+  PlatformError(Kind Reason, const std::string &What)
+      : std::runtime_error(What), m_Kind(Reason) {}
+
+  Kind kind() const { return m_Kind; }
+
+private:
+  Kind m_Kind;
+};
+
+/// A value of the key-value service.
+struct PlatformValue {
+  std::string m_Value;
+  std::uint64_t m_ModifyIndex = 0;
+};
+
+/// Blocking client of the platform's key-value service. Safe to use from many
+/// threads.
+class PlatformClient {
+public:
+  virtual ~PlatformClient() = default;
+
+  /// Empty if the key is absent. Throws PlatformError.
+  virtual std::optional<PlatformValue> read(const std::string &Key) = 0;
+
+  struct WatchResult {
+    std::optional<PlatformValue> m_Value;
+    std::uint64_t m_Index = 0; ///< Pass it to the next watch().
+  };
+  /// Returns when the key changed after index After, or after Wait at the
+  /// latest. Throws PlatformError.
+  virtual WatchResult watch(const std::string &Key, std::uint64_t After,
+                            Duration Wait) = 0;
+
+  /// Writes if the key's modify index is still Expected (0: absent). Returns
+  /// false if it is not. Throws PlatformError.
+  virtual bool compareAndSwap(const std::string &Key, const std::string &Value,
+                              std::uint64_t Expected) = 0;
+
+  /// Removes the key if its modify index is still Expected.
+  virtual bool remove(const std::string &Key, std::uint64_t Expected) = 0;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_PLATFORMCLIENT_H
--- /dev/null
+++ b/src/membership/PeerNetwork.h
@@ -0,0 +1,73 @@
+#ifndef PARSLEYRING_MEMBERSHIP_PEERNETWORK_H
+#define PARSLEYRING_MEMBERSHIP_PEERNETWORK_H
+
+#include "parsleyring/Events.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace parsleyring {
+
+/// State of a request or key at the VM that owns it.
+struct RemoteAnswer {
+  enum class State { Absent, InProgress, Ended };
+  State m_State = State::Absent;
+  Outcome m_Outcome = Outcome::Unknown;
+  int m_Status = 0;
+  std::string m_ContentType;
+  std::string m_Body;
+  std::uint32_t m_Tokens = 0;
+};
+
+/// What the network asks of the rest of the process. Called from any thread.
+struct PeerCallbacks {
+  std::function<void(const Event &)> m_Post; ///< To the Router.
+  std::function<ConfigurationVersion()> m_ConfigurationVersion;
+  /// A peer has a newer configuration than this VM.
+  std::function<void(const std::string &PeerVM, ConfigurationVersion)>
+      m_NewerConfiguration;
+  std::function<std::string()> m_HeadJson;
+  std::function<std::string(const std::string &Sha256)> m_Chunk;
+  std::function<std::map<std::string, std::uint32_t>()> m_Outstanding;
+  std::function<RemoteAnswer(RequestNumber, std::uint32_t FromPosition)>
+      m_RequestState;
+  std::function<RemoteAnswer(const std::string &Account,
+                             const std::string &Key)>
+      m_KeyState;
+};
+
+/// Heartbeats, digests and questions between the routers.
+class PeerNetwork {
+public:
+  virtual ~PeerNetwork() = default;
+
+  virtual void start() = 0;
+  virtual void stop() = 0;
+
+  /// Sends the sign to every known peer at once.
+  virtual void announceLeaving(const std::string &Endpoint,
+                               const std::string &Incarnation) = 0;
+  /// A load report that this VM polled; spread with the next digests.
+  virtual void noteLoad(const LoadReported &Report) = 0;
+  /// True if this VM is the one in its failure domain that polls the endpoint.
+  virtual bool isPoller(const std::string &Endpoint) const = 0;
+
+  /// Asks the owner; empty if it cannot be reached or is another incarnation.
+  virtual std::optional<RemoteAnswer>
+  requestState(const OwnedId &Request, std::uint32_t FromPosition) = 0;
+  virtual std::optional<RemoteAnswer> keyState(const Incarnation &Owner,
+                                               const std::string &Account,
+                                               const std::string &Key) = 0;
+  /// Empty if the peer cannot be reached.
+  virtual std::optional<std::string> fetchHead(const std::string &PeerVM) = 0;
+  virtual std::optional<std::string> fetchChunk(const std::string &PeerVM,
+                                                const std::string &Sha256) = 0;
+  /// Peers that are alive now.
+  virtual std::vector<std::string> livePeers() const = 0;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_MEMBERSHIP_PEERNETWORK_H
--- /dev/null
+++ b/src/routing/RoutePlanner.h
@@ -0,0 +1,106 @@
+#ifndef PARSLEYRING_ROUTING_ROUTEPLANNER_H
+#define PARSLEYRING_ROUTING_ROUTEPLANNER_H
+
+#include "parsleyring/Events.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace parsleyring {
+
+/// What a route is wanted for.
+struct RouteQuery {
+  std::string m_Pool;
+  /// Layers of the model; 0 for a plain service, whose route is one stage.
+  std::uint32_t m_Layers = 0;
+  std::uint32_t m_PromptTokens = 0;
+  std::uint32_t m_MaxTokens = 0;
+  std::vector<std::uint64_t> m_PrefixHashes;
+  /// Endpoints that failed this request before; used only if nothing else
+  /// tiles the model.
+  std::vector<std::string> m_Avoid;
+};
+
+struct RouteCandidate {
+  std::string m_Endpoint;
+  double m_EstimateMicros = 0;
+};
+
+enum class PlanStatus {
+  Planned,
+  Saturated, ///< Routes exist, but each has a stage without a free slot.
+  NoRoute,   ///< Available endpoints do not cover the layers.
+};
+
+struct RoutePlan {
+  PlanStatus m_Status = PlanStatus::NoRoute;
+  std::vector<Stage> m_Route; ///< Tiles [0, layers) exactly; empty if none.
+  Duration m_EstimatedFirstToken{};
+  std::string m_Strategy;
+  /// What the strategy compared, for the audit record.
+  std::vector<RouteCandidate> m_Candidates;
+};
+
+/// State of an endpoint as this VM sees it, for metrics and audit.
+struct EndpointStatus {
+  std::string m_Endpoint;
+  std::string m_Pool;
+  std::string m_Incarnation;
+  std::uint32_t m_Outstanding = 0; ///< Attempts of this VM.
+  double m_EstimatedRunning = 0;   ///< Of all VMs.
+  bool m_IsLeaving = false;
+  bool m_IsQuarantined = false;
+  bool m_IsUnavailable = false;
+};
+
+/// Owns the endpoint and link tables and chooses routes over them. Part of the
+/// deterministic core: no clock, thread or random device.
+class RoutePlanner {
+public:
+  RoutePlanner(const std::string &OwnFailureDomain, std::uint64_t Seed);
+  ~RoutePlanner();
+
+  /// Takes over a new configuration; endpoints that stay keep their state.
+  void apply(const std::shared_ptr<const Document> &Configuration);
+
+  RoutePlan plan(Time Now, const RouteQuery &Query);
+
+  void noteStarted(Time Now, AttemptNumber Attempt,
+                   const std::vector<Stage> &Route);
+  /// A good token came; keeps the observed token interval of the attempt.
+  void noteToken(Time Now, AttemptNumber Attempt);
+  /// Frees the attempt's slots; failures count against the first stage, or
+  /// against the endpoint named, if one is.
+  void noteEnded(Time Now, AttemptNumber Attempt, AttemptResult Result,
+                 const std::string &FailedEndpoint = {});
+  /// Longest time without a token before the attempt counts as stalled. Only
+  /// valid after the first token.
+  Duration progressTimeout(AttemptNumber Attempt) const;
+  /// The attempt made no progress in time. Returns the endpoints that are now
+  /// quarantined because of it.
+  std::vector<std::string> noteStalled(Time Now, AttemptNumber Attempt);
+
+  void noteLoad(Time Now, const LoadReported &Report);
+  /// Returns false if it was known already. An empty incarnation stands for
+  /// the current one. A report of a new incarnation ends the state.
+  bool markLeaving(Time Now, const std::string &Endpoint,
+                   const std::string &Incarnation);
+  bool isLeaving(const std::string &Endpoint) const;
+  /// Returns how long the endpoint gets no new work.
+  Duration quarantine(Time Now, const std::string &Endpoint);
+  void setUnreachableDomains(const std::vector<std::string> &Domains);
+
+  std::vector<EndpointStatus> status(Time Now) const;
+
+private:
+  class Implementation;
+  std::unique_ptr<Implementation> m_Implementation;
+};
+
+/// Names that policy.route_strategy may have.
+const std::vector<std::string> &routeStrategyNames();
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_ROUTING_ROUTEPLANNER_H
