Add emulators of engines, services and the platform

The routers need stand-ins for the outside systems before any path can be tried with real processes.

HttpServer wraps cpp-httplib with an own connection stream, because the library offers no way to close a connection without an answer or to make existing connections silent; both are failures the routers must survive.

An engine opens a request at all later stages before it accepts it, so a refusal by any stage is truthfully not-run. A refusal of a later stage is passed on as overloaded with the stage's name: the code draining would tell the router that the first stage is leaving.

--- /dev/null
+++ b/src/daemons/parsleyring-emulator.cpp
@@ -0,0 +1,78 @@
+#include "emulator/EngineEmulator.h"
+#include "emulator/PlatformEmulator.h"
+#include "emulator/ServiceEmulator.h"
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+
+using namespace parsleyring;
+
+static CLI::App *addCommand(CLI::App &App, const std::string &Name,
+                            const std::string &Purpose, std::string &Listen) {
+  CLI::App *Command = App.add_subcommand(Name, Purpose);
+  Command->add_option("--listen", Listen, "IP:port; port 0 picks a free one")
+      ->required();
+  return Command;
+}
+
+static void addEngine(CLI::App &App, EngineOptions &Options) {
+  CLI::App *Command = addCommand(App, "engine", "Holds a range of model layers",
+                                 Options.m_Listen);
+  Command->add_option("--endpoint", Options.m_Endpoint)->required();
+  Command->add_option("--first-layer", Options.m_Layers.m_First)->required();
+  Command->add_option("--end-layer", Options.m_Layers.m_End)->required();
+  Command->add_option("--token-micros", Options.m_TokenMicros);
+  Command->add_option("--slots", Options.m_Slots)->check(CLI::PositiveNumber);
+  Command->add_option("--cache-entries", Options.m_CacheEntries);
+  Command->add_option("--report-lag-ms", Options.m_ReportLagMillis);
+  Command->add_flag("--ignore-fencing", Options.m_IgnoresFencing);
+  Command
+      ->add_option_function<std::string>("--wrong-hops",
+                                         [&Options](const std::string &Name) {
+                                           Options.m_WrongHops =
+                                               wrongHopsFromName(Name).value();
+                                         })
+      ->check(CLI::IsMember({"skip", "repeat", "reorder"}));
+  Command->add_option("--wrong-from", Options.m_WrongFrom);
+  Command->final_callback([&Options] { EngineEmulator(Options).run(); });
+}
+
+static void addService(CLI::App &App, ServiceOptions &Options) {
+  CLI::App *Command =
+      addCommand(App, "service", "Runs every call", Options.m_Listen);
+  Command->add_option("--endpoint", Options.m_Endpoint)->required();
+  Command->add_option("--delay-ms", Options.m_DelayMillis);
+  Command->final_callback([&Options] { ServiceEmulator(Options).run(); });
+}
+
+static void addPlatform(CLI::App &App, PlatformOptions &Options) {
+  CLI::App *Command =
+      addCommand(App, "platform", "Key-value service", Options.m_Listen);
+  Command->add_option("--writes-per-second", Options.m_WritesPerSecond);
+  Command->add_option("--reads-per-second", Options.m_ReadsPerSecond);
+  Command->add_option("--seed-file", Options.m_SeedFile)
+      ->check(CLI::ExistingFile);
+  Command->final_callback([&Options] { PlatformEmulator(Options).run(); });
+}
+
+int main(int ArgumentCount, char **Arguments) {
+  CLI::App App("Stand-ins for the systems around the routers, for tests");
+  App.set_version_flag("--version", PARSLEYRING_VERSION);
+  App.require_subcommand(1);
+  EngineOptions Engine;
+  ServiceOptions Service;
+  PlatformOptions Platform;
+  addEngine(App, Engine);
+  addService(App, Service);
+  addPlatform(App, Platform);
+  try {
+    App.parse(ArgumentCount, Arguments);
+  } catch (const CLI::ParseError &Error) {
+    return App.exit(Error) == 0 ? 0 : 2;
+  } catch (const std::exception &Error) {
+    std::cerr << "parsleyring-emulator: " << Error.what() << "\n";
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/emulator/EngineBatch.cpp
@@ -0,0 +1,132 @@
+#include "emulator/EngineBatch.h"
+
+#include <thread>
+
+namespace parsleyring {
+
+// Requests that may wait, per slot.
+static constexpr std::uint32_t WaitingPerSlot = 2;
+static constexpr std::chrono::milliseconds CheckInterval{20};
+static constexpr std::chrono::seconds UnusedLimit{10};
+
+EngineBatch::EngineBatch(std::uint32_t Slots,
+                         std::chrono::milliseconds ReportLag)
+    : m_Slots(Slots), m_ReportLag(ReportLag) {
+  m_History.push_back({Clock::now(), 0, 0, false});
+}
+
+bool EngineBatch::open(const std::string &Request, int Priority) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  if (m_Requests.size() >= m_Slots * (1 + WaitingPerSlot))
+    return false;
+  m_Requests[Request] = {Priority, m_NextOrder++, false, Clock::now()};
+  grantSlots();
+  return true;
+}
+
+bool EngineBatch::waitForSlot(const std::string &Request,
+                              const std::function<bool()> &IsWanted) {
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  while (!m_Requests[Request].m_HasSlot) {
+    m_Changed.wait_for(Lock, CheckInterval);
+    Lock.unlock();
+    bool Continue = IsWanted();
+    Lock.lock();
+    if (!Continue)
+      return false;
+    m_Requests[Request].m_UsedAt = Clock::now();
+  }
+  return true;
+}
+
+void EngineBatch::close(const std::string &Request) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  auto Found = m_Requests.find(Request);
+  if (Found == m_Requests.end())
+    return;
+  if (Found->second.m_HasSlot)
+    --m_Running;
+  m_Requests.erase(Found);
+  grantSlots();
+}
+
+void EngineBatch::dropUnused() {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  auto Oldest = Clock::now() - UnusedLimit;
+  for (auto Next = m_Requests.begin(); Next != m_Requests.end();) {
+    if (Next->second.m_UsedAt >= Oldest) {
+      ++Next;
+      continue;
+    }
+    if (Next->second.m_HasSlot)
+      --m_Running;
+    Next = m_Requests.erase(Next);
+  }
+  grantSlots();
+}
+
+void EngineBatch::compute(const std::string &Request,
+                          std::chrono::microseconds Time) {
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  m_Changed.wait(Lock, [this] { return m_BusyLanes < m_Slots; });
+  ++m_BusyLanes;
+  if (auto Found = m_Requests.find(Request); Found != m_Requests.end())
+    Found->second.m_UsedAt = Clock::now();
+  Lock.unlock();
+  std::this_thread::sleep_for(Time);
+  Lock.lock();
+  --m_BusyLanes;
+  m_Changed.notify_all();
+}
+
+void EngineBatch::drain() {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_IsDraining = true;
+  noteLoad();
+}
+
+bool EngineBatch::isDraining() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_IsDraining;
+}
+
+EngineBatch::Load EngineBatch::reportedLoad() {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  auto At = Clock::now() - m_ReportLag;
+  while (m_History.size() > 1 && m_History[1].m_At <= At)
+    m_History.pop_front();
+  Load Report = m_History.front();
+  Report.m_At = At;
+  return Report;
+}
+
+void EngineBatch::grantSlots() {
+  while (m_Running < m_Slots) {
+    Entry *Next = nullptr;
+    for (auto &[Name, Candidate] : m_Requests) {
+      if (Candidate.m_HasSlot)
+        continue;
+      if (!Next || Candidate.m_Priority > Next->m_Priority ||
+          (Candidate.m_Priority == Next->m_Priority &&
+           Candidate.m_Order < Next->m_Order))
+        Next = &Candidate;
+    }
+    if (!Next)
+      break;
+    Next->m_HasSlot = true;
+    ++m_Running;
+  }
+  noteLoad();
+  m_Changed.notify_all();
+}
+
+void EngineBatch::noteLoad() {
+  auto Waiting = static_cast<std::uint32_t>(m_Requests.size()) - m_Running;
+  m_History.push_back({Clock::now(), m_Running, Waiting, m_IsDraining});
+  // Without calls of reportedLoad() the history must not grow for ever.
+  auto Oldest = m_History.back().m_At - m_ReportLag;
+  while (m_History.size() > 1 && m_History[1].m_At <= Oldest)
+    m_History.pop_front();
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/emulator/EngineCounts.h
@@ -0,0 +1,41 @@
+#ifndef PARSLEYRING_EMULATOR_ENGINECOUNTS_H
+#define PARSLEYRING_EMULATOR_ENGINECOUNTS_H
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace parsleyring {
+
+/// What an engine did, for the tests. Safe to use from many threads.
+class EngineCounts {
+public:
+  void noteStart(const std::string &Request);
+  void noteRefusal();
+  void noteCancel();
+  /// The engine computed its layers for the token at Position.
+  void noteToken(const std::string &Request, std::uint32_t Position);
+
+  /// {starts, refusals, cancels, tokens, requests: {ID: {starts, positions:
+  /// {POSITION: {LAYERS: times}}}}}. With Request, only that request is listed.
+  std::string json(const std::string &Layers, const std::string &Request) const;
+
+private:
+  struct PerRequest {
+    std::uint32_t m_Starts = 0;
+    std::map<std::uint32_t, std::uint32_t> m_Computed;
+  };
+
+  mutable std::mutex m_Mutex;
+  std::uint64_t m_Starts = 0;
+  std::uint64_t m_Refusals = 0;
+  std::uint64_t m_Cancels = 0;
+  std::uint64_t m_Tokens = 0;
+  std::map<std::string, PerRequest> m_Requests;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_EMULATOR_ENGINECOUNTS_H
--- /dev/null
+++ b/src/emulator/EngineEmulator.cpp
@@ -0,0 +1,347 @@
+#include "emulator/EngineEmulator.h"
+
+#include "core/NameTable.h"
+#include "emulator/TokenText.h"
+
+#include <nlohmann/json.hpp>
+
+#include <unistd.h>
+
+namespace parsleyring {
+
+using Json = nlohmann::json;
+
+static constexpr NameTable<WrongHops, 4> WrongHopsNames{
+    {"none", "skip", "repeat", "reorder"}};
+
+std::optional<WrongHops> wrongHopsFromName(std::string_view Name) {
+  return WrongHopsNames.value(Name);
+}
+
+static Json toJson(const std::vector<Hop> &Hops) {
+  Json Out = Json::array();
+  for (const Hop &Passed : Hops)
+    Out.push_back({{"endpoint", Passed.m_Endpoint},
+                   {"first_layer", Passed.m_Layers.m_First},
+                   {"end_layer", Passed.m_Layers.m_End}});
+  return Out;
+}
+
+static Hop toHop(const Json &In) {
+  return {In.at("endpoint"), {In.at("first_layer"), In.at("end_layer")}};
+}
+
+static std::vector<Hop> toHops(const Json &In) {
+  std::vector<Hop> Hops;
+  for (const Json &Passed : In)
+    Hops.push_back(toHop(Passed));
+  return Hops;
+}
+
+static std::int64_t nowMillis(EngineBatch::Clock::time_point At) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             At.time_since_epoch())
+      .count();
+}
+
+static Json errorJson(const std::string &Code, const std::string &Outcome,
+                      const std::string &Endpoint, const std::string &Message) {
+  return {{"error",
+           {{"code", Code},
+            {"outcome", Outcome},
+            {"endpoint", Endpoint},
+            {"message", Message}}}};
+}
+
+/// A request at one of its stages.
+struct EngineEmulator::Job {
+  std::string m_Request;
+  std::uint32_t m_Epoch = 0;
+  int m_Priority = 0;
+  std::uint64_t m_Seed = 0;
+  std::vector<std::uint64_t> m_Prefixes; ///< Empty after the first token.
+  bool m_IsPrefilled = false;
+  Json m_Stages; ///< This stage and the later ones.
+  std::uint32_t m_Position = 0;
+  std::uint32_t m_MaxTokens = 0;
+
+  std::string key() const { return m_Request + "#" + std::to_string(m_Epoch); }
+  bool hasNext() const { return m_Stages.size() > 1; }
+  std::string nextAddress() const { return m_Stages[1].at("address"); }
+
+  /// Body of POST /v1/forward to the next stage.
+  Json forward(const char *Operation) const {
+    Json Body = {{"operation", Operation},
+                 {"request", m_Request},
+                 {"epoch", m_Epoch},
+                 {"priority", m_Priority},
+                 {"stages", m_Stages}};
+    Body["stages"].erase(0);
+    return Body;
+  }
+};
+
+struct EngineEmulator::TokenResult {
+  std::string m_Text;
+  std::vector<Hop> m_Hops;
+};
+
+EngineEmulator::EngineEmulator(const EngineOptions &Options)
+    : m_Options(Options),
+      m_Incarnation(std::to_string(nowMillis(EngineBatch::Clock::now())) + "-" +
+                    std::to_string(getpid())),
+      m_OwnHop{Options.m_Endpoint, Options.m_Layers},
+      m_Batch(Options.m_Slots,
+              std::chrono::milliseconds(Options.m_ReportLagMillis)),
+      m_Cache(Options.m_CacheEntries),
+      m_Server([this](const HttpCall &Call, HttpReply &Reply) {
+        respond(Call, Reply);
+      }) {}
+
+EngineEmulator::~EngineEmulator() = default;
+
+void EngineEmulator::run() {
+  m_Server.bind(m_Options.m_Listen);
+  m_Server.run();
+}
+
+void EngineEmulator::respond(const HttpCall &Call, HttpReply &Reply) try {
+  std::string Name = Call.m_Method + " " + Call.m_Path;
+  if (Name == "POST /v1/completions")
+    return respondCompletion(Call, Reply);
+  if (Name == "POST /v1/forward")
+    return respondForward(Call, Reply);
+  if (Name == "GET /load")
+    return respondLoad(Reply);
+  if (Name == "POST /admin/order")
+    return respondOrder(Call, Reply);
+  if (Name == "GET /admin/counts") {
+    Reply.m_Body =
+        m_Counts.json(std::to_string(m_Options.m_Layers.m_First) + "-" +
+                          std::to_string(m_Options.m_Layers.m_End),
+                      Call.query("request"));
+    return;
+  }
+  if (Name == "POST /admin/drain")
+    m_Batch.drain();
+  else if (Name == "POST /admin/freeze")
+    m_Server.freezeConnections();
+  else
+    Reply.m_Status = 404;
+} catch (const Json::exception &Error) {
+  Reply.m_Status = 400;
+  Reply.m_Body =
+      errorJson("malformed", "not-run", m_Options.m_Endpoint, Error.what())
+          .dump();
+}
+
+void EngineEmulator::respondLoad(HttpReply &Reply) {
+  EngineBatch::Load Load = m_Batch.reportedLoad();
+  Reply.m_Body = Json{{"endpoint", m_Options.m_Endpoint},
+                      {"incarnation", m_Incarnation},
+                      {"at_ms", nowMillis(Load.m_At)},
+                      {"running", Load.m_Running},
+                      {"waiting", Load.m_Waiting},
+                      {"slots", m_Options.m_Slots},
+                      {"draining", Load.m_IsDraining},
+                      {"cached_prefixes", m_Cache.contents()}}
+                     .dump();
+}
+
+void EngineEmulator::respondOrder(const HttpCall &Call, HttpReply &Reply) {
+  std::uint64_t Token = Json::parse(Call.m_Body).at("fencing_token");
+  std::lock_guard<std::mutex> Lock(m_OrderMutex);
+  if (Token < m_FencingToken && !m_Options.m_IgnoresFencing)
+    return refuse(Reply, 409, "fenced", "a newer fencing token is known");
+  m_FencingToken = Token;
+  Reply.m_Body = Json{{"fencing_token", Token}}.dump();
+}
+
+void EngineEmulator::refuse(HttpReply &Reply, int Status,
+                            const std::string &Code,
+                            const std::string &Message) {
+  m_Counts.noteRefusal();
+  Reply.m_Status = Status;
+  Reply.m_Body =
+      errorJson(Code, "not-run", m_Options.m_Endpoint, Message).dump();
+}
+
+void EngineEmulator::respondCompletion(const HttpCall &Call, HttpReply &Reply) {
+  Json Body = Json::parse(Call.m_Body);
+  const Json &Pipeline = Body.at("pipeline");
+  auto Work = std::make_unique<Job>();
+  std::string Prompt = Body.at("prompt");
+  Work->m_Request = Pipeline.at("request");
+  Work->m_Epoch = Pipeline.value("epoch", 0);
+  Work->m_Priority = Body.value("priority", 0);
+  Work->m_Seed = promptSeed(Prompt);
+  Work->m_Stages = Pipeline.at("stages");
+  Work->m_Position = Pipeline.value("position", 0);
+  Work->m_MaxTokens = Body.at("max_tokens");
+  for (const std::string Text : Pipeline.value("delivered", Json::array()))
+    Prompt += Text;
+  Work->m_Prefixes = prefixHashes(Prompt);
+  if (!openStages(*Work, Reply))
+    return;
+  m_Counts.noteStart(Work->m_Request);
+  // The stages are closed with the last copy of the function, also if the
+  // connection breaks before the stream begins.
+  std::shared_ptr<Job> Open(Work.release(), [this](Job *Ended) {
+    closeStages(*Ended);
+    delete Ended;
+  });
+  Reply.m_ContentType = "text/event-stream";
+  Reply.m_Stream = [this, Open](HttpStream &Out) {
+    bool IsComplete = streamTokens(*Open, Out);
+    if (!IsComplete)
+      m_Counts.noteCancel();
+    return IsComplete;
+  };
+}
+
+bool EngineEmulator::openStages(const Job &Work, HttpReply &Reply) {
+  if (m_Batch.isDraining()) {
+    refuse(Reply, 503, "draining", "the engine is leaving");
+    return false;
+  }
+  if (Work.m_Stages.empty() || !(toHop(Work.m_Stages[0]) == m_OwnHop)) {
+    refuse(Reply, 503, "wrong-stage", "the engine holds other layers");
+    return false;
+  }
+  m_Batch.dropUnused();
+  if (!m_Batch.open(Work.key(), Work.m_Priority)) {
+    refuse(Reply, 429, "overloaded", "too many requests wait");
+    return false;
+  }
+  if (!Work.hasNext())
+    return true;
+  auto Answer = m_Clients.post(Work.nextAddress(), "/v1/forward",
+                               Work.forward("open").dump());
+  if (Answer && Answer->m_Status == 200)
+    return true;
+  m_Batch.close(Work.key());
+  // The code "draining" would tell the router that this stage is leaving.
+  refuse(Reply, 503, "overloaded", "a later stage refused");
+  Json Error = Answer ? Json::parse(Answer->m_Body)
+                      : errorJson("unreachable", "not-run",
+                                  Work.m_Stages[1].at("endpoint"),
+                                  "a later stage cannot be reached");
+  Error["error"]["reason"] =
+      Error["error"].value("reason", Error["error"]["code"]);
+  Error["error"]["code"] = "overloaded";
+  Reply.m_Body = Error.dump();
+  return false;
+}
+
+void EngineEmulator::closeStages(const Job &Work) {
+  m_Batch.close(Work.key());
+  if (Work.hasNext())
+    m_Clients.post(Work.nextAddress(), "/v1/forward",
+                   Work.forward("close").dump());
+}
+
+bool EngineEmulator::streamTokens(Job &Work, HttpStream &Out) {
+  if (!m_Batch.waitForSlot(Work.key(), [&] { return Out.isOpen(); }))
+    return false;
+  for (std::uint32_t Position = Work.m_Position; Position < Work.m_MaxTokens;
+       ++Position) {
+    if (!Out.isOpen())
+      return false;
+    auto Token = computeToken(Work, Position, {});
+    if (!Token) {
+      Json Error =
+          errorJson("stage-failed", "failed", Work.m_Stages[1].at("endpoint"),
+                    "a later stage did not answer");
+      Out.write("data: " + Error.dump() + "\n\n");
+      return false;
+    }
+    bool IsLast = Position + 1 == Work.m_MaxTokens;
+    Json Choice = {{"index", 0},
+                   {"text", Token->m_Text},
+                   {"finish_reason", IsLast ? Json("length") : Json()}};
+    Json Event = {{"choices", Json::array({Choice})},
+                  {"position", Position},
+                  {"hops", toJson(Token->m_Hops)}};
+    if (!Out.write("data: " + Event.dump() + "\n\n"))
+      return false;
+  }
+  return Out.write("data: [DONE]\n\n");
+}
+
+void EngineEmulator::computeLayers(Job &Work, std::uint32_t Position) {
+  // A step of the prefill takes as long as a token: its positions are
+  // computed side by side.
+  std::size_t Steps = 1;
+  if (!Work.m_IsPrefilled)
+    Steps = std::max<std::size_t>(1, m_Cache.use(Work.m_Prefixes));
+  m_Batch.compute(Work.key(),
+                  Steps * std::chrono::microseconds(m_Options.m_TokenMicros));
+  m_Counts.noteToken(Work.m_Request, Position);
+}
+
+std::optional<EngineEmulator::TokenResult>
+EngineEmulator::computeToken(Job &Work, std::uint32_t Position,
+                             std::vector<Hop> Hops) {
+  WrongHops Wrong = Position >= m_Options.m_WrongFrom ? m_Options.m_WrongHops
+                                                      : WrongHops::None;
+  bool IsLate = Wrong == WrongHops::Reorder && Work.hasNext();
+  int Times = Wrong == WrongHops::Skip || IsLate ? 0
+              : Wrong == WrongHops::Repeat       ? 2
+                                                 : 1;
+  for (int Done = 0; Done < Times; ++Done) {
+    computeLayers(Work, Position);
+    Hops.insert(Wrong == WrongHops::Reorder ? Hops.begin() : Hops.end(),
+                m_OwnHop);
+  }
+  // Wrong layers give a wrong text.
+  std::uint64_t Seed = Work.m_Seed + (Wrong == WrongHops::None ? 0 : 1);
+  bool IsPrefill = !Work.m_IsPrefilled;
+  Work.m_IsPrefilled = true;
+  if (!Work.hasNext())
+    return TokenResult{tokenText(Seed, Position), std::move(Hops)};
+  Json Body = Work.forward("token");
+  Body["position"] = Position;
+  Body["seed"] = Seed;
+  Body["hops"] = toJson(Hops);
+  if (IsPrefill)
+    Body["prefixes"] = Work.m_Prefixes;
+  auto Answer = m_Clients.post(Work.nextAddress(), "/v1/forward", Body.dump());
+  if (!Answer || Answer->m_Status != 200)
+    return std::nullopt;
+  Json Result = Json::parse(Answer->m_Body);
+  Hops = toHops(Result.at("hops"));
+  if (IsLate) {
+    computeLayers(Work, Position);
+    Hops.push_back(m_OwnHop);
+  }
+  return TokenResult{Result.at("text"), std::move(Hops)};
+}
+
+void EngineEmulator::respondForward(const HttpCall &Call, HttpReply &Reply) {
+  Json Body = Json::parse(Call.m_Body);
+  Job Work;
+  Work.m_Request = Body.at("request");
+  Work.m_Epoch = Body.at("epoch");
+  Work.m_Priority = Body.at("priority");
+  Work.m_Stages = Body.at("stages");
+  std::string Operation = Body.at("operation");
+  if (Operation == "open") {
+    openStages(Work, Reply);
+    return;
+  }
+  if (Operation == "close")
+    return closeStages(Work);
+  Work.m_Seed = Body.at("seed");
+  Work.m_IsPrefilled = !Body.contains("prefixes");
+  if (!Work.m_IsPrefilled)
+    Work.m_Prefixes = Body.at("prefixes").get<std::vector<std::uint64_t>>();
+  auto Token = computeToken(Work, Body.at("position"), toHops(Body.at("hops")));
+  if (!Token) {
+    Reply.m_Status = 502;
+    return;
+  }
+  Reply.m_Body =
+      Json{{"text", Token->m_Text}, {"hops", toJson(Token->m_Hops)}}.dump();
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/emulator/EngineEmulator.h
@@ -0,0 +1,77 @@
+#ifndef PARSLEYRING_EMULATOR_ENGINEEMULATOR_H
+#define PARSLEYRING_EMULATOR_ENGINEEMULATOR_H
+
+#include "emulator/EngineBatch.h"
+#include "emulator/EngineCounts.h"
+#include "emulator/HttpClientPool.h"
+#include "emulator/HttpServer.h"
+#include "emulator/PrefixCache.h"
+#include "parsleyring/Types.h"
+
+#include <atomic>
+
+namespace parsleyring {
+
+/// How an engine breaks the rule that each layer runs once, in order.
+enum class WrongHops { None, Skip, Repeat, Reorder };
+
+std::optional<WrongHops> wrongHopsFromName(std::string_view Name);
+
+struct EngineOptions {
+  std::string m_Listen;
+  std::string m_Endpoint;
+  LayerRange m_Layers;
+  std::uint32_t m_TokenMicros = 1000;
+  std::uint32_t m_Slots = 8;
+  std::uint32_t m_CacheEntries = 1000;
+  std::uint32_t m_ReportLagMillis = 0;
+  bool m_IgnoresFencing = false;
+  WrongHops m_WrongHops = WrongHops::None;
+  std::uint32_t m_WrongFrom = 0; ///< First position with wrong hops.
+};
+
+/// Stands for an engine server that holds a range of layers. The stage that
+/// takes in a request forwards each token through the other stages.
+class EngineEmulator {
+public:
+  explicit EngineEmulator(const EngineOptions &Options);
+  ~EngineEmulator();
+  void run();
+
+private:
+  struct Job;
+  struct TokenResult;
+
+  void respond(const HttpCall &Call, HttpReply &Reply);
+  void respondCompletion(const HttpCall &Call, HttpReply &Reply);
+  void respondForward(const HttpCall &Call, HttpReply &Reply);
+  void respondLoad(HttpReply &Reply);
+  void respondOrder(const HttpCall &Call, HttpReply &Reply);
+
+  /// Opens the request here and at the later stages. Returns false, and the
+  /// refusal in Reply, if one of the stages refuses.
+  bool openStages(const Job &Work, HttpReply &Reply);
+  void closeStages(const Job &Work);
+  bool streamTokens(Job &Work, HttpStream &Out);
+  /// Empty if a later stage failed.
+  std::optional<TokenResult> computeToken(Job &Work, std::uint32_t Position,
+                                          std::vector<Hop> Hops);
+  void computeLayers(Job &Work, std::uint32_t Position);
+  void refuse(HttpReply &Reply, int Status, const std::string &Code,
+              const std::string &Message);
+
+  const EngineOptions m_Options;
+  const std::string m_Incarnation;
+  const Hop m_OwnHop;
+  EngineBatch m_Batch;
+  EngineCounts m_Counts;
+  PrefixCache m_Cache;
+  HttpClientPool m_Clients;
+  std::mutex m_OrderMutex;
+  std::uint64_t m_FencingToken = 0;
+  HttpServer m_Server;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_EMULATOR_ENGINEEMULATOR_H
--- /dev/null
+++ b/src/emulator/KeyValueStore.h
@@ -0,0 +1,66 @@
+#ifndef PARSLEYRING_EMULATOR_KEYVALUESTORE_H
+#define PARSLEYRING_EMULATOR_KEYVALUESTORE_H
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace parsleyring {
+
+/// Keys, values and sessions with the meaning of the Consul KV API. Not
+/// synchronized.
+class KeyValueStore {
+public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  struct Entry {
+    std::string m_Key;
+    std::string m_Value;
+    std::uint64_t m_CreateIndex = 0;
+    std::uint64_t m_ModifyIndex = 0;
+    std::uint64_t m_LockIndex = 0;
+    std::string m_Session;
+  };
+
+  struct Condition {
+    std::optional<std::uint64_t> m_Cas; ///< 0: the key must be absent.
+    std::string m_Acquire;              ///< Session.
+    std::string m_Release;              ///< Session.
+  };
+
+  std::vector<Entry> read(const std::string &Key, bool IsPrefix) const;
+  /// Index of the last change below the key, deletions included; at least 1.
+  std::uint64_t index(const std::string &Key, bool IsPrefix) const;
+  bool write(const std::string &Key, const std::string &Value,
+             const Condition &Only);
+  bool remove(const std::string &Key, bool IsPrefix,
+              const std::optional<std::uint64_t> &Cas);
+
+  std::string createSession(Time Now, std::chrono::milliseconds TimeToLive,
+                            bool DeletesKeys);
+  /// Returns false if the session has ended.
+  bool renewSession(Time Now, const std::string &Id);
+  void endSession(const std::string &Id);
+  bool hasSession(const std::string &Id) const;
+  void expireSessions(Time Now);
+
+private:
+  struct Session {
+    std::chrono::milliseconds m_TimeToLive;
+    bool m_DeletesKeys = false;
+    Time m_End;
+  };
+
+  std::map<std::string, Entry> m_Entries;
+  std::map<std::string, std::uint64_t> m_Changes; ///< Last index per key.
+  std::map<std::string, Session> m_Sessions;
+  std::uint64_t m_Index = 1;
+  std::uint64_t m_NextSession = 1;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_EMULATOR_KEYVALUESTORE_H
--- /dev/null
+++ b/src/emulator/PlatformEmulator.cpp
@@ -0,0 +1,264 @@
+#include "emulator/PlatformEmulator.h"
+
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+
+#include <fstream>
+#include <thread>
+
+namespace parsleyring {
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+static constexpr std::size_t MaxValueBytes = 1000000;
+static constexpr std::chrono::milliseconds MaxWait{60000};
+static constexpr std::chrono::milliseconds DefaultSessionTime{15000};
+// Also the precision of the end of a session.
+static constexpr std::chrono::milliseconds CheckInterval{50};
+static const std::string KeyPath = "/v1/kv/";
+static const std::string SessionPath = "/v1/session/";
+
+static std::string base64(const std::string &Text) {
+  std::string Encoded(4 * ((Text.size() + 2) / 3) + 1, '\0');
+  int Length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Encoded.data()),
+                      reinterpret_cast<const unsigned char *>(Text.data()),
+                      static_cast<int>(Text.size()));
+  Encoded.resize(static_cast<std::size_t>(Length));
+  return Encoded;
+}
+
+/// Reads "500ms", "5s" or "1m".
+static std::chrono::milliseconds parseTime(const std::string &Text,
+                                           std::chrono::milliseconds Fallback) {
+  std::size_t Used = 0;
+  double Number = 0;
+  try {
+    Number = std::stod(Text, &Used);
+  } catch (const std::exception &) {
+    return Fallback;
+  }
+  std::string Unit = Text.substr(Used);
+  double Millis = Unit == "ms" ? 1 : Unit == "m" ? 60000 : 1000;
+  return std::chrono::milliseconds(static_cast<long>(Number * Millis));
+}
+
+static Json toJson(const KeyValueStore::Entry &Entry) {
+  Json Out = {{"Key", Entry.m_Key},
+              {"Value", base64(Entry.m_Value)},
+              {"Flags", 0},
+              {"LockIndex", Entry.m_LockIndex},
+              {"CreateIndex", Entry.m_CreateIndex},
+              {"ModifyIndex", Entry.m_ModifyIndex}};
+  if (!Entry.m_Session.empty())
+    Out["Session"] = Entry.m_Session;
+  return Out;
+}
+
+bool PlatformEmulator::Rate::take(KeyValueStore::Time Now) {
+  std::chrono::duration<double> Passed = Now - m_FilledAt;
+  m_FilledAt = Now;
+  m_Available =
+      std::min(m_PerSecond, m_Available + Passed.count() * m_PerSecond);
+  if (m_Available < 1)
+    return false;
+  m_Available -= 1;
+  return true;
+}
+
+PlatformEmulator::PlatformEmulator(const PlatformOptions &Options)
+    : m_Options(Options), m_Writes{double(Options.m_WritesPerSecond),
+                                   double(Options.m_WritesPerSecond),
+                                   Clock::now()},
+      m_Reads{double(Options.m_ReadsPerSecond),
+              double(Options.m_ReadsPerSecond), Clock::now()},
+      m_Server([this](const HttpCall &Call, HttpReply &Reply) {
+        respond(Call, Reply);
+      }) {
+  if (Options.m_SeedFile.empty())
+    return;
+  std::ifstream File(Options.m_SeedFile);
+  const Json Seed = Json::parse(File);
+  for (const auto &[Key, Value] : Seed.items())
+    m_Store.write(
+        Key, Value.is_string() ? Value.get<std::string>() : Value.dump(), {});
+}
+
+void PlatformEmulator::run() {
+  m_Server.bind(m_Options.m_Listen);
+  m_Server.run();
+}
+
+void PlatformEmulator::respond(const HttpCall &Call, HttpReply &Reply) try {
+  if (Call.m_Path == "/admin/mode")
+    return setMode(Call);
+  if (Call.m_Path == "/admin/counts") {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    Reply.m_Body = Json(m_Counts).dump();
+    return;
+  }
+  std::uint32_t SlowMillis = 0;
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    SlowMillis = m_SlowMillis;
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(SlowMillis));
+  if (Call.m_Path.compare(0, KeyPath.size(), KeyPath) == 0)
+    return respondKeyValue(Call, Reply);
+  if (Call.m_Path.compare(0, SessionPath.size(), SessionPath) == 0)
+    return respondSession(Call, Reply);
+  Reply.m_Status = 404;
+} catch (const std::exception &Error) {
+  Reply.m_Status = 400;
+  Reply.m_Body = Error.what();
+}
+
+void PlatformEmulator::setMode(const HttpCall &Call) {
+  Json Mode = Json::parse(Call.m_Body);
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_IsOutage = Mode.value("outage", m_IsOutage);
+  m_IsWatchFrozen = Mode.value("frozen_watch", m_IsWatchFrozen);
+  m_SlowMillis = Mode.value("slow_ms", m_SlowMillis);
+  m_LostAnswers = Mode.value("lost_answers", m_LostAnswers);
+  m_Changed.notify_all();
+}
+
+bool PlatformEmulator::admit(const HttpCall &Call, HttpReply &Reply) {
+  if (m_IsOutage) {
+    count("closed");
+    Reply.m_IsLost = true;
+    return false;
+  }
+  bool IsRead = Call.m_Method == "GET";
+  std::string Kind = Call.m_Path.compare(0, KeyPath.size(), KeyPath) != 0
+                         ? "sessions"
+                     : Call.hasQuery("index")    ? "watches"
+                     : IsRead                    ? "reads"
+                     : Call.m_Method == "DELETE" ? "deletes"
+                                                 : "writes";
+  count(Kind);
+  if ((IsRead ? m_Reads : m_Writes).take(Clock::now()))
+    return true;
+  count("rate_limited");
+  Reply.m_Status = 429;
+  Reply.m_Body = "rate limit exceeded";
+  return false;
+}
+
+void PlatformEmulator::respondKeyValue(const HttpCall &Call, HttpReply &Reply) {
+  std::string Key = Call.m_Path.substr(KeyPath.size());
+  if (Call.m_Method == "GET")
+    return respondRead(Call, Key, Reply);
+  if (Call.m_Method == "PUT")
+    return respondWrite(Call, Key, Reply);
+  if (Call.m_Method != "DELETE") {
+    Reply.m_Status = 405;
+    return;
+  }
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  if (!admit(Call, Reply))
+    return;
+  std::optional<std::uint64_t> Cas;
+  if (Call.hasQuery("cas"))
+    Cas = std::stoull(Call.query("cas"));
+  finishWrite(m_Store.remove(Key, Call.hasQuery("recurse"), Cas), Reply);
+}
+
+void PlatformEmulator::respondRead(const HttpCall &Call, const std::string &Key,
+                                   HttpReply &Reply) {
+  bool IsPrefix = Call.hasQuery("recurse");
+  std::uint64_t After = std::stoull(Call.query("index", "0"));
+  auto End =
+      Clock::now() + std::min(MaxWait, parseTime(Call.query("wait"), MaxWait));
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  if (!admit(Call, Reply))
+    return;
+  m_Store.expireSessions(Clock::now());
+  bool IsFrozen = false;
+  while (After > 0 && !m_IsOutage &&
+         (IsFrozen || m_Store.index(Key, IsPrefix) <= After) &&
+         Clock::now() < End) {
+    m_Changed.wait_for(Lock, CheckInterval);
+    m_Store.expireSessions(Clock::now());
+    // A frozen watch stays silent, also when the fault ends.
+    if (m_IsWatchFrozen && !IsFrozen) {
+      IsFrozen = true;
+      End = Clock::now() + MaxWait;
+    }
+  }
+  if (IsFrozen || m_IsOutage) {
+    Reply.m_IsLost = true;
+    return;
+  }
+  Reply.m_Headers["X-Consul-Index"] =
+      std::to_string(m_Store.index(Key, IsPrefix));
+  Json Body = Json::array();
+  for (const KeyValueStore::Entry &Entry : m_Store.read(Key, IsPrefix))
+    Body.push_back(toJson(Entry));
+  if (Body.empty())
+    Reply.m_Status = 404;
+  else
+    Reply.m_Body = Body.dump();
+}
+
+void PlatformEmulator::respondWrite(const HttpCall &Call,
+                                    const std::string &Key, HttpReply &Reply) {
+  KeyValueStore::Condition Only;
+  if (Call.hasQuery("cas"))
+    Only.m_Cas = std::stoull(Call.query("cas"));
+  Only.m_Acquire = Call.query("acquire");
+  Only.m_Release = Call.query("release");
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  if (!admit(Call, Reply))
+    return;
+  if (Call.m_Body.size() > MaxValueBytes) {
+    Reply.m_Status = 413;
+    return;
+  }
+  m_Store.expireSessions(Clock::now());
+  if (!Only.m_Acquire.empty() && !m_Store.hasSession(Only.m_Acquire)) {
+    Reply.m_Status = 500;
+    Reply.m_Body = "invalid session";
+    return;
+  }
+  finishWrite(m_Store.write(Key, Call.m_Body, Only), Reply);
+}
+
+void PlatformEmulator::finishWrite(bool IsDone, HttpReply &Reply) {
+  m_Changed.notify_all();
+  Reply.m_Body = IsDone ? "true" : "false";
+  if (!IsDone || m_LostAnswers == 0)
+    return;
+  --m_LostAnswers;
+  count("lost_answers");
+  Reply.m_IsLost = true;
+}
+
+void PlatformEmulator::respondSession(const HttpCall &Call, HttpReply &Reply) {
+  std::string Rest = Call.m_Path.substr(SessionPath.size());
+  std::string Id = Rest.substr(Rest.find('/') + 1);
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  if (!admit(Call, Reply))
+    return;
+  m_Store.expireSessions(Clock::now());
+  if (Rest == "create") {
+    Json Body = Call.m_Body.empty() ? Json::object() : Json::parse(Call.m_Body);
+    Json Created = {
+        {"ID",
+         m_Store.createSession(
+             Clock::now(), parseTime(Body.value("TTL", ""), DefaultSessionTime),
+             Body.value("Behavior", "release") == "delete")}};
+    Reply.m_Body = Created.dump();
+  } else if (Rest == "renew/" + Id && m_Store.renewSession(Clock::now(), Id)) {
+    Reply.m_Body = Json::array({{{"ID", Id}}}).dump();
+  } else if (Rest == "destroy/" + Id) {
+    m_Store.endSession(Id);
+    m_Changed.notify_all();
+    Reply.m_Body = "true";
+  } else {
+    Reply.m_Status = 404;
+  }
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/emulator/PlatformEmulator.h
@@ -0,0 +1,63 @@
+#ifndef PARSLEYRING_EMULATOR_PLATFORMEMULATOR_H
+#define PARSLEYRING_EMULATOR_PLATFORMEMULATOR_H
+
+#include "emulator/HttpServer.h"
+#include "emulator/KeyValueStore.h"
+
+#include <condition_variable>
+#include <mutex>
+
+namespace parsleyring {
+
+struct PlatformOptions {
+  std::string m_Listen;
+  std::uint32_t m_WritesPerSecond = 500;
+  std::uint32_t m_ReadsPerSecond = 2000;
+  std::string m_SeedFile; ///< JSON object of keys and values; may be empty.
+};
+
+/// Stands for the platform's key-value service, in the format of the Consul
+/// KV API, with faults that are set at run time.
+class PlatformEmulator {
+public:
+  explicit PlatformEmulator(const PlatformOptions &Options);
+  void run();
+
+private:
+  /// Calls per second; allows a burst of one second's calls.
+  struct Rate {
+    double m_PerSecond = 0;
+    double m_Available = 0;
+    KeyValueStore::Time m_FilledAt;
+    bool take(KeyValueStore::Time Now);
+  };
+
+  void respond(const HttpCall &Call, HttpReply &Reply);
+  void respondKeyValue(const HttpCall &Call, HttpReply &Reply);
+  void respondSession(const HttpCall &Call, HttpReply &Reply);
+  void respondRead(const HttpCall &Call, const std::string &Key,
+                   HttpReply &Reply);
+  void respondWrite(const HttpCall &Call, const std::string &Key,
+                    HttpReply &Reply);
+  void finishWrite(bool IsDone, HttpReply &Reply);
+  void setMode(const HttpCall &Call);
+  bool admit(const HttpCall &Call, HttpReply &Reply);
+  void count(const std::string &Kind) { ++m_Counts[Kind]; }
+
+  const PlatformOptions m_Options;
+  std::mutex m_Mutex;
+  std::condition_variable m_Changed;
+  KeyValueStore m_Store;
+  Rate m_Writes;
+  Rate m_Reads;
+  std::map<std::string, std::uint64_t> m_Counts;
+  bool m_IsOutage = false;
+  bool m_IsWatchFrozen = false;
+  std::uint32_t m_SlowMillis = 0;
+  std::uint32_t m_LostAnswers = 0; ///< Writes whose answer is still to be lost.
+  HttpServer m_Server;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_EMULATOR_PLATFORMEMULATOR_H
--- /dev/null
+++ b/src/emulator/PrefixCache.cpp
@@ -0,0 +1,29 @@
+#include "emulator/PrefixCache.h"
+
+namespace parsleyring {
+
+std::size_t PrefixCache::use(const std::vector<std::uint64_t> &Prefixes) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  std::size_t Cached = 0;
+  while (Cached < Prefixes.size() && m_Entries.count(Prefixes[Cached]) > 0)
+    ++Cached;
+  // The shortest prefix is marked last: longer ones are of no use without it.
+  for (auto Prefix = Prefixes.rbegin(); Prefix != Prefixes.rend(); ++Prefix) {
+    if (auto Found = m_Entries.find(*Prefix); Found != m_Entries.end())
+      m_Order.erase(Found->second);
+    m_Order.push_front(*Prefix);
+    m_Entries[*Prefix] = m_Order.begin();
+  }
+  while (m_Order.size() > m_Capacity) {
+    m_Entries.erase(m_Order.back());
+    m_Order.pop_back();
+  }
+  return Prefixes.size() - Cached;
+}
+
+std::vector<std::uint64_t> PrefixCache::contents() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return {m_Order.begin(), m_Order.end()};
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/emulator/ServiceEmulator.h
@@ -0,0 +1,44 @@
+#ifndef PARSLEYRING_EMULATOR_SERVICEEMULATOR_H
+#define PARSLEYRING_EMULATOR_SERVICEEMULATOR_H
+
+#include "emulator/HttpServer.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace parsleyring {
+
+struct ServiceOptions {
+  std::string m_Listen;
+  std::string m_Endpoint;
+  std::uint32_t m_DelayMillis = 0;
+};
+
+/// Stands for a server of a plain service. It runs every call that reaches it
+/// and counts the executions per idempotency key or request id.
+class ServiceEmulator {
+public:
+  explicit ServiceEmulator(const ServiceOptions &Options);
+  void run();
+
+private:
+  void respond(const HttpCall &Call, HttpReply &Reply);
+  void execute(const HttpCall &Call, HttpReply &Reply);
+  std::string loadJson();
+  std::string countsJson();
+
+  const ServiceOptions m_Options;
+  const std::string m_Incarnation;
+  std::mutex m_Mutex;
+  std::map<std::string, std::uint32_t> m_Executions; ///< By key.
+  std::uint64_t m_Total = 0;
+  std::uint64_t m_Refusals = 0;
+  std::uint32_t m_Running = 0;
+  bool m_IsDraining = false;
+  HttpServer m_Server;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_EMULATOR_SERVICEEMULATOR_H
