Add a TCP proxy emulator with link faults

Delay, bandwidth, cuts, connections that go silent while new ones work, one-way loss and lost answers are set at run time, so that tests can apply several faults at once and heal them.

A second bound socket keeps the port while nothing listens, so a cut link refuses connections and no other process takes its port. A connection that lost bytes stays silent in that direction after the fault ends: TCP does not pass over a gap.

--- a/src/daemons/parsleyring-emulator.cpp
+++ b/src/daemons/parsleyring-emulator.cpp
@@ -1,5 +1,6 @@
 #include "emulator/EngineEmulator.h"
 #include "emulator/PlatformEmulator.h"
+#include "emulator/ProxyAdmin.h"
 #include "emulator/ServiceEmulator.h"
 
 #include <CLI/CLI.hpp>
@@ -56,6 +57,15 @@
   Command->final_callback([&Options] { PlatformEmulator(Options).run(); });
 }
 
+static void addProxy(CLI::App &App, ProxyOptions &Options) {
+  CLI::App *Command =
+      addCommand(App, "proxy", "TCP link with faults", Options.m_Listen);
+  Command->add_option("--to", Options.m_To, "IP:port")->required();
+  Command->add_option("--admin", Options.m_Admin,
+                      "IP:port for POST /admin/faults");
+  Command->final_callback([&Options] { ProxyAdmin(Options).run(); });
+}
+
 int main(int ArgumentCount, char **Arguments) {
   CLI::App App("Stand-ins for the systems around the routers, for tests");
   App.set_version_flag("--version", PARSLEYRING_VERSION);
@@ -63,9 +73,11 @@
   EngineOptions Engine;
   ServiceOptions Service;
   PlatformOptions Platform;
+  ProxyOptions Proxy;
   addEngine(App, Engine);
   addService(App, Service);
   addPlatform(App, Platform);
+  addProxy(App, Proxy);
   try {
     App.parse(ArgumentCount, Arguments);
   } catch (const CLI::ParseError &Error) {
--- a/src/emulator/HttpServer.cpp
+++ b/src/emulator/HttpServer.cpp
@@ -279,8 +279,8 @@
   return m_Implementation->m_Address;
 }
 
-void HttpServer::run() {
-  std::cout << "listening " << m_Implementation->m_Address << std::endl;
+void HttpServer::run(const std::string &Label) {
+  std::cout << Label << " " << m_Implementation->m_Address << std::endl;
   m_Implementation->listen_after_bind();
 }
 
--- a/src/emulator/HttpServer.h
+++ b/src/emulator/HttpServer.h
@@ -59,8 +59,8 @@
   /// Binds to "IP:port", where port 0 picks a free one. Returns the address in
   /// use. Throws std::runtime_error.
   std::string bind(const std::string &Address);
-  /// Prints "listening IP:port" and serves.
-  void run();
+  /// Prints "Label IP:port" and serves.
+  void run(const std::string &Label = "listening");
 
   /// The connections that exist now become silent for good: nothing more is
   /// read from them or written to them. New connections work, and so does the
--- /dev/null
+++ b/src/emulator/ProxyAdmin.h
@@ -0,0 +1,38 @@
+#ifndef PARSLEYRING_EMULATOR_PROXYADMIN_H
+#define PARSLEYRING_EMULATOR_PROXYADMIN_H
+
+#include "emulator/HttpServer.h"
+#include "emulator/TcpProxy.h"
+
+namespace parsleyring {
+
+struct ProxyOptions {
+  std::string m_Listen;
+  std::string m_To;
+  std::string m_Admin = "127.0.0.1:0";
+};
+
+/// Sets the faults of a TcpProxy over HTTP.
+///
+/// POST /admin/faults takes an object with any of delay_ms, bytes_per_second,
+/// cut, lose_to_server, lose_to_client, drop_answer_after and
+/// freeze_existing; what is not given stays. POST /admin/heal ends all faults,
+/// but frozen connections stay silent.
+class ProxyAdmin {
+public:
+  explicit ProxyAdmin(const ProxyOptions &Options);
+  /// Prints "listening IP:port" and "admin IP:port", and serves.
+  void run();
+
+private:
+  void respond(const HttpCall &Call, HttpReply &Reply);
+  void setFaults(const std::string &Body);
+
+  const ProxyOptions m_Options;
+  TcpProxy m_Proxy;
+  HttpServer m_Server;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_EMULATOR_PROXYADMIN_H
--- /dev/null
+++ b/src/emulator/TcpProxy.cpp
@@ -0,0 +1,254 @@
+#include "emulator/TcpProxy.h"
+
+#include "emulator/HttpServer.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <stdexcept>
+
+namespace parsleyring {
+
+static constexpr std::size_t ChunkBytes = 16 << 10;
+// Reading pauses at this amount, so that a sender notices a slow link.
+static constexpr std::size_t MaxQueuedChunks = 64;
+static constexpr std::uint64_t Unlimited =
+    std::numeric_limits<std::uint64_t>::max();
+static constexpr int ListenBacklog = 512;
+// Time after which changed faults take effect.
+static constexpr std::chrono::milliseconds CheckInterval{10};
+
+static sockaddr_in socketAddress(const std::string &Host, int Port) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(static_cast<std::uint16_t>(Port));
+  if (inet_pton(AF_INET, Host.c_str(), &Address.sin_addr) != 1)
+    throw std::invalid_argument("\"" + Host + "\" is not an IPv4 address");
+  return Address;
+}
+
+static int openSocket() {
+  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Socket < 0)
+    throw std::runtime_error("cannot open a socket");
+  return Socket;
+}
+
+static int bindSocket(const std::string &Host, int Port) {
+  int Socket = openSocket();
+  int On = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in Address = socketAddress(Host, Port);
+  if (bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) !=
+      0)
+    throw std::runtime_error("cannot bind port " + std::to_string(Port));
+  return Socket;
+}
+
+static bool isTemporary(int Error) { return Error == EAGAIN || Error == EINTR; }
+
+TcpProxy::TcpProxy(const std::string &Listen, const std::string &To) {
+  std::tie(m_Host, m_Port) = splitAddress(Listen);
+  std::tie(m_ToHost, m_ToPort) = splitAddress(To);
+  m_PortHolder = bindSocket(m_Host, m_Port);
+  sockaddr_in Address{};
+  socklen_t Size = sizeof(Address);
+  getsockname(m_PortHolder, reinterpret_cast<sockaddr *>(&Address), &Size);
+  m_Port = ntohs(Address.sin_port);
+  openListener();
+}
+
+TcpProxy::~TcpProxy() {
+  for (Connection &Link : m_Connections)
+    closeConnection(Link);
+  if (m_Listener >= 0)
+    close(m_Listener);
+  close(m_PortHolder);
+}
+
+std::string TcpProxy::address() const {
+  return m_Host + ":" + std::to_string(m_Port);
+}
+
+TcpProxy::Faults TcpProxy::faults() const {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Faults;
+}
+
+void TcpProxy::setFaults(const Faults &Value) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Faults = Value;
+}
+
+void TcpProxy::freezeConnections() {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_WantsFreeze = true;
+}
+
+void TcpProxy::openListener() {
+  m_Listener = bindSocket(m_Host, m_Port);
+  if (listen(m_Listener, ListenBacklog) != 0)
+    throw std::runtime_error("cannot listen on " + address());
+}
+
+void TcpProxy::run() {
+  for (;;) {
+    Clock::time_point Now = Clock::now();
+    waitForWork(Now);
+    bool IsFreezing = false;
+    {
+      std::lock_guard<std::mutex> Lock(m_Mutex);
+      m_Active = m_Faults;
+      std::swap(IsFreezing, m_WantsFreeze);
+    }
+    if (m_Active.m_IsCut && m_Listener >= 0) {
+      close(m_Listener);
+      m_Listener = -1;
+    } else if (!m_Active.m_IsCut && m_Listener < 0) {
+      openListener();
+    }
+    if (m_Listener >= 0)
+      acceptConnections();
+    Now = Clock::now();
+    for (auto Link = m_Connections.begin(); Link != m_Connections.end();) {
+      Link->m_IsFrozen |= IsFreezing;
+      if (m_Active.m_IsCut)
+        Link->m_IsBroken = true;
+      else if (!Link->m_IsFrozen && !Link->m_IsBroken)
+        moveBytes(*Link, Now);
+      if (Link->m_IsBroken) {
+        closeConnection(*Link);
+        Link = m_Connections.erase(Link);
+      } else {
+        ++Link;
+      }
+    }
+  }
+}
+
+void TcpProxy::acceptConnections() {
+  for (;;) {
+    int Client =
+        accept4(m_Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (Client < 0)
+      return;
+    int Server = openSocket();
+    int On = 1;
+    for (int Socket : {Client, Server})
+      setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+    sockaddr_in Address = socketAddress(m_ToHost, m_ToPort);
+    int Result = connect(Server, reinterpret_cast<sockaddr *>(&Address),
+                         sizeof(Address));
+    Connection Link;
+    Link.m_IsBroken = Result != 0 && errno != EINPROGRESS;
+    Link.m_ToServer.m_From = Link.m_ToClient.m_To = Client;
+    Link.m_ToServer.m_To = Link.m_ToClient.m_From = Server;
+    m_Connections.push_back(std::move(Link));
+  }
+}
+
+void TcpProxy::addPolls(std::vector<pollfd> &Polls, Clock::time_point Now,
+                        Clock::time_point &Next) const {
+  for (const Connection &Link : m_Connections) {
+    if (Link.m_IsFrozen)
+      continue;
+    auto Add = [&](const Way &Route, Clock::time_point FreeAt) {
+      if (!Route.m_HasEnded && Route.m_Chunks.size() < MaxQueuedChunks)
+        Polls.push_back({Route.m_From, POLLIN, 0});
+      if (Route.m_Chunks.empty())
+        return;
+      Clock::time_point Due = std::max(Route.m_Chunks.front().m_Due, FreeAt);
+      if (Due > Now)
+        Next = std::min(Next, Due);
+      else
+        Polls.push_back({Route.m_To, POLLOUT, 0});
+    };
+    Add(Link.m_ToServer, m_ServerFreeAt);
+    Add(Link.m_ToClient, m_ClientFreeAt);
+  }
+}
+
+void TcpProxy::waitForWork(Clock::time_point Now) const {
+  std::vector<pollfd> Polls;
+  Clock::time_point Next = Now + CheckInterval;
+  if (m_Listener >= 0)
+    Polls.push_back({m_Listener, POLLIN, 0});
+  addPolls(Polls, Now, Next);
+  auto Wait = std::chrono::nanoseconds(Next - Now).count();
+  timespec Limit{0, Wait};
+  ppoll(Polls.data(), Polls.size(), &Limit, nullptr);
+}
+
+void TcpProxy::moveBytes(Connection &Link, Clock::time_point Now) {
+  bool IsGood =
+      receive(Link.m_ToServer, m_Active.m_LosesToServer, Now) &&
+      receive(Link.m_ToClient, m_Active.m_LosesToClient, Now) &&
+      sendDue(Link.m_ToServer, Unlimited, Now, m_ServerFreeAt) &&
+      sendDue(Link.m_ToClient, m_Active.m_AnswerBytes, Now, m_ClientFreeAt);
+  bool IsOver = Link.m_ToServer.m_IsShut && Link.m_ToClient.m_IsShut;
+  Link.m_IsBroken = !IsGood || IsOver;
+}
+
+bool TcpProxy::receive(Way &Route, bool IsLost, Clock::time_point Now) {
+  Clock::time_point Due =
+      Now + std::chrono::milliseconds(m_Active.m_DelayMillis);
+  while (!Route.m_HasEnded && Route.m_Chunks.size() < MaxQueuedChunks) {
+    std::string Bytes(ChunkBytes, '\0');
+    ssize_t Count = recv(Route.m_From, Bytes.data(), Bytes.size(), 0);
+    if (Count < 0)
+      return isTemporary(errno);
+    Route.m_IsLossy |= IsLost;
+    if (Route.m_IsLossy)
+      Bytes.clear();
+    else
+      Bytes.resize(static_cast<std::size_t>(Count));
+    Route.m_HasEnded = Count == 0;
+    if (!Bytes.empty())
+      Route.m_Chunks.push_back({Due, std::move(Bytes)});
+  }
+  return true;
+}
+
+bool TcpProxy::sendDue(Way &Route, std::uint64_t Limit, Clock::time_point Now,
+                       Clock::time_point &FreeAt) {
+  while (!Route.m_Chunks.empty() && Route.m_Chunks.front().m_Due <= Now &&
+         FreeAt <= Now) {
+    std::string &Bytes = Route.m_Chunks.front().m_Bytes;
+    std::size_t Size = Bytes.size();
+    Size = std::min<std::uint64_t>(Size, Limit - Route.m_SentBytes);
+    if (Size == 0)
+      return false;
+    ssize_t Count = send(Route.m_To, Bytes.data(), Size, MSG_NOSIGNAL);
+    if (Count < 0)
+      return isTemporary(errno);
+    Route.m_SentBytes += static_cast<std::uint64_t>(Count);
+    if (m_Active.m_BytesPerSecond > 0)
+      FreeAt = std::max(FreeAt, Now - CheckInterval) +
+               std::chrono::nanoseconds(Count * 1000000000 /
+                                        m_Active.m_BytesPerSecond);
+    Bytes.erase(0, static_cast<std::size_t>(Count));
+    if (!Bytes.empty())
+      return true;
+    Route.m_Chunks.pop_front();
+  }
+  // The end of lost bytes is lost as well.
+  if (Route.m_HasEnded && Route.m_Chunks.empty() && !Route.m_IsShut &&
+      !Route.m_IsLossy) {
+    shutdown(Route.m_To, SHUT_WR);
+    Route.m_IsShut = true;
+  }
+  return true;
+}
+
+void TcpProxy::closeConnection(Connection &Link) {
+  close(Link.m_ToServer.m_From);
+  close(Link.m_ToServer.m_To);
+}
+
+} // namespace parsleyring
