--- a/tests/claims/ClaimCoordinatorTest.cpp
+++ b/tests/claims/ClaimCoordinatorTest.cpp
@@ -294,26 +294,26 @@
   auto &First = Platform.add("a");
   auto &Second = Platform.add("b");
   std::vector<std::pair<SimulatedPlatform::Vm *, ClaimOutput>> Items;
-  auto settle = [&](SimulatedPlatform::Vm &Vm, RequestNumber Request) {
+  auto Settle = [&](SimulatedPlatform::Vm &Vm, RequestNumber Request) {
     Platform.request(Vm, Request, "key");
     for (Items.clear(); Items.empty();)
       Platform.step(Items);
     return Items.front().second;
   };
-  auto finish = [&](SimulatedPlatform::Vm &Vm, RequestNumber Request,
+  auto Finish = [&](SimulatedPlatform::Vm &Vm, RequestNumber Request,
                     ClaimEnd How) {
     Vm.m_Coordinator->end(Platform.now(), {Request, How, 200}, Vm.m_Outputs);
     while (Vm.m_Coordinator->pendingCount() > 0)
       Platform.step(Items);
   };
-  CHECK(std::get<ClaimSettled>(settle(First, 1)).m_Result ==
+  CHECK(std::get<ClaimSettled>(Settle(First, 1)).m_Result ==
         ClaimResult::Granted);
-  CHECK(std::holds_alternative<FoundClaim>(settle(Second, 2)));
-  finish(First, 1, ClaimEnd::Released);
-  CHECK(std::get<ClaimSettled>(settle(Second, 3)).m_Result ==
+  CHECK(std::holds_alternative<FoundClaim>(Settle(Second, 2)));
+  Finish(First, 1, ClaimEnd::Released);
+  CHECK(std::get<ClaimSettled>(Settle(Second, 3)).m_Result ==
         ClaimResult::Granted);
-  finish(Second, 3, ClaimEnd::Completed);
-  ClaimOutput Repeat = settle(First, 4);
+  Finish(Second, 3, ClaimEnd::Completed);
+  ClaimOutput Repeat = Settle(First, 4);
   CHECK(std::get<FoundClaim>(Repeat).m_Entry.m_State == ClaimState::Completed);
 }
 
@@ -344,15 +344,15 @@
 
 // Guards against guessing about keys whose claims are no longer kept.
 TEST(ClaimCoordinator, KeysOutsideTheKeptTimeAreRejected) {
-  auto problem = [](Duration Age, const std::string &Suffix) {
+  auto Problem = [](Duration Age, const std::string &Suffix) {
     return makeClaimKey(Start, "a", uuidAt(Start - Age, 1) + Suffix).m_Problem;
   };
-  CHECK(problem(std::chrono::hours(23), "").empty());
-  CHECK_FALSE(problem(std::chrono::hours(25), "").empty());
-  CHECK(problem(-std::chrono::minutes(4), "").empty());
-  CHECK_FALSE(problem(-std::chrono::minutes(6), "").empty());
+  CHECK(Problem(std::chrono::hours(23), "").empty());
+  CHECK_FALSE(Problem(std::chrono::hours(25), "").empty());
+  CHECK(Problem(-std::chrono::minutes(4), "").empty());
+  CHECK_FALSE(Problem(-std::chrono::minutes(6), "").empty());
   // Not a UUID any more, so it is an opaque key.
-  CHECK(problem(std::chrono::hours(25), "x").empty());
+  CHECK(Problem(std::chrono::hours(25), "x").empty());
   CHECK_FALSE(makeClaimKey(Start, "a", "").m_Problem.empty());
 }
 
--- a/tests/claims/ReservationTableTest.cpp
+++ b/tests/claims/ReservationTableTest.cpp
@@ -9,12 +9,12 @@
 static constexpr Time Start = Time(std::chrono::hours(400000));
 
 TEST_GROUP(ReservationTable) {
-  ReservationTable Table{{"vm-1", 5}};
-  std::string Key = *Table.issue(Start, "account");
+  ReservationTable m_Table{{"vm-1", 5}};
+  std::string m_Key = *m_Table.issue(Start, "account");
 
   ReservationState take(Time Now, const char *Account = "account",
                         const char *Body = "body") {
-    return Table.take(Now, Account, Key, Body, "vm-2").m_Before;
+    return m_Table.take(Now, Account, m_Key, Body, "vm-2").m_Before;
   }
 };
 
@@ -22,16 +22,16 @@
 TEST(ReservationTable, IsTakenOnce) {
   CHECK(take(Start) == ReservationState::Unused);
   CHECK(take(Start) == ReservationState::Taken);
-  CHECK(Table.take(Start, "account", Key, "other", "vm-3").m_HasOtherBody);
-  Table.complete(Key);
-  Table.release(Key);
+  CHECK(m_Table.take(Start, "account", m_Key, "other", "vm-3").m_HasOtherBody);
+  m_Table.complete(m_Key);
+  m_Table.release(m_Key);
   CHECK(take(Start) == ReservationState::Completed);
 }
 
 // Guards against a key that stays blocked after its call provably did not run.
 TEST(ReservationTable, ReleasedKeyCanBeTakenAgain) {
   take(Start);
-  Table.release(Key);
+  m_Table.release(m_Key);
   CHECK(take(Start) == ReservationState::Unused);
 }
 
@@ -40,15 +40,15 @@
   CHECK(take(Start, "other") == ReservationState::Absent);
   CHECK(take(Start + UnusedReservationLifetime + Duration(1)) ==
         ReservationState::Absent);
-  Table.removeExpired(Start + UnusedReservationLifetime + Duration(1));
-  LONGS_EQUAL(0, Table.size());
+  m_Table.removeExpired(Start + UnusedReservationLifetime + Duration(1));
+  LONGS_EQUAL(0, m_Table.size());
 }
 
 // Guards against memory that grows without bound.
 TEST(ReservationTable, IsBounded) {
-  while (Table.size() < MostReservations)
-    CHECK(Table.issue(Start, "account").has_value());
-  CHECK_FALSE(Table.issue(Start, "account").has_value());
+  while (m_Table.size() < MostReservations)
+    CHECK(m_Table.issue(Start, "account").has_value());
+  CHECK_FALSE(m_Table.issue(Start, "account").has_value());
 }
 
 PARSLEYRING_TEST_MAIN
