--- a/src/gen/Peer.cpp
+++ b/src/gen/Peer.cpp
@@ -88,6 +88,83 @@
 }
 
 
+Peer_heartbeat_result::~Peer_heartbeat_result() noexcept {
+}
+
+
+uint32_t Peer_heartbeat_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_heartbeat_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Peer_heartbeat_result");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_heartbeat_presult::~Peer_heartbeat_presult() noexcept {
+}
+
+
+uint32_t Peer_heartbeat_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 Peer_fetchHead_args::~Peer_fetchHead_args() noexcept {
 }
 
@@ -878,113 +955,586 @@
   return xfer;
 }
 
-void PeerClient::heartbeat(const Digest& digest)
-{
-  send_heartbeat(digest);
+
+Peer_takeReservation_args::~Peer_takeReservation_args() noexcept {
 }
 
-void PeerClient::send_heartbeat(const Digest& digest)
-{
-  int32_t cseqid = 0;
-  oprot_->writeMessageBegin("heartbeat", ::apache::thrift::protocol::T_ONEWAY, cseqid);
 
-  Peer_heartbeat_pargs args;
-  args.digest = &digest;
-  args.write(oprot_);
+uint32_t Peer_takeReservation_args::read(::apache::thrift::protocol::TProtocol* iprot) {
 
-  oprot_->writeMessageEnd();
-  oprot_->getTransport()->writeEnd();
-  oprot_->getTransport()->flush();
-}
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
 
-void PeerClient::fetchHead(Head& _return)
-{
-  send_fetchHead();
-  recv_fetchHead(_return);
-}
+  xfer += iprot->readStructBegin(fname);
 
-void PeerClient::send_fetchHead()
-{
-  int32_t cseqid = 0;
-  oprot_->writeMessageBegin("fetchHead", ::apache::thrift::protocol::T_CALL, cseqid);
+  using ::apache::thrift::protocol::TProtocolException;
 
-  Peer_fetchHead_pargs args;
-  args.write(oprot_);
 
-  oprot_->writeMessageEnd();
-  oprot_->getTransport()->writeEnd();
-  oprot_->getTransport()->flush();
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->bodySha256);
+          this->__isset.bodySha256 = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
 
-void PeerClient::recv_fetchHead(Head& _return)
-{
+uint32_t Peer_takeReservation_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_takeReservation_args");
 
-  int32_t rseqid = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TMessageType mtype;
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
 
-  iprot_->readMessageBegin(fname, mtype, rseqid);
-  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
-    ::apache::thrift::TApplicationException x;
-    x.read(iprot_);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-    throw x;
-  }
-  if (mtype != ::apache::thrift::protocol::T_REPLY) {
-    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-  }
-  if (fname.compare("fetchHead") != 0) {
-    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-  }
-  Peer_fetchHead_presult result;
-  result.success = &_return;
-  result.read(iprot_);
-  iprot_->readMessageEnd();
-  iprot_->getTransport()->readEnd();
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
 
-  if (result.__isset.success) {
-    // _return pointer has now been filled
-    return;
-  }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "fetchHead failed: unknown result");
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bodySha256", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->bodySha256);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void PeerClient::fetchChunk(std::string& _return, const std::string& sha256)
-{
-  send_fetchChunk(sha256);
-  recv_fetchChunk(_return);
+
+Peer_takeReservation_pargs::~Peer_takeReservation_pargs() noexcept {
 }
 
-void PeerClient::send_fetchChunk(const std::string& sha256)
-{
-  int32_t cseqid = 0;
-  oprot_->writeMessageBegin("fetchChunk", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  Peer_fetchChunk_pargs args;
-  args.sha256 = &sha256;
-  args.write(oprot_);
+uint32_t Peer_takeReservation_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_takeReservation_pargs");
 
-  oprot_->writeMessageEnd();
-  oprot_->getTransport()->writeEnd();
-  oprot_->getTransport()->flush();
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64((*(this->incarnation)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString((*(this->account)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString((*(this->key)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bodySha256", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString((*(this->bodySha256)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString((*(this->holder)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void PeerClient::recv_fetchChunk(std::string& _return)
-{
 
-  int32_t rseqid = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TMessageType mtype;
+Peer_takeReservation_result::~Peer_takeReservation_result() noexcept {
+}
 
-  iprot_->readMessageBegin(fname, mtype, rseqid);
-  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
-    ::apache::thrift::TApplicationException x;
-    x.read(iprot_);
+
+uint32_t Peer_takeReservation_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_takeReservation_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Peer_takeReservation_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_takeReservation_presult::~Peer_takeReservation_presult() noexcept {
+}
+
+
+uint32_t Peer_takeReservation_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
+Peer_endReservation_args::~Peer_endReservation_args() noexcept {
+}
+
+
+uint32_t Peer_endReservation_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->completed);
+          this->__isset.completed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_endReservation_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_endReservation_args");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->completed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_endReservation_pargs::~Peer_endReservation_pargs() noexcept {
+}
+
+
+uint32_t Peer_endReservation_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_endReservation_pargs");
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64((*(this->incarnation)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString((*(this->key)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("completed", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool((*(this->completed)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_endReservation_result::~Peer_endReservation_result() noexcept {
+}
+
+
+uint32_t Peer_endReservation_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_endReservation_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Peer_endReservation_result");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_endReservation_presult::~Peer_endReservation_presult() noexcept {
+}
+
+
+uint32_t Peer_endReservation_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+void PeerClient::heartbeat(const Digest& digest)
+{
+  send_heartbeat(digest);
+  recv_heartbeat();
+}
+
+void PeerClient::send_heartbeat(const Digest& digest)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("heartbeat", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_heartbeat_pargs args;
+  args.digest = &digest;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::recv_heartbeat()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("heartbeat") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Peer_heartbeat_presult result;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  return;
+}
+
+void PeerClient::fetchHead(Head& _return)
+{
+  send_fetchHead();
+  recv_fetchHead(_return);
+}
+
+void PeerClient::send_fetchHead()
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("fetchHead", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_fetchHead_pargs args;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::recv_fetchHead(Head& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("fetchHead") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Peer_fetchHead_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "fetchHead failed: unknown result");
+}
+
+void PeerClient::fetchChunk(std::string& _return, const std::string& sha256)
+{
+  send_fetchChunk(sha256);
+  recv_fetchChunk(_return);
+}
+
+void PeerClient::send_fetchChunk(const std::string& sha256)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("fetchChunk", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_fetchChunk_pargs args;
+  args.sha256 = &sha256;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::recv_fetchChunk(std::string& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
     throw x;
@@ -1132,6 +1682,123 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "keyState failed: unknown result");
 }
 
+void PeerClient::takeReservation(TakenReservation& _return, const int64_t incarnation, const std::string& account, const std::string& key, const std::string& bodySha256, const std::string& holder)
+{
+  send_takeReservation(incarnation, account, key, bodySha256, holder);
+  recv_takeReservation(_return);
+}
+
+void PeerClient::send_takeReservation(const int64_t incarnation, const std::string& account, const std::string& key, const std::string& bodySha256, const std::string& holder)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("takeReservation", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_takeReservation_pargs args;
+  args.incarnation = &incarnation;
+  args.account = &account;
+  args.key = &key;
+  args.bodySha256 = &bodySha256;
+  args.holder = &holder;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::recv_takeReservation(TakenReservation& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("takeReservation") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Peer_takeReservation_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "takeReservation failed: unknown result");
+}
+
+void PeerClient::endReservation(const int64_t incarnation, const std::string& key, const bool completed)
+{
+  send_endReservation(incarnation, key, completed);
+  recv_endReservation();
+}
+
+void PeerClient::send_endReservation(const int64_t incarnation, const std::string& key, const bool completed)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("endReservation", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_endReservation_pargs args;
+  args.incarnation = &incarnation;
+  args.key = &key;
+  args.completed = &completed;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::recv_endReservation()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("endReservation") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Peer_endReservation_presult result;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  return;
+}
+
 bool PeerProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -1151,7 +1818,7 @@
   return true;
 }
 
-void PeerProcessor::process_heartbeat(int32_t, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol*, void* callContext)
+void PeerProcessor::process_heartbeat(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
   if (this->eventHandler_.get() != nullptr) {
@@ -1172,20 +1839,36 @@
     this->eventHandler_->postRead(ctx, "Peer.heartbeat", bytes);
   }
 
+  Peer_heartbeat_result result;
   try {
     iface_->heartbeat(args.digest);
-  } catch (const std::exception&) {
+  } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
       this->eventHandler_->handlerError(ctx, "Peer.heartbeat");
     }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("heartbeat", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
     return;
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->asyncComplete(ctx, "Peer.heartbeat");
+    this->eventHandler_->preWrite(ctx, "Peer.heartbeat");
   }
 
-  return;
+  oprot->writeMessageBegin("heartbeat", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Peer.heartbeat", bytes);
+  }
 }
 
 void PeerProcessor::process_fetchHead(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
@@ -1228,52 +1911,160 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "Peer.fetchHead");
+    this->eventHandler_->preWrite(ctx, "Peer.fetchHead");
+  }
+
+  oprot->writeMessageBegin("fetchHead", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Peer.fetchHead", bytes);
+  }
+}
+
+void PeerProcessor::process_fetchChunk(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.fetchChunk", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.fetchChunk");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.fetchChunk");
+  }
+
+  Peer_fetchChunk_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.fetchChunk", bytes);
+  }
+
+  Peer_fetchChunk_result result;
+  try {
+    iface_->fetchChunk(result.success, args.sha256);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.fetchChunk");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("fetchChunk", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Peer.fetchChunk");
+  }
+
+  oprot->writeMessageBegin("fetchChunk", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Peer.fetchChunk", bytes);
+  }
+}
+
+void PeerProcessor::process_requestState(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.requestState", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.requestState");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.requestState");
+  }
+
+  Peer_requestState_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.requestState", bytes);
+  }
+
+  Peer_requestState_result result;
+  try {
+    iface_->requestState(result.success, args.incarnation, args.number, args.fromPosition);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.requestState");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("requestState", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Peer.requestState");
   }
 
-  oprot->writeMessageBegin("fetchHead", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("requestState", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "Peer.fetchHead", bytes);
+    this->eventHandler_->postWrite(ctx, "Peer.requestState", bytes);
   }
 }
 
-void PeerProcessor::process_fetchChunk(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+void PeerProcessor::process_keyState(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
   if (this->eventHandler_.get() != nullptr) {
-    ctx = this->eventHandler_->getContext("Peer.fetchChunk", callContext);
+    ctx = this->eventHandler_->getContext("Peer.keyState", callContext);
   }
-  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.fetchChunk");
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.keyState");
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preRead(ctx, "Peer.fetchChunk");
+    this->eventHandler_->preRead(ctx, "Peer.keyState");
   }
 
-  Peer_fetchChunk_args args;
+  Peer_keyState_args args;
   args.read(iprot);
   iprot->readMessageEnd();
   uint32_t bytes = iprot->getTransport()->readEnd();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postRead(ctx, "Peer.fetchChunk", bytes);
+    this->eventHandler_->postRead(ctx, "Peer.keyState", bytes);
   }
 
-  Peer_fetchChunk_result result;
+  Peer_keyState_result result;
   try {
-    iface_->fetchChunk(result.success, args.sha256);
+    iface_->keyState(result.success, args.incarnation, args.account, args.key);
     result.__isset.success = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
-      this->eventHandler_->handlerError(ctx, "Peer.fetchChunk");
+      this->eventHandler_->handlerError(ctx, "Peer.keyState");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("fetchChunk", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("keyState", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -1282,52 +2073,52 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "Peer.fetchChunk");
+    this->eventHandler_->preWrite(ctx, "Peer.keyState");
   }
 
-  oprot->writeMessageBegin("fetchChunk", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("keyState", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "Peer.fetchChunk", bytes);
+    this->eventHandler_->postWrite(ctx, "Peer.keyState", bytes);
   }
 }
 
-void PeerProcessor::process_requestState(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+void PeerProcessor::process_takeReservation(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
   if (this->eventHandler_.get() != nullptr) {
-    ctx = this->eventHandler_->getContext("Peer.requestState", callContext);
+    ctx = this->eventHandler_->getContext("Peer.takeReservation", callContext);
   }
-  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.requestState");
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.takeReservation");
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preRead(ctx, "Peer.requestState");
+    this->eventHandler_->preRead(ctx, "Peer.takeReservation");
   }
 
-  Peer_requestState_args args;
+  Peer_takeReservation_args args;
   args.read(iprot);
   iprot->readMessageEnd();
   uint32_t bytes = iprot->getTransport()->readEnd();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postRead(ctx, "Peer.requestState", bytes);
+    this->eventHandler_->postRead(ctx, "Peer.takeReservation", bytes);
   }
 
-  Peer_requestState_result result;
+  Peer_takeReservation_result result;
   try {
-    iface_->requestState(result.success, args.incarnation, args.number, args.fromPosition);
+    iface_->takeReservation(result.success, args.incarnation, args.account, args.key, args.bodySha256, args.holder);
     result.__isset.success = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
-      this->eventHandler_->handlerError(ctx, "Peer.requestState");
+      this->eventHandler_->handlerError(ctx, "Peer.takeReservation");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("requestState", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("takeReservation", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -1336,52 +2127,51 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "Peer.requestState");
+    this->eventHandler_->preWrite(ctx, "Peer.takeReservation");
   }
 
-  oprot->writeMessageBegin("requestState", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("takeReservation", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "Peer.requestState", bytes);
+    this->eventHandler_->postWrite(ctx, "Peer.takeReservation", bytes);
   }
 }
 
-void PeerProcessor::process_keyState(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+void PeerProcessor::process_endReservation(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
   if (this->eventHandler_.get() != nullptr) {
-    ctx = this->eventHandler_->getContext("Peer.keyState", callContext);
+    ctx = this->eventHandler_->getContext("Peer.endReservation", callContext);
   }
-  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.keyState");
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.endReservation");
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preRead(ctx, "Peer.keyState");
+    this->eventHandler_->preRead(ctx, "Peer.endReservation");
   }
 
-  Peer_keyState_args args;
+  Peer_endReservation_args args;
   args.read(iprot);
   iprot->readMessageEnd();
   uint32_t bytes = iprot->getTransport()->readEnd();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postRead(ctx, "Peer.keyState", bytes);
+    this->eventHandler_->postRead(ctx, "Peer.endReservation", bytes);
   }
 
-  Peer_keyState_result result;
+  Peer_endReservation_result result;
   try {
-    iface_->keyState(result.success, args.incarnation, args.account, args.key);
-    result.__isset.success = true;
+    iface_->endReservation(args.incarnation, args.key, args.completed);
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
-      this->eventHandler_->handlerError(ctx, "Peer.keyState");
+      this->eventHandler_->handlerError(ctx, "Peer.endReservation");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("keyState", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("endReservation", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -1390,17 +2180,17 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "Peer.keyState");
+    this->eventHandler_->preWrite(ctx, "Peer.endReservation");
   }
 
-  oprot->writeMessageBegin("keyState", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("endReservation", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "Peer.keyState", bytes);
+    this->eventHandler_->postWrite(ctx, "Peer.endReservation", bytes);
   }
 }
 
@@ -1413,14 +2203,15 @@
 
 void PeerConcurrentClient::heartbeat(const Digest& digest)
 {
-  send_heartbeat(digest);
+  int32_t seqid = send_heartbeat(digest);
+  recv_heartbeat(seqid);
 }
 
-void PeerConcurrentClient::send_heartbeat(const Digest& digest)
+int32_t PeerConcurrentClient::send_heartbeat(const Digest& digest)
 {
-  int32_t cseqid = 0;
+  int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
-  oprot_->writeMessageBegin("heartbeat", ::apache::thrift::protocol::T_ONEWAY, cseqid);
+  oprot_->writeMessageBegin("heartbeat", ::apache::thrift::protocol::T_CALL, cseqid);
 
   Peer_heartbeat_pargs args;
   args.digest = &digest;
@@ -1431,6 +2222,61 @@
   oprot_->getTransport()->flush();
 
   sentry.commit();
+  return cseqid;
+}
+
+void PeerConcurrentClient::recv_heartbeat(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("heartbeat") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      Peer_heartbeat_presult result;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      sentry.commit();
+      return;
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
 }
 
 void PeerConcurrentClient::fetchHead(Head& _return)
@@ -1772,5 +2618,173 @@
   } // end while(true)
 }
 
+void PeerConcurrentClient::takeReservation(TakenReservation& _return, const int64_t incarnation, const std::string& account, const std::string& key, const std::string& bodySha256, const std::string& holder)
+{
+  int32_t seqid = send_takeReservation(incarnation, account, key, bodySha256, holder);
+  recv_takeReservation(_return, seqid);
+}
+
+int32_t PeerConcurrentClient::send_takeReservation(const int64_t incarnation, const std::string& account, const std::string& key, const std::string& bodySha256, const std::string& holder)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("takeReservation", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_takeReservation_pargs args;
+  args.incarnation = &incarnation;
+  args.account = &account;
+  args.key = &key;
+  args.bodySha256 = &bodySha256;
+  args.holder = &holder;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void PeerConcurrentClient::recv_takeReservation(TakenReservation& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("takeReservation") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      Peer_takeReservation_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "takeReservation failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
+void PeerConcurrentClient::endReservation(const int64_t incarnation, const std::string& key, const bool completed)
+{
+  int32_t seqid = send_endReservation(incarnation, key, completed);
+  recv_endReservation(seqid);
+}
+
+int32_t PeerConcurrentClient::send_endReservation(const int64_t incarnation, const std::string& key, const bool completed)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("endReservation", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_endReservation_pargs args;
+  args.incarnation = &incarnation;
+  args.key = &key;
+  args.completed = &completed;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void PeerConcurrentClient::recv_endReservation(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("endReservation") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      Peer_endReservation_presult result;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      sentry.commit();
+      return;
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
--- a/src/gen/Peer.h
+++ b/src/gen/Peer.h
@@ -7,310 +7,395 @@
 #ifndef Peer_H
 #define Peer_H
 
-#include "Peer_types.h"
-#include <memory>
 #include <thrift/TDispatchProcessor.h>
 #include <thrift/async/TConcurrentClientSyncInfo.h>
+#include <memory>
+#include "Peer_types.h"
 
-namespace parsleyring {
-namespace wire {
+namespace parsleyring { namespace wire {
 
 #ifdef _MSC_VER
-#pragma warning(push)
-#pragma warning(disable : 4250) // inheriting methods via dominance
+  #pragma warning( push )
+  #pragma warning (disable : 4250 ) //inheriting methods via dominance 
 #endif
 
 class PeerIf {
-public:
+ public:
   virtual ~PeerIf() {}
-  virtual void heartbeat(const Digest &digest) = 0;
-  virtual void fetchHead(Head &_return) = 0;
-  virtual void fetchChunk(std::string &_return, const std::string &sha256) = 0;
-  virtual void requestState(KeptAnswer &_return, const int64_t incarnation,
-                            const int64_t number,
-                            const int32_t fromPosition) = 0;
-  virtual void keyState(KeptAnswer &_return, const int64_t incarnation,
-                        const std::string &account, const std::string &key) = 0;
+  virtual void heartbeat(const Digest& digest) = 0;
+  virtual void fetchHead(Head& _return) = 0;
+  virtual void fetchChunk(std::string& _return, const std::string& sha256) = 0;
+  virtual void requestState(KeptAnswer& _return, const int64_t incarnation, const int64_t number, const int32_t fromPosition) = 0;
+  virtual void keyState(KeptAnswer& _return, const int64_t incarnation, const std::string& account, const std::string& key) = 0;
+  virtual void takeReservation(TakenReservation& _return, const int64_t incarnation, const std::string& account, const std::string& key, const std::string& bodySha256, const std::string& holder) = 0;
+  virtual void endReservation(const int64_t incarnation, const std::string& key, const bool completed) = 0;
 };
 
 class PeerIfFactory {
-public:
+ public:
   typedef PeerIf Handler;
 
   virtual ~PeerIfFactory() {}
 
-  virtual PeerIf *
-  getHandler(const ::apache::thrift::TConnectionInfo &connInfo) = 0;
-  virtual void releaseHandler(PeerIf * /* handler */) = 0;
-};
+  virtual PeerIf* getHandler(const ::apache::thrift::TConnectionInfo& connInfo) = 0;
+  virtual void releaseHandler(PeerIf* /* handler */) = 0;
+  };
 
 class PeerIfSingletonFactory : virtual public PeerIfFactory {
-public:
-  PeerIfSingletonFactory(const ::std::shared_ptr<PeerIf> &iface)
-      : iface_(iface) {}
+ public:
+  PeerIfSingletonFactory(const ::std::shared_ptr<PeerIf>& iface) : iface_(iface) {}
   virtual ~PeerIfSingletonFactory() {}
 
-  virtual PeerIf *
-  getHandler(const ::apache::thrift::TConnectionInfo &) override {
+  virtual PeerIf* getHandler(const ::apache::thrift::TConnectionInfo&) override {
     return iface_.get();
   }
-  virtual void releaseHandler(PeerIf * /* handler */) override {}
+  virtual void releaseHandler(PeerIf* /* handler */) override {}
 
-protected:
+ protected:
   ::std::shared_ptr<PeerIf> iface_;
 };
 
 class PeerNull : virtual public PeerIf {
-public:
+ public:
   virtual ~PeerNull() {}
-  void heartbeat(const Digest & /* digest */) override { return; }
-  void fetchHead(Head & /* _return */) override { return; }
-  void fetchChunk(std::string & /* _return */,
-                  const std::string & /* sha256 */) override {
+  void heartbeat(const Digest& /* digest */) override {
+    return;
+  }
+  void fetchHead(Head& /* _return */) override {
     return;
   }
-  void requestState(KeptAnswer & /* _return */, const int64_t /* incarnation */,
-                    const int64_t /* number */,
-                    const int32_t /* fromPosition */) override {
+  void fetchChunk(std::string& /* _return */, const std::string& /* sha256 */) override {
     return;
   }
-  void keyState(KeptAnswer & /* _return */, const int64_t /* incarnation */,
-                const std::string & /* account */,
-                const std::string & /* key */) override {
+  void requestState(KeptAnswer& /* _return */, const int64_t /* incarnation */, const int64_t /* number */, const int32_t /* fromPosition */) override {
+    return;
+  }
+  void keyState(KeptAnswer& /* _return */, const int64_t /* incarnation */, const std::string& /* account */, const std::string& /* key */) override {
+    return;
+  }
+  void takeReservation(TakenReservation& /* _return */, const int64_t /* incarnation */, const std::string& /* account */, const std::string& /* key */, const std::string& /* bodySha256 */, const std::string& /* holder */) override {
+    return;
+  }
+  void endReservation(const int64_t /* incarnation */, const std::string& /* key */, const bool /* completed */) override {
     return;
   }
 };
 
 typedef struct _Peer_heartbeat_args__isset {
   _Peer_heartbeat_args__isset() : digest(false) {}
-  bool digest : 1;
+  bool digest :1;
 } _Peer_heartbeat_args__isset;
 
 class Peer_heartbeat_args {
-public:
-  Peer_heartbeat_args(const Peer_heartbeat_args &);
-  Peer_heartbeat_args(Peer_heartbeat_args &&) noexcept;
-  Peer_heartbeat_args &operator=(const Peer_heartbeat_args &);
-  Peer_heartbeat_args &operator=(Peer_heartbeat_args &&) noexcept;
-  Peer_heartbeat_args() noexcept {}
+ public:
+
+  Peer_heartbeat_args(const Peer_heartbeat_args&);
+  Peer_heartbeat_args(Peer_heartbeat_args&&) noexcept;
+  Peer_heartbeat_args& operator=(const Peer_heartbeat_args&);
+  Peer_heartbeat_args& operator=(Peer_heartbeat_args&&) noexcept;
+  Peer_heartbeat_args() noexcept {
+  }
 
   virtual ~Peer_heartbeat_args() noexcept;
   Digest digest;
 
   _Peer_heartbeat_args__isset __isset;
 
-  void __set_digest(const Digest &val);
+  void __set_digest(const Digest& val);
 
-  bool operator==(const Peer_heartbeat_args &rhs) const {
+  bool operator == (const Peer_heartbeat_args & rhs) const
+  {
     if (!(digest == rhs.digest))
       return false;
     return true;
   }
-  bool operator!=(const Peer_heartbeat_args &rhs) const {
+  bool operator != (const Peer_heartbeat_args &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator<(const Peer_heartbeat_args &) const;
+  bool operator < (const Peer_heartbeat_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
+
 class Peer_heartbeat_pargs {
-public:
+ public:
+
+
   virtual ~Peer_heartbeat_pargs() noexcept;
-  const Digest *digest;
+  const Digest* digest;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_heartbeat_result {
+ public:
+
+  Peer_heartbeat_result(const Peer_heartbeat_result&) noexcept;
+  Peer_heartbeat_result(Peer_heartbeat_result&&) noexcept;
+  Peer_heartbeat_result& operator=(const Peer_heartbeat_result&) noexcept;
+  Peer_heartbeat_result& operator=(Peer_heartbeat_result&&) noexcept;
+  Peer_heartbeat_result() noexcept {
+  }
+
+  virtual ~Peer_heartbeat_result() noexcept;
+
+  bool operator == (const Peer_heartbeat_result & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const Peer_heartbeat_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_heartbeat_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
+
+class Peer_heartbeat_presult {
+ public:
+
+
+  virtual ~Peer_heartbeat_presult() noexcept;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
+
 class Peer_fetchHead_args {
-public:
-  Peer_fetchHead_args(const Peer_fetchHead_args &) noexcept;
-  Peer_fetchHead_args(Peer_fetchHead_args &&) noexcept;
-  Peer_fetchHead_args &operator=(const Peer_fetchHead_args &) noexcept;
-  Peer_fetchHead_args &operator=(Peer_fetchHead_args &&) noexcept;
-  Peer_fetchHead_args() noexcept {}
+ public:
+
+  Peer_fetchHead_args(const Peer_fetchHead_args&) noexcept;
+  Peer_fetchHead_args(Peer_fetchHead_args&&) noexcept;
+  Peer_fetchHead_args& operator=(const Peer_fetchHead_args&) noexcept;
+  Peer_fetchHead_args& operator=(Peer_fetchHead_args&&) noexcept;
+  Peer_fetchHead_args() noexcept {
+  }
 
   virtual ~Peer_fetchHead_args() noexcept;
 
-  bool operator==(const Peer_fetchHead_args & /* rhs */) const { return true; }
-  bool operator!=(const Peer_fetchHead_args &rhs) const {
+  bool operator == (const Peer_fetchHead_args & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const Peer_fetchHead_args &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator<(const Peer_fetchHead_args &) const;
+  bool operator < (const Peer_fetchHead_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
+
 class Peer_fetchHead_pargs {
-public:
+ public:
+
+
   virtual ~Peer_fetchHead_pargs() noexcept;
 
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
 };
 
 typedef struct _Peer_fetchHead_result__isset {
   _Peer_fetchHead_result__isset() : success(false) {}
-  bool success : 1;
+  bool success :1;
 } _Peer_fetchHead_result__isset;
 
 class Peer_fetchHead_result {
-public:
-  Peer_fetchHead_result(const Peer_fetchHead_result &);
-  Peer_fetchHead_result(Peer_fetchHead_result &&) noexcept;
-  Peer_fetchHead_result &operator=(const Peer_fetchHead_result &);
-  Peer_fetchHead_result &operator=(Peer_fetchHead_result &&) noexcept;
-  Peer_fetchHead_result() noexcept {}
+ public:
+
+  Peer_fetchHead_result(const Peer_fetchHead_result&);
+  Peer_fetchHead_result(Peer_fetchHead_result&&) noexcept;
+  Peer_fetchHead_result& operator=(const Peer_fetchHead_result&);
+  Peer_fetchHead_result& operator=(Peer_fetchHead_result&&) noexcept;
+  Peer_fetchHead_result() noexcept {
+  }
 
   virtual ~Peer_fetchHead_result() noexcept;
   Head success;
 
   _Peer_fetchHead_result__isset __isset;
 
-  void __set_success(const Head &val);
+  void __set_success(const Head& val);
 
-  bool operator==(const Peer_fetchHead_result &rhs) const {
+  bool operator == (const Peer_fetchHead_result & rhs) const
+  {
     if (!(success == rhs.success))
       return false;
     return true;
   }
-  bool operator!=(const Peer_fetchHead_result &rhs) const {
+  bool operator != (const Peer_fetchHead_result &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator<(const Peer_fetchHead_result &) const;
+  bool operator < (const Peer_fetchHead_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
 typedef struct _Peer_fetchHead_presult__isset {
   _Peer_fetchHead_presult__isset() : success(false) {}
-  bool success : 1;
+  bool success :1;
 } _Peer_fetchHead_presult__isset;
 
 class Peer_fetchHead_presult {
-public:
+ public:
+
+
   virtual ~Peer_fetchHead_presult() noexcept;
-  Head *success;
+  Head* success;
 
   _Peer_fetchHead_presult__isset __isset;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
 };
 
 typedef struct _Peer_fetchChunk_args__isset {
   _Peer_fetchChunk_args__isset() : sha256(false) {}
-  bool sha256 : 1;
+  bool sha256 :1;
 } _Peer_fetchChunk_args__isset;
 
 class Peer_fetchChunk_args {
-public:
-  Peer_fetchChunk_args(const Peer_fetchChunk_args &);
-  Peer_fetchChunk_args(Peer_fetchChunk_args &&) noexcept;
-  Peer_fetchChunk_args &operator=(const Peer_fetchChunk_args &);
-  Peer_fetchChunk_args &operator=(Peer_fetchChunk_args &&) noexcept;
-  Peer_fetchChunk_args() noexcept : sha256() {}
+ public:
+
+  Peer_fetchChunk_args(const Peer_fetchChunk_args&);
+  Peer_fetchChunk_args(Peer_fetchChunk_args&&) noexcept;
+  Peer_fetchChunk_args& operator=(const Peer_fetchChunk_args&);
+  Peer_fetchChunk_args& operator=(Peer_fetchChunk_args&&) noexcept;
+  Peer_fetchChunk_args() noexcept
+                       : sha256() {
+  }
 
   virtual ~Peer_fetchChunk_args() noexcept;
   std::string sha256;
 
   _Peer_fetchChunk_args__isset __isset;
 
-  void __set_sha256(const std::string &val);
+  void __set_sha256(const std::string& val);
 
-  bool operator==(const Peer_fetchChunk_args &rhs) const {
+  bool operator == (const Peer_fetchChunk_args & rhs) const
+  {
     if (!(sha256 == rhs.sha256))
       return false;
     return true;
   }
-  bool operator!=(const Peer_fetchChunk_args &rhs) const {
+  bool operator != (const Peer_fetchChunk_args &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator<(const Peer_fetchChunk_args &) const;
+  bool operator < (const Peer_fetchChunk_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
+
 class Peer_fetchChunk_pargs {
-public:
+ public:
+
+
   virtual ~Peer_fetchChunk_pargs() noexcept;
-  const std::string *sha256;
+  const std::string* sha256;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
 typedef struct _Peer_fetchChunk_result__isset {
   _Peer_fetchChunk_result__isset() : success(false) {}
-  bool success : 1;
+  bool success :1;
 } _Peer_fetchChunk_result__isset;
 
 class Peer_fetchChunk_result {
-public:
-  Peer_fetchChunk_result(const Peer_fetchChunk_result &);
-  Peer_fetchChunk_result(Peer_fetchChunk_result &&) noexcept;
-  Peer_fetchChunk_result &operator=(const Peer_fetchChunk_result &);
-  Peer_fetchChunk_result &operator=(Peer_fetchChunk_result &&) noexcept;
-  Peer_fetchChunk_result() noexcept : success() {}
+ public:
+
+  Peer_fetchChunk_result(const Peer_fetchChunk_result&);
+  Peer_fetchChunk_result(Peer_fetchChunk_result&&) noexcept;
+  Peer_fetchChunk_result& operator=(const Peer_fetchChunk_result&);
+  Peer_fetchChunk_result& operator=(Peer_fetchChunk_result&&) noexcept;
+  Peer_fetchChunk_result() noexcept
+                         : success() {
+  }
 
   virtual ~Peer_fetchChunk_result() noexcept;
   std::string success;
 
   _Peer_fetchChunk_result__isset __isset;
 
-  void __set_success(const std::string &val);
+  void __set_success(const std::string& val);
 
-  bool operator==(const Peer_fetchChunk_result &rhs) const {
+  bool operator == (const Peer_fetchChunk_result & rhs) const
+  {
     if (!(success == rhs.success))
       return false;
     return true;
   }
-  bool operator!=(const Peer_fetchChunk_result &rhs) const {
+  bool operator != (const Peer_fetchChunk_result &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator<(const Peer_fetchChunk_result &) const;
+  bool operator < (const Peer_fetchChunk_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
 typedef struct _Peer_fetchChunk_presult__isset {
   _Peer_fetchChunk_presult__isset() : success(false) {}
-  bool success : 1;
+  bool success :1;
 } _Peer_fetchChunk_presult__isset;
 
 class Peer_fetchChunk_presult {
-public:
+ public:
+
+
   virtual ~Peer_fetchChunk_presult() noexcept;
-  std::string *success;
+  std::string* success;
 
   _Peer_fetchChunk_presult__isset __isset;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
 };
 
 typedef struct _Peer_requestState_args__isset {
-  _Peer_requestState_args__isset()
-      : incarnation(false), number(false), fromPosition(false) {}
-  bool incarnation : 1;
-  bool number : 1;
-  bool fromPosition : 1;
+  _Peer_requestState_args__isset() : incarnation(false), number(false), fromPosition(false) {}
+  bool incarnation :1;
+  bool number :1;
+  bool fromPosition :1;
 } _Peer_requestState_args__isset;
 
 class Peer_requestState_args {
-public:
-  Peer_requestState_args(const Peer_requestState_args &) noexcept;
-  Peer_requestState_args(Peer_requestState_args &&) noexcept;
-  Peer_requestState_args &operator=(const Peer_requestState_args &) noexcept;
-  Peer_requestState_args &operator=(Peer_requestState_args &&) noexcept;
+ public:
+
+  Peer_requestState_args(const Peer_requestState_args&) noexcept;
+  Peer_requestState_args(Peer_requestState_args&&) noexcept;
+  Peer_requestState_args& operator=(const Peer_requestState_args&) noexcept;
+  Peer_requestState_args& operator=(Peer_requestState_args&&) noexcept;
   Peer_requestState_args() noexcept
-      : incarnation(0), number(0), fromPosition(0) {}
+                         : incarnation(0),
+                           number(0),
+                           fromPosition(0) {
+  }
 
   virtual ~Peer_requestState_args() noexcept;
   int64_t incarnation;
@@ -325,7 +410,8 @@
 
   void __set_fromPosition(const int32_t val);
 
-  bool operator==(const Peer_requestState_args &rhs) const {
+  bool operator == (const Peer_requestState_args & rhs) const
+  {
     if (!(incarnation == rhs.incarnation))
       return false;
     if (!(number == rhs.number))
@@ -334,91 +420,107 @@
       return false;
     return true;
   }
-  bool operator!=(const Peer_requestState_args &rhs) const {
+  bool operator != (const Peer_requestState_args &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator<(const Peer_requestState_args &) const;
+  bool operator < (const Peer_requestState_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
+
 class Peer_requestState_pargs {
-public:
+ public:
+
+
   virtual ~Peer_requestState_pargs() noexcept;
-  const int64_t *incarnation;
-  const int64_t *number;
-  const int32_t *fromPosition;
+  const int64_t* incarnation;
+  const int64_t* number;
+  const int32_t* fromPosition;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
 typedef struct _Peer_requestState_result__isset {
   _Peer_requestState_result__isset() : success(false) {}
-  bool success : 1;
+  bool success :1;
 } _Peer_requestState_result__isset;
 
 class Peer_requestState_result {
-public:
-  Peer_requestState_result(const Peer_requestState_result &);
-  Peer_requestState_result(Peer_requestState_result &&) noexcept;
-  Peer_requestState_result &operator=(const Peer_requestState_result &);
-  Peer_requestState_result &operator=(Peer_requestState_result &&) noexcept;
-  Peer_requestState_result() noexcept {}
+ public:
+
+  Peer_requestState_result(const Peer_requestState_result&);
+  Peer_requestState_result(Peer_requestState_result&&) noexcept;
+  Peer_requestState_result& operator=(const Peer_requestState_result&);
+  Peer_requestState_result& operator=(Peer_requestState_result&&) noexcept;
+  Peer_requestState_result() noexcept {
+  }
 
   virtual ~Peer_requestState_result() noexcept;
   KeptAnswer success;
 
   _Peer_requestState_result__isset __isset;
 
-  void __set_success(const KeptAnswer &val);
+  void __set_success(const KeptAnswer& val);
 
-  bool operator==(const Peer_requestState_result &rhs) const {
+  bool operator == (const Peer_requestState_result & rhs) const
+  {
     if (!(success == rhs.success))
       return false;
     return true;
   }
-  bool operator!=(const Peer_requestState_result &rhs) const {
+  bool operator != (const Peer_requestState_result &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator<(const Peer_requestState_result &) const;
+  bool operator < (const Peer_requestState_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
 typedef struct _Peer_requestState_presult__isset {
   _Peer_requestState_presult__isset() : success(false) {}
-  bool success : 1;
+  bool success :1;
 } _Peer_requestState_presult__isset;
 
 class Peer_requestState_presult {
-public:
+ public:
+
+
   virtual ~Peer_requestState_presult() noexcept;
-  KeptAnswer *success;
+  KeptAnswer* success;
 
   _Peer_requestState_presult__isset __isset;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
 };
 
 typedef struct _Peer_keyState_args__isset {
-  _Peer_keyState_args__isset()
-      : incarnation(false), account(false), key(false) {}
-  bool incarnation : 1;
-  bool account : 1;
-  bool key : 1;
+  _Peer_keyState_args__isset() : incarnation(false), account(false), key(false) {}
+  bool incarnation :1;
+  bool account :1;
+  bool key :1;
 } _Peer_keyState_args__isset;
 
 class Peer_keyState_args {
-public:
-  Peer_keyState_args(const Peer_keyState_args &);
-  Peer_keyState_args(Peer_keyState_args &&) noexcept;
-  Peer_keyState_args &operator=(const Peer_keyState_args &);
-  Peer_keyState_args &operator=(Peer_keyState_args &&) noexcept;
-  Peer_keyState_args() noexcept : incarnation(0), account(), key() {}
+ public:
+
+  Peer_keyState_args(const Peer_keyState_args&);
+  Peer_keyState_args(Peer_keyState_args&&) noexcept;
+  Peer_keyState_args& operator=(const Peer_keyState_args&);
+  Peer_keyState_args& operator=(Peer_keyState_args&&) noexcept;
+  Peer_keyState_args() noexcept
+                     : incarnation(0),
+                       account(),
+                       key() {
+  }
 
   virtual ~Peer_keyState_args() noexcept;
   int64_t incarnation;
@@ -429,11 +531,12 @@
 
   void __set_incarnation(const int64_t val);
 
-  void __set_account(const std::string &val);
+  void __set_account(const std::string& val);
 
-  void __set_key(const std::string &val);
+  void __set_key(const std::string& val);
 
-  bool operator==(const Peer_keyState_args &rhs) const {
+  bool operator == (const Peer_keyState_args & rhs) const
+  {
     if (!(incarnation == rhs.incarnation))
       return false;
     if (!(account == rhs.account))
@@ -442,206 +545,443 @@
       return false;
     return true;
   }
-  bool operator!=(const Peer_keyState_args &rhs) const {
+  bool operator != (const Peer_keyState_args &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator<(const Peer_keyState_args &) const;
+  bool operator < (const Peer_keyState_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
+
 class Peer_keyState_pargs {
-public:
+ public:
+
+
   virtual ~Peer_keyState_pargs() noexcept;
-  const int64_t *incarnation;
-  const std::string *account;
-  const std::string *key;
+  const int64_t* incarnation;
+  const std::string* account;
+  const std::string* key;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
 typedef struct _Peer_keyState_result__isset {
   _Peer_keyState_result__isset() : success(false) {}
-  bool success : 1;
+  bool success :1;
 } _Peer_keyState_result__isset;
 
 class Peer_keyState_result {
-public:
-  Peer_keyState_result(const Peer_keyState_result &);
-  Peer_keyState_result(Peer_keyState_result &&) noexcept;
-  Peer_keyState_result &operator=(const Peer_keyState_result &);
-  Peer_keyState_result &operator=(Peer_keyState_result &&) noexcept;
-  Peer_keyState_result() noexcept {}
+ public:
+
+  Peer_keyState_result(const Peer_keyState_result&);
+  Peer_keyState_result(Peer_keyState_result&&) noexcept;
+  Peer_keyState_result& operator=(const Peer_keyState_result&);
+  Peer_keyState_result& operator=(Peer_keyState_result&&) noexcept;
+  Peer_keyState_result() noexcept {
+  }
 
   virtual ~Peer_keyState_result() noexcept;
   KeptAnswer success;
 
   _Peer_keyState_result__isset __isset;
 
-  void __set_success(const KeptAnswer &val);
+  void __set_success(const KeptAnswer& val);
 
-  bool operator==(const Peer_keyState_result &rhs) const {
+  bool operator == (const Peer_keyState_result & rhs) const
+  {
     if (!(success == rhs.success))
       return false;
     return true;
   }
-  bool operator!=(const Peer_keyState_result &rhs) const {
+  bool operator != (const Peer_keyState_result &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator<(const Peer_keyState_result &) const;
+  bool operator < (const Peer_keyState_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const;
 };
 
 typedef struct _Peer_keyState_presult__isset {
   _Peer_keyState_presult__isset() : success(false) {}
-  bool success : 1;
+  bool success :1;
 } _Peer_keyState_presult__isset;
 
 class Peer_keyState_presult {
-public:
+ public:
+
+
   virtual ~Peer_keyState_presult() noexcept;
-  KeptAnswer *success;
+  KeptAnswer* success;
 
   _Peer_keyState_presult__isset __isset;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot);
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
+typedef struct _Peer_takeReservation_args__isset {
+  _Peer_takeReservation_args__isset() : incarnation(false), account(false), key(false), bodySha256(false), holder(false) {}
+  bool incarnation :1;
+  bool account :1;
+  bool key :1;
+  bool bodySha256 :1;
+  bool holder :1;
+} _Peer_takeReservation_args__isset;
+
+class Peer_takeReservation_args {
+ public:
+
+  Peer_takeReservation_args(const Peer_takeReservation_args&);
+  Peer_takeReservation_args(Peer_takeReservation_args&&) noexcept;
+  Peer_takeReservation_args& operator=(const Peer_takeReservation_args&);
+  Peer_takeReservation_args& operator=(Peer_takeReservation_args&&) noexcept;
+  Peer_takeReservation_args() noexcept
+                            : incarnation(0),
+                              account(),
+                              key(),
+                              bodySha256(),
+                              holder() {
+  }
+
+  virtual ~Peer_takeReservation_args() noexcept;
+  int64_t incarnation;
+  std::string account;
+  std::string key;
+  std::string bodySha256;
+  std::string holder;
+
+  _Peer_takeReservation_args__isset __isset;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_account(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  void __set_bodySha256(const std::string& val);
+
+  void __set_holder(const std::string& val);
+
+  bool operator == (const Peer_takeReservation_args & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(bodySha256 == rhs.bodySha256))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_takeReservation_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_takeReservation_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_takeReservation_pargs {
+ public:
+
+
+  virtual ~Peer_takeReservation_pargs() noexcept;
+  const int64_t* incarnation;
+  const std::string* account;
+  const std::string* key;
+  const std::string* bodySha256;
+  const std::string* holder;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_takeReservation_result__isset {
+  _Peer_takeReservation_result__isset() : success(false) {}
+  bool success :1;
+} _Peer_takeReservation_result__isset;
+
+class Peer_takeReservation_result {
+ public:
+
+  Peer_takeReservation_result(const Peer_takeReservation_result&);
+  Peer_takeReservation_result(Peer_takeReservation_result&&) noexcept;
+  Peer_takeReservation_result& operator=(const Peer_takeReservation_result&);
+  Peer_takeReservation_result& operator=(Peer_takeReservation_result&&) noexcept;
+  Peer_takeReservation_result() noexcept {
+  }
+
+  virtual ~Peer_takeReservation_result() noexcept;
+  TakenReservation success;
+
+  _Peer_takeReservation_result__isset __isset;
+
+  void __set_success(const TakenReservation& val);
+
+  bool operator == (const Peer_takeReservation_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_takeReservation_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_takeReservation_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_takeReservation_presult__isset {
+  _Peer_takeReservation_presult__isset() : success(false) {}
+  bool success :1;
+} _Peer_takeReservation_presult__isset;
+
+class Peer_takeReservation_presult {
+ public:
+
+
+  virtual ~Peer_takeReservation_presult() noexcept;
+  TakenReservation* success;
+
+  _Peer_takeReservation_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
+typedef struct _Peer_endReservation_args__isset {
+  _Peer_endReservation_args__isset() : incarnation(false), key(false), completed(false) {}
+  bool incarnation :1;
+  bool key :1;
+  bool completed :1;
+} _Peer_endReservation_args__isset;
+
+class Peer_endReservation_args {
+ public:
+
+  Peer_endReservation_args(const Peer_endReservation_args&);
+  Peer_endReservation_args(Peer_endReservation_args&&) noexcept;
+  Peer_endReservation_args& operator=(const Peer_endReservation_args&);
+  Peer_endReservation_args& operator=(Peer_endReservation_args&&) noexcept;
+  Peer_endReservation_args() noexcept
+                           : incarnation(0),
+                             key(),
+                             completed(0) {
+  }
+
+  virtual ~Peer_endReservation_args() noexcept;
+  int64_t incarnation;
+  std::string key;
+  bool completed;
+
+  _Peer_endReservation_args__isset __isset;
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_key(const std::string& val);
+
+  void __set_completed(const bool val);
+
+  bool operator == (const Peer_endReservation_args & rhs) const
+  {
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    if (!(completed == rhs.completed))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_endReservation_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_endReservation_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_endReservation_pargs {
+ public:
+
+
+  virtual ~Peer_endReservation_pargs() noexcept;
+  const int64_t* incarnation;
+  const std::string* key;
+  const bool* completed;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_endReservation_result {
+ public:
+
+  Peer_endReservation_result(const Peer_endReservation_result&) noexcept;
+  Peer_endReservation_result(Peer_endReservation_result&&) noexcept;
+  Peer_endReservation_result& operator=(const Peer_endReservation_result&) noexcept;
+  Peer_endReservation_result& operator=(Peer_endReservation_result&&) noexcept;
+  Peer_endReservation_result() noexcept {
+  }
+
+  virtual ~Peer_endReservation_result() noexcept;
+
+  bool operator == (const Peer_endReservation_result & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const Peer_endReservation_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_endReservation_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_endReservation_presult {
+ public:
+
+
+  virtual ~Peer_endReservation_presult() noexcept;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
 };
 
 class PeerClient : virtual public PeerIf {
-public:
-  PeerClient(std::shared_ptr<::apache::thrift::protocol::TProtocol> prot) {
+ public:
+  PeerClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
     setProtocol(prot);
   }
-  PeerClient(std::shared_ptr<::apache::thrift::protocol::TProtocol> iprot,
-             std::shared_ptr<::apache::thrift::protocol::TProtocol> oprot) {
-    setProtocol(iprot, oprot);
+  PeerClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> iprot, std::shared_ptr< ::apache::thrift::protocol::TProtocol> oprot) {
+    setProtocol(iprot,oprot);
   }
-
-private:
-  void
-  setProtocol(std::shared_ptr<::apache::thrift::protocol::TProtocol> prot) {
-    setProtocol(prot, prot);
+ private:
+  void setProtocol(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
+  setProtocol(prot,prot);
   }
-  void
-  setProtocol(std::shared_ptr<::apache::thrift::protocol::TProtocol> iprot,
-              std::shared_ptr<::apache::thrift::protocol::TProtocol> oprot) {
-    piprot_ = iprot;
-    poprot_ = oprot;
+  void setProtocol(std::shared_ptr< ::apache::thrift::protocol::TProtocol> iprot, std::shared_ptr< ::apache::thrift::protocol::TProtocol> oprot) {
+    piprot_=iprot;
+    poprot_=oprot;
     iprot_ = iprot.get();
     oprot_ = oprot.get();
   }
-
-public:
-  std::shared_ptr<::apache::thrift::protocol::TProtocol> getInputProtocol() {
+ public:
+  std::shared_ptr< ::apache::thrift::protocol::TProtocol> getInputProtocol() {
     return piprot_;
   }
-  std::shared_ptr<::apache::thrift::protocol::TProtocol> getOutputProtocol() {
+  std::shared_ptr< ::apache::thrift::protocol::TProtocol> getOutputProtocol() {
     return poprot_;
   }
-  void heartbeat(const Digest &digest) override;
-  void send_heartbeat(const Digest &digest);
-  void fetchHead(Head &_return) override;
+  void heartbeat(const Digest& digest) override;
+  void send_heartbeat(const Digest& digest);
+  void recv_heartbeat();
+  void fetchHead(Head& _return) override;
   void send_fetchHead();
-  void recv_fetchHead(Head &_return);
-  void fetchChunk(std::string &_return, const std::string &sha256) override;
-  void send_fetchChunk(const std::string &sha256);
-  void recv_fetchChunk(std::string &_return);
-  void requestState(KeptAnswer &_return, const int64_t incarnation,
-                    const int64_t number, const int32_t fromPosition) override;
-  void send_requestState(const int64_t incarnation, const int64_t number,
-                         const int32_t fromPosition);
-  void recv_requestState(KeptAnswer &_return);
-  void keyState(KeptAnswer &_return, const int64_t incarnation,
-                const std::string &account, const std::string &key) override;
-  void send_keyState(const int64_t incarnation, const std::string &account,
-                     const std::string &key);
-  void recv_keyState(KeptAnswer &_return);
-
-protected:
-  std::shared_ptr<::apache::thrift::protocol::TProtocol> piprot_;
-  std::shared_ptr<::apache::thrift::protocol::TProtocol> poprot_;
-  ::apache::thrift::protocol::TProtocol *iprot_;
-  ::apache::thrift::protocol::TProtocol *oprot_;
+  void recv_fetchHead(Head& _return);
+  void fetchChunk(std::string& _return, const std::string& sha256) override;
+  void send_fetchChunk(const std::string& sha256);
+  void recv_fetchChunk(std::string& _return);
+  void requestState(KeptAnswer& _return, const int64_t incarnation, const int64_t number, const int32_t fromPosition) override;
+  void send_requestState(const int64_t incarnation, const int64_t number, const int32_t fromPosition);
+  void recv_requestState(KeptAnswer& _return);
+  void keyState(KeptAnswer& _return, const int64_t incarnation, const std::string& account, const std::string& key) override;
+  void send_keyState(const int64_t incarnation, const std::string& account, const std::string& key);
+  void recv_keyState(KeptAnswer& _return);
+  void takeReservation(TakenReservation& _return, const int64_t incarnation, const std::string& account, const std::string& key, const std::string& bodySha256, const std::string& holder) override;
+  void send_takeReservation(const int64_t incarnation, const std::string& account, const std::string& key, const std::string& bodySha256, const std::string& holder);
+  void recv_takeReservation(TakenReservation& _return);
+  void endReservation(const int64_t incarnation, const std::string& key, const bool completed) override;
+  void send_endReservation(const int64_t incarnation, const std::string& key, const bool completed);
+  void recv_endReservation();
+ protected:
+  std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
+  std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
+  ::apache::thrift::protocol::TProtocol* iprot_;
+  ::apache::thrift::protocol::TProtocol* oprot_;
 };
 
 class PeerProcessor : public ::apache::thrift::TDispatchProcessor {
-protected:
+ protected:
   ::std::shared_ptr<PeerIf> iface_;
-  virtual bool dispatchCall(::apache::thrift::protocol::TProtocol *iprot,
-                            ::apache::thrift::protocol::TProtocol *oprot,
-                            const std::string &fname, int32_t seqid,
-                            void *callContext) override;
-
-private:
-  typedef void (PeerProcessor::*ProcessFunction)(
-      int32_t, ::apache::thrift::protocol::TProtocol *,
-      ::apache::thrift::protocol::TProtocol *, void *);
+  virtual bool dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) override;
+ private:
+  typedef  void (PeerProcessor::*ProcessFunction)(int32_t, ::apache::thrift::protocol::TProtocol*, ::apache::thrift::protocol::TProtocol*, void*);
   typedef std::map<std::string, ProcessFunction> ProcessMap;
   ProcessMap processMap_;
-  void process_heartbeat(int32_t seqid,
-                         ::apache::thrift::protocol::TProtocol *iprot,
-                         ::apache::thrift::protocol::TProtocol *oprot,
-                         void *callContext);
-  void process_fetchHead(int32_t seqid,
-                         ::apache::thrift::protocol::TProtocol *iprot,
-                         ::apache::thrift::protocol::TProtocol *oprot,
-                         void *callContext);
-  void process_fetchChunk(int32_t seqid,
-                          ::apache::thrift::protocol::TProtocol *iprot,
-                          ::apache::thrift::protocol::TProtocol *oprot,
-                          void *callContext);
-  void process_requestState(int32_t seqid,
-                            ::apache::thrift::protocol::TProtocol *iprot,
-                            ::apache::thrift::protocol::TProtocol *oprot,
-                            void *callContext);
-  void process_keyState(int32_t seqid,
-                        ::apache::thrift::protocol::TProtocol *iprot,
-                        ::apache::thrift::protocol::TProtocol *oprot,
-                        void *callContext);
-
-public:
-  PeerProcessor(::std::shared_ptr<PeerIf> iface) : iface_(iface) {
+  void process_heartbeat(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_fetchHead(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_fetchChunk(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_requestState(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_keyState(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_takeReservation(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_endReservation(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+ public:
+  PeerProcessor(::std::shared_ptr<PeerIf> iface) :
+    iface_(iface) {
     processMap_["heartbeat"] = &PeerProcessor::process_heartbeat;
     processMap_["fetchHead"] = &PeerProcessor::process_fetchHead;
     processMap_["fetchChunk"] = &PeerProcessor::process_fetchChunk;
     processMap_["requestState"] = &PeerProcessor::process_requestState;
     processMap_["keyState"] = &PeerProcessor::process_keyState;
+    processMap_["takeReservation"] = &PeerProcessor::process_takeReservation;
+    processMap_["endReservation"] = &PeerProcessor::process_endReservation;
   }
 
   virtual ~PeerProcessor() {}
 };
 
 class PeerProcessorFactory : public ::apache::thrift::TProcessorFactory {
-public:
-  PeerProcessorFactory(
-      const ::std::shared_ptr<PeerIfFactory> &handlerFactory) noexcept
-      : handlerFactory_(handlerFactory) {}
+ public:
+  PeerProcessorFactory(const ::std::shared_ptr< PeerIfFactory >& handlerFactory) noexcept :
+      handlerFactory_(handlerFactory) {}
 
-  ::std::shared_ptr<::apache::thrift::TProcessor>
-  getProcessor(const ::apache::thrift::TConnectionInfo &connInfo) override;
+  ::std::shared_ptr< ::apache::thrift::TProcessor > getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) override;
 
-protected:
-  ::std::shared_ptr<PeerIfFactory> handlerFactory_;
+ protected:
+  ::std::shared_ptr< PeerIfFactory > handlerFactory_;
 };
 
 class PeerMultiface : virtual public PeerIf {
-public:
-  PeerMultiface(std::vector<std::shared_ptr<PeerIf>> &ifaces)
-      : ifaces_(ifaces) {}
+ public:
+  PeerMultiface(std::vector<std::shared_ptr<PeerIf> >& ifaces) : ifaces_(ifaces) {
+  }
   virtual ~PeerMultiface() {}
-
-protected:
-  std::vector<std::shared_ptr<PeerIf>> ifaces_;
+ protected:
+  std::vector<std::shared_ptr<PeerIf> > ifaces_;
   PeerMultiface() {}
-  void add(::std::shared_ptr<PeerIf> iface) { ifaces_.push_back(iface); }
-
-public:
-  void heartbeat(const Digest &digest) override {
+  void add(::std::shared_ptr<PeerIf> iface) {
+    ifaces_.push_back(iface);
+  }
+ public:
+  void heartbeat(const Digest& digest) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
@@ -650,7 +990,7 @@
     ifaces_[i]->heartbeat(digest);
   }
 
-  void fetchHead(Head &_return) override {
+  void fetchHead(Head& _return) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
@@ -660,7 +1000,7 @@
     return;
   }
 
-  void fetchChunk(std::string &_return, const std::string &sha256) override {
+  void fetchChunk(std::string& _return, const std::string& sha256) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
@@ -670,8 +1010,7 @@
     return;
   }
 
-  void requestState(KeptAnswer &_return, const int64_t incarnation,
-                    const int64_t number, const int32_t fromPosition) override {
+  void requestState(KeptAnswer& _return, const int64_t incarnation, const int64_t number, const int32_t fromPosition) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
@@ -681,8 +1020,7 @@
     return;
   }
 
-  void keyState(KeptAnswer &_return, const int64_t incarnation,
-                const std::string &account, const std::string &key) override {
+  void keyState(KeptAnswer& _return, const int64_t incarnation, const std::string& account, const std::string& key) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
@@ -691,80 +1029,91 @@
     ifaces_[i]->keyState(_return, incarnation, account, key);
     return;
   }
+
+  void takeReservation(TakenReservation& _return, const int64_t incarnation, const std::string& account, const std::string& key, const std::string& bodySha256, const std::string& holder) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->takeReservation(_return, incarnation, account, key, bodySha256, holder);
+    }
+    ifaces_[i]->takeReservation(_return, incarnation, account, key, bodySha256, holder);
+    return;
+  }
+
+  void endReservation(const int64_t incarnation, const std::string& key, const bool completed) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->endReservation(incarnation, key, completed);
+    }
+    ifaces_[i]->endReservation(incarnation, key, completed);
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
 // out of order responses.  It is slower than the regular client, so should
 // only be used when you need to share a connection among multiple threads
 class PeerConcurrentClient : virtual public PeerIf {
-public:
-  PeerConcurrentClient(
-      std::shared_ptr<::apache::thrift::protocol::TProtocol> prot,
-      std::shared_ptr<::apache::thrift::async::TConcurrentClientSyncInfo> sync)
-      : sync_(sync) {
+ public:
+  PeerConcurrentClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot, std::shared_ptr< ::apache::thrift::async::TConcurrentClientSyncInfo> sync) : sync_(sync)
+{
     setProtocol(prot);
   }
-  PeerConcurrentClient(
-      std::shared_ptr<::apache::thrift::protocol::TProtocol> iprot,
-      std::shared_ptr<::apache::thrift::protocol::TProtocol> oprot,
-      std::shared_ptr<::apache::thrift::async::TConcurrentClientSyncInfo> sync)
-      : sync_(sync) {
-    setProtocol(iprot, oprot);
+  PeerConcurrentClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> iprot, std::shared_ptr< ::apache::thrift::protocol::TProtocol> oprot, std::shared_ptr< ::apache::thrift::async::TConcurrentClientSyncInfo> sync) : sync_(sync)
+{
+    setProtocol(iprot,oprot);
   }
-
-private:
-  void
-  setProtocol(std::shared_ptr<::apache::thrift::protocol::TProtocol> prot) {
-    setProtocol(prot, prot);
+ private:
+  void setProtocol(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
+  setProtocol(prot,prot);
   }
-  void
-  setProtocol(std::shared_ptr<::apache::thrift::protocol::TProtocol> iprot,
-              std::shared_ptr<::apache::thrift::protocol::TProtocol> oprot) {
-    piprot_ = iprot;
-    poprot_ = oprot;
+  void setProtocol(std::shared_ptr< ::apache::thrift::protocol::TProtocol> iprot, std::shared_ptr< ::apache::thrift::protocol::TProtocol> oprot) {
+    piprot_=iprot;
+    poprot_=oprot;
     iprot_ = iprot.get();
     oprot_ = oprot.get();
   }
-
-public:
-  std::shared_ptr<::apache::thrift::protocol::TProtocol> getInputProtocol() {
+ public:
+  std::shared_ptr< ::apache::thrift::protocol::TProtocol> getInputProtocol() {
     return piprot_;
   }
-  std::shared_ptr<::apache::thrift::protocol::TProtocol> getOutputProtocol() {
+  std::shared_ptr< ::apache::thrift::protocol::TProtocol> getOutputProtocol() {
     return poprot_;
   }
-  void heartbeat(const Digest &digest) override;
-  void send_heartbeat(const Digest &digest);
-  void fetchHead(Head &_return) override;
+  void heartbeat(const Digest& digest) override;
+  int32_t send_heartbeat(const Digest& digest);
+  void recv_heartbeat(const int32_t seqid);
+  void fetchHead(Head& _return) override;
   int32_t send_fetchHead();
-  void recv_fetchHead(Head &_return, const int32_t seqid);
-  void fetchChunk(std::string &_return, const std::string &sha256) override;
-  int32_t send_fetchChunk(const std::string &sha256);
-  void recv_fetchChunk(std::string &_return, const int32_t seqid);
-  void requestState(KeptAnswer &_return, const int64_t incarnation,
-                    const int64_t number, const int32_t fromPosition) override;
-  int32_t send_requestState(const int64_t incarnation, const int64_t number,
-                            const int32_t fromPosition);
-  void recv_requestState(KeptAnswer &_return, const int32_t seqid);
-  void keyState(KeptAnswer &_return, const int64_t incarnation,
-                const std::string &account, const std::string &key) override;
-  int32_t send_keyState(const int64_t incarnation, const std::string &account,
-                        const std::string &key);
-  void recv_keyState(KeptAnswer &_return, const int32_t seqid);
-
-protected:
-  std::shared_ptr<::apache::thrift::protocol::TProtocol> piprot_;
-  std::shared_ptr<::apache::thrift::protocol::TProtocol> poprot_;
-  ::apache::thrift::protocol::TProtocol *iprot_;
-  ::apache::thrift::protocol::TProtocol *oprot_;
-  std::shared_ptr<::apache::thrift::async::TConcurrentClientSyncInfo> sync_;
+  void recv_fetchHead(Head& _return, const int32_t seqid);
+  void fetchChunk(std::string& _return, const std::string& sha256) override;
+  int32_t send_fetchChunk(const std::string& sha256);
+  void recv_fetchChunk(std::string& _return, const int32_t seqid);
+  void requestState(KeptAnswer& _return, const int64_t incarnation, const int64_t number, const int32_t fromPosition) override;
+  int32_t send_requestState(const int64_t incarnation, const int64_t number, const int32_t fromPosition);
+  void recv_requestState(KeptAnswer& _return, const int32_t seqid);
+  void keyState(KeptAnswer& _return, const int64_t incarnation, const std::string& account, const std::string& key) override;
+  int32_t send_keyState(const int64_t incarnation, const std::string& account, const std::string& key);
+  void recv_keyState(KeptAnswer& _return, const int32_t seqid);
+  void takeReservation(TakenReservation& _return, const int64_t incarnation, const std::string& account, const std::string& key, const std::string& bodySha256, const std::string& holder) override;
+  int32_t send_takeReservation(const int64_t incarnation, const std::string& account, const std::string& key, const std::string& bodySha256, const std::string& holder);
+  void recv_takeReservation(TakenReservation& _return, const int32_t seqid);
+  void endReservation(const int64_t incarnation, const std::string& key, const bool completed) override;
+  int32_t send_endReservation(const int64_t incarnation, const std::string& key, const bool completed);
+  void recv_endReservation(const int32_t seqid);
+ protected:
+  std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
+  std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
+  ::apache::thrift::protocol::TProtocol* iprot_;
+  ::apache::thrift::protocol::TProtocol* oprot_;
+  std::shared_ptr< ::apache::thrift::async::TConcurrentClientSyncInfo> sync_;
 };
 
 #ifdef _MSC_VER
-#pragma warning(pop)
+  #pragma warning( pop )
 #endif
 
-} // namespace wire
-} // namespace parsleyring
+}} // namespace
 
 #endif
--- a/src/gen/Peer_types.cpp
+++ b/src/gen/Peer_types.cpp
@@ -951,6 +951,151 @@
 }
 
 
+TakenReservation::~TakenReservation() noexcept {
+}
+
+
+void TakenReservation::__set_stateBefore(const int32_t val) {
+  this->stateBefore = val;
+}
+
+void TakenReservation::__set_otherBody(const bool val) {
+  this->otherBody = val;
+}
+
+void TakenReservation::__set_holder(const std::string& val) {
+  this->holder = val;
+}
+std::ostream& operator<<(std::ostream& out, const TakenReservation& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TakenReservation::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->stateBefore);
+          this->__isset.stateBefore = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->otherBody);
+          this->__isset.otherBody = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->holder);
+          this->__isset.holder = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TakenReservation::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TakenReservation");
+
+  xfer += oprot->writeFieldBegin("stateBefore", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->stateBefore);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("otherBody", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->otherBody);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("holder", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->holder);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TakenReservation &a, TakenReservation &b) {
+  using ::std::swap;
+  swap(a.stateBefore, b.stateBefore);
+  swap(a.otherBody, b.otherBody);
+  swap(a.holder, b.holder);
+  swap(a.__isset, b.__isset);
+}
+
+TakenReservation::TakenReservation(const TakenReservation& other42) {
+  stateBefore = other42.stateBefore;
+  otherBody = other42.otherBody;
+  holder = other42.holder;
+  __isset = other42.__isset;
+}
+TakenReservation::TakenReservation(TakenReservation&& other43) noexcept {
+  stateBefore = other43.stateBefore;
+  otherBody = other43.otherBody;
+  holder = std::move(other43.holder);
+  __isset = other43.__isset;
+}
+TakenReservation& TakenReservation::operator=(const TakenReservation& other44) {
+  stateBefore = other44.stateBefore;
+  otherBody = other44.otherBody;
+  holder = other44.holder;
+  __isset = other44.__isset;
+  return *this;
+}
+TakenReservation& TakenReservation::operator=(TakenReservation&& other45) noexcept {
+  stateBefore = other45.stateBefore;
+  otherBody = other45.otherBody;
+  holder = std::move(other45.holder);
+  __isset = other45.__isset;
+  return *this;
+}
+void TakenReservation::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TakenReservation(";
+  out << "stateBefore=" << to_string(stateBefore);
+  out << ", " << "otherBody=" << to_string(otherBody);
+  out << ", " << "holder=" << to_string(holder);
+  out << ")";
+}
+
+
 Head::~Head() noexcept {
 }
 
@@ -1043,26 +1188,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Head::Head(const Head& other42) {
-  version = other42.version;
-  json = other42.json;
-  __isset = other42.__isset;
+Head::Head(const Head& other46) {
+  version = other46.version;
+  json = other46.json;
+  __isset = other46.__isset;
 }
-Head::Head(Head&& other43) noexcept {
-  version = other43.version;
-  json = std::move(other43.json);
-  __isset = other43.__isset;
+Head::Head(Head&& other47) noexcept {
+  version = other47.version;
+  json = std::move(other47.json);
+  __isset = other47.__isset;
 }
-Head& Head::operator=(const Head& other44) {
-  version = other44.version;
-  json = other44.json;
-  __isset = other44.__isset;
+Head& Head::operator=(const Head& other48) {
+  version = other48.version;
+  json = other48.json;
+  __isset = other48.__isset;
   return *this;
 }
-Head& Head::operator=(Head&& other45) noexcept {
-  version = other45.version;
-  json = std::move(other45.json);
-  __isset = other45.__isset;
+Head& Head::operator=(Head&& other49) noexcept {
+  version = other49.version;
+  json = std::move(other49.json);
+  __isset = other49.__isset;
   return *this;
 }
 void Head::printTo(std::ostream& out) const {
@@ -1131,9 +1276,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast46;
-          xfer += iprot->readI32(ecast46);
-          this->state = static_cast<AnswerState::type>(ecast46);
+          int32_t ecast50;
+          xfer += iprot->readI32(ecast50);
+          this->state = static_cast<AnswerState::type>(ecast50);
           this->__isset.state = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1236,42 +1381,42 @@
   swap(a.__isset, b.__isset);
 }
 
-KeptAnswer::KeptAnswer(const KeptAnswer& other47) {
-  state = other47.state;
-  outcome = other47.outcome;
-  status = other47.status;
-  contentType = other47.contentType;
-  body = other47.body;
-  tokens = other47.tokens;
-  __isset = other47.__isset;
-}
-KeptAnswer::KeptAnswer(KeptAnswer&& other48) noexcept {
-  state = other48.state;
-  outcome = std::move(other48.outcome);
-  status = other48.status;
-  contentType = std::move(other48.contentType);
-  body = std::move(other48.body);
-  tokens = other48.tokens;
-  __isset = other48.__isset;
-}
-KeptAnswer& KeptAnswer::operator=(const KeptAnswer& other49) {
-  state = other49.state;
-  outcome = other49.outcome;
-  status = other49.status;
-  contentType = other49.contentType;
-  body = other49.body;
-  tokens = other49.tokens;
-  __isset = other49.__isset;
+KeptAnswer::KeptAnswer(const KeptAnswer& other51) {
+  state = other51.state;
+  outcome = other51.outcome;
+  status = other51.status;
+  contentType = other51.contentType;
+  body = other51.body;
+  tokens = other51.tokens;
+  __isset = other51.__isset;
+}
+KeptAnswer::KeptAnswer(KeptAnswer&& other52) noexcept {
+  state = other52.state;
+  outcome = std::move(other52.outcome);
+  status = other52.status;
+  contentType = std::move(other52.contentType);
+  body = std::move(other52.body);
+  tokens = other52.tokens;
+  __isset = other52.__isset;
+}
+KeptAnswer& KeptAnswer::operator=(const KeptAnswer& other53) {
+  state = other53.state;
+  outcome = other53.outcome;
+  status = other53.status;
+  contentType = other53.contentType;
+  body = other53.body;
+  tokens = other53.tokens;
+  __isset = other53.__isset;
   return *this;
 }
-KeptAnswer& KeptAnswer::operator=(KeptAnswer&& other50) noexcept {
-  state = other50.state;
-  outcome = std::move(other50.outcome);
-  status = other50.status;
-  contentType = std::move(other50.contentType);
-  body = std::move(other50.body);
-  tokens = other50.tokens;
-  __isset = other50.__isset;
+KeptAnswer& KeptAnswer::operator=(KeptAnswer&& other54) noexcept {
+  state = other54.state;
+  outcome = std::move(other54.outcome);
+  status = other54.status;
+  contentType = std::move(other54.contentType);
+  body = std::move(other54.body);
+  tokens = other54.tokens;
+  __isset = other54.__isset;
   return *this;
 }
 void KeptAnswer::printTo(std::ostream& out) const {
--- a/src/gen/Peer_types.h
+++ b/src/gen/Peer_types.h
@@ -9,27 +9,31 @@
 
 #include <iosfwd>
 
+#include <thrift/Thrift.h>
 #include <thrift/TApplicationException.h>
 #include <thrift/TBase.h>
-#include <thrift/Thrift.h>
 #include <thrift/protocol/TProtocol.h>
 #include <thrift/transport/TTransport.h>
 
 #include <functional>
 #include <memory>
 
-namespace parsleyring {
-namespace wire {
+
+namespace parsleyring { namespace wire {
 
 struct AnswerState {
-  enum type { ABSENT = 0, IN_PROGRESS = 1, ENDED = 2 };
+  enum type {
+    ABSENT = 0,
+    IN_PROGRESS = 1,
+    ENDED = 2
+  };
 };
 
-extern const std::map<int, const char *> _AnswerState_VALUES_TO_NAMES;
+extern const std::map<int, const char*> _AnswerState_VALUES_TO_NAMES;
 
-std::ostream &operator<<(std::ostream &out, const AnswerState::type &val);
+std::ostream& operator<<(std::ostream& out, const AnswerState::type& val);
 
-std::string to_string(const AnswerState::type &val);
+std::string to_string(const AnswerState::type& val);
 
 class LoadEntry;
 
@@ -39,31 +43,37 @@
 
 class Digest;
 
+class TakenReservation;
+
 class Head;
 
 class KeptAnswer;
 
 typedef struct _LoadEntry__isset {
-  _LoadEntry__isset()
-      : endpoint(false), incarnation(false), reportedAtMicros(false),
-        running(false), waiting(false), draining(false) {}
-  bool endpoint : 1;
-  bool incarnation : 1;
-  bool reportedAtMicros : 1;
-  bool running : 1;
-  bool waiting : 1;
-  bool draining : 1;
+  _LoadEntry__isset() : endpoint(false), incarnation(false), reportedAtMicros(false), running(false), waiting(false), draining(false) {}
+  bool endpoint :1;
+  bool incarnation :1;
+  bool reportedAtMicros :1;
+  bool running :1;
+  bool waiting :1;
+  bool draining :1;
 } _LoadEntry__isset;
 
 class LoadEntry : public virtual ::apache::thrift::TBase {
-public:
-  LoadEntry(const LoadEntry &);
-  LoadEntry(LoadEntry &&) noexcept;
-  LoadEntry &operator=(const LoadEntry &);
-  LoadEntry &operator=(LoadEntry &&) noexcept;
+ public:
+
+  LoadEntry(const LoadEntry&);
+  LoadEntry(LoadEntry&&) noexcept;
+  LoadEntry& operator=(const LoadEntry&);
+  LoadEntry& operator=(LoadEntry&&) noexcept;
   LoadEntry() noexcept
-      : endpoint(), incarnation(), reportedAtMicros(0), running(0), waiting(0),
-        draining(0) {}
+            : endpoint(),
+              incarnation(),
+              reportedAtMicros(0),
+              running(0),
+              waiting(0),
+              draining(0) {
+  }
 
   virtual ~LoadEntry() noexcept;
   std::string endpoint;
@@ -75,9 +85,9 @@
 
   _LoadEntry__isset __isset;
 
-  void __set_endpoint(const std::string &val);
+  void __set_endpoint(const std::string& val);
 
-  void __set_incarnation(const std::string &val);
+  void __set_incarnation(const std::string& val);
 
   void __set_reportedAtMicros(const int64_t val);
 
@@ -87,7 +97,8 @@
 
   void __set_draining(const bool val);
 
-  bool operator==(const LoadEntry &rhs) const {
+  bool operator == (const LoadEntry & rhs) const
+  {
     if (!(endpoint == rhs.endpoint))
       return false;
     if (!(incarnation == rhs.incarnation))
@@ -102,33 +113,39 @@
       return false;
     return true;
   }
-  bool operator!=(const LoadEntry &rhs) const { return !(*this == rhs); }
+  bool operator != (const LoadEntry &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const LoadEntry &) const;
+  bool operator < (const LoadEntry & ) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const override;
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
 
-  virtual void printTo(std::ostream &out) const;
+  virtual void printTo(std::ostream& out) const;
 };
 
 void swap(LoadEntry &a, LoadEntry &b);
 
-std::ostream &operator<<(std::ostream &out, const LoadEntry &obj);
+std::ostream& operator<<(std::ostream& out, const LoadEntry& obj);
 
 typedef struct _LeavingEntry__isset {
   _LeavingEntry__isset() : endpoint(false), incarnation(false) {}
-  bool endpoint : 1;
-  bool incarnation : 1;
+  bool endpoint :1;
+  bool incarnation :1;
 } _LeavingEntry__isset;
 
 class LeavingEntry : public virtual ::apache::thrift::TBase {
-public:
-  LeavingEntry(const LeavingEntry &);
-  LeavingEntry(LeavingEntry &&) noexcept;
-  LeavingEntry &operator=(const LeavingEntry &);
-  LeavingEntry &operator=(LeavingEntry &&) noexcept;
-  LeavingEntry() noexcept : endpoint(), incarnation() {}
+ public:
+
+  LeavingEntry(const LeavingEntry&);
+  LeavingEntry(LeavingEntry&&) noexcept;
+  LeavingEntry& operator=(const LeavingEntry&);
+  LeavingEntry& operator=(LeavingEntry&&) noexcept;
+  LeavingEntry() noexcept
+               : endpoint(),
+                 incarnation() {
+  }
 
   virtual ~LeavingEntry() noexcept;
   std::string endpoint;
@@ -136,50 +153,57 @@
 
   _LeavingEntry__isset __isset;
 
-  void __set_endpoint(const std::string &val);
+  void __set_endpoint(const std::string& val);
 
-  void __set_incarnation(const std::string &val);
+  void __set_incarnation(const std::string& val);
 
-  bool operator==(const LeavingEntry &rhs) const {
+  bool operator == (const LeavingEntry & rhs) const
+  {
     if (!(endpoint == rhs.endpoint))
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
     return true;
   }
-  bool operator!=(const LeavingEntry &rhs) const { return !(*this == rhs); }
+  bool operator != (const LeavingEntry &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const LeavingEntry &) const;
+  bool operator < (const LeavingEntry & ) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const override;
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
 
-  virtual void printTo(std::ostream &out) const;
+  virtual void printTo(std::ostream& out) const;
 };
 
 void swap(LeavingEntry &a, LeavingEntry &b);
 
-std::ostream &operator<<(std::ostream &out, const LeavingEntry &obj);
+std::ostream& operator<<(std::ostream& out, const LeavingEntry& obj);
 
 typedef struct _PeerEntry__isset {
-  _PeerEntry__isset()
-      : vm(false), incarnation(false), address(false), failureDomain(false),
-        ageMillis(false) {}
-  bool vm : 1;
-  bool incarnation : 1;
-  bool address : 1;
-  bool failureDomain : 1;
-  bool ageMillis : 1;
+  _PeerEntry__isset() : vm(false), incarnation(false), address(false), failureDomain(false), ageMillis(false) {}
+  bool vm :1;
+  bool incarnation :1;
+  bool address :1;
+  bool failureDomain :1;
+  bool ageMillis :1;
 } _PeerEntry__isset;
 
 class PeerEntry : public virtual ::apache::thrift::TBase {
-public:
-  PeerEntry(const PeerEntry &);
-  PeerEntry(PeerEntry &&) noexcept;
-  PeerEntry &operator=(const PeerEntry &);
-  PeerEntry &operator=(PeerEntry &&) noexcept;
+ public:
+
+  PeerEntry(const PeerEntry&);
+  PeerEntry(PeerEntry&&) noexcept;
+  PeerEntry& operator=(const PeerEntry&);
+  PeerEntry& operator=(PeerEntry&&) noexcept;
   PeerEntry() noexcept
-      : vm(), incarnation(0), address(), failureDomain(), ageMillis(0) {}
+            : vm(),
+              incarnation(0),
+              address(),
+              failureDomain(),
+              ageMillis(0) {
+  }
 
   virtual ~PeerEntry() noexcept;
   std::string vm;
@@ -190,17 +214,18 @@
 
   _PeerEntry__isset __isset;
 
-  void __set_vm(const std::string &val);
+  void __set_vm(const std::string& val);
 
   void __set_incarnation(const int64_t val);
 
-  void __set_address(const std::string &val);
+  void __set_address(const std::string& val);
 
-  void __set_failureDomain(const std::string &val);
+  void __set_failureDomain(const std::string& val);
 
   void __set_ageMillis(const int32_t val);
 
-  bool operator==(const PeerEntry &rhs) const {
+  bool operator == (const PeerEntry & rhs) const
+  {
     if (!(vm == rhs.vm))
       return false;
     if (!(incarnation == rhs.incarnation))
@@ -213,46 +238,51 @@
       return false;
     return true;
   }
-  bool operator!=(const PeerEntry &rhs) const { return !(*this == rhs); }
+  bool operator != (const PeerEntry &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const PeerEntry &) const;
+  bool operator < (const PeerEntry & ) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const override;
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
 
-  virtual void printTo(std::ostream &out) const;
+  virtual void printTo(std::ostream& out) const;
 };
 
 void swap(PeerEntry &a, PeerEntry &b);
 
-std::ostream &operator<<(std::ostream &out, const PeerEntry &obj);
+std::ostream& operator<<(std::ostream& out, const PeerEntry& obj);
 
 typedef struct _Digest__isset {
-  _Digest__isset()
-      : vm(false), incarnation(false), failureDomain(false), address(false),
-        configurationVersion(false), outstanding(false), leaving(false),
-        load(false), peers(false), draining(false) {}
-  bool vm : 1;
-  bool incarnation : 1;
-  bool failureDomain : 1;
-  bool address : 1;
-  bool configurationVersion : 1;
-  bool outstanding : 1;
-  bool leaving : 1;
-  bool load : 1;
-  bool peers : 1;
-  bool draining : 1;
+  _Digest__isset() : vm(false), incarnation(false), failureDomain(false), address(false), configurationVersion(false), outstanding(false), leaving(false), load(false), peers(false), draining(false) {}
+  bool vm :1;
+  bool incarnation :1;
+  bool failureDomain :1;
+  bool address :1;
+  bool configurationVersion :1;
+  bool outstanding :1;
+  bool leaving :1;
+  bool load :1;
+  bool peers :1;
+  bool draining :1;
 } _Digest__isset;
 
 class Digest : public virtual ::apache::thrift::TBase {
-public:
-  Digest(const Digest &);
-  Digest(Digest &&) noexcept;
-  Digest &operator=(const Digest &);
-  Digest &operator=(Digest &&) noexcept;
+ public:
+
+  Digest(const Digest&);
+  Digest(Digest&&) noexcept;
+  Digest& operator=(const Digest&);
+  Digest& operator=(Digest&&) noexcept;
   Digest() noexcept
-      : vm(), incarnation(0), failureDomain(), address(),
-        configurationVersion(0), draining(0) {}
+         : vm(),
+           incarnation(0),
+           failureDomain(),
+           address(),
+           configurationVersion(0),
+           draining(0) {
+  }
 
   virtual ~Digest() noexcept;
   std::string vm;
@@ -260,35 +290,36 @@
   std::string failureDomain;
   std::string address;
   int64_t configurationVersion;
-  std::map<std::string, int32_t> outstanding;
-  std::vector<LeavingEntry> leaving;
-  std::vector<LoadEntry> load;
-  std::vector<PeerEntry> peers;
+  std::map<std::string, int32_t>  outstanding;
+  std::vector<LeavingEntry>  leaving;
+  std::vector<LoadEntry>  load;
+  std::vector<PeerEntry>  peers;
   bool draining;
 
   _Digest__isset __isset;
 
-  void __set_vm(const std::string &val);
+  void __set_vm(const std::string& val);
 
   void __set_incarnation(const int64_t val);
 
-  void __set_failureDomain(const std::string &val);
+  void __set_failureDomain(const std::string& val);
 
-  void __set_address(const std::string &val);
+  void __set_address(const std::string& val);
 
   void __set_configurationVersion(const int64_t val);
 
-  void __set_outstanding(const std::map<std::string, int32_t> &val);
+  void __set_outstanding(const std::map<std::string, int32_t> & val);
 
-  void __set_leaving(const std::vector<LeavingEntry> &val);
+  void __set_leaving(const std::vector<LeavingEntry> & val);
 
-  void __set_load(const std::vector<LoadEntry> &val);
+  void __set_load(const std::vector<LoadEntry> & val);
 
-  void __set_peers(const std::vector<PeerEntry> &val);
+  void __set_peers(const std::vector<PeerEntry> & val);
 
   void __set_draining(const bool val);
 
-  bool operator==(const Digest &rhs) const {
+  bool operator == (const Digest & rhs) const
+  {
     if (!(vm == rhs.vm))
       return false;
     if (!(incarnation == rhs.incarnation))
@@ -311,33 +342,98 @@
       return false;
     return true;
   }
-  bool operator!=(const Digest &rhs) const { return !(*this == rhs); }
+  bool operator != (const Digest &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Digest &) const;
+  bool operator < (const Digest & ) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const override;
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
 
-  virtual void printTo(std::ostream &out) const;
+  virtual void printTo(std::ostream& out) const;
 };
 
 void swap(Digest &a, Digest &b);
 
-std::ostream &operator<<(std::ostream &out, const Digest &obj);
+std::ostream& operator<<(std::ostream& out, const Digest& obj);
+
+typedef struct _TakenReservation__isset {
+  _TakenReservation__isset() : stateBefore(false), otherBody(false), holder(false) {}
+  bool stateBefore :1;
+  bool otherBody :1;
+  bool holder :1;
+} _TakenReservation__isset;
+
+class TakenReservation : public virtual ::apache::thrift::TBase {
+ public:
+
+  TakenReservation(const TakenReservation&);
+  TakenReservation(TakenReservation&&) noexcept;
+  TakenReservation& operator=(const TakenReservation&);
+  TakenReservation& operator=(TakenReservation&&) noexcept;
+  TakenReservation() noexcept
+                   : stateBefore(0),
+                     otherBody(0),
+                     holder() {
+  }
+
+  virtual ~TakenReservation() noexcept;
+  int32_t stateBefore;
+  bool otherBody;
+  std::string holder;
+
+  _TakenReservation__isset __isset;
+
+  void __set_stateBefore(const int32_t val);
+
+  void __set_otherBody(const bool val);
+
+  void __set_holder(const std::string& val);
+
+  bool operator == (const TakenReservation & rhs) const
+  {
+    if (!(stateBefore == rhs.stateBefore))
+      return false;
+    if (!(otherBody == rhs.otherBody))
+      return false;
+    if (!(holder == rhs.holder))
+      return false;
+    return true;
+  }
+  bool operator != (const TakenReservation &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TakenReservation & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TakenReservation &a, TakenReservation &b);
+
+std::ostream& operator<<(std::ostream& out, const TakenReservation& obj);
 
 typedef struct _Head__isset {
   _Head__isset() : version(false), json(false) {}
-  bool version : 1;
-  bool json : 1;
+  bool version :1;
+  bool json :1;
 } _Head__isset;
 
 class Head : public virtual ::apache::thrift::TBase {
-public:
-  Head(const Head &);
-  Head(Head &&) noexcept;
-  Head &operator=(const Head &);
-  Head &operator=(Head &&) noexcept;
-  Head() noexcept : version(0), json() {}
+ public:
+
+  Head(const Head&);
+  Head(Head&&) noexcept;
+  Head& operator=(const Head&);
+  Head& operator=(Head&&) noexcept;
+  Head() noexcept
+       : version(0),
+         json() {
+  }
 
   virtual ~Head() noexcept;
   int64_t version;
@@ -347,54 +443,61 @@
 
   void __set_version(const int64_t val);
 
-  void __set_json(const std::string &val);
+  void __set_json(const std::string& val);
 
-  bool operator==(const Head &rhs) const {
+  bool operator == (const Head & rhs) const
+  {
     if (!(version == rhs.version))
       return false;
     if (!(json == rhs.json))
       return false;
     return true;
   }
-  bool operator!=(const Head &rhs) const { return !(*this == rhs); }
+  bool operator != (const Head &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const Head &) const;
+  bool operator < (const Head & ) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const override;
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
 
-  virtual void printTo(std::ostream &out) const;
+  virtual void printTo(std::ostream& out) const;
 };
 
 void swap(Head &a, Head &b);
 
-std::ostream &operator<<(std::ostream &out, const Head &obj);
+std::ostream& operator<<(std::ostream& out, const Head& obj);
 
 typedef struct _KeptAnswer__isset {
-  _KeptAnswer__isset()
-      : state(false), outcome(false), status(false), contentType(false),
-        body(false), tokens(false) {}
-  bool state : 1;
-  bool outcome : 1;
-  bool status : 1;
-  bool contentType : 1;
-  bool body : 1;
-  bool tokens : 1;
+  _KeptAnswer__isset() : state(false), outcome(false), status(false), contentType(false), body(false), tokens(false) {}
+  bool state :1;
+  bool outcome :1;
+  bool status :1;
+  bool contentType :1;
+  bool body :1;
+  bool tokens :1;
 } _KeptAnswer__isset;
 
 class KeptAnswer : public virtual ::apache::thrift::TBase {
-public:
-  KeptAnswer(const KeptAnswer &);
-  KeptAnswer(KeptAnswer &&) noexcept;
-  KeptAnswer &operator=(const KeptAnswer &);
-  KeptAnswer &operator=(KeptAnswer &&) noexcept;
+ public:
+
+  KeptAnswer(const KeptAnswer&);
+  KeptAnswer(KeptAnswer&&) noexcept;
+  KeptAnswer& operator=(const KeptAnswer&);
+  KeptAnswer& operator=(KeptAnswer&&) noexcept;
   KeptAnswer() noexcept
-      : state(static_cast<AnswerState::type>(0)), outcome(), status(0),
-        contentType(), body(), tokens(0) {}
+             : state(static_cast<AnswerState::type>(0)),
+               outcome(),
+               status(0),
+               contentType(),
+               body(),
+               tokens(0) {
+  }
 
   virtual ~KeptAnswer() noexcept;
   /**
-   *
+   * 
    * @see AnswerState
    */
   AnswerState::type state;
@@ -408,17 +511,18 @@
 
   void __set_state(const AnswerState::type val);
 
-  void __set_outcome(const std::string &val);
+  void __set_outcome(const std::string& val);
 
   void __set_status(const int32_t val);
 
-  void __set_contentType(const std::string &val);
+  void __set_contentType(const std::string& val);
 
-  void __set_body(const std::string &val);
+  void __set_body(const std::string& val);
 
   void __set_tokens(const int32_t val);
 
-  bool operator==(const KeptAnswer &rhs) const {
+  bool operator == (const KeptAnswer & rhs) const
+  {
     if (!(state == rhs.state))
       return false;
     if (!(outcome == rhs.outcome))
@@ -433,21 +537,22 @@
       return false;
     return true;
   }
-  bool operator!=(const KeptAnswer &rhs) const { return !(*this == rhs); }
+  bool operator != (const KeptAnswer &rhs) const {
+    return !(*this == rhs);
+  }
 
-  bool operator<(const KeptAnswer &) const;
+  bool operator < (const KeptAnswer & ) const;
 
-  uint32_t read(::apache::thrift::protocol::TProtocol *iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol *oprot) const override;
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
 
-  virtual void printTo(std::ostream &out) const;
+  virtual void printTo(std::ostream& out) const;
 };
 
 void swap(KeptAnswer &a, KeptAnswer &b);
 
-std::ostream &operator<<(std::ostream &out, const KeptAnswer &obj);
+std::ostream& operator<<(std::ostream& out, const KeptAnswer& obj);
 
-} // namespace wire
-} // namespace parsleyring
+}} // namespace
 
 #endif
--- a/src/membership/PeerNetwork.h
+++ b/src/membership/PeerNetwork.h
@@ -1,6 +1,9 @@
 #ifndef PARSLEYRING_MEMBERSHIP_PEERNETWORK_H
 #define PARSLEYRING_MEMBERSHIP_PEERNETWORK_H
 
+#include "claims/ReservationTable.h"
+
+#include "parsleyring/Actions.h"
 #include "parsleyring/Events.h"
 
 #include <functional>
@@ -36,6 +39,11 @@
   std::function<RemoteAnswer(const std::string &Account,
                              const std::string &Key)>
       m_KeyState;
+  std::function<ReservationTable::TakeResult(
+      const std::string &Account, const std::string &Key,
+      const std::string &BodySha256, const std::string &Holder)>
+      m_TakeReservation;
+  std::function<void(const std::string &Key, ClaimEnd)> m_EndReservation;
 };
 
 /// Heartbeats, digests and questions between the routers.
@@ -51,8 +59,12 @@
                                const std::string &Incarnation) = 0;
   /// A load report that this VM polled; spread with the next digests.
   virtual void noteLoad(const LoadReported &Report) = 0;
-  /// True if this VM is the one in its failure domain that polls the endpoint.
-  virtual bool isPoller(const std::string &Endpoint) const = 0;
+  /// True if this VM is the one that polls the endpoint: one of the live VMs of
+  /// the endpoint's failure domain, or of the own one if none is heard from.
+  virtual bool isPoller(const std::string &Endpoint,
+                        const std::string &FailureDomain) const = 0;
+  /// This VM takes no new requests any more; peers stop counting it.
+  virtual void startDraining() = 0;
 
   /// Asks the owner; empty if it cannot be reached or is another incarnation.
   virtual std::optional<RemoteAnswer>
@@ -60,6 +72,12 @@
   virtual std::optional<RemoteAnswer> keyState(const Incarnation &Owner,
                                                const std::string &Account,
                                                const std::string &Key) = 0;
+  /// Takes a reservation that another VM issued. Empty if that VM cannot be
+  /// reached or its answer was lost.
+  virtual std::optional<ReservationTable::TakeResult>
+  takeReservation(const OwnedId &Key, const RequestClaim &Request) = 0;
+  virtual void endReservation(const OwnedId &Key, const std::string &Text,
+                              ClaimEnd End) = 0;
   /// Empty if the peer cannot be reached.
   virtual std::optional<std::string> fetchHead(const std::string &PeerVM) = 0;
   virtual std::optional<std::string> fetchChunk(const std::string &PeerVM,
--- /dev/null
+++ b/src/membership/PeerTable.cpp
@@ -0,0 +1,247 @@
+#include "membership/PeerTable.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace parsleyring {
+
+static constexpr std::size_t NeighboursInDomain = 8;
+static constexpr std::size_t NeighboursPerOtherDomain = 2;
+// Heartbeats repeat a leaving endpoint this long, for peers that missed the
+// first notice.
+static constexpr Duration LeavingRepeatTime = std::chrono::seconds(60);
+static constexpr std::size_t MostKnownLeaving = 10000;
+// An older report says less than the VM's own counts.
+static constexpr Duration LoadRelevance = std::chrono::seconds(5);
+static constexpr std::size_t MostLoadEntries = 64;
+static constexpr std::size_t MostPeerEntries = 16;
+// VMs are replaced all the time; a partition between regions lasts minutes.
+static constexpr Duration SilentPeerLifetime = std::chrono::hours(1);
+// Beyond a full mesh, news of a peer arrives by way of others.
+static constexpr Duration ForwardedPeerTimeout = std::chrono::seconds(10);
+
+static std::uint64_t weight(const std::string &First,
+                            const std::string &Second) {
+  std::string Joined = First + '\0' + Second;
+  return XXH64(Joined.data(), Joined.size(), 0);
+}
+
+PeerTable::PeerTable(Time Now, const PeerInfo &Self)
+    : m_StartedAt(Now), m_Self(Self) {}
+
+void PeerTable::add(const PeerInfo &Info) {
+  if (Info.m_Identity.m_VM == m_Self.m_Identity.m_VM || Info.m_Address.empty())
+    return;
+  Peer &Known = m_Peers[Info.m_Identity.m_VM];
+  Known.m_IsListed = true;
+  // A running peer knows its own address best.
+  if (Known.m_Info.m_Identity.m_Number == 0)
+    Known.m_Info = Info;
+}
+
+void PeerTable::remove(const std::string &VM) { m_Peers.erase(VM); }
+
+void PeerTable::expire(Time Now) {
+  for (auto Item = m_Peers.begin(); Item != m_Peers.end();) {
+    const Peer &Candidate = Item->second;
+    bool IsForgotten =
+        !Candidate.m_IsListed && Now - Candidate.m_HeardAt > SilentPeerLifetime;
+    Item = IsForgotten ? m_Peers.erase(Item) : std::next(Item);
+  }
+}
+
+PeerTable::News PeerTable::receive(Time Now, const Digest &Received) {
+  News Fresh;
+  const std::string &VM = Received.m_Sender.m_Identity.m_VM;
+  if (VM == m_Self.m_Identity.m_VM)
+    return Fresh;
+  Peer &Sender = m_Peers[VM];
+  // A digest of an earlier incarnation was delayed on the way.
+  if (Received.m_Sender.m_Identity.m_Number < Sender.m_Info.m_Identity.m_Number)
+    return Fresh;
+  Sender.m_Info = Received.m_Sender;
+  Sender.m_HeardAt = Now;
+  Sender.m_IsDraining = Received.m_IsDraining;
+  Sender.m_Outstanding = Received.m_Outstanding;
+  for (const PeerInfo &Info : Received.m_Peers)
+    notePassedOn(Now, Info);
+  for (const LeavingEndpoint &Entry : Received.m_Leaving)
+    if (addLeaving(Now, Entry))
+      Fresh.m_Leaving.push_back(Entry);
+  for (const LoadReported &Report : Received.m_Load) {
+    auto Known = m_Load.find(Report.m_Endpoint);
+    if (Known != m_Load.end() &&
+        Known->second.m_ReportedAt >= Report.m_ReportedAt)
+      continue;
+    m_Load[Report.m_Endpoint] = Report;
+    Fresh.m_Load.push_back(Report);
+  }
+  return Fresh;
+}
+
+void PeerTable::notePassedOn(Time Now, const PeerInfo &Info) {
+  if (Info.m_Identity.m_VM == m_Self.m_Identity.m_VM)
+    return;
+  Peer &Known = m_Peers[Info.m_Identity.m_VM];
+  if (Info.m_Identity.m_Number < Known.m_Info.m_Identity.m_Number)
+    return;
+  bool IsOtherRun = Info.m_Identity.m_Number > Known.m_Info.m_Identity.m_Number;
+  Known.m_Info = Info;
+  if (IsOtherRun || Now - Info.m_Age > Known.m_HeardAt)
+    Known.m_HeardAt = Now - Info.m_Age;
+}
+
+bool PeerTable::addLeaving(Time Now, const LeavingEndpoint &Entry) {
+  if (!m_KnownLeaving.insert(Entry).second)
+    return false;
+  m_RecentLeaving.push_back({Entry, Now});
+  // Endpoints come and go for as long as the process runs.
+  if (m_RecentLeaving.size() > MostKnownLeaving) {
+    m_KnownLeaving.erase(m_RecentLeaving.front().m_Entry);
+    m_RecentLeaving.pop_front();
+  }
+  return true;
+}
+
+void PeerTable::addLoad(const LoadReported &Report) {
+  LoadReported &Known = m_Load[Report.m_Endpoint];
+  if (Known.m_ReportedAt <= Report.m_ReportedAt)
+    Known = Report;
+  Known.m_CachedPrefixes.clear();
+}
+
+Digest PeerTable::digest(Time Now) const {
+  Digest Result;
+  Result.m_Sender = m_Self;
+  for (auto Item = m_RecentLeaving.rbegin();
+       Item != m_RecentLeaving.rend() &&
+       Now - Item->m_LearnedAt < LeavingRepeatTime;
+       ++Item)
+    Result.m_Leaving.push_back(Item->m_Entry);
+  for (const auto &[Endpoint, Report] : m_Load)
+    if (Now - Report.m_ReportedAt < LoadRelevance &&
+        Result.m_Load.size() < MostLoadEntries)
+      Result.m_Load.push_back(Report);
+  if (m_Peers.size() <= LargestFullMesh)
+    return Result; // Each peer hears the others itself.
+  // A different part of the table in each digest, so that all of it gets
+  // around.
+  std::size_t Offset = static_cast<std::size_t>(
+      Now.time_since_epoch() / HeartbeatInterval * MostPeerEntries);
+  std::vector<std::string> Live = livePeers(Now);
+  for (std::size_t Index = 0; Index < std::min(MostPeerEntries, Live.size());
+       ++Index) {
+    const Peer &Chosen = m_Peers.at(Live[(Offset + Index) % Live.size()]);
+    PeerInfo Info = Chosen.m_Info;
+    Info.m_Age = Now - Chosen.m_HeardAt;
+    Result.m_Peers.push_back(std::move(Info));
+  }
+  return Result;
+}
+
+std::vector<PeerInfo> PeerTable::closest(std::vector<PeerInfo> Candidates,
+                                         std::size_t Count) const {
+  const std::string &Own = m_Self.m_Identity.m_VM;
+  std::sort(Candidates.begin(), Candidates.end(),
+            [&Own](const PeerInfo &Left, const PeerInfo &Right) {
+              return weight(Own, Left.m_Identity.m_VM) >
+                     weight(Own, Right.m_Identity.m_VM);
+            });
+  if (Candidates.size() > Count)
+    Candidates.resize(Count);
+  return Candidates;
+}
+
+std::vector<PeerInfo> PeerTable::targets(Time Now) const {
+  if (m_Peers.size() <= LargestFullMesh)
+    return known();
+  std::map<std::string, std::vector<PeerInfo>> Live, Silent;
+  for (const auto &[VM, Candidate] : m_Peers) {
+    auto &Domains = isLive(Now, Candidate) ? Live : Silent;
+    Domains[Candidate.m_Info.m_FailureDomain].push_back(Candidate.m_Info);
+  }
+  std::vector<PeerInfo> Result;
+  auto Append = [&](std::vector<PeerInfo> Chosen) {
+    Result.insert(Result.end(), Chosen.begin(), Chosen.end());
+  };
+  for (const auto &[Domain, Candidates] : Live)
+    Append(closest(Candidates, Domain == m_Self.m_FailureDomain
+                                   ? NeighboursInDomain
+                                   : NeighboursPerOtherDomain));
+  // One silent VM per domain is tried, so that the domain is found again after
+  // a partition.
+  for (const auto &[Domain, Candidates] : Silent)
+    Append(closest(Candidates, 1));
+  return Result;
+}
+
+std::vector<PeerInfo> PeerTable::known() const {
+  std::vector<PeerInfo> Result;
+  for (const auto &[VM, Candidate] : m_Peers)
+    Result.push_back(Candidate.m_Info);
+  return Result;
+}
+
+bool PeerTable::isLive(Time Now, const Peer &Candidate) const {
+  Duration Limit =
+      m_Peers.size() <= LargestFullMesh ? PeerTimeout : ForwardedPeerTimeout;
+  return Candidate.m_HeardAt != Time() && Now - Candidate.m_HeardAt < Limit;
+}
+
+bool PeerTable::isAlive(Time Now, const std::string &VM) const {
+  auto Found = m_Peers.find(VM);
+  return Found != m_Peers.end() && isLive(Now, Found->second);
+}
+
+std::vector<std::string> PeerTable::livePeers(Time Now) const {
+  std::vector<std::string> Result;
+  for (const auto &[VM, Candidate] : m_Peers)
+    if (isLive(Now, Candidate))
+      Result.push_back(VM);
+  return Result;
+}
+
+PeersChanged PeerTable::summary(Time Now) const {
+  PeersChanged Result;
+  std::map<std::string, bool> HasLivePeer;
+  for (const auto &[VM, Candidate] : m_Peers) {
+    bool IsLivePeer = isLive(Now, Candidate);
+    HasLivePeer[Candidate.m_Info.m_FailureDomain] |= IsLivePeer;
+    if (!IsLivePeer)
+      continue;
+    if (!Candidate.m_IsDraining)
+      ++Result.m_LivePeers;
+    for (const auto &[Account, Count] : Candidate.m_Outstanding)
+      Result.m_PeerOutstanding[Account] += Count;
+  }
+  // Right after the start no peer was heard from yet, which says nothing.
+  if (Now - m_StartedAt < PeerTimeout)
+    return Result;
+  for (const auto &[Domain, IsReachable] : HasLivePeer)
+    if (!IsReachable && Domain != m_Self.m_FailureDomain)
+      Result.m_UnreachableDomains.push_back(Domain);
+  return Result;
+}
+
+bool PeerTable::isPoller(Time Now, const std::string &Endpoint,
+                         const std::string &FailureDomain) const {
+  auto IsCandidate = [&](const Peer &Other, const std::string &Domain) {
+    return Other.m_Info.m_FailureDomain == Domain && !Other.m_IsDraining &&
+           isLive(Now, Other);
+  };
+  std::string Domain = FailureDomain;
+  if (Domain != m_Self.m_FailureDomain) {
+    for (const auto &[VM, Other] : m_Peers)
+      if (IsCandidate(Other, Domain))
+        return false;
+    Domain = m_Self.m_FailureDomain;
+  }
+  std::uint64_t Own = weight(m_Self.m_Identity.m_VM, Endpoint);
+  for (const auto &[VM, Other] : m_Peers)
+    if (IsCandidate(Other, Domain) && weight(VM, Endpoint) > Own)
+      return false;
+  return true;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/membership/VMList.h
@@ -0,0 +1,47 @@
+#ifndef PARSLEYRING_MEMBERSHIP_VMLIST_H
+#define PARSLEYRING_MEMBERSHIP_VMLIST_H
+
+#include "membership/Digest.h"
+
+#include "parsleyring/PlatformClient.h"
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace parsleyring {
+
+/// Contents of the platform's VM list that matter to a router.
+struct VMList {
+  std::vector<PeerInfo> m_Routers;    ///< Entry VMs.
+  std::vector<std::string> m_Leaving; ///< Names of leaving endpoints.
+
+  /// Throws std::runtime_error.
+  static VMList fromText(const std::string &Text);
+};
+
+/// Follows the VM list with long polls. The list lags and the platform has
+/// outages, so nothing is concluded from silence.
+class VMListFollower {
+public:
+  VMListFollower(PlatformClient &Platform,
+                 std::function<void(const VMList &)> Changed);
+  ~VMListFollower();
+
+  void start();
+  void stop();
+
+private:
+  void run();
+
+  PlatformClient &m_Platform;
+  std::function<void(const VMList &)> m_Changed;
+  std::atomic<bool> m_IsStopping{false};
+  std::thread m_Thread;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_MEMBERSHIP_VMLIST_H
--- a/src/peers/Peer.thrift
+++ b/src/peers/Peer.thrift
@@ -35,6 +35,12 @@
   10: bool draining,
 }
 
+struct TakenReservation {
+  1: i32 stateBefore,
+  2: bool otherBody,
+  3: string holder,
+}
+
 struct Head {
   1: i64 version,
   2: string json,
@@ -56,9 +62,14 @@
 }
 
 service Peer {
-  oneway void heartbeat(1: Digest digest),
+  // Not oneway: an answer tells the sender that the connection still works.
+  void heartbeat(1: Digest digest),
   Head fetchHead(),
   binary fetchChunk(1: string sha256),
   KeptAnswer requestState(1: i64 incarnation, 2: i64 number, 3: i32 fromPosition),
   KeptAnswer keyState(1: i64 incarnation, 2: string account, 3: string key),
+  TakenReservation takeReservation(1: i64 incarnation, 2: string account,
+                                   3: string key, 4: string bodySha256,
+                                   5: string holder),
+  void endReservation(1: i64 incarnation, 2: string key, 3: bool completed),
 }
--- /dev/null
+++ b/src/peers/PeerConnection.cpp
@@ -0,0 +1,122 @@
+#include "peers/PeerConnection.h"
+
+#include "peers/WireDigest.h"
+
+#include "Peer.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+using namespace apache::thrift;
+
+namespace parsleyring {
+
+static constexpr int ConnectTimeoutMillis = 500;
+static constexpr int CallTimeoutMillis = 1000;
+
+class PeerConnection::Client {
+public:
+  explicit Client(const std::string &Address) {
+    std::size_t Colon = Address.rfind(':');
+    auto Socket = std::make_shared<transport::TSocket>(
+        Address.substr(0, Colon), std::stoi(Address.substr(Colon + 1)));
+    Socket->setConnTimeout(ConnectTimeoutMillis);
+    Socket->setRecvTimeout(CallTimeoutMillis);
+    Socket->setSendTimeout(CallTimeoutMillis);
+    m_Transport = std::make_shared<transport::TFramedTransport>(Socket);
+    m_Transport->open();
+    m_Peer = std::make_unique<wire::PeerClient>(
+        std::make_shared<protocol::TCompactProtocol>(m_Transport));
+  }
+
+  wire::PeerClient &peer() { return *m_Peer; }
+
+private:
+  std::shared_ptr<transport::TTransport> m_Transport;
+  std::unique_ptr<wire::PeerClient> m_Peer;
+};
+
+PeerConnection::PeerConnection(const std::string &Address)
+    : m_Address(Address) {}
+
+PeerConnection::~PeerConnection() = default;
+
+template <typename Call> void PeerConnection::run(Call &&Step) {
+  try {
+    if (!m_Client)
+      m_Client = std::make_unique<Client>(m_Address);
+    Step(m_Client->peer());
+  } catch (const std::exception &Error) {
+    m_Client.reset();
+    throw PeerError("peer " + m_Address + ": " + Error.what());
+  }
+}
+
+void PeerConnection::heartbeat(const Digest &Value) {
+  run([&](wire::PeerClient &Peer) { Peer.heartbeat(toWire(Value)); });
+}
+
+std::string PeerConnection::fetchHead() {
+  wire::Head Result;
+  run([&](wire::PeerClient &Peer) { Peer.fetchHead(Result); });
+  return Result.json;
+}
+
+std::string PeerConnection::fetchChunk(const std::string &Sha256) {
+  std::string Result;
+  run([&](wire::PeerClient &Peer) { Peer.fetchChunk(Result, Sha256); });
+  return Result;
+}
+
+RemoteAnswer PeerConnection::requestState(const OwnedId &Request,
+                                          std::uint32_t FromPosition) {
+  wire::KeptAnswer Result;
+  run([&](wire::PeerClient &Peer) {
+    Peer.requestState(Result,
+                      static_cast<std::int64_t>(Request.m_Owner.m_Number),
+                      static_cast<std::int64_t>(Request.m_Number),
+                      static_cast<std::int32_t>(FromPosition));
+  });
+  return fromWire(Result);
+}
+
+RemoteAnswer PeerConnection::keyState(const Incarnation &Owner,
+                                      const std::string &Account,
+                                      const std::string &Key) {
+  wire::KeptAnswer Result;
+  run([&](wire::PeerClient &Peer) {
+    Peer.keyState(Result, static_cast<std::int64_t>(Owner.m_Number), Account,
+                  Key);
+  });
+  return fromWire(Result);
+}
+
+ReservationTable::TakeResult
+PeerConnection::takeReservation(const OwnedId &Key, const RequestClaim &Request,
+                                const std::string &Holder) {
+  wire::TakenReservation Result;
+  run([&](wire::PeerClient &Peer) {
+    Peer.takeReservation(Result,
+                         static_cast<std::int64_t>(Key.m_Owner.m_Number),
+                         Request.m_Account, Request.m_IdempotencyKey,
+                         Request.m_BodySha256, Holder);
+  });
+  bool IsKnown =
+      Result.stateBefore >= 0 &&
+      Result.stateBefore <= static_cast<int>(ReservationState::Completed);
+  if (!IsKnown)
+    throw PeerError("peer " + m_Address + ": unknown reservation state");
+  return {static_cast<ReservationState>(Result.stateBefore), Result.otherBody,
+          Result.holder};
+}
+
+void PeerConnection::endReservation(const OwnedId &Key, const std::string &Text,
+                                    ClaimEnd End) {
+  run([&](wire::PeerClient &Peer) {
+    Peer.endReservation(static_cast<std::int64_t>(Key.m_Owner.m_Number), Text,
+                        End == ClaimEnd::Completed);
+  });
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/peers/PeerConnection.h
@@ -0,0 +1,51 @@
+#ifndef PARSLEYRING_PEERS_PEERCONNECTION_H
+#define PARSLEYRING_PEERS_PEERCONNECTION_H
+
+#include "claims/ReservationTable.h"
+#include "membership/Digest.h"
+#include "membership/PeerNetwork.h"
+
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+namespace parsleyring {
+
+/// A peer did not answer, or not in time.
+class PeerError : public std::runtime_error {
+public:
+  using std::runtime_error::runtime_error;
+};
+
+/// One connection to a peer's Thrift server; for one thread. Every call has a
+/// time limit. After an error the next call uses a new connection, since one
+/// that went silent never recovers. All calls throw PeerError.
+class PeerConnection {
+public:
+  explicit PeerConnection(const std::string &Address);
+  ~PeerConnection();
+
+  void heartbeat(const Digest &Value);
+  std::string fetchHead();
+  std::string fetchChunk(const std::string &Sha256);
+  RemoteAnswer requestState(const OwnedId &Request, std::uint32_t FromPosition);
+  RemoteAnswer keyState(const Incarnation &Owner, const std::string &Account,
+                        const std::string &Key);
+  ReservationTable::TakeResult takeReservation(const OwnedId &Key,
+                                               const RequestClaim &Request,
+                                               const std::string &Holder);
+  void endReservation(const OwnedId &Key, const std::string &Text,
+                      ClaimEnd End);
+
+private:
+  class Client;
+
+  template <typename Call> void run(Call &&Step);
+
+  std::string m_Address;
+  std::unique_ptr<Client> m_Client;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_PEERS_PEERCONNECTION_H
--- /dev/null
+++ b/src/peers/PeerService.cpp
@@ -0,0 +1,150 @@
+#include "peers/PeerService.h"
+
+#include "peers/WireDigest.h"
+
+#include "Peer.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/server/TThreadedServer.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TServerSocket.h>
+
+#include <future>
+#include <stdexcept>
+
+using namespace apache::thrift;
+
+namespace parsleyring {
+
+// Heartbeats come each second; a connection without one for this long is dead
+// or was abandoned by its peer.
+static constexpr int IdleConnectionMillis = 10000;
+static constexpr int SendTimeoutMillis = 2000;
+static constexpr int MostConnections = 256;
+
+namespace {
+
+class Handler : public wire::PeerIf {
+public:
+  Handler(const Incarnation &Self, const PeerCallbacks &Callbacks,
+          const std::function<void(const Digest &)> &Receive)
+      : m_Self(Self), m_Callbacks(Callbacks), m_Receive(Receive) {}
+
+  void heartbeat(const wire::Digest &Value) override {
+    m_Receive(fromWire(Value));
+  }
+
+  void fetchHead(wire::Head &Result) override {
+    Result.version =
+        static_cast<std::int64_t>(m_Callbacks.m_ConfigurationVersion());
+    Result.json = m_Callbacks.m_HeadJson();
+  }
+
+  void fetchChunk(std::string &Result, const std::string &Sha256) override {
+    Result = m_Callbacks.m_Chunk(Sha256);
+  }
+
+  void requestState(wire::KeptAnswer &Result, const std::int64_t Run,
+                    const std::int64_t Number,
+                    const std::int32_t From) override {
+    if (isSelf(Run))
+      Result = toWire(m_Callbacks.m_RequestState(
+          static_cast<RequestNumber>(Number),
+          static_cast<std::uint32_t>(From < 0 ? 0 : From)));
+  }
+
+  void keyState(wire::KeptAnswer &Result, const std::int64_t Run,
+                const std::string &Account, const std::string &Key) override {
+    if (isSelf(Run))
+      Result = toWire(m_Callbacks.m_KeyState(Account, Key));
+  }
+
+  void takeReservation(wire::TakenReservation &Result, const std::int64_t Run,
+                       const std::string &Account, const std::string &Key,
+                       const std::string &BodySha256,
+                       const std::string &Holder) override {
+    if (!isSelf(Run))
+      return;
+    ReservationTable::TakeResult Taken =
+        m_Callbacks.m_TakeReservation(Account, Key, BodySha256, Holder);
+    Result.stateBefore = static_cast<std::int32_t>(Taken.m_Before);
+    Result.otherBody = Taken.m_HasOtherBody;
+    Result.holder = Taken.m_Holder;
+  }
+
+  void endReservation(const std::int64_t Run, const std::string &Key,
+                      const bool IsCompleted) override {
+    if (isSelf(Run))
+      m_Callbacks.m_EndReservation(Key, IsCompleted ? ClaimEnd::Completed
+                                                    : ClaimEnd::Released);
+  }
+
+private:
+  bool isSelf(std::int64_t Run) const {
+    return static_cast<std::uint64_t>(Run) == m_Self.m_Number;
+  }
+
+  Incarnation m_Self;
+  const PeerCallbacks &m_Callbacks;
+  const std::function<void(const Digest &)> &m_Receive;
+};
+
+/// Tells when the server listens.
+class ListenNotifier : public server::TServerEventHandler {
+public:
+  void preServe() override { m_IsListening.set_value(); }
+  std::promise<void> m_IsListening;
+};
+
+} // namespace
+
+PeerService::PeerService(const std::string &ListenAddress,
+                         const Incarnation &Self,
+                         const PeerCallbacks &Callbacks,
+                         std::function<void(const Digest &)> Receive)
+    : m_ListenAddress(ListenAddress), m_Self(Self), m_Callbacks(Callbacks),
+      m_Receive(std::move(Receive)) {}
+
+PeerService::~PeerService() { stop(); }
+
+void PeerService::start() {
+  std::size_t Colon = m_ListenAddress.rfind(':');
+  auto Socket = std::make_shared<transport::TServerSocket>(
+      m_ListenAddress.substr(0, Colon),
+      std::stoi(m_ListenAddress.substr(Colon + 1)));
+  Socket->setRecvTimeout(IdleConnectionMillis);
+  Socket->setSendTimeout(SendTimeoutMillis);
+  auto Server = std::make_shared<server::TThreadedServer>(
+      std::make_shared<wire::PeerProcessor>(
+          std::make_shared<Handler>(m_Self, m_Callbacks, m_Receive)),
+      Socket, std::make_shared<transport::TFramedTransportFactory>(),
+      std::make_shared<protocol::TCompactProtocolFactory>());
+  Server->setConcurrentClientLimit(MostConnections);
+  auto Notifier = std::make_shared<ListenNotifier>();
+  Server->setServerEventHandler(Notifier);
+  m_Server = Server;
+  std::future<void> IsListening = Notifier->m_IsListening.get_future();
+  m_Thread = std::thread([Server, Notifier] {
+    try {
+      Server->serve();
+    } catch (const TException &) {
+      Notifier->m_IsListening.set_exception(std::current_exception());
+    }
+  });
+  try {
+    IsListening.get();
+  } catch (const TException &Error) {
+    m_Thread.join();
+    throw std::runtime_error("cannot listen for peers on " + m_ListenAddress +
+                             ": " + Error.what());
+  }
+}
+
+void PeerService::stop() {
+  if (!m_Thread.joinable())
+    return;
+  m_Server->stop();
+  m_Thread.join();
+}
+
+} // namespace parsleyring
