--- /dev/null
+++ b/src/admission/AccountTable.h
@@ -0,0 +1,77 @@
+#ifndef PARSLEYRING_ADMISSION_ACCOUNTTABLE_H
+#define PARSLEYRING_ADMISSION_ACCOUNTTABLE_H
+
+#include "parsleyring/Events.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace parsleyring {
+
+enum class AdmissionResult {
+  Admitted,
+  RateLimited,        ///< Over the account's requests per second.
+  OutstandingLimited, ///< Over the account's limit on outstanding requests.
+  UnknownAccount,     ///< Not in the configuration in force.
+};
+
+struct AdmissionDecision {
+  AdmissionResult m_Result = AdmissionResult::Admitted;
+  Duration m_RetryAfter{}; ///< Zero if admitted.
+};
+
+/// Rate and outstanding limits of the client accounts. The limits hold over all
+/// VMs together; each VM enforces a part of them that it derives from the
+/// number of live peers and from the peers' outstanding requests.
+class AccountTable {
+public:
+  void apply(const Document &Configuration);
+  void setPeers(const PeersChanged &Peers);
+
+  /// Takes one token of the account's rate if the request is admitted. The
+  /// caller reports an admitted request with noteStarted().
+  AdmissionDecision admit(Time Now, const std::string &Account);
+  void noteStarted(Time Now, const std::string &Account);
+  void noteEnded(Time Now, const std::string &Account);
+
+  std::uint32_t outstanding(const std::string &Account) const;
+  /// What the digests to the peers carry: the greatest number of outstanding
+  /// requests of the last seconds, per account that was active. Shorter
+  /// requests than the interval of the digests would else go unseen.
+  std::map<std::string, std::uint32_t> usage(Time Now);
+
+private:
+  struct Limits {
+    double m_RequestsPerSecond = 0;
+    std::uint32_t m_MaxOutstanding = 0;
+  };
+
+  /// Exists while the account is in use.
+  struct Activity {
+    std::uint32_t m_Outstanding = 0;
+    double m_Tokens = 0;
+    Time m_FilledAt{};
+    // Greatest number outstanding in the current and in the last interval.
+    std::uint32_t m_Peak = 0;
+    std::uint32_t m_LastPeak = 0;
+    Time m_IntervalStart{};
+    std::uint32_t m_OutstandingAtStart = 0;
+  };
+
+  Activity &activity(Time Now, const std::string &Account, const Limits *Limit);
+  static void advanceInterval(Time Now, Activity &Usage);
+  std::uint32_t peerOutstanding(const std::string &Account) const;
+  double rateShare(const Activity &Usage, std::uint32_t Peers) const;
+  std::uint32_t outstandingLimit(const Activity &Usage, const Limits &Limit,
+                                 std::uint32_t Peers) const;
+
+  std::unordered_map<std::string, Limits> m_Limits;
+  std::map<std::string, Activity> m_Activities;
+  std::map<std::string, std::uint32_t> m_PeerOutstanding;
+  std::uint32_t m_VMs = 1;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_ADMISSION_ACCOUNTTABLE_H
