--- /dev/null
+++ b/src/admission/AccountTable.cpp
@@ -0,0 +1,149 @@
+#include "admission/AccountTable.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleyring {
+
+/// Requests that may come at once are those of this time.
+static constexpr double BurstSeconds = 1;
+/// Part of the rate that is divided equally between the VMs; the rest follows
+/// the usage. Without it, the VM that first gets an account's requests would
+/// keep the others at zero; with it, equal demand converges to equal parts.
+static constexpr double EqualRatePart = 0.2;
+/// The usage of the peers is known with about this lag: the interval of the
+/// digests between failure domains.
+static constexpr Duration UsageInterval = std::chrono::seconds(1);
+static constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(100);
+static constexpr Duration LongestRetryAfter = std::chrono::seconds(60);
+static constexpr Duration OutstandingRetryAfter = std::chrono::seconds(1);
+
+void AccountTable::apply(const Document &Configuration) {
+  m_Limits.clear();
+  m_Limits.reserve(Configuration.m_Accounts.size());
+  for (const ClientAccount &Account : Configuration.m_Accounts)
+    m_Limits[Account.m_Name] = {Account.m_RequestsPerSecond,
+                                Account.m_MaxOutstanding};
+}
+
+void AccountTable::setPeers(const PeersChanged &Peers) {
+  m_VMs = Peers.m_LivePeers + 1;
+  m_PeerOutstanding = Peers.m_PeerOutstanding;
+}
+
+std::uint32_t AccountTable::peerOutstanding(const std::string &Account) const {
+  auto Found = m_PeerOutstanding.find(Account);
+  return Found == m_PeerOutstanding.end() ? 0 : Found->second;
+}
+
+void AccountTable::advanceInterval(Time Now, Activity &Usage) {
+  if (Now - Usage.m_IntervalStart < UsageInterval)
+    return;
+  bool IsNext = Now - Usage.m_IntervalStart < 2 * UsageInterval;
+  Usage.m_LastPeak = IsNext ? Usage.m_Peak : Usage.m_Outstanding;
+  Usage.m_Peak = Usage.m_Outstanding;
+  Usage.m_OutstandingAtStart = Usage.m_Outstanding;
+  Usage.m_IntervalStart = Now;
+}
+
+AccountTable::Activity &AccountTable::activity(Time Now,
+                                               const std::string &Account,
+                                               const Limits *Limit) {
+  auto [Found, IsNew] = m_Activities.try_emplace(Account);
+  Activity &Usage = Found->second;
+  if (IsNew) {
+    Usage.m_IntervalStart = Now;
+    Usage.m_FilledAt = Now;
+    double Rate = Limit ? Limit->m_RequestsPerSecond : 0;
+    Usage.m_Tokens = Rate * BurstSeconds;
+  }
+  advanceInterval(Now, Usage);
+  return Usage;
+}
+
+double AccountTable::rateShare(const Activity &Usage,
+                               std::uint32_t Peers) const {
+  if (Peers == 0)
+    return 1;
+  double Own = std::max(Usage.m_Peak, Usage.m_LastPeak);
+  return EqualRatePart / m_VMs + (1 - EqualRatePart) * Own / (Own + Peers);
+}
+
+std::uint32_t AccountTable::outstandingLimit(const Activity &Usage,
+                                             const Limits &Limit,
+                                             std::uint32_t Peers) const {
+  std::uint32_t EqualPart = std::max(Limit.m_MaxOutstanding / m_VMs, 1U);
+  std::uint32_t Start = Usage.m_OutstandingAtStart;
+  std::uint32_t InUse = Start + Peers;
+  if (InUse >= Limit.m_MaxOutstanding)
+    return std::max(EqualPart, Start);
+  // In one interval a VM may take its part of what is free, or double what it
+  // has. All VMs together then exceed the limit at most twofold for one
+  // interval, and a VM that gets all requests reaches the limit soon.
+  std::uint32_t Free = Limit.m_MaxOutstanding - InUse;
+  std::uint32_t Growth = std::min(Free, std::max(Free / m_VMs, Start));
+  return std::max(EqualPart, Start + Growth);
+}
+
+AdmissionDecision AccountTable::admit(Time Now, const std::string &Account) {
+  auto Found = m_Limits.find(Account);
+  if (Found == m_Limits.end())
+    return {AdmissionResult::UnknownAccount, LongestRetryAfter};
+  const Limits &Limit = Found->second;
+  std::uint32_t Peers = peerOutstanding(Account);
+  Activity &Usage = activity(Now, Account, &Limit);
+
+  double Rate = Limit.m_RequestsPerSecond * rateShare(Usage, Peers);
+  double Seconds =
+      std::chrono::duration<double>(Now - Usage.m_FilledAt).count();
+  Usage.m_FilledAt = std::max(Usage.m_FilledAt, Now);
+  Usage.m_Tokens = std::min(std::max(Rate * BurstSeconds, 1.0),
+                            Usage.m_Tokens + Rate * std::max(Seconds, 0.0));
+
+  if (Usage.m_Outstanding >= outstandingLimit(Usage, Limit, Peers))
+    return {AdmissionResult::OutstandingLimited, OutstandingRetryAfter};
+  if (Usage.m_Tokens < 1) {
+    // A request that is refused shows demand, as one that is admitted does.
+    Usage.m_Peak = std::max(Usage.m_Peak, 1U);
+    double Wait = Rate > 0 ? (1 - Usage.m_Tokens) / Rate : 1e6;
+    Duration RetryAfter(static_cast<std::int64_t>(std::min(Wait, 1e6) * 1e6));
+    return {AdmissionResult::RateLimited,
+            std::clamp(RetryAfter, ShortestRetryAfter, LongestRetryAfter)};
+  }
+  Usage.m_Tokens -= 1;
+  return {};
+}
+
+void AccountTable::noteStarted(Time Now, const std::string &Account) {
+  Activity &Usage = activity(Now, Account, nullptr);
+  ++Usage.m_Outstanding;
+  Usage.m_Peak = std::max(Usage.m_Peak, Usage.m_Outstanding);
+}
+
+void AccountTable::noteEnded(Time Now, const std::string &Account) {
+  Activity &Usage = activity(Now, Account, nullptr);
+  if (Usage.m_Outstanding > 0)
+    --Usage.m_Outstanding;
+}
+
+std::uint32_t AccountTable::outstanding(const std::string &Account) const {
+  auto Found = m_Activities.find(Account);
+  return Found == m_Activities.end() ? 0 : Found->second.m_Outstanding;
+}
+
+std::map<std::string, std::uint32_t> AccountTable::usage(Time Now) {
+  std::map<std::string, std::uint32_t> Result;
+  for (auto At = m_Activities.begin(); At != m_Activities.end();) {
+    Activity &Usage = At->second;
+    advanceInterval(Now, Usage);
+    std::uint32_t Peak = std::max(Usage.m_Peak, Usage.m_LastPeak);
+    if (Peak > 0)
+      Result[At->first] = Peak;
+    // By then the bucket is full again, as it is in a new entry.
+    bool IsIdle = Peak == 0 && Now - Usage.m_FilledAt > 2 * UsageInterval;
+    At = IsIdle ? m_Activities.erase(At) : std::next(At);
+  }
+  return Result;
+}
+
+} // namespace parsleyring
