Choose routes by strategy over a graph of layer boundaries

The first planner scanned all endpoints for each layer and knew only its own requests. Endpoints are now edges between layer boundaries; a backward pass removes dead ends, so the baselines can choose stage by stage. estimated-cost is a shortest path that also carries the failure domain of the first stage, since the last stage sends its tokens back there.

Sub-ranges of an endpoint's layers were ruled out: nothing in the interface says that engines accept them.

--- /dev/null
+++ b/src/routing/AttemptTable.cpp
@@ -0,0 +1,79 @@
+#include "routing/AttemptTable.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+static constexpr double IntervalsToStall = 3;
+static constexpr Duration ShortestProgressTimeout =
+    std::chrono::milliseconds(150);
+static constexpr Duration LongestProgressTimeout = std::chrono::seconds(1);
+// Weights of one token in the average interval. It rises faster than it falls,
+// since tokens that arrive together show intervals near zero.
+static constexpr double RisingWeight = 0.5;
+static constexpr double FallingWeight = 0.1;
+
+RoutedAttempt *AttemptTable::add(AttemptNumber Attempt) {
+  auto [Found, IsNew] = m_Attempts.try_emplace(Attempt);
+  return IsNew ? &Found->second : nullptr;
+}
+
+RoutedAttempt *AttemptTable::find(AttemptNumber Attempt) {
+  auto Found = m_Attempts.find(Attempt);
+  return Found == m_Attempts.end() ? nullptr : &Found->second;
+}
+
+const RoutedAttempt *AttemptTable::find(AttemptNumber Attempt) const {
+  auto Found = m_Attempts.find(Attempt);
+  return Found == m_Attempts.end() ? nullptr : &Found->second;
+}
+
+void AttemptTable::noteToken(Time Now, RoutedAttempt &Attempt) {
+  double Micros =
+      std::chrono::duration<double, std::micro>(Now - Attempt.m_ProgressAt)
+          .count();
+  if (Attempt.m_HasToken) {
+    double Weight =
+        Micros > Attempt.m_IntervalMicros ? RisingWeight : FallingWeight;
+    Attempt.m_IntervalMicros += Weight * (Micros - Attempt.m_IntervalMicros);
+  }
+  for (Endpoint *Part : Attempt.m_Stages) {
+    Part->m_ProgressAt = Now;
+    if (Attempt.m_HasToken)
+      Part->m_Pace.note(Now, Micros / Attempt.m_ExpectedMicros);
+    else
+      Part->m_Health.noteSuccess(Attempt.m_StartedAt);
+  }
+  Attempt.m_HasToken = true;
+  Attempt.m_ProgressAt = Now;
+}
+
+Duration AttemptTable::progressTimeout(const RoutedAttempt &Attempt) {
+  Duration Intervals(static_cast<std::int64_t>(
+      IntervalsToStall *
+      std::min(Attempt.m_IntervalMicros,
+               static_cast<double>(LongestProgressTimeout.count()))));
+  return std::clamp(Intervals + Attempt.m_RoundTrip, ShortestProgressTimeout,
+                    LongestProgressTimeout);
+}
+
+std::vector<std::string> AttemptTable::suspects(Time Now,
+                                                const RoutedAttempt &Attempt) {
+  // Tokens of other attempts clear an endpoint if they came late in the silent
+  // time. Early in it, tokens still arrive that passed the endpoint before it
+  // failed.
+  Time Late = Attempt.m_ProgressAt + (Now - Attempt.m_ProgressAt) / 2;
+  std::vector<std::string> Silent;
+  std::vector<std::string> All;
+  for (const Endpoint *Part : Attempt.m_Stages) {
+    // The stall is explained already.
+    if (Part->m_Health.isQuarantined(Now))
+      return {};
+    All.push_back(Part->m_Spec.m_Name);
+    if (Part->m_ProgressAt <= Late)
+      Silent.push_back(Part->m_Spec.m_Name);
+  }
+  return Silent.empty() ? All : Silent;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/routing/EndpointHealth.cpp
@@ -0,0 +1,75 @@
+#include "routing/EndpointHealth.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+static constexpr Duration ShortestQuarantine = std::chrono::seconds(30);
+static constexpr Duration LongestQuarantine = std::chrono::minutes(10);
+/// After this time without quarantine the doubling starts anew.
+static constexpr Duration QuarantineMemory = std::chrono::minutes(10);
+static constexpr Duration ShortestBackoff = std::chrono::seconds(1);
+static constexpr Duration LongestBackoff = std::chrono::seconds(16);
+
+bool EndpointHealth::canServe(Time Now) const {
+  if (isQuarantined(Now))
+    return false;
+  return !isUnavailable() || (Now >= m_UnavailableUntil && !m_HasProbe);
+}
+
+Duration EndpointHealth::quarantine(Time Now) {
+  if (isQuarantined(Now))
+    return m_QuarantinedUntil - Now;
+  bool IsRepeated = m_QuarantineTime > Duration::zero() &&
+                    Now - m_QuarantinedUntil < QuarantineMemory;
+  m_QuarantineTime = IsRepeated
+                         ? std::min(2 * m_QuarantineTime, LongestQuarantine)
+                         : ShortestQuarantine;
+  m_QuarantinedUntil = Now + m_QuarantineTime;
+  return m_QuarantineTime;
+}
+
+void EndpointHealth::noteStarted(AttemptNumber Attempt) {
+  if (!isUnavailable() || m_HasProbe)
+    return;
+  m_Probe = Attempt;
+  m_HasProbe = true;
+}
+
+void EndpointHealth::noteEnded(AttemptNumber Attempt) {
+  if (m_HasProbe && m_Probe == Attempt)
+    m_HasProbe = false;
+}
+
+void EndpointHealth::noteFailure(Time Now, Time AttemptStartedAt) {
+  if (AttemptStartedAt > m_FailedAt)
+    extendBackoff(Now);
+}
+
+void EndpointHealth::noteTimeout(Time Now, AttemptNumber Attempt) {
+  if (m_HasProbe && m_Probe == Attempt)
+    extendBackoff(Now);
+}
+
+void EndpointHealth::extendBackoff(Time Now) {
+  m_Backoff = isUnavailable() ? std::min(2 * m_Backoff, LongestBackoff)
+                              : ShortestBackoff;
+  m_FailedAt = Now;
+  m_UnavailableUntil = Now + m_Backoff;
+  m_HasProbe = false;
+}
+
+void EndpointHealth::noteSuccess(Time AttemptStartedAt) {
+  if (AttemptStartedAt <= m_FailedAt)
+    return;
+  m_Backoff = Duration::zero();
+  m_HasProbe = false;
+}
+
+void EndpointHealth::noteRestarted(Time Now) {
+  m_QuarantinedUntil = std::min(m_QuarantinedUntil, Now);
+  m_Backoff = Duration::zero();
+  m_HasProbe = false;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/routing/LinkTable.cpp
@@ -0,0 +1,31 @@
+#include "routing/LinkTable.h"
+
+namespace parsleyring {
+
+// Delays of links that the document does not list.
+static constexpr double SameDomainMicros = 50;
+static constexpr double OtherDomainMicros = 500;
+
+std::size_t LinkTable::domain(const std::string &Name) {
+  return m_Numbers.emplace(Name, m_Numbers.size()).first->second;
+}
+
+void LinkTable::apply(const std::vector<Link> &Links) {
+  for (const Link &Listed : Links) {
+    domain(Listed.m_From);
+    domain(Listed.m_To);
+  }
+  std::size_t Count = domainCount();
+  m_Micros.assign(Count * Count, OtherDomainMicros);
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    m_Micros[Index * Count + Index] = SameDomainMicros;
+  // A link that is listed in one direction only holds for both.
+  for (const Link &Listed : Links)
+    m_Micros[domain(Listed.m_To) * Count + domain(Listed.m_From)] =
+        Listed.m_OneWayMicros;
+  for (const Link &Listed : Links)
+    m_Micros[domain(Listed.m_From) * Count + domain(Listed.m_To)] =
+        Listed.m_OneWayMicros;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/routing/LinkTable.h
@@ -0,0 +1,35 @@
+#ifndef PARSLEYRING_ROUTING_LINKTABLE_H
+#define PARSLEYRING_ROUTING_LINKTABLE_H
+
+#include "parsleyring/Document.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace parsleyring {
+
+/// One-way delays between failure domains, which are numbered from 0.
+class LinkTable {
+public:
+  /// Number of the failure domain; a new one if it is not known.
+  std::size_t domain(const std::string &Name);
+  /// Takes the delays of the links over. Domains keep their numbers.
+  void apply(const std::vector<Link> &Links);
+
+  std::size_t domainCount() const { return m_Numbers.size(); }
+  double oneWayMicros(std::size_t From, std::size_t To) const {
+    return m_Micros[From * m_Numbers.size() + To];
+  }
+  Duration oneWay(std::size_t From, std::size_t To) const {
+    return Duration(static_cast<std::int64_t>(oneWayMicros(From, To)));
+  }
+
+private:
+  std::map<std::string, std::size_t> m_Numbers;
+  std::vector<double> m_Micros; ///< Square matrix, by From.
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_ROUTING_LINKTABLE_H
--- /dev/null
+++ b/src/routing/LoadEstimate.cpp
@@ -0,0 +1,76 @@
+#include "routing/LoadEstimate.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+/// An older report says nothing about the present load.
+static constexpr Duration LongestReportAge = std::chrono::seconds(10);
+/// A full endpoint gets no request for this time. It is short, since the
+/// endpoint may have free slots again before the next report.
+static constexpr Duration RefusalTime = std::chrono::milliseconds(100);
+
+void LoadEstimate::noteStarted(Time Now, Duration OneWay) {
+  ++m_Outstanding;
+  noteChange(Now, {Now + OneWay, 1});
+}
+
+void LoadEstimate::noteEnded(Time Now, Duration OneWay) {
+  if (m_Outstanding > 0)
+    --m_Outstanding;
+  noteChange(Now, {Now - OneWay, -1});
+}
+
+void LoadEstimate::noteChange(Time Now, Change Latest) {
+  while (!m_Changes.empty() && Now - m_Changes.front().m_At > LongestReportAge)
+    m_Changes.pop_front();
+  m_Changes.push_back(Latest);
+  if (Latest.m_At > m_ReportedAt)
+    m_SinceReport += Latest.m_Delta;
+}
+
+void LoadEstimate::noteReport(Time Now, Time ReportedAt,
+                              std::uint32_t Requests) {
+  // The clock of another VM may be ahead.
+  ReportedAt = std::min(ReportedAt, Now);
+  if (isOutdated(Now, ReportedAt))
+    return;
+  m_ReportedAt = ReportedAt;
+  m_Reported = Requests;
+  m_Changes.erase(std::remove_if(m_Changes.begin(), m_Changes.end(),
+                                 [&](const Change &Item) {
+                                   return Item.m_At <= ReportedAt;
+                                 }),
+                  m_Changes.end());
+  m_SinceReport = 0;
+  for (const Change &Item : m_Changes)
+    m_SinceReport += Item.m_Delta;
+}
+
+void LoadEstimate::noteRefused(Time Now) { m_FullUntil = Now + RefusalTime; }
+
+void LoadEstimate::forgetReport() {
+  m_ReportedAt = Time::min();
+  m_FullUntil = Time::min();
+}
+
+bool LoadEstimate::hasReport(Time Now) const {
+  return m_ReportedAt != Time::min() && Now - m_ReportedAt <= LongestReportAge;
+}
+
+Duration LoadEstimate::reportAge(Time Now) const {
+  return hasReport(Now) ? Now - m_ReportedAt : Duration::zero();
+}
+
+double LoadEstimate::requests(Time Now) const {
+  double Own = m_Outstanding;
+  if (!hasReport(Now))
+    return Own;
+  return std::max(Own, static_cast<double>(m_Reported) + m_SinceReport);
+}
+
+bool LoadEstimate::hasFreeSlot(Time Now, std::uint32_t Slots) const {
+  return Now >= m_FullUntil && requests(Now) < Slots;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/routing/LoadEstimate.h
@@ -0,0 +1,54 @@
+#ifndef PARSLEYRING_ROUTING_LOADESTIMATE_H
+#define PARSLEYRING_ROUTING_LOADESTIMATE_H
+
+#include "parsleyring/Types.h"
+
+#include <deque>
+
+namespace parsleyring {
+
+/// Estimates how many requests of all VMs an endpoint has. Reports lag, so the
+/// estimate is the last report, plus what this VM has sent since the time of
+/// the report, minus what it has seen end since then.
+class LoadEstimate {
+public:
+  /// OneWay is the link delay: what is sent now arrives that much later, and
+  /// what is seen to end now ended that much earlier.
+  void noteStarted(Time Now, Duration OneWay);
+  void noteEnded(Time Now, Duration OneWay);
+  void noteReport(Time Now, Time ReportedAt, std::uint32_t Requests);
+  /// Reports that came through peers can arrive out of order.
+  bool isOutdated(Time Now, Time ReportedAt) const {
+    return hasReport(Now) && ReportedAt < m_ReportedAt;
+  }
+  /// The endpoint refused a request because it is full.
+  void noteRefused(Time Now);
+  /// Another process has taken over: the reports and the refusal are void.
+  void forgetReport();
+
+  std::uint32_t outstanding() const { return m_Outstanding; }
+  double requests(Time Now) const;
+  bool hasFreeSlot(Time Now, std::uint32_t Slots) const;
+  bool hasReport(Time Now) const;
+  /// Zero without a report.
+  Duration reportAge(Time Now) const;
+
+private:
+  struct Change {
+    Time m_At; ///< At the endpoint.
+    int m_Delta = 0;
+  };
+
+  void noteChange(Time Now, Change Latest);
+
+  std::uint32_t m_Outstanding = 0;
+  std::deque<Change> m_Changes;
+  Time m_ReportedAt = Time::min();
+  std::uint32_t m_Reported = 0;
+  int m_SinceReport = 0;
+  Time m_FullUntil = Time::min();
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_ROUTING_LOADESTIMATE_H
--- /dev/null
+++ b/src/routing/PaceEstimate.h
@@ -0,0 +1,23 @@
+#ifndef PARSLEYRING_ROUTING_PACEESTIMATE_H
+#define PARSLEYRING_ROUTING_PACEESTIMATE_H
+
+#include "parsleyring/Types.h"
+
+namespace parsleyring {
+
+/// How much slower than configured the routes through an endpoint are: ratio
+/// of the observed token interval to the expected one, averaged. An endpoint
+/// that is not used tends back to 1, so that it is tried again.
+class PaceEstimate {
+public:
+  void note(Time Now, double Ratio);
+  double ratio(Time Now) const;
+
+private:
+  double m_Excess = 0; ///< Ratio minus 1.
+  Time m_At{};
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_ROUTING_PACEESTIMATE_H
--- /dev/null
+++ b/src/routing/PrefixHints.cpp
@@ -0,0 +1,37 @@
+#include "routing/PrefixHints.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+/// One hash stands for 256 bytes of the prompt, at 4 bytes a token.
+static constexpr double TokensPerHash = 64;
+/// Bounds the memory: 600 endpoints x 1024 hashes x 8 bytes are 5 MB.
+static constexpr std::size_t KeptHashes = 1024;
+/// Age at which a hint has lost its weight, as the cache has limited memory.
+static constexpr Duration HintLifetime = std::chrono::seconds(60);
+
+void PrefixHints::note(Time Now, const std::vector<std::uint64_t> &Hashes) {
+  if (Hashes.empty())
+    return;
+  std::size_t Count = std::min(Hashes.size(), KeptHashes);
+  m_Hashes.assign(Hashes.end() - static_cast<std::ptrdiff_t>(Count),
+                  Hashes.end());
+  std::sort(m_Hashes.begin(), m_Hashes.end());
+  m_At = Now;
+}
+
+double PrefixHints::cachedTokens(
+    Time Now, const std::vector<std::uint64_t> &PrefixHashes) const {
+  if (m_Hashes.empty() || PrefixHashes.empty() || Now - m_At >= HintLifetime)
+    return 0;
+  double Weight = 1 - std::chrono::duration<double>(Now - m_At) /
+                          std::chrono::duration<double>(HintLifetime);
+  for (std::size_t Count = PrefixHashes.size(); Count > 0; --Count)
+    if (std::binary_search(m_Hashes.begin(), m_Hashes.end(),
+                           PrefixHashes[Count - 1]))
+      return Weight * TokensPerHash * static_cast<double>(Count);
+  return 0;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/routing/RoundRobinStrategy.cpp
@@ -0,0 +1,23 @@
+#include "routing/RoundRobinStrategy.h"
+
+namespace parsleyring {
+
+std::size_t RoundRobinStrategy::chooseStage(const StageGraph &Graph,
+                                            std::size_t First, std::size_t End,
+                                            const RouteContext &Context) {
+  const std::vector<StageOption> &Options = Graph.options();
+  std::uint32_t Layer = Options[Graph.usable()[First]].m_Layers.m_First;
+  // Positions in the pool, so that the turn does not depend on which endpoints
+  // are usable at present.
+  std::size_t &Next = m_Next[{Context.m_Pool, Layer}];
+  std::size_t Chosen = Graph.usable()[First];
+  for (std::size_t At = First; At < End; ++At)
+    if (Options[Graph.usable()[At]].m_Position >= Next) {
+      Chosen = Graph.usable()[At];
+      break;
+    }
+  Next = Options[Chosen].m_Position + 1;
+  return Chosen;
+}
+
+} // namespace parsleyring
--- a/src/routing/RoutePlanner.cpp
+++ b/src/routing/RoutePlanner.cpp
@@ -1,217 +1,361 @@
 #include "routing/RoutePlanner.h"
 
+#include "routing/AttemptTable.h"
+#include "routing/LeavingTable.h"
+#include "routing/RouteStrategy.h"
+#include "routing/StallLog.h"
+
 #include <algorithm>
-#include <limits>
-#include <map>
-#include <utility>
 
 namespace parsleyring {
 
-static constexpr Duration QuarantineTime = std::chrono::seconds(30);
-static constexpr Duration UnavailableTime = std::chrono::seconds(1);
-static constexpr Duration ShortestProgressTimeout =
-    std::chrono::milliseconds(150);
-static constexpr std::size_t StallsToQuarantine = 3;
-
-struct EndpointState {
-  EndpointSpec m_Spec;
-  std::string m_Pool;
-  std::string m_Incarnation;
-  std::uint32_t m_Outstanding = 0;
-  std::size_t m_Stalls = 0;
-  bool m_IsLeaving = false;
-  Time m_QuarantinedUntil{};
-  Time m_UnavailableUntil{};
-
-  bool canServe(Time Now) const {
-    return !m_IsLeaving && Now >= m_QuarantinedUntil &&
-           Now >= m_UnavailableUntil;
-  }
+static constexpr const char *DefaultStrategy = "estimated-cost";
+/// Bounds the audit record of a route in a large pool.
+static constexpr std::size_t CandidatesPerBoundary = 8;
+
+/// In this order: an endpoint that failed the request is tried again before an
+/// endpoint whose failure domain is believed to be unreachable.
+static constexpr StageFilter Filters[] = {
+    {true, false, false},
+    {true, true, false},
+    {true, false, true},
+    {true, true, true},
 };
 
 class RoutePlanner::Implementation {
 public:
-  std::map<std::string, EndpointState> m_Endpoints;
-  std::map<AttemptNumber, std::vector<Stage>> m_Attempts;
-  std::string m_Strategy;
-
-  EndpointState *find(const std::string &Name) {
-    auto Found = m_Endpoints.find(Name);
-    return Found == m_Endpoints.end() ? nullptr : &Found->second;
+  Implementation(const std::string &OwnFailureDomain, std::uint64_t Seed)
+      : m_Random(Seed), m_OwnDomain(m_Links.domain(OwnFailureDomain)),
+        m_OwnDomainName(OwnFailureDomain) {
+    m_Links.apply({});
+    useStrategy(DefaultStrategy);
   }
 
-  std::vector<Stage> search(Time Now, const RouteQuery &Query,
-                            bool NeedsFreeSlot);
+  void useStrategy(const std::string &Name);
+  void refreshFlags();
+  std::vector<StageOption> options(Time Now, const RouteQuery &Query,
+                                   const CostModel &Costs) const;
+  RoutePlan plan(Time Now, const RouteQuery &Query);
+  void fill(RoutePlan &Plan, StageGraph &Graph, const CostModel &Costs,
+            const std::vector<std::size_t> &Route) const;
+
+  RandomSource m_Random;
+  LinkTable m_Links;
+  std::size_t m_OwnDomain;
+  std::string m_OwnDomainName;
+  EndpointTable m_Endpoints;
+  LeavingTable m_Leaving;
+  AttemptTable m_Attempts;
+  StallLog m_Stalls;
+  std::string m_StrategyName;
+  std::unique_ptr<RouteStrategy> m_Strategy;
+  std::vector<std::string> m_UnreachableDomains;
 };
 
-std::vector<Stage> RoutePlanner::Implementation::search(Time Now,
-                                                        const RouteQuery &Query,
-                                                        bool NeedsFreeSlot) {
-  std::uint32_t Layers = std::max(Query.m_Layers, 1U);
-  std::vector<double> Cost(Layers + 1, std::numeric_limits<double>::max());
-  std::vector<const EndpointState *> Best(Layers + 1, nullptr);
-  Cost[Layers] = 0;
-  for (std::uint32_t Boundary = Layers; Boundary-- > 0;)
-    for (const auto &[Name, Endpoint] : m_Endpoints) {
-      LayerRange Range =
-          Query.m_Layers ? Endpoint.m_Spec.m_Layers : LayerRange{0, 1};
-      bool IsFull = Endpoint.m_Outstanding >= Endpoint.m_Spec.m_Slots;
-      if (Range.m_First != Boundary || Range.m_End <= Boundary ||
-          Range.m_End > Layers || Endpoint.m_Pool != Query.m_Pool ||
-          !Endpoint.canServe(Now) || (NeedsFreeSlot && IsFull) ||
-          Cost[Range.m_End] == std::numeric_limits<double>::max())
+void RoutePlanner::Implementation::useStrategy(const std::string &Name) {
+  if (m_Strategy && Name == m_StrategyName)
+    return;
+  auto Chosen = RouteStrategy::create(Name);
+  // Documents are validated; a name that gets here unknown must not stop the
+  // service.
+  m_StrategyName = Chosen ? Name : DefaultStrategy;
+  m_Strategy =
+      Chosen ? std::move(Chosen) : RouteStrategy::create(DefaultStrategy);
+}
+
+void RoutePlanner::Implementation::refreshFlags() {
+  for (const auto &[Pool, Members] : m_Endpoints.pools())
+    for (Endpoint *Member : Members) {
+      Member->m_IsLeaving = m_Leaving.isLeaving(Member->m_Spec.m_Name);
+      const std::string &Domain = Member->m_Spec.m_FailureDomain;
+      Member->m_IsDomainReachable =
+          Domain == m_OwnDomainName ||
+          std::find(m_UnreachableDomains.begin(), m_UnreachableDomains.end(),
+                    Domain) == m_UnreachableDomains.end();
+    }
+}
+
+std::vector<StageOption>
+RoutePlanner::Implementation::options(Time Now, const RouteQuery &Query,
+                                      const CostModel &Costs) const {
+  const std::vector<Endpoint *> &Members = m_Endpoints.pool(Query.m_Pool);
+  std::vector<StageOption> Result;
+  Result.reserve(Members.size());
+  for (std::size_t Position = 0; Position < Members.size(); ++Position) {
+    const Endpoint *Member = Members[Position];
+    const EndpointSpec &Spec = Member->m_Spec;
+    LayerRange Layers = Query.m_Layers ? Spec.m_Layers : LayerRange{0, 1};
+    if (Layers.m_First >= Layers.m_End ||
+        Layers.m_End > std::max(Query.m_Layers, 1U) || Member->m_IsLeaving ||
+        !Member->m_Health.canServe(Now))
+      continue;
+    StageOption Option;
+    Option.m_Endpoint = Member;
+    Option.m_Position = Position;
+    Option.m_Layers = Layers;
+    Option.m_Requests = Member->m_Load.requests(Now);
+    Option.m_Load = Option.m_Requests / std::max(Spec.m_Slots, 1U);
+    Option.m_Estimate = Costs.estimate(*Member);
+    Option.m_CostMicros = Costs.stageMicros(Option.m_Estimate, Option.m_Load);
+    Option.m_HasFreeSlot = Member->m_Load.hasFreeSlot(Now, Spec.m_Slots);
+    Option.m_IsAvoided = std::find(Query.m_Avoid.begin(), Query.m_Avoid.end(),
+                                   Spec.m_Name) != Query.m_Avoid.end();
+    Result.push_back(Option);
+  }
+  return Result;
+}
+
+RoutePlan RoutePlanner::Implementation::plan(Time Now,
+                                             const RouteQuery &Query) {
+  RoutePlan Plan;
+  Plan.m_Strategy = m_StrategyName;
+  CostModel Costs(Now, Query, m_Links, m_OwnDomain);
+  StageGraph Graph(std::max(Query.m_Layers, 1U), options(Now, Query, Costs));
+  RouteContext Context{Now, Query.m_Pool, Costs, m_Random};
+  for (StageFilter Filter : Filters) {
+    bool HasFreeRoute = Graph.select(Filter);
+    if (!HasFreeRoute) {
+      Filter.m_NeedsFreeSlot = false;
+      if (!Graph.select(Filter))
         continue;
-      double Load = (1.0 + Endpoint.m_Outstanding) / Endpoint.m_Spec.m_Slots;
-      bool IsAvoided =
-          std::count(Query.m_Avoid.begin(), Query.m_Avoid.end(), Name) != 0;
-      double Own =
-          Endpoint.m_Spec.m_TokenMicros * (1 + Load) + (IsAvoided ? 1e9 : 0);
-      if (Own + Cost[Range.m_End] < Cost[Boundary]) {
-        Cost[Boundary] = Own + Cost[Range.m_End];
-        Best[Boundary] = &Endpoint;
-      }
     }
-  std::vector<Stage> Route;
-  for (std::uint32_t Boundary = 0; Boundary < Layers;) {
-    const EndpointState *Endpoint = Best[Boundary];
-    if (!Endpoint)
-      return {};
-    Route.push_back({{Endpoint->m_Spec.m_Name, Endpoint->m_Spec.m_Layers},
-                     Endpoint->m_Spec.m_Address});
-    Boundary = Query.m_Layers ? Endpoint->m_Spec.m_Layers.m_End : 1;
+    Plan.m_Status = HasFreeRoute ? PlanStatus::Planned : PlanStatus::Saturated;
+    fill(Plan, Graph, Costs, m_Strategy->choose(Graph, Context));
+    break;
+  }
+  return Plan;
+}
+
+void RoutePlanner::Implementation::fill(
+    RoutePlan &Plan, StageGraph &Graph, const CostModel &Costs,
+    const std::vector<std::size_t> &Route) const {
+  const std::vector<StageOption> &Options = Graph.options();
+  std::size_t FirstDomain = Options[Route.front()].m_Endpoint->m_Domain;
+  std::size_t LastDomain = FirstDomain;
+  double Micros = Costs.entryMicros(FirstDomain);
+  for (std::size_t Index : Route) {
+    const StageOption &Option = Options[Index];
+    std::size_t Domain = Option.m_Endpoint->m_Domain;
+    Micros += Option.m_Estimate.m_WaitMicros +
+              Option.m_Estimate.m_PrefillMicros +
+              Option.m_Estimate.m_TokenMicros;
+    if (Index != Route.front())
+      Micros += m_Links.oneWayMicros(LastDomain, Domain);
+    LastDomain = Domain;
+    const EndpointSpec &Spec = Option.m_Endpoint->m_Spec;
+    if (Plan.m_Status == PlanStatus::Planned)
+      Plan.m_Route.push_back({{Spec.m_Name, Spec.m_Layers}, Spec.m_Address});
+  }
+  if (Route.size() > 1)
+    Micros += m_Links.oneWayMicros(LastDomain, FirstDomain);
+  Plan.m_EstimatedFirstToken = Duration(static_cast<std::int64_t>(Micros));
+
+  for (std::size_t Boundary = 0; Boundary + 1 < Graph.boundaryCount();
+       ++Boundary) {
+    auto [First, End] = Graph.usableAt(Boundary);
+    std::vector<std::size_t> Shown(
+        Graph.usable().begin() + static_cast<std::ptrdiff_t>(First),
+        Graph.usable().begin() + static_cast<std::ptrdiff_t>(End));
+    std::size_t Count = std::min(Shown.size(), CandidatesPerBoundary);
+    std::partial_sort(
+        Shown.begin(), Shown.begin() + static_cast<std::ptrdiff_t>(Count),
+        Shown.end(), [&](std::size_t Left, std::size_t Right) {
+          return Options[Left].m_CostMicros < Options[Right].m_CostMicros;
+        });
+    for (std::size_t At = 0; At < Shown.size(); ++At) {
+      bool IsChosen =
+          std::find(Route.begin(), Route.end(), Shown[At]) != Route.end();
+      if (At < Count || IsChosen)
+        Plan.m_Candidates.push_back(
+            {Options[Shown[At]].m_Endpoint->m_Spec.m_Name,
+             Options[Shown[At]].m_CostMicros});
+    }
   }
-  return Route;
 }
 
-RoutePlanner::RoutePlanner(const std::string &, std::uint64_t)
-    : m_Implementation(std::make_unique<Implementation>()) {}
+RoutePlanner::RoutePlanner(const std::string &OwnFailureDomain,
+                           std::uint64_t Seed)
+    : m_Implementation(
+          std::make_unique<Implementation>(OwnFailureDomain, Seed)) {}
+
 RoutePlanner::~RoutePlanner() = default;
 
 void RoutePlanner::apply(const std::shared_ptr<const Document> &Configuration) {
-  std::map<std::string, EndpointState> Old;
-  Old.swap(m_Implementation->m_Endpoints);
-  m_Implementation->m_Strategy = Configuration->m_Policy.m_RouteStrategy;
-  for (const Pool &From : Configuration->m_Pools)
-    for (const EndpointSpec &Spec : From.m_Endpoints) {
-      EndpointState &State = m_Implementation->m_Endpoints[Spec.m_Name];
-      State = Old[Spec.m_Name];
-      State.m_Spec = Spec;
-      State.m_Pool = From.m_Name;
-    }
+  m_Implementation->m_Endpoints.apply(*Configuration,
+                                      m_Implementation->m_Links);
+  m_Implementation->useStrategy(Configuration->m_Policy.m_RouteStrategy);
+  m_Implementation->refreshFlags();
 }
 
 RoutePlan RoutePlanner::plan(Time Now, const RouteQuery &Query) {
-  RoutePlan Plan;
-  Plan.m_Strategy = m_Implementation->m_Strategy;
-  Plan.m_Route = m_Implementation->search(Now, Query, true);
-  if (!Plan.m_Route.empty())
-    Plan.m_Status = PlanStatus::Planned;
-  else if (!m_Implementation->search(Now, Query, false).empty())
-    Plan.m_Status = PlanStatus::Saturated;
-  return Plan;
+  return m_Implementation->plan(Now, Query);
 }
 
-void RoutePlanner::noteStarted(Time, AttemptNumber Attempt,
+void RoutePlanner::noteStarted(Time Now, AttemptNumber Attempt,
                                const std::vector<Stage> &Route) {
-  m_Implementation->m_Attempts[Attempt] = Route;
-  for (const Stage &Part : Route)
-    if (EndpointState *Endpoint = m_Implementation->find(Part.m_Hop.m_Endpoint))
-      ++Endpoint->m_Outstanding;
+  RoutedAttempt *Started = m_Implementation->m_Attempts.add(Attempt);
+  if (!Started)
+    return;
+  Started->m_StartedAt = Started->m_ProgressAt = Now;
+  const LinkTable &Links = m_Implementation->m_Links;
+  std::size_t Own = m_Implementation->m_OwnDomain;
+  double Paced = 0;
+  for (const Stage &Part : Route) {
+    Endpoint *Used = m_Implementation->m_Endpoints.find(Part.m_Hop.m_Endpoint);
+    if (!Used)
+      continue;
+    double HopMicros =
+        Started->m_Stages.empty()
+            ? 0
+            : Links.oneWayMicros(Started->m_Stages.back()->m_Domain,
+                                 Used->m_Domain);
+    Started->m_Stages.push_back(Used);
+    Used->m_Load.noteStarted(Now, Links.oneWay(Own, Used->m_Domain));
+    Used->m_Health.noteStarted(Attempt);
+    Started->m_ExpectedMicros += Used->m_Spec.m_TokenMicros + HopMicros;
+    Paced += Used->m_Spec.m_TokenMicros * Used->m_Pace.ratio(Now) + HopMicros;
+  }
+  if (Started->m_Stages.empty())
+    return;
+  std::size_t First = Started->m_Stages.front()->m_Domain;
+  std::size_t Last = Started->m_Stages.back()->m_Domain;
+  double Return = Route.size() > 1 ? Links.oneWayMicros(Last, First) : 0;
+  Started->m_ExpectedMicros = std::max(Started->m_ExpectedMicros + Return, 1.0);
+  Started->m_IntervalMicros = Paced + Return;
+  Started->m_RoundTrip = Links.oneWay(Own, First) + Links.oneWay(First, Own);
 }
 
-void RoutePlanner::noteToken(Time, AttemptNumber) {}
+void RoutePlanner::noteToken(Time Now, AttemptNumber Attempt) {
+  if (RoutedAttempt *Known = m_Implementation->m_Attempts.find(Attempt))
+    AttemptTable::noteToken(Now, *Known);
+}
 
 void RoutePlanner::noteEnded(Time Now, AttemptNumber Attempt,
                              AttemptResult Result,
                              const std::string &FailedEndpoint) {
-  auto Found = m_Implementation->m_Attempts.find(Attempt);
-  if (Found == m_Implementation->m_Attempts.end())
-    return;
-  std::vector<Stage> Route = std::move(Found->second);
-  m_Implementation->m_Attempts.erase(Found);
-  for (const Stage &Part : Route)
-    if (EndpointState *Endpoint = m_Implementation->find(Part.m_Hop.m_Endpoint))
-      if (Endpoint->m_Outstanding > 0)
-        --Endpoint->m_Outstanding;
-  if (Result != AttemptResult::ConnectFailed &&
-      Result != AttemptResult::ConnectionLost)
+  RoutedAttempt *Ended = m_Implementation->m_Attempts.find(Attempt);
+  if (!Ended)
     return;
-  EndpointState *Failed = m_Implementation->find(
-      FailedEndpoint.empty() ? Route.front().m_Hop.m_Endpoint : FailedEndpoint);
-  if (Failed)
-    Failed->m_UnavailableUntil = Now + UnavailableTime;
+  const LinkTable &Links = m_Implementation->m_Links;
+  std::size_t Own = m_Implementation->m_OwnDomain;
+  Endpoint *Judged = nullptr;
+  for (Endpoint *Used : Ended->m_Stages) {
+    Used->m_Load.noteEnded(Now, Links.oneWay(Used->m_Domain, Own));
+    if (!Judged || Used->m_Spec.m_Name == FailedEndpoint)
+      Judged = Used;
+  }
+  switch (Judged ? Result : AttemptResult::Cancelled) {
+  case AttemptResult::Finished:
+    for (Endpoint *Used : Ended->m_Stages)
+      Used->m_Health.noteSuccess(Ended->m_StartedAt);
+    break;
+  case AttemptResult::ConnectFailed:
+  case AttemptResult::ConnectionLost:
+    Judged->m_Health.noteFailure(Now, Ended->m_StartedAt);
+    break;
+  case AttemptResult::RefusedNotRun:
+    Judged->m_Load.noteRefused(Now);
+    Judged->m_Health.noteSuccess(Ended->m_StartedAt);
+    break;
+  case AttemptResult::RefusedLeaving:
+  case AttemptResult::Rejected:
+    Judged->m_Health.noteSuccess(Ended->m_StartedAt);
+    break;
+  case AttemptResult::TimedOut:
+  case AttemptResult::Malformed:
+    Judged->m_Health.noteTimeout(Now, Attempt);
+    break;
+  case AttemptResult::Cancelled:
+    break;
+  }
+  for (Endpoint *Used : Ended->m_Stages)
+    Used->m_Health.noteEnded(Attempt);
+  m_Implementation->m_Attempts.remove(Attempt);
 }
 
-Duration RoutePlanner::progressTimeout(AttemptNumber) const {
-  return ShortestProgressTimeout;
+Duration RoutePlanner::progressTimeout(AttemptNumber Attempt) const {
+  const RoutedAttempt *Known = m_Implementation->m_Attempts.find(Attempt);
+  return AttemptTable::progressTimeout(Known ? *Known : RoutedAttempt());
 }
 
 std::vector<std::string> RoutePlanner::noteStalled(Time Now,
                                                    AttemptNumber Attempt) {
-  std::vector<std::string> Quarantined;
-  auto Found = m_Implementation->m_Attempts.find(Attempt);
-  if (Found == m_Implementation->m_Attempts.end())
-    return Quarantined;
-  EndpointState *First =
-      m_Implementation->find(Found->second.front().m_Hop.m_Endpoint);
-  if (First && ++First->m_Stalls >= StallsToQuarantine) {
-    quarantine(Now, First->m_Spec.m_Name);
-    Quarantined.push_back(First->m_Spec.m_Name);
-  }
-  return Quarantined;
+  RoutedAttempt *Stalled = m_Implementation->m_Attempts.find(Attempt);
+  if (!Stalled || Stalled->m_IsStalled)
+    return {};
+  Stalled->m_IsStalled = true;
+  for (Endpoint *Used : Stalled->m_Stages)
+    Used->m_Health.noteTimeout(Now, Attempt);
+  std::vector<std::string> Suspects = AttemptTable::suspects(Now, *Stalled);
+  if (Suspects.empty())
+    return {};
+  std::string Blamed = m_Implementation->m_Stalls.note(Now, Suspects);
+  if (Blamed.empty())
+    return {};
+  quarantine(Now, Blamed);
+  return {Blamed};
 }
 
-void RoutePlanner::noteLoad(Time, const LoadReported &Report) {
-  EndpointState *Endpoint = m_Implementation->find(Report.m_Endpoint);
-  if (!Endpoint || Endpoint->m_Incarnation == Report.m_Incarnation)
+void RoutePlanner::noteLoad(Time Now, const LoadReported &Report) {
+  Endpoint *Known = m_Implementation->m_Endpoints.find(Report.m_Endpoint);
+  if (Known && Known->m_Load.isOutdated(Now, Report.m_ReportedAt))
     return;
-  Endpoint->m_Incarnation = Report.m_Incarnation;
-  Endpoint->m_IsLeaving = false;
+  bool IsRestarted = m_Implementation->m_Leaving.noteIncarnation(
+      Report.m_Endpoint, Report.m_Incarnation);
+  if (!Known)
+    return;
+  Known->m_IsLeaving = isLeaving(Report.m_Endpoint);
+  if (IsRestarted) {
+    Known->m_Health.noteRestarted(Now);
+    Known->m_Load.forgetReport();
+    Known->m_Prefixes.forget();
+    Known->m_Pace = PaceEstimate();
+  }
+  Known->m_Load.noteReport(Now, Report.m_ReportedAt,
+                           Report.m_Running + Report.m_Waiting);
+  Known->m_Prefixes.note(Report.m_ReportedAt, Report.m_CachedPrefixes);
 }
 
 bool RoutePlanner::markLeaving(Time, const std::string &Name,
-                               const std::string &) {
-  EndpointState *Endpoint = m_Implementation->find(Name);
-  return Endpoint && !std::exchange(Endpoint->m_IsLeaving, true);
+                               const std::string &Incarnation) {
+  bool IsNew = m_Implementation->m_Leaving.mark(Name, Incarnation);
+  if (Endpoint *Known = m_Implementation->m_Endpoints.find(Name))
+    Known->m_IsLeaving = isLeaving(Name);
+  return IsNew;
 }
 
-bool RoutePlanner::isLeaving(const std::string &Name) const {
-  const EndpointState *Endpoint = m_Implementation->find(Name);
-  return Endpoint && Endpoint->m_IsLeaving;
+bool RoutePlanner::isLeaving(const std::string &Endpoint) const {
+  return m_Implementation->m_Leaving.isLeaving(Endpoint);
 }
 
 Duration RoutePlanner::quarantine(Time Now, const std::string &Name) {
-  EndpointState *Endpoint = m_Implementation->find(Name);
-  if (!Endpoint)
-    return Duration::zero();
-  Endpoint->m_Stalls = 0;
-  Endpoint->m_QuarantinedUntil = Now + QuarantineTime;
-  return QuarantineTime;
+  Endpoint *Known = m_Implementation->m_Endpoints.find(Name);
+  return Known ? Known->m_Health.quarantine(Now) : Duration::zero();
 }
 
-void RoutePlanner::setUnreachableDomains(const std::vector<std::string> &) {}
+void RoutePlanner::setUnreachableDomains(
+    const std::vector<std::string> &Domains) {
+  m_Implementation->m_UnreachableDomains = Domains;
+  m_Implementation->refreshFlags();
+}
 
 std::vector<EndpointStatus> RoutePlanner::status(Time Now) const {
   std::vector<EndpointStatus> Result;
-  for (const auto &[Name, Endpoint] : m_Implementation->m_Endpoints) {
-    EndpointStatus Status;
-    Status.m_Endpoint = Name;
-    Status.m_Pool = Endpoint.m_Pool;
-    Status.m_Incarnation = Endpoint.m_Incarnation;
-    Status.m_Outstanding = Endpoint.m_Outstanding;
-    Status.m_EstimatedRunning = Endpoint.m_Outstanding;
-    Status.m_IsLeaving = Endpoint.m_IsLeaving;
-    Status.m_IsQuarantined = Now < Endpoint.m_QuarantinedUntil;
-    Status.m_IsUnavailable = Now < Endpoint.m_UnavailableUntil;
-    Result.push_back(Status);
-  }
+  for (const auto &[Pool, Members] : m_Implementation->m_Endpoints.pools())
+    for (const Endpoint *Known : Members) {
+      const std::string &Name = Known->m_Spec.m_Name;
+      EndpointStatus Status;
+      Status.m_Endpoint = Name;
+      Status.m_Pool = Pool;
+      Status.m_Incarnation = m_Implementation->m_Leaving.incarnation(Name);
+      Status.m_Outstanding = Known->m_Load.outstanding();
+      Status.m_EstimatedRunning = Known->m_Load.requests(Now);
+      Status.m_IsLeaving = isLeaving(Name);
+      Status.m_IsQuarantined = Known->m_Health.isQuarantined(Now);
+      Status.m_IsUnavailable = Known->m_Health.isUnavailable();
+      Result.push_back(Status);
+    }
   return Result;
 }
 
-const std::vector<std::string> &routeStrategyNames() {
-  static const std::vector<std::string> Names{
-      "round-robin", "least-outstanding", "two-choices", "estimated-cost"};
-  return Names;
-}
-
 } // namespace parsleyring
--- /dev/null
+++ b/src/routing/StageGraph.cpp
@@ -0,0 +1,55 @@
+#include "routing/StageGraph.h"
+
+namespace parsleyring {
+
+static bool passes(const StageOption &Option, const StageFilter &Filter) {
+  return (Option.m_HasFreeSlot || !Filter.m_NeedsFreeSlot) &&
+         (!Option.m_IsAvoided || Filter.m_AllowsAvoided) &&
+         (Option.m_Endpoint->m_IsDomainReachable || Filter.m_AllowsUnreachable);
+}
+
+StageGraph::StageGraph(std::uint32_t Layers, std::vector<StageOption> Options)
+    : m_Options(std::move(Options)) {
+  std::vector<std::size_t> Number(Layers + 1, 0);
+  Number[0] = Number[Layers] = 1;
+  for (const StageOption &Option : m_Options)
+    Number[Option.m_Layers.m_First] = Number[Option.m_Layers.m_End] = 1;
+  for (std::size_t &Mark : Number)
+    if (Mark)
+      Mark = m_BoundaryCount++;
+  for (StageOption &Option : m_Options) {
+    Option.m_Begin = Number[Option.m_Layers.m_First];
+    Option.m_End = Number[Option.m_Layers.m_End];
+  }
+  m_Usable.reserve(m_Options.size());
+}
+
+bool StageGraph::select(const StageFilter &Filter) {
+  std::vector<bool> CanFinish(m_BoundaryCount, false);
+  CanFinish.back() = true;
+  // In descending order of the first layer, so CanFinish is final at the end
+  // of an option when the option is looked at.
+  for (std::size_t Index = m_Options.size(); Index-- > 0;) {
+    const StageOption &Option = m_Options[Index];
+    if (CanFinish[Option.m_End] && passes(Option, Filter))
+      CanFinish[Option.m_Begin] = true;
+  }
+  m_Usable.clear();
+  m_UsableBegin.assign(m_BoundaryCount + 1, 0);
+  if (!CanFinish.front())
+    return false;
+  std::size_t Boundary = 0;
+  for (std::size_t Index = 0; Index < m_Options.size(); ++Index) {
+    const StageOption &Option = m_Options[Index];
+    if (!CanFinish[Option.m_End] || !passes(Option, Filter))
+      continue;
+    while (Boundary < Option.m_Begin)
+      m_UsableBegin[++Boundary] = m_Usable.size();
+    m_Usable.push_back(Index);
+  }
+  while (Boundary < m_BoundaryCount)
+    m_UsableBegin[++Boundary] = m_Usable.size();
+  return true;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/routing/StallLog.cpp
@@ -0,0 +1,40 @@
+#include "routing/StallLog.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+static constexpr std::size_t StallsToQuarantine = 3;
+static constexpr Duration StallWindow = std::chrono::seconds(10);
+
+static bool contains(const std::vector<std::string> &Names,
+                     const std::string &Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+std::string StallLog::note(Time Now, const std::vector<std::string> &Suspects) {
+  while (!m_Stalls.empty() && Now - m_Stalls.front().m_At > StallWindow)
+    m_Stalls.pop_front();
+  m_Stalls.push_back({Now, Suspects});
+  std::string Blamed;
+  std::size_t Most = StallsToQuarantine - 1;
+  for (const std::string &Suspect : Suspects) {
+    auto Count = static_cast<std::size_t>(
+        std::count_if(m_Stalls.begin(), m_Stalls.end(), [&](const Stall &Item) {
+          return contains(Item.m_Suspects, Suspect);
+        }));
+    if (Count <= Most)
+      continue;
+    Most = Count;
+    Blamed = Suspect;
+  }
+  if (!Blamed.empty())
+    m_Stalls.erase(std::remove_if(m_Stalls.begin(), m_Stalls.end(),
+                                  [&](const Stall &Item) {
+                                    return contains(Item.m_Suspects, Blamed);
+                                  }),
+                   m_Stalls.end());
+  return Blamed;
+}
+
+} // namespace parsleyring
