Decide about requests in a deterministic Router

The decision core was a header only. Admission, dispatch, token checks, retries, claims, timeouts and endpoint signs are separate classes over shared tables; Router::Implementation only wires them. The audit kind of core events is renamed to CoreEvent, since the enumerator Event hides the type of that name, which -Wshadow refuses when Events.h is included first. No tests yet.

--- a/include/parsleyring/Actions.h
+++ b/include/parsleyring/Actions.h
@@ -95,7 +95,7 @@
   Configuration,
   Membership,
   Endpoint,
-  Event,
+  CoreEvent, ///< Named differently from the type Event, which it would hide.
 };
 
 std::string_view name(AuditKind Value);
--- /dev/null
+++ b/src/requests/AuditRecords.h
@@ -0,0 +1,49 @@
+#ifndef PARSLEYRING_REQUESTS_AUDITRECORDS_H
+#define PARSLEYRING_REQUESTS_AUDITRECORDS_H
+
+#include "parsleyring/Actions.h"
+#include "parsleyring/Events.h"
+#include "requests/Ending.h"
+#include "requests/Request.h"
+#include "routing/RoutePlanner.h"
+
+namespace parsleyring {
+
+// The audit records of the decisions. None holds an account key, a prompt or
+// an answer; an idempotency key appears only as its SHA-256.
+
+WriteAudit admissionRecord(Time Now, const Request &Subject,
+                           ConfigurationVersion Version);
+WriteAudit rejectionRecord(Time Now, RequestNumber Number,
+                           const std::string &Account,
+                           const std::string &Target, const Ending &End,
+                           ConfigurationVersion Version);
+WriteAudit routeRecord(Time Now, const Request &Subject, AttemptNumber Attempt,
+                       const RoutePlan &Plan, ConfigurationVersion Version,
+                       std::uint64_t Seed);
+WriteAudit attemptEndRecord(Time Now, const Attempt &Ended,
+                            const AttemptEnded &End);
+/// An attempt was given up by the router before its end.
+WriteAudit abandonRecord(Time Now, const Attempt &Abandoned,
+                         const std::string &Reason,
+                         const std::vector<std::string> &Avoid);
+WriteAudit retryRecord(Time Now, const Request &Subject,
+                       const std::string &Reason, bool IsResume);
+WriteAudit claimRecord(Time Now, const Request &Subject,
+                       const std::string &Step, const std::string &Detail);
+WriteAudit claimEndRecord(Time Now, RequestNumber Number, ClaimEnd End);
+WriteAudit outcomeRecord(Time Now, RequestNumber Number, const Ending &End,
+                         std::uint32_t Tokens, Duration Elapsed);
+WriteAudit leavingRecord(Time Now, const std::string &Endpoint,
+                         const std::string &Incarnation, LeavingSign Sign);
+WriteAudit quarantineRecord(Time Now, const std::string &Endpoint,
+                            const std::string &Reason, RequestNumber Number,
+                            std::optional<Duration> Length);
+WriteAudit configurationRecord(Time Now, const ConfigurationApplied &Applied,
+                               bool IsAccepted, ConfigurationVersion InForce);
+WriteAudit membershipRecord(Time Now, const PeersChanged &Change);
+WriteAudit drainRecord(Time Now, std::size_t RequestsInProgress);
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_REQUESTS_AUDITRECORDS_H
--- /dev/null
+++ b/src/requests/ConfigurationSystem.cpp
@@ -0,0 +1,27 @@
+#include "requests/ConfigurationSystem.h"
+
+#include "requests/AuditRecords.h"
+
+namespace parsleyring {
+
+void ConfigurationSystem::configurationApplied(
+    Context &Call, const ConfigurationApplied &Applied) {
+  bool IsAccepted = Applied.m_Document && Applied.m_Version > m_State.m_Version;
+  Call.add(
+      configurationRecord(Call.m_Now, Applied, IsAccepted,
+                          IsAccepted ? Applied.m_Version : m_State.m_Version));
+  if (!IsAccepted)
+    return m_State.m_Counters.add(Counter::ConfigurationsIgnored);
+  m_State.m_Counters.add(Counter::ConfigurationsApplied);
+  // The index points into the document.
+  m_State.m_AccountIndex.apply(*Applied.m_Document);
+  m_State.m_Document = Applied.m_Document;
+  m_State.m_Version = Applied.m_Version;
+  m_State.m_Accounts.apply(*Applied.m_Document);
+  m_State.m_Planner.apply(Applied.m_Document);
+  for (RequestNumber Number : m_State.m_Pools.apply(*Applied.m_Document))
+    if (Request *Orphan = m_State.request(Number))
+      m_Finisher.fail(Call, *Orphan, FailureReason::PoolRemoved);
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/requests/Ending.cpp
@@ -0,0 +1,93 @@
+#include "requests/Ending.h"
+
+#include <array>
+
+namespace parsleyring {
+
+namespace {
+
+struct FailureText {
+  const char *m_Code;
+  const char *m_Message;
+  int m_StatusNotRun;
+  int m_StatusRun;
+};
+
+struct ClaimText {
+  Outcome m_Outcome;
+  int m_Status;
+  const char *m_Code;
+  const char *m_Message;
+  std::uint32_t m_RetryAfterSeconds;
+};
+
+} // namespace
+
+/// A caller that was refused for lack of capacity or of the platform may ask
+/// again after this time.
+static constexpr std::uint32_t RetryAfterSeconds = 1;
+
+// In the order of FailureReason. 499 is the usual status for a caller that
+// closed its connection; it appears only in records.
+static constexpr std::array<FailureText, 9> FailureTexts{{
+    {"deadline", "the time limit of the request passed", 503, 504},
+    {"attempts", "the limit of attempts was reached", 503, 502},
+    {"retry-budget", "the retry budget of the pool is used up", 503, 502},
+    {"caller-gone", "the caller closed the connection", 499, 499},
+    {"rejected", "the endpoint rejected the request", 502, 502},
+    {"no-answer", "the call was sent and no complete answer came", 503, 504},
+    {"claim-timeout",
+     "the claim of the idempotency key was not settled in time", 503, 503},
+    {"queue-full", "the queue of the pool is full", 503, 503},
+    {"pool-removed", "the pool is no longer configured", 503, 503},
+}};
+
+// In the order of ClaimResult.
+static constexpr std::array<ClaimText, 7> ClaimTexts{{
+    {Outcome::Completed, 200, "", "", 0},
+    {Outcome::Unknown, 409, "in-progress",
+     "a call with this idempotency key was started before", 0},
+    {Outcome::Completed, 409, "completed",
+     "the call ran before; its answer is not kept", 0},
+    {Outcome::Completed, 200, "", "", 0},
+    {Outcome::NotRun, 422, "body-differs",
+     "the idempotency key was used with another body", 0},
+    {Outcome::NotRun, 503, "claims-unavailable",
+     "the idempotency key cannot be claimed now", RetryAfterSeconds},
+    {Outcome::NotRun, 400, "key-rejected",
+     "the idempotency key is malformed, too old or ahead of time", 0},
+}};
+
+static Outcome failureOutcome(const Request &Subject) {
+  if (!Subject.canHaveRun())
+    return Outcome::NotRun;
+  return Subject.m_Kind == RequestKind::Completion ? Outcome::Failed
+                                                   : Outcome::Unknown;
+}
+
+Ending failureEnding(const Request &Subject, FailureReason Reason) {
+  const FailureText &Text = FailureTexts[static_cast<std::size_t>(Reason)];
+  Ending Result;
+  Result.m_Outcome = failureOutcome(Subject);
+  bool IsNotRun = Result.m_Outcome == Outcome::NotRun;
+  Result.m_Status = IsNotRun ? Text.m_StatusNotRun : Text.m_StatusRun;
+  Result.m_Code = Text.m_Code;
+  Result.m_Message = Text.m_Message;
+  if (Result.m_Status == 503)
+    Result.m_RetryAfterSeconds = RetryAfterSeconds;
+  return Result;
+}
+
+Ending claimEnding(ClaimResult Result) {
+  const ClaimText &Text = ClaimTexts[static_cast<std::size_t>(Result)];
+  return {Text.m_Outcome, Text.m_Status, Text.m_Code, Text.m_Message,
+          Text.m_RetryAfterSeconds};
+}
+
+bool isProvablyNotRun(AttemptResult Result) {
+  return Result == AttemptResult::ConnectFailed ||
+         Result == AttemptResult::RefusedNotRun ||
+         Result == AttemptResult::RefusedLeaving;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/requests/PoolTable.cpp
@@ -0,0 +1,66 @@
+#include "requests/PoolTable.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+static constexpr Duration MinCutTime = std::chrono::seconds(1);
+/// A call that takes this many times the usual time is taken to be lost.
+static constexpr double CutFactor = 8;
+/// Leaves most of the time limit to the second attempt, which is not cut.
+static constexpr int CutDivisor = 3;
+static constexpr double ServiceTimeWeight = 0.1;
+
+PoolState::PoolState(const Pool &Spec)
+    : m_Queue(Spec.m_QueueLimit), m_Budget(Spec.m_RetryBudget) {
+  apply(Spec);
+}
+
+void PoolState::apply(const Pool &Spec) {
+  m_Timeout = std::chrono::milliseconds(Spec.m_RequestTimeoutMillis);
+  m_Queue.setLimit(Spec.m_QueueLimit);
+  m_Budget.setGain(Spec.m_RetryBudget);
+}
+
+Duration PoolState::cutTime() const {
+  auto Usual =
+      Duration(static_cast<Duration::rep>(CutFactor * m_ServiceMicros));
+  return std::min(std::max(MinCutTime, Usual), m_Timeout / CutDivisor);
+}
+
+void PoolState::noteServiceTime(Duration Elapsed) {
+  auto Sample = static_cast<double>(Elapsed.count());
+  m_ServiceMicros =
+      m_ServiceMicros == 0
+          ? Sample
+          : m_ServiceMicros + ServiceTimeWeight * (Sample - m_ServiceMicros);
+}
+
+std::vector<RequestNumber> PoolTable::apply(const Document &Configuration) {
+  std::vector<RequestNumber> Orphans;
+  for (auto Entry = m_Pools.begin(); Entry != m_Pools.end();) {
+    if (Configuration.pool(Entry->first)) {
+      ++Entry;
+      continue;
+    }
+    PoolState &Gone = Entry->second;
+    Orphans.insert(Orphans.end(), Gone.m_Waiting.begin(), Gone.m_Waiting.end());
+    // Before all deadlines, so that every queued request is returned.
+    while (auto Number = Gone.m_Queue.pop(Time{}))
+      Orphans.push_back(*Number);
+    Entry = m_Pools.erase(Entry);
+  }
+  for (const Pool &Spec : Configuration.m_Pools) {
+    auto [Entry, IsNew] = m_Pools.try_emplace(Spec.m_Name, Spec);
+    if (!IsNew)
+      Entry->second.apply(Spec);
+  }
+  return Orphans;
+}
+
+PoolState *PoolTable::find(const std::string &Name) {
+  auto Entry = m_Pools.find(Name);
+  return Entry == m_Pools.end() ? nullptr : &Entry->second;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/requests/PoolTable.h
@@ -0,0 +1,50 @@
+#ifndef PARSLEYRING_REQUESTS_POOLTABLE_H
+#define PARSLEYRING_REQUESTS_POOLTABLE_H
+
+#include "admission/FairQueue.h"
+#include "parsleyring/Document.h"
+#include "requests/Request.h"
+#include "requests/WaitEstimate.h"
+#include "retries/RetryBudget.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace parsleyring {
+
+/// Queue, budget and observed times of one pool of the configuration.
+struct PoolState {
+  explicit PoolState(const Pool &Spec);
+
+  void apply(const Pool &Spec);
+  /// Time without an answer after which an idempotent service call is started
+  /// once more elsewhere.
+  Duration cutTime() const;
+  void noteServiceTime(Duration Elapsed);
+
+  Duration m_Timeout{};
+  FairQueue m_Queue;
+  RetryBudget m_Budget;
+  WaitEstimate m_Wait;
+  /// Requests that wait for a further attempt; they go before the queue.
+  std::set<RequestNumber> m_Waiting;
+  double m_ServiceMicros = 0; ///< Smoothed time of a service call.
+};
+
+class PoolTable {
+public:
+  /// Returns the requests queued or waiting in pools that are gone.
+  std::vector<RequestNumber> apply(const Document &Configuration);
+
+  /// Null if the pool is not configured.
+  PoolState *find(const std::string &Name);
+  std::map<std::string, PoolState> &all() { return m_Pools; }
+
+private:
+  std::map<std::string, PoolState> m_Pools;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_REQUESTS_POOLTABLE_H
--- /dev/null
+++ b/src/requests/RetrySystem.cpp
@@ -0,0 +1,154 @@
+#include "requests/RetrySystem.h"
+
+#include "requests/AuditRecords.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+/// Attempts without a new token after which a request is given up.
+static constexpr std::uint32_t MaxAttempts = 4;
+/// Endpoints that refuse for overload need time; doubles with each attempt.
+static constexpr Duration RefusalDelay = std::chrono::milliseconds(20);
+/// Bounds the list of a long stream that is resumed often.
+static constexpr std::size_t MaxAvoided = 16;
+
+static void avoid(Request &Subject, const std::string &Endpoint) {
+  auto &Avoid = Subject.m_Avoid;
+  if (std::find(Avoid.begin(), Avoid.end(), Endpoint) != Avoid.end())
+    return;
+  if (Avoid.size() == MaxAvoided)
+    Avoid.erase(Avoid.begin());
+  Avoid.push_back(Endpoint);
+}
+
+/// Adds the endpoints that may be the reason for the failure. A refusal or a
+/// failed connection is the first stage's own; in other cases any stage may be
+/// the reason.
+static void avoidFailed(Request &Subject, const Attempt &Ended,
+                        AttemptResult Result) {
+  std::size_t Count = isProvablyNotRun(Result) ? 1 : Ended.m_Route.size();
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    avoid(Subject, Ended.m_Route[Index].m_Hop.m_Endpoint);
+}
+
+void RetrySystem::attemptEnded(Context &Call, const AttemptEnded &End) {
+  auto Entry = m_State.m_Attempts.find(End.m_Attempt);
+  if (Entry == m_State.m_Attempts.end())
+    return m_State.m_Counters.add(Counter::EventsIgnored);
+  Attempt Ended = std::move(Entry->second);
+  m_State.m_Attempts.erase(Entry);
+  m_State.m_Planner.noteEnded(Call.m_Now, End.m_Attempt, End.m_Result);
+  Call.add(attemptEndRecord(Call.m_Now, Ended, End));
+  if (End.m_Result == AttemptResult::RefusedLeaving)
+    m_Endpoints.endpointLeaving(
+        Call,
+        {Ended.m_Route.front().m_Hop.m_Endpoint, {}, LeavingSign::Answer});
+  Request *Subject = m_State.request(Ended.m_Request);
+  if (!Subject)
+    return;
+  --Subject->m_OpenAttempts;
+  if (!isProvablyNotRun(End.m_Result))
+    Subject->m_MayHaveRun = true;
+  if (Subject->m_CurrentAttempt == End.m_Attempt)
+    currentEnded(Call, *Subject, Ended, End);
+}
+
+void RetrySystem::currentEnded(Context &Call, Request &Subject,
+                               const Attempt &Ended, const AttemptEnded &End) {
+  Subject.m_CurrentAttempt = 0;
+  if (End.m_Result == AttemptResult::Finished)
+    return finished(Call, Subject, Ended, End);
+  m_State.m_Counters.add(Counter::AttemptsFailed);
+  if (End.m_Result == AttemptResult::Rejected)
+    return rejected(Call, Subject, End);
+  avoidFailed(Subject, Ended, End.m_Result);
+  // Each such refusal removes an endpoint from the candidates, which bounds
+  // their number. A rolling replacement must not use up the attempts.
+  bool IsFree = End.m_Result == AttemptResult::RefusedLeaving;
+  if (IsFree)
+    --Subject.m_AttemptsSinceProgress;
+  Duration Delay = Duration::zero();
+  if (End.m_Result == AttemptResult::RefusedNotRun)
+    Delay = RefusalDelay * (1 << (Subject.m_AttemptsSinceProgress - 1));
+  retry(Call, Subject, std::string(name(End.m_Result)), IsFree, Delay);
+}
+
+void RetrySystem::finished(Context &Call, Request &Subject,
+                           const Attempt &Ended, const AttemptEnded &End) {
+  Ending Result;
+  if (Subject.m_Kind == RequestKind::ServiceCall) {
+    Result.m_Status = End.m_Status;
+    Call.add(DeliverServiceAnswer{Subject.m_Number, Ended.m_Number});
+    if (PoolState *Pool = m_State.m_Pools.find(Subject.m_Pool))
+      Pool->noteServiceTime(Call.m_Now - Ended.m_StartedAt);
+  }
+  m_Finisher.finish(Call, Subject, Result);
+}
+
+void RetrySystem::rejected(Context &Call, Request &Subject,
+                           const AttemptEnded &End) {
+  Ending Result = failureEnding(Subject, FailureReason::Rejected);
+  // Other statuses concern the router rather than the caller's request.
+  if (End.m_Status == 400 || End.m_Status == 413 || End.m_Status == 422)
+    Result.m_Status = End.m_Status;
+  if (!End.m_Detail.empty())
+    Result.m_Message += ": " + End.m_Detail;
+  m_Finisher.finish(Call, Subject, Result);
+}
+
+void RetrySystem::abandon(Context &Call, Request &Subject, Attempt &Current,
+                          const std::string &Reason,
+                          const std::vector<std::string> &Avoid, bool IsFree) {
+  Current.m_IsCancelled = true;
+  Subject.m_CurrentAttempt = 0;
+  for (const std::string &Endpoint : Avoid)
+    avoid(Subject, Endpoint);
+  Call.add(abandonRecord(Call.m_Now, Current, Reason, Avoid));
+  Call.add(CancelAttempt{Current.m_Number});
+  retry(Call, Subject, Reason, IsFree, Duration::zero());
+}
+
+bool RetrySystem::canRepeat(const Request &Subject) const {
+  return !Subject.m_IsCallerGone &&
+         (Subject.m_IsIdempotent || !Subject.canHaveRun()) &&
+         Subject.m_AttemptsSinceProgress < MaxAttempts;
+}
+
+bool RetrySystem::needsBudget(const Request &Subject) {
+  return Subject.m_Delivered == 0;
+}
+
+std::optional<FailureReason>
+RetrySystem::obstacle(Context &Call, const Request &Subject, bool IsFree) {
+  if (Subject.m_IsCallerGone)
+    return FailureReason::CallerGone;
+  if (!Subject.m_IsIdempotent && Subject.canHaveRun())
+    return FailureReason::NotRepeatable;
+  if (Subject.m_Deadline <= Call.m_Now)
+    return FailureReason::DeadlinePassed;
+  if (!canRepeat(Subject))
+    return FailureReason::AttemptsExhausted;
+  PoolState *Pool = m_State.m_Pools.find(Subject.m_Pool);
+  if (!Pool)
+    return FailureReason::PoolRemoved;
+  if (!IsFree && needsBudget(Subject) && !Pool->m_Budget.tryTake(Call.m_Now))
+    return FailureReason::BudgetExhausted;
+  return std::nullopt;
+}
+
+void RetrySystem::retry(Context &Call, Request &Subject,
+                        const std::string &Reason, bool IsFree,
+                        Duration Delay) {
+  if (Subject.hasAllTokens())
+    return m_Finisher.finish(Call, Subject, Ending());
+  if (auto Obstacle = obstacle(Call, Subject, IsFree))
+    return m_Finisher.fail(Call, Subject, *Obstacle);
+  Subject.m_NotBefore = Call.m_Now + Delay;
+  bool IsResume = Subject.m_Delivered > 0;
+  m_State.m_Counters.add(IsResume ? Counter::Resumes : Counter::Retries);
+  Call.add(retryRecord(Call.m_Now, Subject, Reason, IsResume));
+  m_Queues.requeue(Call, Subject);
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/requests/RouteCheck.cpp
@@ -0,0 +1,33 @@
+#include "requests/RouteCheck.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+static bool isHopOfStage(const Hop &Reported, const Stage &Expected) {
+  return Reported == Expected.m_Hop;
+}
+
+bool isHopListOfRoute(const std::vector<Stage> &Route,
+                      const std::vector<Hop> &Hops) {
+  return std::equal(Hops.begin(), Hops.end(), Route.begin(), Route.end(),
+                    isHopOfStage);
+}
+
+const std::string &endpointAtFirstWrongHop(const std::vector<Stage> &Route,
+                                           const std::vector<Hop> &Hops) {
+  auto [Wrong, Expected] = std::mismatch(
+      Hops.begin(), Hops.end(), Route.begin(), Route.end(), isHopOfStage);
+  if (Wrong != Hops.end()) {
+    auto Earlier = std::find_if(
+        Route.begin(), Expected, [Repeated = Wrong](const Stage &Passed) {
+          return Passed.m_Hop.m_Endpoint == Repeated->m_Endpoint;
+        });
+    if (Earlier != Expected)
+      return Earlier->m_Hop.m_Endpoint;
+  }
+  return Expected != Route.end() ? Expected->m_Hop.m_Endpoint
+                                 : Route.back().m_Hop.m_Endpoint;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/requests/WaitEstimate.cpp
@@ -0,0 +1,53 @@
+#include "requests/WaitEstimate.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+static constexpr double IntervalWeight = 0.2;
+
+void WaitEstimate::noteQueued(const std::string &Account, double Share) {
+  Flow &Own = m_Flows[Account];
+  ++Own.m_Waiting;
+  Own.m_Share = Share;
+  ++m_Waiting;
+}
+
+void WaitEstimate::noteLeft(const std::string &Account,
+                            std::optional<Time> DispatchedAt) {
+  auto Entry = m_Flows.find(Account);
+  if (Entry == m_Flows.end())
+    return;
+  if (--Entry->second.m_Waiting == 0)
+    m_Flows.erase(Entry);
+  --m_Waiting;
+  if (DispatchedAt && m_LastDeparture) {
+    auto Sample =
+        static_cast<double>((*DispatchedAt - *m_LastDeparture).count());
+    m_IntervalMicros += IntervalWeight * (Sample - m_IntervalMicros);
+  }
+  if (m_Waiting == 0)
+    m_LastDeparture.reset();
+  else if (DispatchedAt)
+    m_LastDeparture = DispatchedAt;
+}
+
+Duration WaitEstimate::estimate(const std::string &Account,
+                                double Share) const {
+  double Shares = Share;
+  std::size_t OwnWaiting = 1;
+  for (const auto &[Name, Other] : m_Flows) {
+    if (Name == Account)
+      OwnWaiting += Other.m_Waiting;
+    else
+      Shares += Other.m_Share;
+  }
+  // The account gets its share of the departures, or all of them if the others
+  // have nothing left to run.
+  double Departures =
+      std::min(static_cast<double>(m_Waiting),
+               static_cast<double>(OwnWaiting) * Shares / Share);
+  return Duration(static_cast<Duration::rep>(Departures * m_IntervalMicros));
+}
+
+} // namespace parsleyring
