--- /dev/null
+++ b/src/core/FileText.cpp
@@ -0,0 +1,25 @@
+#include "core/FileText.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fstream>
+#include <sstream>
+
+namespace parsleyring {
+
+std::optional<std::string> readFile(const std::string &Path,
+                                    std::vector<Finding> &Findings) {
+  errno = 0;
+  std::ifstream Input(Path, std::ios::binary);
+  std::ostringstream Text;
+  // An empty file sets the failbit of the output, so only input errors count.
+  if (Input && Input.peek() != std::ifstream::traits_type::eof())
+    Text << Input.rdbuf();
+  if (Input.is_open() && !Input.bad())
+    return Text.str();
+  Findings.push_back(
+      {Path, 0, "", std::string("cannot be read: ") + std::strerror(errno)});
+  return std::nullopt;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/core/TomlSection.h
@@ -0,0 +1,96 @@
+#ifndef PARSLEYRING_CORE_TOMLSECTION_H
+#define PARSLEYRING_CORE_TOMLSECTION_H
+
+#include "parsleyring/Types.h"
+
+#include <functional>
+#include <limits>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace parsleyring {
+
+enum class Presence { Required, Optional };
+
+/// A TOML table that is read key by key. Problems become findings with file,
+/// line and dotted key. The keys asked for are remembered, so finish() can
+/// report all others as unknown. Hides toml++, which is slow to compile.
+class TomlSection {
+public:
+  /// Each function leaves Value as it is if the key is absent or wrong.
+  /// Returns whether a good value was read.
+  bool readText(std::string_view Key, std::string &Value,
+                Presence Wanted = Presence::Optional);
+  /// Accepts one string or an array of strings.
+  bool readTexts(std::string_view Key, std::vector<std::string> &Values,
+                 Presence Wanted = Presence::Optional);
+  bool readFlag(std::string_view Key, bool &Value);
+  /// Accepts integers as well.
+  bool readReal(std::string_view Key, double &Value);
+  template <typename Integer>
+  bool readInteger(std::string_view Key, Integer &Value,
+                   std::int64_t Min = std::numeric_limits<Integer>::min(),
+                   std::int64_t Max = std::numeric_limits<Integer>::max(),
+                   Presence Wanted = Presence::Optional) {
+    std::optional<std::int64_t> Read = integer(Key, Min, Max, Wanted);
+    if (Read)
+      Value = static_cast<Integer>(*Read);
+    return Read.has_value();
+  }
+
+  /// The table at Key. An absent one is read as empty, so that missing
+  /// required keys in it are found.
+  TomlSection section(std::string_view Key);
+  /// The tables of the array of tables at Key; empty if absent.
+  std::vector<TomlSection> sections(std::string_view Key);
+
+  bool has(std::string_view Key) const;
+  /// Line of the key, or of the table if the key is absent.
+  int line(std::string_view Key) const;
+  /// Adds a finding about a key of this table, or about the table itself if
+  /// the key is empty.
+  void report(std::string_view Key, const std::string &Message);
+  /// Reports the keys that were not asked for.
+  void finish();
+
+private:
+  friend class TomlText;
+  struct Context;
+
+  std::optional<std::int64_t> integer(std::string_view Key, std::int64_t Min,
+                                      std::int64_t Max, Presence Wanted);
+  /// The toml++ node, or null with a finding if it is required.
+  const void *find(std::string_view Key, Presence Wanted);
+  std::string path(std::string_view Key) const;
+
+  const Context *m_Context = nullptr;
+  const void *m_Table = nullptr; ///< Null: an absent table.
+  std::string m_Path;
+  std::vector<std::string_view> m_Asked; ///< Views of string literals.
+};
+
+/// Parsed TOML text.
+class TomlText {
+public:
+  /// A syntax error becomes a finding, and root() is then empty. Findings must
+  /// outlive the sections.
+  TomlText(const std::string &File, std::string_view Text,
+           std::vector<Finding> &Findings);
+  ~TomlText();
+
+  TomlSection root() const;
+  bool isParsed() const;
+  /// Line of the deepest node on a dotted path that exists, for example
+  /// "pool[2].endpoint[0].slots"; 0 if there is none.
+  int line(std::string_view Path) const;
+
+private:
+  struct Parsed;
+  std::unique_ptr<Parsed> m_Parsed;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CORE_TOMLSECTION_H
--- a/src/daemons/parsleyring.cpp
+++ b/src/daemons/parsleyring.cpp
@@ -1,8 +1,21 @@
+#include "document/CheckCommand.h"
+
 #include <CLI/CLI.hpp>
 
+using namespace parsleyring;
+
+static constexpr int UsageExitCode = 2;
+
 int main(int ArgumentCount, char **Arguments) {
   CLI::App App("Checks, explains and replays for parsleyring operators");
   App.set_version_flag("--version", PARSLEYRING_VERSION);
-  CLI11_PARSE(App, ArgumentCount, Arguments);
-  return 0;
+  App.require_subcommand(1);
+  int ExitCode = 0;
+  CheckCommand::addTo(App, ExitCode);
+  try {
+    App.parse(ArgumentCount, Arguments);
+  } catch (const CLI::ParseError &Error) {
+    return App.exit(Error) == 0 ? 0 : UsageExitCode;
+  }
+  return ExitCode;
 }
--- /dev/null
+++ b/src/document/DocumentReader.h
@@ -0,0 +1,48 @@
+#ifndef PARSLEYRING_DOCUMENT_DOCUMENTREADER_H
+#define PARSLEYRING_DOCUMENT_DOCUMENTREADER_H
+
+#include "parsleyring/Document.h"
+
+#include "document/DocumentChecker.h"
+
+namespace parsleyring {
+
+/// Reads the TOML text of a document, whole or part by part. Checks the form
+/// only (types, required and unknown keys); DocumentChecker checks the meaning.
+class DocumentReader {
+public:
+  /// Appends the entities of a text. Text must outlive the reader.
+  void add(const std::string &File, std::string_view Text,
+           std::vector<Finding> &Findings);
+
+  const Document &document() const { return m_Document; }
+  Document takeDocument() { return std::move(m_Document); }
+
+  /// Appends the findings of the checker, with file and line, but for keys
+  /// whose form is already reported. Does nothing after a syntax error, which
+  /// hides the rest of its text.
+  void check(const DocumentChecker &Checker,
+             std::vector<Finding> &Findings) const;
+
+private:
+  /// One text, and how many entities of each array were read before it.
+  struct Source {
+    std::string m_File;
+    std::string_view m_Text;
+    std::vector<std::size_t> m_Before;
+  };
+
+  std::vector<std::size_t> entityCounts() const;
+  /// Adds file and line to findings of the checker, whose keys count the
+  /// entities over all texts; makes the keys count within the file.
+  void locate(std::vector<Finding> &Findings) const;
+  const Source *sourceOf(std::string_view Array, std::size_t &Index) const;
+
+  Document m_Document;
+  std::vector<Source> m_Sources;
+  bool m_HasSyntaxError = false;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_DOCUMENT_DOCUMENTREADER_H
--- /dev/null
+++ b/tests/support/Findings.h
@@ -0,0 +1,17 @@
+#ifndef PARSLEYRING_TESTS_SUPPORT_FINDINGS_H
+#define PARSLEYRING_TESTS_SUPPORT_FINDINGS_H
+
+#include "parsleyring/Types.h"
+
+namespace parsleyring {
+
+/// True if a finding at Line (0: any) has Key and contains Text in its message.
+bool hasFinding(const std::vector<Finding> &Findings, int Line,
+                const std::string &Key, const std::string &Text);
+
+/// All findings, one line each, for messages of failed checks.
+std::string joined(const std::vector<Finding> &Findings);
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_TESTS_SUPPORT_FINDINGS_H
--- /dev/null
+++ b/tests/support/TemporaryFile.h
@@ -0,0 +1,24 @@
+#ifndef PARSLEYRING_TESTS_SUPPORT_TEMPORARYFILE_H
+#define PARSLEYRING_TESTS_SUPPORT_TEMPORARYFILE_H
+
+#include <string>
+
+namespace parsleyring {
+
+/// A file with the given content that is removed at the end of the scope.
+class TemporaryFile {
+public:
+  explicit TemporaryFile(const std::string &Content);
+  ~TemporaryFile();
+  TemporaryFile(const TemporaryFile &) = delete;
+  TemporaryFile &operator=(const TemporaryFile &) = delete;
+
+  const std::string &path() const { return m_Path; }
+
+private:
+  std::string m_Path;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_TESTS_SUPPORT_TEMPORARYFILE_H
