Add the HTTP interface for callers

The handlers parse requests with positions of errors, wait for the answer buffers and tell the outcome explicitly. cpp-httplib's own connection loop cannot close a connection whose body is unread, has no limit on chunked bodies and reads an absent Content-Length to the end of the connection, so the server overrides it with a stream that has deadlines and limits.

--- a/include/parsleyring/Events.h
+++ b/include/parsleyring/Events.h
@@ -1,6 +1,8 @@
 #ifndef PARSLEYRING_EVENTS_H
 #define PARSLEYRING_EVENTS_H
 
+// GCC warns that AuditKind::Event shadows the alias Event if that comes first.
+#include "parsleyring/Actions.h"
 #include "parsleyring/Document.h"
 #include "parsleyring/Types.h"
 
--- /dev/null
+++ b/src/callers/Answer.h
@@ -0,0 +1,66 @@
+#ifndef PARSLEYRING_CALLERS_ANSWER_H
+#define PARSLEYRING_CALLERS_ANSWER_H
+
+#include "callers/CallerPayload.h"
+#include "membership/PeerNetwork.h"
+#include "parsleyring/Actions.h"
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+
+namespace parsleyring {
+
+/// The answer of one request while it grows and while it is kept. Written by
+/// the router loop, read by any number of waiting callers.
+class Answer {
+public:
+  explicit Answer(std::shared_ptr<const CallerPayload> Payload);
+
+  const std::string &requestId() const { return m_RequestId; }
+  const std::string &accountKeySha256() const { return m_AccountKeySha256; }
+  /// Empty after the end: prompts are not kept.
+  std::shared_ptr<const CallerPayload> payload() const;
+
+  /// Throws std::logic_error if the position is not the next one.
+  void appendToken(std::uint32_t Position, std::string Text);
+  void setFinishReason(std::string Reason);
+  void setServiceAnswer(ServiceAnswer Value);
+  void finish(const FinishRequest &End);
+
+  std::vector<std::string> tokens(std::uint32_t Count) const;
+
+  /// What there is from a position on.
+  struct Progress {
+    std::vector<std::string> m_Tokens;
+    bool m_IsEnded = false;
+  };
+  /// Waits until there is a token at From or the request has ended.
+  Progress waitFor(std::uint32_t From, Duration Limit) const;
+
+  bool isEnded() const;
+  /// Only valid after the end.
+  FinishRequest end() const;
+  std::string finishReason() const;
+  std::optional<ServiceAnswer> serviceAnswer() const;
+  /// State and content from a position, as peers and callers ask for it.
+  RemoteAnswer snapshot(std::uint32_t From) const;
+  std::size_t bytes() const;
+
+private:
+  const std::string m_RequestId;
+  const std::string m_AccountKeySha256;
+
+  mutable std::mutex m_Mutex;
+  mutable std::condition_variable m_Changed;
+  std::shared_ptr<const CallerPayload> m_Payload;
+  std::vector<std::string> m_Tokens;
+  std::string m_FinishReason;
+  std::optional<ServiceAnswer> m_ServiceAnswer;
+  std::optional<FinishRequest> m_End;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CALLERS_ANSWER_H
--- /dev/null
+++ b/src/callers/BoundedTaskQueue.cpp
@@ -0,0 +1,103 @@
+#include "callers/BoundedTaskQueue.h"
+
+namespace parsleyring {
+
+using std::chrono::steady_clock;
+
+static constexpr std::size_t RefusingThreads = 4;
+/// Connections that wait for a thread; more stay in the kernel's backlog.
+static constexpr std::size_t MaxWaiting = 1024;
+/// Gives idle connections the time to be closed before a caller is refused.
+static constexpr std::chrono::milliseconds RefuseAfter(250);
+
+static thread_local bool IsRefusingThread = false;
+
+bool BoundedTaskQueue::isRefusing() { return IsRefusingThread; }
+
+BoundedTaskQueue::BoundedTaskQueue(std::size_t MaxThreads)
+    : m_MaxThreads(MaxThreads) {
+  for (std::size_t Index = 0; Index < RefusingThreads; ++Index)
+    m_RefusingThreads.emplace_back([this] { refuse(); });
+}
+
+BoundedTaskQueue::~BoundedTaskQueue() { shutdown(); }
+
+void BoundedTaskQueue::enqueue(std::function<void()> Task) {
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  m_HasRoom.wait(
+      Lock, [this] { return m_IsStopping || m_Waiting.size() < MaxWaiting; });
+  m_Waiting.push_back({std::move(Task), steady_clock::now()});
+  if (m_IdleThreads >= m_Waiting.size()) {
+    m_HasTask.notify_all();
+    return;
+  }
+  if (m_Threads.size() < m_MaxThreads) {
+    m_Threads.emplace_back([this] { work(); });
+    return;
+  }
+  m_IsSaturated = true;
+  m_HasTask.notify_all();
+}
+
+void BoundedTaskQueue::work() {
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  for (;;) {
+    ++m_IdleThreads;
+    m_HasTask.wait(Lock, [this] { return m_IsStopping || !m_Waiting.empty(); });
+    --m_IdleThreads;
+    if (m_Waiting.empty())
+      return;
+    Waiting Next = std::move(m_Waiting.front());
+    m_Waiting.pop_front();
+    if (m_Waiting.empty())
+      m_IsSaturated = false;
+    m_HasRoom.notify_one();
+    Lock.unlock();
+    Next.m_Task();
+    Next.m_Task = nullptr;
+    Lock.lock();
+  }
+}
+
+void BoundedTaskQueue::refuse() {
+  IsRefusingThread = true;
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  for (;;) {
+    m_HasTask.wait(Lock, [this] {
+      return m_IsStopping || (m_IsSaturated && !m_Waiting.empty());
+    });
+    if (m_IsStopping)
+      return; // The workers empty the queue.
+    auto Due = m_Waiting.front().m_Since + RefuseAfter;
+    if (steady_clock::now() < Due) {
+      m_HasTask.wait_until(Lock, Due, [this] { return m_IsStopping; });
+      continue;
+    }
+    Waiting Next = std::move(m_Waiting.front());
+    m_Waiting.pop_front();
+    if (m_Waiting.empty())
+      m_IsSaturated = false;
+    m_HasRoom.notify_one();
+    Lock.unlock();
+    Next.m_Task();
+    Next.m_Task = nullptr;
+    Lock.lock();
+  }
+}
+
+void BoundedTaskQueue::shutdown() {
+  {
+    std::lock_guard<std::mutex> Guard(m_Mutex);
+    m_IsStopping = true;
+  }
+  m_HasTask.notify_all();
+  m_HasRoom.notify_all();
+  for (std::thread &Thread : m_Threads)
+    if (Thread.joinable())
+      Thread.join();
+  for (std::thread &Thread : m_RefusingThreads)
+    if (Thread.joinable())
+      Thread.join();
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/callers/BoundedTaskQueue.h
@@ -0,0 +1,56 @@
+#ifndef PARSLEYRING_CALLERS_BOUNDEDTASKQUEUE_H
+#define PARSLEYRING_CALLERS_BOUNDEDTASKQUEUE_H
+
+#include <httplib.h>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace parsleyring {
+
+/// Task queue of the callers' server: one thread per connection up to a limit.
+/// Connections beyond it wait shortly for a free thread and are then served by
+/// a few threads for which isRefusing() is true, so that they get an answer.
+class BoundedTaskQueue final : public httplib::TaskQueue {
+public:
+  explicit BoundedTaskQueue(std::size_t MaxThreads);
+  ~BoundedTaskQueue() override;
+
+  /// Blocks the accepting thread while too many connections wait.
+  void enqueue(std::function<void()> Task) override;
+  void shutdown() override;
+
+  /// True on threads that only tell callers that there is no capacity.
+  static bool isRefusing();
+  /// True while connections wait for a thread; idle ones should be closed.
+  bool isSaturated() const { return m_IsSaturated; }
+
+private:
+  struct Waiting {
+    std::function<void()> m_Task;
+    std::chrono::steady_clock::time_point m_Since;
+  };
+
+  void work();
+  void refuse();
+
+  const std::size_t m_MaxThreads;
+  std::mutex m_Mutex;
+  std::condition_variable m_HasTask;
+  std::condition_variable m_HasRoom;
+  std::deque<Waiting> m_Waiting;
+  std::vector<std::thread> m_Threads;
+  std::vector<std::thread> m_RefusingThreads;
+  std::size_t m_IdleThreads = 0;
+  bool m_IsStopping = false;
+  std::atomic<bool> m_IsSaturated{false};
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CALLERS_BOUNDEDTASKQUEUE_H
--- /dev/null
+++ b/src/callers/CallerConnection.cpp
@@ -0,0 +1,140 @@
+#include "callers/CallerConnection.h"
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+
+namespace parsleyring {
+
+using std::chrono::steady_clock;
+
+static constexpr std::uint64_t MaxHeaderBytes = 64 * 1024;
+static constexpr std::chrono::seconds HeaderLimit(10);
+static constexpr std::chrono::seconds BodyLimit(30);
+/// A caller that reads nothing of its answer for this long is given up.
+static constexpr std::chrono::seconds WriteLimit(20);
+/// The library matches paths with regular expressions, whose recursion depth
+/// grows with the path.
+static constexpr std::size_t MaxPathBytes = 2048;
+static constexpr std::chrono::milliseconds LingerLimit(500);
+static constexpr std::uint64_t MaxLingerBytes = 8 << 20;
+
+CallerConnection::CallerConnection(int Socket, std::uint64_t MaxBodyBytes)
+    : m_Stream(Socket), m_MaxBodyBytes(MaxBodyBytes) {}
+
+void CallerConnection::beginRequest() {
+  m_Request = nullptr;
+  m_HeaderProblem.clear();
+  m_ContentType.clear();
+  m_Stream.setReadAllowance(MaxHeaderBytes);
+  m_Stream.setDeadline(steady_clock::now() + HeaderLimit);
+}
+
+static bool isNumber(const std::string &Text) {
+  static constexpr std::size_t MaxDigits = 18;
+  return !Text.empty() && Text.size() <= MaxDigits &&
+         std::all_of(Text.begin(), Text.end(),
+                     [](char Digit) { return Digit >= '0' && Digit <= '9'; });
+}
+
+/// Finds what would make the end of the request's body unclear.
+static std::string framingProblem(const httplib::Request &Request) {
+  bool HasLength = Request.has_header("Content-Length");
+  bool HasCoding = Request.has_header("Transfer-Encoding");
+  if (HasLength && HasCoding)
+    return "both Content-Length and Transfer-Encoding are given";
+  if (Request.get_header_value_count("Content-Length") > 1)
+    return "Content-Length is given more than once";
+  if (HasLength && !isNumber(Request.get_header_value("Content-Length")))
+    return "Content-Length is not a number";
+  if (HasCoding && Request.get_header_value("Transfer-Encoding") != "chunked")
+    return "Transfer-Encoding must be chunked";
+  bool HasBody =
+      HasCoding ||
+      (HasLength && Request.get_header_value("Content-Length") != "0");
+  if (HasBody && (Request.method == "GET" || Request.method == "HEAD" ||
+                  Request.method == "OPTIONS"))
+    return Request.method + " must not have a body";
+  return {};
+}
+
+void CallerConnection::headersRead(httplib::Request &Request) {
+  m_Request = &Request;
+  m_Stream.setDeadline(steady_clock::now() + BodyLimit);
+  m_Stream.setReadAllowance(std::numeric_limits<std::uint64_t>::max());
+  m_HeaderProblem = framingProblem(Request);
+  if (Request.method == "GET" || Request.method == "HEAD" ||
+      Request.method == "OPTIONS")
+    beginAnswer();
+  if (Request.path.size() > MaxPathBytes)
+    m_HeaderProblem =
+        "the path is longer than " + std::to_string(MaxPathBytes) + " bytes";
+  // Without a length the library would read until the connection ends.
+  if (!Request.has_header("Content-Length") &&
+      !Request.has_header("Transfer-Encoding"))
+    Request.set_header("Content-Length", "0");
+  // The library would take multipart bodies apart and would compress or cut
+  // answers; all of them are passed on as they are.
+  m_ContentType = Request.get_header_value("Content-Type");
+  Request.headers.erase("Content-Type");
+  Request.headers.erase("Accept-Encoding");
+  Request.headers.erase("Range");
+  Request.ranges.clear();
+}
+
+void CallerConnection::beginAnswer() {
+  m_Stream.setDeadline(SteadyTime::max());
+  m_Stream.setIdleLimit(WriteLimit);
+}
+
+BodyEnd CallerConnection::readBody(const httplib::ContentReader &Reader,
+                                   std::string &Body) {
+  bool IsTooLarge = m_Request->get_header_value<std::uint64_t>(
+                        "Content-Length") > m_MaxBodyBytes;
+  bool IsWhole = !IsTooLarge && Reader([&](const char *Data, size_t Size) {
+    IsTooLarge = Body.size() + Size > m_MaxBodyBytes;
+    if (!IsTooLarge)
+      Body.append(Data, Size);
+    return !IsTooLarge;
+  });
+  bool IsLate = m_Stream.fault() == SocketStream::Fault::TimedOut;
+  beginAnswer();
+  if (IsWhole)
+    return BodyEnd::Whole;
+  closeAfterAnswer();
+  if (IsTooLarge)
+    return BodyEnd::TooLarge;
+  return IsLate ? BodyEnd::TimedOut : BodyEnd::Broken;
+}
+
+void CallerConnection::closeAfterAnswer() {
+  m_MustClose = true;
+  if (!m_Request)
+    return;
+  // The library takes the answer's Connection header from the request.
+  m_Request->headers.erase("Connection");
+  m_Request->set_header("Connection", "close");
+}
+
+void CallerConnection::lingeringClose() {
+  int Socket = m_Stream.socket();
+  ::shutdown(Socket, SHUT_WR);
+  auto End = steady_clock::now() + LingerLimit;
+  std::array<char, 16 * 1024> Discarded;
+  std::uint64_t Bytes = 0;
+  while (Bytes < MaxLingerBytes) {
+    auto Left = std::chrono::duration_cast<std::chrono::microseconds>(
+        End - steady_clock::now());
+    if (Left.count() <= 0 || pollSocket(Socket, POLLIN, Left) == 0)
+      return;
+    ssize_t Count =
+        ::recv(Socket, Discarded.data(), Discarded.size(), MSG_DONTWAIT);
+    if (Count <= 0)
+      return;
+    Bytes += static_cast<std::uint64_t>(Count);
+  }
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/callers/CallerContext.h
@@ -0,0 +1,38 @@
+#ifndef PARSLEYRING_CALLERS_CALLERCONTEXT_H
+#define PARSLEYRING_CALLERS_CALLERCONTEXT_H
+
+#include "callers/AnswerStore.h"
+#include "callers/ErrorAnswer.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace parsleyring {
+
+/// What the handlers of callers' requests need of the rest of the node. All
+/// functions may be called from any thread.
+struct CallerContext {
+  AnswerStore &m_Answers;
+  Incarnation m_Self;
+  std::function<RequestNumber()> m_NextRequest;
+  std::function<void(const Event &)> m_Post; ///< To the Router.
+  /// Set while the node cannot take requests at all.
+  std::function<std::optional<ErrorAnswer>()> m_Refusal;
+  std::function<bool(const std::string &KeySha256,
+                     const std::string &OtherKeySha256)>
+      m_IsSameAccount;
+  /// Asks the VM that owns the request.
+  std::function<std::optional<RemoteAnswer>(const OwnedId &,
+                                            std::uint32_t FromPosition)>
+      m_RemoteState;
+  std::function<bool()> m_IsReady;
+  std::function<bool()> m_IsDraining;
+  std::function<std::string()> m_MetricsText;
+  /// Adds one to a counter of the metrics page.
+  std::function<void(const char *Counter)> m_Count;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CALLERS_CALLERCONTEXT_H
--- /dev/null
+++ b/src/callers/CompletionAnswer.h
@@ -0,0 +1,23 @@
+#ifndef PARSLEYRING_CALLERS_COMPLETIONANSWER_H
+#define PARSLEYRING_CALLERS_COMPLETIONANSWER_H
+
+#include "callers/Answer.h"
+
+#include <string>
+
+namespace parsleyring {
+
+/// Body of a whole answer to a completion.
+std::string completionJson(const Answer &Ended, const CompletionPayload &Asked);
+
+/// Server-sent event of one token.
+std::string tokenEvent(const std::string &RequestId, const std::string &Model,
+                       const std::string &Text, std::uint32_t Position);
+
+/// Last events of a stream: the finish reason with usage, or the error, and
+/// the end mark.
+std::string endEvents(const Answer &Ended, const CompletionPayload &Asked);
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CALLERS_COMPLETIONANSWER_H
--- /dev/null
+++ b/src/callers/CompletionHandler.cpp
@@ -0,0 +1,98 @@
+#include "callers/CompletionHandler.h"
+
+#include "callers/CompletionAnswer.h"
+#include "callers/CompletionRequest.h"
+#include "callers/Exchange.h"
+
+namespace parsleyring {
+
+void CompletionHandler::handle(Exchange &Call) const {
+  RequestNumber Number = m_Context.m_NextRequest();
+  std::string Id = requestId(m_Context.m_Self, Number);
+  std::optional<std::string> Body = Call.readBody(Id);
+  if (!Body)
+    return;
+  std::vector<Finding> Findings;
+  auto Payload = std::make_shared<CallerPayload>();
+  Payload->m_RequestId = Id;
+  Payload->m_AccountKeySha256 = Call.accountKeySha256();
+  CompletionPayload Asked = parseCompletionRequest(*Body, Findings);
+  if (!Findings.empty())
+    return Call.refuse(400, "malformed-body", joinFindings(Findings), Id);
+  if (std::optional<ErrorAnswer> Refusal = m_Context.m_Refusal()) {
+    Refusal->m_RequestId = Id;
+    return Refusal->writeTo(Call.m_Response);
+  }
+  CompletionArrived Arrived =
+      completionArrived(Number, Payload->m_AccountKeySha256, Asked);
+  bool IsStreamed = Asked.m_IsStreamed;
+  Payload->m_Content = std::move(Asked);
+  std::shared_ptr<Answer> Waited = m_Context.m_Answers.open(Number, Payload);
+  m_Context.m_Post(Arrived);
+  if (IsStreamed)
+    answerStream(Call, Number, std::move(Waited), std::move(Payload));
+  else
+    answerWhole(Call, Number, Waited,
+                std::get<CompletionPayload>(Payload->m_Content));
+}
+
+void CompletionHandler::answerWhole(Exchange &Call, RequestNumber Number,
+                                    const std::shared_ptr<Answer> &Waited,
+                                    const CompletionPayload &Payload) const {
+  if (!Call.waitForEnd(m_Context, Number, *Waited))
+    return;
+  FinishRequest End = Waited->end();
+  if (End.m_Outcome != Outcome::Completed)
+    return ErrorAnswer::fromFinish(End, Waited->requestId())
+        .writeTo(Call.m_Response);
+  Call.m_Response.set_header("X-Outcome", std::string(name(End.m_Outcome)));
+  Call.m_Response.set_header("X-Request-Id", Waited->requestId());
+  Call.m_Response.set_content(completionJson(*Waited, Payload),
+                              "application/json");
+}
+
+void CompletionHandler::answerStream(
+    Exchange &Call, RequestNumber Number, std::shared_ptr<Answer> Waited,
+    std::shared_ptr<const CallerPayload> Payload) const {
+  // The status can still tell of an error that comes before the first token.
+  for (;;) {
+    auto Progress = Waited->waitFor(0, CallerCheckInterval);
+    if (!Progress.m_Tokens.empty())
+      break;
+    if (Progress.m_IsEnded && Waited->end().m_Outcome != Outcome::Completed)
+      return ErrorAnswer::fromFinish(Waited->end(), Waited->requestId())
+          .writeTo(Call.m_Response);
+    if (Progress.m_IsEnded)
+      break;
+    if (Call.m_Connection.isPeerGone()) {
+      m_Context.m_Post(CallerGone{Number});
+      return Call.m_Connection.closeAfterAnswer();
+    }
+  }
+  Call.m_Response.set_header("X-Request-Id", Waited->requestId());
+  Call.m_Response.set_header("Cache-Control", "no-cache");
+  auto Next = std::make_shared<std::uint32_t>(0);
+  auto Provide = [this, Number, Waited, Payload,
+                  Next](std::size_t, httplib::DataSink &Sink) {
+    const auto &Asked = std::get<CompletionPayload>(Payload->m_Content);
+    auto Progress = Waited->waitFor(*Next, CallerCheckInterval);
+    std::string Events;
+    for (const std::string &Text : Progress.m_Tokens)
+      Events += tokenEvent(Waited->requestId(), Asked.m_Model, Text, (*Next)++);
+    if (Progress.m_IsEnded)
+      Events += endEvents(*Waited, Asked);
+    bool IsThere = Sink.is_writable() &&
+                   (Events.empty() || Sink.write(Events.data(), Events.size()));
+    if (!IsThere) {
+      m_Context.m_Post(CallerGone{Number});
+      return false;
+    }
+    if (Progress.m_IsEnded)
+      Sink.done();
+    return true;
+  };
+  Call.m_Response.set_chunked_content_provider("text/event-stream",
+                                               std::move(Provide));
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/callers/CompletionHandler.h
@@ -0,0 +1,31 @@
+#ifndef PARSLEYRING_CALLERS_COMPLETIONHANDLER_H
+#define PARSLEYRING_CALLERS_COMPLETIONHANDLER_H
+
+#include "callers/CallerContext.h"
+
+namespace parsleyring {
+
+struct Exchange;
+
+/// POST /v1/completions, streamed and not streamed.
+class CompletionHandler {
+public:
+  explicit CompletionHandler(const CallerContext &Context)
+      : m_Context(Context) {}
+
+  void handle(Exchange &Call) const;
+
+private:
+  void answerWhole(Exchange &Call, RequestNumber Number,
+                   const std::shared_ptr<Answer> &Waited,
+                   const CompletionPayload &Payload) const;
+  void answerStream(Exchange &Call, RequestNumber Number,
+                    std::shared_ptr<Answer> Waited,
+                    std::shared_ptr<const CallerPayload> Payload) const;
+
+  const CallerContext &m_Context;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CALLERS_COMPLETIONHANDLER_H
--- /dev/null
+++ b/src/callers/RequestStateHandler.h
@@ -0,0 +1,27 @@
+#ifndef PARSLEYRING_CALLERS_REQUESTSTATEHANDLER_H
+#define PARSLEYRING_CALLERS_REQUESTSTATEHANDLER_H
+
+#include "callers/CallerContext.h"
+
+namespace parsleyring {
+
+struct Exchange;
+
+/// GET /v1/requests/ID?from=N: the state of a request and, while it is kept,
+/// its answer from a position. Any VM serves it for the owner of the id.
+class RequestStateHandler {
+public:
+  explicit RequestStateHandler(const CallerContext &Context)
+      : m_Context(Context) {}
+
+  void handle(Exchange &Call) const;
+
+private:
+  std::optional<RemoteAnswer> find(const OwnedId &Id, std::uint32_t From) const;
+
+  const CallerContext &m_Context;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CALLERS_REQUESTSTATEHANDLER_H
--- /dev/null
+++ b/src/http/EndpointConnection.cpp
@@ -0,0 +1,130 @@
+#include "http/EndpointConnection.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+
+namespace parsleyring {
+
+EndpointConnection::EndpointConnection(const Address &Peer,
+                                       std::chrono::microseconds ConnectLimit)
+    : ClientImpl(Peer.m_Host, Peer.m_Port), m_Peer(Peer),
+      m_ConnectLimit(ConnectLimit) {
+  // Targets are passed on as the caller wrote them.
+  set_url_encode(false);
+  set_decompress(false);
+}
+
+void EndpointConnection::cancel() {
+  std::lock_guard<std::mutex> Guard(m_Mutex);
+  m_IsCancelled = true;
+  if (m_Descriptor >= 0)
+    ::shutdown(m_Descriptor, SHUT_RDWR);
+}
+
+bool EndpointConnection::isCancelled() const {
+  std::lock_guard<std::mutex> Guard(m_Mutex);
+  return m_IsCancelled;
+}
+
+bool EndpointConnection::call(httplib::Request &Request,
+                              httplib::Response &Response,
+                              httplib::Error &Error) {
+  m_BytesSent = 0;
+  m_Fault = SocketStream::Fault::None;
+  return send(Request, Response, Error);
+}
+
+bool EndpointConnection::enter(int Descriptor) {
+  std::lock_guard<std::mutex> Guard(m_Mutex);
+  if (m_IsCancelled)
+    return false;
+  m_Descriptor = Descriptor;
+  return true;
+}
+
+void EndpointConnection::leave() {
+  std::lock_guard<std::mutex> Guard(m_Mutex);
+  m_Descriptor = -1;
+}
+
+static bool socketAddress(const Address &Peer, sockaddr_storage &Storage,
+                          socklen_t &Length) {
+  auto *In = reinterpret_cast<sockaddr_in *>(&Storage);
+  if (::inet_pton(AF_INET, Peer.m_Host.c_str(), &In->sin_addr) == 1) {
+    In->sin_family = AF_INET;
+    In->sin_port = htons(static_cast<std::uint16_t>(Peer.m_Port));
+    Length = sizeof(sockaddr_in);
+    return true;
+  }
+  auto *In6 = reinterpret_cast<sockaddr_in6 *>(&Storage);
+  if (::inet_pton(AF_INET6, Peer.m_Host.c_str(), &In6->sin6_addr) != 1)
+    return false;
+  In6->sin6_family = AF_INET6;
+  In6->sin6_port = htons(static_cast<std::uint16_t>(Peer.m_Port));
+  Length = sizeof(sockaddr_in6);
+  return true;
+}
+
+bool EndpointConnection::connectWithin(int Descriptor) {
+  sockaddr_storage Storage{};
+  socklen_t Length = 0;
+  if (!socketAddress(m_Peer, Storage, Length))
+    return false;
+  if (::connect(Descriptor, reinterpret_cast<sockaddr *>(&Storage), Length) ==
+      0)
+    return true;
+  if (errno != EINPROGRESS)
+    return false;
+  auto Left = std::chrono::duration_cast<std::chrono::microseconds>(
+      m_Deadline - std::chrono::steady_clock::now());
+  if (pollSocket(Descriptor, POLLOUT, std::min(Left, m_ConnectLimit)) == 0)
+    return false;
+  int Error = 0;
+  socklen_t ErrorLength = sizeof(Error);
+  return ::getsockopt(Descriptor, SOL_SOCKET, SO_ERROR, &Error, &ErrorLength) ==
+             0 &&
+         Error == 0;
+}
+
+bool EndpointConnection::create_and_connect_socket(Socket &Target,
+                                                   httplib::Error &Error) {
+  Error = httplib::Error::Connection;
+  bool IsV6 = m_Peer.m_Host.find(':') != std::string::npos;
+  int Descriptor = ::socket(IsV6 ? AF_INET6 : AF_INET,
+                            SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  if (Descriptor < 0)
+    return false;
+  int On = 1;
+  ::setsockopt(Descriptor, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  bool IsConnected = enter(Descriptor) && connectWithin(Descriptor);
+  leave();
+  if (!IsConnected) {
+    ::close(Descriptor);
+    return false;
+  }
+  Target.sock = Descriptor;
+  Error = httplib::Error::Success;
+  return true;
+}
+
+bool EndpointConnection::process_socket(
+    const Socket &Source, std::function<bool(httplib::Stream &)> Use) {
+  if (!enter(Source.sock))
+    return false;
+  SocketStream Stream(Source.sock);
+  Stream.setDeadline(m_Deadline);
+  bool IsDone = Use(Stream);
+  leave();
+  m_BytesSent = Stream.bytesSent();
+  m_Fault = Stream.fault();
+  return IsDone;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/http/SocketStream.cpp
@@ -0,0 +1,145 @@
+#include "http/SocketStream.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+namespace parsleyring {
+
+using std::chrono::microseconds;
+using std::chrono::steady_clock;
+
+short pollSocket(int Socket, short Events, microseconds Limit) {
+  SteadyTime End = steady_clock::now() + Limit;
+  pollfd Entry{Socket, Events, 0};
+  for (;;) {
+    auto Left =
+        std::chrono::ceil<std::chrono::milliseconds>(End - steady_clock::now());
+    int Wait = static_cast<int>(std::max<std::int64_t>(Left.count(), 0));
+    int Count = ::poll(&Entry, 1, Wait);
+    if (Count > 0)
+      return Entry.revents;
+    if (Count == 0)
+      return 0;
+    if (errno != EINTR)
+      return POLLERR;
+  }
+}
+
+bool SocketStream::isPeerGone() const {
+  short Events = pollSocket(m_Socket, POLLRDHUP, microseconds(0));
+  return (Events & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0;
+}
+
+bool SocketStream::waitReadable(microseconds Limit) const {
+  if (hasBufferedData())
+    return true;
+  short Events = pollSocket(m_Socket, POLLIN, Limit);
+  return (Events & POLLIN) != 0;
+}
+
+bool SocketStream::is_readable() const { return waitReadable(microseconds(0)); }
+
+bool SocketStream::is_writable() const {
+  return m_Fault == Fault::None && !isPeerGone();
+}
+
+bool SocketStream::waitFor(short Events) {
+  auto Left = std::chrono::duration_cast<microseconds>(m_Deadline -
+                                                       steady_clock::now());
+  microseconds Limit = std::min(Left, m_IdleLimit);
+  if (Limit > microseconds(0) && pollSocket(m_Socket, Events, Limit) != 0)
+    return true;
+  m_Fault = Fault::TimedOut;
+  return false;
+}
+
+bool SocketStream::fill() {
+  for (;;) {
+    if (!waitFor(POLLIN))
+      return false;
+    ssize_t Count =
+        ::recv(m_Socket, m_Buffer.data(), m_Buffer.size(), MSG_DONTWAIT);
+    if (Count > 0) {
+      m_BufferAt = 0;
+      m_BufferEnd = static_cast<std::size_t>(Count);
+      return true;
+    }
+    if (Count < 0 && (errno == EINTR || errno == EAGAIN))
+      continue;
+    m_Fault = Fault::Closed;
+    return false;
+  }
+}
+
+ssize_t SocketStream::read(char *Data, size_t Size) {
+  if (m_ReadAllowance == 0) {
+    m_Fault = Fault::TooLong;
+    return -1;
+  }
+  if (!hasBufferedData() && !fill())
+    return m_Fault == Fault::Closed ? 0 : -1;
+  std::size_t Count =
+      std::min({static_cast<std::size_t>(Size), m_BufferEnd - m_BufferAt,
+                static_cast<std::size_t>(m_ReadAllowance)});
+  std::memcpy(Data, m_Buffer.data() + m_BufferAt, Count);
+  m_BufferAt += Count;
+  m_ReadAllowance -= Count;
+  return static_cast<ssize_t>(Count);
+}
+
+ssize_t SocketStream::write(const char *Data, size_t Size) {
+  for (;;) {
+    ssize_t Count = ::send(m_Socket, Data, Size, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (Count >= 0) {
+      m_BytesSent += static_cast<std::uint64_t>(Count);
+      return Count;
+    }
+    if (errno == EINTR)
+      continue;
+    if (errno != EAGAIN) {
+      m_Fault = Fault::Closed;
+      return -1;
+    }
+    if (!waitFor(POLLOUT))
+      return -1;
+  }
+}
+
+static void addressOf(const sockaddr_storage &Storage, std::string &Ip,
+                      int &Port) {
+  std::array<char, INET6_ADDRSTRLEN> Text{};
+  if (Storage.ss_family == AF_INET) {
+    const auto &In = reinterpret_cast<const sockaddr_in &>(Storage);
+    ::inet_ntop(AF_INET, &In.sin_addr, Text.data(), Text.size());
+    Port = ntohs(In.sin_port);
+  } else if (Storage.ss_family == AF_INET6) {
+    const auto &In = reinterpret_cast<const sockaddr_in6 &>(Storage);
+    ::inet_ntop(AF_INET6, &In.sin6_addr, Text.data(), Text.size());
+    Port = ntohs(In.sin6_port);
+  }
+  Ip = Text.data();
+}
+
+void SocketStream::get_remote_ip_and_port(std::string &Ip, int &Port) const {
+  sockaddr_storage Storage{};
+  socklen_t Length = sizeof(Storage);
+  if (::getpeername(m_Socket, reinterpret_cast<sockaddr *>(&Storage),
+                    &Length) == 0)
+    addressOf(Storage, Ip, Port);
+}
+
+void SocketStream::get_local_ip_and_port(std::string &Ip, int &Port) const {
+  sockaddr_storage Storage{};
+  socklen_t Length = sizeof(Storage);
+  if (::getsockname(m_Socket, reinterpret_cast<sockaddr *>(&Storage),
+                    &Length) == 0)
+    addressOf(Storage, Ip, Port);
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/http/SocketStream.h
@@ -0,0 +1,70 @@
+#ifndef PARSLEYRING_HTTP_SOCKETSTREAM_H
+#define PARSLEYRING_HTTP_SOCKETSTREAM_H
+
+#include <httplib.h>
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <limits>
+
+namespace parsleyring {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// Stream of cpp-httplib over a connected socket that it does not own. Unlike
+/// the library's stream it has a deadline for a whole message, a limit on the
+/// bytes read, and it knows how many bytes were sent and why it failed.
+class SocketStream final : public httplib::Stream {
+public:
+  enum class Fault { None, Closed, TimedOut, TooLong };
+
+  explicit SocketStream(int Socket) : m_Socket(Socket) {}
+
+  /// Reads and writes fail as TimedOut after this time.
+  void setDeadline(SteadyTime Deadline) { m_Deadline = Deadline; }
+  /// A single wait for data fails as TimedOut after this time.
+  void setIdleLimit(std::chrono::microseconds Limit) { m_IdleLimit = Limit; }
+  /// Number of further bytes that may be read; more fails as TooLong.
+  void setReadAllowance(std::uint64_t Bytes) { m_ReadAllowance = Bytes; }
+
+  std::uint64_t bytesSent() const { return m_BytesSent; }
+  Fault fault() const { return m_Fault; }
+  bool hasBufferedData() const { return m_BufferAt < m_BufferEnd; }
+  /// True if the other side closed or reset the connection.
+  bool isPeerGone() const;
+  /// Waits for data to read. False after Limit or if the connection is gone.
+  bool waitReadable(std::chrono::microseconds Limit) const;
+
+  bool is_readable() const override;
+  bool is_writable() const override;
+  ssize_t read(char *Data, size_t Size) override;
+  ssize_t write(const char *Data, size_t Size) override;
+  void get_remote_ip_and_port(std::string &Ip, int &Port) const override;
+  void get_local_ip_and_port(std::string &Ip, int &Port) const override;
+  socket_t socket() const override { return m_Socket; }
+
+private:
+  static constexpr std::size_t BufferBytes = 16 * 1024;
+
+  bool waitFor(short Events);
+  bool fill();
+
+  int m_Socket;
+  SteadyTime m_Deadline = SteadyTime::max();
+  std::chrono::microseconds m_IdleLimit = std::chrono::hours(1);
+  std::uint64_t m_ReadAllowance = std::numeric_limits<std::uint64_t>::max();
+  std::uint64_t m_BytesSent = 0;
+  Fault m_Fault = Fault::None;
+  std::array<char, BufferBytes> m_Buffer;
+  std::size_t m_BufferAt = 0;
+  std::size_t m_BufferEnd = 0;
+};
+
+/// poll() for one socket, repeated after signals. Returns the events, 0 after
+/// the time limit.
+short pollSocket(int Socket, short Events, std::chrono::microseconds Limit);
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_HTTP_SOCKETSTREAM_H
--- a/src/membership/PeerNetwork.h
+++ b/src/membership/PeerNetwork.h
@@ -19,6 +19,8 @@
   std::string m_ContentType;
   std::string m_Body;
   std::uint32_t m_Tokens = 0;
+  /// Of the key that the request came with; only its account may read it.
+  std::string m_AccountKeySha256;
 };
 
 /// What the network asks of the rest of the process. Called from any thread.
