Add the clients of engines and services and the attempt runner

The connection is made by own code, because the library can neither be woken while it connects nor tell how many bytes of a request were sent; both decide whether a failed attempt provably did not run.

--- /dev/null
+++ b/src/endpoints/AttemptRunner.h
@@ -0,0 +1,52 @@
+#ifndef PARSLEYRING_ENDPOINTS_ATTEMPTRUNNER_H
+#define PARSLEYRING_ENDPOINTS_ATTEMPTRUNNER_H
+
+#include "endpoints/EndpointAttempt.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+namespace parsleyring {
+
+/// Runs attempts on a bounded number of threads. start() and cancel() do not
+/// block.
+class AttemptRunner {
+public:
+  using EndSink = std::function<void(AttemptNumber, AttemptReport)>;
+
+  AttemptRunner(std::size_t MaxThreads, EndSink OnEnd);
+  ~AttemptRunner();
+
+  /// OnEnd is called once for every attempt that was started.
+  void start(AttemptNumber Number, std::shared_ptr<EndpointAttempt> Attempt);
+  /// Does nothing if the attempt has ended.
+  void cancel(AttemptNumber Number);
+  /// Cancels all attempts and ends the threads.
+  void stop();
+
+  std::size_t running() const;
+
+private:
+  void work();
+
+  const std::size_t m_MaxThreads;
+  const EndSink m_OnEnd;
+  mutable std::mutex m_Mutex;
+  std::condition_variable m_HasWork;
+  std::unordered_map<AttemptNumber, std::shared_ptr<EndpointAttempt>>
+      m_Attempts; ///< Waiting and running.
+  std::deque<AttemptNumber> m_Waiting;
+  std::vector<std::thread> m_Threads;
+  std::size_t m_IdleThreads = 0;
+  bool m_IsStopping = false;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_ENDPOINTS_ATTEMPTRUNNER_H
--- /dev/null
+++ b/src/endpoints/EngineClient.cpp
@@ -0,0 +1,167 @@
+#include "endpoints/EngineClient.h"
+
+#include "endpoints/EventStreamParser.h"
+#include "endpoints/HttpFailure.h"
+
+namespace parsleyring {
+
+/// The Router ends stalled streams much earlier; this bounds a stream whose
+/// end it would miss.
+static constexpr std::chrono::minutes StreamLimit(30);
+static constexpr std::size_t MaxErrorBytes = 64 * 1024;
+
+/// State of the answer while it arrives.
+class EngineClient::Stream {
+public:
+  explicit Stream(const TokenSink &OnToken)
+      : m_OnToken(OnToken),
+        m_Parser([this](const std::string &Data) { return event(Data); }) {}
+
+  void setStatus(int Status) { m_Status = Status; }
+
+  /// Returns false once nothing more is wanted.
+  bool receive(std::string_view Bytes) {
+    if (m_Status != 200) {
+      m_ErrorBody += Bytes.substr(0, MaxErrorBytes - m_ErrorBody.size());
+      return m_ErrorBody.size() < MaxErrorBytes;
+    }
+    if (m_Parser.feed(Bytes) == EventStreamParser::Status::TooLong)
+      fail(AttemptResult::Malformed, "an event of the engine is too long");
+    return !m_IsSettled;
+  }
+
+  AttemptReport report(const EndpointConnection &Connection,
+                       httplib::Error Error) {
+    if (m_IsSettled)
+      return m_Report;
+    if (m_Status != 0 && m_Status != 200)
+      return statusReport(Connection);
+    AttemptReport Failure = failureReport(Connection, Error);
+    // The body ended in good order, yet without the end mark.
+    if (Error == httplib::Error::Success)
+      Failure.m_Detail = "the stream ended without its end mark";
+    Failure.m_Status = m_Status;
+    return Failure;
+  }
+
+private:
+  bool event(const std::string &Data) {
+    try {
+      accept(parseEngineEvent(Data));
+    } catch (const MessageError &Error) {
+      fail(AttemptResult::Malformed, Error.what());
+    }
+    return !m_IsSettled;
+  }
+
+  void accept(EngineEvent Received) {
+    if (Received.m_Error)
+      return fail(AttemptResult::ConnectionLost,
+                  "the engine broke off: " + Received.m_Error->m_Code + " " +
+                      Received.m_Error->m_Endpoint);
+    if (Received.m_IsEndMark)
+      return end();
+    if (!m_Report.m_FinishReason.empty())
+      return fail(AttemptResult::Malformed, "a token after the finish reason");
+    m_Report.m_FinishReason = Received.m_FinishReason;
+    if (Received.m_HasToken)
+      m_OnToken(Received.m_Position, std::move(Received.m_Hops),
+                std::move(Received.m_Text));
+  }
+
+  void end() {
+    if (m_Report.m_FinishReason.empty())
+      return fail(AttemptResult::Malformed, "the end without finish reason");
+    m_IsSettled = true;
+    m_Report.m_Result = AttemptResult::Finished;
+    m_Report.m_Status = m_Status;
+  }
+
+  void fail(AttemptResult Result, std::string Detail) {
+    m_IsSettled = true;
+    m_Report.m_Result = Result;
+    m_Report.m_Status = m_Status;
+    m_Report.m_Detail = std::move(Detail);
+    m_Report.m_FinishReason.clear();
+  }
+
+  /// The engine answered with another status than 200. Only its own statement
+  /// that it did not run the request is taken as a proof of that.
+  AttemptReport statusReport(const EndpointConnection &Connection) const {
+    AttemptReport Result;
+    Result.m_Status = m_Status;
+    auto Error = parseEndpointError(m_ErrorBody);
+    if (Error)
+      Result.m_Detail = Error->m_Code + ": " + Error->m_Message;
+    bool IsRefusal = m_Status == 429 || m_Status == 503;
+    if (IsRefusal && Error && Error->m_Outcome == "not-run")
+      Result.m_Result = Error->m_Code == "draining"
+                            ? AttemptResult::RefusedLeaving
+                            : AttemptResult::RefusedNotRun;
+    else if (Connection.isCancelled())
+      Result.m_Result = AttemptResult::Cancelled;
+    else if (m_Status >= 400 && m_Status < 500 && !IsRefusal)
+      Result.m_Result = AttemptResult::Rejected;
+    else
+      Result.m_Result = m_Status >= 500 || IsRefusal
+                            ? AttemptResult::ConnectionLost
+                            : AttemptResult::Malformed;
+    return Result;
+  }
+
+  const TokenSink &m_OnToken;
+  EventStreamParser m_Parser;
+  int m_Status = 0;
+  std::string m_ErrorBody;
+  bool m_IsSettled = false;
+  AttemptReport m_Report;
+};
+
+static std::unique_ptr<EndpointConnection>
+connectionTo(const std::vector<Stage> &Route) {
+  auto Target =
+      Route.empty() ? std::nullopt : parseAddress(Route.front().m_Address);
+  if (!Target)
+    return nullptr;
+  return std::make_unique<EndpointConnection>(*Target, ConnectLimit);
+}
+
+EngineClient::EngineClient(EngineCall Call, TokenSink OnToken)
+    : m_Call(std::move(Call)), m_OnToken(std::move(OnToken)),
+      m_Connection(connectionTo(m_Call.m_Route)) {}
+
+EngineClient::~EngineClient() = default;
+
+void EngineClient::cancel() {
+  if (m_Connection)
+    m_Connection->cancel();
+}
+
+AttemptReport EngineClient::run() {
+  if (!m_Connection)
+    return {
+        AttemptResult::ConnectFailed, 0, "the address is not IP:port", {}, {}};
+  Stream Incoming(m_OnToken);
+  httplib::Request Request;
+  Request.method = "POST";
+  Request.path = "/v1/completions";
+  Request.set_header("Content-Type", "application/json");
+  Request.set_header("Accept", "text/event-stream");
+  Request.set_header("X-Request-Id", m_Call.m_Payload->m_RequestId);
+  Request.body = engineCallJson(m_Call);
+  Request.response_handler = [&Incoming](const httplib::Response &Response) {
+    Incoming.setStatus(Response.status);
+    return true;
+  };
+  Request.content_receiver = [&Incoming](const char *Data, size_t Size,
+                                         std::uint64_t, std::uint64_t) {
+    return Incoming.receive({Data, Size});
+  };
+  m_Connection->setDeadline(std::chrono::steady_clock::now() + StreamLimit);
+  httplib::Response Response;
+  httplib::Error Error = httplib::Error::Success;
+  m_Connection->call(Request, Response, Error);
+  return Incoming.report(*m_Connection, Error);
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/endpoints/EngineMessages.cpp
@@ -0,0 +1,105 @@
+#include "endpoints/EngineMessages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace parsleyring {
+
+using Json = nlohmann::json;
+
+std::string engineCallJson(const EngineCall &Call) {
+  const auto &Asked = std::get<CompletionPayload>(Call.m_Payload->m_Content);
+  Json Stages = Json::array();
+  for (const Stage &Part : Call.m_Route)
+    Stages.push_back({{"endpoint", Part.m_Hop.m_Endpoint},
+                      {"address", Part.m_Address},
+                      {"first_layer", Part.m_Hop.m_Layers.m_First},
+                      {"end_layer", Part.m_Hop.m_Layers.m_End}});
+  Json Body = Json::parse(Asked.m_ExtraJson);
+  Body["model"] = Asked.m_Model;
+  Body["prompt"] = Asked.m_Prompt;
+  Body["max_tokens"] = Asked.m_MaxTokens;
+  Body["stream"] = true;
+  Body["priority"] = Asked.m_Priority;
+  Body["pipeline"] = {{"request", Call.m_Payload->m_RequestId},
+                      {"epoch", Call.m_Epoch},
+                      {"stages", std::move(Stages)},
+                      {"delivered", Call.m_Delivered},
+                      {"position", Call.m_Delivered.size()}};
+  return Body.dump();
+}
+
+static EndpointError errorFrom(const Json &Error) {
+  return {Error.value("code", ""), Error.value("outcome", ""),
+          Error.value("endpoint", ""), Error.value("message", "")};
+}
+
+std::optional<EndpointError> parseEndpointError(const std::string &Text) {
+  Json Body = Json::parse(Text, nullptr, false);
+  if (!Body.is_object() || !Body.contains("error") ||
+      !Body["error"].is_object())
+    return std::nullopt;
+  try {
+    return errorFrom(Body["error"]);
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
+static std::vector<Hop> hopsFrom(const Json &List) {
+  std::vector<Hop> Hops;
+  for (const Json &Entry : List)
+    Hops.push_back({Entry.at("endpoint").get<std::string>(),
+                    {Entry.at("first_layer").get<std::uint32_t>(),
+                     Entry.at("end_layer").get<std::uint32_t>()}});
+  return Hops;
+}
+
+EngineEvent parseEngineEvent(const std::string &Data) {
+  EngineEvent Result;
+  if (Data == "[DONE]") {
+    Result.m_IsEndMark = true;
+    return Result;
+  }
+  try {
+    Json Body = Json::parse(Data);
+    if (auto Error = Body.find("error"); Error != Body.end()) {
+      Result.m_Error = errorFrom(*Error);
+      return Result;
+    }
+    const Json &Choice = Body.at("choices").at(0);
+    Result.m_Text = Choice.value("text", "");
+    if (auto Reason = Choice.find("finish_reason");
+        Reason != Choice.end() && !Reason->is_null())
+      Result.m_FinishReason = Reason->get<std::string>();
+    // An event that only tells the finish reason has no position.
+    Result.m_HasToken = Body.contains("position");
+    if (Result.m_HasToken) {
+      Result.m_Position = Body.at("position").get<std::uint32_t>();
+      Result.m_Hops = hopsFrom(Body.at("hops"));
+    }
+    return Result;
+  } catch (const Json::exception &Error) {
+    throw MessageError(std::string("event of the engine: ") + Error.what());
+  }
+}
+
+LoadReported parseLoadReport(const std::string &Text) {
+  try {
+    Json Body = Json::parse(Text);
+    LoadReported Result;
+    Result.m_Endpoint = Body.at("endpoint").get<std::string>();
+    Result.m_Incarnation = Body.at("incarnation").get<std::string>();
+    Result.m_ReportedAt =
+        Time(std::chrono::milliseconds(Body.at("at_ms").get<std::int64_t>()));
+    Result.m_Running = Body.at("running").get<std::uint32_t>();
+    Result.m_Waiting = Body.at("waiting").get<std::uint32_t>();
+    Result.m_IsDraining = Body.value("draining", false);
+    Result.m_CachedPrefixes =
+        Body.value("cached_prefixes", std::vector<std::uint64_t>());
+    return Result;
+  } catch (const Json::exception &Error) {
+    throw MessageError(std::string("load report: ") + Error.what());
+  }
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/endpoints/LoadPoller.cpp
@@ -0,0 +1,141 @@
+#include "endpoints/LoadPoller.h"
+
+#include "endpoints/EngineMessages.h"
+#include "http/EndpointConnection.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace parsleyring {
+
+/// Each frozen endpoint holds one thread for the time limit of a poll.
+static constexpr std::size_t PollThreads = 8;
+static constexpr std::chrono::milliseconds MaxPollLimit(500);
+static constexpr std::size_t MaxReportBytes = 256 * 1024;
+/// A report is never older than this; bounds the effect of wrong clocks.
+static constexpr std::chrono::seconds MaxReportAge(10);
+
+struct LoadPoller::Entry {
+  std::string m_Endpoint;
+  std::string m_Address;
+  Clock::time_point m_DueAt;
+  bool m_IsBusy = false;
+  /// Kept between polls; given up after a failure, since a connection can go
+  /// silent for good while new ones work.
+  std::unique_ptr<EndpointConnection> m_Connection;
+};
+
+LoadPoller::LoadPoller(Duration Interval, Callbacks Sinks)
+    : m_Interval(Interval), m_Callbacks(std::move(Sinks)) {
+  for (std::size_t Index = 0; Index < PollThreads; ++Index)
+    m_Threads.emplace_back([this] { work(); });
+}
+
+LoadPoller::~LoadPoller() { stop(); }
+
+void LoadPoller::setEndpoints(
+    const std::map<std::string, std::string> &Addresses) {
+  std::lock_guard<std::mutex> Guard(m_Mutex);
+  std::map<std::string, std::shared_ptr<Entry>> Entries;
+  for (const auto &[Endpoint, Address] : Addresses) {
+    auto Found = m_Entries.find(Endpoint);
+    if (Found != m_Entries.end() && Found->second->m_Address == Address) {
+      Entries.insert(*Found);
+      continue;
+    }
+    auto Added = std::make_shared<Entry>();
+    Added->m_Endpoint = Endpoint;
+    Added->m_Address = Address;
+    Added->m_DueAt = Clock::now();
+    Entries.emplace(Endpoint, std::move(Added));
+  }
+  m_Entries = std::move(Entries);
+  m_Changed.notify_all();
+}
+
+void LoadPoller::stop() {
+  {
+    std::lock_guard<std::mutex> Guard(m_Mutex);
+    m_IsStopping = true;
+    for (auto &[Endpoint, Polled] : m_Entries)
+      if (Polled->m_Connection)
+        Polled->m_Connection->cancel();
+  }
+  m_Changed.notify_all();
+  for (std::thread &Thread : m_Threads)
+    if (Thread.joinable())
+      Thread.join();
+}
+
+std::shared_ptr<LoadPoller::Entry>
+LoadPoller::nextDue(std::unique_lock<std::mutex> &Lock) {
+  while (!m_IsStopping) {
+    std::shared_ptr<Entry> First;
+    for (const auto &[Endpoint, Polled] : m_Entries)
+      if (!Polled->m_IsBusy && (!First || Polled->m_DueAt < First->m_DueAt))
+        First = Polled;
+    if (!First) {
+      m_Changed.wait(Lock);
+      continue;
+    }
+    if (First->m_DueAt <= Clock::now())
+      return First;
+    m_Changed.wait_until(Lock, First->m_DueAt);
+  }
+  return nullptr;
+}
+
+void LoadPoller::work() {
+  std::unique_lock<std::mutex> Lock(m_Mutex);
+  while (std::shared_ptr<Entry> Polled = nextDue(Lock)) {
+    Polled->m_IsBusy = true;
+    Polled->m_DueAt = Clock::now() + m_Interval;
+    auto Target = parseAddress(Polled->m_Address);
+    auto Limit = std::min<Duration>(m_Interval, MaxPollLimit);
+    if (!Polled->m_Connection && Target) {
+      Polled->m_Connection =
+          std::make_unique<EndpointConnection>(*Target, Limit);
+      Polled->m_Connection->set_keep_alive(true);
+    }
+    Lock.unlock();
+    if (Polled->m_Connection && m_Callbacks.m_IsWanted(Polled->m_Endpoint))
+      poll(*Polled);
+    Lock.lock();
+    Polled->m_IsBusy = false;
+    m_Changed.notify_one();
+  }
+}
+
+void LoadPoller::poll(Entry &Polled) {
+  EndpointConnection &Connection = *Polled.m_Connection;
+  Connection.setDeadline(Clock::now() +
+                         std::min<Duration>(m_Interval, MaxPollLimit));
+  std::string Body;
+  httplib::Request Request;
+  Request.method = "GET";
+  Request.path = "/load";
+  Request.content_receiver = [&Body](const char *Data, size_t Size,
+                                     std::uint64_t, std::uint64_t) {
+    Body.append(Data, Size);
+    return Body.size() <= MaxReportBytes;
+  };
+  httplib::Response Response;
+  httplib::Error Error = httplib::Error::Success;
+  try {
+    if (!Connection.call(Request, Response, Error) || Response.status != 200)
+      throw MessageError("no load report");
+    LoadReported Report = parseLoadReport(Body);
+    if (Report.m_Endpoint != Polled.m_Endpoint)
+      throw MessageError("load report of another endpoint");
+    Time Now = m_Callbacks.m_Now();
+    Report.m_ReportedAt = std::min(Report.m_ReportedAt, Now);
+    Report.m_ReportedAt = std::max(Report.m_ReportedAt, Now - MaxReportAge);
+    m_Callbacks.m_Report(Report);
+  } catch (const MessageError &) {
+    m_Callbacks.m_Failed(Polled.m_Endpoint);
+    std::lock_guard<std::mutex> Guard(m_Mutex);
+    Polled.m_Connection.reset();
+  }
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/endpoints/LoadPoller.h
@@ -0,0 +1,57 @@
+#ifndef PARSLEYRING_ENDPOINTS_LOADPOLLER_H
+#define PARSLEYRING_ENDPOINTS_LOADPOLLER_H
+
+#include "parsleyring/Events.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace parsleyring {
+
+class EndpointConnection;
+
+/// Asks endpoints for their load at a fixed interval on a few threads.
+class LoadPoller {
+public:
+  struct Callbacks {
+    std::function<Time()> m_Now;
+    /// False if another VM polls the endpoint now.
+    std::function<bool(const std::string &Endpoint)> m_IsWanted;
+    std::function<void(const LoadReported &)> m_Report;
+    std::function<void(const std::string &Endpoint)> m_Failed;
+  };
+
+  LoadPoller(Duration Interval, Callbacks Sinks);
+  ~LoadPoller();
+
+  /// Replaces the endpoints: names to addresses.
+  void setEndpoints(const std::map<std::string, std::string> &Addresses);
+  void stop();
+
+private:
+  using Clock = std::chrono::steady_clock;
+  struct Entry;
+
+  void work();
+  std::shared_ptr<Entry> nextDue(std::unique_lock<std::mutex> &Lock);
+  void poll(Entry &Polled);
+
+  const Duration m_Interval;
+  const Callbacks m_Callbacks;
+  std::mutex m_Mutex;
+  std::condition_variable m_Changed;
+  std::map<std::string, std::shared_ptr<Entry>> m_Entries;
+  bool m_IsStopping = false;
+  std::vector<std::thread> m_Threads;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_ENDPOINTS_LOADPOLLER_H
--- /dev/null
+++ b/src/endpoints/ServiceClient.cpp
@@ -0,0 +1,125 @@
+#include "endpoints/ServiceClient.h"
+
+#include "endpoints/HttpFailure.h"
+
+#include <strings.h>
+
+#include <algorithm>
+
+namespace parsleyring {
+
+static constexpr std::size_t MaxAnswerBytes = 16 << 20;
+
+static bool isHopByHop(const std::string &Name) {
+  // The router sets the outcome and the request id itself.
+  static const std::vector<const char *> Names{
+      "Connection",        "Keep-Alive", "Proxy-Authenticate",
+      "Transfer-Encoding", "Trailer",    "Upgrade",
+      "Content-Length",    "X-Outcome",  "X-Request-Id"};
+  return std::any_of(Names.begin(), Names.end(), [&Name](const char *Entry) {
+    return ::strcasecmp(Name.c_str(), Entry) == 0;
+  });
+}
+
+/// False if only the end of the connection ends the body, which a broken
+/// connection does as well.
+static bool hasExplicitEnd(const httplib::Request &Request,
+                           const httplib::Response &Response) {
+  return Request.method == "HEAD" || Response.status == 204 ||
+         Response.status == 304 || Response.has_header("Content-Length") ||
+         ::strcasecmp(Response.get_header_value("Transfer-Encoding").c_str(),
+                      "chunked") == 0;
+}
+
+static httplib::Request requestFor(const CallerPayload &Payload) {
+  const auto &Asked = std::get<ServicePayload>(Payload.m_Content);
+  httplib::Request Request;
+  Request.method = Asked.m_Method;
+  Request.path = Asked.m_Target;
+  Request.body = Asked.m_Body;
+  if (!Asked.m_ContentType.empty())
+    Request.set_header("Content-Type", Asked.m_ContentType);
+  if (!Asked.m_IdempotencyKey.empty())
+    Request.set_header("Idempotency-Key", Asked.m_IdempotencyKey);
+  Request.set_header("X-Request-Id", Payload.m_RequestId);
+  Request.set_header("Accept-Encoding", "identity");
+  return Request;
+}
+
+static AttemptReport wholeAnswer(const httplib::Response &Response,
+                                 std::string Body) {
+  AttemptReport Report;
+  Report.m_Status = Response.status;
+  bool IsNotRun = Response.get_header_value("X-Outcome") == "not-run";
+  if (IsNotRun && (Response.status == 503 || Response.status == 429)) {
+    Report.m_Result = Response.status == 503 ? AttemptResult::RefusedLeaving
+                                             : AttemptResult::RefusedNotRun;
+    Report.m_Detail = "the service states that it did not run the call";
+    return Report;
+  }
+  Report.m_Result = AttemptResult::Finished;
+  ServiceAnswer Answer;
+  Answer.m_Status = Response.status;
+  for (const auto &[Name, Value] : Response.headers)
+    if (!isHopByHop(Name))
+      Answer.m_Headers.emplace_back(Name, Value);
+  Answer.m_Body = std::move(Body);
+  Report.m_Answer = std::move(Answer);
+  return Report;
+}
+
+static std::unique_ptr<EndpointConnection>
+connectionTo(const std::string &Text) {
+  auto Target = parseAddress(Text);
+  if (!Target)
+    return nullptr;
+  return std::make_unique<EndpointConnection>(*Target, ConnectLimit);
+}
+
+ServiceClient::ServiceClient(ServiceCall Call)
+    : m_Call(std::move(Call)), m_Connection(connectionTo(m_Call.m_Address)) {}
+
+ServiceClient::~ServiceClient() = default;
+
+void ServiceClient::cancel() {
+  if (m_Connection)
+    m_Connection->cancel();
+}
+
+AttemptReport ServiceClient::run() {
+  if (!m_Connection)
+    return {
+        AttemptResult::ConnectFailed, 0, "the address is not IP:port", {}, {}};
+  httplib::Request Request = requestFor(*m_Call.m_Payload);
+  std::string Body;
+  bool IsTooLong = false;
+  Request.content_receiver = [&](const char *Data, size_t Size, std::uint64_t,
+                                 std::uint64_t) {
+    IsTooLong = Body.size() + Size > MaxAnswerBytes;
+    if (!IsTooLong)
+      Body.append(Data, Size);
+    return !IsTooLong;
+  };
+  m_Connection->setDeadline(std::chrono::steady_clock::now() +
+                            m_Call.m_Timeout);
+  httplib::Response Response;
+  httplib::Error Error = httplib::Error::Success;
+  bool IsWhole = m_Connection->call(Request, Response, Error);
+  if (IsTooLong)
+    return {AttemptResult::Malformed,
+            Response.status,
+            "the answer is longer than 16 MiB",
+            {},
+            {}};
+  if (!IsWhole)
+    return failureReport(*m_Connection, Error);
+  if (!hasExplicitEnd(Request, Response))
+    return {AttemptResult::ConnectionLost,
+            Response.status,
+            "the answer has neither a length nor chunks",
+            {},
+            {}};
+  return wholeAnswer(Response, std::move(Body));
+}
+
+} // namespace parsleyring
