Match the engine emulator to the routers' messages

The routers hash prompt prefixes with XXH64 and take a finish reason without a position after a resume that finds everything delivered. Load reports list at most 256 prefixes by default, some 5 KB.

--- a/src/emulator/EngineEmulator.cpp
+++ b/src/emulator/EngineEmulator.cpp
@@ -243,6 +243,10 @@
 bool EngineEmulator::streamTokens(Job &Work, HttpStream &Out) {
   if (!m_Batch.waitForSlot(Work.key(), [&] { return Out.isOpen(); }))
     return false;
+  // Everything was delivered before; only the reason of the end is missing.
+  if (Work.m_Position >= Work.m_MaxTokens)
+    Out.write("data: {\"choices\":[{\"index\":0,\"text\":\"\","
+              "\"finish_reason\":\"length\"}]}\n\n");
   for (std::uint32_t Position = Work.m_Position; Position < Work.m_MaxTokens;
        ++Position) {
     if (!Out.isOpen())
--- a/src/emulator/EngineEmulator.h
+++ b/src/emulator/EngineEmulator.h
@@ -23,7 +23,7 @@
   LayerRange m_Layers;
   std::uint32_t m_TokenMicros = 1000;
   std::uint32_t m_Slots = 8;
-  std::uint32_t m_CacheEntries = 1000;
+  std::uint32_t m_CacheEntries = 256;
   std::uint32_t m_ReportLagMillis = 0;
   bool m_IgnoresFencing = false;
   WrongHops m_WrongHops = WrongHops::None;
--- a/src/emulator/TokenText.cpp
+++ b/src/emulator/TokenText.cpp
@@ -31,7 +31,7 @@
   std::vector<std::uint64_t> Hashes;
   for (std::size_t End = PrefixStepBytes; End <= Text.size();
        End += PrefixStepBytes)
-    Hashes.push_back(XXH3_64bits(Text.data(), End));
+    Hashes.push_back(XXH64(Text.data(), End, 0));
   return Hashes;
 }
 
--- a/src/emulator/TokenText.h
+++ b/src/emulator/TokenText.h
@@ -17,8 +17,8 @@
 /// All texts of an answer, joined.
 std::string answerText(std::string_view Prompt, std::uint32_t Tokens);
 
-/// XXH3 (64 bits) of the prefixes in steps of 256 bytes, shortest first. A
-/// remainder of less than 256 bytes has no hash.
+/// XXH64 of the prefixes in steps of 256 bytes, shortest first, as the routers
+/// compute them. A remainder of less than 256 bytes has no hash.
 std::vector<std::uint64_t> prefixHashes(std::string_view Text);
 
 } // namespace parsleyring
