--- a/src/emulator/EngineEmulator.cpp
+++ b/src/emulator/EngineEmulator.cpp
@@ -56,7 +56,7 @@
 /// A request at one of its stages.
 struct EngineEmulator::Job {
   std::string m_Request;
-  std::uint32_t m_Epoch = 0;
+  std::string m_Key; ///< Unique for each start of a request.
   int m_Priority = 0;
   std::uint64_t m_Seed = 0;
   std::vector<std::uint64_t> m_Prefixes; ///< Empty after the first token.
@@ -65,7 +65,6 @@
   std::uint32_t m_Position = 0;
   std::uint32_t m_MaxTokens = 0;
 
-  std::string key() const { return m_Request + "#" + std::to_string(m_Epoch); }
   bool hasNext() const { return m_Stages.size() > 1; }
   std::string nextAddress() const { return m_Stages[1].at("address"); }
 
@@ -73,7 +72,7 @@
   Json forward(const char *Operation) const {
     Json Body = {{"operation", Operation},
                  {"request", m_Request},
-                 {"epoch", m_Epoch},
+                 {"key", m_Key},
                  {"priority", m_Priority},
                  {"stages", m_Stages}};
     Body["stages"].erase(0);
@@ -172,7 +171,8 @@
   auto Work = std::make_unique<Job>();
   std::string Prompt = Body.at("prompt");
   Work->m_Request = Pipeline.at("request");
-  Work->m_Epoch = Pipeline.value("epoch", 0);
+  Work->m_Key = Work->m_Request + "#" + m_Options.m_Endpoint + "#" +
+                std::to_string(m_NextKey++);
   Work->m_Priority = Body.value("priority", 0);
   Work->m_Seed = promptSeed(Prompt);
   Work->m_Stages = Pipeline.at("stages");
@@ -209,7 +209,7 @@
     return false;
   }
   m_Batch.dropUnused();
-  if (!m_Batch.open(Work.key(), Work.m_Priority)) {
+  if (!m_Batch.open(Work.m_Key, Work.m_Priority)) {
     refuse(Reply, 429, "overloaded", "too many requests wait");
     return false;
   }
@@ -219,7 +219,7 @@
                                Work.forward("open").dump());
   if (Answer && Answer->m_Status == 200)
     return true;
-  m_Batch.close(Work.key());
+  m_Batch.close(Work.m_Key);
   // The code "draining" would tell the router that this stage is leaving.
   refuse(Reply, 503, "overloaded", "a later stage refused");
   Json Error = Answer ? Json::parse(Answer->m_Body)
@@ -234,14 +234,14 @@
 }
 
 void EngineEmulator::closeStages(const Job &Work) {
-  m_Batch.close(Work.key());
+  m_Batch.close(Work.m_Key);
   if (Work.hasNext())
     m_Clients.post(Work.nextAddress(), "/v1/forward",
                    Work.forward("close").dump());
 }
 
 bool EngineEmulator::streamTokens(Job &Work, HttpStream &Out) {
-  if (!m_Batch.waitForSlot(Work.key(), [&] { return Out.isOpen(); }))
+  if (!m_Batch.waitForSlot(Work.m_Key, [&] { return Out.isOpen(); }))
     return false;
   // Everything was delivered before; only the reason of the end is missing.
   if (Work.m_Position >= Work.m_MaxTokens)
@@ -278,7 +278,7 @@
   std::size_t Steps = 1;
   if (!Work.m_IsPrefilled)
     Steps = std::max<std::size_t>(1, m_Cache.use(Work.m_Prefixes));
-  m_Batch.compute(Work.key(),
+  m_Batch.compute(Work.m_Key,
                   Steps * std::chrono::microseconds(m_Options.m_TokenMicros));
   m_Counts.noteToken(Work.m_Request, Position);
 }
@@ -325,7 +325,7 @@
   Json Body = Json::parse(Call.m_Body);
   Job Work;
   Work.m_Request = Body.at("request");
-  Work.m_Epoch = Body.at("epoch");
+  Work.m_Key = Body.at("key");
   Work.m_Priority = Body.at("priority");
   Work.m_Stages = Body.at("stages");
   std::string Operation = Body.at("operation");
--- a/src/emulator/EngineEmulator.h
+++ b/src/emulator/EngineEmulator.h
@@ -67,6 +67,7 @@
   EngineCounts m_Counts;
   PrefixCache m_Cache;
   HttpClientPool m_Clients;
+  std::atomic<std::uint64_t> m_NextKey{0};
   std::mutex m_OrderMutex;
   std::uint64_t m_FencingToken = 0;
   HttpServer m_Server;
--- /dev/null
+++ b/tests/support/FreePort.h
@@ -0,0 +1,28 @@
+#ifndef PARSLEYRING_TESTS_SUPPORT_FREEPORT_H
+#define PARSLEYRING_TESTS_SUPPORT_FREEPORT_H
+
+#include <string>
+
+namespace parsleyring {
+
+/// A TCP port of 127.0.0.1 for one server. A socket that does not listen keeps
+/// the port from being given to another process; a server that sets
+/// SO_REUSEADDR can use it.
+class FreePort {
+public:
+  FreePort();
+  ~FreePort();
+  FreePort(const FreePort &) = delete;
+  FreePort &operator=(const FreePort &) = delete;
+
+  /// "127.0.0.1:port".
+  const std::string &address() const { return m_Address; }
+
+private:
+  int m_Socket;
+  std::string m_Address;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_TESTS_SUPPORT_FREEPORT_H
--- /dev/null
+++ b/tests/support/TestCluster.cpp
@@ -0,0 +1,264 @@
+#include "support/TestCluster.h"
+
+#include "document/DocumentParts.h"
+#include "support/Eventually.h"
+
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+
+namespace parsleyring {
+
+using Json = nlohmann::json;
+
+static constexpr std::uint32_t Layers = 24;
+static constexpr std::uint32_t LayersPerStage = 8;
+static const std::string Loopback = "127.0.0.1:0";
+
+struct TestCluster::RouterFiles {
+  FreePort m_CallerPort;
+  FreePort m_PeerPort;
+  std::unique_ptr<TemporaryFile> m_Settings;
+};
+
+static std::string routerName(unsigned Index) {
+  return "vm-" + std::to_string(Index);
+}
+
+static std::string domainOfRouter(unsigned Index) {
+  return Index % 2 == 0 ? "fd-a" : "fd-b";
+}
+
+/// "engine-a0" and "service-a" are in fd-a.
+static std::string domainOfEndpoint(const std::string &Name) {
+  return std::string("fd-") + Name[Name.find('-') + 1];
+}
+
+static LayerRange layersOf(const std::string &Engine) {
+  auto Stage = static_cast<std::uint32_t>(Engine.back() - '0');
+  return {Stage * LayersPerStage, (Stage + 1) * LayersPerStage};
+}
+
+const std::vector<std::string> &TestCluster::engineNames() {
+  static const std::vector<std::string> Names = {"engine-a0", "engine-a1",
+                                                 "engine-a2", "engine-b0",
+                                                 "engine-b1", "engine-b2"};
+  return Names;
+}
+
+const std::vector<std::string> &TestCluster::serviceNames() {
+  static const std::vector<std::string> Names = {"service-a", "service-b"};
+  return Names;
+}
+
+std::vector<ClientAccount> clientAccounts(unsigned Routers) {
+  static constexpr double Ample = 100000;
+  return {{"large", {sha256Hex("key-large")}, 10, Ample, 10000},
+          {"slow", {sha256Hex("key-slow")}, 1, 1, 100},
+          {"narrow", {sha256Hex("key-narrow")}, 1, Ample, Routers}};
+}
+
+TestCluster::TestCluster(const TestClusterOptions &Options)
+    : m_Options(Options) {
+  m_Addresses["platform"] = startEmulator("platform", {"platform"});
+  startEndpoints();
+  buildDocument();
+  publish(m_Document);
+  for (unsigned Index = 0; Index < Options.m_Routers; ++Index) {
+    m_Routers.push_back(std::make_unique<RouterFiles>());
+    m_Addresses[routerName(Index)] = m_Routers.back()->m_CallerPort.address();
+  }
+  for (unsigned Index = 0; Index < Options.m_Routers; ++Index)
+    startRouter(Index);
+  for (const std::string &Name : routerNames())
+    waitUntilReady(Name);
+}
+
+TestCluster::~TestCluster() = default;
+
+std::string TestCluster::startEmulator(const std::string &Name,
+                                       std::vector<std::string> Arguments) {
+  for (const std::string &Flag : m_Options.m_Flags[Name])
+    Arguments.push_back(Flag);
+  Arguments.insert(Arguments.end(), {"--listen", Loopback});
+  auto &Process = m_Processes[Name];
+  Process = std::make_unique<ProcessRunner>("parsleyring-emulator", Arguments);
+  return Process->waitForLine("listening");
+}
+
+void TestCluster::startEndpoints() {
+  for (const std::string &Name : engineNames()) {
+    LayerRange Held = layersOf(Name);
+    m_Addresses[Name] =
+        startEmulator(Name, {"engine", "--endpoint", Name, "--first-layer",
+                             std::to_string(Held.m_First), "--end-layer",
+                             std::to_string(Held.m_End), "--token-micros",
+                             std::to_string(m_Options.m_TokenMicros), "--slots",
+                             std::to_string(m_Options.m_Slots)});
+  }
+  for (const std::string &Name : serviceNames())
+    m_Addresses[Name] =
+        startEmulator(Name, {"service", "--endpoint", Name, "--delay-ms",
+                             std::to_string(m_Options.m_ServiceDelayMillis)});
+}
+
+void TestCluster::buildDocument() {
+  auto Fill = [this](Pool &Target, const std::vector<std::string> &Names) {
+    for (const std::string &Name : Names) {
+      EndpointSpec Endpoint;
+      Endpoint.m_Name = Name;
+      Endpoint.m_Address = m_Addresses[Name];
+      Endpoint.m_FailureDomain = domainOfEndpoint(Name);
+      Endpoint.m_Accelerator = "emulated";
+      Endpoint.m_Slots = m_Options.m_Slots;
+      Endpoint.m_TokenMicros = m_Options.m_TokenMicros;
+      if (Target.m_Kind == PoolKind::Engine)
+        Endpoint.m_Layers = layersOf(Name);
+      Target.m_Endpoints.push_back(Endpoint);
+    }
+  };
+  Pool Engines;
+  Engines.m_Name = "engines";
+  Fill(Engines, engineNames());
+  Pool Registry;
+  Registry.m_Name = "registry";
+  Registry.m_Kind = PoolKind::Service;
+  Fill(Registry, serviceNames());
+  m_Document.m_Accounts = clientAccounts(m_Options.m_Routers);
+  m_Document.m_Pipelines = {{"ledger", Layers, "engines", 512}};
+  m_Document.m_Pools = {Engines, Registry};
+  m_Document.m_Rules = {{"registry", "POST", "/fees", false}};
+  m_Document.m_Links = {{"fd-a", "fd-b", 500}, {"fd-b", "fd-a", 500}};
+  if (m_Options.m_Adjust)
+    m_Options.m_Adjust(m_Document);
+}
+
+void TestCluster::publish(const Document &Next) {
+  auto Put = [this](const std::string &Key, const std::string &Value) {
+    HttpAnswer Answer =
+        sendHttp(address("platform"), {"PUT", "/v1/kv/" + Key, Value});
+    if (Answer.m_Status != 200)
+      throw std::runtime_error("the platform did not take " + Key);
+  };
+  Json Chunks = Json::array();
+  for (const DocumentPart &Part : splitDocument(Next)) {
+    std::string Hash = sha256Hex(Part.m_Text);
+    Put("config/chunks/" + Hash, Part.m_Text);
+    Chunks.push_back({{"name", Part.m_Name}, {"sha256", Hash}});
+  }
+  ++m_Version;
+  Json Head = {{"version", m_Version},
+               {"chunks", Chunks},
+               {"author", "test"},
+               {"submission", "test-" + std::to_string(m_Version)},
+               {"published_at_ms", 0}};
+  Put("config/head", Head.dump());
+  m_Document = Next;
+}
+
+std::string TestCluster::routerSettings(unsigned Index) const {
+  std::string Text =
+      "[vm]\nid = \"" + routerName(Index) + "\"\nfailure_domain = \"" +
+      domainOfRouter(Index) + "\"\n[listen]\ncallers = \"" +
+      m_Routers[Index]->m_CallerPort.address() + "\"\npeers = \"" +
+      m_Routers[Index]->m_PeerPort.address() + "\"\n[platform]\naddress = \"" +
+      m_Addresses.at("platform") + "\"\n";
+  for (unsigned Peer = 0; Peer < m_Routers.size(); ++Peer)
+    if (Peer != Index)
+      Text += "[[peer]]\nid = \"" + routerName(Peer) + "\"\naddress = \"" +
+              m_Routers[Peer]->m_PeerPort.address() +
+              "\"\nfailure_domain = \"" + domainOfRouter(Peer) + "\"\n";
+  return Text + m_Options.m_RouterSettings;
+}
+
+void TestCluster::startRouter(unsigned Index) {
+  RouterFiles &Started = *m_Routers.at(Index);
+  Started.m_Settings = std::make_unique<TemporaryFile>(routerSettings(Index));
+  m_Processes[routerName(Index)] = std::make_unique<ProcessRunner>(
+      "parsleyring-router",
+      std::vector<std::string>{"--config", Started.m_Settings->path()});
+}
+
+void TestCluster::waitUntilReady(const std::string &Router) {
+  ProcessRunner &Process = process(Router);
+  bool IsReady = false;
+  eventually([&] {
+    IsReady = sendHttp(address(Router), {"GET", "/readyz"}).m_Status == 200;
+    return IsReady || !Process.isRunning();
+  });
+  if (!IsReady)
+    throw std::runtime_error(Router + " does not become ready:\n" +
+                             Process.errors());
+}
+
+std::vector<std::string> TestCluster::routerNames() const {
+  std::vector<std::string> Names;
+  for (unsigned Index = 0; Index < m_Routers.size(); ++Index)
+    Names.push_back(routerName(Index));
+  return Names;
+}
+
+const std::string &TestCluster::address(const std::string &Name) const {
+  return m_Addresses.at(Name);
+}
+
+ProcessRunner &TestCluster::process(const std::string &Name) {
+  return *m_Processes.at(Name);
+}
+
+HttpAnswer TestCluster::send(const std::string &Name, HttpOrder Order) const {
+  Order.m_Headers.emplace("Authorization", "Bearer key-large");
+  return sendHttp(address(Name), Order);
+}
+
+HttpAnswer TestCluster::complete(const std::string &Router,
+                                 const std::string &Prompt, unsigned MaxTokens,
+                                 bool IsStreamed) const {
+  Json Body = {{"model", "ledger"},
+               {"prompt", Prompt},
+               {"max_tokens", MaxTokens},
+               {"stream", IsStreamed}};
+  return send(Router, {"POST", "/v1/completions", Body.dump()});
+}
+
+void TestCluster::admin(const std::string &Name, const std::string &Path,
+                        const std::string &Body) const {
+  if (sendHttp(address(Name), {"POST", Path, Body}).m_Status != 200)
+    throw std::runtime_error(Name + " does not take " + Path);
+}
+
+Json TestCluster::counts(const std::string &Name) const {
+  return Json::parse(sendHttp(address(Name), {"GET", "/admin/counts"}).m_Body);
+}
+
+std::uint64_t TestCluster::total(const std::vector<std::string> &Names,
+                                 const std::string &Count) const {
+  std::uint64_t Sum = 0;
+  for (const std::string &Name : Names)
+    Sum += counts(Name).at(Count).get<std::uint64_t>();
+  return Sum;
+}
+
+std::uint64_t TestCluster::engineTotal(const std::string &Count) const {
+  return total(engineNames(), Count);
+}
+
+std::uint64_t TestCluster::serviceTotal(const std::string &Count) const {
+  return total(serviceNames(), Count);
+}
+
+std::vector<std::string> eventData(const std::string &Body) {
+  static const std::string Prefix = "data: ";
+  std::vector<std::string> Events;
+  std::size_t Begin = 0;
+  for (std::size_t End = Body.find("\n\n"); End != std::string::npos;
+       End = Body.find("\n\n", Begin)) {
+    std::string Line = Body.substr(Begin, End - Begin);
+    if (Line.compare(0, Prefix.size(), Prefix) == 0)
+      Events.push_back(Line.substr(Prefix.size()));
+    Begin = End + 2;
+  }
+  return Events;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/tests/support/TestCluster.h
@@ -0,0 +1,99 @@
+#ifndef PARSLEYRING_TESTS_SUPPORT_TESTCLUSTER_H
+#define PARSLEYRING_TESTS_SUPPORT_TESTCLUSTER_H
+
+#include "parsleyring/Document.h"
+#include "support/FreePort.h"
+#include "support/HttpCalls.h"
+#include "support/ProcessRunner.h"
+#include "support/TemporaryFile.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <memory>
+
+namespace parsleyring {
+
+struct TestClusterOptions {
+  unsigned m_Routers = 2;
+  unsigned m_TokenMicros = 2000;
+  unsigned m_Slots = 8;
+  unsigned m_ServiceDelayMillis = 0;
+  /// Further flags of the emulator with the name, for example "engine-a0".
+  std::map<std::string, std::vector<std::string>> m_Flags;
+  /// Changes the document before it is published.
+  std::function<void(Document &)> m_Adjust;
+  /// TOML that is appended to the settings of each router, for example
+  /// "[limits]\ndrain_lead_ms = 0\n".
+  std::string m_RouterSettings;
+};
+
+/// Real processes on loopback: the platform, a pipeline "ledger" of 24 layers
+/// over engines engine-a0, -a1, -a2 (fd-a) and engine-b0, -b1, -b2 (fd-b) of 8
+/// layers each, a service pool "registry" of service-a and service-b, and
+/// routers vm-0 (fd-a), vm-1 (fd-b), vm-2 (fd-a) and so on. The accounts are
+/// those of clientAccounts().
+class TestCluster {
+public:
+  /// Starts everything and waits until all routers are ready. Throws
+  /// std::runtime_error with the output of a process that failed.
+  explicit TestCluster(const TestClusterOptions &Options = {});
+  ~TestCluster();
+
+  /// Address of "platform", an endpoint or "vm-N" (its side for callers).
+  const std::string &address(const std::string &Name) const;
+  ProcessRunner &process(const std::string &Name);
+  void startRouter(unsigned Index);
+  void waitUntilReady(const std::string &Router);
+  std::vector<std::string> routerNames() const;
+
+  const Document &document() const { return m_Document; }
+  /// Publishes the document as the next version.
+  void publish(const Document &Next);
+
+  /// Sends a request with the key of account "large".
+  HttpAnswer send(const std::string &Name, HttpOrder Order) const;
+  /// POST /v1/completions for the pipeline "ledger".
+  HttpAnswer complete(const std::string &Router, const std::string &Prompt,
+                      unsigned MaxTokens, bool IsStreamed = false) const;
+  /// POST to the emulator.
+  void admin(const std::string &Name, const std::string &Path,
+             const std::string &Body = "{}") const;
+  /// GET /admin/counts of the emulator.
+  nlohmann::json counts(const std::string &Name) const;
+  /// Sum of a count over the engines, or over the services.
+  std::uint64_t engineTotal(const std::string &Count) const;
+  std::uint64_t serviceTotal(const std::string &Count) const;
+
+  static const std::vector<std::string> &engineNames();
+  static const std::vector<std::string> &serviceNames();
+
+private:
+  struct RouterFiles;
+
+  std::string startEmulator(const std::string &Name,
+                            std::vector<std::string> Arguments);
+  void startEndpoints();
+  void buildDocument();
+  std::string routerSettings(unsigned Index) const;
+  std::uint64_t total(const std::vector<std::string> &Names,
+                      const std::string &Count) const;
+
+  TestClusterOptions m_Options;
+  Document m_Document;
+  std::uint64_t m_Version = 0;
+  std::map<std::string, std::string> m_Addresses;
+  std::map<std::string, std::unique_ptr<ProcessRunner>> m_Processes;
+  std::vector<std::unique_ptr<RouterFiles>> m_Routers;
+};
+
+/// "large" (key "key-large") with ample limits, "slow" (key "key-slow") with
+/// one request per second, and "narrow" (key "key-narrow") with one
+/// outstanding request per VM.
+std::vector<ClientAccount> clientAccounts(unsigned Routers);
+
+/// Data of the server-sent events of a body, without "data: ".
+std::vector<std::string> eventData(const std::string &Body);
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_TESTS_SUPPORT_TESTCLUSTER_H
