--- a/src/routing/EndpointTable.h
+++ b/src/routing/EndpointTable.h
@@ -24,6 +24,9 @@
   LoadEstimate m_Load;
   PrefixHints m_Prefixes;
   PaceEstimate m_Pace;
+  /// In [0, 1), drawn with each report: rounds parts of slots up or down, so
+  /// that the routers choose different endpoints.
+  double m_Rounding = 0;
   /// Last time at which a good token came through the endpoint.
   Time m_ProgressAt = Time::min();
 };
--- a/src/routing/LoadEstimate.cpp
+++ b/src/routing/LoadEstimate.cpp
@@ -69,8 +69,12 @@
   return std::max(Own, static_cast<double>(m_Reported) + m_SinceReport);
 }
 
-bool LoadEstimate::hasFreeSlot(Time Now, std::uint32_t Slots) const {
-  return Now >= m_FullUntil && requests(Now) < Slots;
+double LoadEstimate::ownAtReport() const {
+  return std::max(0.0, static_cast<double>(m_Outstanding) - m_SinceReport);
+}
+
+double LoadEstimate::othersAtReport(Time Now) const {
+  return hasReport(Now) ? std::max(0.0, m_Reported - ownAtReport()) : 0;
 }
 
 } // namespace parsleyring
--- a/src/routing/LoadEstimate.h
+++ b/src/routing/LoadEstimate.h
@@ -28,7 +28,10 @@
 
   std::uint32_t outstanding() const { return m_Outstanding; }
   double requests(Time Now) const;
-  bool hasFreeSlot(Time Now, std::uint32_t Slots) const;
+  /// Requests of this VM and of the other ones at the time of the report.
+  double ownAtReport() const;
+  double othersAtReport(Time Now) const;
+  bool isRefusing(Time Now) const { return Now < m_FullUntil; }
   bool hasReport(Time Now) const;
   /// Zero without a report.
   Duration reportAge(Time Now) const;
--- a/src/routing/RoutePlanner.cpp
+++ b/src/routing/RoutePlanner.cpp
@@ -3,6 +3,7 @@
 #include "routing/AttemptTable.h"
 #include "routing/LeavingTable.h"
 #include "routing/RouteStrategy.h"
+#include "routing/SlotDivision.h"
 #include "routing/StallLog.h"
 
 #include <algorithm>
@@ -50,6 +51,7 @@
   std::string m_StrategyName;
   std::unique_ptr<RouteStrategy> m_Strategy;
   std::vector<std::string> m_UnreachableDomains;
+  std::uint32_t m_Routers = 1;
 };
 
 void RoutePlanner::Implementation::useStrategy(const std::string &Name) {
@@ -97,11 +99,11 @@
     Option.m_Load = Option.m_Requests / std::max(Spec.m_Slots, 1U);
     Option.m_Estimate = Costs.estimate(*Member);
     Option.m_CostMicros = Costs.stageMicros(Option.m_Estimate, Option.m_Load);
-    Option.m_HasFreeSlot = Member->m_Load.hasFreeSlot(Now, Spec.m_Slots);
     Option.m_IsAvoided = std::find(Query.m_Avoid.begin(), Query.m_Avoid.end(),
                                    Spec.m_Name) != Query.m_Avoid.end();
     Result.push_back(Option);
   }
+  SlotDivision(Now, m_Routers).apply(Result);
   return Result;
 }
 
@@ -313,6 +315,7 @@
   }
   Known->m_Load.noteReport(Now, Report.m_ReportedAt,
                            Report.m_Running + Report.m_Waiting);
+  Known->m_Rounding = m_Implementation->m_Random.uniform();
   Known->m_Prefixes.note(Report.m_ReportedAt, Report.m_CachedPrefixes);
 }
 
@@ -339,6 +342,10 @@
   m_Implementation->refreshFlags();
 }
 
+void RoutePlanner::setRouterCount(std::uint32_t Routers) {
+  m_Implementation->m_Routers = std::max(Routers, 1U);
+}
+
 std::vector<EndpointStatus> RoutePlanner::status(Time Now) const {
   std::vector<EndpointStatus> Result;
   for (const auto &[Pool, Members] : m_Implementation->m_Endpoints.pools())
--- a/src/routing/RoutePlanner.h
+++ b/src/routing/RoutePlanner.h
@@ -91,6 +91,9 @@
   Duration quarantine(Time Now, const std::string &Endpoint);
   void setUnreachableDomains(const std::vector<std::string> &Domains);
 
+  /// Number of live routers with this one; they divide contended slots.
+  void setRouterCount(std::uint32_t Routers);
+
   std::vector<EndpointStatus> status(Time Now) const;
 
 private:
