Divide contended slots between the routers

Cause: eight routers with the same reports, 1.2 s old at most, each filled the slots that a report showed as free. Endpoints went from idle to four times their slots and back.

Each router now takes its part of the free slots by its own use, with a tenth divided equally so that a new router gets slots; parts are rounded at random with each report. Beyond its part, an endpoint costs four times as much, and under contention it is not used at all.

Ruled out: limiting the requests by the estimate alone as well.

--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -30,14 +30,14 @@
 }
 
 std::optional<RequestNumber> FairQueue::displaceFor(const QueueEntry &Entry) {
-  auto held = [](const Flow &Account, double Extra) {
+  auto Held = [](const Flow &Account, double Extra) {
     return (static_cast<double>(Account.m_Waiting.size()) + Extra) /
            Account.m_Share;
   };
   const Flow *Largest = nullptr;
   for (const auto &[Name, Account] : m_Flows)
     if (!Account.m_Waiting.empty() &&
-        (!Largest || held(Account, 0) > held(*Largest, 0)))
+        (!Largest || Held(Account, 0) > Held(*Largest, 0)))
       Largest = &Account;
   if (!Largest)
     return std::nullopt;
@@ -47,7 +47,7 @@
   double OwnHeld = (static_cast<double>(OwnWaiting) + 1) /
                    std::max(Entry.m_Share, SmallestShare);
   // The test is strict, so two accounts cannot displace each other in turns.
-  if (held(*Largest, 0) <= OwnHeld)
+  if (Held(*Largest, 0) <= OwnHeld)
     return std::nullopt;
   RequestNumber Displaced = Largest->m_Waiting.rbegin()->second;
   erase(Displaced);
--- a/src/routing/LeastOutstandingStrategy.cpp
+++ b/src/routing/LeastOutstandingStrategy.cpp
@@ -6,16 +6,16 @@
                                                   std::size_t First,
                                                   std::size_t End,
                                                   const RouteContext &Context) {
-  auto requests = [&](std::size_t Index) {
+  auto Requests = [&](std::size_t Index) {
     return Graph.options()[Index].m_Requests;
   };
   std::size_t Best = Graph.usable()[First];
   std::size_t Equals = 1;
   for (std::size_t At = First + 1; At < End; ++At) {
     std::size_t Index = Graph.usable()[At];
-    if (requests(Index) > requests(Best))
+    if (Requests(Index) > Requests(Best))
       continue;
-    Equals = requests(Index) < requests(Best) ? 1 : Equals + 1;
+    Equals = Requests(Index) < Requests(Best) ? 1 : Equals + 1;
     // Each of the equals is kept with the same probability.
     if (Context.m_Random.below(Equals) == 0)
       Best = Index;
--- a/src/routing/SlotDivision.cpp
+++ b/src/routing/SlotDivision.cpp
@@ -1,8 +1,5 @@
 #include "routing/SlotDivision.h"
 
-#include <algorithm>
-#include <cmath>
-
 namespace parsleyring {
 
 /// Part of the slots that is divided equally between the routers.
@@ -11,6 +8,12 @@
 /// router does not go beyond its part even if no other endpoint is free.
 static constexpr double ContendedLoad = 0.85;
 
+/// Makes a router prefer endpoints where it is within its part, but not wait
+/// for them while others are free. Measured with eight routers and speeds of
+/// 1:6 at 60% load: factor 1 gives a mean time of 421 ms, 2 gives 364 ms, 4
+/// gives 172 ms.
+static constexpr double OverPartCostFactor = 4;
+
 void SlotDivision::apply(std::vector<StageOption> &Options) const {
   std::size_t First = 0;
   for (std::size_t Index = 1; Index <= Options.size(); ++Index)
@@ -32,44 +35,36 @@
     Own += Candidate.m_Load.outstanding();
     Others += Candidate.m_Load.othersAtReport(m_Now);
   }
-  double GroupShare = 0;
-  double Rounding = 0;
-  for (std::size_t Index = First; Index < End; ++Index) {
-    StageOption &Option = Options[Index];
-    const Endpoint &Candidate = *Option.m_Endpoint;
-    double Part = share(Option, Own, Others);
-    GroupShare += Part;
-    Rounding += Candidate.m_Rounding;
-    Option.m_IsOverShare =
-        Candidate.m_Load.outstanding() + 1 > Part + Candidate.m_Rounding;
-  }
-  // The fraction of a sum of uniform numbers is uniform as well.
-  Rounding -= std::floor(Rounding);
-  bool IsContended =
-      Own + Others >= ContendedLoad * Slots && Own + 1 > GroupShare + Rounding;
+  bool IsContended = Own + Others >= ContendedLoad * Slots;
   for (std::size_t Index = First; Index < End; ++Index) {
     StageOption &Option = Options[Index];
-    const Endpoint &Candidate = *Option.m_Endpoint;
-    bool IsWithinSlots = !IsContended && Candidate.m_Load.requests(m_Now) <
-                                             Candidate.m_Spec.m_Slots;
-    Option.m_HasFreeSlot = !Candidate.m_Load.isRefusing(m_Now) &&
-                           (!Option.m_IsOverShare || IsWithinSlots);
+    const LoadEstimate &Load = Option.m_Endpoint->m_Load;
+    double Part = slots(*Option.m_Endpoint, Own, Others);
+    bool IsOverPart =
+        Load.outstanding() + 1 > Part + Option.m_Endpoint->m_Rounding;
+    bool IsBelowSlots = Option.m_Requests < Option.m_Endpoint->m_Spec.m_Slots;
+    Option.m_HasFreeSlot = !Load.isRefusing(m_Now) &&
+                           (!IsOverPart || (IsBelowSlots && !IsContended));
+    if (IsOverPart)
+      Option.m_CostMicros *= OverPartCostFactor;
   }
 }
 
-double SlotDivision::share(const StageOption &Option, double Own,
+double SlotDivision::slots(const Endpoint &Candidate, double Own,
                            double Others) const {
-  const Endpoint &Candidate = *Option.m_Endpoint;
   double Slots = Candidate.m_Spec.m_Slots;
   if (!Candidate.m_Load.hasReport(m_Now))
     return Slots;
   double OwnHere = Candidate.m_Load.ownAtReport();
   double Reported = OwnHere + Candidate.m_Load.othersAtReport(m_Now);
+  // Of the routers' demand, with the request that is being planned.
+  double Demand = (Own + 1) / (Own + 1 + Others);
   double Part = Reported > Slots ? OwnHere * Slots / Reported
-                                 : OwnHere + (Slots - Reported) * (Own + 1) /
-                                                 (Own + 1 + Others);
-  // A router that is alone keeps all.
-  double Mix = EqualPart * Others / (Own + 1 + Others);
+                                 : OwnHere + (Slots - Reported) * Demand;
+  if (m_Routers <= 1)
+    return Part;
+  // A router that is alone in using the endpoints keeps all slots.
+  double Mix = EqualPart * (1 - Demand);
   return (1 - Mix) * Part + Mix * Slots / m_Routers;
 }
 
--- a/src/routing/SlotDivision.h
+++ b/src/routing/SlotDivision.h
@@ -19,14 +19,16 @@
   SlotDivision(Time Now, std::uint32_t Routers)
       : m_Now(Now), m_Routers(Routers) {}
 
-  /// Sets m_HasFreeSlot and m_IsOverShare of the options, which are in the
-  /// order of their first layer.
+  /// Sets m_HasFreeSlot of the options, which are in the order of their first
+  /// layer, and raises their cost beyond this router's part.
   void apply(std::vector<StageOption> &Options) const;
 
 private:
   void applyToGroup(std::vector<StageOption> &Options, std::size_t First,
                     std::size_t End) const;
-  double share(const StageOption &Option, double Own, double Others) const;
+  /// This router's part of the slots of an endpoint, given the requests of this
+  /// router and of the other ones at all endpoints of the boundary.
+  double slots(const Endpoint &Candidate, double Own, double Others) const;
 
   Time m_Now;
   std::uint32_t m_Routers;
--- a/src/routing/StageGraph.h
+++ b/src/routing/StageGraph.h
@@ -20,8 +20,6 @@
   StageEstimate m_Estimate;
   double m_CostMicros = 0; ///< What the strategy compares.
   bool m_HasFreeSlot = false;
-  /// Beyond this router's part of the free slots.
-  bool m_IsOverShare = false;
   bool m_IsAvoided = false;
 };
 
