Test completions and service calls of the Router

Table-driven cases for wrong hops and positions, stale epochs, stalls, resume positions, outcomes under every result of an attempt, claims, leaving, drain, deadlines, budgets and configurations. They showed that a stream that had delivered tokens and then ended with a refusal counted as not run; a token now proves that its request ran.

--- a/src/requests/Request.h
+++ b/src/requests/Request.h
@@ -49,7 +49,7 @@
   std::uint32_t m_Delivered = 0;      ///< Tokens.
   std::uint32_t m_AttemptsSinceProgress = 0;
   std::uint32_t m_OpenAttempts = 0; ///< Started, AttemptEnded not yet seen.
-  bool m_MayHaveRun = false;        ///< By an attempt that ended.
+  bool m_MayHaveRun = false;        ///< Seen by a token or an attempt's end.
   bool m_WasCut = false;            ///< A slow service attempt was replaced.
   bool m_IsCallerGone = false;
   bool m_HasClaim = false;
--- a/src/requests/TokenSystem.cpp
+++ b/src/requests/TokenSystem.cpp
@@ -7,6 +7,9 @@
 bool TokenSystem::tokenArrived(Context &Call, const TokenArrived &Token) {
   Attempt *Current = m_State.attempt(Token.m_Attempt);
   Request *Subject = Current ? m_State.request(Current->m_Request) : nullptr;
+  // Whatever the end of its attempt says later, a token proves that it ran.
+  if (Subject && Subject->m_Kind == RequestKind::Completion)
+    Subject->m_MayHaveRun = true;
   // An attempt that was given up, or whose request ended, delivers nothing.
   if (!Subject || Subject->m_CurrentAttempt != Token.m_Attempt ||
       Subject->m_Kind != RequestKind::Completion) {
--- /dev/null
+++ b/tests/requests/CompletionTest.cpp
@@ -0,0 +1,372 @@
+#include "requests/RouterFixture.h"
+
+#include "support/TestMain.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One completion that was started.
+struct StartedCompletion : RouterFixture {
+  explicit StartedCompletion(std::uint32_t MaxTokens = 8) {
+    m_Start = all<StartCompletion>(complete(1, MaxTokens)).at(0);
+  }
+
+  void deliver(std::uint32_t Count) {
+    for (std::uint32_t Position = 0; Position < Count; ++Position)
+      LONGS_EQUAL(1, all<DeliverToken>(token(m_Start, Position)).size());
+  }
+
+  StartCompletion m_Start;
+};
+
+bool usesAny(const std::vector<Stage> &Route, const std::string &Endpoint) {
+  for (const Stage &Part : Route)
+    if (Part.m_Hop.m_Endpoint == Endpoint)
+      return true;
+  return false;
+}
+
+std::string auditText(const Actions &From, AuditKind Kind) {
+  std::string Result;
+  for (const WriteAudit &Record : all<WriteAudit>(From))
+    if (Record.m_Kind == Kind)
+      Result += Record.m_FieldsJson;
+  return Result;
+}
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+FinishRequest onlyFinish(const Actions &From) {
+  auto Found = all<FinishRequest>(From);
+  LONGS_EQUAL(1, Found.size());
+  return Found.at(0);
+}
+
+} // namespace
+
+TEST_GROUP(Completion){};
+
+// Guards against tokens that skipped, repeated or reordered layers, and against
+// blaming a healthy endpoint for them.
+TEST(Completion, WrongHopsQuarantineAndResume) {
+  // How the hops of the route are changed, and which stage is to blame.
+  struct Case {
+    const char *m_Name;
+    std::vector<Hop> (*m_Change)(std::vector<Hop>);
+    std::size_t m_Culprit;
+  };
+  const Case Cases[] = {
+      {"first range skipped",
+       [](std::vector<Hop> Hops) { return std::vector<Hop>{Hops[1]}; }, 0},
+      {"last range skipped",
+       [](std::vector<Hop> Hops) { return std::vector<Hop>{Hops[0]}; }, 1},
+      {"first range repeated",
+       [](std::vector<Hop> Hops) {
+         return std::vector<Hop>{Hops[0], Hops[0], Hops[1]};
+       },
+       0},
+      {"last range repeated",
+       [](std::vector<Hop> Hops) {
+         return std::vector<Hop>{Hops[0], Hops[1], Hops[1]};
+       },
+       1},
+      {"order exchanged",
+       [](std::vector<Hop> Hops) {
+         return std::vector<Hop>{Hops[1], Hops[0]};
+       },
+       0},
+      {"layer repeated at a boundary",
+       [](std::vector<Hop> Hops) {
+         Hops[1].m_Layers.m_First = 3;
+         return Hops;
+       },
+       1},
+      {"foreign endpoint",
+       [](std::vector<Hop> Hops) {
+         Hops[1].m_Endpoint = "c9";
+         return Hops;
+       },
+       1},
+      {"no hops", [](std::vector<Hop>) { return std::vector<Hop>(); }, 0},
+  };
+  for (const Case &Each : Cases) {
+    StartedCompletion Run;
+    Run.deliver(3);
+    const std::string &Culprit =
+        Run.m_Start.m_Route[Each.m_Culprit].m_Hop.m_Endpoint;
+    Actions Decided = Run.handle(TokenArrived{
+        Run.m_Start.m_Attempt, 3, Each.m_Change(hopsOf(Run.m_Start.m_Route))});
+    CHECK_TEXT(all<DeliverToken>(Decided).empty(), Each.m_Name);
+    LONGS_EQUAL_TEXT(1, all<CancelAttempt>(Decided).size(), Each.m_Name);
+    std::string Endpoints = auditText(Decided, AuditKind::Endpoint);
+    CHECK_TEXT(contains(Endpoints, "\"" + Culprit + "\""), Each.m_Name);
+    CHECK_TEXT(contains(Endpoints, "wrong-hop"), Each.m_Name);
+    auto Resumed = all<StartCompletion>(Decided).at(0);
+    LONGS_EQUAL_TEXT(3, Resumed.m_StartPosition, Each.m_Name);
+    LONGS_EQUAL_TEXT(Run.m_Start.m_Epoch + 1, Resumed.m_Epoch, Each.m_Name);
+    CHECK_FALSE_TEXT(usesAny(Resumed.m_Route, Culprit), Each.m_Name);
+  }
+}
+
+// Guards against a token that is delivered twice, too early, or beyond the
+// limit.
+TEST(Completion, WrongPositionIsRefused) {
+  for (std::uint32_t Position : {0U, 1U, 3U, 1000U}) {
+    StartedCompletion Run;
+    Run.deliver(2);
+    Actions Decided = Run.token(Run.m_Start, Position);
+    CHECK(all<DeliverToken>(Decided).empty());
+    LONGS_EQUAL(2, all<StartCompletion>(Decided).at(0).m_StartPosition);
+    CHECK(contains(auditText(Decided, AuditKind::Retry), "wrong-position"));
+  }
+}
+
+// Guards against late tokens and ends of an attempt that was replaced.
+TEST(Completion, StaleEpochDeliversNothing) {
+  StartedCompletion Run;
+  Run.deliver(2);
+  StartCompletion Resumed =
+      all<StartCompletion>(Run.token(Run.m_Start, 9)).at(0);
+  CHECK(all<DeliverToken>(Run.token(Run.m_Start, 2)).empty());
+  LONGS_EQUAL(1, all<DeliverToken>(Run.token(Resumed, 2)).size());
+  CHECK(all<FinishRequest>(
+            Run.end(Run.m_Start.m_Attempt, AttemptResult::Finished))
+            .empty());
+  LONGS_EQUAL(
+      1, Run.m_Router.counters().m_Totals.at("tokens_dropped_stale_epoch"));
+  FinishRequest Finish =
+      onlyFinish(Run.end(Resumed.m_Attempt, AttemptResult::Finished));
+  CHECK(Finish.m_Outcome == Outcome::Completed);
+}
+
+// Guards against a request that is lost or told a wrong outcome when all its
+// attempts end in the same way, before or after the first token.
+TEST(Completion, OutcomeOfRepeatedFailures) {
+  struct Case {
+    AttemptResult m_Result;
+    std::uint32_t m_Tokens;
+    Outcome m_Outcome;
+  };
+  const Case Cases[] = {
+      {AttemptResult::ConnectFailed, 0, Outcome::NotRun},
+      {AttemptResult::RefusedNotRun, 0, Outcome::NotRun},
+      {AttemptResult::RefusedLeaving, 0, Outcome::NotRun},
+      {AttemptResult::Rejected, 0, Outcome::Failed},
+      {AttemptResult::ConnectionLost, 0, Outcome::Failed},
+      {AttemptResult::TimedOut, 0, Outcome::Failed},
+      {AttemptResult::Malformed, 0, Outcome::Failed},
+      {AttemptResult::Cancelled, 0, Outcome::Failed},
+      {AttemptResult::ConnectFailed, 2, Outcome::Failed},
+      {AttemptResult::RefusedLeaving, 2, Outcome::Failed},
+      {AttemptResult::ConnectionLost, 2, Outcome::Failed},
+  };
+  for (const Case &Each : Cases) {
+    StartedCompletion Run;
+    Run.deliver(Each.m_Tokens);
+    Actions Decided = Run.end(Run.m_Start.m_Attempt, Each.m_Result, 400);
+    for (int Round = 0; all<FinishRequest>(Decided).empty(); ++Round) {
+      CHECK(Round < 4000);
+      auto Next = all<StartCompletion>(Decided);
+      Decided = Next.empty() ? Run.pass(10ms)
+                             : Run.end(Next[0].m_Attempt, Each.m_Result, 400);
+    }
+    CHECK(onlyFinish(Decided).m_Outcome == Each.m_Outcome);
+    CHECK_FALSE(Run.m_Router.hasRequestsInProgress());
+  }
+}
+
+// Guards against repeating what an engine rejected for good.
+TEST(Completion, RejectionReachesTheCaller) {
+  StartedCompletion Run;
+  Actions Decided =
+      Run.end(Run.m_Start.m_Attempt, AttemptResult::Rejected, 400);
+  CHECK(all<StartCompletion>(Decided).empty());
+  LONGS_EQUAL(400, onlyFinish(Decided).m_Status);
+}
+
+// Guards against a silent stream that holds its caller, and against blaming
+// endpoints for a pause of this VM.
+TEST(Completion, StallResumesElsewhereButPauseDoesNot) {
+  StartedCompletion Run;
+  Run.deliver(2);
+  Run.m_Now += 20s;
+  CHECK(all<CancelAttempt>(Run.handle(Tick())).empty());
+  LONGS_EQUAL(1, all<DeliverToken>(Run.token(Run.m_Start, 2)).size());
+  Actions Decided = Run.pass(1100ms);
+  LONGS_EQUAL(Run.m_Start.m_Attempt,
+              all<CancelAttempt>(Decided).at(0).m_Attempt);
+  auto Resumed = all<StartCompletion>(Decided).at(0);
+  LONGS_EQUAL(3, Resumed.m_StartPosition);
+  for (const Stage &Old : Run.m_Start.m_Route)
+    CHECK_FALSE(usesAny(Resumed.m_Route, Old.m_Hop.m_Endpoint));
+}
+
+// Guards against cutting the last attempt that is allowed, which would turn a
+// slow answer into none, and against requests that wait for ever.
+TEST(Completion, SilenceEndsAtTheDeadlineAfterFourAttempts) {
+  StartedCompletion Run;
+  Actions Decided = Run.pass(29900ms);
+  LONGS_EQUAL(3, all<StartCompletion>(Decided).size());
+  CHECK(all<FinishRequest>(Decided).empty());
+  FinishRequest Finish = onlyFinish(Run.pass(200ms));
+  CHECK(Finish.m_Outcome == Outcome::Failed);
+  LONGS_EQUAL(504, Finish.m_Status);
+}
+
+// Guards against cutting a long stream at the time limit of the request.
+TEST(Completion, ProgressKeepsTheStreamBeyondTheDeadline) {
+  auto Configuration = testDocument();
+  Configuration->m_Pools[0].m_RequestTimeoutMillis = 1000;
+  RouterFixture Run(1, Configuration);
+  auto Start = all<StartCompletion>(Run.complete(1, 64)).at(0);
+  for (std::uint32_t Position = 0; Position < 64; ++Position) {
+    CHECK(Run.pass(140ms).empty());
+    LONGS_EQUAL(1, all<DeliverToken>(Run.token(Start, Position)).size());
+  }
+  CHECK(
+      onlyFinish(Run.end(Start.m_Attempt, AttemptResult::Finished)).m_Outcome ==
+      Outcome::Completed);
+}
+
+// Guards against losing a complete answer whose explicit end got lost.
+TEST(Completion, AllTokensWithoutEndAreComplete) {
+  StartedCompletion Run(2);
+  Run.deliver(2);
+  FinishRequest Finish =
+      onlyFinish(Run.end(Run.m_Start.m_Attempt, AttemptResult::ConnectionLost));
+  CHECK(Finish.m_Outcome == Outcome::Completed);
+}
+
+// Guards against streams that go on, or queued requests that are dispatched,
+// for nobody.
+TEST(Completion, CallerGone) {
+  StartedCompletion Run;
+  Actions Decided = Run.handle(CallerGone{1});
+  LONGS_EQUAL(1, all<CancelAttempt>(Decided).size());
+  CHECK(onlyFinish(Decided).m_Outcome == Outcome::Failed);
+  CHECK(all<FinishRequest>(
+            Run.end(Run.m_Start.m_Attempt, AttemptResult::Cancelled))
+            .empty());
+  for (const char *Name : {"a1", "a2"})
+    Run.handle(EndpointLeaving{Name, "", LeavingSign::VMList});
+  CHECK(all<StartCompletion>(Run.complete(2)).empty());
+  CHECK(onlyFinish(Run.handle(CallerGone{2})).m_Outcome == Outcome::NotRun);
+}
+
+// Guards against refusing work in progress at a shutdown, or accepting more.
+TEST(Completion, DrainRefusesOnlyNewRequests) {
+  StartedCompletion Run;
+  Run.handle(DrainStarted());
+  FinishRequest Refused = onlyFinish(Run.complete(2));
+  CHECK(Refused.m_Outcome == Outcome::NotRun);
+  LONGS_EQUAL(503, Refused.m_Status);
+  STRCMP_EQUAL("stopping", Refused.m_Code.c_str());
+  Actions Decided =
+      Run.end(Run.m_Start.m_Attempt, AttemptResult::ConnectionLost);
+  auto Retried = all<StartCompletion>(Decided).at(0);
+  CHECK(onlyFinish(Run.end(Retried.m_Attempt, AttemptResult::Finished))
+            .m_Outcome == Outcome::Completed);
+}
+
+// Guards against work for leaving endpoints after each kind of sign, against
+// signs that are announced never or repeatedly, and against a rolling
+// replacement that uses up the attempts.
+TEST(Completion, LeavingEndpointsGetNoNewWork) {
+  StartedCompletion Run;
+  std::string First = Run.m_Start.m_Route[0].m_Hop.m_Endpoint;
+  Actions Decided =
+      Run.end(Run.m_Start.m_Attempt, AttemptResult::RefusedLeaving);
+  STRCMP_EQUAL(First.c_str(),
+               all<AnnounceLeaving>(Decided).at(0).m_Endpoint.c_str());
+  CHECK_FALSE(usesAny(all<StartCompletion>(Decided).at(0).m_Route, First));
+  LoadReported Report{"b1", "run-1", Run.m_Now, 0, 0, true, {}};
+  auto Announced = all<AnnounceLeaving>(Run.handle(Report));
+  STRCMP_EQUAL("run-1", Announced.at(0).m_Incarnation.c_str());
+  CHECK(all<AnnounceLeaving>(Run.handle(Report)).empty());
+  CHECK(all<AnnounceLeaving>(
+            Run.handle(EndpointLeaving{"s1", "", LeavingSign::Peer}))
+            .empty());
+  for (RequestNumber Number = 2; Number < 6; ++Number) {
+    auto Route = all<StartCompletion>(Run.complete(Number)).at(0).m_Route;
+    CHECK_FALSE(usesAny(Route, First));
+    CHECK_FALSE(usesAny(Route, "b1"));
+  }
+}
+
+// Guards against rejections with a wrong status or an untruthful outcome.
+TEST(Completion, Rejections) {
+  struct Case {
+    CompletionArrived m_Arrival;
+    int m_Status;
+    const char *m_Code;
+  };
+  const Case Cases[] = {
+      {{1, "other", "model", 1, 8, 0, {}}, 401, "unknown-key"},
+      {{1, "key", "other", 1, 8, 0, {}}, 404, "unknown-model"},
+      {{1, "key", "model", 1, 65, 0, {}}, 400, "max-tokens"},
+      {{1, "slow", "model", 1, 8, 0, {}}, 429, "rate-limit"},
+      {{1, "none", "model", 1, 8, 0, {}}, 429, "outstanding-limit"},
+  };
+  for (const Case &Each : Cases) {
+    auto Configuration = testDocument();
+    Configuration->m_Accounts.push_back({"slow", {"slow"}, 1, 0, 10});
+    Configuration->m_Accounts.push_back({"none", {"none"}, 1, 10, 1});
+    RouterFixture Run(1, Configuration);
+    Run.handle(CompletionArrived{9, "none", "model", 1, 8, 0, {}});
+    FinishRequest Finish = onlyFinish(Run.handle(Each.m_Arrival));
+    CHECK(Finish.m_Outcome == Outcome::NotRun);
+    LONGS_EQUAL(Each.m_Status, Finish.m_Status);
+    STRCMP_EQUAL(Each.m_Code, Finish.m_Code.c_str());
+    LONGS_EQUAL(Each.m_Status == 429, Finish.m_RetryAfterSeconds > 0);
+  }
+  Router Unconfigured(RouterFixture::options(1));
+  Actions Decided;
+  Unconfigured.handle(TestStart, Cases[0].m_Arrival, Decided);
+  STRCMP_EQUAL("no-configuration", onlyFinish(Decided).m_Code.c_str());
+}
+
+// Guards against a queue that grows without bound, or keeps requests past
+// their deadline.
+TEST(Completion, QueueIsBoundedAndKeepsDeadlines) {
+  auto Configuration = testDocument();
+  Configuration->m_Pools[0].m_QueueLimit = 3;
+  Configuration->m_Pools[0].m_Endpoints.clear();
+  RouterFixture Run(1, Configuration);
+  for (RequestNumber Number = 1; Number <= 3; ++Number)
+    CHECK(all<FinishRequest>(Run.complete(Number)).empty());
+  FinishRequest Refused = onlyFinish(Run.complete(4));
+  STRCMP_EQUAL("queue-full", Refused.m_Code.c_str());
+  LONGS_EQUAL(3, Run.m_Router.counters().m_RequestsQueued);
+  auto Expired = all<FinishRequest>(Run.pass(30100ms));
+  LONGS_EQUAL(3, Expired.size());
+  for (const FinishRequest &Finish : Expired)
+    CHECK(Finish.m_Outcome == Outcome::NotRun && Finish.m_Status == 503);
+}
+
+// Guards against an older configuration that replaces a newer one, and against
+// requests that are lost with their pool.
+TEST(Completion, ConfigurationNeverReverts) {
+  RouterFixture Run;
+  auto Reduced = testDocument();
+  Reduced->m_Pipelines.clear();
+  Reduced->m_Pools.erase(Reduced->m_Pools.begin());
+  for (const char *Name : {"a1", "a2"})
+    Run.handle(EndpointLeaving{Name, "", LeavingSign::VMList});
+  Run.complete(1);
+  STRCMP_EQUAL(
+      "pool-removed",
+      onlyFinish(Run.handle(ConfigurationApplied{5, Reduced})).m_Code.c_str());
+  Actions Decided = Run.handle(ConfigurationApplied{4, testDocument()});
+  CHECK(contains(auditText(Decided, AuditKind::Configuration),
+                 "\"accepted\":false"));
+  LONGS_EQUAL(5, Run.m_Router.configurationVersion());
+  LONGS_EQUAL(404, onlyFinish(Run.complete(2)).m_Status);
+}
+
+PARSLEYRING_TEST_MAIN
--- /dev/null
+++ b/tests/requests/ServiceCallTest.cpp
@@ -0,0 +1,232 @@
+#include "requests/RouterFixture.h"
+
+#include "support/TestMain.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+using namespace std::chrono_literals;
+
+static FinishRequest onlyFinish(const Actions &From) {
+  auto Found = all<FinishRequest>(From);
+  LONGS_EQUAL(1, Found.size());
+  return Found.at(0);
+}
+
+static StartServiceCall onlyStart(const Actions &From) {
+  auto Found = all<StartServiceCall>(From);
+  LONGS_EQUAL(1, Found.size());
+  return Found.at(0);
+}
+
+TEST_GROUP(ServiceCall){};
+
+// Guards against a second dispatch of a call that may have run, against giving
+// up a call that provably did not run, and against untruthful outcomes.
+TEST(ServiceCall, NonIdempotentCallRunsAtMostOnce) {
+  struct Case {
+    AttemptResult m_Result;
+    bool m_IsRepeated;
+    Outcome m_Outcome;
+    int m_Status;
+  };
+  const Case Cases[] = {
+      {AttemptResult::Finished, false, Outcome::Completed, 418},
+      {AttemptResult::ConnectFailed, true, Outcome::NotRun, 503},
+      {AttemptResult::RefusedNotRun, true, Outcome::NotRun, 503},
+      {AttemptResult::RefusedLeaving, true, Outcome::NotRun, 503},
+      {AttemptResult::Rejected, false, Outcome::Unknown, 502},
+      {AttemptResult::ConnectionLost, false, Outcome::Unknown, 504},
+      {AttemptResult::TimedOut, false, Outcome::Unknown, 504},
+      {AttemptResult::Malformed, false, Outcome::Unknown, 504},
+      {AttemptResult::Cancelled, false, Outcome::Unknown, 504},
+  };
+  for (const char *Key : {"", "k1"})
+    for (const Case &Each : Cases) {
+      RouterFixture Run;
+      Actions Decided = Run.call(1, "/pay", Key);
+      if (*Key)
+        Decided = Run.handle(ClaimSettled{1, ClaimResult::Granted, ""});
+      std::size_t Dispatches = 0;
+      while (all<FinishRequest>(Decided).empty()) {
+        auto Started = all<StartServiceCall>(Decided);
+        if (Started.empty()) {
+          Decided = Run.pass(10ms);
+          continue;
+        }
+        ++Dispatches;
+        CHECK(Started[0].m_UseFreshConnection);
+        Decided = Run.end(Started[0].m_Attempt, Each.m_Result, 418);
+      }
+      CHECK(Each.m_IsRepeated ? Dispatches > 1 : Dispatches == 1);
+      FinishRequest Finish = onlyFinish(Decided);
+      CHECK(Finish.m_Outcome == Each.m_Outcome);
+      LONGS_EQUAL(Each.m_Status, Finish.m_Status);
+      bool IsEndKnown = Each.m_Outcome != Outcome::Unknown;
+      auto Ends = all<EndClaim>(Decided);
+      LONGS_EQUAL(*Key && IsEndKnown ? 1 : 0, Ends.size());
+      for (const EndClaim &End : Ends)
+        CHECK((End.m_End == ClaimEnd::Released) ==
+              (Each.m_Outcome == Outcome::NotRun));
+    }
+}
+
+// Guards against a dispatch without a granted claim, and against outcomes that
+// contradict what the claim says.
+TEST(ServiceCall, ClaimResults) {
+  struct Case {
+    ClaimResult m_Result;
+    Outcome m_Outcome;
+    int m_Status;
+  };
+  const Case Cases[] = {
+      {ClaimResult::InProgress, Outcome::Unknown, 409},
+      {ClaimResult::Completed, Outcome::Completed, 409},
+      {ClaimResult::AnswerKept, Outcome::Completed, 200},
+      {ClaimResult::BodyDiffers, Outcome::NotRun, 422},
+      {ClaimResult::Unavailable, Outcome::NotRun, 503},
+      {ClaimResult::KeyRejected, Outcome::NotRun, 400},
+  };
+  for (const Case &Each : Cases) {
+    RouterFixture Run;
+    Actions Decided = Run.call(1, "/pay", "k1");
+    CHECK(all<StartServiceCall>(Decided).empty());
+    RequestClaim Claim = all<RequestClaim>(Decided).at(0);
+    STRCMP_EQUAL("acct", Claim.m_Account.c_str());
+    CHECK(Claim.m_Deadline == Run.m_Now + 2s);
+    Decided = Run.handle(ClaimSettled{1, Each.m_Result, ""});
+    CHECK(all<StartServiceCall>(Decided).empty());
+    CHECK(all<EndClaim>(Decided).empty());
+    FinishRequest Finish = onlyFinish(Decided);
+    CHECK(Finish.m_Outcome == Each.m_Outcome);
+    LONGS_EQUAL(Each.m_Status, Finish.m_Status);
+  }
+}
+
+// Guards against dispatching a claim that comes after the caller was told that
+// the call was not run, or after its deadline, and against keeping the claim.
+TEST(ServiceCall, LateClaimIsReleasedAndNotDispatched) {
+  RouterFixture GivenUp;
+  GivenUp.call(1, "/pay", "k1");
+  CHECK(onlyFinish(GivenUp.pass(2600ms)).m_Outcome == Outcome::NotRun);
+  RouterFixture Gone;
+  Gone.call(1, "/pay", "k1");
+  CHECK(all<FinishRequest>(Gone.handle(CallerGone{1})).empty());
+  RouterFixture Paused;
+  Paused.call(1, "/pay", "k1");
+  Paused.m_Now += 31s;
+  for (RouterFixture *Run : {&GivenUp, &Gone, &Paused}) {
+    Actions Decided = Run->handle(ClaimSettled{1, ClaimResult::Granted, ""});
+    CHECK(all<StartServiceCall>(Decided).empty());
+    LONGS_EQUAL(1, all<EndClaim>(Decided).size());
+    CHECK(all<EndClaim>(Decided)[0].m_End == ClaimEnd::Released);
+    CHECK_FALSE(Run->m_Router.hasRequestsInProgress());
+    // A second settlement must not release a claim of somebody else.
+    CHECK(all<EndClaim>(Run->handle(ClaimSettled{1, ClaimResult::Granted, ""}))
+              .empty());
+  }
+}
+
+// Guards against releasing the claim of a call that ran.
+TEST(ServiceCall, RepeatedSettlementDoesNotReleaseACallThatRan) {
+  RouterFixture Run;
+  Run.call(1, "/pay", "k1");
+  auto Start = onlyStart(Run.handle(ClaimSettled{1, ClaimResult::Granted, ""}));
+  CHECK(Run.handle(ClaimSettled{1, ClaimResult::Granted, ""}).empty());
+  Run.end(Start.m_Attempt, AttemptResult::Finished, 200);
+  CHECK(Run.handle(ClaimSettled{1, ClaimResult::Granted, ""}).empty());
+}
+
+// Guards against interrupting a dispatched non-idempotent call because nobody
+// waits, and against dispatching it again then.
+TEST(ServiceCall, DispatchedCallOutlivesItsCaller) {
+  for (auto Result : {AttemptResult::Finished, AttemptResult::ConnectFailed}) {
+    RouterFixture Run;
+    Run.call(1, "/pay", "k1");
+    auto Start =
+        onlyStart(Run.handle(ClaimSettled{1, ClaimResult::Granted, ""}));
+    CHECK(Run.handle(CallerGone{1}).empty());
+    Actions Decided = Run.end(Start.m_Attempt, Result, 200);
+    CHECK(all<StartServiceCall>(Decided).empty());
+    bool HasRun = Result == AttemptResult::Finished;
+    CHECK(onlyFinish(Decided).m_Outcome ==
+          (HasRun ? Outcome::Completed : Outcome::NotRun));
+    CHECK(all<EndClaim>(Decided).at(0).m_End ==
+          (HasRun ? ClaimEnd::Completed : ClaimEnd::Released));
+  }
+}
+
+// Guards against claims for calls that do not need one: they would fail while
+// the platform is down.
+TEST(ServiceCall, IdempotentCallNeedsNoClaim) {
+  RouterFixture Run;
+  Actions Decided = Run.call(1, "/read", "k1");
+  CHECK(all<RequestClaim>(Decided).empty());
+  CHECK_FALSE(onlyStart(Decided).m_UseFreshConnection);
+  Decided =
+      Run.end(onlyStart(Decided).m_Attempt, AttemptResult::ConnectionLost);
+  auto Retry = onlyStart(Decided);
+  CHECK(Retry.m_UseFreshConnection);
+  Decided = Run.end(Retry.m_Attempt, AttemptResult::Finished, 500);
+  LONGS_EQUAL(Retry.m_Attempt,
+              all<DeliverServiceAnswer>(Decided).at(0).m_Attempt);
+  LONGS_EQUAL(500, onlyFinish(Decided).m_Status);
+}
+
+// Guards against retries that multiply the load of a failing pool.
+TEST(ServiceCall, RetriesAreBoundedByTheBudget) {
+  RouterFixture Run;
+  int Retries = 0, Refused = 0;
+  for (RequestNumber Number = 1; Number <= 45; ++Number) {
+    Actions Decided = Run.call(Number, "/read");
+    for (auto Started = all<StartServiceCall>(Decided); !Started.empty();
+         Started = all<StartServiceCall>(Decided)) {
+      Decided = Run.end(Started[0].m_Attempt, AttemptResult::TimedOut);
+      Retries += static_cast<int>(all<StartServiceCall>(Decided).size());
+    }
+    CHECK(onlyFinish(Decided).m_Outcome == Outcome::Unknown);
+    Refused += onlyFinish(Decided).m_Code == "retry-budget";
+  }
+  // A floor of 3 plus a tenth of 45 requests.
+  LONGS_EQUAL(7, Retries);
+  CHECK(Refused > 30);
+}
+
+// Guards against a silent connection that uses up the whole time limit of an
+// idempotent call, and against cutting any call that may not be repeated.
+TEST(ServiceCall, SlowIdempotentCallIsStartedOnceMore) {
+  RouterFixture Run;
+  auto First = onlyStart(Run.call(1, "/read"));
+  Actions Decided = Run.pass(5s);
+  LONGS_EQUAL(First.m_Attempt, all<CancelAttempt>(Decided).at(0).m_Attempt);
+  auto Second = onlyStart(Decided);
+  CHECK(Second.m_Endpoint != First.m_Endpoint);
+  Run.end(First.m_Attempt, AttemptResult::Cancelled);
+  CHECK(Run.pass(20s).empty());
+  CHECK(onlyFinish(Run.end(Second.m_Attempt, AttemptResult::Finished, 200))
+            .m_Outcome == Outcome::Completed);
+  RouterFixture Once;
+  onlyStart(Once.call(1, "/pay"));
+  CHECK(Once.pass(30s).empty());
+  FinishRequest Finish = onlyFinish(Once.pass(1100ms));
+  CHECK(Finish.m_Outcome == Outcome::Unknown);
+  LONGS_EQUAL(504, Finish.m_Status);
+}
+
+// Guards against idempotency keys in records.
+TEST(ServiceCall, RecordsHoldNoKey) {
+  RouterFixture Run;
+  Actions Decided = Run.call(1, "/pay?card=4711", "secret-key");
+  Actions More = Run.handle(ClaimSettled{1, ClaimResult::Unavailable, ""});
+  Decided.insert(Decided.end(), More.begin(), More.end());
+  int Hashes = 0;
+  for (const WriteAudit &Record : all<WriteAudit>(Decided)) {
+    CHECK(Record.m_FieldsJson.find("secret-key") == std::string::npos);
+    CHECK(Record.m_FieldsJson.find("4711") == std::string::npos);
+    Hashes +=
+        Record.m_FieldsJson.find(sha256Hex("secret-key")) != std::string::npos;
+  }
+  LONGS_EQUAL(3, Hashes);
+}
+
+PARSLEYRING_TEST_MAIN
