Write, read and replay audit traces

Replaying showed two faults: the record of a leaving endpoint used the key "incarnation" twice, and a refusal after a token let the count of attempts run below zero. Both are corrected.

Rules are now also applied to the canonical path, since "//pay" or "/%70ay" got around a rule for "/pay".

--- /dev/null
+++ b/src/audit/AuditWriter.h
@@ -0,0 +1,39 @@
+#ifndef PARSLEYRING_AUDIT_AUDITWRITER_H
+#define PARSLEYRING_AUDIT_AUDITWRITER_H
+
+#include "parsleyring/Actions.h"
+
+#include <iosfwd>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace parsleyring {
+
+/// Writes audit records as JSON lines with sequence numbers without gaps. Safe
+/// to use from many threads.
+class AuditWriter {
+public:
+  /// Output must outlive the writer.
+  AuditWriter(const Incarnation &Self, std::ostream &Output);
+
+  /// Throws std::invalid_argument, without using up a sequence number, if the
+  /// fields are not a JSON object. Module names the part of the process that
+  /// decided, if that is not the Router; replays pass over such records.
+  void write(const WriteAudit &Record, std::string_view Module = {});
+
+  /// Records that the output did not take.
+  std::uint64_t failures() const;
+
+private:
+  const Incarnation m_Self;
+  const std::string m_SelfJson; ///< The fields "vm" and "incarnation".
+  mutable std::mutex m_Mutex;   ///< Guards what follows.
+  std::ostream &m_Output;
+  std::uint64_t m_Sequence = 0;
+  std::uint64_t m_Failures = 0;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_AUDIT_AUDITWRITER_H
--- a/src/requests/AdmissionSystem.cpp
+++ b/src/requests/AdmissionSystem.cpp
@@ -1,6 +1,7 @@
 #include "requests/AdmissionSystem.h"
 
 #include "requests/AuditRecords.h"
+#include "requests/ServicePath.h"
 
 #include <algorithm>
 
@@ -13,11 +14,6 @@
       std::chrono::ceil<std::chrono::seconds>(Value).count());
 }
 
-/// The query may hold data that records must not show.
-static std::string withoutQuery(const std::string &Path) {
-  return Path.substr(0, Path.find('?'));
-}
-
 void AdmissionSystem::completionArrived(Context &Call,
                                         const CompletionArrived &Arrival) {
   Applicant Who{Arrival.m_Request, Arrival.m_Pipeline, nullptr};
@@ -66,7 +62,7 @@
   Subject.m_Kind = RequestKind::ServiceCall;
   Subject.m_Pool = Arrival.m_Pool;
   Subject.m_IsIdempotent =
-      Configuration.isIdempotent(Arrival.m_Pool, Arrival.m_Method, Path);
+      isIdempotentCall(Configuration, Arrival.m_Pool, Arrival.m_Method, Path);
   Subject.m_IdempotencyKey = Arrival.m_IdempotencyKey;
   Subject.m_BodySha256 = Arrival.m_BodySha256;
   admit(Call, Who, *Pool, std::move(Subject));
--- a/src/requests/AuditRecords.cpp
+++ b/src/requests/AuditRecords.cpp
@@ -158,7 +158,7 @@
   return record(AuditKind::Endpoint, Now, 0,
                 {{"endpoint", Endpoint},
                  {"state", "leaving"},
-                 {"incarnation", Incarnation},
+                 {"endpoint_incarnation", Incarnation},
                  {"sign", name(Sign)}});
 }
 
--- a/src/requests/RetrySystem.cpp
+++ b/src/requests/RetrySystem.cpp
@@ -63,13 +63,15 @@
   if (End.m_Result == AttemptResult::Rejected)
     return rejected(Call, Subject, End);
   avoidFailed(Subject, Ended, End.m_Result);
+  // A refusal after a token contradicts itself and counts as a lost stream.
+  bool IsRefusal = isProvablyNotRun(End.m_Result) && Ended.m_Tokens == 0;
   // Each such refusal removes an endpoint from the candidates, which bounds
   // their number. A rolling replacement must not use up the attempts.
-  bool IsFree = End.m_Result == AttemptResult::RefusedLeaving;
+  bool IsFree = IsRefusal && End.m_Result == AttemptResult::RefusedLeaving;
   if (IsFree)
     --Subject.m_AttemptsSinceProgress;
   Duration Delay = Duration::zero();
-  if (End.m_Result == AttemptResult::RefusedNotRun)
+  if (IsRefusal && End.m_Result == AttemptResult::RefusedNotRun)
     Delay = RefusalDelay * (1 << (Subject.m_AttemptsSinceProgress - 1));
   retry(Call, Subject, std::string(name(End.m_Result)), IsFree, Delay);
 }
--- /dev/null
+++ b/tests/audit/TraceCodecTest.cpp
@@ -0,0 +1,97 @@
+#include "audit/TraceCodec.h"
+
+#include "support/TestMain.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+
+namespace {
+
+/// Stands for the TOML text of a document: its strategy.
+TraceCodec testCodec() {
+  return TraceCodec(
+      [](const Document &From) { return From.m_Policy.m_RouteStrategy; },
+      [](const std::string &Text) {
+        auto Result = std::make_shared<Document>();
+        Result->m_Policy.m_RouteStrategy = Text;
+        return Result;
+      });
+}
+
+constexpr Time At{std::chrono::seconds(1700000000)};
+
+} // namespace
+
+TEST_GROUP(TraceCodec){};
+
+// Guards against fields of an event that a trace loses or changes, which would
+// make a replay decide differently.
+TEST(TraceCodec, EventsComeBackWhole) {
+  std::vector<Hop> Hops = {{"a", {0, 4}}, {"b", {4, 8}}};
+  auto Configuration = std::make_shared<Document>();
+  Configuration->m_Policy.m_RouteStrategy = "round-robin";
+  const Event Events[] = {
+      CompletionArrived{7, "hash", "model", 3, 9, -2, {1, ~0ULL}},
+      ServiceCallArrived{8, "hash", "pool", "POST", "/p", "", "body"},
+      CallerGone{9},
+      TokenArrived{10, 4, Hops},
+      AttemptEnded{11, AttemptResult::RefusedLeaving, 503, "quote \" \n"},
+      LoadReported{"a", "run", At, 1, 2, true, {5, 6}},
+      EndpointLeaving{"a", "run", LeavingSign::Peer},
+      PeersChanged{3, {{"acct", 4}}, {"d2"}},
+      ConfigurationApplied{12, Configuration},
+      ConfigurationApplied{13, nullptr},
+      ClaimSettled{14, ClaimResult::BodyDiffers, "detail"},
+      DrainStarted(),
+      Tick(),
+  };
+  TraceCodec Codec = testCodec();
+  for (const Event &Each : Events) {
+    WriteAudit Record = Codec.encode(At, Each);
+    CHECK(Record.m_Kind == AuditKind::CoreEvent);
+    Event Back = Codec.decode(Record.m_FieldsJson);
+    LONGS_EQUAL(Each.index(), Back.index());
+    CHECK_EQUAL(Record.m_FieldsJson, Codec.encode(At, Back).m_FieldsJson);
+  }
+  auto Token = std::get<TokenArrived>(
+      Codec.decode(Codec.encode(At, Events[3]).m_FieldsJson));
+  LONGS_EQUAL(10, Token.m_Attempt);
+  LONGS_EQUAL(4, Token.m_Position);
+  CHECK(Token.m_Hops == Hops);
+  auto Load = std::get<LoadReported>(
+      Codec.decode(Codec.encode(At, Events[5]).m_FieldsJson));
+  CHECK(Load.m_ReportedAt == At && Load.m_IsDraining);
+  auto Applied = std::get<ConfigurationApplied>(
+      Codec.decode(Codec.encode(At, Events[8]).m_FieldsJson));
+  STRCMP_EQUAL("round-robin",
+               Applied.m_Document->m_Policy.m_RouteStrategy.c_str());
+  LONGS_EQUAL(7, Codec.encode(At, Events[0]).m_Request);
+}
+
+// Guards against idempotency keys in traces, and against a second hashing of
+// the key in a replay.
+TEST(TraceCodec, IdempotencyKeyIsHashedOnce) {
+  TraceCodec Codec = testCodec();
+  ServiceCallArrived Call{1, "hash", "pool", "POST", "/p", "secret", "body"};
+  std::string First = Codec.encode(At, Call).m_FieldsJson;
+  CHECK(First.find("secret") == std::string::npos);
+  CHECK(First.find(sha256Hex("secret")) != std::string::npos);
+  CHECK_EQUAL(First, Codec.encode(At, Codec.decode(First)).m_FieldsJson);
+}
+
+// Guards against a damaged trace that ends the program or is taken for good.
+TEST(TraceCodec, MalformedRecordsAreRefused) {
+  TraceCodec Codec = testCodec();
+  for (const char *Text :
+       {"", "{", "{}", "[]", R"({"event":"none","fields":{}})",
+        R"({"event":"caller-gone","fields":{}})",
+        R"({"event":"caller-gone","fields":{"request":"x"}})",
+        R"({"event":"token-arrived",
+            "fields":{"attempt":1,"position":0,"hops":[[]]}})",
+        R"({"event":"claim-settled",
+            "fields":{"request":1,"result":"maybe","detail":""}})"})
+    CHECK_THROWS(TraceError, Codec.decode(Text));
+}
+
+PARSLEYRING_TEST_MAIN
--- a/tests/requests/CompletionTest.cpp
+++ b/tests/requests/CompletionTest.cpp
@@ -163,6 +163,7 @@
       {AttemptResult::Malformed, 0, Outcome::Failed},
       {AttemptResult::Cancelled, 0, Outcome::Failed},
       {AttemptResult::ConnectFailed, 2, Outcome::Failed},
+      {AttemptResult::RefusedNotRun, 2, Outcome::Failed},
       {AttemptResult::RefusedLeaving, 2, Outcome::Failed},
       {AttemptResult::ConnectionLost, 2, Outcome::Failed},
   };
@@ -170,6 +171,8 @@
     StartedCompletion Run;
     Run.deliver(Each.m_Tokens);
     Actions Decided = Run.end(Run.m_Start.m_Attempt, Each.m_Result, 400);
+    if (Each.m_Tokens > 0)
+      LONGS_EQUAL(1, all<StartCompletion>(Decided).size());
     for (int Round = 0; all<FinishRequest>(Decided).empty(); ++Round) {
       CHECK(Round < 4000);
       auto Next = all<StartCompletion>(Decided);
