Add the HTTP client of the platform

Each call opens its own connection with every timeout set: an open connection can go silent for good, and then a pooled one costs a whole timeout at the worst moment. Errors before the first byte and 4xx answers prove that a write had no effect; a lost connection, a 5xx or an unreadable answer leave it unknown. The read timeout of cpp-httplib starts anew with each piece, so a deadline in the content receiver bounds an answer that arrives in pieces.

--- a/src/core/TextChecks.cpp
+++ b/src/core/TextChecks.cpp
@@ -1,9 +1,8 @@
 #include "core/TextChecks.h"
 
-#include <arpa/inet.h>
+#include "core/SocketAddress.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace parsleyring {
 
@@ -14,25 +13,9 @@
          (Letter >= 'A' && Letter <= 'Z');
 }
 
-static bool isPort(std::string_view Text, PortZero Zero) {
-  unsigned Port = 0;
-  auto [End, Error] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Port);
-  if (Error != std::errc() || End != Text.data() + Text.size())
-    return false;
-  return Port <= 65535 && (Port > 0 || Zero == PortZero::Allowed);
-}
-
 bool isAddress(std::string_view Text, PortZero Zero) {
-  std::size_t Colon = Text.rfind(':');
-  if (Colon == std::string_view::npos || !isPort(Text.substr(Colon + 1), Zero))
-    return false;
-  std::string Host(Text.substr(0, Colon));
-  unsigned char Parsed[sizeof(in6_addr)];
-  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
-    return inet_pton(AF_INET6, Host.substr(1, Host.size() - 2).c_str(),
-                     Parsed) == 1;
-  return inet_pton(AF_INET, Host.c_str(), Parsed) == 1;
+  std::optional<SocketAddress> Parsed = parseSocketAddress(Text);
+  return Parsed && (Parsed->m_Port > 0 || Zero == PortZero::Allowed);
 }
 
 bool isIdentifier(std::string_view Text) {
--- a/src/document/DocumentDifference.cpp
+++ b/src/document/DocumentDifference.cpp
@@ -14,24 +14,24 @@
 /// one side has (layers, after a change of the pool's kind) counts as "none".
 static void compareFields(const std::string &Label, const Fields &From,
                           const Fields &To, Lines &Result) {
-  auto valueOf = [](const Fields &Side, std::string_view Key) {
+  auto ValueOf = [](const Fields &Side, std::string_view Key) {
     for (const DocumentField &Field : Side)
       if (Field.m_Key == Key)
         return Field.m_Value;
     return std::string("none");
   };
-  auto compare = [&](std::string_view Key) {
-    std::string Old = valueOf(From, Key);
-    std::string New = valueOf(To, Key);
+  auto Compare = [&](std::string_view Key) {
+    std::string Old = ValueOf(From, Key);
+    std::string New = ValueOf(To, Key);
     if (Old != New)
       Result.push_back(Label + ": " + std::string(Key) + " " + Old + " -> " +
                        New);
   };
   for (const DocumentField &Field : From)
-    compare(Field.m_Key);
+    Compare(Field.m_Key);
   for (const DocumentField &Field : To)
-    if (valueOf(From, Field.m_Key) == "none")
-      compare(Field.m_Key);
+    if (ValueOf(From, Field.m_Key) == "none")
+      Compare(Field.m_Key);
 }
 
 /// Matches the entities of both sides by label; Compare is called for those
@@ -80,17 +80,17 @@
                          Lines &Result) {
   compareNamed("pool", From.m_Pools, To.m_Pools, Result);
   static const Pool None;
-  auto endpointLabel = [](const Pool &Owner) {
+  auto EndpointLabel = [](const Pool &Owner) {
     return [&Owner](const EndpointSpec &Each) {
       return "pool " + tomlString(Owner.m_Name) + " endpoint " +
              tomlString(Each.m_Name);
     };
   };
   // The endpoints of a pool that is added or removed are listed as well.
-  auto compareEndpoints = [&](const Pool &Owner, const Pool &Old,
+  auto CompareEndpoints = [&](const Pool &Owner, const Pool &Old,
                               const Pool &New) {
     compareEntities(
-        Old.m_Endpoints, New.m_Endpoints, endpointLabel(Owner),
+        Old.m_Endpoints, New.m_Endpoints, EndpointLabel(Owner),
         [&](const std::string &Label, const EndpointSpec &Before,
             const EndpointSpec &After) {
           compareFields(Label, fields(Before, Old.m_Kind),
@@ -98,17 +98,17 @@
         },
         Result);
   };
-  auto named = [](const std::vector<Pool> &Pools, const std::string &Name) {
+  auto Named = [](const std::vector<Pool> &Pools, const std::string &Name) {
     for (const Pool &Each : Pools)
       if (Each.m_Name == Name)
         return &Each;
     return &None;
   };
   for (const Pool &Old : From.m_Pools)
-    compareEndpoints(Old, Old, *named(To.m_Pools, Old.m_Name));
+    CompareEndpoints(Old, Old, *Named(To.m_Pools, Old.m_Name));
   for (const Pool &New : To.m_Pools)
-    if (named(From.m_Pools, New.m_Name) == &None)
-      compareEndpoints(New, None, New);
+    if (Named(From.m_Pools, New.m_Name) == &None)
+      CompareEndpoints(New, None, New);
 }
 
 static std::string ruleLabel(const Rule &Each) {
--- /dev/null
+++ b/src/platform/HttpPlatformClient.h
@@ -0,0 +1,38 @@
+#ifndef PARSLEYRING_PLATFORM_HTTPPLATFORMCLIENT_H
+#define PARSLEYRING_PLATFORM_HTTPPLATFORMCLIENT_H
+
+#include "parsleyring/PlatformClient.h"
+
+#include <memory>
+
+namespace parsleyring {
+
+/// Client of a key-value service that speaks the published Consul KV format.
+/// Each call opens its own connection, since an open one can be dead without
+/// any sign of it; an additional round trip to the platform is below 1 ms.
+class HttpPlatformClient : public PlatformClient {
+public:
+  /// Address is IP:port. Timeout limits connecting, sending and waiting for
+  /// the answer, each.
+  HttpPlatformClient(const std::string &Address, Duration Timeout);
+  ~HttpPlatformClient() override;
+
+  std::optional<PlatformValue> read(const std::string &Key) override;
+  WatchResult watch(const std::string &Key, std::uint64_t After,
+                    Duration Wait) override;
+  bool compareAndSwap(const std::string &Key, const std::string &Value,
+                      std::uint64_t Expected) override;
+  bool remove(const std::string &Key, std::uint64_t Expected) override;
+
+  /// Ends the calls in progress, and makes later ones fail with NotSent.
+  /// Returns when no call is in progress any more.
+  void shutDown();
+
+private:
+  class Implementation;
+  std::unique_ptr<Implementation> m_Implementation;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_PLATFORM_HTTPPLATFORMCLIENT_H
--- /dev/null
+++ b/tests/platform/HttpPlatformClientTest.cpp
@@ -0,0 +1,187 @@
+#include "platform/HttpPlatformClient.h"
+
+#include "support/TestMain.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <stdexcept>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+using Kind = PlatformError::Kind;
+
+static constexpr Duration ShortTimeout = std::chrono::milliseconds(200);
+
+/// Accepts one connection, reads one request, and sends the given bytes.
+class OneAnswerServer {
+public:
+  enum class Then { Close, StaySilent, RefuseConnections };
+
+  OneAnswerServer(const std::string &Answer, Then End)
+      : m_Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Length = sizeof(Address);
+    auto *Name = reinterpret_cast<sockaddr *>(&Address);
+    // A bound socket that does not listen refuses, and keeps its port.
+    bool IsOpen = End != Then::RefuseConnections;
+    if (bind(m_Socket, Name, Length) != 0 ||
+        (IsOpen && listen(m_Socket, 1) != 0) ||
+        getsockname(m_Socket, Name, &Length) != 0)
+      throw std::runtime_error("cannot listen");
+    m_Port = ntohs(Address.sin_port);
+    m_Thread = std::thread([this, Answer, End, IsOpen] {
+      if (IsOpen)
+        serve(Answer, End);
+    });
+  }
+  ~OneAnswerServer() {
+    shutdown(m_Socket, SHUT_RDWR);
+    m_Thread.join();
+    close(m_Socket);
+  }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(m_Port); }
+  /// Ends when the client has closed the connection.
+  std::string request() {
+    m_Thread.join();
+    m_Thread = std::thread([] {});
+    return m_Request;
+  }
+
+private:
+  void serve(const std::string &Answer, Then End) {
+    int Connection = accept(m_Socket, nullptr, nullptr);
+    char Buffer[4096];
+    ssize_t Count = 0;
+    while (Connection >= 0 && m_Request.find("\r\n\r\n") == std::string::npos &&
+           (Count = recv(Connection, Buffer, sizeof(Buffer), 0)) > 0)
+      m_Request.append(Buffer, static_cast<std::size_t>(Count));
+    send(Connection, Answer.data(), Answer.size(), MSG_NOSIGNAL);
+    while (End == Then::StaySilent && recv(Connection, Buffer, 1, 0) > 0)
+      ;
+    close(Connection);
+  }
+
+  int m_Socket;
+  int m_Port = 0;
+  std::string m_Request;
+  std::thread m_Thread;
+};
+
+static std::string answer(const std::string &Status, const std::string &Body,
+                          const std::string &Headers = "") {
+  return "HTTP/1.1 " + Status + "\r\n" + Headers +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+TEST_GROUP(HttpPlatformClient) {
+  enum class Call { Read, Write };
+
+  /// Kind of the error that a call gets from this answer; empty if none.
+  static std::optional<Kind> errorOf(Call Which, const std::string &Answer,
+                                     OneAnswerServer::Then End =
+                                         OneAnswerServer::Then::Close) {
+    OneAnswerServer Server(Answer, End);
+    HttpPlatformClient Client(Server.address(), ShortTimeout);
+    try {
+      if (Which == Call::Read)
+        Client.read("key");
+      else
+        Client.compareAndSwap("key", "value", 1);
+    } catch (const PlatformError &Error) {
+      return Error.kind();
+    }
+    return std::nullopt;
+  }
+};
+
+// Guards against a departure from the published format of reads and watches.
+TEST(HttpPlatformClient, ReadAndWatch) {
+  std::string Body = R"([{"Key":"a b","Value":"aGk=","ModifyIndex":7}])";
+  {
+    OneAnswerServer Server(answer("200 OK", Body),
+                           OneAnswerServer::Then::Close);
+    HttpPlatformClient Client(Server.address(), ShortTimeout);
+    auto Value = Client.read("config/a b?");
+    STRCMP_EQUAL("hi", Value->m_Value.c_str());
+    LONGS_EQUAL(7, Value->m_ModifyIndex);
+    STRCMP_CONTAINS("GET /v1/kv/config/a%20b%3F HTTP/1.1",
+                    Server.request().c_str());
+  }
+  {
+    OneAnswerServer Server(
+        answer("404 Not Found", "", "X-Consul-Index: 12\r\n"),
+        OneAnswerServer::Then::Close);
+    HttpPlatformClient Client(Server.address(), ShortTimeout);
+    auto Result = Client.watch("k", 5, std::chrono::seconds(5));
+    CHECK_FALSE(Result.m_Value.has_value());
+    LONGS_EQUAL(12, Result.m_Index);
+    STRCMP_CONTAINS("GET /v1/kv/k?index=5&wait=5s HTTP/1.1",
+                    Server.request().c_str());
+  }
+}
+
+// Guards against a compare-and-swap without its condition.
+TEST(HttpPlatformClient, Writes) {
+  OneAnswerServer Server(answer("200 OK", "false\n"),
+                         OneAnswerServer::Then::Close);
+  HttpPlatformClient Client(Server.address(), ShortTimeout);
+  CHECK_FALSE(Client.compareAndSwap("k", "v", 3));
+  STRCMP_CONTAINS("PUT /v1/kv/k?cas=3 HTTP/1.1", Server.request().c_str());
+}
+
+// Guards against a write that is called unsent although it may take effect,
+// and against a refused one that is called unknown.
+TEST(HttpPlatformClient, ErrorKinds) {
+  CHECK(errorOf(Call::Write, answer("200 OK", "true")) == std::nullopt);
+  CHECK(errorOf(Call::Write, "") == Kind::Unknown);
+  CHECK(errorOf(Call::Write, "", OneAnswerServer::Then::StaySilent) ==
+        Kind::Unknown);
+  CHECK(
+      errorOf(Call::Write, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ntr") ==
+      Kind::Unknown);
+  CHECK(errorOf(Call::Write, answer("200 OK", "maybe")) == Kind::Unknown);
+  CHECK(errorOf(Call::Write, answer("500 Error", "")) == Kind::Unknown);
+  CHECK(errorOf(Call::Write, answer("413 Too Large", "")) == Kind::NotSent);
+  CHECK(errorOf(Call::Write, answer("429 Many", "")) == Kind::RateLimited);
+  CHECK(errorOf(Call::Read, "", OneAnswerServer::Then::StaySilent) ==
+        Kind::NotSent);
+  CHECK(errorOf(Call::Read, answer("200 OK", "[]")) == Kind::NotSent);
+  CHECK(errorOf(Call::Read, answer("200 OK", "[{\"Value\":\"%\"}]")) ==
+        Kind::NotSent);
+  OneAnswerServer Server("", OneAnswerServer::Then::RefuseConnections);
+  HttpPlatformClient Client(Server.address(), ShortTimeout);
+  try {
+    Client.remove("k", 1);
+    FAIL("no error");
+  } catch (const PlatformError &Error) {
+    CHECK(Error.kind() == Kind::NotSent);
+  }
+}
+
+// Guards against a stop that waits for the end of a watch.
+TEST(HttpPlatformClient, ShutDownEndsCalls) {
+  OneAnswerServer Server("", OneAnswerServer::Then::StaySilent);
+  HttpPlatformClient Client(Server.address(), ShortTimeout);
+  bool IsEnded = false;
+  std::thread Watcher([&] {
+    try {
+      Client.watch("k", 1, std::chrono::hours(1));
+    } catch (const PlatformError &) {
+      IsEnded = true;
+    }
+  });
+  // Whether the watch has begun or not, it ends.
+  Client.shutDown();
+  Watcher.join();
+  CHECK(IsEnded);
+  CHECK_THROWS(PlatformError, Client.read("k"));
+}
+
+PARSLEYRING_TEST_MAIN
--- a/tests/support/FakePlatform.cpp
+++ b/tests/support/FakePlatform.cpp
@@ -27,14 +27,14 @@
   failIfDown();
   ++m_Reads;
   // The modify index of an absent key stands for the index of the service.
-  auto indexOf = [&] {
+  auto IndexOf = [&] {
     auto Found = m_Values.find(Key);
     return Found == m_Values.end() ? m_Index : Found->second.m_ModifyIndex;
   };
-  m_Changed.wait_for(Lock, Wait, [&] { return m_IsDown || indexOf() > After; });
+  m_Changed.wait_for(Lock, Wait, [&] { return m_IsDown || IndexOf() > After; });
   failIfDown();
   WatchResult Result;
-  Result.m_Index = indexOf();
+  Result.m_Index = IndexOf();
   auto Found = m_Values.find(Key);
   if (Found == m_Values.end())
     return Result;
