--- a/src/callers/CallerContext.h
+++ b/src/callers/CallerContext.h
@@ -19,6 +19,8 @@
   std::function<void(const Event &)> m_Post; ///< To the Router.
   /// Set while the node cannot take requests at all.
   std::function<std::optional<ErrorAnswer>()> m_Refusal;
+  /// Number of tokens if the caller asks for no number.
+  std::function<std::uint32_t(const std::string &Model)> m_DefaultMaxTokens;
   std::function<bool(const std::string &KeySha256,
                      const std::string &OtherKeySha256)>
       m_IsSameAccount;
--- a/src/callers/CallerPayload.h
+++ b/src/callers/CallerPayload.h
@@ -14,7 +14,7 @@
 struct CompletionPayload {
   std::string m_Model;
   std::string m_Prompt;
-  std::uint32_t m_MaxTokens = 0;
+  std::uint32_t m_MaxTokens = 0; ///< 0: the caller asked for no number.
   std::int32_t m_Priority = 0;
   bool m_IsStreamed = false;
   /// Further fields of the body, a JSON object; the engine interprets them.
--- a/src/callers/CompletionHandler.cpp
+++ b/src/callers/CompletionHandler.cpp
@@ -23,6 +23,8 @@
     Refusal->m_RequestId = Id;
     return Refusal->writeTo(Call.m_Response);
   }
+  if (Asked.m_MaxTokens == 0)
+    Asked.m_MaxTokens = m_Context.m_DefaultMaxTokens(Asked.m_Model);
   CompletionArrived Arrived =
       completionArrived(Number, Payload->m_AccountKeySha256, Asked);
   bool IsStreamed = Asked.m_IsStreamed;
--- a/src/callers/CompletionRequest.cpp
+++ b/src/callers/CompletionRequest.cpp
@@ -10,8 +10,6 @@
 
 using Json = nlohmann::json;
 
-/// Default of the published completions format.
-static constexpr std::uint32_t DefaultMaxTokens = 16;
 static constexpr std::size_t PrefixStepBytes = 256;
 /// Prefixes beyond 16 KB are not compared: the event and its audit stay small.
 static constexpr std::size_t MaxPrefixHashes = 64;
@@ -122,9 +120,8 @@
   CompletionPayload Result;
   Result.m_Model = Reader.requiredText("model");
   Result.m_Prompt = Reader.requiredText("prompt");
-  Result.m_MaxTokens = static_cast<std::uint32_t>(
-      Reader.integer("max_tokens", DefaultMaxTokens, 1,
-                     std::numeric_limits<std::int32_t>::max()));
+  Result.m_MaxTokens = static_cast<std::uint32_t>(Reader.integer(
+      "max_tokens", 0, 1, std::numeric_limits<std::int32_t>::max()));
   Result.m_Priority = static_cast<std::int32_t>(
       Reader.integer("priority", 0, std::numeric_limits<std::int32_t>::min(),
                      std::numeric_limits<std::int32_t>::max()));
@@ -169,7 +166,7 @@
       std::min(Prompt.size() / PrefixStepBytes, MaxPrefixHashes);
   for (std::size_t Step = 1; Step <= Steps; ++Step)
     Result.m_PrefixHashes.push_back(
-        XXH64(Prompt.data(), Step * PrefixStepBytes, 0));
+        XXH3_64bits(Prompt.data(), Step * PrefixStepBytes));
   return Result;
 }
 
--- /dev/null
+++ b/src/daemons/parsleyring-router.cpp
@@ -0,0 +1,67 @@
+#include "node/IsolatedPeerNetwork.h"
+#include "node/RouterNode.h"
+
+#include <CLI/CLI.hpp>
+#include <glog/logging.h>
+#include <pthread.h>
+
+#include <csignal>
+#include <iostream>
+
+using namespace parsleyring;
+
+static constexpr int ExitFailure = 1;
+static constexpr int ExitUsage = 2;
+
+/// Blocks the signals that end the process in all threads started later.
+static sigset_t blockEndSignals() {
+  std::signal(SIGPIPE, SIG_IGN);
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  return Signals;
+}
+
+static int runNode(const Settings &Options) {
+  sigset_t Signals = blockEndSignals();
+  RouterNode Node(Options, [](const Settings &, const Incarnation &,
+                              const PeerCallbacks &) {
+    return std::make_unique<IsolatedPeerNetwork>();
+  });
+  Node.start();
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+  // Further signals stay blocked: they change nothing.
+  Node.drain();
+  return 0;
+}
+
+int main(int ArgumentCount, char **Arguments) {
+  CLI::App App("Routes requests through pipelines and to plain services");
+  App.set_version_flag("--version", PARSLEYRING_VERSION);
+  std::string ConfigFile;
+  App.add_option("--config", ConfigFile, "Settings of the VM (TOML)")
+      ->required();
+  try {
+    App.parse(ArgumentCount, Arguments);
+  } catch (const CLI::ParseError &Error) {
+    return App.exit(Error) == 0 ? 0 : ExitUsage;
+  }
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(Arguments[0]);
+  std::vector<Finding> Findings;
+  Settings Options =
+      Settings::fromFile(ConfigFile, Settings::Program::Router, Findings);
+  for (const Finding &Found : Findings)
+    std::cerr << toString(Found) << "\n";
+  if (!Findings.empty())
+    return ExitUsage;
+  try {
+    return runNode(Options);
+  } catch (const std::exception &Error) {
+    std::cerr << "parsleyring-router: " << Error.what() << "\n";
+    return ExitFailure;
+  }
+}
--- a/src/endpoints/LoadPoller.cpp
+++ b/src/endpoints/LoadPoller.cpp
@@ -17,7 +17,7 @@
 
 struct LoadPoller::Entry {
   std::string m_Endpoint;
-  std::string m_Address;
+  PolledEndpoint m_Where;
   Clock::time_point m_DueAt;
   bool m_IsBusy = false;
   /// Kept between polls; given up after a failure, since a connection can go
@@ -34,18 +34,20 @@
 LoadPoller::~LoadPoller() { stop(); }
 
 void LoadPoller::setEndpoints(
-    const std::map<std::string, std::string> &Addresses) {
+    const std::map<std::string, PolledEndpoint> &Endpoints) {
   std::lock_guard<std::mutex> Guard(m_Mutex);
   std::map<std::string, std::shared_ptr<Entry>> Entries;
-  for (const auto &[Endpoint, Address] : Addresses) {
+  for (const auto &[Endpoint, Where] : Endpoints) {
     auto Found = m_Entries.find(Endpoint);
-    if (Found != m_Entries.end() && Found->second->m_Address == Address) {
+    if (Found != m_Entries.end() &&
+        Found->second->m_Where.m_Address == Where.m_Address) {
+      Found->second->m_Where = Where;
       Entries.insert(*Found);
       continue;
     }
     auto Added = std::make_shared<Entry>();
     Added->m_Endpoint = Endpoint;
-    Added->m_Address = Address;
+    Added->m_Where = Where;
     Added->m_DueAt = Clock::now();
     Entries.emplace(Endpoint, std::move(Added));
   }
@@ -90,15 +92,17 @@
   while (std::shared_ptr<Entry> Polled = nextDue(Lock)) {
     Polled->m_IsBusy = true;
     Polled->m_DueAt = Clock::now() + m_Interval;
-    auto Target = parseAddress(Polled->m_Address);
+    auto Target = parseAddress(Polled->m_Where.m_Address);
     auto Limit = std::min<Duration>(m_Interval, MaxPollLimit);
     if (!Polled->m_Connection && Target) {
       Polled->m_Connection =
           std::make_unique<EndpointConnection>(*Target, Limit);
       Polled->m_Connection->set_keep_alive(true);
     }
+    std::string FailureDomain = Polled->m_Where.m_FailureDomain;
     Lock.unlock();
-    if (Polled->m_Connection && m_Callbacks.m_IsWanted(Polled->m_Endpoint))
+    if (Polled->m_Connection &&
+        m_Callbacks.m_IsWanted(Polled->m_Endpoint, FailureDomain))
       poll(*Polled);
     Lock.lock();
     Polled->m_IsBusy = false;
--- a/src/endpoints/LoadPoller.h
+++ b/src/endpoints/LoadPoller.h
@@ -17,13 +17,20 @@
 
 class EndpointConnection;
 
+struct PolledEndpoint {
+  std::string m_Address;
+  std::string m_FailureDomain;
+};
+
 /// Asks endpoints for their load at a fixed interval on a few threads.
 class LoadPoller {
 public:
   struct Callbacks {
     std::function<Time()> m_Now;
     /// False if another VM polls the endpoint now.
-    std::function<bool(const std::string &Endpoint)> m_IsWanted;
+    std::function<bool(const std::string &Endpoint,
+                       const std::string &FailureDomain)>
+        m_IsWanted;
     std::function<void(const LoadReported &)> m_Report;
     std::function<void(const std::string &Endpoint)> m_Failed;
   };
@@ -31,8 +38,8 @@
   LoadPoller(Duration Interval, Callbacks Sinks);
   ~LoadPoller();
 
-  /// Replaces the endpoints: names to addresses.
-  void setEndpoints(const std::map<std::string, std::string> &Addresses);
+  /// Replaces the endpoints, which are keyed by name.
+  void setEndpoints(const std::map<std::string, PolledEndpoint> &Endpoints);
   void stop();
 
 private:
--- /dev/null
+++ b/src/metrics/EventCounters.h
@@ -0,0 +1,31 @@
+#ifndef PARSLEYRING_METRICS_EVENTCOUNTERS_H
+#define PARSLEYRING_METRICS_EVENTCOUNTERS_H
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace parsleyring {
+
+/// Counters by name, for events that are rare enough for one lock.
+class EventCounters {
+public:
+  void add(const std::string &Name) {
+    std::lock_guard<std::mutex> Guard(m_Mutex);
+    ++m_Totals[Name];
+  }
+
+  std::map<std::string, std::uint64_t> totals() const {
+    std::lock_guard<std::mutex> Guard(m_Mutex);
+    return m_Totals;
+  }
+
+private:
+  mutable std::mutex m_Mutex;
+  std::map<std::string, std::uint64_t> m_Totals;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_METRICS_EVENTCOUNTERS_H
--- /dev/null
+++ b/src/node/ActionExecutor.cpp
@@ -0,0 +1,96 @@
+#include "node/ActionExecutor.h"
+
+#include "endpoints/EngineClient.h"
+#include "endpoints/ServiceClient.h"
+
+#include <glog/logging.h>
+
+namespace parsleyring {
+
+struct ActionExecutor::Step {
+  const Parts &m_Parts;
+  Time m_Now;
+  LoopInput &m_Cause;
+
+  void operator()(const StartCompletion &Start) const {
+    std::shared_ptr<Answer> Target = m_Parts.m_Answers.find(Start.m_Request);
+    auto Payload = Target ? Target->payload() : nullptr;
+    if (!Payload)
+      return failToStart(Start.m_Attempt);
+    EngineCall Call{std::move(Payload), Start.m_Epoch, Start.m_Route,
+                    Target->tokens(Start.m_StartPosition)};
+    auto OnToken = [Post = m_Parts.m_Post, Number = Start.m_Attempt](
+                       std::uint32_t Position, std::vector<Hop> Hops,
+                       std::string Text) {
+      Post({TokenArrived{Number, Position, std::move(Hops)}, std::move(Text)});
+    };
+    m_Parts.m_Attempts.start(
+        Start.m_Attempt,
+        std::make_shared<EngineClient>(std::move(Call), std::move(OnToken)));
+  }
+
+  void operator()(const StartServiceCall &Start) const {
+    std::shared_ptr<Answer> Target = m_Parts.m_Answers.find(Start.m_Request);
+    auto Payload = Target ? Target->payload() : nullptr;
+    if (!Payload)
+      return failToStart(Start.m_Attempt);
+    m_Parts.m_Attempts.start(
+        Start.m_Attempt,
+        std::make_shared<ServiceClient>(
+            ServiceCall{std::move(Payload), Start.m_Address, Start.m_Timeout}));
+  }
+
+  void operator()(const CancelAttempt &Cancel) const {
+    m_Parts.m_Attempts.cancel(Cancel.m_Attempt);
+  }
+
+  void operator()(const DeliverToken &Deliver) const {
+    if (auto Target = m_Parts.m_Answers.find(Deliver.m_Request))
+      Target->appendToken(Deliver.m_Position, std::move(m_Cause.m_TokenText));
+  }
+
+  void operator()(const DeliverServiceAnswer &Deliver) const {
+    auto Target = m_Parts.m_Answers.find(Deliver.m_Request);
+    if (Target && m_Cause.m_Report.m_Answer)
+      Target->setServiceAnswer(std::move(*m_Cause.m_Report.m_Answer));
+  }
+
+  void operator()(const FinishRequest &Finish) const {
+    auto Target = m_Parts.m_Answers.find(Finish.m_Request);
+    if (Target && !m_Cause.m_Report.m_FinishReason.empty())
+      Target->setFinishReason(m_Cause.m_Report.m_FinishReason);
+    m_Parts.m_Answers.finish(m_Now, Finish);
+  }
+
+  void operator()(const RequestClaim &Request) const {
+    m_Parts.m_Answers.noteKey(Request.m_Request, Request.m_Account,
+                              Request.m_IdempotencyKey);
+    m_Parts.m_Claims.claim(
+        Request,
+        [Post = m_Parts.m_Post](const ClaimSettled &Done) { Post({Done}); });
+  }
+
+  void operator()(const EndClaim &End) const { m_Parts.m_Claims.end(End); }
+
+  void operator()(const AnnounceLeaving &Leaving) const {
+    m_Parts.m_Peers.announceLeaving(Leaving.m_Endpoint, Leaving.m_Incarnation);
+  }
+
+  void operator()(const WriteAudit &Record) const {
+    m_Parts.m_Audit.write(Record);
+  }
+
+  void failToStart(AttemptNumber Number) const {
+    LOG(ERROR) << "attempt " << Number << " has no payload";
+    AttemptEnded End;
+    End.m_Attempt = Number;
+    End.m_Result = AttemptResult::ConnectFailed;
+    m_Parts.m_Post({End});
+  }
+};
+
+void ActionExecutor::execute(Time Now, const Action &Next, LoopInput &Cause) {
+  std::visit(Step{m_Parts, Now, Cause}, Next);
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/node/ConfigurationInForce.h
@@ -0,0 +1,45 @@
+#ifndef PARSLEYRING_NODE_CONFIGURATIONINFORCE_H
+#define PARSLEYRING_NODE_CONFIGURATIONINFORCE_H
+
+#include "parsleyring/Document.h"
+
+#include <memory>
+#include <mutex>
+
+namespace parsleyring {
+
+/// The document in force, for the parts of the node outside the Router.
+class ConfigurationInForce {
+public:
+  void set(ConfigurationVersion Version,
+           std::shared_ptr<const Document> Applied) {
+    std::lock_guard<std::mutex> Guard(m_Mutex);
+    m_Version = Version;
+    m_Document = std::move(Applied);
+  }
+
+  /// 0 before the first configuration.
+  ConfigurationVersion version() const {
+    std::lock_guard<std::mutex> Guard(m_Mutex);
+    return m_Version;
+  }
+
+  /// Null before the first configuration.
+  std::shared_ptr<const Document> document() const {
+    std::lock_guard<std::mutex> Guard(m_Mutex);
+    return m_Document;
+  }
+
+  /// True if both keys belong to one account of the document.
+  bool isSameAccount(const std::string &KeySha256,
+                     const std::string &OtherKeySha256) const;
+
+private:
+  mutable std::mutex m_Mutex;
+  ConfigurationVersion m_Version = 0;
+  std::shared_ptr<const Document> m_Document;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_NODE_CONFIGURATIONINFORCE_H
--- /dev/null
+++ b/src/node/RouterLoop.h
@@ -0,0 +1,72 @@
+#ifndef PARSLEYRING_NODE_ROUTERLOOP_H
+#define PARSLEYRING_NODE_ROUTERLOOP_H
+
+#include "endpoints/EndpointAttempt.h"
+#include "node/NodeClock.h"
+#include "parsleyring/Router.h"
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+namespace parsleyring {
+
+/// An event with the payload that the Router does not see.
+struct LoopInput {
+  Event m_Event;
+  std::string m_TokenText{};   ///< Of TokenArrived.
+  AttemptReport m_Report = {}; ///< Of AttemptEnded.
+};
+
+/// Gives the Router one event at a time, from any thread, and has its actions
+/// executed in order. An event that is posted while another is handled is
+/// handled after it, by the same thread.
+class RouterLoop {
+public:
+  /// Executes one action; must not block. Input is what the action follows.
+  using Executor = std::function<void(Time Now, const Action &, LoopInput &)>;
+  /// Sees every event before the Router.
+  using Observer = std::function<void(Time Now, const Event &)>;
+
+  RouterLoop(const RouterOptions &Options, const NodeClock &Clock,
+             Executor Execute, Observer Observe = {});
+  ~RouterLoop();
+
+  void post(LoopInput Input);
+  void post(const Event &Value) { post(LoopInput{Value}); }
+
+  /// Starts the thread that posts Tick.
+  void start();
+  void stop();
+
+  RouterCounters counters() const;
+  ConfigurationVersion configurationVersion() const;
+  bool hasRequestsInProgress() const;
+
+private:
+  void handle(LoopInput &Input);
+  void runTicks();
+
+  const NodeClock &m_Clock;
+  const Executor m_Execute;
+  const Observer m_Observe;
+
+  mutable std::mutex m_RouterMutex; ///< Guards m_Router and m_Actions.
+  Router m_Router;
+  std::vector<Action> m_Actions;
+
+  std::mutex m_InputMutex; ///< Guards the members up to the next group.
+  std::deque<LoopInput> m_Inputs;
+  bool m_IsHandling = false;
+
+  std::mutex m_TickMutex;
+  std::condition_variable m_Stopped;
+  bool m_IsStopping = false;
+  std::thread m_TickThread;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_NODE_ROUTERLOOP_H
--- /dev/null
+++ b/src/node/RouterNode.h
@@ -0,0 +1,38 @@
+#ifndef PARSLEYRING_NODE_ROUTERNODE_H
+#define PARSLEYRING_NODE_ROUTERNODE_H
+
+#include "membership/PeerNetwork.h"
+#include "parsleyring/Settings.h"
+
+#include <functional>
+#include <memory>
+
+namespace parsleyring {
+
+/// One router: wires the Router to callers, endpoints, platform and peers.
+class RouterNode {
+public:
+  using PeerFactory = std::function<std::unique_ptr<PeerNetwork>(
+      const Settings &, const Incarnation &Self, const PeerCallbacks &)>;
+
+  /// Throws std::runtime_error if an address cannot be bound.
+  RouterNode(const Settings &Options, const PeerFactory &MakePeers);
+  ~RouterNode();
+  RouterNode(const RouterNode &) = delete;
+  RouterNode &operator=(const RouterNode &) = delete;
+
+  void start();
+  /// Graceful shutdown: returns when no request is in progress, however long
+  /// that takes. The node serves nothing afterwards.
+  void drain();
+
+  int callerPort() const;
+
+private:
+  class Implementation;
+  std::unique_ptr<Implementation> m_Implementation;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_NODE_ROUTERNODE_H
