--- /dev/null
+++ b/tests/callers/CompletionRequestTest.cpp
@@ -0,0 +1,62 @@
+#include "callers/CompletionRequest.h"
+
+#include "support/TestMain.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+
+TEST_GROUP(CompletionRequest){
+    static std::string findings(const char *Body){std::vector<Finding> Findings;
+parseCompletionRequest(Body, Findings);
+return joinFindings(Findings);
+}
+}
+;
+
+// Guards against error messages that do not say where the error is.
+TEST(CompletionRequest, SyntaxErrorsHaveAPosition) {
+  STRCMP_CONTAINS("line 1, column 1:", findings("").c_str());
+  STRCMP_CONTAINS("line 1, column 12:", findings("{\"model\": 1x}").c_str());
+  STRCMP_CONTAINS("line 2, column 3:", findings("{\n  x}").c_str());
+  STRCMP_CONTAINS("line 1, column 1:", findings("[]").c_str());
+}
+
+// Guards against callers who must repair a request error by error.
+TEST(CompletionRequest, AllFieldErrorsAreReported) {
+  std::string All = findings("{\"prompt\": 7, \"max_tokens\": 0, \"stream\": "
+                             "\"yes\", \"priority\": 1e20, \"n\": 2}");
+  for (const char *Part :
+       {"model: is missing", "prompt: must be", "max_tokens: must be",
+        "stream: must be", "priority: must be", "n: must be"})
+    STRCMP_CONTAINS(Part, All.c_str());
+}
+
+// Guards against fields that are lost or misread on the way to the engine.
+TEST(CompletionRequest, FieldsAndFurtherFields) {
+  std::vector<Finding> Findings;
+  auto Asked = parseCompletionRequest(
+      "{\"model\": \"m\", \"prompt\": \"p\", \"max_tokens\": 3, \"stream\": "
+      "true, \"priority\": -2, \"temperature\": 0.5, \"pipeline\": {}}",
+      Findings);
+  CHECK(Findings.empty());
+  LONGS_EQUAL(3, Asked.m_MaxTokens);
+  LONGS_EQUAL(-2, Asked.m_Priority);
+  CHECK(Asked.m_IsStreamed);
+  STRCMP_EQUAL("{\"temperature\":0.5}", Asked.m_ExtraJson.c_str());
+}
+
+// Guards against prefix hashes that do not match between equal prompts.
+TEST(CompletionRequest, PrefixHashesCoverWholeSteps) {
+  CompletionPayload Asked;
+  Asked.m_Prompt = std::string(700, 'a');
+  auto Longer = completionArrived(1, "", Asked);
+  Asked.m_Prompt.resize(256);
+  auto Shorter = completionArrived(2, "", Asked);
+  LONGS_EQUAL(2, Longer.m_PrefixHashes.size());
+  LONGS_EQUAL(1, Shorter.m_PrefixHashes.size());
+  CHECK(Longer.m_PrefixHashes[0] == Shorter.m_PrefixHashes[0]);
+  LONGS_EQUAL(175, Longer.m_PromptTokens);
+}
+
+PARSLEYRING_TEST_MAIN
--- /dev/null
+++ b/tests/endpoints/EngineClientTest.cpp
@@ -0,0 +1,147 @@
+#include "endpoints/EngineClient.h"
+
+#include "support/ScriptedServer.h"
+#include "support/TestMain.h"
+
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+using End = ScriptedServer::End;
+
+static const char *const StreamHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
+
+static std::string chunk(const std::string &Text) {
+  std::array<char, 16> Size{};
+  std::snprintf(Size.data(), Size.size(), "%zx\r\n", Text.size());
+  return Size.data() + Text + "\r\n";
+}
+
+static std::string token(int Position, const char *Reason) {
+  return "data: {\"choices\":[{\"index\":0,\"text\":\"t" +
+         std::to_string(Position) + "\",\"finish_reason\":" + Reason +
+         "}],\"position\":" + std::to_string(Position) +
+         ",\"hops\":[{\"endpoint\":\"e\",\"first_layer\":0,\"end_layer\":8}]}"
+         "\n\n";
+}
+
+static std::string answer(const char *Status, const std::string &Body) {
+  return std::string("HTTP/1.1 ") + Status +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+TEST_GROUP(EngineClient) {
+  std::string m_Text;
+
+  EngineCall call(const std::string &Address) {
+    auto Payload = std::make_shared<CallerPayload>();
+    Payload->m_RequestId = "req-a-1-1";
+    CompletionPayload Asked;
+    Asked.m_Model = "m";
+    Asked.m_Prompt = "p";
+    Asked.m_MaxTokens = 2;
+    Payload->m_Content = Asked;
+    return {Payload, 1, {{{"e", {0, 8}}, Address}}, {}};
+  }
+
+  EngineClient client(const std::string &Address) {
+    return {call(Address), [this](std::uint32_t, std::vector<Hop>,
+                                  std::string Text) { m_Text += Text; }};
+  }
+
+  AttemptReport run(const std::string &Answer, End After = End::Close) {
+    ScriptedServer Server(Answer, After);
+    return client(Server.address()).run();
+  }
+
+  void checkResult(AttemptResult Expected, const std::string &Answer) {
+    AttemptReport Report = run(Answer);
+    STRCMP_EQUAL(std::string(name(Expected)).c_str(),
+                 std::string(name(Report.m_Result)).c_str());
+  }
+};
+
+// Guards against a whole answer that is not recognised as such.
+TEST(EngineClient, WholeStreamFinishes) {
+  // The engine may hold the connection open after its end mark.
+  AttemptReport Report =
+      run(StreamHead + chunk(token(0, "null")) +
+              chunk(token(1, "\"length\"") + "data: [DONE]\n\n"),
+          End::Silence);
+  CHECK(Report.m_Result == AttemptResult::Finished);
+  STRCMP_EQUAL("length", Report.m_FinishReason.c_str());
+  STRCMP_EQUAL("t0t1", m_Text.c_str());
+}
+
+// Guards against a torn answer that passes for a whole one.
+TEST(EngineClient, StreamWithoutEndMarkIsLost) {
+  checkResult(AttemptResult::ConnectionLost,
+              StreamHead + chunk(token(0, "null")));
+  STRCMP_EQUAL("t0", m_Text.c_str());
+  checkResult(AttemptResult::ConnectionLost,
+              StreamHead + chunk(token(0, "\"length\"")) + "0\r\n\r\n");
+  checkResult(AttemptResult::ConnectionLost,
+              StreamHead +
+                  chunk("data: {\"error\":{\"code\":\"stage-failed\"}}\n\n"));
+  checkResult(AttemptResult::ConnectionLost, "");
+}
+
+// Guards against tokens of streams that cannot be understood.
+TEST(EngineClient, MalformedStreams) {
+  for (const char *Text :
+       {"data: {\n\n", "data: {\"choices\":[]}\n\n",
+        "data: {\"choices\":[{\"text\":1}],\"position\":0,\"hops\":[]}\n\n",
+        "data: {\"choices\":[{\"text\":\"t\"}],\"position\":0}\n\n",
+        "data: [DONE]\n\n"})
+    checkResult(AttemptResult::Malformed, StreamHead + chunk(Text));
+}
+
+// Guards against a proof that the engine did not run the request which the
+// engine did not give.
+TEST(EngineClient, OnlyTheEngineStatesARefusal) {
+  auto Error = [](const char *Code, const char *Outcome) {
+    return std::string("{\"error\":{\"code\":\"") + Code + "\",\"outcome\":\"" +
+           Outcome + "\"}}";
+  };
+  checkResult(AttemptResult::RefusedNotRun,
+              answer("429 Busy", Error("overloaded", "not-run")));
+  checkResult(AttemptResult::RefusedLeaving,
+              answer("503 Leaving", Error("draining", "not-run")));
+  checkResult(AttemptResult::ConnectionLost,
+              answer("503 Leaving", Error("draining", "unknown")));
+  checkResult(AttemptResult::ConnectionLost, answer("503 Busy", "busy"));
+  checkResult(AttemptResult::ConnectionLost, answer("500 Error", ""));
+  checkResult(AttemptResult::Rejected,
+              answer("400 Bad", Error("malformed", "not-run")));
+}
+
+// Guards against an attempt that is repeated although it may have run, and
+// against one that is not repeated although it cannot have run.
+TEST(EngineClient, ConnectFailedOnlyIfNothingWasSent) {
+  CHECK(client(refusingAddress()).run().m_Result ==
+        AttemptResult::ConnectFailed);
+  CHECK(client("nowhere").run().m_Result == AttemptResult::ConnectFailed);
+}
+
+// Guards against threads that a silent engine holds for good.
+TEST(EngineClient, CancelWakesASilentStream) {
+  ScriptedServer Server(StreamHead, End::Silence);
+  EngineClient Silent = client(Server.address());
+  std::thread Canceller([&] {
+    while (!Server.hasRequest())
+      std::this_thread::yield();
+    Silent.cancel();
+  });
+  AttemptReport Report = Silent.run();
+  Canceller.join();
+  CHECK(Report.m_Result == AttemptResult::Cancelled);
+  EngineClient Early = client(Server.address());
+  Early.cancel();
+  CHECK(Early.run().m_Result == AttemptResult::Cancelled);
+}
+
+PARSLEYRING_TEST_MAIN
--- /dev/null
+++ b/tests/endpoints/ServiceClientTest.cpp
@@ -0,0 +1,72 @@
+#include "endpoints/ServiceClient.h"
+
+#include "support/ScriptedServer.h"
+#include "support/TestMain.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+using End = ScriptedServer::End;
+
+TEST_GROUP(ServiceClient){
+    static AttemptReport runAt(const std::string &Address,
+                               Duration Timeout = std::chrono::seconds(10)){
+        auto Payload = std::make_shared<CallerPayload>();
+Payload->m_Content = ServicePayload{"POST", "/a?b=%2F", "", "", "body"};
+return ServiceClient({Payload, Address, Timeout}).run();
+}
+
+static AttemptReport run(const std::string &Answer, End After = End::Close) {
+  ScriptedServer Server(Answer, After);
+  return runAt(Server.address());
+}
+
+static void checkResult(AttemptResult Expected, const std::string &Answer) {
+  STRCMP_EQUAL(std::string(name(Expected)).c_str(),
+               std::string(name(run(Answer).m_Result)).c_str());
+}
+}
+;
+
+// Guards against whole answers that are changed or taken for failures.
+TEST(ServiceClient, WholeAnswersPassWhateverTheStatus) {
+  AttemptReport Report = run("HTTP/1.1 500 Odd\r\nContent-Length: 4\r\n"
+                             "Content-Type: a/b\r\nX-Outcome: completed\r\n"
+                             "Connection: close\r\n\r\nword");
+  CHECK(Report.m_Result == AttemptResult::Finished);
+  LONGS_EQUAL(500, Report.m_Status);
+  STRCMP_EQUAL("word", Report.m_Answer->m_Body.c_str());
+  STRCMP_EQUAL("a/b", Report.m_Answer->contentType().c_str());
+  LONGS_EQUAL(1, Report.m_Answer->m_Headers.size());
+  checkResult(AttemptResult::Finished,
+              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "1\r\nx\r\n0\r\n\r\n");
+}
+
+// Guards against a torn answer that passes for a whole one.
+TEST(ServiceClient, TornAnswersAreLost) {
+  for (const char *Answer :
+       {"", "HTTP/1.1 200", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nwor",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nno explicit end"})
+    checkResult(AttemptResult::ConnectionLost, Answer);
+}
+
+// Guards against a call that is repeated although it may have run.
+TEST(ServiceClient, NotRunOnlyIfRefusedOrStated) {
+  CHECK(runAt(refusingAddress()).m_Result == AttemptResult::ConnectFailed);
+  checkResult(AttemptResult::RefusedLeaving,
+              "HTTP/1.1 503 Leaving\r\nX-Outcome: not-run\r\n"
+              "Content-Length: 0\r\n\r\n");
+  checkResult(AttemptResult::Finished,
+              "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+}
+
+// Guards against a call that waits for a silent service for good.
+TEST(ServiceClient, SilentServiceTimesOut) {
+  ScriptedServer Server("HTTP/1.1 200 OK\r\n", End::Silence);
+  CHECK(runAt(Server.address(), std::chrono::milliseconds(100)).m_Result ==
+        AttemptResult::TimedOut);
+}
+
+PARSLEYRING_TEST_MAIN
--- /dev/null
+++ b/tests/support/ScriptedServer.h
@@ -0,0 +1,40 @@
+#ifndef PARSLEYRING_TESTS_SUPPORT_SCRIPTEDSERVER_H
+#define PARSLEYRING_TESTS_SUPPORT_SCRIPTEDSERVER_H
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+namespace parsleyring {
+
+/// A TCP server on a free loopback port that reads a request, sends fixed
+/// bytes and then closes the connection or stays silent.
+class ScriptedServer {
+public:
+  enum class End { Close, Silence };
+
+  ScriptedServer(std::string Answer, End After);
+  ~ScriptedServer();
+
+  std::string address() const;
+  /// True once a request was read to the end of its headers.
+  bool hasRequest() const { return m_HasRequest; }
+
+private:
+  void serve();
+  void answer(int Connection);
+
+  const std::string m_Answer;
+  const End m_End;
+  int m_Listener = -1;
+  std::atomic<bool> m_IsStopping{false};
+  std::atomic<bool> m_HasRequest{false};
+  std::thread m_Thread;
+};
+
+/// A loopback address that refuses connections.
+std::string refusingAddress();
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_TESTS_SUPPORT_SCRIPTEDSERVER_H
