Queue audit lines in front of the output

Writing to standard output under the lock of the Router would stop all requests while a log collector does not read. The sequence numbers come from the AuditWriter of the audit module.

--- /dev/null
+++ b/src/audit/AuditOutput.h
@@ -0,0 +1,59 @@
+#ifndef PARSLEYRING_AUDIT_AUDITOUTPUT_H
+#define PARSLEYRING_AUDIT_AUDITOUTPUT_H
+
+#include "parsleyring/Types.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <ostream>
+#include <streambuf>
+#include <thread>
+
+namespace parsleyring {
+
+/// Stream for audit lines whose writes never block: a thread writes the lines
+/// to a file descriptor. The stream itself is for one thread at a time.
+class AuditOutput final : private std::streambuf {
+public:
+  explicit AuditOutput(int Descriptor);
+  ~AuditOutput() override;
+
+  std::ostream &stream() { return m_Stream; }
+
+  /// True while so much is unwritten that no further work should be taken on:
+  /// a decision that cannot be recorded must not be made.
+  bool isCongested() const { return m_QueuedBytes > CongestedBytes; }
+  /// Lines that the descriptor did not take.
+  std::uint64_t lostLines() const { return m_LostLines; }
+
+  /// Waits up to Limit until all is written; then ends the thread.
+  void close(Duration Limit);
+
+private:
+  static constexpr std::size_t CongestedBytes = 16 << 20;
+
+  int_type overflow(int_type Character) override;
+  std::streamsize xsputn(const char *Text, std::streamsize Size) override;
+  void queueLine();
+  void run();
+  void writeLine(const std::string &Line);
+
+  const int m_Descriptor;
+  std::string m_Line; ///< Not ended yet.
+  std::ostream m_Stream;
+  std::mutex m_Mutex; ///< Guards the members up to the next group.
+  std::condition_variable m_Changed;
+  std::deque<std::string> m_Lines;
+  bool m_IsClosing = false;
+
+  std::atomic<std::size_t> m_QueuedBytes{0};
+  std::atomic<std::uint64_t> m_LostLines{0};
+  std::atomic<bool> m_IsAbandoned{false};
+  std::thread m_Thread;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_AUDIT_AUDITOUTPUT_H
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -22,6 +22,7 @@
 static constexpr std::chrono::milliseconds IdleCheckInterval(100);
 static constexpr std::chrono::seconds FirstRequestLimit(10);
 static constexpr std::chrono::seconds IdleLimit(5);
+static constexpr std::size_t MaxRequestsPerConnection = 1000;
 // A caller whose VM vanished without a reset is noticed after about 25 s.
 static constexpr int KeepAliveIdleSeconds = 10;
 static constexpr int KeepAliveIntervalSeconds = 5;
@@ -107,6 +108,8 @@
       HandlerWithResponse([this](const Request &, Response &Reply) {
         return describeError(Reply);
       }));
+  set_keep_alive_max_count(MaxRequestsPerConnection);
+  set_keep_alive_timeout(IdleLimit.count());
   addHandlers();
 }
 
@@ -244,11 +247,11 @@
 }
 
 void CallerServer::Implementation::serve(CallerConnection &Connection) {
-  for (bool IsFirst = true; awaitRequest(Connection, IsFirst);
-       IsFirst = false) {
+  for (std::size_t Count = 1; awaitRequest(Connection, Count == 1); ++Count) {
     Connection.beginRequest();
     bool IsRequestRead = false;
-    bool MustClose = BoundedTaskQueue::isRefusing() || isSaturated() ||
+    bool MustClose = Count >= MaxRequestsPerConnection ||
+                     BoundedTaskQueue::isRefusing() || isSaturated() ||
                      m_Context.m_IsDraining();
     bool IsClosed = false;
     bool IsAnswered = process_request(Connection.stream(), MustClose, IsClosed,
--- a/src/node/RouterNode.cpp
+++ b/src/node/RouterNode.cpp
@@ -1,5 +1,6 @@
 #include "node/RouterNode.h"
 
+#include "audit/AuditOutput.h"
 #include "audit/AuditWriter.h"
 #include "callers/AnswerStore.h"
 #include "callers/CallerServer.h"
@@ -67,6 +68,7 @@
   const Incarnation m_Self;
   EventCounters m_Counters;
   AnswerStore m_Answers;
+  AuditOutput m_AuditOutput;
   AuditWriter m_Audit;
   HttpPlatformClient m_Platform;
   ConfigurationInForce m_Configuration;
@@ -88,7 +90,8 @@
                                            const PeerFactory &MakePeers)
     : m_Settings(Options), m_Self(makeSelf()),
       m_Answers(Options.m_AnswerKeepTime, Options.m_AnswerKeepBytes),
-      m_Audit(m_Self, STDOUT_FILENO),
+      m_AuditOutput(STDOUT_FILENO),
+      m_Audit(m_Self, m_AuditOutput.stream()),
       m_Platform(Options.m_PlatformAddress, Options.m_PlatformTimeout),
       m_Loop(routerOptions(), m_Clock,
              [this](Time Now, const Action &Next, LoopInput &Cause) {
@@ -269,7 +272,7 @@
                        Outcome::NotRun,
                        {},
                        1};
-  if (m_Audit.isCongested())
+  if (m_AuditOutput.isCongested())
     return ErrorAnswer{503,
                        "audit-congested",
                        "audit records cannot be written fast enough",
@@ -288,7 +291,7 @@
   Values.m_Router = m_Loop.counters();
   Values.m_ConfigurationVersion = m_Configuration.version();
   Values.m_Totals = m_Counters.totals();
-  Values.m_Totals["audit_lines_lost"] = m_Audit.lostLines();
+  Values.m_Totals["audit_lines_lost"] = m_AuditOutput.lostLines();
   Values.m_Gauges["answers_kept_bytes"] =
       static_cast<double>(m_Answers.keptBytes());
   Values.m_Gauges["attempts_in_progress"] =
@@ -334,7 +337,7 @@
   m_Attempts.stop();
   m_Peers->stop();
   m_Platform.shutDown();
-  m_Audit.close(AuditFlushLimit);
+  m_AuditOutput.close(AuditFlushLimit);
 }
 
 RouterNode::RouterNode(const Settings &Options, const PeerFactory &MakePeers)
