--- /dev/null
+++ b/src/routing/SlotDivision.cpp
@@ -0,0 +1,71 @@
+#include "routing/SlotDivision.h"
+
+namespace parsleyring {
+
+/// Part of the slots that is divided equally between the routers.
+static constexpr double EqualPart = 0.1;
+/// From this load on, the endpoints of a boundary count as contended: then a
+/// router does not go beyond its part even if no other endpoint is free.
+static constexpr double ContendedLoad = 0.85;
+
+/// Makes a router prefer endpoints where it is within its part, but not wait
+/// for them while others are free. Measured with eight routers and speeds of
+/// 1:6 at 60% load: factor 1 gives a mean time of 421 ms, 2 gives 364 ms, 4
+/// gives 172 ms.
+static constexpr double OverPartCostFactor = 4;
+
+void SlotDivision::apply(std::vector<StageOption> &Options) const {
+  std::size_t First = 0;
+  for (std::size_t Index = 1; Index <= Options.size(); ++Index)
+    if (Index == Options.size() ||
+        Options[Index].m_Layers.m_First != Options[First].m_Layers.m_First) {
+      applyToGroup(Options, First, Index);
+      First = Index;
+    }
+}
+
+void SlotDivision::applyToGroup(std::vector<StageOption> &Options,
+                                std::size_t First, std::size_t End) const {
+  double Slots = 0;
+  double Own = 0;
+  double Others = 0;
+  for (std::size_t Index = First; Index < End; ++Index) {
+    const Endpoint &Candidate = *Options[Index].m_Endpoint;
+    Slots += Candidate.m_Spec.m_Slots;
+    Own += Candidate.m_Load.outstanding();
+    Others += Candidate.m_Load.othersAtReport(m_Now);
+  }
+  bool IsContended = Own + Others >= ContendedLoad * Slots;
+  for (std::size_t Index = First; Index < End; ++Index) {
+    StageOption &Option = Options[Index];
+    const LoadEstimate &Load = Option.m_Endpoint->m_Load;
+    double Part = slots(*Option.m_Endpoint, Own, Others);
+    bool IsOverPart =
+        Load.outstanding() + 1 > Part + Option.m_Endpoint->m_Rounding;
+    bool IsBelowSlots = Option.m_Requests < Option.m_Endpoint->m_Spec.m_Slots;
+    Option.m_HasFreeSlot = !Load.isRefusing(m_Now) &&
+                           (!IsOverPart || (IsBelowSlots && !IsContended));
+    if (IsOverPart)
+      Option.m_CostMicros *= OverPartCostFactor;
+  }
+}
+
+double SlotDivision::slots(const Endpoint &Candidate, double Own,
+                           double Others) const {
+  double Slots = Candidate.m_Spec.m_Slots;
+  if (!Candidate.m_Load.hasReport(m_Now))
+    return Slots;
+  double OwnHere = Candidate.m_Load.ownAtReport();
+  double Reported = OwnHere + Candidate.m_Load.othersAtReport(m_Now);
+  // Of the routers' demand, with the request that is being planned.
+  double Demand = (Own + 1) / (Own + 1 + Others);
+  double Part = Reported > Slots ? OwnHere * Slots / Reported
+                                 : OwnHere + (Slots - Reported) * Demand;
+  if (m_Routers <= 1)
+    return Part;
+  // A router that is alone in using the endpoints keeps all slots.
+  double Mix = EqualPart * (1 - Demand);
+  return (1 - Mix) * Part + Mix * Slots / m_Routers;
+}
+
+} // namespace parsleyring
