--- a/src/daemons/parsleyring-router.cpp
+++ b/src/daemons/parsleyring-router.cpp
@@ -1,4 +1,4 @@
-#include "node/IsolatedPeerNetwork.h"
+#include "node/ListedPeerNetwork.h"
 #include "node/RouterNode.h"
 
 #include <CLI/CLI.hpp>
@@ -26,9 +26,12 @@
 
 static int runNode(const Settings &Options) {
   sigset_t Signals = blockEndSignals();
-  RouterNode Node(Options, [](const Settings &, const Incarnation &,
-                              const PeerCallbacks &) {
-    return std::make_unique<IsolatedPeerNetwork>();
+  RouterNode Node(Options, [](const Settings &Own, const Incarnation &Self,
+                              std::function<Time()> Now,
+                              PlatformClient &Platform,
+                              const PeerCallbacks &Callbacks) {
+    return std::make_unique<ListedPeerNetwork>(Own, Self, std::move(Now),
+                                               Platform, Callbacks);
   });
   Node.start();
   int Signal = 0;
--- /dev/null
+++ b/src/node/ListedPeerNetwork.h
@@ -0,0 +1,34 @@
+#ifndef PARSLEYRING_NODE_LISTEDPEERNETWORK_H
+#define PARSLEYRING_NODE_LISTEDPEERNETWORK_H
+
+#include "membership/VMList.h"
+#include "parsleyring/Settings.h"
+#include "peers/ThriftPeerNetwork.h"
+
+#include <set>
+
+namespace parsleyring {
+
+/// The Thrift network between the routers, whose peers come from the settings
+/// and from the platform's VM list.
+class ListedPeerNetwork final : public ThriftPeerNetwork {
+public:
+  ListedPeerNetwork(const Settings &Options, const Incarnation &Self,
+                    std::function<Time()> Now, PlatformClient &Platform,
+                    const PeerCallbacks &Callbacks);
+  ~ListedPeerNetwork() override;
+
+  void start() override;
+  void stop() override;
+
+private:
+  void apply(const VMList &List);
+
+  const std::function<void(const Event &)> m_Post;
+  std::set<std::string> m_ListedVMs; ///< Used by the follower's thread only.
+  VMListFollower m_List;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_NODE_LISTEDPEERNETWORK_H
--- a/src/node/RouterNode.cpp
+++ b/src/node/RouterNode.cpp
@@ -2,9 +2,13 @@
 
 #include "audit/AuditOutput.h"
 #include "audit/AuditWriter.h"
+#include "audit/TraceCodec.h"
 #include "callers/AnswerStore.h"
 #include "callers/CallerServer.h"
 #include "claims/PlatformClaimService.h"
+#include "configuration/ConfigurationFollower.h"
+#include "document/DocumentReader.h"
+#include "document/DocumentWriter.h"
 #include "endpoints/AttemptRunner.h"
 #include "endpoints/LoadPoller.h"
 #include "metrics/EventCounters.h"
@@ -15,6 +19,7 @@
 #include "platform/HttpPlatformClient.h"
 
 #include <glog/logging.h>
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 #include <random>
@@ -32,6 +37,20 @@
 /// Default of the published completions format.
 static constexpr std::uint32_t DefaultMaxTokens = 16;
 
+static std::string documentToText(const Document &Value) {
+  return DocumentWriter::write(Value);
+}
+
+static std::shared_ptr<const Document>
+documentFromText(const std::string &Text) {
+  DocumentReader Reader;
+  std::vector<Finding> Findings;
+  Reader.add("trace", Text, Findings);
+  if (!Findings.empty())
+    throw TraceError(toString(Findings.front()));
+  return std::make_shared<Document>(Reader.takeDocument());
+}
+
 class RouterNode::Implementation {
 public:
   Implementation(const Settings &Options, const PeerFactory &MakePeers);
@@ -45,6 +64,8 @@
 private:
   Incarnation makeSelf() const;
   RouterOptions routerOptions() const;
+  FollowerOptions followerOptions();
+  RouterLoop::Observer observer();
   PeerCallbacks peerCallbacks();
   ClaimCallbacks claimCallbacks();
   CallerContext callerContext();
@@ -52,6 +73,7 @@
 
   void applyConfiguration(ConfigurationVersion Version,
                           const std::shared_ptr<const Document> &Applied);
+  void recordRejection(const ConfigurationRejection &Rejected);
   void attemptEnded(AttemptNumber Number, AttemptReport Report);
   void keepAnswer(RequestNumber Number, const RemoteAnswer &Kept);
   std::optional<RemoteAnswer> keyState(const Incarnation &Holder,
@@ -71,6 +93,8 @@
   AuditOutput m_AuditOutput;
   AuditWriter m_Audit;
   HttpPlatformClient m_Platform;
+  const RouterOptions m_RouterOptions;
+  const TraceCodec m_Trace;
   ConfigurationInForce m_Configuration;
   std::atomic<RequestNumber> m_LastRequest{0};
   std::atomic<bool> m_IsDraining{false};
@@ -82,6 +106,7 @@
   PlatformClaimService m_Claims;
   std::unique_ptr<ActionExecutor> m_Executor;
   LoadPoller m_Poller;
+  ConfigurationFollower m_Follower;
   CallerContext m_CallerContext;
   std::unique_ptr<CallerServer> m_Callers;
 };
@@ -90,24 +115,29 @@
                                            const PeerFactory &MakePeers)
     : m_Settings(Options), m_Self(makeSelf()),
       m_Answers(Options.m_AnswerKeepTime, Options.m_AnswerKeepBytes),
-      m_AuditOutput(STDOUT_FILENO),
-      m_Audit(m_Self, m_AuditOutput.stream()),
+      m_AuditOutput(STDOUT_FILENO), m_Audit(m_Self, m_AuditOutput.stream()),
       m_Platform(Options.m_PlatformAddress, Options.m_PlatformTimeout),
-      m_Loop(routerOptions(), m_Clock,
-             [this](Time Now, const Action &Next, LoopInput &Cause) {
-               m_Executor->execute(Now, Next, Cause);
-             }),
+      m_RouterOptions(routerOptions()),
+      m_Trace(documentToText, documentFromText),
+      m_Loop(
+          m_RouterOptions, m_Clock,
+          [this](Time Now, const Action &Next, LoopInput &Cause) {
+            m_Executor->execute(Now, Next, Cause);
+          },
+          observer()),
       m_Attempts(Options.m_MaxConnections + SpareAttemptThreads,
                  [this](AttemptNumber Number, AttemptReport Report) {
                    attemptEnded(Number, std::move(Report));
                  }),
-      m_Peers(MakePeers(m_Settings, m_Self, peerCallbacks())),
+      m_Peers(MakePeers(
+          m_Settings, m_Self, [this] { return m_Clock.now(); }, m_Platform,
+          peerCallbacks())),
       m_Claims(m_Self, std::random_device()(), m_Platform, claimCallbacks()),
       m_Executor(std::make_unique<ActionExecutor>(ActionExecutor::Parts{
           m_Answers, m_Attempts, m_Claims, *m_Peers, m_Audit,
           [this](LoopInput Input) { m_Loop.post(std::move(Input)); }})),
       m_Poller(Options.m_LoadPollInterval, pollerCallbacks()),
-      m_CallerContext(callerContext()),
+      m_Follower(followerOptions()), m_CallerContext(callerContext()),
       m_Callers(std::make_unique<CallerServer>(
           CallerServerOptions{Options.m_CallerAddress, Options.m_MaxBodyBytes,
                               Options.m_MaxConnections},
@@ -128,10 +158,50 @@
   return Result;
 }
 
+FollowerOptions RouterNode::Implementation::followerOptions() {
+  FollowerOptions Result;
+  Result.m_Platform = &m_Platform;
+  for (const PeerSeed &Seed : m_Settings.m_Peers)
+    Result.m_StartPeers.push_back(Seed.m_VM);
+  Result.m_FetchHead = [this](const std::string &Peer) {
+    return m_Peers->fetchHead(Peer);
+  };
+  Result.m_FetchChunk = [this](const std::string &Peer,
+                               const std::string &Sha256) {
+    return m_Peers->fetchChunk(Peer, Sha256);
+  };
+  Result.m_OnApplied = [this](ConfigurationVersion Version,
+                              const std::shared_ptr<const Document> &Applied) {
+    applyConfiguration(Version, Applied);
+  };
+  Result.m_OnRejected = [this](const ConfigurationRejection &Rejected) {
+    recordRejection(Rejected);
+  };
+  Result.m_Now = [this] { return m_Clock.now(); };
+  return Result;
+}
+
+RouterLoop::Observer RouterNode::Implementation::observer() {
+  if (!m_Settings.m_IsTraceEnabled)
+    return {};
+  m_Audit.write(TraceCodec::encodeStart(m_Clock.now(), m_RouterOptions));
+  return [this](Time Now, const Event &Value) {
+    m_Audit.write(m_Trace.encode(Now, Value));
+  };
+}
+
 PeerCallbacks RouterNode::Implementation::peerCallbacks() {
   PeerCallbacks Result;
   Result.m_Post = [this](const Event &Value) { m_Loop.post(Value); };
   Result.m_ConfigurationVersion = [this] { return m_Configuration.version(); };
+  Result.m_NewerConfiguration = [this](const std::string &Peer,
+                                       ConfigurationVersion Version) {
+    m_Follower.noteNewer(Peer, Version);
+  };
+  Result.m_HeadJson = [this] { return m_Follower.headJson(); };
+  Result.m_Chunk = [this](const std::string &Sha256) {
+    return m_Follower.chunk(Sha256);
+  };
   Result.m_Outstanding = [this] { return m_Loop.counters().m_Outstanding; };
   Result.m_RequestState = [this](RequestNumber Number, std::uint32_t From) {
     auto Found = m_Answers.find(Number);
@@ -261,7 +331,26 @@
     for (const EndpointSpec &Member : Group.m_Endpoints)
       Endpoints[Member.m_Name] = {Member.m_Address, Member.m_FailureDomain};
   m_Poller.setEndpoints(Endpoints);
-  LOG(INFO) << "configuration " << Version << " is in force";
+}
+
+void RouterNode::Implementation::recordRejection(
+    const ConfigurationRejection &Rejected) {
+  static constexpr std::size_t MaxFindings = 20;
+  nlohmann::json Findings = nlohmann::json::array();
+  for (const Finding &Found : Rejected.m_Findings)
+    if (Findings.size() < MaxFindings)
+      Findings.push_back(toString(Found));
+  WriteAudit Record;
+  Record.m_Kind = AuditKind::Configuration;
+  Record.m_At = Rejected.m_At;
+  Record.m_FieldsJson =
+      nlohmann::json{{"accepted", false},
+                     {"source", Rejected.m_Source},
+                     {"version", Rejected.m_Version},
+                     {"findings", std::move(Findings)}}
+          .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  m_Audit.write(Record, "configuration");
+  m_Counters.add("configurations_rejected");
 }
 
 std::optional<ErrorAnswer> RouterNode::Implementation::refusal() const {
@@ -306,6 +395,7 @@
 void RouterNode::Implementation::start() {
   m_Loop.start();
   m_Peers->start();
+  m_Follower.start();
   m_Callers->start();
   LOG(INFO) << "serves callers on port " << m_Callers->port();
 }
@@ -335,8 +425,9 @@
   m_Poller.stop();
   m_Loop.stop();
   m_Attempts.stop();
-  m_Peers->stop();
   m_Platform.shutDown();
+  m_Follower.stop();
+  m_Peers->stop();
   m_AuditOutput.close(AuditFlushLimit);
 }
 
--- a/src/node/RouterNode.h
+++ b/src/node/RouterNode.h
@@ -2,6 +2,7 @@
 #define PARSLEYRING_NODE_ROUTERNODE_H
 
 #include "membership/PeerNetwork.h"
+#include "parsleyring/PlatformClient.h"
 #include "parsleyring/Settings.h"
 
 #include <functional>
@@ -13,7 +14,8 @@
 class RouterNode {
 public:
   using PeerFactory = std::function<std::unique_ptr<PeerNetwork>(
-      const Settings &, const Incarnation &Self, const PeerCallbacks &)>;
+      const Settings &, const Incarnation &Self, std::function<Time()> Now,
+      PlatformClient &, const PeerCallbacks &)>;
 
   /// Throws std::runtime_error if an address cannot be bound.
   RouterNode(const Settings &Options, const PeerFactory &MakePeers);
--- /dev/null
+++ b/tests/callers/CallerServerTest.cpp
@@ -0,0 +1,215 @@
+#include "callers/CallerServer.h"
+
+#include "support/TestMain.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+using std::chrono::seconds;
+
+/// A connection of a caller; reads time out after some seconds.
+class Caller {
+public:
+  explicit Caller(int Port) : m_Socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+    timeval Limit{20, 0};
+    ::setsockopt(m_Socket, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
+    sockaddr_in Server{};
+    Server.sin_family = AF_INET;
+    Server.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Server.sin_port = htons(static_cast<std::uint16_t>(Port));
+    CHECK(::connect(m_Socket, reinterpret_cast<sockaddr *>(&Server),
+                    sizeof(Server)) == 0);
+  }
+  ~Caller() { ::close(m_Socket); }
+  Caller(const Caller &) = delete;
+  Caller &operator=(const Caller &) = delete;
+
+  void send(const std::string &Text) {
+    ::send(m_Socket, Text.data(), Text.size(), MSG_NOSIGNAL);
+  }
+  /// Reads until Text was received or the connection ended.
+  std::string readUntil(const std::string &Text) {
+    std::array<char, 4096> Buffer;
+    while (m_Received.find(Text) == std::string::npos) {
+      ssize_t Count = ::recv(m_Socket, Buffer.data(), Buffer.size(), 0);
+      if (Count <= 0)
+        break;
+      m_Received.append(Buffer.data(), static_cast<std::size_t>(Count));
+    }
+    return m_Received;
+  }
+  std::string readToEnd() { return readUntil("never sent"); }
+
+private:
+  int m_Socket;
+  std::string m_Received;
+};
+
+TEST_GROUP(CallerServer) {
+  AnswerStore m_Answers{seconds(600), 1 << 20};
+  std::atomic<RequestNumber> m_Last{0};
+  std::atomic<RequestNumber> m_Arrived{0};
+  std::atomic<RequestNumber> m_Gone{0};
+  std::unique_ptr<CallerContext> m_Context;
+  std::unique_ptr<CallerServer> m_Server;
+
+  void setup() override {
+    m_Context.reset(new CallerContext{
+        m_Answers,
+        {"vm", 1},
+        [this] { return ++m_Last; },
+        [this](const Event &Value) {
+          if (auto *Arrived = std::get_if<CompletionArrived>(&Value))
+            m_Arrived = Arrived->m_Request;
+          if (auto *Gone = std::get_if<CallerGone>(&Value))
+            m_Gone = Gone->m_Request;
+        },
+        [] { return std::optional<ErrorAnswer>(); },
+        [](const std::string &) { return 16U; },
+        [](const std::string &, const std::string &) { return true; },
+        [](const OwnedId &, std::uint32_t) {
+          return std::optional<RemoteAnswer>();
+        },
+        [] { return true; },
+        [] { return false; },
+        [] { return std::string(); },
+        [](const char *) {}});
+    m_Server = std::make_unique<CallerServer>(
+        CallerServerOptions{"127.0.0.1:0", 1000, 4}, *m_Context);
+    m_Server->start();
+  }
+
+  void teardown() override { m_Server.reset(); }
+
+  std::string exchange(const std::string &Request) {
+    Caller Client(m_Server->port());
+    Client.send(Request);
+    return Client.readToEnd();
+  }
+
+  static std::string completion(const std::string &More = {}) {
+    std::string Body = R"({"model":"m","prompt":"p")" + More + "}";
+    return "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+           std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  }
+
+  static void awaitValue(const std::atomic<RequestNumber> &Value,
+                         RequestNumber Expected) {
+    while (Value != Expected)
+      std::this_thread::yield();
+  }
+
+  void finish(RequestNumber Number, Outcome End) {
+    FinishRequest Finish;
+    Finish.m_Request = Number;
+    Finish.m_Outcome = End;
+    Finish.m_Status = End == Outcome::Completed ? 200 : 502;
+    Finish.m_Code = "code";
+    m_Answers.finish(Time(seconds(1)), Finish);
+  }
+};
+
+// Guards against requests that are answered with a bare status, or whose
+// unread rest is taken for the next request.
+TEST(CallerServer, UnusableRequestsGetAnExplicitNotRun) {
+  const std::string Post = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n";
+  const std::vector<std::pair<std::string, const char *>> Cases{
+      {Post + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}", " 400 "},
+      {Post + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n{}",
+       " 400 "},
+      {Post + "Content-Length: -1\r\n\r\n{}", " 400 "},
+      {Post + "Content-Length: 5000\r\n\r\nGET / HTTP/1.1\r\n\r\n", " 413 "},
+      {Post + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" +
+           std::string(2000, 'x') + "\r\n",
+       " 413 "},
+      {Post + "X: " + std::string(70000, 'x') + "\r\n\r\n", " 431 "},
+      {"GET /nothing HTTP/1.1\r\nHost: x\r\n\r\n", " 404 "},
+      {"GET /" + std::string(3000, 'a') + " HTTP/1.1\r\nHost: x\r\n\r\n",
+       " 400 "},
+      {"PUT /v1/completions HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", " 405 "},
+  };
+  for (const auto &[Request, Status] : Cases) {
+    std::string Reply = exchange(Request);
+    STRCMP_CONTAINS(Status, Reply.substr(0, Reply.find('\n')).c_str());
+    STRCMP_CONTAINS("X-Outcome: not-run", Reply.c_str());
+    CHECK(Reply.find("HTTP/1.1", 1) == std::string::npos);
+  }
+  LONGS_EQUAL(0, m_Arrived);
+}
+
+// Guards against callers beyond the capacity who are left without an answer,
+// and against health checks that fail because of them.
+TEST(CallerServer, ExcessConnectionsAreRefused) {
+  std::vector<std::unique_ptr<Caller>> Busy;
+  for (RequestNumber Number = 1; Number <= 4; ++Number) {
+    Busy.push_back(std::make_unique<Caller>(m_Server->port()));
+    Busy.back()->send(completion());
+    awaitValue(m_Last, Number);
+  }
+  std::string Reply = exchange(completion());
+  STRCMP_CONTAINS("HTTP/1.1 503", Reply.c_str());
+  STRCMP_CONTAINS("X-Outcome: not-run", Reply.c_str());
+  STRCMP_CONTAINS("Retry-After: 1", Reply.c_str());
+  STRCMP_CONTAINS("alive", exchange("GET /healthz HTTP/1.1\r\n\r\n").c_str());
+  for (RequestNumber Number = 1; Number <= 4; ++Number)
+    while (m_Answers.find(Number) == nullptr)
+      std::this_thread::yield();
+  for (RequestNumber Number = 1; Number <= 4; ++Number)
+    finish(Number, Outcome::Completed);
+  for (auto &Served : Busy)
+    STRCMP_CONTAINS("HTTP/1.1 200", Served->readUntil("\r\n\r\n").c_str());
+}
+
+// Guards against streams whose end a caller cannot tell from a lost
+// connection.
+TEST(CallerServer, StreamsEndExplicitly) {
+  for (Outcome End : {Outcome::Completed, Outcome::Failed}) {
+    Caller Client(m_Server->port());
+    Client.send(completion(R"(,"stream":true)"));
+    RequestNumber Number = End == Outcome::Completed ? 1 : 2;
+    awaitValue(m_Arrived, Number);
+    m_Answers.find(Number)->appendToken(0, "hello");
+    STRCMP_CONTAINS("hello", Client.readUntil("hello").c_str());
+    finish(Number, End);
+    std::string Reply = Client.readUntil("0\r\n\r\n");
+    STRCMP_CONTAINS(End == Outcome::Completed ? "\"finish_reason\":\"length\""
+                                              : "\"code\":\"code\"",
+                    Reply.c_str());
+    STRCMP_CONTAINS("data: [DONE]\n\n", Reply.c_str());
+  }
+}
+
+// Guards against an error before the first token that has status 200.
+TEST(CallerServer, EarlyStreamErrorHasItsStatus) {
+  Caller Client(m_Server->port());
+  Client.send(completion(R"(,"stream":true)"));
+  awaitValue(m_Arrived, 1);
+  finish(1, Outcome::Failed);
+  std::string Reply = Client.readUntil("\"failed\"}");
+  STRCMP_CONTAINS("HTTP/1.1 502", Reply.c_str());
+  STRCMP_CONTAINS("X-Outcome: failed", Reply.c_str());
+}
+
+// Guards against work that goes on for callers who left.
+TEST(CallerServer, GoneCallersAreNoticed) {
+  for (const char *More : {"", R"(,"stream":true)"}) {
+    RequestNumber Number = m_Last + 1;
+    {
+      Caller Client(m_Server->port());
+      Client.send(completion(More));
+      awaitValue(m_Arrived, Number);
+    }
+    awaitValue(m_Gone, Number);
+    finish(Number, Outcome::NotRun);
+  }
+}
+
+PARSLEYRING_TEST_MAIN
