--- a/src/admission/AccountTable.cpp
+++ b/src/admission/AccountTable.cpp
@@ -1,7 +1,6 @@
 #include "admission/AccountTable.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace parsleyring {
 
@@ -47,20 +46,29 @@
 }
 
 AccountTable::Activity &AccountTable::activity(Time Now,
-                                               const std::string &Account,
-                                               const Limits *Limit) {
+                                               const std::string &Account) {
   auto [Found, IsNew] = m_Activities.try_emplace(Account);
   Activity &Usage = Found->second;
   if (IsNew) {
+    // Filled up to its limit at the first use.
+    Usage.m_FilledAt = Time();
     Usage.m_IntervalStart = Now;
-    Usage.m_FilledAt = Now;
-    double Rate = Limit ? Limit->m_RequestsPerSecond : 0;
-    Usage.m_Tokens = Rate * BurstSeconds;
   }
   advanceInterval(Now, Usage);
   return Usage;
 }
 
+double AccountTable::fill(Time Now, Activity &Usage, const Limits &Limit,
+                          std::uint32_t Peers) const {
+  double Rate = Limit.m_RequestsPerSecond * rateShare(Usage, Peers);
+  double Seconds =
+      std::chrono::duration<double>(Now - Usage.m_FilledAt).count();
+  Usage.m_FilledAt = std::max(Usage.m_FilledAt, Now);
+  Usage.m_Tokens = std::min(std::max(Rate * BurstSeconds, 1.0),
+                            Usage.m_Tokens + Rate * std::max(Seconds, 0.0));
+  return Rate;
+}
+
 double AccountTable::rateShare(const Activity &Usage,
                                std::uint32_t Peers) const {
   if (Peers == 0)
@@ -78,10 +86,13 @@
   if (InUse >= Limit.m_MaxOutstanding)
     return std::max(EqualPart, Start);
   // In one interval a VM may take its part of what is free, or double what it
-  // has. All VMs together then exceed the limit at most twofold for one
-  // interval, and a VM that gets all requests reaches the limit soon.
+  // has, or take half of what is free if no other VM uses the account. All VMs
+  // together can exceed the limit for one interval; strict parts would refuse
+  // requests below the limit whenever they are not spread evenly.
   std::uint32_t Free = Limit.m_MaxOutstanding - InUse;
-  std::uint32_t Growth = std::min(Free, std::max(Free / m_VMs, Start));
+  std::uint32_t Growth = std::max(Free / m_VMs, std::min(Free, Start));
+  if (Peers == 0)
+    Growth = std::max(Growth, (Free + 1) / 2);
   return std::max(EqualPart, Start + Growth);
 }
 
@@ -91,15 +102,9 @@
     return {AdmissionResult::UnknownAccount, LongestRetryAfter};
   const Limits &Limit = Found->second;
   std::uint32_t Peers = peerOutstanding(Account);
-  Activity &Usage = activity(Now, Account, &Limit);
-
-  double Rate = Limit.m_RequestsPerSecond * rateShare(Usage, Peers);
-  double Seconds =
-      std::chrono::duration<double>(Now - Usage.m_FilledAt).count();
-  Usage.m_FilledAt = std::max(Usage.m_FilledAt, Now);
-  Usage.m_Tokens = std::min(std::max(Rate * BurstSeconds, 1.0),
-                            Usage.m_Tokens + Rate * std::max(Seconds, 0.0));
+  Activity &Usage = activity(Now, Account);
 
+  double Rate = fill(Now, Usage, Limit, Peers);
   if (Usage.m_Outstanding >= outstandingLimit(Usage, Limit, Peers))
     return {AdmissionResult::OutstandingLimited, OutstandingRetryAfter};
   if (Usage.m_Tokens < 1) {
@@ -115,13 +120,13 @@
 }
 
 void AccountTable::noteStarted(Time Now, const std::string &Account) {
-  Activity &Usage = activity(Now, Account, nullptr);
+  Activity &Usage = activity(Now, Account);
   ++Usage.m_Outstanding;
   Usage.m_Peak = std::max(Usage.m_Peak, Usage.m_Outstanding);
 }
 
 void AccountTable::noteEnded(Time Now, const std::string &Account) {
-  Activity &Usage = activity(Now, Account, nullptr);
+  Activity &Usage = activity(Now, Account);
   if (Usage.m_Outstanding > 0)
     --Usage.m_Outstanding;
 }
@@ -131,6 +136,15 @@
   return Found == m_Activities.end() ? 0 : Found->second.m_Outstanding;
 }
 
+bool AccountTable::isFull(Time Now, const std::string &Account,
+                          Activity &Usage) const {
+  auto Found = m_Limits.find(Account);
+  if (Found == m_Limits.end())
+    return true;
+  double Rate = fill(Now, Usage, Found->second, peerOutstanding(Account));
+  return Usage.m_Tokens >= std::max(Rate * BurstSeconds, 1.0);
+}
+
 std::map<std::string, std::uint32_t> AccountTable::usage(Time Now) {
   std::map<std::string, std::uint32_t> Result;
   for (auto At = m_Activities.begin(); At != m_Activities.end();) {
@@ -139,9 +153,8 @@
     std::uint32_t Peak = std::max(Usage.m_Peak, Usage.m_LastPeak);
     if (Peak > 0)
       Result[At->first] = Peak;
-    // By then the bucket is full again, as it is in a new entry.
-    bool IsIdle = Peak == 0 && Now - Usage.m_FilledAt > 2 * UsageInterval;
-    At = IsIdle ? m_Activities.erase(At) : std::next(At);
+    At = Peak == 0 && isFull(Now, At->first, Usage) ? m_Activities.erase(At)
+                                                    : std::next(At);
   }
   return Result;
 }
--- a/src/admission/AccountTable.h
+++ b/src/admission/AccountTable.h
@@ -59,7 +59,12 @@
     std::uint32_t m_OutstandingAtStart = 0;
   };
 
-  Activity &activity(Time Now, const std::string &Account, const Limits *Limit);
+  Activity &activity(Time Now, const std::string &Account);
+  /// Adds tokens up to Now. Returns this VM's part of the account's rate.
+  double fill(Time Now, Activity &Usage, const Limits &Limit,
+              std::uint32_t Peers) const;
+  /// A full bucket need not be kept: a new one is full as well.
+  bool isFull(Time Now, const std::string &Account, Activity &Usage) const;
   static void advanceInterval(Time Now, Activity &Usage);
   std::uint32_t peerOutstanding(const std::string &Account) const;
   double rateShare(const Activity &Usage, std::uint32_t Peers) const;
--- /dev/null
+++ b/tests/admission/AccountTableTest.cpp
@@ -0,0 +1,128 @@
+#include "admission/AccountTable.h"
+
+#include "support/TestMain.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+using namespace std::chrono_literals;
+
+TEST_GROUP(AccountTable) {
+  static constexpr std::uint32_t VMs = 8;
+  Time m_Now{1000s};
+  std::vector<AccountTable> m_Tables;
+
+  void setUp(std::uint32_t Count, double Rate, std::uint32_t Outstanding) {
+    Document Configuration;
+    ClientAccount Account;
+    Account.m_Name = "a";
+    Account.m_RequestsPerSecond = Rate;
+    Account.m_MaxOutstanding = Outstanding;
+    Configuration.m_Accounts.push_back(Account);
+    m_Tables.resize(Count);
+    for (AccountTable &Table : m_Tables)
+      Table.apply(Configuration);
+    spread();
+  }
+  /// Tells each VM what the others use, as the digests do.
+  void spread() {
+    for (AccountTable &Table : m_Tables) {
+      PeersChanged Peers;
+      Peers.m_LivePeers = static_cast<std::uint32_t>(m_Tables.size()) - 1;
+      for (AccountTable &Other : m_Tables)
+        if (&Other != &Table)
+          for (const auto &[Name, Used] : Other.usage(m_Now))
+            Peers.m_PeerOutstanding[Name] += Used;
+      Table.setPeers(Peers);
+    }
+  }
+  /// Each of the VMs given gets PerSecond requests that end at once. Returns
+  /// the number admitted per second, after some seconds to settle.
+  double admittedPerSecond(std::size_t Used, int PerSecond) {
+    int Admitted = 0;
+    for (int Second = 0; Second < 30; ++Second)
+      for (int Request = 0; Request < PerSecond; ++Request) {
+        m_Now += Duration(1s) / PerSecond;
+        if (Request % (PerSecond / 2) == 0)
+          spread();
+        for (std::size_t VM = 0; VM < Used; ++VM) {
+          if (m_Tables[VM].admit(m_Now, "a").m_Result !=
+              AdmissionResult::Admitted)
+            continue;
+          m_Tables[VM].noteStarted(m_Now, "a");
+          m_Tables[VM].noteEnded(m_Now, "a");
+          Admitted += Second >= 10;
+        }
+      }
+    return Admitted / 20.0;
+  }
+};
+
+// Guards against a rate that is multiplied by the number of VMs.
+TEST(AccountTable, RateHoldsOverAllVMs) {
+  setUp(VMs, 40, 100);
+  DOUBLES_EQUAL(40, admittedPerSecond(VMs, 50), 4);
+}
+
+// Guards against a caller that uses only one VM and gets a fraction of its
+// rate, although its requests are too short to be outstanding in a digest.
+TEST(AccountTable, OneVMGetsTheWholeRate) {
+  setUp(VMs, 40, 100);
+  DOUBLES_EQUAL(40, admittedPerSecond(1, 50), 1);
+}
+
+// Guards against an account with less than one request per second that is never
+// admitted, or whose bucket is full again after an idle second.
+TEST(AccountTable, LowRate) {
+  setUp(1, 0.5, 100);
+  CHECK(m_Tables[0].admit(m_Now, "a").m_Result == AdmissionResult::Admitted);
+  m_Now += 10ms;
+  m_Tables[0].usage(m_Now + 1s);
+  AdmissionDecision Refused = m_Tables[0].admit(m_Now + 1s, "a");
+  CHECK(Refused.m_Result == AdmissionResult::RateLimited);
+  DOUBLES_EQUAL(1.0, Refused.m_RetryAfter.count() / 1e6, 0.05);
+  CHECK(m_Tables[0].admit(m_Now + 2s, "a").m_Result ==
+        AdmissionResult::Admitted);
+}
+
+// Guards against an outstanding limit that holds per VM, and against strict
+// parts that never let one VM use what the others leave free.
+TEST(AccountTable, OutstandingLimitFollowsTheUse) {
+  setUp(VMs, 1e6, 80);
+  for (int Second = 0; Second < 10; ++Second) {
+    for (AccountTable &Table : m_Tables)
+      while (&Table == &m_Tables[0] &&
+             Table.admit(m_Now, "a").m_Result == AdmissionResult::Admitted)
+        Table.noteStarted(m_Now, "a");
+    m_Now += 1s;
+    spread();
+    if (Second == 0)
+      LONGS_EQUAL(40, m_Tables[0].outstanding("a"));
+  }
+  LONGS_EQUAL(80, m_Tables[0].outstanding("a"));
+  CHECK(m_Tables[0].admit(m_Now, "a").m_Result ==
+        AdmissionResult::OutstandingLimited);
+  // Another VM may still use its equal part.
+  int Admitted = 0;
+  while (m_Tables[1].admit(m_Now, "a").m_Result == AdmissionResult::Admitted) {
+    m_Tables[1].noteStarted(m_Now, "a");
+    ++Admitted;
+  }
+  LONGS_EQUAL(10, Admitted);
+}
+
+// Guards against accounts that were removed from the configuration, and
+// against ends that take the count below zero.
+TEST(AccountTable, RemovedAccount) {
+  setUp(1, 10, 10);
+  m_Tables[0].noteStarted(m_Now, "a");
+  m_Tables[0].apply(Document());
+  CHECK(m_Tables[0].admit(m_Now, "a").m_Result ==
+        AdmissionResult::UnknownAccount);
+  m_Tables[0].noteEnded(m_Now, "a");
+  m_Tables[0].noteEnded(m_Now, "a");
+  LONGS_EQUAL(0, m_Tables[0].outstanding("a"));
+  CHECK(m_Tables[0].usage(m_Now + 5s).empty());
+}
+
+PARSLEYRING_TEST_MAIN
--- /dev/null
+++ b/tests/routing/StallLogTest.cpp
@@ -0,0 +1,32 @@
+#include "routing/StallLog.h"
+
+#include "support/TestMain.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+using namespace std::chrono_literals;
+
+TEST_GROUP(StallLog) {
+  StallLog m_Log;
+  Time m_Start{1000s};
+};
+
+// Guards against blaming endpoints that only shared routes with the faulty one.
+TEST(StallLog, TheCommonEndpointIsBlamed) {
+  STRCMP_EQUAL("", m_Log.note(m_Start, {"y1", "x"}).c_str());
+  STRCMP_EQUAL("", m_Log.note(m_Start, {"y1", "x"}).c_str());
+  STRCMP_EQUAL("x", m_Log.note(m_Start, {"y2", "x"}).c_str());
+  STRCMP_EQUAL("", m_Log.note(m_Start, {"y1", "z"}).c_str());
+  STRCMP_EQUAL("", m_Log.note(m_Start, {"y1", "z"}).c_str());
+}
+
+// Guards against quarantine for rare stalls over a long time.
+TEST(StallLog, OnlyTheLastSecondsCount) {
+  m_Log.note(m_Start, {"x"});
+  m_Log.note(m_Start + 6s, {"x"});
+  STRCMP_EQUAL("", m_Log.note(m_Start + 11s, {"x"}).c_str());
+  STRCMP_EQUAL("x", m_Log.note(m_Start + 16s, {"x"}).c_str());
+}
+
+PARSLEYRING_TEST_MAIN
