--- /dev/null
+++ b/tests/routing/RoutePlannerTest.cpp
@@ -0,0 +1,319 @@
+#include "routing/RoutePlanner.h"
+
+#include "routing/RandomSource.h"
+
+#include "support/RoutingDocument.h"
+#include "support/TestMain.h"
+
+#include <map>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+using namespace std::chrono_literals;
+
+TEST_GROUP(RoutePlanner) {
+  static constexpr std::uint32_t Layers = 32;
+  std::unique_ptr<RoutePlanner> m_Planner =
+      std::make_unique<RoutePlanner>("a", 1);
+  Time m_Now{1000s};
+  AttemptNumber m_LastAttempt = 0;
+  RouteQuery m_Query = [] {
+    RouteQuery Query;
+    Query.m_Pool = "pool";
+    Query.m_Layers = Layers;
+    Query.m_PromptTokens = 128;
+    Query.m_MaxTokens = 100;
+    return Query;
+  }();
+
+  RoutePlan plan() { return m_Planner->plan(m_Now, m_Query); }
+  /// Names of the endpoints of the route, or the status if there is none.
+  std::string names() { return names(plan()); }
+  static std::string names(const RoutePlan &Plan) {
+    if (Plan.m_Status != PlanStatus::Planned)
+      return Plan.m_Status == PlanStatus::Saturated ? "saturated" : "none";
+    std::string Text;
+    for (const Stage &Part : Plan.m_Route)
+      Text += Part.m_Hop.m_Endpoint;
+    return Text;
+  }
+  AttemptNumber start(const std::vector<Stage> &Route) {
+    m_Planner->noteStarted(m_Now, ++m_LastAttempt, Route);
+    return m_LastAttempt;
+  }
+  AttemptNumber start() { return start(plan().m_Route); }
+  void report(const std::string &Endpoint, std::uint32_t Running,
+              const std::string &Incarnation = "one",
+              const std::vector<std::uint64_t> &Prefixes = {}) {
+    LoadReported Report;
+    Report.m_Endpoint = Endpoint;
+    Report.m_Incarnation = Incarnation;
+    Report.m_ReportedAt = m_Now;
+    Report.m_Running = Running;
+    Report.m_CachedPrefixes = Prefixes;
+    m_Planner->noteLoad(m_Now, Report);
+  }
+  static std::vector<EndpointSpec> pair(std::uint32_t Slots = 8) {
+    return {endpointSpec("x", {0, Layers}, 1000, Slots),
+            endpointSpec("y", {0, Layers}, 10000, Slots)};
+  }
+};
+
+// Guards against routes with gaps, overlaps or dead ends under any strategy,
+// and against saying that there is no route when there is one.
+TEST(RoutePlanner, RoutesTileTheLayersExactly) {
+  RandomSource Random(5);
+  int Planned = 0;
+  for (int Round = 0; Round < 400; ++Round) {
+    std::vector<EndpointSpec> Endpoints;
+    std::vector<bool> CanReach(Layers + 1, false);
+    for (int Count = 0; Count < 12; ++Count) {
+      auto First = static_cast<std::uint32_t>(Random.below(8) * 4);
+      auto End = static_cast<std::uint32_t>(First + 4 + Random.below(4) * 4);
+      Endpoints.push_back(endpointSpec(std::to_string(Count), {First, End}));
+    }
+    CanReach[0] = true;
+    for (std::uint32_t Layer = 0; Layer < Layers; ++Layer)
+      for (const EndpointSpec &Spec : Endpoints)
+        if (Spec.m_Layers.m_First == Layer && CanReach[Layer] &&
+            Spec.m_Layers.m_End <= Layers)
+          CanReach[Spec.m_Layers.m_End] = true;
+    for (const std::string &Strategy : routeStrategyNames()) {
+      m_Planner->apply(routingDocument(Endpoints, Strategy));
+      RoutePlan Plan = plan();
+      STRCMP_EQUAL(Strategy.c_str(), Plan.m_Strategy.c_str());
+      CHECK((Plan.m_Status == PlanStatus::Planned) == CanReach[Layers]);
+      std::uint32_t At = 0;
+      for (const Stage &Part : Plan.m_Route) {
+        LONGS_EQUAL(At, Part.m_Hop.m_Layers.m_First);
+        At = Part.m_Hop.m_Layers.m_End;
+      }
+      LONGS_EQUAL(CanReach[Layers] ? Layers : 0, At);
+      Planned += CanReach[Layers];
+    }
+  }
+  CHECK(Planned > 400 && Planned < 1600);
+}
+
+// Guards against routes that cross slow links for a slightly faster stage, and
+// against forgetting the link from the last stage back to the first.
+TEST(RoutePlanner, LinksCount) {
+  auto Configuration =
+      routingDocument({endpointSpec("x", {0, 16}, 1000, 8, "a"),
+                       endpointSpec("y", {16, 32}, 1000, 8, "b"),
+                       endpointSpec("z", {16, 32}, 2000, 8, "a")});
+  Configuration->m_Links.push_back({"a", "b", 1500});
+  m_Planner->apply(Configuration);
+  STRCMP_EQUAL("xz", names().c_str());
+  Configuration->m_Links.back().m_OneWayMicros = 100;
+  m_Planner->apply(Configuration);
+  STRCMP_EQUAL("xy", names().c_str());
+}
+
+// Guards against a plain service that needs layers to be routed to.
+TEST(RoutePlanner, PlainServicesAreOneStage) {
+  m_Planner->apply(routingDocument({endpointSpec("s", {})}));
+  m_Query.m_Layers = 0;
+  RoutePlan Plan = plan();
+  STRCMP_EQUAL("s", names(Plan).c_str());
+  STRCMP_EQUAL("127.0.0.1:1", Plan.m_Route[0].m_Address.c_str());
+  m_Query.m_Pool = "other";
+  STRCMP_EQUAL("none", names().c_str());
+}
+
+// Guards against more requests than slots, and against telling a caller that
+// there is no route when it only has to wait.
+TEST(RoutePlanner, FullEndpointsSaturate) {
+  m_Planner->apply(routingDocument(pair(2)));
+  std::map<std::string, int> Started;
+  AttemptNumber Last = 0;
+  for (int Count = 0; Count < 4; ++Count) {
+    RoutePlan Plan = plan();
+    ++Started[names(Plan)];
+    Last = start(Plan.m_Route);
+  }
+  LONGS_EQUAL(2, Started["x"]);
+  LONGS_EQUAL(2, Started["y"]);
+  RoutePlan Plan = plan();
+  STRCMP_EQUAL("saturated", names(Plan).c_str());
+  CHECK(Plan.m_Route.empty());
+  CHECK(Plan.m_EstimatedFirstToken > 20ms);
+  m_Planner->noteEnded(m_Now, Last, AttemptResult::Finished);
+  STRCMP_EQUAL("y", names().c_str());
+}
+
+// Guards against sending a request again to the endpoint that failed it, and
+// to a domain that cannot be reached, while another route exists.
+TEST(RoutePlanner, AvoidedAndUnreachableComeLast) {
+  auto Endpoints = pair(1);
+  Endpoints[0].m_FailureDomain = "b";
+  m_Planner->apply(routingDocument(Endpoints));
+  STRCMP_EQUAL("x", names().c_str());
+  m_Planner->setUnreachableDomains({"a", "b"});
+  STRCMP_EQUAL("y", names().c_str());
+  m_Query.m_Avoid = {"y"};
+  STRCMP_EQUAL("y", names().c_str());
+  m_Planner->setUnreachableDomains({});
+  STRCMP_EQUAL("x", names().c_str());
+  // A slot of the good endpoint is waited for.
+  start();
+  STRCMP_EQUAL("saturated", names().c_str());
+  m_Planner->quarantine(m_Now, "x");
+  STRCMP_EQUAL("y", names().c_str());
+}
+
+// Guards against new work for a leaving endpoint, also after the configuration
+// changes or lists it only later, and against none for its successor.
+TEST(RoutePlanner, LeavingEndpointsGetNoWork) {
+  CHECK(m_Planner->markLeaving(m_Now, "x", "one"));
+  m_Planner->apply(routingDocument(pair()));
+  STRCMP_EQUAL("y", names().c_str());
+  CHECK(m_Planner->markLeaving(m_Now, "y", ""));
+  CHECK_FALSE(m_Planner->markLeaving(m_Now, "y", ""));
+  m_Planner->apply(routingDocument(pair()));
+  STRCMP_EQUAL("none", names().c_str());
+  report("x", 0, "two");
+  STRCMP_EQUAL("x", names().c_str());
+  CHECK(m_Planner->isLeaving("y"));
+}
+
+// Guards against requests to an endpoint that refuses connections, and against
+// more than one probe at the end of its backoff.
+TEST(RoutePlanner, ConnectFailureAndProbe) {
+  m_Planner->apply(routingDocument(pair()));
+  m_Planner->noteEnded(m_Now, start(), AttemptResult::ConnectFailed);
+  STRCMP_EQUAL("y", names().c_str());
+  CHECK(m_Planner->status(m_Now).front().m_IsUnavailable);
+  m_Now += 1s;
+  STRCMP_EQUAL("x", names().c_str());
+  AttemptNumber Probe = start();
+  STRCMP_EQUAL("y", names().c_str());
+  m_Planner->noteToken(m_Now, Probe);
+  STRCMP_EQUAL("x", names().c_str());
+}
+
+// Guards against blaming the first stage for a failure of a later one.
+TEST(RoutePlanner, NamedStageIsBlamed) {
+  m_Planner->apply(
+      routingDocument({endpointSpec("x", {0, 16}), endpointSpec("y", {16, 32}),
+                       endpointSpec("z", {16, 32}, 5000)}));
+  AttemptNumber Attempt = start();
+  m_Planner->noteEnded(m_Now, Attempt, AttemptResult::ConnectionLost, "y");
+  STRCMP_EQUAL("xz", names().c_str());
+}
+
+// Guards against an endpoint that refuses as full being asked again at once.
+TEST(RoutePlanner, RefusalMovesWorkAway) {
+  m_Planner->apply(routingDocument(pair()));
+  m_Planner->noteEnded(m_Now, start(), AttemptResult::RefusedNotRun);
+  STRCMP_EQUAL("y", names().c_str());
+  m_Now += 100ms;
+  STRCMP_EQUAL("x", names().c_str());
+}
+
+// Guards against an endpoint that stalls streams and stays in use, and against
+// blaming endpoints through which other streams go on.
+TEST(RoutePlanner, StallsQuarantineTheSilentStage) {
+  m_Planner->apply(routingDocument({endpointSpec("x", {0, 16}),
+                                    endpointSpec("y", {16, 32}, 1000, 100),
+                                    endpointSpec("w", {0, 16}, 3000)}));
+  AttemptNumber Other = start({{{"w", {0, 16}}, ""}, {{"y", {16, 32}}, ""}});
+  std::vector<AttemptNumber> Stalled;
+  for (int Count = 0; Count < 3; ++Count)
+    Stalled.push_back(start({{{"x", {0, 16}}, ""}, {{"y", {16, 32}}, ""}}));
+  std::vector<std::string> Quarantined;
+  for (AttemptNumber Attempt : Stalled) {
+    CHECK(Quarantined.empty());
+    m_Now += 200ms;
+    m_Planner->noteToken(m_Now, Other);
+    Quarantined = m_Planner->noteStalled(m_Now, Attempt);
+    CHECK(m_Planner->noteStalled(m_Now, Attempt).empty());
+    m_Planner->noteEnded(m_Now, Attempt, AttemptResult::Cancelled);
+  }
+  LONGS_EQUAL(1, Quarantined.size());
+  STRCMP_EQUAL("x", Quarantined.front().c_str());
+  STRCMP_EQUAL("wy", names().c_str());
+  m_Now += 30s;
+  STRCMP_EQUAL("xy", names().c_str());
+}
+
+// Guards against timeouts below the pace of a slow model, which would cancel
+// good streams, and against waiting long for a fast one.
+TEST(RoutePlanner, ProgressTimeoutFollowsThePace) {
+  m_Planner->apply(routingDocument({endpointSpec("x", {0, Layers}, 20000)}));
+  AttemptNumber Attempt = start();
+  m_Planner->noteToken(m_Now, Attempt);
+  CHECK(m_Planner->progressTimeout(Attempt) == 150ms);
+  for (int Count = 0; Count < 30; ++Count)
+    m_Planner->noteToken(m_Now += 100ms, Attempt);
+  Duration Slow = m_Planner->progressTimeout(Attempt);
+  CHECK(Slow > 290ms && Slow < 310ms);
+  for (int Count = 0; Count < 30; ++Count)
+    m_Planner->noteToken(m_Now += 900ms, Attempt);
+  CHECK(m_Planner->progressTimeout(Attempt) == 1s);
+}
+
+// Guards against an endpoint that has become slow keeping its share, and
+// against never trying it again.
+TEST(RoutePlanner, ObservedPaceCounts) {
+  m_Planner->apply(routingDocument({endpointSpec("x", {0, Layers}, 1000),
+                                    endpointSpec("y", {0, Layers}, 3000)}));
+  AttemptNumber Attempt = start();
+  for (int Count = 0; Count < 100; ++Count)
+    m_Planner->noteToken(m_Now += 10ms, Attempt);
+  m_Planner->noteEnded(m_Now, Attempt, AttemptResult::Finished);
+  STRCMP_EQUAL("y", names().c_str());
+  m_Now += 2min;
+  STRCMP_EQUAL("x", names().c_str());
+}
+
+// Guards against cached prefixes without effect, and against old hints that
+// pull requests to an endpoint which has long dropped the prefix.
+TEST(RoutePlanner, PrefixHintsAge) {
+  m_Planner->apply(routingDocument({endpointSpec("x", {0, Layers}, 1000),
+                                    endpointSpec("y", {0, Layers}, 1500)}));
+  m_Query.m_PromptTokens = 8192;
+  for (std::uint64_t Hash = 1; Hash <= 128; ++Hash)
+    m_Query.m_PrefixHashes.push_back(Hash);
+  STRCMP_EQUAL("x", names().c_str());
+  report("y", 0, "one", {7, 128});
+  report("x", 0, "one", {9999});
+  STRCMP_EQUAL("y", names().c_str());
+  m_Now += 59s;
+  STRCMP_EQUAL("x", names().c_str());
+}
+
+// Guards against losing the outstanding requests of endpoints when a new
+// configuration comes, and against leaking those of removed endpoints.
+TEST(RoutePlanner, StateSurvivesConfigurations) {
+  m_Planner->apply(routingDocument(pair(1)));
+  AttemptNumber Attempt = start();
+  m_Planner->apply(routingDocument({pair(1)[1]}));
+  m_Planner->apply(routingDocument(pair(1)));
+  STRCMP_EQUAL("y", names().c_str());
+  m_Planner->apply(routingDocument({pair(1)[1]}));
+  m_Planner->noteEnded(m_Now, Attempt, AttemptResult::Finished);
+  m_Planner->apply(routingDocument(pair(1)));
+  STRCMP_EQUAL("x", names().c_str());
+}
+
+// Guards against decisions that a replay cannot reproduce.
+TEST(RoutePlanner, SameSeedSameDecisions) {
+  std::vector<EndpointSpec> Endpoints;
+  for (int Count = 0; Count < 10; ++Count)
+    Endpoints.push_back(endpointSpec(std::to_string(Count), {0, Layers}));
+  std::set<std::string> Orders;
+  for (std::uint64_t Seed : {1, 1, 2}) {
+    m_Planner = std::make_unique<RoutePlanner>("a", Seed);
+    m_Planner->apply(routingDocument(Endpoints));
+    std::string Order;
+    for (int Count = 0; Count < 20; ++Count)
+      Order += names() + " ";
+    Orders.insert(Order);
+  }
+  LONGS_EQUAL(2, Orders.size());
+}
+
+PARSLEYRING_TEST_MAIN
