--- a/src/configuration/ChunkStore.h
+++ b/src/configuration/ChunkStore.h
@@ -10,7 +10,7 @@
 
 /// Name of the chunk that lists the chunks of the account parts, one line
 /// NAME = "SHA256" each. They are not in the head itself: with 256 of them the
-/// head has 27 KB, and each long poll that ends without a change returns it.
+/// head has 26 KB, and each long poll that ends without a change returns it.
 inline const std::string AccountIndexName = "accounts";
 
 std::string writeAccountIndex(const std::vector<ChunkReference> &Chunks);
--- a/src/configuration/ConfigurationFollower.h
+++ b/src/configuration/ConfigurationFollower.h
@@ -14,8 +14,8 @@
 
 /// What a ConfigurationFollower asks for, and whom it tells.
 struct FollowerOptions {
-  /// Must outlive the follower. Shut it down before stop(), which otherwise
-  /// waits for the end of the watch.
+  /// Must outlive the follower. If it is an HttpPlatformClient of its own and
+  /// is shut down before stop(), stop() does not wait for the end of a watch.
   PlatformClient *m_Platform = nullptr;
   /// Peers that are asked at the start.
   std::vector<std::string> m_StartPeers;
--- a/src/document/DocumentParts.h
+++ b/src/document/DocumentParts.h
@@ -12,7 +12,7 @@
 };
 
 /// Accounts are spread over this many parts, so that a change of one account
-/// rewrites little. At 33,000 accounts a part has some 30 KB.
+/// rewrites little. At 33,000 accounts a part has some 22 KB.
 inline constexpr unsigned AccountBuckets = 256;
 
 /// Bucket of an account. Stable over processes, machines and releases.
