Check the text of a publication as the nodes will read it

The checker sees the document and not its text. A name with malformed UTF-8 from a form passed it, was published, and no node could have read it. The publisher now also reads back the text that it is about to write; parts of the last load are not parsed again.

--- a/src/configuration/ConfigurationFollower.h
+++ b/src/configuration/ConfigurationFollower.h
@@ -16,6 +16,7 @@
 struct FollowerOptions {
   /// Must outlive the follower. If it is an HttpPlatformClient of its own and
   /// is shut down before stop(), stop() does not wait for the end of a watch.
+  /// With a timeout of 3 s it still gets chunks from a slow platform.
   PlatformClient *m_Platform = nullptr;
   /// Peers that are asked at the start.
   std::vector<std::string> m_StartPeers;
--- a/src/configuration/ConfigurationHead.cpp
+++ b/src/configuration/ConfigurationHead.cpp
@@ -38,7 +38,8 @@
               {"submission", m_Submission},
               {"published_at_ms", m_PublishedAtMillis},
               {"earlier", Earlier}}
-      .dump();
+      // The author's name comes from outside; dump() throws on bad UTF-8 else.
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 namespace {
--- a/src/configuration/ConfigurationPublisher.cpp
+++ b/src/configuration/ConfigurationPublisher.cpp
@@ -1,6 +1,7 @@
 #include "configuration/ConfigurationPublisher.h"
 
 #include "core/NameTable.h"
+#include "core/TextChecks.h"
 
 #include <set>
 
@@ -152,12 +153,12 @@
                                    Current.m_ModifyIndex);
 }
 
-static std::vector<Finding> checkPublication(const DocumentChecker &Checker,
-                                             const Publication &Wanted,
-                                             const EncodedDocument &Encoded) {
-  std::vector<Finding> Findings = Checker.check(Wanted.m_Document);
-  if (Wanted.m_Submission.empty())
-    Findings.push_back({"", 0, "submission", "is required"});
+std::vector<Finding>
+ConfigurationPublisher::check(const Publication &Wanted,
+                              const EncodedDocument &Encoded) {
+  std::vector<Finding> Findings = m_Checker.check(Wanted.m_Document);
+  if (!isIdentifier(Wanted.m_Submission))
+    Findings.push_back({"", 0, "submission", std::string(IdentifierForm)});
   for (const auto &[Sha256, Text] : Encoded.m_Chunks.texts())
     if (Text->size() > MaxChunkBytes)
       Findings.push_back({"", 0, "",
@@ -165,6 +166,13 @@
                               " bytes does not fit in a value of the platform; "
                               "allowed: " +
                               std::to_string(MaxChunkBytes)});
+  // As the nodes will do: a text that they cannot read, for example for its
+  // UTF-8, must not be published.
+  ConfigurationHead Head;
+  Head.m_Chunks = Encoded.m_References;
+  if (Findings.empty())
+    buildConfiguration(Head, "", Encoded.m_Chunks, lastLoaded().get(),
+                       m_Checker, Findings);
   return Findings;
 }
 
@@ -172,7 +180,7 @@
                                                   const Publication &Wanted) {
   PublicationResult Result;
   EncodedDocument Encoded = encodeDocument(Wanted.m_Document);
-  Result.m_Findings = checkPublication(m_Checker, Wanted, Encoded);
+  Result.m_Findings = check(Wanted, Encoded);
   if (!Result.m_Findings.empty()) {
     Result.m_Status = PublicationStatus::Invalid;
     return Result;
@@ -211,6 +219,12 @@
   return Result;
 }
 
+std::shared_ptr<const AppliedConfiguration>
+ConfigurationPublisher::lastLoaded() {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  return m_Loaded;
+}
+
 LoadedConfiguration ConfigurationPublisher::load() {
   LoadedConfiguration Result;
   std::optional<PlatformValue> Value = m_Platform.read(ConfigurationHeadKey);
@@ -221,11 +235,7 @@
   if (!Head)
     return Result;
   Result.m_Version = Head->m_Version;
-  std::shared_ptr<const AppliedConfiguration> Previous;
-  {
-    std::lock_guard<std::mutex> Lock(m_Mutex);
-    Previous = m_Loaded;
-  }
+  std::shared_ptr<const AppliedConfiguration> Previous = lastLoaded();
   ChunkStore Chunks = Previous ? Previous->m_Chunks : ChunkStore();
   for (auto Missing = Chunks.missing(*Head);
        !Missing.empty() && Result.m_Findings.empty();
--- a/src/configuration/ConfigurationPublisher.h
+++ b/src/configuration/ConfigurationPublisher.h
@@ -15,7 +15,8 @@
   /// Version that the operator's changes are based on; 0: there was none.
   ConfigurationVersion m_BaseVersion = 0;
   std::string m_Author;
-  /// Unique id of this change. Publishing it again has no second effect.
+  /// Unique id of this change, in the form of isIdentifier(). Publishing it
+  /// again has no second effect.
   std::string m_Submission;
   /// Writes the chunks of the base version anew as well, which repairs chunks
   /// that were changed by hand.
@@ -68,6 +69,9 @@
 private:
   struct CurrentHead;
 
+  std::vector<Finding> check(const Publication &Wanted,
+                             const EncodedDocument &Encoded);
+  std::shared_ptr<const AppliedConfiguration> lastLoaded();
   CurrentHead readHead();
   /// Sets Result if the head settles the publication.
   static bool isSettled(const CurrentHead &Current, const Publication &Wanted,
--- a/src/document/DocumentChecker.cpp
+++ b/src/document/DocumentChecker.cpp
@@ -246,6 +246,8 @@
 
   std::string unknownPool(const std::string &Name) const {
     std::string Message = "no pool has the name \"" + Name + "\"; pools:";
+    if (m_Document.m_Pools.empty())
+      return Message + " none";
     for (const Pool &Each : m_Document.m_Pools)
       Message += " \"" + Each.m_Name + "\"";
     return Message;
--- a/tests/configuration/ConfigurationPublisherTest.cpp
+++ b/tests/configuration/ConfigurationPublisherTest.cpp
@@ -53,6 +53,11 @@
   PublicationResult Invalid = publish("b", 1, Value);
   expect(PublicationStatus::Invalid, 0, Invalid);
   CHECK(hasFinding(Invalid.m_Findings, 0, "account[0].share", "above 0"));
+  Value = sampleDocument();
+  Value.m_Pools[0].m_Endpoints[0].m_Accelerator = "\xff";
+  Invalid = publish("c", 1, Value); // Nodes could not read the text.
+  STRCMP_CONTAINS("not valid TOML", joined(Invalid.m_Findings).c_str());
+  LONGS_EQUAL(1, head().m_Version);
 }
 
 // Guards against two operators of whom one overwrites the other's change
