Note the holder of a key when its claim is granted

A request whose claim was refused was remembered as the one that ran under the key, so a later call's kept answer could not be found. Also waits for a quiet time before the shutdown ends the server.

--- a/src/callers/AnswerStore.cpp
+++ b/src/callers/AnswerStore.cpp
@@ -26,11 +26,13 @@
                           const std::string &Key) {
   Guard Lock(m_Mutex);
   auto Found = m_Entries.find(Request);
-  // The first use of a key is the one whose answer repeats are given.
-  if (Found == m_Entries.end() ||
-      !m_ByKey.emplace(std::pair(Account, Key), Request).second)
+  if (Found == m_Entries.end())
     return;
   Found->second.m_Key = {Account, Key};
+  RequestNumber &Holder = m_ByKey[Found->second.m_Key];
+  if (auto Previous = m_Entries.find(Holder); Previous != m_Entries.end())
+    Previous->second.m_Key = {};
+  Holder = Request;
 }
 
 std::shared_ptr<Answer> AnswerStore::findByKey(const std::string &Account,
--- a/src/callers/AnswerStore.h
+++ b/src/callers/AnswerStore.h
@@ -20,7 +20,8 @@
   /// Null if it is unknown or no longer kept.
   std::shared_ptr<Answer> find(RequestNumber Request) const;
 
-  /// Remembers which request used an idempotency key of an account.
+  /// The request was granted the right to run under the key of the account;
+  /// repeats are given its answer.
   void noteKey(RequestNumber Request, const std::string &Account,
                const std::string &Key);
   std::shared_ptr<Answer> findByKey(const std::string &Account,
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -54,6 +54,7 @@
   std::thread m_Thread;
   std::atomic<std::uint32_t> m_InProgress{0};
   std::atomic<bool> m_IsStopping{false};
+  std::atomic<bool> m_HasEnded{false};
 
 private:
   bool process_and_close_socket(socket_t Socket) override;
@@ -297,11 +298,13 @@
 CallerServer::~CallerServer() { stop(); }
 
 void CallerServer::start() {
-  m_Implementation->m_Thread = std::thread([Server = m_Implementation.get()] {
+  Implementation *Server = m_Implementation.get();
+  Server->m_Thread = std::thread([Server] {
     if (!Server->listen_after_bind())
       LOG(ERROR) << "the server for callers failed";
+    Server->m_HasEnded = true;
   });
-  while (!m_Implementation->is_running())
+  while (!Server->is_running() && !Server->m_HasEnded)
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
 }
 
--- a/src/node/ActionExecutor.cpp
+++ b/src/node/ActionExecutor.cpp
@@ -63,11 +63,14 @@
   }
 
   void operator()(const RequestClaim &Request) const {
-    m_Parts.m_Answers.noteKey(Request.m_Request, Request.m_Account,
-                              Request.m_IdempotencyKey);
     m_Parts.m_Claims.claim(
-        Request,
-        [Post = m_Parts.m_Post](const ClaimSettled &Done) { Post({Done}); });
+        Request, [Answers = &m_Parts.m_Answers, Post = m_Parts.m_Post,
+                  Account = Request.m_Account,
+                  Key = Request.m_IdempotencyKey](const ClaimSettled &Done) {
+          if (Done.m_Result == ClaimResult::Granted)
+            Answers->noteKey(Done.m_Request, Account, Key);
+          Post({Done});
+        });
   }
 
   void operator()(const EndClaim &End) const { m_Parts.m_Claims.end(End); }
--- a/src/node/RouterNode.cpp
+++ b/src/node/RouterNode.cpp
@@ -30,6 +30,8 @@
 /// their requests begin.
 static constexpr std::size_t SpareAttemptThreads = 64;
 static constexpr std::chrono::milliseconds DrainCheckInterval(20);
+/// The process ends once it was without requests for this long.
+static constexpr std::chrono::milliseconds QuietTime(200);
 /// Time for the claims that are left to be written, once all callers have
 /// their answers.
 static constexpr std::chrono::seconds ClaimFlushLimit(10);
@@ -99,12 +101,11 @@
   std::atomic<RequestNumber> m_LastRequest{0};
   std::atomic<bool> m_IsDraining{false};
 
-  // In the order of construction: each uses the ones before it.
   RouterLoop m_Loop;
   AttemptRunner m_Attempts;
   std::unique_ptr<PeerNetwork> m_Peers;
+  ActionExecutor m_Executor; // Outlives the threads of m_Claims.
   PlatformClaimService m_Claims;
-  std::unique_ptr<ActionExecutor> m_Executor;
   LoadPoller m_Poller;
   ConfigurationFollower m_Follower;
   CallerContext m_CallerContext;
@@ -122,7 +123,7 @@
       m_Loop(
           m_RouterOptions, m_Clock,
           [this](Time Now, const Action &Next, LoopInput &Cause) {
-            m_Executor->execute(Now, Next, Cause);
+            m_Executor.execute(Now, Next, Cause);
           },
           observer()),
       m_Attempts(Options.m_MaxConnections + SpareAttemptThreads,
@@ -132,10 +133,9 @@
       m_Peers(MakePeers(
           m_Settings, m_Self, [this] { return m_Clock.now(); }, m_Platform,
           peerCallbacks())),
+      m_Executor({m_Answers, m_Attempts, m_Claims, *m_Peers, m_Audit,
+                  [this](LoopInput Input) { m_Loop.post(std::move(Input)); }}),
       m_Claims(m_Self, std::random_device()(), m_Platform, claimCallbacks()),
-      m_Executor(std::make_unique<ActionExecutor>(ActionExecutor::Parts{
-          m_Answers, m_Attempts, m_Claims, *m_Peers, m_Audit,
-          [this](LoopInput Input) { m_Loop.post(std::move(Input)); }})),
       m_Poller(Options.m_LoadPollInterval, pollerCallbacks()),
       m_Follower(followerOptions()), m_CallerContext(callerContext()),
       m_Callers(std::make_unique<CallerServer>(
@@ -413,8 +413,13 @@
 }
 
 void RouterNode::Implementation::waitUntilIdle() const {
-  while (m_Loop.hasRequestsInProgress() || m_Callers->requestsInProgress() > 0)
+  // A request may be on its way into the server; it is answered as not run.
+  auto IdleSince = std::chrono::steady_clock::now();
+  while (std::chrono::steady_clock::now() - IdleSince < QuietTime) {
+    if (m_Loop.hasRequestsInProgress() || m_Callers->requestsInProgress() > 0)
+      IdleSince = std::chrono::steady_clock::now();
     std::this_thread::sleep_for(DrainCheckInterval);
+  }
   auto End = std::chrono::steady_clock::now() + ClaimFlushLimit;
   while (m_Claims.pendingCount() > 0 && std::chrono::steady_clock::now() < End)
     std::this_thread::sleep_for(DrainCheckInterval);
