Keep old signs from stopping a restarted endpoint

Digests repeat the sign of a leaving incarnation. Each repetition made that incarnation the current one again, so its successor got no work. A sign that is known already now changes nothing.

--- a/src/requests/EndpointSystem.cpp
+++ b/src/requests/EndpointSystem.cpp
@@ -31,6 +31,7 @@
 
 void EndpointSystem::peersChanged(Context &Call, const PeersChanged &Change) {
   m_State.m_Accounts.setPeers(Change);
+  m_State.m_Planner.setRouterCount(Change.m_LivePeers + 1);
   m_State.m_Planner.setUnreachableDomains(Change.m_UnreachableDomains);
   Call.add(membershipRecord(Call.m_Now, Change));
 }
--- a/src/routing/LeavingTable.cpp
+++ b/src/routing/LeavingTable.cpp
@@ -15,13 +15,14 @@
 bool LeavingTable::mark(const std::string &Endpoint,
                         const std::string &Incarnation) {
   Entry &Known = m_Entries[Endpoint];
+  // Peers repeat their signs, also after the endpoint has restarted.
+  if (Known.isLeaving(Incarnation.empty() ? Known.m_Current : Incarnation))
+    return false;
   // A sign of an incarnation other than the known one can be late or ahead of
   // the reports. It is taken as ahead until the next report, since work for a
   // leaving endpoint does more harm than a second without work.
   if (!Incarnation.empty())
     Known.m_Current = Incarnation;
-  if (Known.isLeaving(Known.m_Current))
-    return false;
   if (Known.m_Leaving.size() == KeptIncarnations)
     Known.m_Leaving.erase(Known.m_Leaving.begin());
   Known.m_Leaving.push_back(Known.m_Current);
--- a/tests/routing/LeavingTableTest.cpp
+++ b/tests/routing/LeavingTableTest.cpp
@@ -23,6 +23,18 @@
   CHECK(m_Table.isLeaving("e"));
 }
 
+// Guards against digests that repeat an old sign and so keep the successor of
+// the endpoint without work.
+TEST(LeavingTable, RepeatedSignsHaveNoEffect) {
+  m_Table.noteIncarnation("e", "one");
+  m_Table.mark("e", "one");
+  m_Table.noteIncarnation("e", "two");
+  CHECK_FALSE(m_Table.mark("e", "one"));
+  CHECK_FALSE(m_Table.isLeaving("e"));
+  CHECK(m_Table.mark("e", ""));
+  CHECK(m_Table.isLeaving("e"));
+}
+
 // Guards against a sign of the VM list that the first load report cancels.
 TEST(LeavingTable, SignBeforeTheFirstReport) {
   CHECK(m_Table.mark("e", ""));
