--- a/tests/audit/ReplayerTest.cpp
+++ b/tests/audit/ReplayerTest.cpp
@@ -29,7 +29,7 @@
   Time Now = TestStart;
   Writer.write(TraceCodec::encodeStart(Now, Options));
   std::vector<StartCompletion> Started;
-  auto handle = [&](const Event &Input) {
+  auto Handle = [&](const Event &Input) {
     Now += std::chrono::milliseconds(7);
     Writer.write(Codec.encode(Now, Input));
     Actions Decided;
@@ -39,18 +39,18 @@
     for (const StartCompletion &Start : all<StartCompletion>(Decided))
       Started.push_back(Start);
   };
-  handle(ConfigurationApplied{1, testDocument()});
+  Handle(ConfigurationApplied{1, testDocument()});
   Writer.write({AuditKind::Membership, Now, 0, "{}"}, "peers");
   for (RequestNumber Number = 1; Number <= 5; ++Number)
-    handle(CompletionArrived{Number, "key", "model", 5, 8, 0, {}});
-  handle(ServiceCallArrived{6, "key", "ledger", "POST", "/pay", "k", "body"});
-  handle(ClaimSettled{6, ClaimResult::Granted, ""});
+    Handle(CompletionArrived{Number, "key", "model", 5, 8, 0, {}});
+  Handle(ServiceCallArrived{6, "key", "ledger", "POST", "/pay", "k", "body"});
+  Handle(ClaimSettled{6, ClaimResult::Granted, ""});
   for (std::size_t Index = 0; Index < 5; ++Index) {
-    handle(TokenArrived{Started.at(Index).m_Attempt, 0,
+    Handle(TokenArrived{Started.at(Index).m_Attempt, 0,
                         hopsOf(Started[Index].m_Route)});
     auto Result = static_cast<AttemptResult>(Index);
-    handle(AttemptEnded{Started[Index].m_Attempt, Result, 0, "detail"});
-    handle(Tick());
+    Handle(AttemptEnded{Started[Index].m_Attempt, Result, 0, "detail"});
+    Handle(Tick());
   }
   std::vector<std::string> Lines;
   std::istringstream Input(Output.str());
--- a/tests/requests/RouterFixture.h
+++ b/tests/requests/RouterFixture.h
@@ -23,7 +23,7 @@
   auto Result = std::make_shared<Document>();
   Result->m_Accounts = {{"acct", {"key"}, 1, 1e6, 100000}};
   Result->m_Pipelines = {{"model", 8, "engines", 64}};
-  auto endpoint = [](const char *Name, std::uint32_t First, std::uint32_t End) {
+  auto Endpoint = [](const char *Name, std::uint32_t First, std::uint32_t End) {
     EndpointSpec Spec;
     Spec.m_Name = Name;
     Spec.m_Address = std::string(Name) + ":80";
@@ -32,10 +32,10 @@
     return Spec;
   };
   Pool Engines{"engines", PoolKind::Engine, 200, 0.1, 30000, {}};
-  Engines.m_Endpoints = {endpoint("a1", 0, 4), endpoint("a2", 0, 4),
-                         endpoint("b1", 4, 8), endpoint("b2", 4, 8)};
+  Engines.m_Endpoints = {Endpoint("a1", 0, 4), Endpoint("a2", 0, 4),
+                         Endpoint("b1", 4, 8), Endpoint("b2", 4, 8)};
   Pool Ledger{"ledger", PoolKind::Service, 200, 0.1, 30000, {}};
-  Ledger.m_Endpoints = {endpoint("s1", 0, 0), endpoint("s2", 0, 0)};
+  Ledger.m_Endpoints = {Endpoint("s1", 0, 0), Endpoint("s2", 0, 0)};
   Result->m_Pools = {Engines, Ledger};
   Result->m_Rules = {{"ledger", "POST", "/pay", false}};
   return Result;
