Take each leaving sign of the VM list once

The list lags, and each of its changes repeated all signs. A sign without incarnation counts against the process that is known now, so a restarted endpoint could be marked as leaving by a repeated sign of its predecessor. Comparing incarnations was ruled out, since the list has none.

--- a/src/node/ListedPeerNetwork.cpp
+++ b/src/node/ListedPeerNetwork.cpp
@@ -54,8 +54,13 @@
       Gone.push_back(VM);
   m_ListedVMs = std::move(Listed);
   updateVMs(List.m_Routers, Gone);
-  for (const std::string &Endpoint : List.m_Leaving)
-    m_Post(EndpointLeaving{Endpoint, {}, LeavingSign::VMList});
+  // Only the first time that the list names an endpoint: the list lags, and a
+  // repeated sign would count against the process that took over meanwhile.
+  std::set<std::string> Leaving(List.m_Leaving.begin(), List.m_Leaving.end());
+  for (const std::string &Endpoint : Leaving)
+    if (m_LeavingEndpoints.count(Endpoint) == 0)
+      m_Post(EndpointLeaving{Endpoint, {}, LeavingSign::VMList});
+  m_LeavingEndpoints = std::move(Leaving);
 }
 
 } // namespace parsleyring
--- a/src/node/ListedPeerNetwork.h
+++ b/src/node/ListedPeerNetwork.h
@@ -25,7 +25,8 @@
   void apply(const VMList &List);
 
   const std::function<void(const Event &)> m_Post;
-  std::set<std::string> m_ListedVMs; ///< Used by the follower's thread only.
+  std::set<std::string> m_ListedVMs;
+  std::set<std::string> m_LeavingEndpoints; ///< Used by the follower's thread only.
   VMListFollower m_List;
 };
 
