--- a/src/node/ListedPeerNetwork.h
+++ b/src/node/ListedPeerNetwork.h
@@ -26,7 +26,8 @@
 
   const std::function<void(const Event &)> m_Post;
   std::set<std::string> m_ListedVMs;
-  std::set<std::string> m_LeavingEndpoints; ///< Used by the follower's thread only.
+  std::set<std::string>
+      m_LeavingEndpoints; ///< Used by the follower's thread only.
   VMListFollower m_List;
 };
 
