Add the load tool

parsleyring-load sends calls at times that a seed decides, independent of the answers (an overloaded system must not slow its own load down), checks each token against the emulators' texts, and prints the results as one line. Calls, threads, run time and listed gaps are bounded.

--- /dev/null
+++ b/src/load/LatencyHistogram.h
@@ -0,0 +1,33 @@
+#ifndef PARSLEYRING_LOAD_LATENCYHISTOGRAM_H
+#define PARSLEYRING_LOAD_LATENCYHISTOGRAM_H
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace parsleyring {
+
+/// Counts of values in buckets whose widths grow with the values, so that each
+/// value is known to 1/64 of itself.
+class LatencyHistogram {
+public:
+  void add(std::uint64_t Value);
+
+  std::uint64_t count() const { return m_Count; }
+  std::uint64_t maximum() const { return m_Maximum; }
+  /// Upper end of the bucket up to which Share (0 to 1) of the values lie; 0
+  /// without values.
+  std::uint64_t percentile(double Share) const;
+
+private:
+  static std::size_t bucketOf(std::uint64_t Value);
+  static std::uint64_t upperEnd(std::size_t Bucket);
+
+  std::vector<std::uint64_t> m_Buckets;
+  std::uint64_t m_Count = 0;
+  std::uint64_t m_Maximum = 0;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_LOAD_LATENCYHISTOGRAM_H
--- /dev/null
+++ b/src/load/LoadCaller.cpp
@@ -0,0 +1,154 @@
+#include "load/LoadCaller.h"
+
+#include "emulator/TokenText.h"
+#include "endpoints/EventStreamParser.h"
+#include "http/EndpointConnection.h"
+
+#include <nlohmann/json.hpp>
+
+namespace parsleyring {
+
+using Json = nlohmann::json;
+using std::chrono::microseconds;
+
+static constexpr std::chrono::seconds ConnectLimit{1};
+static constexpr int StatusOk = 200;
+
+/// The answer to a streamed completion while it arrives.
+class LoadCaller::Stream {
+public:
+  Stream(const LoadCaller &Owner, const PlannedCall &Planned,
+         CallRecord &Record)
+      : m_Owner(Owner), m_Seed(promptSeed(Planned.m_Prompt)), m_Record(Record),
+        m_Parser([this](const std::string &Data) { return event(Data); }) {}
+
+  void receive(std::string_view Bytes) { m_Parser.feed(Bytes); }
+  bool hasEnded() const { return m_HasEnded; }
+
+private:
+  bool event(const std::string &Data) {
+    if (Data == "[DONE]") {
+      m_HasEnded = true;
+      return false;
+    }
+    Json Parsed = Json::parse(Data, nullptr, false);
+    if (!Parsed.is_object())
+      return true;
+    if (Parsed.contains("error"))
+      m_Record.m_Outcome = Parsed["error"].value("outcome", "unknown");
+    else if (Parsed.contains("outcome"))
+      m_Record.m_Outcome = Parsed.value("outcome", "unknown");
+    else
+      token(Parsed);
+    return true;
+  }
+
+  void token(const Json &Parsed) {
+    std::uint32_t Position = Parsed.value("position", 0U);
+    const Json &Text = Parsed["choices"][0]["text"];
+    if (Position != m_NextPosition || Text != tokenText(m_Seed, Position))
+      ++m_Record.m_WrongTokens;
+    ++m_NextPosition;
+    if (m_NextPosition > m_Record.m_TokenTimes.size())
+      m_Record.m_TokenTimes.push_back(m_Owner.elapsed());
+  }
+
+  const LoadCaller &m_Owner;
+  const std::uint64_t m_Seed;
+  CallRecord &m_Record;
+  EventStreamParser m_Parser;
+  std::uint32_t m_NextPosition = 0;
+  bool m_HasEnded = false;
+};
+
+microseconds LoadCaller::elapsed() const {
+  return std::chrono::duration_cast<microseconds>(Clock::now() - m_Start);
+}
+
+CallRecord LoadCaller::call(const PlannedCall &Planned) const {
+  CallRecord Record;
+  Record.m_At = Planned.m_At;
+  Record.m_IsService = Planned.m_IsService;
+  for (std::size_t Tried = 0; Tried < m_Options.m_Routers.size(); ++Tried) {
+    std::size_t Router =
+        (Planned.m_Router + Tried) % m_Options.m_Routers.size();
+    Record.m_Outcome = "lost";
+    bool HasEnded = Planned.m_IsService
+                        ? callService(Planned, Router, Record)
+                        : callCompletion(Planned, Router, Record);
+    if (HasEnded || elapsed() - Planned.m_At > m_Options.m_CallLimit)
+      break;
+    ++Record.m_Reconnects;
+  }
+  Record.m_EndedAt = elapsed();
+  return Record;
+}
+
+static httplib::Request post(const std::string &Path, const std::string &Key,
+                             std::string Body) {
+  httplib::Request Request;
+  Request.method = "POST";
+  Request.path = Path;
+  Request.set_header("Content-Type", "application/json");
+  Request.set_header("Authorization", "Bearer " + Key);
+  Request.body = std::move(Body);
+  return Request;
+}
+
+static std::string statusOutcome(const httplib::Response &Response) {
+  return std::to_string(Response.status) + " " +
+         Response.get_header_value("X-Outcome");
+}
+
+bool LoadCaller::callCompletion(const PlannedCall &Planned, std::size_t Router,
+                                CallRecord &Record) const {
+  EndpointConnection Connection(*parseAddress(m_Options.m_Routers[Router]),
+                                ConnectLimit);
+  Connection.setDeadline(m_Start + Planned.m_At + m_Options.m_CallLimit);
+  httplib::Request Request =
+      post("/v1/completions", m_Options.m_Accounts[Planned.m_Account].m_Key,
+           Json{{"model", m_Options.m_Model},
+                {"prompt", Planned.m_Prompt},
+                {"max_tokens", Planned.m_Tokens},
+                {"stream", true}}
+               .dump());
+  Stream Incoming(*this, Planned, Record);
+  int Status = 0;
+  Request.response_handler = [&Status](const httplib::Response &Begun) {
+    Status = Begun.status;
+    return true;
+  };
+  Request.content_receiver = [&](const char *Data, size_t Size, std::uint64_t,
+                                 std::uint64_t) {
+    if (Status == StatusOk)
+      Incoming.receive({Data, Size});
+    return true;
+  };
+  httplib::Response Response;
+  httplib::Error Error = httplib::Error::Success;
+  bool IsWhole = Connection.call(Request, Response, Error);
+  if (IsWhole && Status != StatusOk)
+    Record.m_Outcome = statusOutcome(Response);
+  return Incoming.hasEnded() || (IsWhole && Status != StatusOk);
+}
+
+bool LoadCaller::callService(const PlannedCall &Planned, std::size_t Router,
+                             CallRecord &Record) const {
+  EndpointConnection Connection(*parseAddress(m_Options.m_Routers[Router]),
+                                ConnectLimit);
+  Connection.setDeadline(m_Start + Planned.m_At + m_Options.m_CallLimit);
+  httplib::Request Request =
+      post(m_Options.m_ServicePath,
+           m_Options.m_Accounts[Planned.m_Account].m_Key, "{}");
+  httplib::Response Response;
+  httplib::Error Error = httplib::Error::Success;
+  bool IsWhole = Connection.call(Request, Response, Error);
+  if (IsWhole)
+    Record.m_Outcome = Response.status == StatusOk
+                           ? Response.get_header_value("X-Outcome")
+                           : statusOutcome(Response);
+  // Only a call that did not leave may be sent again.
+  return IsWhole || Connection.bytesSent() > 0;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/load/LoadPlan.cpp
@@ -0,0 +1,93 @@
+#include "load/LoadPlan.h"
+
+#include "http/Address.h"
+
+#include <cmath>
+#include <random>
+#include <stdexcept>
+
+namespace parsleyring {
+
+namespace {
+/// The distributions of the standard library differ between libraries.
+class Draws {
+public:
+  explicit Draws(std::uint64_t Seed) : m_Generator(Seed) {}
+
+  /// From 0 up to, not including, 1.
+  double uniform() {
+    return static_cast<double>(m_Generator() >> 11) * 0x1p-53;
+  }
+
+  double interval(double PerSecond) {
+    return -std::log(1 - uniform()) / PerSecond;
+  }
+
+  std::size_t below(std::size_t End) {
+    return static_cast<std::size_t>(uniform() * static_cast<double>(End));
+  }
+
+private:
+  std::mt19937_64 m_Generator;
+};
+} // namespace
+
+static void check(const LoadOptions &Options) {
+  if (Options.m_Routers.empty() || Options.m_Accounts.empty())
+    throw std::invalid_argument("a router and an account are needed");
+  for (const std::string &Router : Options.m_Routers)
+    if (!parseAddress(Router))
+      throw std::invalid_argument("router is not IP:port: " + Router);
+  if (Options.m_CallsPerSecond <= 0 || Options.m_Seconds <= 0 ||
+      Options.m_LeastTokens > Options.m_MostTokens || Options.m_Prefixes == 0)
+    throw std::invalid_argument("rate, time, tokens or prefixes out of range");
+  if (Options.m_CallsPerSecond * Options.m_Seconds >
+      static_cast<double>(MostPlannedCalls))
+    throw std::invalid_argument("more than " +
+                                std::to_string(MostPlannedCalls) + " calls");
+}
+
+static std::size_t accountAt(const LoadOptions &Options, double Draw) {
+  double Sum = 0;
+  for (const LoadAccount &Account : Options.m_Accounts)
+    Sum += Account.m_Weight;
+  double Left = Draw * Sum;
+  for (std::size_t Index = 0; Index < Options.m_Accounts.size(); ++Index) {
+    Left -= Options.m_Accounts[Index].m_Weight;
+    if (Left < 0)
+      return Index;
+  }
+  return Options.m_Accounts.size() - 1;
+}
+
+static std::string promptText(const LoadOptions &Options, std::size_t Prefix,
+                              std::size_t Call) {
+  std::string Text = "prefix " + std::to_string(Options.m_Seed) + "-" +
+                     std::to_string(Prefix) + " ";
+  Text.resize(std::max<std::size_t>(Text.size(), Options.m_PrefixBytes), '.');
+  return Text + " call " + std::to_string(Call);
+}
+
+std::vector<PlannedCall> planCalls(const LoadOptions &Options) {
+  check(Options);
+  Draws Random(Options.m_Seed);
+  std::vector<PlannedCall> Calls;
+  double At = Random.interval(Options.m_CallsPerSecond);
+  for (; At < Options.m_Seconds && Calls.size() < MostPlannedCalls;
+       At += Random.interval(Options.m_CallsPerSecond)) {
+    PlannedCall Call;
+    Call.m_At = std::chrono::microseconds(static_cast<std::int64_t>(At * 1e6));
+    Call.m_Router = Random.below(Options.m_Routers.size());
+    Call.m_Account = accountAt(Options, Random.uniform());
+    Call.m_IsService = Random.uniform() < Options.m_ServiceShare;
+    Call.m_Tokens = Options.m_LeastTokens +
+                    static_cast<std::uint32_t>(Random.below(
+                        Options.m_MostTokens - Options.m_LeastTokens + 1));
+    Call.m_Prompt =
+        promptText(Options, Random.below(Options.m_Prefixes), Calls.size());
+    Calls.push_back(std::move(Call));
+  }
+  return Calls;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/load/LoadPlan.h
@@ -0,0 +1,27 @@
+#ifndef PARSLEYRING_LOAD_LOADPLAN_H
+#define PARSLEYRING_LOAD_LOADPLAN_H
+
+#include "load/LoadOptions.h"
+
+namespace parsleyring {
+
+/// One call of a load run.
+struct PlannedCall {
+  std::chrono::microseconds m_At{}; ///< After the start of the run.
+  std::size_t m_Router = 0;
+  std::size_t m_Account = 0;
+  bool m_IsService = false;
+  std::string m_Prompt;
+  std::uint32_t m_Tokens = 0;
+};
+
+/// Most calls of one run; bounds the memory of the plan.
+inline constexpr std::size_t MostPlannedCalls = 1000000;
+
+/// Arrivals of a Poisson process, which do not wait for the answers of earlier
+/// calls. The same options give the same plan. Throws std::invalid_argument.
+std::vector<PlannedCall> planCalls(const LoadOptions &Options);
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_LOAD_LOADPLAN_H
--- /dev/null
+++ b/src/load/LoadReport.h
@@ -0,0 +1,51 @@
+#ifndef PARSLEYRING_LOAD_LOADREPORT_H
+#define PARSLEYRING_LOAD_LOADREPORT_H
+
+#include "load/LatencyHistogram.h"
+#include "load/LoadCaller.h"
+
+#include <map>
+
+namespace parsleyring {
+
+/// Sums up the calls of a run. Totals and percentiles cover what was due, or
+/// was delivered, between the end of the warm-up and the end of the arrivals.
+class LoadReport {
+public:
+  explicit LoadReport(const LoadOptions &Options);
+
+  void add(const CallRecord &Record);
+  /// One line. Bounded: 10 buckets per second, 1000 listed gaps.
+  std::string json() const;
+
+private:
+  using Micros = std::chrono::microseconds;
+
+  struct Gap {
+    Micros m_EndedAt;
+    Micros m_Length;
+  };
+
+  bool isMeasured(Micros At) const { return At >= m_Begin && At < m_End; }
+  void addToken(Micros At, Micros Since, bool IsFirst, bool IsCallMeasured);
+
+  const LoadOptions m_Options;
+  const Micros m_Begin;
+  const Micros m_End;
+  std::uint64_t m_Calls = 0;
+  std::uint64_t m_Tokens = 0;
+  std::uint64_t m_CompletedTokens = 0;
+  std::uint64_t m_Reconnects = 0;
+  std::uint64_t m_WrongTokens = 0;
+  std::map<std::string, std::uint64_t> m_Completions;
+  std::map<std::string, std::uint64_t> m_ServiceCalls;
+  LatencyHistogram m_FirstToken;
+  LatencyHistogram m_Interval;
+  LatencyHistogram m_ServiceTime;
+  std::vector<std::uint64_t> m_TokensPerBucket; ///< Of 100 ms, from the start.
+  std::vector<Gap> m_Gaps;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_LOAD_LOADREPORT_H
--- /dev/null
+++ b/src/load/LoadRun.h
@@ -0,0 +1,31 @@
+#ifndef PARSLEYRING_LOAD_LOADRUN_H
+#define PARSLEYRING_LOAD_LOADRUN_H
+
+#include "load/LoadReport.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace parsleyring {
+
+/// Sends the planned calls at their times from a fixed number of threads.
+class LoadRun {
+public:
+  explicit LoadRun(const LoadOptions &Options);
+  /// Ends once all calls have ended, which is within the time of the arrivals
+  /// plus the limit of a call. Returns the results as one line of JSON.
+  std::string run();
+
+private:
+  void work(const LoadCaller &Caller, LoadCaller::Clock::time_point Start);
+
+  const LoadOptions m_Options;
+  const std::vector<PlannedCall> m_Calls;
+  std::atomic<std::size_t> m_Next{0};
+  std::mutex m_Mutex; ///< Guards m_Report.
+  LoadReport m_Report;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_LOAD_LOADRUN_H
