--- a/src/callers/Answer.cpp
+++ b/src/callers/Answer.cpp
@@ -1,5 +1,6 @@
 #include "callers/Answer.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace parsleyring {
@@ -17,14 +18,19 @@
 }
 
 void Answer::appendToken(std::uint32_t Position, std::string Text) {
+  bool IsAwaited = false;
   {
     Guard Lock(m_Mutex);
     if (Position != m_Tokens.size() || m_End)
       throw std::logic_error("token " + std::to_string(Position) + " of " +
                              m_RequestId + " is not the next one");
     m_Tokens.push_back(std::move(Text));
+    IsAwaited = Position >= m_AwaitedPosition;
+    if (IsAwaited)
+      m_AwaitedPosition = NoPosition;
   }
-  m_Changed.notify_all();
+  if (IsAwaited)
+    m_Changed.notify_all();
 }
 
 void Answer::setFinishReason(std::string Reason) {
@@ -55,8 +61,10 @@
 
 Answer::Progress Answer::waitFor(std::uint32_t From, Duration Limit) const {
   std::unique_lock<std::mutex> Lock(m_Mutex);
-  m_Changed.wait_for(Lock, Limit,
-                     [&] { return m_End || m_Tokens.size() > From; });
+  m_Changed.wait_for(Lock, Limit, [&] {
+    m_AwaitedPosition = std::min(m_AwaitedPosition, From);
+    return m_End || m_Tokens.size() > From;
+  });
   Progress Result;
   Result.m_IsEnded = m_End.has_value();
   if (From < m_Tokens.size())
--- a/src/callers/Answer.h
+++ b/src/callers/Answer.h
@@ -6,6 +6,7 @@
 #include "parsleyring/Actions.h"
 
 #include <condition_variable>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -49,6 +50,9 @@
   std::size_t bytes() const;
 
 private:
+  static constexpr std::uint32_t NoPosition =
+      std::numeric_limits<std::uint32_t>::max();
+
   const std::string m_RequestId;
   const std::string m_AccountKeySha256;
 
@@ -56,6 +60,9 @@
   mutable std::condition_variable m_Changed;
   std::shared_ptr<const CallerPayload> m_Payload;
   std::vector<std::string> m_Tokens;
+  /// Smallest position that a reader waits for. A caller that waits for the
+  /// whole answer need not be woken for each token.
+  mutable std::uint32_t m_AwaitedPosition = NoPosition;
   std::string m_FinishReason;
   std::optional<ServiceAnswer> m_ServiceAnswer;
   std::optional<FinishRequest> m_End;
--- a/src/callers/CompletionAnswer.cpp
+++ b/src/callers/CompletionAnswer.cpp
@@ -49,15 +49,19 @@
                {"outcome", name(Ended.end().m_Outcome)}});
 }
 
-std::string tokenEvent(const std::string &RequestId, const std::string &Model,
-                       const std::string &Text, std::uint32_t Position) {
-  return event(
-      dump({{"id", RequestId},
-            {"object", "text_completion"},
-            {"model", Model},
-            {"choices",
-             {{{"index", 0}, {"text", Text}, {"finish_reason", nullptr}}}},
-            {"position", Position}}));
+TokenEventWriter::TokenEventWriter(const std::string &RequestId,
+                                   const std::string &Model)
+    : m_Head("data: {\"id\":" + dump(RequestId) +
+             ",\"object\":\"text_completion\",\"model\":" + dump(Model) +
+             ",\"choices\":[{\"index\":0,\"text\":") {}
+
+void TokenEventWriter::append(std::string &Events, const std::string &Text,
+                              std::uint32_t Position) const {
+  Events += m_Head;
+  Events += dump(Text);
+  Events += ",\"finish_reason\":null}],\"position\":";
+  Events += std::to_string(Position);
+  Events += "}\n\n";
 }
 
 std::string endEvents(const Answer &Ended, const CompletionPayload &Asked) {
--- a/src/callers/CompletionAnswer.h
+++ b/src/callers/CompletionAnswer.h
@@ -10,9 +10,17 @@
 /// Body of a whole answer to a completion.
 std::string completionJson(const Answer &Ended, const CompletionPayload &Asked);
 
-/// Server-sent event of one token.
-std::string tokenEvent(const std::string &RequestId, const std::string &Model,
-                       const std::string &Text, std::uint32_t Position);
+/// Writes the server-sent events of the tokens of one answer.
+class TokenEventWriter {
+public:
+  TokenEventWriter(const std::string &RequestId, const std::string &Model);
+
+  void append(std::string &Events, const std::string &Text,
+              std::uint32_t Position) const;
+
+private:
+  std::string m_Head; ///< Equal in all events.
+};
 
 /// Last events of a stream: the finish reason with usage, or the error, and
 /// the end mark.
--- a/src/callers/CompletionHandler.cpp
+++ b/src/callers/CompletionHandler.cpp
@@ -73,18 +73,19 @@
   }
   Call.m_Response.set_header("X-Request-Id", Waited->requestId());
   Call.m_Response.set_header("Cache-Control", "no-cache");
-  auto Next = std::make_shared<std::uint32_t>(0);
-  auto Provide = [this, Number, Waited, Payload,
-                  Next](std::size_t, httplib::DataSink &Sink) {
-    const auto &Asked = std::get<CompletionPayload>(Payload->m_Content);
-    auto Progress = Waited->waitFor(*Next, CallerCheckInterval);
+  const auto &Asked = std::get<CompletionPayload>(Payload->m_Content);
+  TokenEventWriter Writer(Waited->requestId(), Asked.m_Model);
+  auto Provide = [this, Number, Waited, Payload, Writer,
+                  Next = 0U](std::size_t, httplib::DataSink &Sink) mutable {
+    auto Progress = Waited->waitFor(Next, CallerCheckInterval);
     std::string Events;
     for (const std::string &Text : Progress.m_Tokens)
-      Events += tokenEvent(Waited->requestId(), Asked.m_Model, Text, (*Next)++);
+      Writer.append(Events, Text, Next++);
     if (Progress.m_IsEnded)
-      Events += endEvents(*Waited, Asked);
-    bool IsThere = Sink.is_writable() &&
-                   (Events.empty() || Sink.write(Events.data(), Events.size()));
+      Events +=
+          endEvents(*Waited, std::get<CompletionPayload>(Payload->m_Content));
+    bool IsThere = Events.empty() ? Sink.is_writable()
+                                  : Sink.write(Events.data(), Events.size());
     if (!IsThere) {
       m_Context.m_Post(CallerGone{Number});
       return false;
