Wake a worker, not the ticks, for a queued platform call

The workers and the tick thread of PlatformClaimService waited on one condition variable. A notification that reached the tick thread woke no worker, and the job stayed in the queue until the next one came: a repeat of a key then got 503 after the claim timeout of 2 s.

--- a/src/claims/PlatformClaimService.cpp
+++ b/src/claims/PlatformClaimService.cpp
@@ -24,6 +24,7 @@
     m_IsStopping = true;
   }
   m_QueueChanged.notify_all();
+  m_Stopping.notify_all();
   for (std::thread &Thread : m_Threads)
     Thread.join();
 }
@@ -268,8 +269,8 @@
 
 void PlatformClaimService::runTicks() {
   std::unique_lock<std::mutex> Lock(m_QueueMutex);
-  while (!m_QueueChanged.wait_for(Lock, ClaimTickInterval,
-                                  [this] { return m_IsStopping; })) {
+  while (!m_Stopping.wait_for(Lock, ClaimTickInterval,
+                              [this] { return m_IsStopping; })) {
     Lock.unlock();
     decide([this](Time Now, std::vector<ClaimOutput> &Outputs) {
       m_Coordinator.tick(Now, Outputs);
--- a/src/claims/PlatformClaimService.h
+++ b/src/claims/PlatformClaimService.h
@@ -99,6 +99,9 @@
 
   std::mutex m_QueueMutex; ///< Guards the queue and the stop flag.
   std::condition_variable m_QueueChanged;
+  /// The ticks wait here: on m_QueueChanged they would take notifications that
+  /// are meant for a worker, and the job would stay in the queue.
+  std::condition_variable m_Stopping;
   std::deque<std::function<void()>> m_Queue;
   bool m_IsStopping = false;
 
--- a/tests/integration/WholePathTest.cpp
+++ b/tests/integration/WholePathTest.cpp
@@ -216,7 +216,8 @@
   LONGS_EQUAL(200, m_Cluster->send("vm-0", Fee).m_Status);
   for (const std::string &Router : m_Cluster->routerNames()) {
     HttpAnswer Repeat = m_Cluster->send(Router, Fee);
-    CHECK(Repeat.m_Status == 200 || Repeat.m_Status == 409);
+    CHECK_TEXT(Repeat.m_Status == 200 || Repeat.m_Status == 409,
+               Repeat.m_Body.c_str());
     STRCMP_EQUAL("completed", Repeat.header("X-Outcome").c_str());
   }
   LONGS_EQUAL(2, m_Cluster->serviceTotal("executions"));
