--- a/src/emulator/EngineEmulator.h
+++ b/src/emulator/EngineEmulator.h
@@ -32,6 +32,10 @@
 
 /// Stands for an engine server that holds a range of layers. The stage that
 /// takes in a request forwards each token through the other stages.
+///
+/// POST /admin/drain refuses new work from now on, /admin/freeze silences the
+/// connections that exist, and /admin/order takes {fencing_token}. GET
+/// /admin/counts?request=ID gives EngineCounts::json().
 class EngineEmulator {
 public:
   explicit EngineEmulator(const EngineOptions &Options);
--- a/src/emulator/PlatformEmulator.h
+++ b/src/emulator/PlatformEmulator.h
@@ -18,6 +18,11 @@
 
 /// Stands for the platform's key-value service, in the format of the Consul
 /// KV API, with faults that are set at run time.
+///
+/// POST /admin/mode takes an object with any of outage (true: calls and watches
+/// are closed), slow_ms, lost_answers (number of writes that take effect but
+/// are not answered) and frozen_watch (true: watches become silent for good);
+/// what is not given stays. GET /admin/counts gives the calls per kind.
 class PlatformEmulator {
 public:
   explicit PlatformEmulator(const PlatformOptions &Options);
