Take the first departure as the estimate of the queue

The smoothed interval started at zero, so the wait was underestimated fivefold after the first departure.

--- a/src/requests/WaitEstimate.cpp
+++ b/src/requests/WaitEstimate.cpp
@@ -24,7 +24,8 @@
   if (DispatchedAt && m_LastDeparture) {
     auto Sample =
         static_cast<double>((*DispatchedAt - *m_LastDeparture).count());
-    m_IntervalMicros += IntervalWeight * (Sample - m_IntervalMicros);
+    double Weight = m_IntervalMicros == 0 ? 1 : IntervalWeight;
+    m_IntervalMicros += Weight * (Sample - m_IntervalMicros);
   }
   if (m_Waiting == 0)
     m_LastDeparture.reset();
--- a/tests/requests/CompletionTest.cpp
+++ b/tests/requests/CompletionTest.cpp
@@ -302,6 +302,49 @@
   }
 }
 
+// Guards against a rolling replacement that uses up the attempts or the retry
+// budget of a request.
+TEST(Completion, RefusalsOfLeavingEndpointsAreNotCounted) {
+  auto Configuration = testDocument();
+  auto &Endpoints = Configuration->m_Pools[0].m_Endpoints;
+  for (int Number = 3; Number <= 8; ++Number) {
+    Endpoints.push_back(Endpoints[0]);
+    Endpoints.back().m_Name = "a" + std::to_string(Number);
+  }
+  RouterFixture Run(1, Configuration);
+  Actions Decided = Run.complete(1);
+  for (int Refusal = 0; Refusal < 7; ++Refusal)
+    Decided = Run.end(all<StartCompletion>(Decided).at(0).m_Attempt,
+                      AttemptResult::RefusedLeaving, 503);
+  LONGS_EQUAL(1, all<StartCompletion>(Decided).size());
+  LONGS_EQUAL(7, Run.m_Router.counters().m_Totals.at("endpoints_leaving"));
+}
+
+// Guards against queueing requests that cannot start before their deadline.
+TEST(Completion, EstimatedWaitBeyondTheDeadlineIsRefused) {
+  auto Configuration = testDocument();
+  Configuration->m_Pools[0].m_RequestTimeoutMillis = 1000;
+  auto &Endpoints = Configuration->m_Pools[0].m_Endpoints;
+  Endpoints = {Endpoints[0], Endpoints[2]};
+  for (EndpointSpec &Endpoint : Endpoints)
+    Endpoint.m_Slots = 1;
+  RouterFixture Run(1, Configuration);
+  Actions Decided = Run.complete(1);
+  for (RequestNumber Number = 2; Number <= 6; ++Number)
+    CHECK(all<FinishRequest>(Run.complete(Number)).empty());
+  // One request ends every 300 ms, so the fourth in the queue waits 1.2 s.
+  for (int Ended = 0; Ended < 2; ++Ended) {
+    Run.pass(300ms);
+    Decided = Run.end(all<StartCompletion>(Decided).at(0).m_Attempt,
+                      AttemptResult::Finished);
+  }
+  CHECK(all<FinishRequest>(Run.complete(7)).empty());
+  FinishRequest Refused = onlyFinish(Run.complete(8));
+  STRCMP_EQUAL("overloaded", Refused.m_Code.c_str());
+  CHECK(Refused.m_Outcome == Outcome::NotRun);
+  CHECK(Refused.m_RetryAfterSeconds > 0);
+}
+
 // Guards against rejections with a wrong status or an untruthful outcome.
 TEST(Completion, Rejections) {
   struct Case {
