--- a/src/daemons/parsleyring-load.cpp
+++ b/src/daemons/parsleyring-load.cpp
@@ -38,6 +38,8 @@
   Command->add_option("--rate", Options.m_CallsPerSecond, "Calls per second");
   Command->add_option("--seconds", Options.m_Seconds)
       ->check(CLI::Range(0.1, 3600.0));
+  Command->add_option("--grace", Options.m_GraceSeconds)
+      ->check(CLI::Range(0.0, 600.0));
   Command->add_option("--warm-up", Options.m_WarmUpSeconds);
   Command->add_option("--seed", Options.m_Seed);
   Command->add_option("--model", Options.m_Model)->required();
@@ -47,6 +49,10 @@
   Command->add_option("--prefix-bytes", Options.m_PrefixBytes);
   Command->add_option("--service-share", Options.m_ServiceShare);
   Command->add_option("--service-path", Options.m_ServicePath);
+  Command->add_option_function<std::uint32_t>(
+      "--listed-gap-ms", [&Options](std::uint32_t Millis) {
+        Options.m_ListedGap = std::chrono::milliseconds(Millis);
+      });
   Command->add_option("--threads", Options.m_Threads)
       ->check(CLI::Range(1, 2000));
   Command->final_callback(
--- a/src/load/LoadCaller.cpp
+++ b/src/load/LoadCaller.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace parsleyring {
 
 using Json = nlohmann::json;
@@ -65,6 +67,15 @@
   return std::chrono::duration_cast<microseconds>(Clock::now() - m_Start);
 }
 
+LoadCaller::Clock::time_point
+LoadCaller::deadline(const PlannedCall &Planned) const {
+  auto RunLimit =
+      std::chrono::duration_cast<microseconds>(std::chrono::duration<double>(
+          m_Options.m_Seconds + m_Options.m_GraceSeconds));
+  return m_Start +
+         std::min(RunLimit, Planned.m_At + microseconds(m_Options.m_CallLimit));
+}
+
 CallRecord LoadCaller::call(const PlannedCall &Planned) const {
   CallRecord Record;
   Record.m_At = Planned.m_At;
@@ -76,8 +87,12 @@
     bool HasEnded = Planned.m_IsService
                         ? callService(Planned, Router, Record)
                         : callCompletion(Planned, Router, Record);
-    if (HasEnded || elapsed() - Planned.m_At > m_Options.m_CallLimit)
+    if (HasEnded)
       break;
+    if (Clock::now() >= deadline(Planned)) {
+      Record.m_Outcome = "unfinished";
+      break;
+    }
     ++Record.m_Reconnects;
   }
   Record.m_EndedAt = elapsed();
@@ -104,7 +119,7 @@
                                 CallRecord &Record) const {
   EndpointConnection Connection(*parseAddress(m_Options.m_Routers[Router]),
                                 ConnectLimit);
-  Connection.setDeadline(m_Start + Planned.m_At + m_Options.m_CallLimit);
+  Connection.setDeadline(deadline(Planned));
   httplib::Request Request =
       post("/v1/completions", m_Options.m_Accounts[Planned.m_Account].m_Key,
            Json{{"model", m_Options.m_Model},
@@ -136,7 +151,7 @@
                              CallRecord &Record) const {
   EndpointConnection Connection(*parseAddress(m_Options.m_Routers[Router]),
                                 ConnectLimit);
-  Connection.setDeadline(m_Start + Planned.m_At + m_Options.m_CallLimit);
+  Connection.setDeadline(deadline(Planned));
   httplib::Request Request =
       post(m_Options.m_ServicePath,
            m_Options.m_Accounts[Planned.m_Account].m_Key, "{}");
@@ -148,7 +163,8 @@
                            ? Response.get_header_value("X-Outcome")
                            : statusOutcome(Response);
   // Only a call that did not leave may be sent again.
-  return IsWhole || Connection.bytesSent() > 0;
+  bool IsOver = Clock::now() >= deadline(Planned);
+  return IsWhole || (Connection.bytesSent() > 0 && !IsOver);
 }
 
 } // namespace parsleyring
--- a/src/load/LoadCaller.h
+++ b/src/load/LoadCaller.h
@@ -11,7 +11,8 @@
   std::chrono::microseconds m_EndedAt{};
   bool m_IsService = false;
   /// Name of the outcome, with the status before it if that is not 200;
-  /// "lost" if no router gave an end, "not-sent" if the load tool was late.
+  /// "lost" if no router gave an end, "unfinished" if the time of the call or
+  /// of the run was over, "not-sent" if the load tool was late.
   std::string m_Outcome;
   std::vector<std::chrono::microseconds> m_TokenTimes;
   std::uint32_t m_Reconnects = 0;
@@ -34,6 +35,7 @@
   class Stream;
 
   std::chrono::microseconds elapsed() const;
+  Clock::time_point deadline(const PlannedCall &Planned) const;
   /// Returns false if the connection broke.
   bool callCompletion(const PlannedCall &Planned, std::size_t Router,
                       CallRecord &Record) const;
--- a/src/load/LoadOptions.h
+++ b/src/load/LoadOptions.h
@@ -35,6 +35,8 @@
   /// A call that would start later than this after its time is not sent.
   std::chrono::milliseconds m_StartLimit{250};
   std::chrono::milliseconds m_CallLimit{30000};
+  /// Calls are broken off this long after the last arrival is due.
+  double m_GraceSeconds = 60;
   /// Gaps between tokens from here on are listed one by one.
   std::chrono::milliseconds m_ListedGap{400};
 };
