Measure the control traffic and the cost of an idle router

A router counts the bytes of its peer messages, platform calls and load polls on /metrics. Messages are counted where they are framed; a count of read and write calls from /proc covers no sockets, and a count by the kernel's connection table misses connections that have ended.

scripts/bench control prints CPU, memory, bytes and calls per second of an idle router as slopes over peers, endpoints, accounts and changes.

--- /dev/null
+++ b/scripts/benchmarks/control.py
@@ -0,0 +1,181 @@
+"""What an idle router costs, by peers, endpoints, accounts and changes."""
+import contextlib
+import os
+import threading
+import time
+
+from benchmarks.cluster import LAYERS, Cluster, Engine, account_table, request
+
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+BYTE_COUNTERS = ("peer_bytes_total", "platform_bytes_total", "load_poll_bytes_total")
+SEEN = "vm-0"  # The router that is measured.
+FEW_ENDPOINTS, FEW_ACCOUNTS = 4, 100
+PEERS = 4  # Of the points that show what load entries cost in digests.
+
+
+def cpu_seconds(pid):
+    """User and system time of the process, with its ended threads."""
+    with open(f"/proc/{pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def memory_kb(pid):
+    with open(f"/proc/{pid}/status") as file:
+        values = dict(line.split(":", 1) for line in file if ":" in line)
+    return {
+        key: int(values[key].split()[0]) for key in ("VmRSS", "RssAnon", "VmHWM")
+    }
+
+
+def threads(pid):
+    return len(os.listdir(f"/proc/{pid}/task"))
+
+
+def engines(count):
+    return [Engine(f"engine-{i}", "fd-a", 0, LAYERS, 100) for i in range(count)]
+
+
+def accounts(count, generation=0):
+    """One account differs between generations."""
+    return "".join(
+        account_table(
+            f"account-{i:06d}", share=1,
+            requests_per_second=10 + (generation % 1000 if i == 0 else 0),
+            max_outstanding=100,
+        )
+        for i in range(count)
+    )
+
+
+class Point:
+    """An idle cluster that differs from the others in one number."""
+
+    def __init__(self, name, value, peers=0, endpoints=FEW_ENDPOINTS,
+                 account_count=FEW_ACCOUNTS, changes_per_minute=0):
+        self.name, self.value = name, value
+        self.peers = peers
+        self.account_count = account_count
+        self.changes_per_minute = changes_per_minute
+        self.cluster = Cluster(engines(endpoints))
+        self.stopping = threading.Event()
+        self.published = 0
+
+    def start(self):
+        cluster = self.cluster
+        cluster.start_endpoints()
+        cluster.add_routers(1 + self.peers)
+        cluster.publish(cluster.document(accounts=accounts(self.account_count)))
+        for name in cluster.routers:
+            cluster.start_router(name)
+        cluster.wait_until_ready()
+
+    def publish_changes(self):
+        while not self.stopping.wait(60 / self.changes_per_minute):
+            self.published += 1
+            text = accounts(self.account_count, self.published)
+            self.cluster.publish(self.cluster.document(accounts=text))
+
+    def sample(self):
+        metrics = self.cluster.metrics(SEEN)
+        pid = self.cluster.processes[SEEN].pid
+        return {
+            "at": time.monotonic(), "cpu": cpu_seconds(pid),
+            "calls": metrics.get("platform_calls_total", 0),
+            "messages": metrics.get("peer_messages_total", 0),
+            "changes": self.published,
+            **{key: metrics.get(key, 0) for key in BYTE_COUNTERS},
+        }
+
+    def result(self, before, after):
+        seconds = after["at"] - before["at"]
+        rate = lambda key: (after[key] - before[key]) / seconds
+        pid = self.cluster.processes[SEEN].pid
+        return {
+            "seconds": round(seconds, 2),
+            "cpu_percent": round(100 * rate("cpu"), 3),
+            "bytes_per_second": round(sum(map(rate, BYTE_COUNTERS)), 1),
+            "peer_bytes_per_second": round(rate("peer_bytes_total"), 1),
+            "platform_bytes_per_second": round(rate("platform_bytes_total"), 1),
+            "load_poll_bytes_per_second": round(rate("load_poll_bytes_total"), 1),
+            "platform_calls_per_second": round(rate("calls"), 3),
+            "peer_messages_per_second": round(rate("messages"), 2),
+            "changes_per_minute": round(60 * rate("changes"), 2),
+            "memory_kb": memory_kb(pid), "threads": threads(pid),
+        }
+
+
+def slope(points):
+    """Least squares: what one more costs, and what zero costs."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    each = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread
+    return {"each": round(each, 6), "at_zero": round(mean_y - each * mean_x, 3)}
+
+
+def measure(points, seconds, emit):
+    """All points at the same time, so that they share the machine's noise."""
+    with contextlib.ExitStack() as stack:
+        for point in points:
+            stack.enter_context(point.cluster)
+            point.start()
+        changing = [
+            threading.Thread(target=point.publish_changes)
+            for point in points
+            if point.changes_per_minute
+        ]
+        time.sleep(4)  # Start-up and the first full exchange between peers.
+        for thread in changing:
+            thread.start()
+        before = [point.sample() for point in points]
+        time.sleep(seconds)
+        results = [
+            point.result(first, point.sample()) for point, first in zip(points, before)
+        ]
+        for point in points:
+            point.stopping.set()
+        for thread in changing:
+            thread.join()
+    for point, result in zip(points, results):
+        emit(benchmark="control", figure="run", by=point.name, value=point.value, **result)
+    return results
+
+
+def run(quick, emit):
+    seconds = 12 if quick else 60
+    sizes = {
+        "peers": [0, 3, 7] if quick else [0, 4, 8, 16],
+        "endpoints": [4, 16, 40] if quick else [4, 32, 64, 128],
+        "endpoints_with_peers": [4, 16, 40] if quick else [4, 32, 64],
+        "accounts": [100, 10000, 33000],
+        "changes_per_minute": [0, 15, 40] if quick else [0, 6, 20, 60],
+    }
+    arguments = {
+        "peers": lambda n: {"peers": n},
+        "endpoints": lambda n: {"endpoints": n},
+        "endpoints_with_peers": lambda n: {"endpoints": n, "peers": PEERS},
+        "accounts": lambda n: {"account_count": n},
+        "changes_per_minute": lambda n: {
+            "changes_per_minute": n, "account_count": 3300 if quick else 33000
+        },
+    }
+    groups = [
+        [Point(name, n, **arguments[name](n)) for n in values]
+        for name, values in sizes.items()
+    ]
+    # The quick run has no time for one group after another.
+    batches = [sum(groups, [])] if quick else groups
+    results = sum((measure(batch, seconds, emit) for batch in batches), [])
+    found = dict(zip(((p.name, p.value) for p in sum(groups, [])), results))
+    for name, values in sizes.items():
+        rows = [found[name, n] for n in values]
+        by = lambda pick: slope([(n, pick(row)) for n, row in zip(values, rows)])
+        emit(
+            benchmark="control", figure="slope", by=name, points=values,
+            cpu_percent=by(lambda row: row["cpu_percent"]),
+            bytes_per_second=by(lambda row: row["bytes_per_second"]),
+            rss_kb=by(lambda row: row["memory_kb"]["VmRSS"]),
+            platform_calls_per_second=by(lambda row: row["platform_calls_per_second"]),
+        )
--- a/src/endpoints/LoadPoller.cpp
+++ b/src/endpoints/LoadPoller.cpp
@@ -2,6 +2,7 @@
 
 #include "endpoints/EngineMessages.h"
 #include "http/EndpointConnection.h"
+#include "http/MessageBytes.h"
 
 #include <algorithm>
 #include <functional>
@@ -126,7 +127,10 @@
   httplib::Response Response;
   httplib::Error Error = httplib::Error::Success;
   try {
-    if (!Connection.call(Request, Response, Error) || Response.status != 200)
+    bool IsWhole = Connection.call(Request, Response, Error);
+    if (m_Callbacks.m_CountBytes)
+      m_Callbacks.m_CountBytes(messageBytes(Request, Response, Body.size()));
+    if (!IsWhole || Response.status != 200)
       throw MessageError("no load report");
     LoadReported Report = parseLoadReport(Body);
     if (Report.m_Endpoint != Polled.m_Endpoint)
--- a/src/endpoints/LoadPoller.h
+++ b/src/endpoints/LoadPoller.h
@@ -33,6 +33,8 @@
         m_IsWanted;
     std::function<void(const LoadReported &)> m_Report;
     std::function<void(const std::string &Endpoint)> m_Failed;
+    /// Bytes of a poll and its answer; may be empty.
+    std::function<void(std::uint64_t Bytes)> m_CountBytes;
   };
 
   LoadPoller(Duration Interval, Callbacks Sinks);
--- a/src/membership/PeerNetwork.h
+++ b/src/membership/PeerNetwork.h
@@ -46,6 +46,8 @@
       const std::string &BodySha256, const std::string &Holder)>
       m_TakeReservation;
   std::function<void(const std::string &Key, ClaimEnd)> m_EndReservation;
+  /// Bytes of a message to or from a peer; may be empty.
+  std::function<void(std::uint64_t Bytes)> m_CountBytes;
 };
 
 /// Heartbeats, digests and questions between the routers.
--- a/src/metrics/EventCounters.h
+++ b/src/metrics/EventCounters.h
@@ -11,9 +11,9 @@
 /// Counters by name, for events that are rare enough for one lock.
 class EventCounters {
 public:
-  void add(const std::string &Name) {
+  void add(const std::string &Name, std::uint64_t Amount = 1) {
     std::lock_guard<std::mutex> Guard(m_Mutex);
-    ++m_Totals[Name];
+    m_Totals[Name] += Amount;
   }
 
   std::map<std::string, std::uint64_t> totals() const {
--- a/src/node/RouterNode.cpp
+++ b/src/node/RouterNode.cpp
@@ -41,7 +41,11 @@
     : m_Settings(Options), m_Self(makeSelf()),
       m_Answers(Options.m_AnswerKeepTime, Options.m_AnswerKeepBytes),
       m_AuditOutput(STDOUT_FILENO), m_Audit(m_Self, m_AuditOutput.stream()),
-      m_Platform(Options.m_PlatformAddress, Options.m_PlatformTimeout),
+      m_Platform(Options.m_PlatformAddress, Options.m_PlatformTimeout,
+                 [this](std::uint64_t Bytes) {
+                   m_Counters.add("platform_calls");
+                   m_Counters.add("platform_bytes", Bytes);
+                 }),
       m_RouterOptions(routerOptions()),
       m_Trace(documentToText, documentFromText),
       m_Loop(
--- a/src/node/RouterNodeCallbacks.cpp
+++ b/src/node/RouterNodeCallbacks.cpp
@@ -38,6 +38,10 @@
   Result.m_EndReservation = [this](const std::string &Key, ClaimEnd End) {
     m_Claims.endReservation(Key, End);
   };
+  Result.m_CountBytes = [this](std::uint64_t Bytes) {
+    m_Counters.add("peer_messages");
+    m_Counters.add("peer_bytes", Bytes);
+  };
   return Result;
 }
 
@@ -76,6 +80,9 @@
   Result.m_Failed = [this](const std::string &) {
     m_Counters.add("load_polls_failed");
   };
+  Result.m_CountBytes = [this](std::uint64_t Bytes) {
+    m_Counters.add("load_poll_bytes", Bytes);
+  };
   return Result;
 }
 
--- a/src/peers/PeerConnection.cpp
+++ b/src/peers/PeerConnection.cpp
@@ -1,11 +1,11 @@
 #include "peers/PeerConnection.h"
 
+#include "peers/CountingTransport.h"
 #include "peers/WireDigest.h"
 
 #include "Peer.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
 using namespace apache::thrift;
@@ -17,14 +17,15 @@
 
 class PeerConnection::Client {
 public:
-  explicit Client(const std::string &Address) {
+  Client(const std::string &Address,
+         const CountingTransport::Count &CountBytes) {
     std::size_t Colon = Address.rfind(':');
     auto Socket = std::make_shared<transport::TSocket>(
         Address.substr(0, Colon), std::stoi(Address.substr(Colon + 1)));
     Socket->setConnTimeout(ConnectTimeoutMillis);
     Socket->setRecvTimeout(CallTimeoutMillis);
     Socket->setSendTimeout(CallTimeoutMillis);
-    m_Transport = std::make_shared<transport::TFramedTransport>(Socket);
+    m_Transport = std::make_shared<CountingTransport>(Socket, CountBytes);
     m_Transport->open();
     m_Peer = std::make_unique<wire::PeerClient>(
         std::make_shared<protocol::TCompactProtocol>(m_Transport));
@@ -37,15 +38,16 @@
   std::unique_ptr<wire::PeerClient> m_Peer;
 };
 
-PeerConnection::PeerConnection(const std::string &Address)
-    : m_Address(Address) {}
+PeerConnection::PeerConnection(const std::string &Address,
+                               std::function<void(std::uint64_t)> CountBytes)
+    : m_Address(Address), m_CountBytes(std::move(CountBytes)) {}
 
 PeerConnection::~PeerConnection() = default;
 
 template <typename Call> void PeerConnection::run(Call &&Step) {
   try {
     if (!m_Client)
-      m_Client = std::make_unique<Client>(m_Address);
+      m_Client = std::make_unique<Client>(m_Address, m_CountBytes);
     Step(m_Client->peer());
   } catch (const std::exception &Error) {
     m_Client.reset();
--- a/src/peers/PeerConnection.h
+++ b/src/peers/PeerConnection.h
@@ -5,6 +5,7 @@
 #include "membership/Digest.h"
 #include "membership/PeerNetwork.h"
 
+#include <functional>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -22,7 +23,9 @@
 /// that went silent never recovers. All calls throw PeerError.
 class PeerConnection {
 public:
-  explicit PeerConnection(const std::string &Address);
+  /// CountBytes is told the bytes of each message; may be empty.
+  explicit PeerConnection(const std::string &Address,
+                          std::function<void(std::uint64_t)> CountBytes = {});
   ~PeerConnection();
 
   void heartbeat(const Digest &Value);
@@ -43,6 +46,7 @@
   template <typename Call> void run(Call &&Step);
 
   std::string m_Address;
+  std::function<void(std::uint64_t)> m_CountBytes;
   std::unique_ptr<Client> m_Client;
 };
 
--- a/src/peers/PeerService.cpp
+++ b/src/peers/PeerService.cpp
@@ -1,12 +1,12 @@
 #include "peers/PeerService.h"
 
+#include "peers/CountingTransport.h"
 #include "peers/WireDigest.h"
 
 #include "Peer.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
 
 #include <future>
@@ -117,7 +117,8 @@
   auto Server = std::make_shared<server::TThreadedServer>(
       std::make_shared<wire::PeerProcessor>(
           std::make_shared<Handler>(m_Self, m_Callbacks, m_Receive)),
-      Socket, std::make_shared<transport::TFramedTransportFactory>(),
+      Socket,
+      std::make_shared<CountingTransportFactory>(m_Callbacks.m_CountBytes),
       std::make_shared<protocol::TCompactProtocolFactory>());
   Server->setConcurrentClientLimit(MostConnections);
   auto Notifier = std::make_shared<ListenNotifier>();
--- a/src/peers/ThriftPeerNetwork.cpp
+++ b/src/peers/ThriftPeerNetwork.cpp
@@ -160,7 +160,7 @@
 }
 
 void ThriftPeerNetwork::runSender(const std::shared_ptr<Sender> &Self) {
-  PeerConnection Connection(Self->m_Target.m_Address);
+  PeerConnection Connection(Self->m_Target.m_Address, m_Callbacks.m_CountBytes);
   bool WasAnswered = true;
   for (;;) {
     bool IsAnswered = true;
@@ -251,12 +251,13 @@
 
 /// Runs one call on a connection of its own.
 template <typename Call>
-static auto callPeer(const std::optional<std::string> &Address, Call &&Step)
+static auto callPeer(const PeerCallbacks &Callbacks,
+                     const std::optional<std::string> &Address, Call &&Step)
     -> std::optional<decltype(Step(std::declval<PeerConnection &>()))> {
   if (!Address)
     return std::nullopt;
   try {
-    PeerConnection Connection(*Address);
+    PeerConnection Connection(*Address, Callbacks.m_CountBytes);
     return Step(Connection);
   } catch (const PeerError &Error) {
     VLOG(1) << Error.what();
@@ -267,31 +268,33 @@
 std::optional<RemoteAnswer>
 ThriftPeerNetwork::requestState(const OwnedId &Request,
                                 std::uint32_t FromPosition) {
-  return callPeer(addressOf(Request.m_Owner.m_VM), [&](PeerConnection &Peer) {
-    return Peer.requestState(Request, FromPosition);
-  });
+  return callPeer(m_Callbacks, addressOf(Request.m_Owner.m_VM),
+                  [&](PeerConnection &Peer) {
+                    return Peer.requestState(Request, FromPosition);
+                  });
 }
 
 std::optional<RemoteAnswer>
 ThriftPeerNetwork::keyState(const Incarnation &Owner,
                             const std::string &Account,
                             const std::string &Key) {
-  return callPeer(addressOf(Owner.m_VM), [&](PeerConnection &Peer) {
-    return Peer.keyState(Owner, Account, Key);
-  });
+  return callPeer(
+      m_Callbacks, addressOf(Owner.m_VM),
+      [&](PeerConnection &Peer) { return Peer.keyState(Owner, Account, Key); });
 }
 
 std::optional<ReservationTable::TakeResult>
 ThriftPeerNetwork::takeReservation(const OwnedId &Key,
                                    const RequestClaim &Request) {
-  return callPeer(addressOf(Key.m_Owner.m_VM), [&](PeerConnection &Peer) {
-    return Peer.takeReservation(Key, Request, m_Self.m_Identity.m_VM);
-  });
+  return callPeer(
+      m_Callbacks, addressOf(Key.m_Owner.m_VM), [&](PeerConnection &Peer) {
+        return Peer.takeReservation(Key, Request, m_Self.m_Identity.m_VM);
+      });
 }
 
 void ThriftPeerNetwork::endReservation(const OwnedId &Key,
                                        const std::string &Text, ClaimEnd End) {
-  callPeer(addressOf(Key.m_Owner.m_VM), [&](PeerConnection &Peer) {
+  callPeer(m_Callbacks, addressOf(Key.m_Owner.m_VM), [&](PeerConnection &Peer) {
     Peer.endReservation(Key, Text, End);
     return true;
   });
@@ -299,14 +302,14 @@
 
 std::optional<std::string>
 ThriftPeerNetwork::fetchHead(const std::string &PeerVM) {
-  return callPeer(addressOf(PeerVM),
+  return callPeer(m_Callbacks, addressOf(PeerVM),
                   [](PeerConnection &Peer) { return Peer.fetchHead(); });
 }
 
 std::optional<std::string>
 ThriftPeerNetwork::fetchChunk(const std::string &PeerVM,
                               const std::string &Sha256) {
-  return callPeer(addressOf(PeerVM), [&](PeerConnection &Peer) {
+  return callPeer(m_Callbacks, addressOf(PeerVM), [&](PeerConnection &Peer) {
     return Peer.fetchChunk(Sha256);
   });
 }
--- a/src/platform/HttpPlatformClient.cpp
+++ b/src/platform/HttpPlatformClient.cpp
@@ -1,6 +1,7 @@
 #include "platform/HttpPlatformClient.h"
 
 #include "core/SocketAddress.h"
+#include "http/MessageBytes.h"
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -97,8 +98,9 @@
 
 class HttpPlatformClient::Implementation {
 public:
-  Implementation(const std::string &Address, Duration Timeout)
-      : m_Timeout(Timeout) {
+  Implementation(const std::string &Address, Duration Timeout,
+                 std::function<void(std::uint64_t)> CountBytes)
+      : m_Timeout(Timeout), m_CountBytes(std::move(CountBytes)) {
     std::optional<SocketAddress> Parsed = parseSocketAddress(Address);
     if (!Parsed)
       throw std::invalid_argument("platform address is not IP:port: " +
@@ -136,7 +138,10 @@
     Registration Registered(*this, Client);
     httplib::Response Response;
     httplib::Error Error = httplib::Error::Success;
-    if (!Client.send(Request, Response, Error))
+    bool IsWhole = Client.send(Request, Response, Error);
+    if (m_CountBytes)
+      m_CountBytes(messageBytes(Request, Response, Answer.size()));
+    if (!IsWhole)
       throw PlatformError(
           Possible == Effect::None || isBeforeSending(Error) ? Kind::NotSent
                                                              : Kind::Unknown,
@@ -182,6 +187,7 @@
 
   SocketAddress m_Address;
   const Duration m_Timeout;
+  const std::function<void(std::uint64_t)> m_CountBytes;
   std::mutex m_Mutex;
   std::condition_variable m_Ended;
   std::set<httplib::Client *> m_Active;
@@ -201,9 +207,11 @@
           What};
 }
 
-HttpPlatformClient::HttpPlatformClient(const std::string &Address,
-                                       Duration Timeout)
-    : m_Implementation(std::make_unique<Implementation>(Address, Timeout)) {}
+HttpPlatformClient::HttpPlatformClient(
+    const std::string &Address, Duration Timeout,
+    std::function<void(std::uint64_t)> CountBytes)
+    : m_Implementation(std::make_unique<Implementation>(
+          Address, Timeout, std::move(CountBytes))) {}
 
 HttpPlatformClient::~HttpPlatformClient() = default;
 
--- a/src/platform/HttpPlatformClient.h
+++ b/src/platform/HttpPlatformClient.h
@@ -3,6 +3,7 @@
 
 #include "parsleyring/PlatformClient.h"
 
+#include <functional>
 #include <memory>
 
 namespace parsleyring {
@@ -14,7 +15,9 @@
 public:
   /// Address is IP:port. Timeout limits connecting, sending and waiting for
   /// the answer, each.
-  HttpPlatformClient(const std::string &Address, Duration Timeout);
+  /// CountBytes is told the bytes of each call; may be empty.
+  HttpPlatformClient(const std::string &Address, Duration Timeout,
+                     std::function<void(std::uint64_t)> CountBytes = {});
   ~HttpPlatformClient() override;
 
   std::optional<PlatformValue> read(const std::string &Key) override;
