Blame and avoid the stage that a refusal names

When a stage is killed, the first stage answers that a later one cannot be reached, and names it. The router kept that name to itself: it avoided and blamed the first stage, and the dead one, which has no load, stayed the cheapest. The four attempts of a request went through four first stages to the same dead stage, and the caller got 503 not-run. A stream that broke made its first stage unavailable for a second instead of the dead one.

The name now goes with the end of the attempt. A later stage that cannot be reached counts as a failed connection of that stage, so it is left out for a second, and the request is repeated without delay.

Ruled out: the retry budget (0.1 per request and 3/s) was not used up, since the same load after freezes and kills of routers has no refusals.

--- a/src/endpoints/EngineClient.cpp
+++ b/src/endpoints/EngineClient.cpp
@@ -55,10 +55,12 @@
   }
 
   void accept(EngineEvent Received) {
-    if (Received.m_Error)
+    if (Received.m_Error) {
+      m_Report.m_FailedEndpoint = Received.m_Error->m_Endpoint;
       return fail(AttemptResult::ConnectionLost,
                   "the engine broke off: " + Received.m_Error->m_Code + " " +
                       Received.m_Error->m_Endpoint);
+    }
     if (Received.m_IsEndMark)
       return end();
     if (!m_Report.m_FinishReason.empty())
@@ -91,13 +93,13 @@
     AttemptReport Result;
     Result.m_Status = m_Status;
     auto Error = parseEndpointError(m_ErrorBody);
-    if (Error)
+    if (Error) {
       Result.m_Detail = Error->m_Code + ": " + Error->m_Message;
+      Result.m_FailedEndpoint = Error->m_Endpoint;
+    }
     bool IsRefusal = m_Status == 429 || m_Status == 503;
     if (IsRefusal && Error && Error->m_Outcome == "not-run")
-      Result.m_Result = Error->m_Code == "draining"
-                            ? AttemptResult::RefusedLeaving
-                            : AttemptResult::RefusedNotRun;
+      Result.m_Result = refusalResult(*Error);
     else if (Connection.isCancelled())
       Result.m_Result = AttemptResult::Cancelled;
     else if (m_Status >= 400 && m_Status < 500 && !IsRefusal)
@@ -109,6 +111,14 @@
     return Result;
   }
 
+  static AttemptResult refusalResult(const EndpointError &Error) {
+    if (Error.m_Code == "draining")
+      return AttemptResult::RefusedLeaving;
+    // The first stage could not reach a later one.
+    return Error.m_Reason == "unreachable" ? AttemptResult::ConnectFailed
+                                           : AttemptResult::RefusedNotRun;
+  }
+
   const TokenSink &m_OnToken;
   EventStreamParser m_Parser;
   int m_Status = 0;
--- a/src/endpoints/EngineMessages.cpp
+++ b/src/endpoints/EngineMessages.cpp
@@ -30,7 +30,8 @@
 
 static EndpointError errorFrom(const Json &Error) {
   return {Error.value("code", ""), Error.value("outcome", ""),
-          Error.value("endpoint", ""), Error.value("message", "")};
+          Error.value("endpoint", ""), Error.value("message", ""),
+          Error.value("reason", "")};
 }
 
 std::optional<EndpointError> parseEndpointError(const std::string &Text) {
--- a/src/endpoints/EngineMessages.h
+++ b/src/endpoints/EngineMessages.h
@@ -31,6 +31,7 @@
   std::string m_Outcome;
   std::string m_Endpoint; ///< The stage that failed; empty if not told.
   std::string m_Message;
+  std::string m_Reason; ///< Why a later stage refused; empty if not told.
 };
 
 /// Empty if the text is not an error object.
--- a/src/requests/RetrySystem.cpp
+++ b/src/requests/RetrySystem.cpp
@@ -23,11 +23,15 @@
 }
 
 /// Adds the endpoints that may be the reason for the failure. A refusal or a
-/// failed connection is the first stage's own; in other cases any stage may be
-/// the reason.
+/// failed connection is that of the stage named, or else of the first one; in
+/// other cases any stage may be the reason.
 static void avoidFailed(Request &Subject, const Attempt &Ended,
-                        AttemptResult Result) {
-  std::size_t Count = isProvablyNotRun(Result) ? 1 : Ended.m_Route.size();
+                        const AttemptEnded &End) {
+  bool IsOneStage = isProvablyNotRun(End.m_Result);
+  for (const Stage &Part : Ended.m_Route)
+    if (IsOneStage && Part.m_Hop.m_Endpoint == End.m_FailedEndpoint)
+      return avoid(Subject, End.m_FailedEndpoint);
+  std::size_t Count = IsOneStage ? 1 : Ended.m_Route.size();
   for (std::size_t Index = 0; Index < Count; ++Index)
     avoid(Subject, Ended.m_Route[Index].m_Hop.m_Endpoint);
 }
@@ -38,7 +42,8 @@
     return m_State.m_Counters.add(Counter::EventsIgnored);
   Attempt Ended = std::move(Entry->second);
   m_State.m_Attempts.erase(Entry);
-  m_State.m_Planner.noteEnded(Call.m_Now, End.m_Attempt, End.m_Result);
+  m_State.m_Planner.noteEnded(Call.m_Now, End.m_Attempt, End.m_Result,
+                              End.m_FailedEndpoint);
   Call.add(attemptEndRecord(Call.m_Now, Ended, End));
   if (End.m_Result == AttemptResult::RefusedLeaving)
     m_Endpoints.endpointLeaving(
@@ -62,7 +67,7 @@
   m_State.m_Counters.add(Counter::AttemptsFailed);
   if (End.m_Result == AttemptResult::Rejected)
     return rejected(Call, Subject, End);
-  avoidFailed(Subject, Ended, End.m_Result);
+  avoidFailed(Subject, Ended, End);
   // A refusal after a token contradicts itself and counts as a lost stream.
   bool IsRefusal = isProvablyNotRun(End.m_Result) && Ended.m_Tokens == 0;
   // Each such refusal removes an endpoint from the candidates, which bounds
--- a/tests/endpoints/EngineClientTest.cpp
+++ b/tests/endpoints/EngineClientTest.cpp
@@ -119,6 +119,21 @@
               answer("400 Bad", Error("malformed", "not-run")));
 }
 
+// Guards against blaming the first stage for a later one that is gone: the
+// request would be sent there again through every other first stage.
+TEST(EngineClient, NamesTheStageThatFailed) {
+  AttemptReport Refused = attempt(
+      answer("503 Busy", R"({"error":{"code":"overloaded","outcome":"not-run",)"
+                         R"("endpoint":"later","reason":"unreachable"}})"));
+  CHECK(Refused.m_Result == AttemptResult::ConnectFailed);
+  STRCMP_EQUAL("later", Refused.m_FailedEndpoint.c_str());
+  AttemptReport Broken =
+      attempt(StreamHead + chunk("data: {\"error\":{\"code\":\"stage-failed\","
+                                 "\"endpoint\":\"later\"}}\n\n"));
+  CHECK(Broken.m_Result == AttemptResult::ConnectionLost);
+  STRCMP_EQUAL("later", Broken.m_FailedEndpoint.c_str());
+}
+
 // Guards against an attempt that is repeated although it may have run, and
 // against one that is not repeated although it cannot have run.
 TEST(EngineClient, ConnectFailedOnlyIfNothingWasSent) {
--- a/tests/requests/CompletionTest.cpp
+++ b/tests/requests/CompletionTest.cpp
@@ -52,6 +52,28 @@
 
 TEST_GROUP(Completion){};
 
+// Guards against attempts that all end at the same dead stage, because the
+// first stages that told of it were avoided instead.
+TEST(Completion, LaterStageThatIsGoneIsAvoided) {
+  for (AttemptResult Result :
+       {AttemptResult::ConnectFailed, AttemptResult::RefusedNotRun}) {
+    StartedCompletion Test;
+    std::string First = Test.m_Start.m_Route.at(0).m_Hop.m_Endpoint;
+    std::string Gone = Test.m_Start.m_Route.at(1).m_Hop.m_Endpoint;
+    Actions Next = Test.handle(
+        AttemptEnded{Test.m_Start.m_Attempt, Result, 503, "", Gone});
+    for (const Action &Later : Test.pass(100ms))
+      Next.push_back(Later);
+    CHECK(!usesAny(all<StartCompletion>(Next).at(0).m_Route, Gone));
+    // Only the stage that is gone is avoided, so the first one serves on.
+    bool IsFirstUsed = false;
+    for (RequestNumber Number = 2; Number < 12; ++Number)
+      for (const auto &Started : all<StartCompletion>(Test.complete(Number)))
+        IsFirstUsed |= usesAny(Started.m_Route, First);
+    CHECK(IsFirstUsed);
+  }
+}
+
 // Guards against tokens that skipped, repeated or reordered layers, and against
 // blaming a healthy endpoint for them.
 TEST(Completion, WrongHopsQuarantineAndResume) {
