--- a/scripts/benchmarks/cluster.py
+++ b/scripts/benchmarks/cluster.py
@@ -66,6 +66,12 @@
     return table("[[account]]", name=name, key_sha256=[key], **values)
 
 
+def cpu_seconds(pid):
+    """User and system time of the process, with its ended threads."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 class Cluster:
     """Ends, by process id, whatever it started."""
 
@@ -176,6 +182,11 @@
                 "[[pool.endpoint]]", name=service, address=self.address[service],
                 failure_domain="fd-a", accelerator="none",
             ))
+        if self.services:
+            parts.append(table(
+                "[[rule]]", pool="registry", method="POST", path="/once",
+                idempotent=False,
+            ))
         for begin, end, micros in self.links:
             parts.append(table(
                 "[[link]]", **{"from": begin, "to": end, "one_way_micros": micros}
@@ -250,6 +261,16 @@
             for key, value in re.findall(r"^parsleyring_(\w+) (\S+)$", page, re.M)
         }
 
+    def router_cpu_seconds(self):
+        return sum(cpu_seconds(self.processes[name].pid) for name in self.routers)
+
+    def platform_counts(self):
+        return json.loads(request(self.address["platform"], "GET", "/admin/counts")[1])
+
+    def set_key(self, key, value):
+        """Writes a key of the platform that does not exist yet."""
+        request(self.address["platform"], "PUT", f"/v1/kv/{key}?cas=0", value)
+
     def start_load(self, *arguments):
         """Returns the running load tool; its output is read by load_result()."""
         accounts = [f"key-{name}={share}" for name, share in ACCOUNTS.items()]
--- a/scripts/benchmarks/control.py
+++ b/scripts/benchmarks/control.py
@@ -1,25 +1,18 @@
 """What an idle router costs, by peers, endpoints, accounts and changes."""
 import contextlib
+import json
 import os
 import threading
 import time
 
-from benchmarks.cluster import LAYERS, Cluster, Engine, account_table, request
+from benchmarks.cluster import LAYERS, Cluster, Engine, account_table, cpu_seconds
 
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 BYTE_COUNTERS = ("peer_bytes_total", "platform_bytes_total", "load_poll_bytes_total")
 SEEN = "vm-0"  # The router that is measured.
 FEW_ENDPOINTS, FEW_ACCOUNTS = 4, 100
 PEERS = 4  # Of the points that show what load entries cost in digests.
 
 
-def cpu_seconds(pid):
-    """User and system time of the process, with its ended threads."""
-    with open(f"/proc/{pid}/stat") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-
-
 def memory_kb(pid):
     with open(f"/proc/{pid}/status") as file:
         values = dict(line.split(":", 1) for line in file if ":" in line)
@@ -48,16 +41,31 @@
     )
 
 
+def vm_list(count):
+    return json.dumps({"vms": [
+        {
+            "id": f"vm-{i:04d}", "address": f"10.{i // 250}.{i % 250}.7:8080",
+            "failure_domain": f"fd-{i % 11}", "role": "engine",
+            "endpoint": f"engine-{i:04d}", "state": "live",
+        }
+        for i in range(count)
+    ]})
+
+
 class Point:
     """An idle cluster that differs from the others in one number."""
 
     def __init__(self, name, value, peers=0, endpoints=FEW_ENDPOINTS,
-                 account_count=FEW_ACCOUNTS, changes_per_minute=0):
+                 account_count=FEW_ACCOUNTS, changes_per_minute=0, listed_vms=0,
+                 keyed_calls=0):
         self.name, self.value = name, value
         self.peers = peers
         self.account_count = account_count
         self.changes_per_minute = changes_per_minute
-        self.cluster = Cluster(engines(endpoints))
+        self.listed_vms = listed_vms
+        self.keyed_calls = keyed_calls
+        self.cluster = Cluster(engines(endpoints), services=1 if keyed_calls else 0)
+        self.load = None
         self.stopping = threading.Event()
         self.published = 0
 
@@ -66,10 +74,19 @@
         cluster.start_endpoints()
         cluster.add_routers(1 + self.peers)
         cluster.publish(cluster.document(accounts=accounts(self.account_count)))
+        if self.listed_vms:
+            cluster.set_key("platform/vms", vm_list(self.listed_vms))
         for name in cluster.routers:
             cluster.start_router(name)
         cluster.wait_until_ready()
 
+    def start_keyed_calls(self, seconds):
+        self.load = self.cluster.start_load(
+            "--rate", self.keyed_calls, "--seconds", seconds, "--grace", 1,
+            "--service-share", 1, "--service-path", "/services/registry/once",
+            "--keys", "--threads", 100,
+        )
+
     def publish_changes(self):
         while not self.stopping.wait(60 / self.changes_per_minute):
             self.published += 1
@@ -82,6 +99,7 @@
         return {
             "at": time.monotonic(), "cpu": cpu_seconds(pid),
             "calls": metrics.get("platform_calls_total", 0),
+            "counts": self.cluster.platform_counts(),
             "messages": metrics.get("peer_messages_total", 0),
             "changes": self.published,
             **{key: metrics.get(key, 0) for key in BYTE_COUNTERS},
@@ -102,6 +120,10 @@
             "peer_messages_per_second": round(rate("messages"), 2),
             "changes_per_minute": round(60 * rate("changes"), 2),
             "memory_kb": memory_kb(pid), "threads": threads(pid),
+            "platform_counts_per_second": {
+                kind: round((count - before["counts"].get(kind, 0)) / seconds, 2)
+                for kind, count in after["counts"].items()
+            },
         }
 
 
@@ -129,6 +151,9 @@
         time.sleep(4)  # Start-up and the first full exchange between peers.
         for thread in changing:
             thread.start()
+        for point in points:
+            if point.keyed_calls:
+                point.start_keyed_calls(seconds)
         before = [point.sample() for point in points]
         time.sleep(seconds)
         results = [
@@ -138,6 +163,11 @@
             point.stopping.set()
         for thread in changing:
             thread.join()
+        for point, result in zip(points, results):
+            if point.load:
+                result["service_calls"] = point.cluster.load_result(point.load)[
+                    "service_calls"
+                ]
     for point, result in zip(points, results):
         emit(benchmark="control", figure="run", by=point.name, value=point.value, **result)
     return results
@@ -149,6 +179,8 @@
         "peers": [0, 3, 7] if quick else [0, 4, 8, 16],
         "endpoints": [4, 16, 40] if quick else [4, 32, 64, 128],
         "endpoints_with_peers": [4, 16, 40] if quick else [4, 32, 64],
+        "listed_vms": [0, 100, 300] if quick else [0, 100, 300, 940],
+        "keyed_calls": [2, 10, 30] if quick else [2, 10, 30, 90],
         "accounts": [100, 10000, 33000],
         "changes_per_minute": [0, 15, 40] if quick else [0, 6, 20, 60],
     }
@@ -156,6 +188,8 @@
         "peers": lambda n: {"peers": n},
         "endpoints": lambda n: {"endpoints": n},
         "endpoints_with_peers": lambda n: {"endpoints": n, "peers": PEERS},
+        "listed_vms": lambda n: {"listed_vms": n},
+        "keyed_calls": lambda n: {"keyed_calls": n, "peers": 2},
         "accounts": lambda n: {"account_count": n},
         "changes_per_minute": lambda n: {
             "changes_per_minute": n, "account_count": 3300 if quick else 33000
@@ -178,4 +212,11 @@
             bytes_per_second=by(lambda row: row["bytes_per_second"]),
             rss_kb=by(lambda row: row["memory_kb"]["VmRSS"]),
             platform_calls_per_second=by(lambda row: row["platform_calls_per_second"]),
+            platform_writes_per_second=by(
+                lambda row: row["platform_counts_per_second"].get("writes", 0)
+            ),
+            platform_reads_per_second=by(
+                lambda row: row["platform_counts_per_second"].get("reads", 0)
+                + row["platform_counts_per_second"].get("watches", 0)
+            ),
         )
--- a/scripts/benchmarks/throughput.py
+++ b/scripts/benchmarks/throughput.py
@@ -36,12 +36,18 @@
 
 
 def measure(cluster, rate, seconds, warm_up, seed):
+    cpu = cluster.router_cpu_seconds()
     result = cluster.load_result(cluster.start_load(
         "--rate", rate, "--seconds", seconds, "--warm-up", warm_up, "--seed", seed,
         "--least-tokens", LEAST_TOKENS, "--most-tokens", MOST_TOKENS,
         "--service-share", SERVICE_SHARE, "--service-path", "/services/registry/stamps",
         "--threads", 1500, "--grace", 0.5,
     ))
+    cpu = cluster.router_cpu_seconds() - cpu
+    # With the requests' own cost, at the mean length of an answer.
+    result["router_cpu_us_per_token"] = round(
+        1e6 * cpu / max(1, sum(result["tokens_per_100_ms"])), 1
+    )
     del result["tokens_per_100_ms"], result["gaps_ms"]
     return result
 
--- a/src/daemons/parsleyring-load.cpp
+++ b/src/daemons/parsleyring-load.cpp
@@ -49,6 +49,8 @@
   Command->add_option("--prefix-bytes", Options.m_PrefixBytes);
   Command->add_option("--service-share", Options.m_ServiceShare);
   Command->add_option("--service-path", Options.m_ServicePath);
+  Command->add_flag("--keys", Options.m_HasKeys,
+                    "Service calls have idempotency keys");
   Command->add_option_function<std::uint32_t>(
       "--listed-gap-ms", [&Options](std::uint32_t Millis) {
         Options.m_ListedGap = std::chrono::milliseconds(Millis);
--- a/src/load/LoadCaller.cpp
+++ b/src/load/LoadCaller.cpp
@@ -155,6 +155,10 @@
   httplib::Request Request =
       post(m_Options.m_ServicePath,
            m_Options.m_Accounts[Planned.m_Account].m_Key, "{}");
+  if (m_Options.m_HasKeys)
+    Request.set_header("Idempotency-Key",
+                       "load-" + std::to_string(m_Options.m_Seed) + "-" +
+                           std::to_string(Planned.m_Number));
   httplib::Response Response;
   httplib::Error Error = httplib::Error::Success;
   bool IsWhole = Connection.call(Request, Response, Error);
--- a/src/load/LoadOptions.h
+++ b/src/load/LoadOptions.h
@@ -31,6 +31,8 @@
   std::uint32_t m_PrefixBytes = 512;
   double m_ServiceShare = 0;
   std::string m_ServicePath; ///< "/services/POOL/PATH"
+  /// Each service call has an Idempotency-Key of its own.
+  bool m_HasKeys = false;
   std::uint32_t m_Threads = 256;
   /// A call that would start later than this after its time is not sent.
   std::chrono::milliseconds m_StartLimit{250};
--- a/src/load/LoadPlan.cpp
+++ b/src/load/LoadPlan.cpp
@@ -77,6 +77,7 @@
        At += Random.interval(Options.m_CallsPerSecond)) {
     PlannedCall Call;
     Call.m_At = std::chrono::microseconds(static_cast<std::int64_t>(At * 1e6));
+    Call.m_Number = Calls.size();
     Call.m_Router = Random.below(Options.m_Routers.size());
     Call.m_Account = accountAt(Options, Random.uniform());
     Call.m_IsService = Random.uniform() < Options.m_ServiceShare;
@@ -84,7 +85,7 @@
                     static_cast<std::uint32_t>(Random.below(
                         Options.m_MostTokens - Options.m_LeastTokens + 1));
     Call.m_Prompt =
-        promptText(Options, Random.below(Options.m_Prefixes), Calls.size());
+        promptText(Options, Random.below(Options.m_Prefixes), Call.m_Number);
     Calls.push_back(std::move(Call));
   }
   return Calls;
--- a/src/load/LoadPlan.h
+++ b/src/load/LoadPlan.h
@@ -8,6 +8,7 @@
 /// One call of a load run.
 struct PlannedCall {
   std::chrono::microseconds m_At{}; ///< After the start of the run.
+  std::size_t m_Number = 0;
   std::size_t m_Router = 0;
   std::size_t m_Account = 0;
   bool m_IsService = false;
