Record what a choice of route left out, and why

An audit a year later could not tell why an endpoint was not a candidate: the route record listed only the endpoints that the strategy compared, and without their layers. A request that ended at its deadline without a route had no route record at all. The search is kept from the dispatcher, not repeated at the end: a second search would draw random numbers and cost as much again for each request of a queue that times out at once.

The detail of an attempt's end was recorded whole. Of an error that an endpoint states it held the endpoint's message, and of a malformed event a quotation of the text, so a prompt or an answer could get into records and traces. Only the code remains now.

--- a/src/audit/TraceCodec.cpp
+++ b/src/audit/TraceCodec.cpp
@@ -1,5 +1,6 @@
 #include "audit/TraceCodec.h"
 
+#include "core/RecordedDetail.h"
 #include "core/RedactedKey.h"
 
 #include <nlohmann/json.hpp>
@@ -142,6 +143,8 @@
         std::decay_t<decltype(Value)>::describe(Value, Writer);
       },
       Input);
+  if (auto *End = std::get_if<AttemptEnded>(&Input))
+    Fields["detail"] = recordedDetail(*End);
   return eventRecord(Now, name(Input), std::move(Fields));
 }
 
--- /dev/null
+++ b/src/core/RecordedDetail.cpp
@@ -0,0 +1,19 @@
+#include "core/RecordedDetail.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+static constexpr std::size_t MaxDetailBytes = 200;
+/// Parse errors of the JSON library quote the text that they stopped at.
+static constexpr std::string_view QuotationMark = "; last read:";
+
+std::string recordedDetail(const AttemptEnded &End) {
+  std::size_t Size = std::min(MaxDetailBytes, End.m_Detail.find(QuotationMark));
+  // Details of other statuses are "CODE: MESSAGE" in the endpoint's words.
+  if (End.m_Status != 0 && End.m_Status != 200)
+    Size = std::min(Size, End.m_Detail.find(':'));
+  return End.m_Detail.substr(0, Size);
+}
+
+} // namespace parsleyring
--- a/src/requests/AuditRecords.cpp
+++ b/src/requests/AuditRecords.cpp
@@ -1,5 +1,6 @@
 #include "requests/AuditRecords.h"
 
+#include "core/RecordedDetail.h"
 #include "core/RedactedKey.h"
 
 #include <nlohmann/json.hpp>
@@ -8,7 +9,7 @@
 
 using Json = nlohmann::ordered_json;
 
-/// Bounds the text that an endpoint can put into a record.
+/// Bounds the text of a claim in a record.
 static constexpr std::size_t MaxDetailBytes = 200;
 
 static WriteAudit record(AuditKind Kind, Time Now, RequestNumber Number,
@@ -32,10 +33,20 @@
   Json Result = Json::array();
   for (const RouteCandidate &Candidate : Candidates)
     Result.push_back({{"endpoint", Candidate.m_Endpoint},
+                      {"first_layer", Candidate.m_Layers.m_First},
+                      {"end_layer", Candidate.m_Layers.m_End},
                       {"estimate_us", Candidate.m_EstimateMicros}});
   return Result;
 }
 
+static Json excluded(const std::vector<RouteExclusion> &Excluded) {
+  Json Result = Json::array();
+  for (const RouteExclusion &Each : Excluded)
+    Result.push_back(
+        {{"endpoint", Each.m_Endpoint}, {"reason", name(Each.m_Reason)}});
+  return Result;
+}
+
 static std::string firstEndpoint(const Attempt &Of) {
   return Of.m_Route.empty() ? std::string()
                             : Of.m_Route.front().m_Hop.m_Endpoint;
@@ -69,7 +80,8 @@
                  {"configuration", Version},
                  {"account", Account},
                  {"target", Target},
-                 {"code", End.m_Code}});
+                 {"code", End.m_Code},
+                 {"message", End.m_Message}});
 }
 
 WriteAudit routeRecord(Time Now, const Request &Subject, AttemptNumber Attempt,
@@ -85,10 +97,25 @@
        {"position", Subject.m_Delivered},
        {"avoid", Subject.m_Avoid},
        {"candidates", candidates(Plan.m_Candidates)},
+       {"excluded", excluded(Plan.m_Excluded)},
        {"stages", stages(Plan.m_Route)},
        {"estimated_first_token_us", Plan.m_EstimatedFirstToken.count()}});
 }
 
+WriteAudit failedSearchRecord(Time Now, const Request &Subject,
+                              const FailedSearch &Search,
+                              ConfigurationVersion Version) {
+  bool IsSaturated = Search.m_Plan.m_Status == PlanStatus::Saturated;
+  return record(AuditKind::Route, Now, Subject.m_Number,
+                {{"configuration", Version},
+                 {"strategy", Search.m_Plan.m_Strategy},
+                 {"decision", IsSaturated ? "saturated" : "no-route"},
+                 {"searched_at_us", Search.m_At.time_since_epoch().count()},
+                 {"avoid", Subject.m_Avoid},
+                 {"candidates", candidates(Search.m_Plan.m_Candidates)},
+                 {"excluded", excluded(Search.m_Plan.m_Excluded)}});
+}
+
 WriteAudit attemptEndRecord(Time Now, const Attempt &Ended,
                             const AttemptEnded &End) {
   return record(AuditKind::AttemptEnd, Now, Ended.m_Request,
@@ -97,7 +124,7 @@
                  {"endpoint", firstEndpoint(Ended)},
                  {"result", name(End.m_Result)},
                  {"status", End.m_Status},
-                 {"detail", End.m_Detail.substr(0, MaxDetailBytes)},
+                 {"detail", recordedDetail(End)},
                  {"tokens", Ended.m_Tokens},
                  {"abandoned", Ended.m_IsCancelled},
                  {"elapsed_us", (Now - Ended.m_StartedAt).count()}});
--- a/src/requests/AuditRecords.h
+++ b/src/requests/AuditRecords.h
@@ -4,6 +4,7 @@
 #include "parsleyring/Actions.h"
 #include "parsleyring/Events.h"
 #include "requests/Ending.h"
+#include "requests/PoolTable.h"
 #include "requests/Request.h"
 #include "routing/RoutePlanner.h"
 
@@ -21,6 +22,10 @@
 WriteAudit routeRecord(Time Now, const Request &Subject, AttemptNumber Attempt,
                        const RoutePlan &Plan, ConfigurationVersion Version,
                        std::uint64_t Seed);
+/// The request ends because no route was found for it in time.
+WriteAudit failedSearchRecord(Time Now, const Request &Subject,
+                              const FailedSearch &Search,
+                              ConfigurationVersion Version);
 WriteAudit attemptEndRecord(Time Now, const Attempt &Ended,
                             const AttemptEnded &End);
 /// An attempt was given up by the router before its end.
--- a/src/requests/Dispatcher.cpp
+++ b/src/requests/Dispatcher.cpp
@@ -92,8 +92,10 @@
 
 bool Dispatcher::tryStart(Context &Call, PoolState &Pool, Request &Subject) {
   RoutePlan Plan = m_State.m_Planner.plan(Call.m_Now, queryFor(Subject));
-  if (Plan.m_Status != PlanStatus::Planned)
+  if (Plan.m_Status != PlanStatus::Planned) {
+    Pool.m_FailedSearch = FailedSearch{Call.m_Now, std::move(Plan)};
     return false;
+  }
   if (Subject.m_State == RequestState::Queued) {
     Pool.m_Queue.pop(Call.m_Now);
     Pool.m_Wait.noteLeft(Subject.m_Account, Call.m_Now);
--- a/src/requests/Ending.cpp
+++ b/src/requests/Ending.cpp
@@ -84,6 +84,16 @@
           Text.m_RetryAfterSeconds};
 }
 
+std::string_view messageOfCode(std::string_view Code) {
+  for (const FailureText &Text : FailureTexts)
+    if (Text.m_Code == Code)
+      return Text.m_Message;
+  for (const ClaimText &Text : ClaimTexts)
+    if (Text.m_Code == Code)
+      return Text.m_Message;
+  return {};
+}
+
 bool isProvablyNotRun(AttemptResult Result) {
   return Result == AttemptResult::ConnectFailed ||
          Result == AttemptResult::RefusedNotRun ||
--- a/src/requests/Ending.h
+++ b/src/requests/Ending.h
@@ -35,6 +35,10 @@
 /// The ending of a call whose claim was not granted.
 Ending claimEnding(ClaimResult Result);
 
+/// What the caller is told with a code; empty for a code that is none of an
+/// admitted request.
+std::string_view messageOfCode(std::string_view Code);
+
 /// True if the result proves that the attempt did not run.
 bool isProvablyNotRun(AttemptResult Result);
 
--- a/src/requests/PoolTable.h
+++ b/src/requests/PoolTable.h
@@ -6,13 +6,22 @@
 #include "requests/Request.h"
 #include "requests/WaitEstimate.h"
 #include "retries/RetryBudget.h"
+#include "routing/RoutePlanner.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
 namespace parsleyring {
 
+/// The last search of a pool that found no route to use, for the audit record
+/// of a request that waited for one in vain.
+struct FailedSearch {
+  Time m_At;
+  RoutePlan m_Plan;
+};
+
 /// Queue, budget and observed times of one pool of the configuration.
 struct PoolState {
   explicit PoolState(const Pool &Spec);
@@ -30,6 +39,7 @@
   /// Requests that wait for a further attempt; they go before the queue.
   std::set<RequestNumber> m_Waiting;
   double m_ServiceMicros = 0; ///< Smoothed time of a service call.
+  std::optional<FailedSearch> m_FailedSearch;
 };
 
 class PoolTable {
--- a/src/requests/RequestFinisher.cpp
+++ b/src/requests/RequestFinisher.cpp
@@ -36,9 +36,22 @@
 
 void RequestFinisher::fail(Context &Call, Request &Subject,
                            FailureReason Reason) {
+  if (Reason == FailureReason::DeadlinePassed)
+    recordFailedSearch(Call, Subject);
   finish(Call, Subject, failureEnding(Subject, Reason));
 }
 
+void RequestFinisher::recordFailedSearch(Context &Call,
+                                         const Request &Subject) {
+  bool IsWithoutRoute = Subject.m_State == RequestState::Queued ||
+                        Subject.m_State == RequestState::Waiting;
+  const PoolState *Pool = m_State.m_Pools.find(Subject.m_Pool);
+  if (IsWithoutRoute && Pool && Pool->m_FailedSearch &&
+      Pool->m_FailedSearch->m_At >= Subject.m_ArrivedAt)
+    Call.add(failedSearchRecord(Call.m_Now, Subject, *Pool->m_FailedSearch,
+                                m_State.m_Version));
+}
+
 void RequestFinisher::settleClaim(Context &Call, const Request &Subject,
                                   const Ending &End) {
   if (Subject.m_State == RequestState::Claiming)
--- a/src/requests/RequestFinisher.h
+++ b/src/requests/RequestFinisher.h
@@ -20,6 +20,7 @@
   void fail(Context &Call, Request &Subject, FailureReason Reason);
 
 private:
+  void recordFailedSearch(Context &Call, const Request &Subject);
   void settleClaim(Context &Call, const Request &Subject, const Ending &End);
   void cancelCurrentAttempt(Context &Call, const Request &Subject);
   void leaveQueue(const Request &Subject);
--- a/src/routing/RoutePlanner.cpp
+++ b/src/routing/RoutePlanner.cpp
@@ -2,6 +2,7 @@
 
 #include "routing/AttemptTable.h"
 #include "routing/LeavingTable.h"
+#include "routing/RouteExclusions.h"
 #include "routing/RouteStrategy.h"
 #include "routing/SlotDivision.h"
 #include "routing/StallLog.h"
@@ -114,17 +115,19 @@
   CostModel Costs(Now, Query, m_Links, m_OwnDomain);
   StageGraph Graph(std::max(Query.m_Layers, 1U), options(Now, Query, Costs));
   RouteContext Context{Now, Query.m_Pool, Costs, m_Random};
+  StageFilter Used;
   for (StageFilter Filter : Filters) {
     bool HasFreeRoute = Graph.select(Filter);
-    if (!HasFreeRoute) {
-      Filter.m_NeedsFreeSlot = false;
-      if (!Graph.select(Filter))
-        continue;
-    }
+    Filter.m_NeedsFreeSlot = HasFreeRoute;
+    Used = Filter;
+    if (!HasFreeRoute && !Graph.select(Filter))
+      continue;
     Plan.m_Status = HasFreeRoute ? PlanStatus::Planned : PlanStatus::Saturated;
     fill(Plan, Graph, Costs, m_Strategy->choose(Graph, Context));
     break;
   }
+  Plan.m_Excluded =
+      routeExclusions(Now, m_Endpoints.pool(Query.m_Pool), Graph, Used);
   return Plan;
 }
 
@@ -170,7 +173,7 @@
       if (At < Count || IsChosen)
         Plan.m_Candidates.push_back(
             {Options[Shown[At]].m_Endpoint->m_Spec.m_Name,
-             Options[Shown[At]].m_CostMicros});
+             Options[Shown[At]].m_CostMicros, Options[Shown[At]].m_Layers});
     }
   }
 }
--- a/src/routing/RoutePlanner.h
+++ b/src/routing/RoutePlanner.h
@@ -25,6 +25,26 @@
 struct RouteCandidate {
   std::string m_Endpoint;
   double m_EstimateMicros = 0;
+  LayerRange m_Layers = {}; ///< [0, 1) for a plain service.
+};
+
+/// Why an endpoint of the pool was no candidate.
+enum class ExclusionReason {
+  Leaving,
+  Quarantined,
+  Unavailable, ///< Connections failed, and its probe is not due or under way.
+  OtherLayers, ///< Its layers are not those of the model.
+  UnreachableDomain,
+  FailedBefore, ///< It failed this request.
+  NoFreeSlot,
+  NoOnwardRoute, ///< No candidate goes on where its layers end.
+};
+
+std::string_view name(ExclusionReason Value);
+
+struct RouteExclusion {
+  std::string m_Endpoint;
+  ExclusionReason m_Reason = ExclusionReason::Leaving;
 };
 
 enum class PlanStatus {
@@ -40,6 +60,8 @@
   std::string m_Strategy;
   /// What the strategy compared, for the audit record.
   std::vector<RouteCandidate> m_Candidates;
+  /// The other endpoints of the pool; at most a few for each reason.
+  std::vector<RouteExclusion> m_Excluded;
 };
 
 /// State of an endpoint as this VM sees it, for metrics and audit.
