Explain a request from the audit records of all VMs

'parsleyring explain REQUEST-ID FILE...' tells in sentences what the records say about one request: conditions at its arrival, admission, each route with candidates and exclusions, attempts, retries, claims, outcome, and the other requests of the account with the same idempotency key. Missing sequence numbers of the VMs concerned are named.

The files are read up to three times instead of once, since the requests with the same key are known only after the first reading; an index of all keys would grow with the logs. Pipes are therefore refused.

--- /dev/null
+++ b/src/audit/HistoryText.cpp
@@ -0,0 +1,97 @@
+#include "audit/HistoryText.h"
+
+#include "audit/RecordSentence.h"
+#include "core/TimeText.h"
+
+#include <nlohmann/json.hpp>
+
+#include <ostream>
+
+namespace parsleyring {
+
+static std::string writerText(const Incarnation &Writer) {
+  return "VM " + Writer.m_VM + " (started " +
+         timeText(Time(Duration(Writer.m_Number))) + ")";
+}
+
+void HistoryText::write(std::ostream &Output) const {
+  writeHeader(Output);
+  writeConditions(Output);
+  writeRecords(Output);
+  writeSameKey(Output);
+  writeCompleteness(Output);
+}
+
+void HistoryText::writeHeader(std::ostream &Output) const {
+  Output << "Request " << m_History.requestId() << ", received by "
+         << writerText(m_History.owner()) << ".\n";
+}
+
+void HistoryText::writeConditions(std::ostream &Output) const {
+  const AuditRecord &First = m_History.records().front();
+  auto Version =
+      static_cast<ConfigurationVersion>(First.number("configuration"));
+  if (const AuditRecord *Applied = m_History.configuration(Version))
+    Output << "Configuration version " << Version
+           << " was in force on this VM from " << timeText(Applied->m_At)
+           << " on.\n";
+  else
+    Output << "No record tells when configuration version " << Version
+           << " came into force on this VM.\n";
+  const AuditRecord *Members = m_History.membershipAt(First.m_At);
+  if (!Members)
+    return;
+  Output << "Other live routers at that time: " << Members->number("live_peers")
+         << "; unreachable failure domains: ";
+  auto Domains = Members->m_Fields->find("unreachable_domains");
+  bool HasDomains = Domains != Members->m_Fields->end() &&
+                    Domains->is_array() && !Domains->empty();
+  Output << (HasDomains ? Domains->dump() : "none") << ".\n";
+}
+
+void HistoryText::writeRecords(std::ostream &Output) const {
+  bool HasOutcome = false;
+  for (const AuditRecord &Record : m_History.records()) {
+    HasOutcome |= Record.m_Kind == AuditKind::Outcome;
+    Output << timeText(Record.m_At) << "  [" << Record.m_Writer.m_VM << " "
+           << Record.m_Sequence << "] " << recordSentence(m_History, Record)
+           << '\n';
+  }
+  if (!HasOutcome)
+    Output << "No record tells the outcome: the request had not ended, or the "
+              "VM was lost, or its later records were not given.\n";
+}
+
+void HistoryText::writeSameKey(std::ostream &Output) const {
+  for (const RequestHistory::SameKey &Other : m_History.sameKey()) {
+    const AuditRecord &First = Other.m_Records.front();
+    Output << "The same idempotency key was used by request " << Other.m_Request
+           << " at VM " << First.m_Writer.m_VM << ":\n";
+    for (const AuditRecord &Record : Other.m_Records)
+      if (Record.m_Kind == AuditKind::Admission ||
+          Record.m_Kind == AuditKind::Claim ||
+          Record.m_Kind == AuditKind::Outcome)
+        Output << "  " << timeText(Record.m_At) << "  [" << Record.m_Writer.m_VM
+               << " " << Record.m_Sequence << "] "
+               << recordSentence(m_History, Record) << '\n';
+  }
+}
+
+void HistoryText::writeCompleteness(std::ostream &Output) const {
+  for (const RequestHistory::Gap &Gap : m_History.gaps()) {
+    Output << "Records " << Gap.m_Gap.m_First << " to " << Gap.m_Gap.m_Last
+           << " of " << writerText(Gap.m_Writer) << " are missing, ";
+    if (Gap.m_Gap.m_After)
+      Output << "written from " << timeText(*Gap.m_Gap.m_After) << " to ";
+    else
+      Output << "written before ";
+    Output << timeText(Gap.m_Gap.m_Before) << ".\n";
+  }
+  if (m_History.gaps().empty())
+    Output << "No records are missing up to the last ones given of the VMs "
+              "concerned.\n";
+  Output << m_History.recordCount() << " records read, "
+         << m_History.skippedLines() << " other lines skipped.\n";
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/audit/RouteSentence.cpp
@@ -0,0 +1,190 @@
+#include "audit/RouteSentence.h"
+
+#include "core/TimeText.h"
+#include "parsleyring/Router.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace parsleyring {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/// The layers and the endpoint of a stage or a candidate.
+struct Place {
+  std::string m_Endpoint;
+  std::int64_t m_First = 0;
+  std::int64_t m_End = 0;
+
+  explicit Place(const Json &From)
+      : m_Endpoint(From.at("endpoint").get<std::string>()),
+        m_First(From.value("first_layer", std::int64_t(0))),
+        m_End(From.value("end_layer", std::int64_t(0))) {}
+
+  std::string layers() const {
+    return "[" + std::to_string(m_First) + ", " + std::to_string(m_End) + ")";
+  }
+};
+
+struct ReasonText {
+  std::string_view m_Reason;
+  std::string_view m_Text;
+};
+
+} // namespace
+
+static constexpr ReasonText ExclusionTexts[] = {
+    {"leaving", "was leaving"},
+    {"quarantined", "was quarantined"},
+    {"unavailable", "was unavailable after failed connections"},
+    {"other-layers", "holds layers that do not fit this model"},
+    {"unreachable-domain", "is in a failure domain that was unreachable"},
+    {"failed-before", "was avoided because it had failed this request"},
+    {"no-free-slot", "had no free slot for this VM"},
+    {"no-onward-route", "was usable, but no usable endpoint went on from its "
+                        "layers"},
+};
+
+static std::string exclusionText(const std::string &Reason) {
+  for (const ReasonText &Each : ExclusionTexts)
+    if (Each.m_Reason == Reason)
+      return std::string(Each.m_Text);
+  return "was excluded as \"" + Reason + "\"";
+}
+
+static const Json &listOf(const AuditRecord &Record, const char *Field) {
+  static const Json Empty = Json::array();
+  auto Found = Record.m_Fields->find(Field);
+  return Found != Record.m_Fields->end() && Found->is_array() ? *Found : Empty;
+}
+
+static std::string microsText(double Micros) {
+  return durationText(Duration(static_cast<Duration::rep>(Micros)));
+}
+
+/// Of a quarantined or leaving endpoint: since when and why.
+static std::string causeText(const RequestHistory &History, Time At,
+                             const std::string &Endpoint,
+                             const std::string &Reason) {
+  const AuditRecord *Cause = History.endpointAt(Endpoint, Reason, At);
+  if (!Cause)
+    return {};
+  std::string Text = " (since " + timeText(Cause->m_At);
+  for (const char *Field : {"reason", "sign"})
+    if (!Cause->text(Field).empty())
+      Text += ", " + std::string(Field) + " \"" + Cause->text(Field) + "\"";
+  if (Cause->number("length_us") > 0)
+    Text += ", for " + durationText(Duration(Cause->number("length_us")));
+  if (!Cause->m_Request.empty() && Cause->m_Request != History.requestId())
+    Text += ", seen at request " + Cause->m_Request;
+  return Text + ")";
+}
+
+static std::string exclusionsText(const RequestHistory &History,
+                                  const AuditRecord &Record) {
+  std::string Text;
+  for (const Json &Each : listOf(Record, "excluded")) {
+    auto Endpoint = Each.at("endpoint").get<std::string>();
+    auto Reason = Each.at("reason").get<std::string>();
+    Text += " " + Endpoint + " " + exclusionText(Reason) +
+            causeText(History, Record.m_At, Endpoint, Reason) + ".";
+  }
+  return Text;
+}
+
+static std::string candidatesText(const AuditRecord &Record,
+                                  const std::vector<Place> &Chosen) {
+  std::string Text;
+  std::string Layers;
+  for (const Json &Each : listOf(Record, "candidates")) {
+    Place Candidate(Each);
+    bool HasLayers = Candidate.m_End > Candidate.m_First;
+    if (Text.empty() || Candidate.layers() != Layers)
+      Text += (Text.empty() ? "" : ".") + std::string(" Candidates") +
+              (HasLayers ? " for layers " + Candidate.layers() : "") +
+              " with estimated cost: ";
+    else
+      Text += ", ";
+    Layers = Candidate.layers();
+    Text += Candidate.m_Endpoint + " " +
+            microsText(Each.at("estimate_us").get<double>());
+    if (std::any_of(Chosen.begin(), Chosen.end(), [&](const Place &Stage) {
+          return Stage.m_Endpoint == Candidate.m_Endpoint;
+        }))
+      Text += " (chosen)";
+  }
+  return Text.empty() ? Text : Text + ".";
+}
+
+/// Endpoints that had failed the request and were chosen all the same.
+static std::string repeatedText(const AuditRecord &Record,
+                                const std::vector<Place> &Chosen) {
+  std::string Text;
+  for (const Json &Each : listOf(Record, "avoid"))
+    for (const Place &Stage : Chosen)
+      if (Each.is_string() && Each.get<std::string>() == Stage.m_Endpoint)
+        Text += " " + Stage.m_Endpoint +
+                " had failed this request and was chosen all the same, since "
+                "no whole route was left without the endpoints that had.";
+  return Text;
+}
+
+/// Time since the record before, if the request had to wait.
+static std::string waitText(const RequestHistory &History,
+                            const AuditRecord &Record) {
+  Time Before = Record.m_At;
+  for (const AuditRecord &Each : History.records())
+    if (Each.m_At < Record.m_At)
+      Before = Each.m_At;
+  Duration Waited = Record.m_At - Before;
+  return Waited <= TickInterval ? std::string()
+                                : " It had waited " + durationText(Waited) +
+                                      " for its turn or for a usable route.";
+}
+
+static std::string choiceText(const AuditRecord &Record,
+                              const std::vector<Place> &Chosen) {
+  std::string Text =
+      "Attempt " + std::to_string(Record.number("attempt")) + " was sent to ";
+  for (std::size_t Index = 0; Index < Chosen.size(); ++Index) {
+    Text += (Index ? ", then " : "") + Chosen[Index].m_Endpoint;
+    if (Chosen[Index].m_End > Chosen[Index].m_First)
+      Text += " " + Chosen[Index].layers();
+  }
+  if (Record.number("position") > 0)
+    Text += ", to go on after " + std::to_string(Record.number("position")) +
+            " delivered tokens";
+  return Text + ". The strategy \"" + Record.text("strategy") +
+         "\" chose this route under configuration version " +
+         std::to_string(Record.number("configuration")) + " (seed " +
+         std::to_string(Record.number("seed")) +
+         "), with an estimated time to first answer of " +
+         durationText(Duration(Record.number("estimated_first_token_us"))) +
+         ".";
+}
+
+static std::string failedSearchText(const AuditRecord &Record) {
+  bool IsSaturated = Record.text("decision") == "saturated";
+  return std::string("No route was found in time. At the last search, at ") +
+         timeText(Time(Duration(Record.number("searched_at_us")))) + ", " +
+         (IsSaturated
+              ? "routes existed, but each had an endpoint without a free slot."
+              : "the usable endpoints did not make up a whole route.");
+}
+
+std::string routeSentence(const RequestHistory &History,
+                          const AuditRecord &Record) {
+  std::vector<Place> Chosen;
+  for (const Json &Each : listOf(Record, "stages"))
+    Chosen.emplace_back(Each);
+  std::string Text =
+      Chosen.empty() ? failedSearchText(Record)
+                     : choiceText(Record, Chosen) + waitText(History, Record);
+  return Text + candidatesText(Record, Chosen) + repeatedText(Record, Chosen) +
+         exclusionsText(History, Record);
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/core/TimeText.h
@@ -0,0 +1,16 @@
+#ifndef PARSLEYRING_CORE_TIMETEXT_H
+#define PARSLEYRING_CORE_TIMETEXT_H
+
+#include "parsleyring/Types.h"
+
+namespace parsleyring {
+
+/// "YYYY-MM-DD HH:MM:SS.UUUUUU UTC".
+std::string timeText(Time At);
+
+/// "12.345 ms", or "1.234 s" from one second on.
+std::string durationText(Duration Length);
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CORE_TIMETEXT_H
--- /dev/null
+++ b/tests/audit/ExplainCommandTest.cpp
@@ -0,0 +1,244 @@
+#include "audit/ExplainCommand.h"
+
+#include "audit/AuditWriter.h"
+#include "requests/RouterFixture.h"
+#include "support/TemporaryFile.h"
+#include "support/TestMain.h"
+
+#include <algorithm>
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+
+namespace {
+
+/// A Router whose decisions are recorded as on the VM given.
+class RecordedRouter {
+public:
+  explicit RecordedRouter(const std::string &VM)
+      : m_Options(options(VM)), m_Router(m_Options),
+        m_Writer(m_Options.m_Self, m_Output) {
+    handle(ConfigurationApplied{3, testDocument()});
+    handle(PeersChanged{2, {}, {"d9"}});
+  }
+
+  Actions handle(const Event &Input) {
+    m_Now += std::chrono::milliseconds(2);
+    Actions Result;
+    m_Router.handle(m_Now, Input, Result);
+    for (const WriteAudit &Record : all<WriteAudit>(Result))
+      m_Writer.write(Record);
+    return Result;
+  }
+
+  Actions call(RequestNumber Number, const char *Key) {
+    return handle(ServiceCallArrived{Number, "key", "ledger", "POST", "/pay",
+                                     Key, "body"});
+  }
+
+  std::string text() const { return m_Output.str(); }
+  Time m_Now = TestStart;
+
+private:
+  static RouterOptions options(const std::string &VM) {
+    RouterOptions Result = RouterFixture::options(1);
+    Result.m_Self.m_VM = VM;
+    return Result;
+  }
+
+  RouterOptions m_Options;
+  Router m_Router;
+  std::ostringstream m_Output;
+  AuditWriter m_Writer;
+};
+
+/// Removes the line with the sequence number given.
+std::string withoutRecord(const std::string &Text, int Sequence) {
+  std::string Start = "{\"seq\":" + std::to_string(Sequence) + ",";
+  std::size_t Begin = Text.find(Start);
+  std::size_t End = Text.find('\n', Begin);
+  return Text.substr(0, Begin) + Text.substr(End + 1);
+}
+
+} // namespace
+
+TEST_GROUP(ExplainCommand) {
+  std::ostringstream m_Output;
+  std::ostringstream m_Errors;
+
+  int explain(const std::string &Id, const std::vector<std::string> &Texts) {
+    std::vector<std::unique_ptr<TemporaryFile>> Files;
+    std::vector<std::string> Paths;
+    for (const std::string &Text : Texts) {
+      Files.push_back(std::make_unique<TemporaryFile>(Text));
+      Paths.push_back(Files.back()->path());
+    }
+    m_Output.str("");
+    m_Errors.str("");
+    return ExplainCommand::explain(Id, Paths, m_Output, m_Errors);
+  }
+
+  void expect(const std::string &Part) const {
+    CHECK_TEXT(m_Output.str().find(Part) != std::string::npos,
+               (Part + "\nis not in\n" + m_Output.str()).c_str());
+  }
+};
+
+// Guards against an explanation that leaves out why a stream was resumed, what
+// the second route avoided, or what the caller was told.
+TEST(ExplainCommand, TellsAResumedStream) {
+  RecordedRouter VM("vm1");
+  VM.handle(EndpointLeaving{"a2", "i1", LeavingSign::VMList});
+  Actions First = VM.handle(CompletionArrived{1, "key", "model", 10, 2, 0, {}});
+  auto Started = all<StartCompletion>(First).at(0);
+  VM.handle(TokenArrived{Started.m_Attempt, 0, hopsOf(Started.m_Route)});
+  VM.handle(AttemptEnded{Started.m_Attempt, AttemptResult::ConnectionLost, 200,
+                         "the stream broke"});
+  Actions Second;
+  while (all<StartCompletion>(Second).empty())
+    Second = VM.handle(Tick());
+  Started = all<StartCompletion>(Second).at(0);
+  VM.handle(TokenArrived{Started.m_Attempt, 1, hopsOf(Started.m_Route)});
+  VM.handle(AttemptEnded{Started.m_Attempt, AttemptResult::Finished, 200, ""});
+  CHECK_EQUAL(0, explain("req-vm1-7-1", {VM.text()}));
+  expect("received by VM vm1");
+  expect("Configuration version 3 was in force on this VM from 2023-11-14 "
+         "22:13:20.002000 UTC on.");
+  expect("Other live routers at that time: 2; unreachable failure domains: "
+         "[\"d9\"].");
+  expect("Admitted for the account \"acct\" to the pool \"engines\"");
+  expect("strategy \"estimated-cost\" chose this route under configuration "
+         "version 3");
+  expect("Candidates for layers [0, 4) with estimated cost: a1");
+  expect("a2 was leaving (since 2023-11-14 22:13:20.006000 UTC, sign "
+         "\"vm-list\").");
+  expect("the connection broke off before the whole answer, HTTP status 200 "
+         "(the stream broke).");
+  expect("The stream is to be resumed after 1 delivered token");
+  expect("a1 had failed this request and was chosen all the same, since no "
+         "whole route was left without the endpoints that had.");
+  expect("It had waited 1.000 s for its turn or for a usable route.");
+  expect("The caller was told the outcome \"completed\", HTTP status 200");
+  expect("No records are missing");
+}
+
+// Guards against a second route whose choice cannot be understood, since the
+// endpoint that had refused is not named.
+TEST(ExplainCommand, TellsWhichEndpointWasAvoided) {
+  RecordedRouter VM("vm1");
+  Actions First = VM.handle(CompletionArrived{1, "key", "model", 10, 2, 0, {}});
+  auto Started = all<StartCompletion>(First).at(0);
+  std::string Refusing = Started.m_Route.at(0).m_Hop.m_Endpoint;
+  VM.handle(AttemptEnded{Started.m_Attempt, AttemptResult::RefusedNotRun, 503,
+                         "overloaded: too much for \"the prompt\""});
+  while (all<StartCompletion>(VM.handle(Tick())).empty()) {
+  }
+  CHECK_EQUAL(0, explain("req-vm1-7-1", {VM.text()}));
+  expect("The request is to be tried again, because the endpoint refused and "
+         "states that it ran nothing; 1 attempt since the last progress. Not "
+         "before ");
+  expect(Refusing + " was avoided because it had failed this request.");
+  // What an endpoint writes may quote the prompt.
+  expect("HTTP status 503 (overloaded).");
+  CHECK(VM.text().find("the prompt") == std::string::npos);
+}
+
+// Guards against an explanation of a refused repeat that does not lead to the
+// request that ran, on another VM and in a file given first or last.
+TEST(ExplainCommand, FindsTheRequestWithTheSameKey) {
+  RecordedRouter First("vm1");
+  First.call(1, "order-1");
+  auto Call = all<StartServiceCall>(
+      First.handle(ClaimSettled{1, ClaimResult::Granted, ""}));
+  First.handle(
+      AttemptEnded{Call.at(0).m_Attempt, AttemptResult::Finished, 201, ""});
+  RecordedRouter Second("vm2");
+  Second.m_Now += std::chrono::seconds(1);
+  Second.call(1, "order-1");
+  Second.handle(ClaimSettled{1, ClaimResult::Completed, "claimed by VM vm1"});
+  Second.call(2, "order-2");
+  std::vector<std::string> Texts = {First.text(), Second.text()};
+  for (int Order = 0; Order < 2; ++Order) {
+    CHECK_EQUAL(0, explain("req-vm2-7-1", Texts));
+    expect("received by VM vm2");
+    expect("its answer was no longer kept (claimed by VM vm1).");
+    expect("The same idempotency key was used by request req-vm1-7-1 at VM "
+           "vm1:");
+    expect("The claim was granted: this VM alone could send the call, once.");
+    expect("told the outcome \"completed\", HTTP status 201");
+    CHECK(m_Output.str().find("req-vm2-7-2") == std::string::npos);
+    CHECK(m_Output.str().find("order-1") == std::string::npos);
+    std::reverse(Texts.begin(), Texts.end());
+  }
+}
+
+// Guards against missing records that go unnoticed: of the own VM, or of the
+// VM that ran the call. A file that is given twice is no gap and no repetition.
+TEST(ExplainCommand, SaysWhichRecordsAreMissing) {
+  RecordedRouter First("vm1");
+  First.call(1, "order-1");
+  RecordedRouter Second("vm2");
+  Second.call(1, "order-1");
+  Second.handle(ClaimSettled{1, ClaimResult::InProgress, ""});
+  RecordedRouter Other("vm3");
+  Other.call(1, "order-3");
+  std::string FirstText = withoutRecord(First.text(), 1);
+  std::string SecondText = withoutRecord(Second.text(), 3);
+  CHECK_EQUAL(0, explain("req-vm2-7-1", {FirstText, SecondText, SecondText,
+                                         withoutRecord(Other.text(), 2)}));
+  expect("Records 1 to 1 of VM vm1");
+  expect("Records 3 to 3 of VM vm2 (started 1970-01-01 00:00:00.000007 UTC) "
+         "are missing, written from ");
+  CHECK(m_Output.str().find("VM vm3") == std::string::npos);
+  std::string Text = m_Output.str();
+  std::size_t At = Text.find("The claim was refused");
+  CHECK(Text.find("The claim was refused", At + 1) == std::string::npos);
+}
+
+// Guards against a log line, a cut record or a field of another type that ends
+// the explanation, and against skipped lines that are not counted.
+TEST(ExplainCommand, SkipsAndCountsOtherLines) {
+  RecordedRouter VM("vm1");
+  VM.handle(CompletionArrived{1, "wrong", "model", 10, 2, 0, {}});
+  std::string Text = "I1204 a log line\n" + VM.text() +
+                     "{\"seq\":\"x\"}\n[1]\n{\"seq\":9,\"at_us\":1\n"
+                     "{\"seq\":5,\"at_us\":1700000000000000,\"vm\":\"vm1\","
+                     "\"incarnation\":7,\"kind\":\"route\",\"request\":"
+                     "\"req-vm1-7-1\",\"stages\":[{\"endpoint\":5}]}\n";
+  CHECK_EQUAL(0, explain("req-vm1-7-1", {Text}));
+  expect("Refused before anything was sent to an endpoint: the account key is "
+         "not known (code \"unknown-key\")");
+  expect("This record is not understood: ");
+  expect("5 records read, 4 other lines skipped.");
+}
+
+// Guards against a request that ends without a route and without a reason.
+TEST(ExplainCommand, TellsWhyNoRouteWasFound) {
+  RecordedRouter VM("vm1");
+  VM.handle(EndpointLeaving{"b1", "", LeavingSign::Peer});
+  VM.handle(EndpointLeaving{"b2", "", LeavingSign::Peer});
+  VM.handle(CompletionArrived{1, "key", "model", 10, 2, 0, {}});
+  VM.m_Now += std::chrono::seconds(31);
+  VM.handle(Tick());
+  CHECK_EQUAL(0, explain("req-vm1-7-1", {VM.text()}));
+  expect("the usable endpoints did not make up a whole route. a1 was usable, "
+         "but no usable endpoint went on from its layers.");
+  expect("b1 was leaving (since ");
+  expect("the time limit of the request passed");
+}
+
+// Guards against exit codes that scripts of auditors cannot rely on.
+TEST(ExplainCommand, ExitCodesTellNotFoundFromUnreadable) {
+  RecordedRouter VM("vm1");
+  CHECK_EQUAL(1, explain("req-vm1-7-1", {VM.text(), "no record\n"}));
+  CHECK(m_Errors.str().find("1 other lines skipped") != std::string::npos);
+  CHECK_EQUAL(2, explain("vm1-7-1", {VM.text()}));
+  CHECK_EQUAL(2, ExplainCommand::explain("req-vm1-7-1", {"/nonexistent"},
+                                         m_Output, m_Errors));
+  CHECK_EQUAL(
+      2, ExplainCommand::explain("req-vm1-7-1", {"/"}, m_Output, m_Errors));
+}
+
+PARSLEYRING_TEST_MAIN
