Forget claims whose outcome stays unknown after their lifetime

A granted claim stayed in memory until its call ended; a call whose outcome is unknown never ends its claim. A new kind of end was ruled out, since an unknown outcome changes nothing in the shard.

--- a/src/claims/ClaimCoordinator.cpp
+++ b/src/claims/ClaimCoordinator.cpp
@@ -85,7 +85,7 @@
     delayNextCall(Now, Work);
     return;
   }
-  settleAgainst(Shard, Work, Outputs);
+  settleAgainst(Now, Shard, Work, Outputs);
   expire(Now, Work, Outputs);
   if (Work.m_Claims.empty() && Work.m_Ends.empty())
     return;
@@ -95,7 +95,8 @@
 
 /// Settles what the value read decides already: own writes whose answer was
 /// lost, and keys that another request holds.
-void ClaimCoordinator::settleAgainst(const ClaimShard &Shard, ShardWork &Work,
+void ClaimCoordinator::settleAgainst(Time Now, const ClaimShard &Shard,
+                                     ShardWork &Work,
                                      std::vector<ClaimOutput> &Outputs) {
   std::vector<PendingClaim> Rest;
   for (PendingClaim &Claim : Work.m_Claims) {
@@ -105,7 +106,7 @@
       Work.m_Ends.push_back(
           {{Claim.m_Key, Claim.m_Nonce}, ClaimEnd::Released, 0});
     } else if (IsOwn) {
-      m_Held[Claim.m_Request.m_Request] = {Claim.m_Key, Claim.m_Nonce};
+      hold(Now, Claim);
       Outputs.push_back(
           settled(Claim.m_Request.m_Request, ClaimResult::Granted, {}));
     } else if (Claim.m_IsAbandoned) {
@@ -206,7 +207,7 @@
         Work.m_Ends.push_back(
             {{Claim.m_Key, Claim.m_Nonce}, ClaimEnd::Released, 0});
     } else if (Claim.m_IsInWrite) {
-      m_Held[Claim.m_Request.m_Request] = {Claim.m_Key, Claim.m_Nonce};
+      hold(Now, Claim);
       Outputs.push_back(
           settled(Claim.m_Request.m_Request, ClaimResult::Granted, {}));
     } else {
@@ -267,7 +268,23 @@
   }
 }
 
+void ClaimCoordinator::hold(Time Now, const PendingClaim &Claim) {
+  m_Held[Claim.m_Request.m_Request] = {Claim.m_Key, Claim.m_Nonce};
+  m_Grants.emplace_back(Now, Claim.m_Request.m_Request);
+}
+
+/// A claim whose outcome stays unknown is never ended; its entry in the shard
+/// has expired by then as well.
+void ClaimCoordinator::forgetOldClaims(Time Now) {
+  while (!m_Grants.empty() &&
+         m_Grants.front().first + ClaimEntryLifetime < Now) {
+    m_Held.erase(m_Grants.front().second);
+    m_Grants.pop_front();
+  }
+}
+
 void ClaimCoordinator::tick(Time Now, std::vector<ClaimOutput> &Outputs) {
+  forgetOldClaims(Now);
   for (auto Shard = m_Shards.begin(); Shard != m_Shards.end();) {
     ShardWork &Work = Shard->second;
     expire(Now, Work, Outputs);
@@ -278,6 +295,8 @@
   }
 }
 
+std::size_t ClaimCoordinator::heldCount() const { return m_Held.size(); }
+
 std::size_t ClaimCoordinator::pendingCount() const {
   std::size_t Count = 0;
   for (const auto &[Name, Work] : m_Shards)
--- a/src/claims/ClaimCoordinator.h
+++ b/src/claims/ClaimCoordinator.h
@@ -8,6 +8,7 @@
 #include "parsleyring/Events.h"
 #include "parsleyring/PlatformClient.h"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <variant>
@@ -65,6 +66,8 @@
 
   /// Claims and changes of claims that are not written yet.
   std::size_t pendingCount() const;
+  /// Granted claims whose call has not ended.
+  std::size_t heldCount() const;
 
 private:
   /// A claim of this VM on its way into a shard.
@@ -107,13 +110,15 @@
 
   void startCall(Time Now, const std::string &Name, ShardWork &Work,
                  std::vector<ClaimOutput> &Outputs);
-  void settleAgainst(const ClaimShard &Shard, ShardWork &Work,
+  void settleAgainst(Time Now, const ClaimShard &Shard, ShardWork &Work,
                      std::vector<ClaimOutput> &Outputs);
   void writeShard(Time Now, const std::string &Name, ShardWork &Work,
                   ClaimShard Shard, std::uint64_t Index,
                   std::vector<ClaimOutput> &Outputs);
   void delayNextCall(Time Now, ShardWork &Work);
   void expire(Time Now, ShardWork &Work, std::vector<ClaimOutput> &Outputs);
+  void hold(Time Now, const PendingClaim &Claim);
+  void forgetOldClaims(Time Now);
   std::string newNonce();
 
   Incarnation m_Self;
@@ -121,6 +126,8 @@
   std::uint64_t m_NonceCount = 0;
   std::map<std::string, ShardWork> m_Shards;
   std::map<RequestNumber, HeldClaim> m_Held;
+  /// Claims in the order of their grants; some are no longer held.
+  std::deque<std::pair<Time, RequestNumber>> m_Grants;
 };
 
 } // namespace parsleyring
--- a/tests/claims/ClaimCoordinatorTest.cpp
+++ b/tests/claims/ClaimCoordinatorTest.cpp
@@ -356,4 +356,18 @@
   CHECK_FALSE(makeClaimKey(Start, "a", "").m_Problem.empty());
 }
 
+// Guards against memory that grows with each call whose outcome stays unknown.
+TEST(ClaimCoordinator, ClaimsThatAreNeverEndedAreForgotten) {
+  SimulatedPlatform Platform(1, 0);
+  auto &Vm = Platform.add("a");
+  Platform.request(Vm, 1, "key");
+  std::vector<std::pair<SimulatedPlatform::Vm *, ClaimOutput>> Items;
+  while (Items.empty())
+    Platform.step(Items);
+  LONGS_EQUAL(1, Vm.m_Coordinator->heldCount());
+  Vm.m_Coordinator->tick(Platform.now() + ClaimEntryLifetime + Duration(1),
+                         Vm.m_Outputs);
+  LONGS_EQUAL(0, Vm.m_Coordinator->heldCount());
+}
+
 PARSLEYRING_TEST_MAIN
