Send the account key's hash with the state of a request between VMs

Without it another VM cannot tell whose answer it is, and refused all callers: the answer could be read only at the VM that took the request.

--- a/src/gen/Peer_types.cpp
+++ b/src/gen/Peer_types.cpp
@@ -1246,6 +1246,10 @@
 void KeptAnswer::__set_tokens(const int32_t val) {
   this->tokens = val;
 }
+
+void KeptAnswer::__set_accountKeySha256(const std::string& val) {
+  this->accountKeySha256 = val;
+}
 std::ostream& operator<<(std::ostream& out, const KeptAnswer& obj)
 {
   obj.printTo(out);
@@ -1324,6 +1328,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->accountKeySha256);
+          this->__isset.accountKeySha256 = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1365,6 +1377,10 @@
   xfer += oprot->writeI32(this->tokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("accountKeySha256", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->accountKeySha256);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1378,6 +1394,7 @@
   swap(a.contentType, b.contentType);
   swap(a.body, b.body);
   swap(a.tokens, b.tokens);
+  swap(a.accountKeySha256, b.accountKeySha256);
   swap(a.__isset, b.__isset);
 }
 
@@ -1388,6 +1405,7 @@
   contentType = other51.contentType;
   body = other51.body;
   tokens = other51.tokens;
+  accountKeySha256 = other51.accountKeySha256;
   __isset = other51.__isset;
 }
 KeptAnswer::KeptAnswer(KeptAnswer&& other52) noexcept {
@@ -1397,6 +1415,7 @@
   contentType = std::move(other52.contentType);
   body = std::move(other52.body);
   tokens = other52.tokens;
+  accountKeySha256 = std::move(other52.accountKeySha256);
   __isset = other52.__isset;
 }
 KeptAnswer& KeptAnswer::operator=(const KeptAnswer& other53) {
@@ -1406,6 +1425,7 @@
   contentType = other53.contentType;
   body = other53.body;
   tokens = other53.tokens;
+  accountKeySha256 = other53.accountKeySha256;
   __isset = other53.__isset;
   return *this;
 }
@@ -1416,6 +1436,7 @@
   contentType = std::move(other54.contentType);
   body = std::move(other54.body);
   tokens = other54.tokens;
+  accountKeySha256 = std::move(other54.accountKeySha256);
   __isset = other54.__isset;
   return *this;
 }
@@ -1428,6 +1449,7 @@
   out << ", " << "contentType=" << to_string(contentType);
   out << ", " << "body=" << to_string(body);
   out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "accountKeySha256=" << to_string(accountKeySha256);
   out << ")";
 }
 
--- a/src/gen/Peer_types.h
+++ b/src/gen/Peer_types.h
@@ -470,13 +470,14 @@
 std::ostream& operator<<(std::ostream& out, const Head& obj);
 
 typedef struct _KeptAnswer__isset {
-  _KeptAnswer__isset() : state(false), outcome(false), status(false), contentType(false), body(false), tokens(false) {}
+  _KeptAnswer__isset() : state(false), outcome(false), status(false), contentType(false), body(false), tokens(false), accountKeySha256(false) {}
   bool state :1;
   bool outcome :1;
   bool status :1;
   bool contentType :1;
   bool body :1;
   bool tokens :1;
+  bool accountKeySha256 :1;
 } _KeptAnswer__isset;
 
 class KeptAnswer : public virtual ::apache::thrift::TBase {
@@ -492,7 +493,8 @@
                status(0),
                contentType(),
                body(),
-               tokens(0) {
+               tokens(0),
+               accountKeySha256() {
   }
 
   virtual ~KeptAnswer() noexcept;
@@ -506,6 +508,7 @@
   std::string contentType;
   std::string body;
   int32_t tokens;
+  std::string accountKeySha256;
 
   _KeptAnswer__isset __isset;
 
@@ -521,6 +524,8 @@
 
   void __set_tokens(const int32_t val);
 
+  void __set_accountKeySha256(const std::string& val);
+
   bool operator == (const KeptAnswer & rhs) const
   {
     if (!(state == rhs.state))
@@ -535,6 +540,8 @@
       return false;
     if (!(tokens == rhs.tokens))
       return false;
+    if (!(accountKeySha256 == rhs.accountKeySha256))
+      return false;
     return true;
   }
   bool operator != (const KeptAnswer &rhs) const {
--- a/src/peers/Peer.thrift
+++ b/src/peers/Peer.thrift
@@ -59,6 +59,7 @@
   4: string contentType,
   5: binary body,
   6: i32 tokens,
+  7: string accountKeySha256,
 }
 
 service Peer {
--- a/src/peers/WireDigest.cpp
+++ b/src/peers/WireDigest.cpp
@@ -105,6 +105,7 @@
   Result.contentType = Value.m_ContentType;
   Result.body = Value.m_Body;
   Result.tokens = static_cast<std::int32_t>(Value.m_Tokens);
+  Result.accountKeySha256 = Value.m_AccountKeySha256;
   return Result;
 }
 
@@ -119,6 +120,7 @@
   Result.m_ContentType = Value.contentType;
   Result.m_Body = Value.body;
   Result.m_Tokens = static_cast<std::uint32_t>(Value.tokens);
+  Result.m_AccountKeySha256 = Value.accountKeySha256;
   return Result;
 }
 
