Say less where an explanation has nothing to tell

Plain services have neither tokens nor layers, refusals take no time, and a history whose admission record is missing does not know the configuration.

--- a/src/audit/HistoryText.cpp
+++ b/src/audit/HistoryText.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <ostream>
 
 namespace parsleyring {
@@ -28,9 +29,15 @@
 }
 
 void HistoryText::writeConditions(std::ostream &Output) const {
-  const AuditRecord &First = m_History.records().front();
+  const std::vector<AuditRecord> &Records = m_History.records();
+  auto First = std::find_if(
+      Records.begin(), Records.end(),
+      [](const AuditRecord &Record) { return Record.has("configuration"); });
+  // The records that name the version are missing.
+  if (First == Records.end())
+    return;
   auto Version =
-      static_cast<ConfigurationVersion>(First.number("configuration"));
+      static_cast<ConfigurationVersion>(First->number("configuration"));
   if (const AuditRecord *Applied = m_History.configuration(Version))
     Output << "Configuration version " << Version
            << " was in force on this VM from " << timeText(Applied->m_At)
@@ -40,7 +47,7 @@
   else
     Output << "No record tells when configuration version " << Version
            << " came into force on this VM.\n";
-  const AuditRecord *Members = m_History.membershipAt(First.m_At);
+  const AuditRecord *Members = m_History.membershipAt(First->m_At);
   if (!Members)
     return;
   Output << "Other live routers at that time: " << Members->number("live_peers")
@@ -81,8 +88,13 @@
 
 void HistoryText::writeCompleteness(std::ostream &Output) const {
   for (const RequestHistory::Gap &Gap : m_History.gaps()) {
-    Output << "Records " << Gap.m_Gap.m_First << " to " << Gap.m_Gap.m_Last
-           << " of " << writerText(Gap.m_Writer) << " are missing, ";
+    const SequenceGap &Missing = Gap.m_Gap;
+    if (Missing.m_First == Missing.m_Last)
+      Output << "Record " << Missing.m_First << " of "
+             << writerText(Gap.m_Writer) << " is missing, ";
+    else
+      Output << "Records " << Missing.m_First << " to " << Missing.m_Last
+             << " of " << writerText(Gap.m_Writer) << " are missing, ";
     if (Gap.m_Gap.m_After)
       Output << "written from " << timeText(*Gap.m_Gap.m_After) << " to ";
     else
--- a/src/audit/RecordSentence.cpp
+++ b/src/audit/RecordSentence.cpp
@@ -155,17 +155,26 @@
              : Text + " From now on this request avoids " + Avoid + ".";
 }
 
-static std::string attemptEndSentence(const RequestHistory &,
+static bool isCompletion(const RequestHistory &History) {
+  for (const AuditRecord &Record : History.records())
+    if (Record.has("max_tokens"))
+      return true;
+  return false;
+}
+
+static std::string attemptEndSentence(const RequestHistory &History,
                                       const AuditRecord &Record) {
   if (Record.text("result") == "abandoned")
     return abandonSentence(Record);
   std::string Text = "Attempt " + std::to_string(Record.number("attempt"));
   if (Record.flag("abandoned"))
     Text += ", given up before,";
-  Text += " on " + Record.text("endpoint") + " ended after " +
-          elapsedText(Record) + " with " +
-          countText(Record.number("tokens"), "token") + ": " +
-          textOf(ReasonTexts, Record.text("result")) + statusText(Record);
+  Text +=
+      " on " + Record.text("endpoint") + " ended after " + elapsedText(Record) +
+      (isCompletion(History)
+           ? " with " + countText(Record.number("tokens"), "token")
+           : "") +
+      ": " + textOf(ReasonTexts, Record.text("result")) + statusText(Record);
   if (!Record.text("failed_endpoint").empty())
     Text += ", and " + Record.text("failed_endpoint") +
             " is named as the stage that failed";
@@ -218,7 +227,8 @@
            Record.text("outcome") + "\"";
   else if (!Code.empty())
     Text += ", code \"" + Code + "\"";
-  Text += ", after " + elapsedText(Record);
+  if (Record.number("elapsed_us") > 0)
+    Text += ", after " + elapsedText(Record);
   if (Record.number("tokens") > 0)
     Text += " and " + countText(Record.number("tokens"), "token");
   std::string_view Message = messageOfCode(Code);
--- a/src/audit/RouteSentence.cpp
+++ b/src/audit/RouteSentence.cpp
@@ -101,9 +101,11 @@
                                   const std::vector<Place> &Chosen) {
   std::string Text;
   std::string Layers;
+  // The stage of a plain service has no layers.
+  bool HasLayers =
+      Chosen.empty() || Chosen.front().m_End > Chosen.front().m_First;
   for (const Json &Each : listOf(Record, "candidates")) {
     Place Candidate(Each);
-    bool HasLayers = Candidate.m_End > Candidate.m_First;
     if (Text.empty() || Candidate.layers() != Layers)
       Text += (Text.empty() ? "" : ".") + std::string(" Candidates") +
               (HasLayers ? " for layers " + Candidate.layers() : "") +
--- a/tests/audit/ExplainCommandTest.cpp
+++ b/tests/audit/ExplainCommandTest.cpp
@@ -185,11 +185,11 @@
   RecordedRouter Other("vm3");
   Other.call(1, "order-3");
   std::string FirstText = withoutRecord(First.text(), 1);
-  std::string SecondText = withoutRecord(Second.text(), 3);
+  std::string SecondText = withoutRecord(withoutRecord(Second.text(), 3), 4);
   CHECK_EQUAL(0, explain("req-vm2-7-1", {FirstText, SecondText, SecondText,
                                          withoutRecord(Other.text(), 2)}));
-  expect("Records 1 to 1 of VM vm1");
-  expect("Records 3 to 3 of VM vm2 (started 1970-01-01 00:00:00.000007 UTC) "
+  expect("Record 1 of VM vm1");
+  expect("Records 3 to 4 of VM vm2 (started 1970-01-01 00:00:00.000007 UTC) "
          "are missing, written from ");
   CHECK(m_Output.str().find("VM vm3") == std::string::npos);
   std::string Text = m_Output.str();
