Use endpoints quarantined for stalls as a last resort; weigh patience

In a load trial the router's own machine was overloaded; three late tokens quarantined the only engines of each stage, and most requests then failed with 'deadline' or 'queue-full'. An endpoint quarantined for stalls is now used if no other route exists; one with a wrong result never is. Shorter quarantines were ruled out, since a stage that freezes streams would get new ones sooner.

policy.preference had no effect. It now sets how long a stream may be silent: 3 intervals and 150 ms for recovery, 8 intervals and 400 ms for throughput. The new unit tests fail without the change (route 'none'; 150 ms).

--- a/src/routing/AttemptTable.cpp
+++ b/src/routing/AttemptTable.cpp
@@ -1,13 +1,27 @@
 #include "routing/AttemptTable.h"
 
 #include <algorithm>
+#include <array>
 
 namespace parsleyring {
 
-static constexpr double IntervalsToStall = 3;
-static constexpr Duration ShortestProgressTimeout =
-    std::chrono::milliseconds(150);
-static constexpr Duration LongestProgressTimeout = std::chrono::seconds(1);
+namespace {
+
+/// How long a stream may be silent before it is resumed elsewhere.
+struct Patience {
+  double m_Intervals;
+  Duration m_Shortest;
+  Duration m_Longest;
+};
+
+} // namespace
+
+// In the order of Preference. A resume repeats the prefill, which costs
+// throughput if the silence was only a burst of load; waiting costs recovery.
+static constexpr std::array<Patience, 2> PatienceOf{{
+    {3, std::chrono::milliseconds(150), std::chrono::seconds(1)},
+    {8, std::chrono::milliseconds(400), std::chrono::seconds(1)},
+}};
 // Weights of one token in the average interval. It rises faster than it falls,
 // since tokens that arrive together show intervals near zero.
 static constexpr double RisingWeight = 0.5;
@@ -48,13 +62,15 @@
   Attempt.m_ProgressAt = Now;
 }
 
-Duration AttemptTable::progressTimeout(const RoutedAttempt &Attempt) {
+Duration AttemptTable::progressTimeout(const RoutedAttempt &Attempt,
+                                       Preference Weight) {
+  const Patience &Limits = PatienceOf[static_cast<std::size_t>(Weight)];
   Duration Intervals(static_cast<std::int64_t>(
-      IntervalsToStall *
+      Limits.m_Intervals *
       std::min(Attempt.m_IntervalMicros,
-               static_cast<double>(LongestProgressTimeout.count()))));
-  return std::clamp(Intervals + Attempt.m_RoundTrip, ShortestProgressTimeout,
-                    LongestProgressTimeout);
+               static_cast<double>(Limits.m_Longest.count()))));
+  return std::clamp(Intervals + Attempt.m_RoundTrip, Limits.m_Shortest,
+                    Limits.m_Longest);
 }
 
 std::vector<std::string> AttemptTable::suspects(Time Now,
--- a/src/routing/AttemptTable.h
+++ b/src/routing/AttemptTable.h
@@ -32,7 +32,8 @@
 
   /// Takes the time of a token into the averages of attempt and endpoints.
   static void noteToken(Time Now, RoutedAttempt &Attempt);
-  static Duration progressTimeout(const RoutedAttempt &Attempt);
+  static Duration progressTimeout(const RoutedAttempt &Attempt,
+                                  Preference Weight);
   /// Stages that can be the cause of a stall.
   static std::vector<std::string> suspects(Time Now,
                                            const RoutedAttempt &Attempt);
--- a/src/routing/EndpointHealth.cpp
+++ b/src/routing/EndpointHealth.cpp
@@ -12,12 +12,15 @@
 static constexpr Duration LongestBackoff = std::chrono::seconds(16);
 
 bool EndpointHealth::canServe(Time Now) const {
-  if (isQuarantined(Now))
+  if (isQuarantined(Now) && !isStallQuarantined(Now))
     return false;
   return !isUnavailable() || (Now >= m_UnavailableUntil && !m_HasProbe);
 }
 
-Duration EndpointHealth::quarantine(Time Now) {
+Duration EndpointHealth::quarantine(Time Now, QuarantineReason Reason) {
+  // A wrong result is the graver reason of the two.
+  if (!isQuarantined(Now) || Reason == QuarantineReason::WrongResult)
+    m_Reason = Reason;
   if (isQuarantined(Now))
     return m_QuarantinedUntil - Now;
   bool IsRepeated = m_QuarantineTime > Duration::zero() &&
--- a/src/routing/EndpointHealth.h
+++ b/src/routing/EndpointHealth.h
@@ -5,18 +5,28 @@
 
 namespace parsleyring {
 
+enum class QuarantineReason {
+  WrongResult, ///< It computed layers wrongly; it must not be used.
+  Stalls,      ///< It is silent or slow; it may be better than nothing.
+};
+
 /// Quarantine of an endpoint, and its unavailability after connect failures.
 class EndpointHealth {
 public:
-  /// May get new work: neither quarantined nor unavailable, or unavailable but
+  /// May get new work, as far as quarantine for stalls does not forbid it:
+  /// neither quarantined for a wrong result nor unavailable, or unavailable but
   /// due for its probe.
   bool canServe(Time Now) const;
   bool isQuarantined(Time Now) const { return Now < m_QuarantinedUntil; }
+  /// Quarantined only because of stalls.
+  bool isStallQuarantined(Time Now) const {
+    return isQuarantined(Now) && m_Reason == QuarantineReason::Stalls;
+  }
   bool isUnavailable() const { return m_Backoff > Duration::zero(); }
 
   /// Returns how long the endpoint gets no new work. A quarantine that still
   /// lasts is not extended: many streams can report one fault.
-  Duration quarantine(Time Now);
+  Duration quarantine(Time Now, QuarantineReason Reason);
 
   /// The first attempt after a failure becomes the probe.
   void noteStarted(AttemptNumber Attempt);
@@ -37,6 +47,7 @@
 
   Time m_QuarantinedUntil = Time::min();
   Duration m_QuarantineTime{};
+  QuarantineReason m_Reason = QuarantineReason::WrongResult;
 
   Duration m_Backoff{}; ///< Zero if available.
   Time m_FailedAt = Time::min();
--- a/src/routing/RoutePlanner.cpp
+++ b/src/routing/RoutePlanner.cpp
@@ -15,12 +15,14 @@
 static constexpr std::size_t CandidatesPerBoundary = 8;
 
 /// In this order: an endpoint that failed the request is tried again before an
-/// endpoint whose failure domain is believed to be unreachable.
+/// endpoint whose failure domain is believed to be unreachable. An endpoint
+/// that is quarantined for stalls is the last resort: if the machine of this VM
+/// is overloaded, all endpoints seem to stall, and refusing everything would be
+/// worse than trying them.
 static constexpr StageFilter Filters[] = {
-    {true, false, false},
-    {true, true, false},
-    {true, false, true},
-    {true, true, true},
+    {true, false, false, false}, {true, true, false, false},
+    {true, false, true, false},  {true, true, true, false},
+    {true, true, true, true},
 };
 
 class RoutePlanner::Implementation {
@@ -52,6 +54,7 @@
   std::unique_ptr<RouteStrategy> m_Strategy;
   std::vector<std::string> m_UnreachableDomains;
   std::uint32_t m_Routers = 1;
+  Preference m_Preference = Preference::Recovery;
 };
 
 void RoutePlanner::Implementation::useStrategy(const std::string &Name) {
@@ -101,6 +104,7 @@
     Option.m_CostMicros = Costs.stageMicros(Option.m_Estimate, Option.m_Load);
     Option.m_IsAvoided = std::find(Query.m_Avoid.begin(), Query.m_Avoid.end(),
                                    Spec.m_Name) != Query.m_Avoid.end();
+    Option.m_IsStallQuarantined = Member->m_Health.isStallQuarantined(Now);
     Result.push_back(Option);
   }
   SlotDivision(Now, m_Routers).apply(Result);
@@ -186,6 +190,7 @@
   m_Implementation->m_Endpoints.apply(*Configuration,
                                       m_Implementation->m_Links);
   m_Implementation->useStrategy(Configuration->m_Policy.m_RouteStrategy);
+  m_Implementation->m_Preference = Configuration->m_Policy.m_Preference;
   m_Implementation->refreshFlags();
 }
 
@@ -277,7 +282,8 @@
 
 Duration RoutePlanner::progressTimeout(AttemptNumber Attempt) const {
   const RoutedAttempt *Known = m_Implementation->m_Attempts.find(Attempt);
-  return AttemptTable::progressTimeout(Known ? *Known : RoutedAttempt());
+  return AttemptTable::progressTimeout(Known ? *Known : RoutedAttempt(),
+                                       m_Implementation->m_Preference);
 }
 
 std::vector<std::string> RoutePlanner::noteStalled(Time Now,
@@ -294,7 +300,8 @@
   std::string Blamed = m_Implementation->m_Stalls.note(Now, Suspects);
   if (Blamed.empty())
     return {};
-  quarantine(Now, Blamed);
+  if (Endpoint *Known = m_Implementation->m_Endpoints.find(Blamed))
+    Known->m_Health.quarantine(Now, QuarantineReason::Stalls);
   return {Blamed};
 }
 
@@ -333,7 +340,8 @@
 
 Duration RoutePlanner::quarantine(Time Now, const std::string &Name) {
   Endpoint *Known = m_Implementation->m_Endpoints.find(Name);
-  return Known ? Known->m_Health.quarantine(Now) : Duration::zero();
+  return Known ? Known->m_Health.quarantine(Now, QuarantineReason::WrongResult)
+               : Duration::zero();
 }
 
 void RoutePlanner::setUnreachableDomains(
--- a/src/routing/RoutePlanner.h
+++ b/src/routing/RoutePlanner.h
@@ -87,7 +87,7 @@
   bool markLeaving(Time Now, const std::string &Endpoint,
                    const std::string &Incarnation);
   bool isLeaving(const std::string &Endpoint) const;
-  /// Returns how long the endpoint gets no new work.
+  /// The endpoint gave a wrong result. Returns how long it gets no new work.
   Duration quarantine(Time Now, const std::string &Endpoint);
   void setUnreachableDomains(const std::vector<std::string> &Domains);
 
--- a/src/routing/StageGraph.h
+++ b/src/routing/StageGraph.h
@@ -21,6 +21,7 @@
   double m_CostMicros = 0; ///< What the strategy compares.
   bool m_HasFreeSlot = false;
   bool m_IsAvoided = false;
+  bool m_IsStallQuarantined = false;
 };
 
 /// Which options a route may use.
@@ -28,6 +29,7 @@
   bool m_NeedsFreeSlot = true;
   bool m_AllowsAvoided = false;
   bool m_AllowsUnreachable = false;
+  bool m_AllowsStallQuarantined = false;
 };
 
 /// Graph whose nodes are layer boundaries and whose edges are endpoints. Every
--- a/tests/routing/EndpointHealthTest.cpp
+++ b/tests/routing/EndpointHealthTest.cpp
@@ -62,24 +62,27 @@
 TEST(EndpointHealth, QuarantineDoublesAndIsForgotten) {
   Time Now = m_Start;
   for (Duration Expected : {30s, 60s, 120s, 240s, 480s, 600s, 600s}) {
-    CHECK(m_Health.quarantine(Now) == Expected);
-    CHECK(m_Health.quarantine(Now + 1s) == Expected - 1s);
+    CHECK(m_Health.quarantine(Now, QuarantineReason::WrongResult) == Expected);
+    CHECK(m_Health.quarantine(Now + 1s, QuarantineReason::WrongResult) ==
+          Expected - 1s);
     CHECK_FALSE(m_Health.canServe(Now + Expected - 1us));
     Now += Expected;
     CHECK(m_Health.canServe(Now));
   }
-  CHECK(m_Health.quarantine(Now + 599s) == 600s);
-  CHECK(m_Health.quarantine(Now + 599s + 1200s) == 30s);
+  CHECK(m_Health.quarantine(Now + 599s, QuarantineReason::WrongResult) == 600s);
+  CHECK(m_Health.quarantine(Now + 599s + 1200s,
+                            QuarantineReason::WrongResult) == 30s);
 }
 
 // Guards against a restarted endpoint that stays out of use, and against a
 // faulty one that escapes the doubling by restarting.
 TEST(EndpointHealth, RestartEndsTheState) {
   m_Health.noteFailure(m_Start, m_Start - 1s);
-  m_Health.quarantine(m_Start);
+  m_Health.quarantine(m_Start, QuarantineReason::WrongResult);
   m_Health.noteRestarted(m_Start + 1s);
   CHECK(m_Health.canServe(m_Start + 1s));
-  CHECK(m_Health.quarantine(m_Start + 2s) == 60s);
+  CHECK(m_Health.quarantine(m_Start + 2s, QuarantineReason::WrongResult) ==
+        60s);
 }
 
 PARSLEYRING_TEST_MAIN
--- a/tests/routing/RoutePlannerTest.cpp
+++ b/tests/routing/RoutePlannerTest.cpp
@@ -255,6 +255,34 @@
   CHECK(m_Planner->progressTimeout(Attempt) == 1s);
 }
 
+// Guards against resumes, each of which repeats a prefill, when the users
+// weigh throughput more than recovery.
+TEST(RoutePlanner, ThroughputPreferenceWaitsLonger) {
+  auto Configuration = std::make_shared<Document>(
+      *routingDocument({endpointSpec("x", {0, Layers}, 20000)}));
+  Configuration->m_Policy.m_Preference = Preference::Throughput;
+  m_Planner->apply(Configuration);
+  AttemptNumber Attempt = start();
+  m_Planner->noteToken(m_Now, Attempt);
+  CHECK(m_Planner->progressTimeout(Attempt) == 400ms);
+}
+
+// Guards against refusing everything when all endpoints seem to stall, as they
+// do if the machine of this VM is overloaded.
+TEST(RoutePlanner, StallQuarantineIsOverriddenOnlyWithoutAnotherRoute) {
+  m_Planner->apply(routingDocument({endpointSpec("x", {0, Layers}, 1000)}));
+  std::vector<std::string> Quarantined;
+  for (int Count = 0; Count < 3; ++Count) {
+    AttemptNumber Attempt = start();
+    Quarantined = m_Planner->noteStalled(m_Now += 1s, Attempt);
+    m_Planner->noteEnded(m_Now, Attempt, AttemptResult::Cancelled);
+  }
+  LONGS_EQUAL(1, Quarantined.size());
+  STRCMP_EQUAL("x", names().c_str());
+  m_Planner->quarantine(m_Now, "x");
+  STRCMP_EQUAL("none", names().c_str());
+}
+
 // Guards against an endpoint that has become slow keeping its share, and
 // against never trying it again.
 TEST(RoutePlanner, ObservedPaceCounts) {
