Add sessions, forms and drafts of the console

The console keeps nothing between two steps: sessions are signed cookies, and a draft travels in the forms as the entities that it changes, with the hash that each had in the base version. The whole document was ruled out as the draft: at 33,000 accounts it has over 6 MB, above the limit of a form.

--- /dev/null
+++ b/src/console/Draft.cpp
@@ -0,0 +1,216 @@
+#include "console/Draft.h"
+
+#include "console/Base64Url.h"
+#include "document/DocumentReader.h"
+#include "document/DocumentWriter.h"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace parsleyring {
+
+using Json = nlohmann::json;
+
+static EntityId pipelineId(const Pipeline &Each) {
+  return {EntityKind::Pipeline, Each.m_Name, ""};
+}
+static EntityId poolId(const Pool &Each) {
+  return {EntityKind::Pool, Each.m_Name, ""};
+}
+static EntityId linkId(const Link &Each) {
+  return {EntityKind::Link, Each.m_From, Each.m_To};
+}
+static EntityId accountId(const ClientAccount &Each) {
+  return {EntityKind::Account, Each.m_Name, ""};
+}
+
+/// Keeps the entities that are changed.
+template <typename Entity, typename IdOf>
+static std::vector<Entity>
+changedOnes(const std::vector<Entity> &Entities, IdOf MakeId,
+            const std::map<EntityId, std::string> &Changes) {
+  std::vector<Entity> Changed;
+  for (const Entity &Each : Entities)
+    if (Changes.count(MakeId(Each)) > 0)
+      Changed.push_back(Each);
+  return Changed;
+}
+
+Draft::Draft(DraftBase Origin, const Document &Base, const Document &Edited)
+    : m_Base(std::move(Origin)) {
+  EntityMap Before = entitiesOf(Base);
+  EntityMap After = entitiesOf(Edited);
+  for (const auto &[Id, Content] : Before) {
+    auto Found = After.find(Id);
+    if (Found == After.end() || Found->second != Content)
+      m_Changes[Id] = entityHash(Content);
+  }
+  for (const auto &[Id, Content] : After)
+    if (Before.count(Id) == 0)
+      m_Changes[Id] = "";
+
+  m_Set.m_Policy = Edited.m_Policy;
+  m_Set.m_Pipelines = changedOnes(Edited.m_Pipelines, pipelineId, m_Changes);
+  m_Set.m_Links = changedOnes(Edited.m_Links, linkId, m_Changes);
+  m_Set.m_Accounts = changedOnes(Edited.m_Accounts, accountId, m_Changes);
+  if (isChanged({EntityKind::Rules, "", ""}))
+    m_Set.m_Rules = Edited.m_Rules;
+  for (const Pool &Owner : Edited.m_Pools) {
+    Pool Changed = Owner;
+    Changed.m_Endpoints = changedOnes(
+        Owner.m_Endpoints,
+        [&](const EndpointSpec &Each) {
+          return EntityId{EntityKind::Endpoint, Owner.m_Name, Each.m_Name};
+        },
+        m_Changes);
+    if (isChanged(poolId(Owner)) || !Changed.m_Endpoints.empty())
+      m_Set.m_Pools.push_back(std::move(Changed));
+  }
+}
+
+std::string Draft::encode() const {
+  Json Changes = Json::array();
+  for (const auto &[Id, Hash] : m_Changes)
+    Changes.push_back({name(Id.m_Kind), Id.m_Name, Id.m_Inner, Hash});
+  return encodeBase64Url(Json{{"version", m_Base.m_Version},
+                              {"index", m_Base.m_ModifyIndex},
+                              {"head", m_Base.m_HeadJson},
+                              {"changes", Changes},
+                              {"set", DocumentWriter::write(m_Set)}}
+                             .dump());
+}
+
+/// Throws nlohmann::json::exception.
+static std::pair<EntityId, std::string> changeFromJson(const Json &Change) {
+  EntityId Id{EntityKind::Policy, Change.at(1), Change.at(2)};
+  auto Kind = entityKindFromName(Change.at(0).get<std::string>());
+  // An unknown kind comes from a newer release.
+  Id.m_Kind = Kind ? *Kind : throw Json::other_error::create(501, "kind",
+                                                             nullptr);
+  return {Id, Change.at(3)};
+}
+
+std::optional<Draft> Draft::decode(const std::string &Text,
+                                   std::vector<Finding> &Findings) {
+  auto Refuse = [&](const std::string &Message) {
+    Findings.push_back({"", 0, "draft", Message});
+    return std::nullopt;
+  };
+  std::optional<std::string> Decoded = decodeBase64Url(Text);
+  Json Root = Decoded ? Json::parse(*Decoded, nullptr, false) : Json();
+  if (!Root.is_object())
+    return Refuse("is damaged: it is not the draft of a form of this console");
+  Draft Result;
+  std::string Set;
+  try {
+    Result.m_Base = {Root.at("version"), Root.at("index"), Root.at("head")};
+    for (const Json &Change : Root.at("changes"))
+      Result.m_Changes.insert(changeFromJson(Change));
+    Set = Root.at("set");
+  } catch (const Json::exception &Error) {
+    return Refuse(std::string("is damaged: ") + Error.what());
+  }
+  std::vector<Finding> Damages;
+  DocumentReader Reader;
+  Reader.add("draft", Set, Damages);
+  if (!Damages.empty())
+    return Refuse("is damaged: " + toString(Damages.front()));
+  Result.m_Set = Reader.takeDocument();
+  return Result;
+}
+
+std::vector<EntityId> Draft::changedEntities() const {
+  std::vector<EntityId> Ids;
+  for (const auto &Change : m_Changes)
+    Ids.push_back(Change.first);
+  return Ids;
+}
+
+template <typename Entity, typename IdOf>
+void Draft::applyEach(const std::vector<Entity> &Set, IdOf MakeId,
+                      std::vector<Entity> &Entities) const {
+  std::map<EntityId, const Entity *> Pending;
+  for (const Entity &Each : Set)
+    if (isChanged(MakeId(Each)))
+      Pending[MakeId(Each)] = &Each;
+  std::vector<Entity> Result;
+  Result.reserve(Entities.size() + Pending.size());
+  for (Entity &Each : Entities) {
+    EntityId Id = MakeId(Each);
+    if (!isChanged(Id)) {
+      Result.push_back(std::move(Each));
+      continue;
+    }
+    auto Found = Pending.find(Id);
+    if (Found == Pending.end())
+      continue;
+    Result.push_back(*Found->second);
+    Pending.erase(Found);
+  }
+  for (const Entity &Each : Set)
+    if (Pending.count(MakeId(Each)) > 0)
+      Result.push_back(Each);
+  Entities = std::move(Result);
+}
+
+void Draft::applyToPools(std::vector<Pool> &Pools) const {
+  // Endpoints are separate entities: a pool whose fields are set keeps those
+  // that it has.
+  std::map<std::string, std::vector<EndpointSpec>> Endpoints;
+  for (Pool &Each : Pools)
+    Endpoints[Each.m_Name] = std::move(Each.m_Endpoints);
+  applyEach(m_Set.m_Pools, poolId, Pools);
+  std::map<std::string, const Pool *> Set;
+  for (const Pool &Each : m_Set.m_Pools)
+    Set[Each.m_Name] = &Each;
+  static const std::vector<EndpointSpec> None;
+  for (Pool &Owner : Pools) {
+    Owner.m_Endpoints = std::move(Endpoints[Owner.m_Name]);
+    auto Found = Set.find(Owner.m_Name);
+    applyEach(
+        Found == Set.end() ? None : Found->second->m_Endpoints,
+        [&](const EndpointSpec &Each) {
+          return EntityId{EntityKind::Endpoint, Owner.m_Name, Each.m_Name};
+        },
+        Owner.m_Endpoints);
+  }
+}
+
+Document Draft::applyTo(const Document &Current) const {
+  Document Result = Current;
+  if (isChanged({EntityKind::Policy, "", ""}))
+    Result.m_Policy = m_Set.m_Policy;
+  if (isChanged({EntityKind::Rules, "", ""}))
+    Result.m_Rules = m_Set.m_Rules;
+  applyEach(m_Set.m_Pipelines, pipelineId, Result.m_Pipelines);
+  applyToPools(Result.m_Pools);
+  applyEach(m_Set.m_Links, linkId, Result.m_Links);
+  applyEach(m_Set.m_Accounts, accountId, Result.m_Accounts);
+  return Result;
+}
+
+std::vector<EntityId> Draft::conflicts(const Document &Current) const {
+  EntityMap Entities = entitiesOf(Current);
+  std::set<std::string> RemovedPools;
+  std::vector<EntityId> Conflicts;
+  for (const auto &[Id, Hash] : m_Changes) {
+    auto Found = Entities.find(Id);
+    if ((Found == Entities.end() ? "" : entityHash(Found->second)) != Hash)
+      Conflicts.push_back(Id);
+    bool IsPoolSet = std::any_of(
+        m_Set.m_Pools.begin(), m_Set.m_Pools.end(),
+        [&](const Pool &Each) { return Each.m_Name == Id.m_Name; });
+    if (Id.m_Kind == EntityKind::Pool && !IsPoolSet)
+      RemovedPools.insert(Id.m_Name);
+  }
+  // A removed pool takes its endpoints along, also those that somebody else
+  // added since.
+  for (const auto &Each : Entities)
+    if (Each.first.m_Kind == EntityKind::Endpoint &&
+        RemovedPools.count(Each.first.m_Name) > 0 && !isChanged(Each.first))
+      Conflicts.push_back(Each.first);
+  return Conflicts;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/console/HashPasswordCommand.h
@@ -0,0 +1,28 @@
+#ifndef PARSLEYRING_CONSOLE_HASHPASSWORDCOMMAND_H
+#define PARSLEYRING_CONSOLE_HASHPASSWORDCOMMAND_H
+
+#include <cstdint>
+#include <iosfwd>
+
+namespace CLI {
+class App;
+} // namespace CLI
+
+namespace parsleyring {
+
+/// "parsleyring hash-password": reads a password from standard input and
+/// prints the hash for [[console.operator]].
+class HashPasswordCommand {
+public:
+  /// Adds the subcommand. Its run sets ExitCode: 0, or 1 without a usable
+  /// password.
+  static void addTo(CLI::App &App, int &ExitCode);
+
+  /// Uses the first line of Input.
+  static int run(std::istream &Input, std::ostream &Output,
+                 std::ostream &Errors, std::uint32_t Rounds);
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CONSOLE_HASHPASSWORDCOMMAND_H
--- /dev/null
+++ b/src/console/SessionGuard.cpp
@@ -0,0 +1,90 @@
+#include "console/SessionGuard.h"
+
+#include "console/Cryptography.h"
+#include "console/PasswordHash.h"
+#include "core/NameTable.h"
+
+#include <charconv>
+
+namespace parsleyring {
+
+static constexpr std::size_t NonceBytes = 16;
+/// Separates the parts of signed messages; no part contains it.
+static constexpr char Separator = '\n';
+
+static constexpr NameTable<FormPurpose, 3> PurposeNames{
+    {"sign-in", "draft", "publish"}};
+
+const OperatorLogin *SessionGuard::login(const std::string &Operator) const {
+  for (const OperatorLogin &Each : m_Settings.m_Operators)
+    if (Each.m_Name == Operator)
+      return &Each;
+  return nullptr;
+}
+
+std::string SessionGuard::signature(const std::string &Signed,
+                                    const OperatorLogin &Login) const {
+  // With the password hash in it, a new password ends the old sessions.
+  return hmacSha256Hex(m_Settings.m_SessionSecret,
+                       std::string("session") + Separator + Signed +
+                           Separator + Login.m_PasswordHash);
+}
+
+std::string SessionGuard::startSession(Time Now,
+                                       const std::string &Operator) const {
+  const OperatorLogin *Login = login(Operator);
+  if (!Login)
+    return {};
+  Time Expiry = Now + SessionTime;
+  std::string Signed = Operator + ":" +
+                       std::to_string(Expiry.time_since_epoch().count()) +
+                       ":" + toHex(randomBytes(NonceBytes));
+  return Signed + ":" + signature(Signed, *Login);
+}
+
+std::optional<std::string>
+SessionGuard::operatorOf(Time Now, const std::string &Cookie) const {
+  // Names of operators hold no colon.
+  std::size_t NameEnd = Cookie.find(':');
+  std::size_t SignatureAt = Cookie.rfind(':');
+  if (NameEnd == std::string::npos || NameEnd == SignatureAt)
+    return std::nullopt;
+  std::string Operator = Cookie.substr(0, NameEnd);
+  const OperatorLogin *Login = login(Operator);
+  if (!Login ||
+      !isEqualInConstantTime(signature(Cookie.substr(0, SignatureAt), *Login),
+                             std::string_view(Cookie).substr(SignatureAt + 1)))
+    return std::nullopt;
+  std::int64_t Expiry = 0;
+  std::from_chars(Cookie.data() + NameEnd + 1, Cookie.data() + Cookie.size(),
+                  Expiry);
+  if (Now.time_since_epoch().count() >= Expiry)
+    return std::nullopt;
+  return Operator;
+}
+
+std::string SessionGuard::formToken(const std::string &Session,
+                                    FormPurpose Purpose) const {
+  return hmacSha256Hex(m_Settings.m_SessionSecret,
+                       std::string("form") + Separator +
+                           std::string(PurposeNames.name(Purpose)) +
+                           Separator + Session);
+}
+
+bool SessionGuard::isFormToken(const std::string &Token,
+                               const std::string &Session,
+                               FormPurpose Purpose) const {
+  return !Session.empty() &&
+         isEqualInConstantTime(Token, formToken(Session, Purpose));
+}
+
+bool SessionGuard::canSignIn(const std::string &Operator,
+                             const std::string &Password) const {
+  if (const OperatorLogin *Login = login(Operator))
+    return isPassword(Password, Login->m_PasswordHash);
+  if (!m_Settings.m_Operators.empty())
+    isPassword(Password, m_Settings.m_Operators.front().m_PasswordHash);
+  return false;
+}
+
+} // namespace parsleyring
