--- /dev/null
+++ b/src/console/ConsoleCounters.h
@@ -0,0 +1,31 @@
+#ifndef PARSLEYRING_CONSOLE_CONSOLECOUNTERS_H
+#define PARSLEYRING_CONSOLE_CONSOLECOUNTERS_H
+
+#include "configuration/ConfigurationPublisher.h"
+
+#include <array>
+#include <atomic>
+
+namespace parsleyring {
+
+/// Totals since the start of the console.
+struct ConsoleCounters {
+  static constexpr std::size_t Statuses = 5;
+
+  std::atomic<std::uint64_t> m_Requests{0};
+  std::atomic<std::uint64_t> m_RefusedRequests{0}; ///< Malformed or forged.
+  std::atomic<std::uint64_t> m_SignIns{0};
+  std::atomic<std::uint64_t> m_FailedSignIns{0};
+  std::atomic<std::uint64_t> m_PlatformErrors{0};
+  /// By PublicationStatus.
+  std::array<std::atomic<std::uint64_t>, Statuses> m_Publications{};
+  /// Version that was last read from the platform.
+  std::atomic<ConfigurationVersion> m_Version{0};
+
+  /// Page of /metrics in the Prometheus text format.
+  std::string metricsText() const;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CONSOLE_CONSOLECOUNTERS_H
--- a/src/console/Draft.cpp
+++ b/src/console/Draft.cpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include <set>
+#include <algorithm>
 
 namespace parsleyring {
 
@@ -74,7 +74,6 @@
   for (const auto &[Id, Hash] : m_Changes)
     Changes.push_back({name(Id.m_Kind), Id.m_Name, Id.m_Inner, Hash});
   return encodeBase64Url(Json{{"version", m_Base.m_Version},
-                              {"index", m_Base.m_ModifyIndex},
                               {"head", m_Base.m_HeadJson},
                               {"changes", Changes},
                               {"set", DocumentWriter::write(m_Set)}}
@@ -104,7 +103,7 @@
   Draft Result;
   std::string Set;
   try {
-    Result.m_Base = {Root.at("version"), Root.at("index"), Root.at("head")};
+    Result.m_Base = {Root.at("version"), Root.at("head")};
     for (const Json &Change : Root.at("changes"))
       Result.m_Changes.insert(changeFromJson(Change));
     Set = Root.at("set");
@@ -191,26 +190,41 @@
 }
 
 std::vector<EntityId> Draft::conflicts(const Document &Current) const {
-  EntityMap Entities = entitiesOf(Current);
-  std::set<std::string> RemovedPools;
+  EntityMap Before = entitiesOf(Current);
+  EntityMap After = entitiesOf(applyTo(Current));
   std::vector<EntityId> Conflicts;
   for (const auto &[Id, Hash] : m_Changes) {
-    auto Found = Entities.find(Id);
-    if ((Found == Entities.end() ? "" : entityHash(Found->second)) != Hash)
+    auto Old = Before.find(Id);
+    auto New = After.find(Id);
+    bool IsPresent = Old != Before.end();
+    bool IsAsWanted = IsPresent == (New != After.end()) &&
+                      (!IsPresent || Old->second == New->second);
+    if (!IsAsWanted && (IsPresent ? entityHash(Old->second) : "") != Hash)
       Conflicts.push_back(Id);
-    bool IsPoolSet = std::any_of(
-        m_Set.m_Pools.begin(), m_Set.m_Pools.end(),
-        [&](const Pool &Each) { return Each.m_Name == Id.m_Name; });
-    if (Id.m_Kind == EntityKind::Pool && !IsPoolSet)
-      RemovedPools.insert(Id.m_Name);
   }
   // A removed pool takes its endpoints along, also those that somebody else
   // added since.
-  for (const auto &Each : Entities)
-    if (Each.first.m_Kind == EntityKind::Endpoint &&
-        RemovedPools.count(Each.first.m_Name) > 0 && !isChanged(Each.first))
+  for (const auto &Each : Before)
+    if (After.count(Each.first) == 0 && !isChanged(Each.first))
       Conflicts.push_back(Each.first);
   return Conflicts;
 }
 
+Draft Draft::rebased(DraftBase Origin, const Document &Current) const {
+  Draft Reduced = *this;
+  for (const EntityId &Id : conflicts(Current)) {
+    Reduced.m_Changes.erase(Id);
+    if (Id.m_Kind == EntityKind::Endpoint)
+      Reduced.m_Changes.erase({EntityKind::Pool, Id.m_Name, ""});
+  }
+  return Draft(std::move(Origin), Current, Reduced.applyTo(Current));
+}
+
+std::string Draft::text() const {
+  std::string Text;
+  for (const auto &Change : m_Changes)
+    Text += "# " + toString(Change.first) + "\n";
+  return Text + "\n" + DocumentWriter::write(m_Set);
+}
+
 } // namespace parsleyring
--- a/src/console/Draft.h
+++ b/src/console/Draft.h
@@ -10,8 +10,13 @@
 /// The version of the configuration that a draft builds on.
 struct DraftBase {
   ConfigurationVersion m_Version = 0;
-  std::uint64_t m_ModifyIndex = 0; ///< Of the head in the platform.
-  std::string m_HeadJson;          ///< Finds the document of the version.
+  /// Tells a head that was changed by hand from the one of the same version,
+  /// and finds the document. Empty if the document could not be read.
+  std::string m_HeadJson;
+
+  bool operator==(const DraftBase &Other) const {
+    return m_Version == Other.m_Version && m_HeadJson == Other.m_HeadJson;
+  }
 };
 
 /// Changes of entities that travel in the forms, so that the console keeps
@@ -34,9 +39,13 @@
   /// Makes the changes in another document. Those entities that conflicts()
   /// lists are overwritten.
   Document applyTo(const Document &Current) const;
-  /// Entities that the draft changes and that are not in Current as they were
-  /// in the base.
+  /// Entities that the draft changes and that are in Current neither as they
+  /// were in the base nor as the draft has them.
   std::vector<EntityId> conflicts(const Document &Current) const;
+  /// The same changes on another version, without those that conflict.
+  Draft rebased(DraftBase Origin, const Document &Current) const;
+  /// New content of the changed entities as TOML.
+  std::string text() const;
 
 private:
   bool isChanged(const EntityId &Id) const { return m_Changes.count(Id) > 0; }
