Add the console's server with sign-in, import, review and publication

Operators sign in, paste a document, see its findings or the difference from the version in force, and publish it. Conflicts, lost answers and an outage of the platform keep the entered work in the page.

--- a/src/console/Base64Url.cpp
+++ b/src/console/Base64Url.cpp
@@ -30,9 +30,8 @@
   std::string Padded(Text);
   std::replace(Padded.begin(), Padded.end(), '-', '+');
   std::replace(Padded.begin(), Padded.end(), '_', '/');
-  Padded.resize((Padded.size() + GroupLetters - 1) / GroupLetters *
-                    GroupLetters,
-                '=');
+  Padded.resize(
+      (Padded.size() + GroupLetters - 1) / GroupLetters * GroupLetters, '=');
   std::string Bytes(Padded.size() / GroupLetters * GroupBytes, '\0');
   int Length =
       ::EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Bytes.data()),
--- /dev/null
+++ b/src/console/Console.cpp
@@ -0,0 +1,258 @@
+#include "console/Console.h"
+
+#include "console/Cryptography.h"
+#include "console/ImportPage.h"
+#include "console/OverviewPage.h"
+#include "console/ReviewPage.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+namespace parsleyring {
+
+static const std::string SessionCookie = "parsleyring-session";
+/// Binds the token of the sign-in form to the browser that got the form.
+static const std::string VisitCookie = "parsleyring-visit";
+static const std::string CookieAttributes =
+    "; Path=/; HttpOnly; SameSite=Strict";
+static constexpr std::size_t VisitBytes = 16;
+static constexpr unsigned MaxWaitingSignIns = 8;
+
+namespace {
+
+/// A page for operators who are signed in.
+struct Page {
+  const char *m_Path;
+  bool m_IsGetAllowed;
+  /// Can be used while the document in the platform is damaged.
+  bool m_IsAllowedDamaged;
+  /// Can be used while the draft builds on another version.
+  bool m_IsAllowedOutdated;
+  ConsoleResponse (*m_Show)(PageCall &Call);
+};
+
+} // namespace
+
+static const Page Pages[] = {
+    {"/", true, false, false, OverviewPage::show},
+    {"/document.toml", true, false, false, ImportPage::download},
+    {"/import", true, true, false, ImportPage::show},
+    {"/import/review", false, true, false, ImportPage::review},
+    {"/review", false, true, false, ReviewPage::show},
+    {"/rebase", false, false, true, ReviewPage::rebase},
+    {"/publish", false, true, true, ReviewPage::publish},
+};
+
+static const Page *pageAt(const std::string &Path) {
+  for (const Page &Each : Pages)
+    if (Path == Each.m_Path)
+      return &Each;
+  return nullptr;
+}
+
+static std::string cookie(const ConsoleRequest &Request,
+                          const std::string &Name) {
+  auto Found = Request.m_Cookies.find(Name);
+  return Found == Request.m_Cookies.end() ? "" : Found->second;
+}
+
+static ConsoleResponse redirect(const std::string &Location) {
+  ConsoleResponse Response;
+  Response.m_Status = 303;
+  Response.m_Location = Location;
+  return Response;
+}
+
+static ConsoleResponse textAnswer(const char *Type, std::string Text) {
+  ConsoleResponse Response;
+  Response.m_ContentType = Type;
+  Response.m_Body = std::move(Text);
+  return Response;
+}
+
+std::size_t Console::maxFormBytes(Time Now,
+                                  const ConsoleRequest &Request) const {
+  return m_Context.m_Sessions.operatorOf(Now, cookie(Request, SessionCookie))
+             ? MaxFormBytes
+             : MaxSignInBytes;
+}
+
+ConsoleResponse Console::refuse(int Status, const std::string &Message) const {
+  ++m_Context.m_Counters.m_RefusedRequests;
+  HtmlWriter Body;
+  Body << "<p class=\"finding\">" << Message
+       << "</p>\n<p>Nothing was changed. <a href=\"/\">Overview</a></p>\n";
+  return renderPlainPage("Request refused", Body, Status);
+}
+
+ConsoleResponse Console::handle(Time Now, const ConsoleRequest &Request) {
+  ++m_Context.m_Counters.m_Requests;
+  const std::string &Path = Request.m_Path;
+  if (!Request.m_IsPost && Path == "/healthz")
+    return textAnswer("text/plain", "alive\n");
+  if (!Request.m_IsPost && Path == "/metrics")
+    return textAnswer("text/plain; version=0.0.4",
+                      m_Context.m_Counters.metricsText());
+  if (!Request.m_IsPost && Path == "/style.css")
+    return textAnswer("text/css", std::string(StyleSheet));
+  try {
+    if (Path == "/sign-in")
+      return Request.m_IsPost ? signIn(Now, Request) : signInPage("", 200);
+    std::optional<std::string> Operator =
+        m_Context.m_Sessions.operatorOf(Now, cookie(Request, SessionCookie));
+    if (Operator)
+      return handleSignedIn(Now, Request, *Operator);
+    if (!Request.m_IsPost)
+      return redirect("/sign-in");
+    // A redirection would lose the entered work without a word.
+    return refuse(401, "You are not signed in, or the session has ended. Sign "
+                       "in from another tab, then send this form again.");
+  } catch (const FormError &Error) {
+    return refuse(400, Error.what());
+  } catch (const PlatformError &Error) {
+    return platformError(Request, Error);
+  }
+}
+
+ConsoleResponse Console::signInPage(const std::string &Problem,
+                                    int Status) const {
+  std::string Visit = toHex(randomBytes(VisitBytes));
+  HtmlWriter Body;
+  if (!Problem.empty())
+    Body << "<p class=\"finding\">" << Problem << "</p>\n";
+  Body << "<form method=\"post\" action=\"/sign-in\">\n";
+  Body.hidden("token",
+              m_Context.m_Sessions.formToken(Visit, FormPurpose::SignIn));
+  Body << "<p><label>Operator <input name=\"operator\" required "
+          "autocomplete=\"username\"></label></p>\n"
+          "<p><label>Password <input type=\"password\" name=\"password\" "
+          "required autocomplete=\"current-password\"></label></p>\n"
+          "<p><button>Sign in</button></p>\n</form>\n";
+  ConsoleResponse Response = renderPlainPage("Sign in", Body, Status);
+  Response.m_Cookies.push_back(VisitCookie + "=" + Visit + CookieAttributes);
+  return Response;
+}
+
+void Console::recordSignIn(Time Now, const ConsoleRequest &Request,
+                           const std::string &Operator,
+                           const char *Status) const {
+  // A name that is not an operator's can be a password in the wrong field.
+  bool IsKnown = false;
+  for (const OperatorLogin &Each : m_Context.m_Settings.m_Operators)
+    IsKnown = IsKnown || Each.m_Name == Operator;
+  nlohmann::ordered_json Fields{{"event", "sign-in"},
+                                {"status", Status},
+                                {"operator", IsKnown ? Operator : ""},
+                                {"remote", Request.m_Remote}};
+  m_Context.m_Record({AuditKind::Configuration, Now, 0, Fields.dump()});
+}
+
+ConsoleResponse Console::signIn(Time Now, const ConsoleRequest &Request) {
+  const FormData &Input = Request.m_Input;
+  const std::string &Operator = Input.required("operator");
+  const std::string &Password = Input.required("password");
+  if (!m_Context.m_Sessions.isFormToken(Input.required("token"),
+                                        cookie(Request, VisitCookie),
+                                        FormPurpose::SignIn)) {
+    ++m_Context.m_Counters.m_RefusedRequests;
+    return signInPage("The form is not from this browser; try again.", 403);
+  }
+  if (++m_WaitingSignIns > MaxWaitingSignIns) {
+    --m_WaitingSignIns;
+    return signInPage("Too many sign-ins at once; try again.", 503);
+  }
+  bool IsRight = false;
+  {
+    std::lock_guard<std::mutex> Lock(m_PasswordMutex);
+    IsRight = m_Context.m_Sessions.canSignIn(Operator, Password);
+  }
+  --m_WaitingSignIns;
+  recordSignIn(Now, Request, Operator, IsRight ? "signed-in" : "refused");
+  if (!IsRight) {
+    ++m_Context.m_Counters.m_FailedSignIns;
+    return signInPage("Operator or password is wrong.", 403);
+  }
+  ++m_Context.m_Counters.m_SignIns;
+  ConsoleResponse Response = redirect("/");
+  Response.m_Cookies.push_back(
+      SessionCookie + "=" + m_Context.m_Sessions.startSession(Now, Operator) +
+      CookieAttributes);
+  return Response;
+}
+
+ConsoleResponse Console::signOut() const {
+  ConsoleResponse Response = redirect("/sign-in");
+  Response.m_Cookies.push_back(SessionCookie + "=; Max-Age=0" +
+                               CookieAttributes);
+  return Response;
+}
+
+ConsoleResponse Console::handleSignedIn(Time Now, const ConsoleRequest &Request,
+                                        const std::string &Operator) {
+  const std::string Session = cookie(Request, SessionCookie);
+  const FormData &Input = Request.m_Input;
+  const Page *Found = pageAt(Request.m_Path);
+  if (!Found && Request.m_Path != "/sign-out")
+    return refuse(404, "There is no page " + Request.m_Path);
+  if (!Request.m_IsPost && !(Found && Found->m_IsGetAllowed))
+    return refuse(405, "This page needs a posted form.");
+  if (Request.m_IsPost) {
+    bool IsPublish = Request.m_Path == "/publish";
+    const std::string &Token =
+        Input.required(IsPublish ? "publish_token" : "token");
+    if (!m_Context.m_Sessions.isFormToken(Token, Session,
+                                          IsPublish ? FormPurpose::Publish
+                                                    : FormPurpose::Draft)) {
+      if (IsPublish)
+        ReviewPage::recordForgery(m_Context, Now, Request, Operator);
+      return refuse(403, "The form is not from your session. If you signed in "
+                         "anew, go back and send it again.");
+    }
+    if (Request.m_Path == "/sign-out")
+      return signOut();
+  }
+  Workspace Work(m_Context.m_Publisher.load());
+  m_Context.m_Counters.m_Version = Work.version();
+  if (Input.has("draft")) {
+    std::vector<Finding> Findings;
+    std::optional<Draft> Carried =
+        Draft::decode(Input.value("draft"), Findings);
+    if (!Carried)
+      return refuse(400, "The " + Findings.front().m_Key + " " +
+                             Findings.front().m_Message);
+    Work.setDraft(std::move(*Carried));
+  }
+  PageCall Call{Now, m_Context, Request, Session, Operator, Work};
+  if (!Found->m_IsAllowedDamaged && Work.isDamaged())
+    return OverviewPage::damaged(Call);
+  // Changes of single entities cannot build on a document that is lost.
+  if (!Found->m_IsAllowedOutdated && Work.isDamaged() && Work.isOutdated())
+    Work.setDraft(Draft());
+  if (!Found->m_IsAllowedOutdated && Work.isOutdated())
+    return ReviewPage::conflict(Call);
+  return Found->m_Show(Call);
+}
+
+ConsoleResponse Console::platformError(const ConsoleRequest &Request,
+                                       const PlatformError &Error) const {
+  ++m_Context.m_Counters.m_PlatformErrors;
+  HtmlWriter Body;
+  Body << "<p class=\"finding\">The platform's key-value service does not "
+          "answer: "
+       << std::string(Error.what())
+       << "</p>\n<p>Nothing was changed. The routers keep the configuration "
+          "that they have.</p>\n";
+  // The entered work travels on in the page.
+  if (Request.m_IsPost) {
+    Body << "<form method=\"post\" action=\"" << Request.m_Path << "\">\n";
+    for (const auto &[Name, Value] : Request.m_Input.fields())
+      Body.hidden(Name, Value);
+    Body << "<p>What you entered is kept in this page. "
+            "<button>Try again</button></p>\n</form>\n";
+  } else {
+    Body << "<p><a href=\"" << Request.m_Path << "\">Try again</a></p>\n";
+  }
+  return renderPlainPage("Platform unavailable", Body, 503);
+}
+
+} // namespace parsleyring
--- a/src/console/ConsoleMessages.h
+++ b/src/console/ConsoleMessages.h
@@ -22,7 +22,7 @@
   int m_Status = 200;
   std::string m_ContentType = "text/html; charset=utf-8";
   std::string m_Body;
-  std::string m_Location;            ///< Of a redirection.
+  std::string m_Location;             ///< Of a redirection.
   std::vector<std::string> m_Cookies; ///< Values of Set-Cookie headers.
 };
 
--- /dev/null
+++ b/src/console/ConsoleServer.h
@@ -0,0 +1,32 @@
+#ifndef PARSLEYRING_CONSOLE_CONSOLESERVER_H
+#define PARSLEYRING_CONSOLE_CONSOLESERVER_H
+
+#include "console/Console.h"
+
+#include <memory>
+
+namespace parsleyring {
+
+/// HTTP server of the console. Each connection serves one request: operators
+/// are few, and what is left unread of a refused form needs no care.
+class ConsoleServer {
+public:
+  /// Binds to "IP:port", where port 0 picks a free one. Throws
+  /// std::runtime_error. Pages and Now must outlive the server.
+  ConsoleServer(const std::string &Address, Console &Pages,
+                std::function<Time()> Now);
+  ~ConsoleServer();
+
+  void start();
+  /// Ends the requests in progress first.
+  void stop();
+  int port() const;
+
+private:
+  class Implementation;
+  std::unique_ptr<Implementation> m_Implementation;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CONSOLE_CONSOLESERVER_H
--- a/src/console/Cryptography.cpp
+++ b/src/console/Cryptography.cpp
@@ -58,8 +58,8 @@
   std::string Bytes;
   Bytes.reserve(Text.size() / 2);
   for (std::size_t At = 0; At + 1 < Text.size(); At += 2)
-    Bytes += static_cast<char>(hexDigit(Text[At]) * 16 +
-                               hexDigit(Text[At + 1]));
+    Bytes +=
+        static_cast<char>(hexDigit(Text[At]) * 16 + hexDigit(Text[At + 1]));
   return Bytes;
 }
 
--- a/src/console/Draft.cpp
+++ b/src/console/Draft.cpp
@@ -85,8 +85,8 @@
   EntityId Id{EntityKind::Policy, Change.at(1), Change.at(2)};
   auto Kind = entityKindFromName(Change.at(0).get<std::string>());
   // An unknown kind comes from a newer release.
-  Id.m_Kind = Kind ? *Kind : throw Json::other_error::create(501, "kind",
-                                                             nullptr);
+  Id.m_Kind =
+      Kind ? *Kind : throw Json::other_error::create(501, "kind", nullptr);
   return {Id, Change.at(3)};
 }
 
--- a/src/console/EntityId.cpp
+++ b/src/console/EntityId.cpp
@@ -4,10 +4,8 @@
 
 namespace parsleyring {
 
-static constexpr NameTable<EntityKind, 7> KindNames{{"policy", "pipeline",
-                                                     "pool", "endpoint",
-                                                     "rules", "link",
-                                                     "account"}};
+static constexpr NameTable<EntityKind, 7> KindNames{
+    {"policy", "pipeline", "pool", "endpoint", "rules", "link", "account"}};
 
 std::string_view name(EntityKind Value) { return KindNames.name(Value); }
 
--- a/src/console/FormData.cpp
+++ b/src/console/FormData.cpp
@@ -34,9 +34,9 @@
 bool isPlainText(std::string_view Text) {
   while (!Text.empty()) {
     auto Lead = static_cast<unsigned char>(Text.front());
-    bool IsControl = (Lead < 0x20 && Lead != '\t' && Lead != '\n' &&
-                      Lead != '\r') ||
-                     Lead == 0x7f;
+    bool IsControl =
+        (Lead < 0x20 && Lead != '\t' && Lead != '\n' && Lead != '\r') ||
+        Lead == 0x7f;
     std::size_t Length = IsControl ? 0 : sequenceLength(Text);
     if (Length == 0)
       return false;
--- a/src/console/HtmlWriter.h
+++ b/src/console/HtmlWriter.h
@@ -40,8 +40,8 @@
     return *this;
   }
   /// A char array that is not constant would count as markup.
-  template <std::size_t Size> HtmlWriter &operator<<(char (&Text)[Size]) =
-      delete;
+  template <std::size_t Size>
+  HtmlWriter &operator<<(char (&Text)[Size]) = delete;
 
   /// <input type="hidden">
   HtmlWriter &hidden(std::string_view Name, std::string_view Value);
--- a/src/console/SessionGuard.cpp
+++ b/src/console/SessionGuard.cpp
@@ -26,8 +26,8 @@
                                     const OperatorLogin &Login) const {
   // With the password hash in it, a new password ends the old sessions.
   return hmacSha256Hex(m_Settings.m_SessionSecret,
-                       std::string("session") + Separator + Signed +
-                           Separator + Login.m_PasswordHash);
+                       std::string("session") + Separator + Signed + Separator +
+                           Login.m_PasswordHash);
 }
 
 std::string SessionGuard::startSession(Time Now,
@@ -37,8 +37,8 @@
     return {};
   Time Expiry = Now + SessionTime;
   std::string Signed = Operator + ":" +
-                       std::to_string(Expiry.time_since_epoch().count()) +
-                       ":" + toHex(randomBytes(NonceBytes));
+                       std::to_string(Expiry.time_since_epoch().count()) + ":" +
+                       toHex(randomBytes(NonceBytes));
   return Signed + ":" + signature(Signed, *Login);
 }
 
@@ -67,8 +67,8 @@
                                     FormPurpose Purpose) const {
   return hmacSha256Hex(m_Settings.m_SessionSecret,
                        std::string("form") + Separator +
-                           std::string(PurposeNames.name(Purpose)) +
-                           Separator + Session);
+                           std::string(PurposeNames.name(Purpose)) + Separator +
+                           Session);
 }
 
 bool SessionGuard::isFormToken(const std::string &Token,
--- a/src/console/Workspace.cpp
+++ b/src/console/Workspace.cpp
@@ -3,8 +3,7 @@
 namespace parsleyring {
 
 const ConfigurationHead *Workspace::head() const {
-  return m_Loaded.m_Configuration ? &m_Loaded.m_Configuration->m_Head
-                                  : nullptr;
+  return m_Loaded.m_Configuration ? &m_Loaded.m_Configuration->m_Head : nullptr;
 }
 
 const Document &Workspace::inForce() const {
@@ -14,9 +13,8 @@
 }
 
 DraftBase Workspace::base() const {
-  return {m_Loaded.m_Version, m_Loaded.m_Configuration
-                                  ? m_Loaded.m_Configuration->m_HeadJson
-                                  : ""};
+  return {m_Loaded.m_Version,
+          m_Loaded.m_Configuration ? m_Loaded.m_Configuration->m_HeadJson : ""};
 }
 
 bool Workspace::isOutdated() const {
