Add the console's pages of accounts, pipelines, pools, links, rules and policy

A page in which something is entered carries the version on which it was opened. Without it, the old values of a form that is saved after another operator's change would count as an edit of that change.

--- a/src/console/Console.cpp
+++ b/src/console/Console.cpp
@@ -1,13 +1,20 @@
 #include "console/Console.h"
 
+#include "console/AccountPages.h"
 #include "console/Cryptography.h"
 #include "console/ImportPage.h"
+#include "console/ListPages.h"
 #include "console/OverviewPage.h"
+#include "console/PipelinePages.h"
+#include "console/PolicyPage.h"
+#include "console/PoolPages.h"
 #include "console/ReviewPage.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
+#include <set>
+
 namespace parsleyring {
 
 static const std::string SessionCookie = "parsleyring-session";
@@ -18,32 +25,57 @@
 static constexpr std::size_t VisitBytes = 16;
 static constexpr unsigned MaxWaitingSignIns = 8;
 
-namespace {
+/// What a page does with a draft that builds on another version.
+enum class OutdatedUse {
+  ShowConflict, ///< The conflict is shown instead of the page.
+  EditBase,     ///< An edit continues on the version of the draft.
+  PassOn,       ///< The page deals with it.
+};
 
 /// A page for operators who are signed in.
-struct Page {
+struct Console::Page {
   const char *m_Path;
   bool m_IsGetAllowed;
   /// Can be used while the document in the platform is damaged.
   bool m_IsAllowedDamaged;
-  /// Can be used while the draft builds on another version.
-  bool m_IsAllowedOutdated;
+  OutdatedUse m_Outdated;
   ConsoleResponse (*m_Show)(PageCall &Call);
 };
 
-} // namespace
+static constexpr OutdatedUse ShowConflict = OutdatedUse::ShowConflict;
+static constexpr OutdatedUse EditBase = OutdatedUse::EditBase;
+static constexpr OutdatedUse PassOn = OutdatedUse::PassOn;
 
-static const Page Pages[] = {
-    {"/", true, false, false, OverviewPage::show},
-    {"/document.toml", true, false, false, ImportPage::download},
-    {"/import", true, true, false, ImportPage::show},
-    {"/import/review", false, true, false, ImportPage::review},
-    {"/review", false, true, false, ReviewPage::show},
-    {"/rebase", false, false, true, ReviewPage::rebase},
-    {"/publish", false, true, true, ReviewPage::publish},
+const Console::Page Console::Pages[] = {
+    {"/", true, false, ShowConflict, OverviewPage::show},
+    {"/document.toml", true, false, ShowConflict, ImportPage::download},
+    {"/import", true, true, ShowConflict, ImportPage::show},
+    {"/import/review", false, true, EditBase, ImportPage::review},
+    {"/accounts", true, false, ShowConflict, AccountPages::list},
+    {"/account", true, false, ShowConflict, AccountPages::open},
+    {"/account/save", false, false, EditBase, AccountPages::save},
+    {"/account/key", false, false, EditBase, AccountPages::createKey},
+    {"/account/delete", false, false, EditBase, AccountPages::remove},
+    {"/pipelines", true, false, ShowConflict, PipelinePages::list},
+    {"/pipeline", true, false, ShowConflict, PipelinePages::open},
+    {"/pipeline/save", false, false, EditBase, PipelinePages::save},
+    {"/pipeline/delete", false, false, EditBase, PipelinePages::remove},
+    {"/pools", true, false, ShowConflict, PoolPages::list},
+    {"/pool", true, false, ShowConflict, PoolPages::open},
+    {"/pool/save", false, false, EditBase, PoolPages::save},
+    {"/pool/delete", false, false, EditBase, PoolPages::remove},
+    {"/links", true, false, ShowConflict, ListPages::openLinks},
+    {"/links/save", false, false, EditBase, ListPages::saveLinks},
+    {"/rules", true, false, ShowConflict, ListPages::openRules},
+    {"/rules/save", false, false, EditBase, ListPages::saveRules},
+    {"/policy", true, false, ShowConflict, PolicyPage::open},
+    {"/policy/save", false, false, EditBase, PolicyPage::save},
+    {"/review", false, true, ShowConflict, ReviewPage::show},
+    {"/rebase", false, false, PassOn, ReviewPage::rebase},
+    {"/publish", false, true, PassOn, ReviewPage::publish},
 };
 
-static const Page *pageAt(const std::string &Path) {
+const Console::Page *Console::pageAt(const std::string &Path) {
   for (const Page &Each : Pages)
     if (Path == Each.m_Path)
       return &Each;
@@ -106,7 +138,8 @@
       return redirect("/sign-in");
     // A redirection would lose the entered work without a word.
     return refuse(401, "You are not signed in, or the session has ended. Sign "
-                       "in from another tab, then send this form again.");
+                       "in from another tab, then go back and send this form "
+                       "again.");
   } catch (const FormError &Error) {
     return refuse(400, Error.what());
   } catch (const PlatformError &Error) {
@@ -205,12 +238,19 @@
                                                     : FormPurpose::Draft)) {
       if (IsPublish)
         ReviewPage::recordForgery(m_Context, Now, Request, Operator);
-      return refuse(403, "The form is not from your session. If you signed in "
-                         "anew, go back and send it again.");
+      return staleForm(Request, Session);
     }
     if (Request.m_Path == "/sign-out")
       return signOut();
   }
+  return showPage(Now, Request, Session, Operator, *Found);
+}
+
+ConsoleResponse Console::showPage(Time Now, const ConsoleRequest &Request,
+                                  const std::string &Session,
+                                  const std::string &Operator,
+                                  const Page &Wanted) {
+  const FormData &Input = Request.m_Input;
   Workspace Work(m_Context.m_Publisher.load());
   m_Context.m_Counters.m_Version = Work.version();
   if (Input.has("draft")) {
@@ -223,14 +263,43 @@
     Work.setDraft(std::move(*Carried));
   }
   PageCall Call{Now, m_Context, Request, Session, Operator, Work};
-  if (!Found->m_IsAllowedDamaged && Work.isDamaged())
+  if (!Wanted.m_IsAllowedDamaged && Work.isDamaged())
     return OverviewPage::damaged(Call);
+  if (Wanted.m_Outdated == OutdatedUse::PassOn)
+    return Wanted.m_Show(Call);
   // Changes of single entities cannot build on a document that is lost.
-  if (!Found->m_IsAllowedOutdated && Work.isDamaged() && Work.isOutdated())
+  if (Work.isDamaged() && !(Work.draft().base() == Work.base()))
     Work.setDraft(Draft());
-  if (!Found->m_IsAllowedOutdated && Work.isOutdated())
+  if (Wanted.m_Outdated == OutdatedUse::ShowConflict && Work.isOutdated())
     return ReviewPage::conflict(Call);
-  return Found->m_Show(Call);
+  bool IsEdit = Wanted.m_Outdated == OutdatedUse::EditBase;
+  if (IsEdit && Input.has("draft") && !Work.openDraftBase(m_Context.m_Platform))
+    return refuse(409, "Another version is in force, and the version on which "
+                       "this form was opened cannot be read any more. Go back, "
+                       "note what you entered, and open the page again.");
+  return Wanted.m_Show(Call);
+}
+
+ConsoleResponse Console::staleForm(const ConsoleRequest &Request,
+                                   const std::string &Session) const {
+  ++m_Context.m_Counters.m_RefusedRequests;
+  static const std::set<std::string> Left{"token", "publish_token", "nonce"};
+  HtmlWriter Body;
+  Body << "<p class=\"finding\">The form is not from this session. Nothing was "
+          "changed.</p>\n<p>If it is your own, from before you signed in anew, "
+          "you can go on with what you entered. If you did not send one, leave "
+          "this page: <a href=\"/\">Overview</a></p>\n";
+  // Only steps that change nothing may be reached from here.
+  bool IsPublish = Request.m_Path == "/publish";
+  Body << "<form method=\"post\" action=\""
+       << (IsPublish ? std::string("/review") : Request.m_Path) << "\">\n";
+  Body.hidden("token",
+              m_Context.m_Sessions.formToken(Session, FormPurpose::Draft));
+  for (const auto &[Name, Value] : Request.m_Input.fields())
+    if (Left.count(Name) == 0)
+      Body.hidden(Name, Value);
+  Body << "<p><button>Go on with this form</button></p>\n</form>\n";
+  return renderPlainPage("Request refused", Body, 403);
 }
 
 ConsoleResponse Console::platformError(const ConsoleRequest &Request,
--- a/src/console/Console.h
+++ b/src/console/Console.h
@@ -25,12 +25,21 @@
   static constexpr std::size_t MaxSignInBytes = 16 << 10;
 
 private:
+  struct Page;
+  static const Page Pages[];
+  static const Page *pageAt(const std::string &Path);
+
   ConsoleResponse signInPage(const std::string &Problem, int Status) const;
   ConsoleResponse signIn(Time Now, const ConsoleRequest &Request);
   ConsoleResponse signOut() const;
   ConsoleResponse handleSignedIn(Time Now, const ConsoleRequest &Request,
                                  const std::string &Operator);
-  ConsoleResponse showPage(PageCall &Call);
+  ConsoleResponse showPage(Time Now, const ConsoleRequest &Request,
+                           const std::string &Session,
+                           const std::string &Operator, const Page &Wanted);
+  /// The form token is wrong, for example from a session that has ended.
+  ConsoleResponse staleForm(const ConsoleRequest &Request,
+                            const std::string &Session) const;
   ConsoleResponse platformError(const ConsoleRequest &Request,
                                 const PlatformError &Error) const;
   void recordSignIn(Time Now, const ConsoleRequest &Request,
--- a/src/console/ImportPage.cpp
+++ b/src/console/ImportPage.cpp
@@ -46,7 +46,7 @@
   if (Call.m_Workspace.head())
     Body << " <a href=\"/document.toml\">Document in force</a>";
   Body << "</p>\n";
-  return renderPage(Call, "Import", Body, Findings.empty() ? 200 : 422);
+  return renderEditPage(Call, "Import", Body, Findings.empty() ? 200 : 422);
 }
 
 ConsoleResponse ImportPage::show(PageCall &Call) {
@@ -121,7 +121,7 @@
                   {{"", 0, "text",
                     "the change is too large for one form; import it in parts "
                     "that add to the document"}});
-  return ReviewPage::show(Call);
+  return ReviewPage::afterEdit(Call, {});
 }
 
 ConsoleResponse ImportPage::download(PageCall &Call) {
--- a/src/console/PageCall.cpp
+++ b/src/console/PageCall.cpp
@@ -40,34 +40,40 @@
          "<link rel=\"stylesheet\" href=\"/style.css\">\n</head>\n<body>\n";
 }
 
-/// Links are enough without a draft; with one, each step posts it.
+void writeStep(HtmlWriter &Out, const PageCall &Call, const std::string &Path,
+               const std::string &Label) {
+  // Links are enough without a draft.
+  if (Call.m_Workspace.draft().isEmpty())
+    Out << "<a href=\"" << Path << "\">" << Label << "</a>\n";
+  else
+    Out << "<button formaction=\"" << Path << "\" formnovalidate>" << Label
+        << "</button>\n";
+}
+
 static void writeNavigation(HtmlWriter &Out, const PageCall &Call) {
-  bool HasDraft = !Call.m_Workspace.draft().isEmpty();
   Out << "<nav>\n";
   for (const Section &Each : Sections)
-    if (HasDraft)
-      Out << "<button formaction=\"" << std::string(Each.m_Path)
-          << "\" formnovalidate>" << std::string(Each.m_Label) << "</button>\n";
-    else
-      Out << "<a href=\"" << std::string(Each.m_Path) << "\">"
-          << std::string(Each.m_Label) << "</a>\n";
-  if (HasDraft)
-    Out << "<button formaction=\"/review\" formnovalidate>Review draft ("
-        << counted(Call.m_Workspace.draft().changedEntities().size(), "change")
-        << ")</button>\n<a href=\"/\">Discard draft</a>\n";
+    writeStep(Out, Call, Each.m_Path, Each.m_Label);
+  std::size_t Changes = Call.m_Workspace.draft().changedEntities().size();
+  if (Changes > 0) {
+    writeStep(Out, Call, "/review",
+              "Review draft (" + counted(Changes, "change") + ")");
+    Out << "<a href=\"/\">Discard draft</a>\n";
+  }
   Out << "<button formaction=\"/sign-out\" formnovalidate>Sign out "
       << Call.m_Operator << "</button>\n</nav>\n";
 }
 
-ConsoleResponse renderPage(const PageCall &Call, const std::string &Title,
-                           const HtmlWriter &Body, int Status) {
+static ConsoleResponse render(const PageCall &Call, const std::string &Title,
+                              const HtmlWriter &Body, int Status,
+                              bool CarriesBase) {
   HtmlWriter Out;
   beginDocument(Out, Title);
   Out << "<form method=\"post\" action=\"" << Call.m_Request.m_Path
       << "\" accept-charset=\"utf-8\">\n";
   Out.hidden("token", Call.m_Context.m_Sessions.formToken(Call.m_Session,
                                                           FormPurpose::Draft));
-  if (!Call.m_Workspace.draft().isEmpty())
+  if (CarriesBase || !Call.m_Workspace.draft().isEmpty())
     Out.hidden("draft", Call.m_Workspace.draft().encode());
   // The navigation stands last, so that the Enter key presses the first button
   // of the page itself; the style sheet shows it on top.
@@ -80,6 +86,20 @@
   return Response;
 }
 
+ConsoleResponse renderPage(const PageCall &Call, const std::string &Title,
+                           const HtmlWriter &Body, int Status) {
+  return render(Call, Title, Body, Status, false);
+}
+
+ConsoleResponse renderEditPage(PageCall &Call, const std::string &Title,
+                               const HtmlWriter &Body, int Status) {
+  Workspace &Work = Call.m_Workspace;
+  // A form that is shown again keeps the base on which it was opened.
+  if (Work.draft().isEmpty() && !Work.hasOpenedBase())
+    Work.edit(Work.inForce());
+  return render(Call, Title, Body, Status, true);
+}
+
 ConsoleResponse renderPlainPage(const std::string &Title,
                                 const HtmlWriter &Body, int Status) {
   HtmlWriter Out;
--- a/src/console/PageCall.h
+++ b/src/console/PageCall.h
@@ -24,6 +24,15 @@
 /// carries the draft. Body may not hold forms; its buttons have "formaction".
 ConsoleResponse renderPage(const PageCall &Call, const std::string &Title,
                            const HtmlWriter &Body, int Status = 200);
+/// As renderPage(), for pages in which something is entered: they carry the
+/// base version even without a draft, so that an edit of an entity that
+/// another operator changes meanwhile is noticed.
+ConsoleResponse renderEditPage(PageCall &Call, const std::string &Title,
+                               const HtmlWriter &Body, int Status = 200);
+
+/// A link, or a button that posts the draft if there is one.
+void writeStep(HtmlWriter &Out, const PageCall &Call, const std::string &Path,
+               const std::string &Label);
 
 /// A page for operators who are not signed in, and for errors.
 ConsoleResponse renderPlainPage(const std::string &Title,
--- a/src/console/ReviewPage.cpp
+++ b/src/console/ReviewPage.cpp
@@ -64,6 +64,13 @@
   return render(Call, {}, 200);
 }
 
+ConsoleResponse ReviewPage::afterEdit(PageCall &Call,
+                                      const HtmlWriter &Notice) {
+  if (Call.m_Workspace.isOutdated())
+    return conflict(Call, Notice);
+  return render(Call, Notice, 200);
+}
+
 static void writeHead(HtmlWriter &Out, const ConfigurationHead &Head) {
   Out << "version " << Head.m_Version << ", published by " << Head.m_Author
       << " at " << shownTime(Head.m_PublishedAtMillis);
@@ -84,11 +91,12 @@
     Out << "<p>The document of that version cannot be read any more.</p>\n";
 }
 
-ConsoleResponse ReviewPage::conflict(PageCall &Call) {
+ConsoleResponse ReviewPage::conflict(PageCall &Call, const HtmlWriter &Notice) {
   const Workspace &Work = Call.m_Workspace;
   if (Work.isDamaged())
     return OverviewPage::damaged(Call);
   HtmlWriter Body;
+  Body << Notice;
   Body << "<p class=\"finding\">Nothing was published: the configuration "
           "changed while you were editing. In force is ";
   if (Work.head())
--- a/src/console/ReviewPage.h
+++ b/src/console/ReviewPage.h
@@ -10,9 +10,13 @@
 class ReviewPage {
 public:
   static ConsoleResponse show(PageCall &Call);
+  /// Shows the draft after an edit, or the conflict if the form of the edit was
+  /// opened on an older version. Notice is shown above.
+  static ConsoleResponse afterEdit(PageCall &Call, const HtmlWriter &Notice);
   static ConsoleResponse publish(PageCall &Call);
   /// The draft builds on another version than the one in force.
-  static ConsoleResponse conflict(PageCall &Call);
+  static ConsoleResponse conflict(PageCall &Call,
+                                  const HtmlWriter &Notice = {});
   /// Moves the draft to the version in force.
   static ConsoleResponse rebase(PageCall &Call);
 
--- a/src/console/Workspace.cpp
+++ b/src/console/Workspace.cpp
@@ -21,6 +21,16 @@
   return !m_Draft.isEmpty() && !(m_Draft.base() == base());
 }
 
+bool Workspace::openDraftBase(PlatformClient &Platform) {
+  if (m_Draft.base() == base())
+    return true;
+  if (m_Draft.base().m_Version == 0)
+    m_BaseDocument = std::make_shared<const Document>();
+  else
+    m_BaseDocument = readDocument(Platform, m_Draft.base().m_HeadJson);
+  return m_BaseDocument != nullptr;
+}
+
 std::shared_ptr<const Document> readDocument(PlatformClient &Platform,
                                              const std::string &HeadJson) {
   std::vector<Finding> Findings;
--- a/src/console/Workspace.h
+++ b/src/console/Workspace.h
@@ -27,18 +27,31 @@
   const Draft &draft() const { return m_Draft; }
   /// The draft builds on another version than the one in force.
   bool isOutdated() const;
-  /// The document in force with the changes of the draft.
-  Document edited() const { return m_Draft.applyTo(inForce()); }
+  /// Fetches the document that the draft builds on, if another version is in
+  /// force. An edit then continues on the version on which its form was
+  /// opened. False if that document cannot be read any more. Throws
+  /// PlatformError.
+  bool openDraftBase(PlatformClient &Platform);
+  bool hasOpenedBase() const { return m_BaseDocument != nullptr; }
+  /// The base document with the changes of the draft.
+  Document edited() const { return m_Draft.applyTo(baseDocument()); }
   /// Replaces the draft by the changes that lead to Edited.
   void edit(const Document &Edited) {
-    m_Draft = Draft(base(), inForce(), Edited);
+    m_Draft =
+        Draft(m_BaseDocument ? m_Draft.base() : base(), baseDocument(), Edited);
   }
   /// Moves the draft to the version in force.
   void rebase() { m_Draft = m_Draft.rebased(base(), inForce()); }
 
 private:
+  const Document &baseDocument() const {
+    return m_BaseDocument ? *m_BaseDocument : inForce();
+  }
+
   LoadedConfiguration m_Loaded;
   Draft m_Draft;
+  /// Null if the draft builds on the version in force.
+  std::shared_ptr<const Document> m_BaseDocument;
 };
 
 /// The document of a head that was in force earlier; null if its chunks are
--- /dev/null
+++ b/tests/console/ConsoleTest.cpp
@@ -0,0 +1,347 @@
+#include "document/DocumentWriter.h"
+#include "support/ConsoleBrowser.h"
+#include "support/SampleDocument.h"
+#include "support/TestConsole.h"
+#include "support/TestMain.h"
+
+#include <regex>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+
+TEST_GROUP(Console) {
+  FakePlatform Platform;
+  const Settings Values = testConsoleSettings();
+  TestConsole Server{Values, Platform};
+  ConsoleBrowser Ann{Server.port()};
+  ConsoleBrowser Bob{Server.port()};
+
+  void publishSample(unsigned Accounts = 3) {
+    CHECK(Server.publish(sampleDocument(Accounts), 0, "setup").m_Status ==
+          PublicationStatus::Published);
+  }
+
+  void signIn() {
+    Ann.signIn("ann", "ann-password");
+    Bob.signIn("bob", "bob-password");
+  }
+
+  /// Opens an account and enters a share; shows the review page.
+  static void editShare(ConsoleBrowser & Browser, const std::string &Account,
+                        const std::string &Share) {
+    Browser.get("/account?open=" + Account);
+    Browser.submit("/account/save", {{"account.share", Share}});
+    LONGS_EQUAL(200, Browser.status());
+  }
+
+  ConfigurationVersion version() { return Server.load().m_Version; }
+
+  double share(std::size_t Account) {
+    LoadedConfiguration Loaded = Server.load();
+    std::string Name = "account-" + std::to_string(Account);
+    for (const ClientAccount &Each :
+         Loaded.m_Configuration->m_Document->m_Accounts)
+      if (Each.m_Name == Name)
+        return Each.m_Share;
+    return 0;
+  }
+};
+
+// Guards against a console on which operators cannot begin: nothing is
+// published, and the first document comes through the import page.
+TEST(Console, SignInImportReviewPublish) {
+  Ann.get("/");
+  LONGS_EQUAL(303, Ann.status());
+  STRCMP_EQUAL("/sign-in", Ann.header("Location").c_str());
+  Ann.signIn("ann", "ann-password");
+  LONGS_EQUAL(303, Ann.status());
+  CHECK(Ann.get("/").find("No configuration is published") !=
+        std::string::npos);
+  Ann.get("/import");
+  Ann.submit("/import/review",
+             {{"text", DocumentWriter::write(sampleDocument(2))}});
+  CHECK(Ann.shows("account &quot;account-1&quot;: added"));
+  LONGS_EQUAL(0, version());
+  Ann.submit("/publish");
+  LONGS_EQUAL(200, Ann.status());
+  CHECK(Ann.shows("<strong id=\"version\">1</strong>"));
+  LONGS_EQUAL(1, version());
+  CHECK(Ann.get("/").find("<td>ann</td>") != std::string::npos);
+  CHECK(
+      Server.records().find("\"status\":\"published\",\"operator\":\"ann\"") !=
+      std::string::npos);
+}
+
+// Guards against a key that is stored, logged or shown a second time.
+TEST(Console, CreateAccountWithKey) {
+  publishSample();
+  signIn();
+  Ann.get("/account");
+  Ann.submit("/account/key", {{"account.name", "new <account>"}});
+  std::smatch Key;
+  std::regex Pattern("class=\"key\">([A-Za-z0-9_-]{43})</code>");
+  CHECK(std::regex_search(Ann.page(), Key, Pattern));
+  std::string Secret = Key[1];
+  CHECK(Ann.shows("account new &lt;account&gt; is"));
+  Ann.submit("/publish");
+  CHECK(Ann.shows("<strong id=\"version\">2</strong>"));
+  CHECK_FALSE(Ann.shows(Secret));
+  LoadedConfiguration Loaded = Server.load();
+  const ClientAccount *Found =
+      Loaded.m_Configuration->m_Document->accountByKeyHash(sha256Hex(Secret));
+  STRCMP_EQUAL("new <account>", Found->m_Name.c_str());
+  CHECK(Server.records().find(Secret) == std::string::npos);
+  CHECK(Server.records().find("password") == std::string::npos);
+}
+
+// Guards against two operators of whom the second overwrites the first, or
+// loses what was entered.
+TEST(Console, SecondOperatorKeepsTheWork) {
+  publishSample();
+  signIn();
+  editShare(Ann, "account-0", "5");
+  editShare(Bob, "account-1", "7");
+  Ann.submit("/publish");
+  LONGS_EQUAL(200, Ann.status());
+  Bob.submit("/publish");
+  LONGS_EQUAL(409, Bob.status());
+  CHECK(Bob.shows("published by ann"));
+  CHECK(Bob.shows("account &quot;account-0&quot;: share 1 -&gt; 5"));
+  CHECK(Bob.shows("Apply the same edit to version 2"));
+  DOUBLES_EQUAL(1, share(1), 0);
+  Bob.submit("/rebase");
+  CHECK(Bob.shows("account &quot;account-1&quot;: share 1 -&gt; 7"));
+  CHECK_FALSE(Bob.shows("account-0"));
+  Bob.submit("/publish");
+  LONGS_EQUAL(3, version());
+  DOUBLES_EQUAL(5, share(0), 0);
+  DOUBLES_EQUAL(7, share(1), 0);
+  CHECK(Server.records().find("\"status\":\"conflict\",\"operator\":\"bob\"") !=
+        std::string::npos);
+}
+
+// Guards against an edit of the same entity that is applied on top of another
+// operator's without a word.
+TEST(Console, SameEntityIsNotOverwritten) {
+  publishSample();
+  signIn();
+  editShare(Ann, "account-0", "5");
+  editShare(Bob, "account-0", "7");
+  Ann.submit("/publish");
+  Bob.submit("/publish");
+  LONGS_EQUAL(409, Bob.status());
+  CHECK(Bob.shows("<li>account account-0</li>"));
+  CHECK(Bob.shows("share = 7"));
+  Bob.submit("/rebase");
+  CHECK(Bob.shows("share = 7"));
+  CHECK(Bob.shows("There is nothing to publish"));
+  DOUBLES_EQUAL(5, share(0), 0);
+}
+
+// Guards against a form that was opened before another operator's change and
+// is saved after it: its old values must not count as an edit.
+TEST(Console, FormOpenedBeforeAnotherChange) {
+  publishSample();
+  signIn();
+  Bob.get("/account?open=account-0");
+  editShare(Ann, "account-0", "5");
+  Ann.submit("/publish");
+  Bob.submit("/account/save", {{"account.max_outstanding", "9"}});
+  LONGS_EQUAL(409, Bob.status());
+  CHECK(Bob.shows("<li>account account-0</li>"));
+  CHECK(Bob.shows("max_outstanding = 9"));
+}
+
+// Guards against a lost answer that is taken for a failure, or published
+// twice.
+TEST(Console, LostAnswerIsSettled) {
+  publishSample();
+  signIn();
+  editShare(Ann, "account-0", "5");
+  std::string Review = Ann.page();
+  Platform.beforeNextWrite("config/head", [&] { Platform.loseAnswers(1); });
+  Ann.submit("/publish");
+  CHECK(Ann.shows("<strong id=\"version\">2</strong>"));
+  LONGS_EQUAL(2, version());
+}
+
+// Guards against work that is lost, or published twice, when a console ends
+// between two steps or before its answer arrives.
+TEST(Console, AnotherConsoleContinues) {
+  publishSample();
+  signIn();
+  editShare(Ann, "account-0", "5");
+  TestConsole Other(Values, Platform);
+  ConsoleBrowser Again = Ann;
+  Ann.moveTo(Other.port());
+  Ann.submit("/publish");
+  CHECK(Ann.shows("<strong id=\"version\">2</strong>"));
+  editShare(Bob, "account-1", "7");
+  Bob.submit("/publish");
+  // The answer to the first post was lost on its way to the browser.
+  Again.submit("/publish");
+  CHECK(Again.shows("<strong id=\"version\">2</strong>"));
+  LONGS_EQUAL(3, version());
+}
+
+// Guards against entered work that is lost while the platform is out.
+TEST(Console, PlatformOutage) {
+  publishSample();
+  signIn();
+  Ann.get("/account?open=account-0");
+  Platform.setOutage(true);
+  Ann.submit("/account/save", {{"account.share", "5"}});
+  LONGS_EQUAL(503, Ann.status());
+  CHECK(Ann.shows("platform is down"));
+  Platform.setOutage(false);
+  Ann.submit("/account/save");
+  LONGS_EQUAL(200, Ann.status());
+  Platform.setOutage(true);
+  Ann.submit("/publish");
+  LONGS_EQUAL(503, Ann.status());
+  Platform.setOutage(false);
+  Ann.submit("/publish");
+  DOUBLES_EQUAL(5, share(0), 0);
+}
+
+// Guards against an outage that begins within the publication.
+TEST(Console, OutageDuringPublication) {
+  publishSample();
+  signIn();
+  editShare(Ann, "account-0", "5");
+  Platform.beforeNextWrite("config/head", [&] { Platform.setOutage(true); });
+  Ann.submit("/publish");
+  LONGS_EQUAL(503, Ann.status());
+  CHECK(Ann.shows("Your changes are kept"));
+  Platform.setOutage(false);
+  LONGS_EQUAL(1, version());
+  Ann.submit("/publish");
+  LONGS_EQUAL(2, version());
+}
+
+// Guards against posts that another site makes a browser send.
+TEST(Console, ForgedPostIsRefused) {
+  publishSample();
+  signIn();
+  editShare(Ann, "account-0", "5");
+  std::string DraftToken = Ann.fields()["token"];
+  Bob.get("/account");
+  std::string OtherToken = Bob.fields()["token"];
+  for (const std::string &Token : {std::string(), DraftToken, OtherToken}) {
+    ConsoleBrowser Forger = Ann;
+    Forger.submit("/publish", {{"publish_token", Token}});
+    LONGS_EQUAL(403, Forger.status());
+  }
+  ConsoleBrowser::Fields Without = Ann.fields();
+  Without.erase("publish_token");
+  ConsoleBrowser Forger = Ann;
+  Forger.post("/publish", ConsoleBrowser::encode(Without));
+  LONGS_EQUAL(400, Forger.status());
+  LONGS_EQUAL(1, version());
+  CHECK(Server.records().find("\"status\":\"forged\"") != std::string::npos);
+  Ann.submit("/publish");
+  LONGS_EQUAL(2, version());
+}
+
+// Guards against a session that lasts too long, or outlives its password.
+TEST(Console, SessionsEnd) {
+  publishSample();
+  signIn();
+  Settings Changed = Values;
+  Changed.m_Operators[1].m_PasswordHash = Changed.m_Operators[0].m_PasswordHash;
+  TestConsole Other(Changed, Platform);
+  Bob.moveTo(Other.port());
+  Bob.get("/");
+  LONGS_EQUAL(303, Bob.status());
+  Server.m_Age = SessionGuard::SessionTime - Duration(1);
+  Ann.get("/");
+  LONGS_EQUAL(200, Ann.status());
+  Server.m_Age = SessionGuard::SessionTime;
+  Ann.get("/");
+  LONGS_EQUAL(303, Ann.status());
+}
+
+// Guards against malformed forms that change something, or are answered
+// without the place of the error.
+TEST(Console, MalformedFormsAreRefused) {
+  publishSample();
+  signIn();
+  editShare(Ann, "account-0", "5");
+  std::string Good = ConsoleBrowser::encode(Ann.fields());
+  auto Refused = [&](const std::string &Path, const std::string &Body,
+                     int Status, const std::string &Message) {
+    ConsoleBrowser Browser = Ann;
+    Browser.post(Path, Body);
+    LONGS_EQUAL(Status, Browser.status());
+    CHECK_TEXT(Browser.shows(Message), Browser.page().c_str());
+  };
+  Refused("/publish", Good + "&draft=x", 400,
+          "field &quot;draft&quot; is given more than once");
+  Refused("/publish", Good + "&x=%ff", 400, "field &quot;x&quot; is not UTF-8");
+  Refused("/publish", Good + "&x=%0", 400, "malformed percent escape");
+  Refused("/publish", Good + "&x=" + std::string(Console::MaxFormBytes, 'a'),
+          413, "more than 4194304 bytes");
+  ConsoleBrowser::Fields Fields = Ann.fields();
+  Fields["draft"] = "eyJ9";
+  Refused("/publish", ConsoleBrowser::encode(Fields), 400,
+          "The draft is damaged");
+  Fields = Ann.fields();
+  Fields.erase("nonce");
+  Refused("/publish", ConsoleBrowser::encode(Fields), 400,
+          "field &quot;nonce&quot; is missing");
+  Refused("/account/save", Good, 400, "field &quot;original&quot; is missing");
+  LONGS_EQUAL(1, version());
+  ConsoleBrowser Stranger(Server.port());
+  Stranger.post("/publish", std::string(Console::MaxSignInBytes + 1, 'a'));
+  LONGS_EQUAL(413, Stranger.status());
+  Stranger.post("/publish", Good);
+  LONGS_EQUAL(401, Stranger.status());
+}
+
+// Guards against a console that builds on a document that was changed by hand,
+// and against one that cannot replace it.
+TEST(Console, DamagedDocumentCanOnlyBeReplaced) {
+  publishSample();
+  signIn();
+  editShare(Ann, "account-0", "5");
+  ConfigurationHead Head = Server.load().m_Configuration->m_Head;
+  TestConsole Fresh(Values, Platform);
+  Platform.put(configurationChunkKey(Head.m_Chunks[0].m_Sha256), "by hand");
+  Ann.moveTo(Fresh.port());
+  Ann.get("/accounts");
+  LONGS_EQUAL(409, Ann.status());
+  CHECK(Ann.shows("does not have this SHA-256"));
+  Ann.get("/import");
+  Ann.submit("/import/review",
+             {{"text", DocumentWriter::write(sampleDocument(1))}});
+  LONGS_EQUAL(200, Ann.status());
+  Ann.submit("/publish");
+  CHECK(Ann.shows("<strong id=\"version\">2</strong>"));
+  CHECK(Fresh.load().m_Findings.empty());
+}
+
+// Guards against findings that are shown without line or field, and against an
+// invalid draft that can be published.
+TEST(Console, FindingsStandBesideTheirFields) {
+  publishSample();
+  signIn();
+  Ann.get("/import");
+  Ann.submit("/import/review", {{"text", "[policy]\nspeed = 1\n"}});
+  LONGS_EQUAL(422, Ann.status());
+  CHECK(Ann.shows("text line 2"));
+  CHECK(Ann.shows("speed = 1"));
+  Ann.get("/account?open=account-0");
+  Ann.submit("/account/save", {{"account.share", "many"}});
+  LONGS_EQUAL(422, Ann.status());
+  CHECK(Ann.shows("value=\"many\""));
+  CHECK(Ann.shows("must be a number"));
+  Ann.submit("/account/save", {{"account.share", "-1"}});
+  CHECK(Ann.shows("<td>share</td><td>-1</td>"
+                  "<td class=\"finding\">must be above 0"));
+  CHECK_FALSE(Ann.shows("publish_token"));
+  Ann.submit("/account?open=account-0");
+  CHECK(Ann.shows("<span class=\"finding\">must be above 0</span>"));
+}
+
+PARSLEYRING_TEST_MAIN
