Add the rollout page, and tests of the console

The settings of the console name the routers in [[router]] with vm and address. The rollout page asks them for /metrics on each view: 32 at a time, with 0.5 s to connect, 1 s to read and 6 s for all.

--- a/include/parsleyring/Settings.h
+++ b/include/parsleyring/Settings.h
@@ -19,6 +19,12 @@
   std::string m_PasswordHash; ///< "pbkdf2-sha256$ROUNDS$SALT-HEX$HASH-HEX"
 };
 
+/// A router whose configuration version the console shows.
+struct RouterAddress {
+  std::string m_VM;
+  std::string m_Address; ///< IP:port of the router's server for callers.
+};
+
 /// Settings of a process, read from one TOML file and checked whole. Defaults
 /// and limits of every setting are in Settings.cpp.
 struct Settings {
@@ -47,6 +53,8 @@
   // [console]
   std::string m_SessionSecret; ///< The same for all consoles; 32 bytes or more.
   std::vector<OperatorLogin> m_Operators;
+  // [[router]]; of the console only
+  std::vector<RouterAddress> m_Routers;
 
   /// Which program reads the file; decides which settings are required.
   enum class Program { Router, Console };
--- a/src/console/Console.cpp
+++ b/src/console/Console.cpp
@@ -9,6 +9,7 @@
 #include "console/PolicyPage.h"
 #include "console/PoolPages.h"
 #include "console/ReviewPage.h"
+#include "console/RolloutPage.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -70,6 +71,7 @@
     {"/rules/save", false, false, EditBase, ListPages::saveRules},
     {"/policy", true, false, ShowConflict, PolicyPage::open},
     {"/policy/save", false, false, EditBase, PolicyPage::save},
+    {"/rollout", true, true, ShowConflict, RolloutPage::show},
     {"/review", false, true, ShowConflict, ReviewPage::show},
     {"/rebase", false, false, PassOn, ReviewPage::rebase},
     {"/publish", false, true, PassOn, ReviewPage::publish},
--- /dev/null
+++ b/src/console/RolloutPoll.cpp
@@ -0,0 +1,82 @@
+#include "console/RolloutPoll.h"
+
+#include "http/Address.h"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <thread>
+
+namespace parsleyring {
+
+using std::chrono::steady_clock;
+
+static constexpr std::chrono::milliseconds ConnectLimit(500);
+static constexpr std::chrono::milliseconds ReadLimit(1000);
+/// For all routers together. With 32 threads, 340 routers of which none can
+/// be reached take 5.5 s.
+static constexpr std::chrono::seconds TotalLimit(6);
+static constexpr std::size_t MaxThreads = 32;
+static constexpr std::size_t MaxMetricsBytes = 8 << 20;
+static const std::string Gauge = "parsleyring_configuration_version ";
+
+std::optional<ConfigurationVersion>
+versionInMetrics(const std::string &MetricsText) {
+  std::size_t At = 0;
+  if (MetricsText.compare(0, Gauge.size(), Gauge) != 0) {
+    At = MetricsText.find("\n" + Gauge);
+    if (At == std::string::npos)
+      return std::nullopt;
+    ++At;
+  }
+  // Gauges are written as real numbers, large ones with an exponent.
+  double Value = std::strtod(MetricsText.c_str() + At + Gauge.size(), nullptr);
+  static constexpr double MaxExact = 9007199254740992.0; // 2^53
+  if (!(Value >= 0 && Value <= MaxExact))
+    return std::nullopt;
+  return static_cast<ConfigurationVersion>(Value);
+}
+
+static RouterVersion ask(const RouterAddress &Router,
+                         steady_clock::time_point End) {
+  std::optional<Address> Target = parseAddress(Router.m_Address);
+  if (!Target)
+    return {0, "the address is malformed"};
+  if (steady_clock::now() >= End)
+    return {0, "not asked in time"};
+  httplib::Client Client(Target->m_Host, Target->m_Port);
+  Client.set_connection_timeout(ConnectLimit);
+  Client.set_read_timeout(ReadLimit);
+  Client.set_write_timeout(ReadLimit);
+  std::string Text;
+  auto Answer = Client.Get("/metrics", [&](const char *Data, size_t Size) {
+    Text.append(Data, Size);
+    return Text.size() <= MaxMetricsBytes && steady_clock::now() < End;
+  });
+  if (!Answer)
+    return {0, "no answer"};
+  std::optional<ConfigurationVersion> Version = versionInMetrics(Text);
+  if (Answer->status != 200 || !Version)
+    return {0, "its metrics have no configuration version"};
+  return {*Version, ""};
+}
+
+std::vector<RouterVersion>
+pollRouterVersions(const std::vector<RouterAddress> &Routers) {
+  std::vector<RouterVersion> Results(Routers.size());
+  std::atomic<std::size_t> Next{0};
+  auto End = steady_clock::now() + TotalLimit;
+  auto Work = [&] {
+    for (std::size_t At = Next++; At < Routers.size(); At = Next++)
+      Results[At] = ask(Routers[At], End);
+  };
+  std::vector<std::thread> Threads;
+  for (std::size_t Count = 0; Count < std::min(MaxThreads, Routers.size());
+       ++Count)
+    Threads.emplace_back(Work);
+  for (std::thread &Each : Threads)
+    Each.join();
+  return Results;
+}
+
+} // namespace parsleyring
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -151,6 +151,19 @@
   Table.finish();
 }
 
+static void readRouters(TomlSection &Root, Settings &Result) {
+  std::set<std::string> Names;
+  for (TomlSection &Table : Root.sections("router")) {
+    RouterAddress Router;
+    readIdentifier(Table, "vm", Router.m_VM, Presence::Required);
+    readAddress(Table, "address", Router.m_Address, Presence::Required);
+    Table.finish();
+    if (!Router.m_VM.empty() && !Names.insert(Router.m_VM).second)
+      Table.report("vm", "occurs twice; each router is allowed once");
+    Result.m_Routers.push_back(std::move(Router));
+  }
+}
+
 static void readAll(TomlSection Root, Program Reader, Settings &Result) {
   Presence ForRouter =
       Reader == Program::Router ? Presence::Required : Presence::Optional;
@@ -183,10 +196,12 @@
   Audit.finish();
 
   // The secrets of the console must not lie on every router VM.
-  if (Reader == Program::Console)
+  if (Reader == Program::Console) {
     readConsole(Root.section("console"), Result);
-  else if (Root.has("console"))
+    readRouters(Root, Result);
+  } else if (Root.has("console")) {
     Root.report("console", "is allowed in the settings of the console only");
+  }
   if (Reader == Program::Router)
     Root.section("console");
   Root.finish();
--- /dev/null
+++ b/tests/console/SessionGuardTest.cpp
@@ -0,0 +1,83 @@
+#include "console/SessionGuard.h"
+
+#include "console/HashPasswordCommand.h"
+#include "console/PasswordHash.h"
+#include "support/TestConsole.h"
+#include "support/TestMain.h"
+
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+
+TEST_GROUP(SessionGuard) {
+  const Settings Values = testConsoleSettings();
+  const SessionGuard Guard{Values};
+  const Time Now{std::chrono::hours(490000)};
+};
+
+// Guards against cookies that operators or others made up or changed.
+TEST(SessionGuard, ChangedCookiesAreRefused) {
+  std::string Cookie = Guard.startSession(Now, "ann");
+  STRCMP_EQUAL("ann", Guard.operatorOf(Now, Cookie)->c_str());
+  for (std::size_t At = 0; At < Cookie.size(); ++At) {
+    std::string Changed = Cookie;
+    Changed[At] = Changed[At] == '0' ? '1' : '0';
+    CHECK_FALSE(Guard.operatorOf(Now, Changed).has_value());
+    CHECK_FALSE(Guard.operatorOf(Now, Cookie.substr(0, At)).has_value());
+  }
+  Settings Other = Values;
+  Other.m_SessionSecret[0] = 'A';
+  CHECK_FALSE(SessionGuard(Other).operatorOf(Now, Cookie).has_value());
+  Other = Values;
+  Other.m_Operators.erase(Other.m_Operators.begin());
+  CHECK_FALSE(SessionGuard(Other).operatorOf(Now, Cookie).has_value());
+  CHECK(Guard.startSession(Now, "nobody").empty());
+}
+
+// Guards against a token that is good for another session or purpose.
+TEST(SessionGuard, FormTokensAreBound) {
+  std::string First = Guard.startSession(Now, "ann");
+  std::string Second = Guard.startSession(Now, "ann");
+  std::string Token = Guard.formToken(First, FormPurpose::Draft);
+  CHECK(Guard.isFormToken(Token, First, FormPurpose::Draft));
+  CHECK_FALSE(Guard.isFormToken(Token, First, FormPurpose::Publish));
+  CHECK_FALSE(Guard.isFormToken(Token, Second, FormPurpose::Draft));
+  CHECK_FALSE(Guard.isFormToken("", First, FormPurpose::Draft));
+  std::string ForNobody = Guard.formToken("", FormPurpose::SignIn);
+  CHECK_FALSE(Guard.isFormToken(ForNobody, "", FormPurpose::SignIn));
+}
+
+// Guards against hashes that differ from other tools (the known hash is from
+// Python's hashlib), and against the acceptance of wrong passwords.
+TEST(SessionGuard, PasswordHashes) {
+  const std::string Known =
+      "pbkdf2-sha256$1000$00112233445566778899aabbccddeeff$"
+      "4c5805526868c915a4cba43d75ec6b0a07152bb7b9ca30501c96ea0f91886829";
+  CHECK(isPassword("correct horse", Known));
+  CHECK_FALSE(isPassword("correct horse ", Known));
+  for (const char *Malformed :
+       {"", "pbkdf2-sha256$", "pbkdf2-sha256$1000$00", "pbkdf2-sha256$$00$00",
+        "pbkdf2-sha256$x$00$00", "pbkdf2-sha256$0$00$00",
+        "pbkdf2-sha256$1000$0g$00", "plain"})
+    CHECK_FALSE(isPassword("", Malformed));
+  CHECK(Guard.canSignIn("ann", "ann-password"));
+  CHECK_FALSE(Guard.canSignIn("ann", "bob-password"));
+  CHECK_FALSE(Guard.canSignIn("nobody", "ann-password"));
+}
+
+// Guards against a printed hash that the settings or the console refuse.
+TEST(SessionGuard, HashPasswordCommand) {
+  std::istringstream Input("correct horse\r\nsecond line\n");
+  std::ostringstream Output;
+  std::ostringstream Errors;
+  LONGS_EQUAL(0, HashPasswordCommand::run(Input, Output, Errors, 1000));
+  std::string Line = Output.str();
+  CHECK(isPassword("correct horse", Line.substr(0, Line.size() - 1)));
+  std::istringstream Short("short\n");
+  LONGS_EQUAL(1, HashPasswordCommand::run(Short, Output, Errors, 1000));
+  CHECK(Errors.str().find("8 to 1024 bytes") != std::string::npos);
+}
+
+PARSLEYRING_TEST_MAIN
--- a/tests/settings/SettingsTest.cpp
+++ b/tests/settings/SettingsTest.cpp
@@ -131,6 +131,16 @@
   expect(5, "console.operator", "required");
   read(Good + "[console]\n");
   expect(18, "console", "the console only");
+  std::string Router = "[[router]]\nvm = \"a\"\naddress = \"127.0.0.1:80\"\n";
+  Result = read(Console + "\"" + Hash64 + "\"\n" + Operators + Router + Router +
+                    "[[router]]\naddress = \"b\"\n",
+                Settings::Program::Console);
+  STRCMP_EQUAL("127.0.0.1:80", Result.m_Routers.front().m_Address.c_str());
+  expect(14, "router[1].vm", "twice");
+  expect(16, "router[2].vm", "required");
+  expect(17, "router[2].address", "IP:port");
+  read(Good + Router);
+  expect(18, "router", "unknown");
 }
 
 PARSLEYRING_TEST_MAIN
