--- a/src/console/ReviewPage.cpp
+++ b/src/console/ReviewPage.cpp
@@ -212,8 +212,12 @@
     Work = std::move(Newer);
     return conflict(Call);
   }
-  case PublicationStatus::Invalid:
-    return render(Call, {}, 422);
+  case PublicationStatus::Invalid: {
+    HtmlWriter Notice;
+    Notice << "<p class=\"finding\">Nothing was published:</p>\n";
+    writeFindings(Notice, Result.m_Findings);
+    return render(Call, Notice, 422);
+  }
   default:
     return notSettled(Call, Result);
   }
