--- a/tests/console/ConsolePagesTest.cpp
+++ b/tests/console/ConsolePagesTest.cpp
@@ -10,54 +10,54 @@
 using namespace parsleyring;
 
 TEST_GROUP(ConsolePages) {
-  FakePlatform Platform;
-  Settings Values = testConsoleSettings();
-  std::unique_ptr<TestConsole> Server;
-  std::unique_ptr<ConsoleBrowser> Ann;
+  FakePlatform m_Platform;
+  Settings m_Values = testConsoleSettings();
+  std::unique_ptr<TestConsole> m_Server;
+  std::unique_ptr<ConsoleBrowser> m_Ann;
 
-  void setup() override { Values.m_Routers = {{"vm-1", "127.0.0.1:1"}}; }
+  void setup() override { m_Values.m_Routers = {{"vm-1", "127.0.0.1:1"}}; }
 
   void start(unsigned Accounts = 3) {
-    Server = std::make_unique<TestConsole>(Values, Platform);
-    Server->publish(sampleDocument(Accounts), 0, "setup");
-    Ann = std::make_unique<ConsoleBrowser>(Server->port());
-    Ann->signIn("ann", "ann-password");
+    m_Server = std::make_unique<TestConsole>(m_Values, m_Platform);
+    m_Server->publish(sampleDocument(Accounts), 0, "setup");
+    m_Ann = std::make_unique<ConsoleBrowser>(m_Server->port());
+    m_Ann->signIn("ann", "ann-password");
   }
 
   Document published() {
-    Ann->submit("/publish");
-    CHECK_TEXT(Ann->shows("id=\"version\">2<"), Ann->page().c_str());
-    return *Server->load().m_Configuration->m_Document;
+    m_Ann->submit("/publish");
+    CHECK_TEXT(m_Ann->shows("id=\"version\">2<"), m_Ann->page().c_str());
+    return *m_Server->load().m_Configuration->m_Document;
   }
 };
 
 // Guards against accounts that cannot be found, or stand on no page.
 TEST(ConsolePages, AccountsAreFound) {
   start(AccountPages::RowsPerPage + 5);
-  Ann->get("/accounts");
-  CHECK(Ann->shows("1 to 50 of 55 accounts"));
-  Ann->submit("/accounts", {{"from", "50"}});
-  CHECK(Ann->shows("51 to 55 of 55 accounts"));
-  CHECK(Ann->shows("href=\"/account?open=account%2D9\""));
-  Ann->submit("/accounts", {{"search", "nt-54"}});
-  CHECK(Ann->shows("1 to 1 of 1 account\n"));
-  Ann->get("/accounts?search=" + sha256Hex("key-7").substr(0, 12));
-  CHECK(Ann->shows("open=account%2D7"));
-  Ann->get("/accounts?search=nothing&from=99999999999999999999999");
-  CHECK(Ann->shows("0 to 0 of 0 accounts"));
+  m_Ann->get("/accounts");
+  CHECK(m_Ann->shows("1 to 50 of 55 accounts"));
+  m_Ann->submit("/accounts", {{"from", "50"}});
+  CHECK(m_Ann->shows("51 to 55 of 55 accounts"));
+  CHECK(m_Ann->shows("href=\"/account?open=account%2D9\""));
+  m_Ann->submit("/accounts", {{"search", "nt-54"}});
+  CHECK(m_Ann->shows("1 to 1 of 1 account\n"));
+  m_Ann->get("/accounts?search=" + sha256Hex("key-7").substr(0, 12));
+  CHECK(m_Ann->shows("open=account%2D7"));
+  m_Ann->get("/accounts?search=nothing&from=99999999999999999999999");
+  CHECK(m_Ann->shows("0 to 0 of 0 accounts"));
 }
 
 // Guards against several edits of which the last one replaces the others.
 TEST(ConsolePages, EditsAddUpInADraft) {
   start();
-  Ann->get("/account?open=account-0");
-  Ann->submit("/account/delete");
-  Ann->submit("/account?open=account-1");
-  Ann->submit("/account/save", {{"account.name", "renamed"}});
-  Ann->submit("/policy");
-  Ann->submit("/policy/save", {{"policy.preference", "throughput"}});
-  CHECK(Ann->shows("account &quot;renamed&quot;: added"));
-  CHECK(Ann->shows("Review draft (4 changes)"));
+  m_Ann->get("/account?open=account-0");
+  m_Ann->submit("/account/delete");
+  m_Ann->submit("/account?open=account-1");
+  m_Ann->submit("/account/save", {{"account.name", "renamed"}});
+  m_Ann->submit("/policy");
+  m_Ann->submit("/policy/save", {{"policy.preference", "throughput"}});
+  CHECK(m_Ann->shows("account &quot;renamed&quot;: added"));
+  CHECK(m_Ann->shows("Review draft (4 changes)"));
   Document After = published();
   LONGS_EQUAL(2, After.m_Accounts.size());
   CHECK(After.m_Policy.m_Preference == Preference::Throughput);
@@ -67,35 +67,35 @@
 // replace the first one.
 TEST(ConsolePages, TakenNameIsAFinding) {
   start();
-  Ann->get("/account?open=account-0");
-  Ann->submit("/account/save", {{"account.name", "account-1"}});
-  LONGS_EQUAL(422, Ann->status());
-  CHECK(Ann->shows("occurs already"));
-  Ann->get("/account");
-  Ann->submit("/account/save", {{"account.name", "account-1"}});
-  LONGS_EQUAL(422, Ann->status());
-  Ann->get("/account?open=nobody");
-  LONGS_EQUAL(400, Ann->status());
+  m_Ann->get("/account?open=account-0");
+  m_Ann->submit("/account/save", {{"account.name", "account-1"}});
+  LONGS_EQUAL(422, m_Ann->status());
+  CHECK(m_Ann->shows("occurs already"));
+  m_Ann->get("/account");
+  m_Ann->submit("/account/save", {{"account.name", "account-1"}});
+  LONGS_EQUAL(422, m_Ann->status());
+  m_Ann->get("/account?open=nobody");
+  LONGS_EQUAL(400, m_Ann->status());
 }
 
 // Guards against endpoints that are lost, mixed up or cannot be removed.
 TEST(ConsolePages, PoolWithEndpoints) {
   start();
-  Ann->get("/pools");
-  CHECK(Ann->shows("href=\"/pool?open=engines\""));
-  Ann->get("/pool?open=engines");
-  Ann->submit("/pool/save", {{"pool.queue_limit", "9"},
-                             {"endpoint.0.remove", "on"},
-                             {"endpoint.1.slots", "3"},
-                             {"endpoint.4.name", "full-d"},
-                             {"endpoint.4.address", "bad"},
-                             {"endpoint.4.failure_domain", "fd-d"},
-                             {"endpoint.4.end_layer", "8"}});
-  CHECK(Ann->shows("endpoint engines/full-d"));
-  CHECK(Ann->shows("<td>address</td><td>&quot;bad&quot;</td>"));
-  Ann->submit("/pool?open=engines");
-  CHECK(Ann->shows("value=\"bad\"> <span class=\"finding\">must be IP:port"));
-  Ann->submit("/pool/save", {{"endpoint.3.address", "127.0.0.1:7009"}});
+  m_Ann->get("/pools");
+  CHECK(m_Ann->shows("href=\"/pool?open=engines\""));
+  m_Ann->get("/pool?open=engines");
+  m_Ann->submit("/pool/save", {{"pool.queue_limit", "9"},
+                               {"endpoint.0.remove", "on"},
+                               {"endpoint.1.slots", "3"},
+                               {"endpoint.4.name", "full-d"},
+                               {"endpoint.4.address", "bad"},
+                               {"endpoint.4.failure_domain", "fd-d"},
+                               {"endpoint.4.end_layer", "8"}});
+  CHECK(m_Ann->shows("endpoint engines/full-d"));
+  CHECK(m_Ann->shows("<td>address</td><td>&quot;bad&quot;</td>"));
+  m_Ann->submit("/pool?open=engines");
+  CHECK(m_Ann->shows("value=\"bad\"> <span class=\"finding\">must be IP:port"));
+  m_Ann->submit("/pool/save", {{"endpoint.3.address", "127.0.0.1:7009"}});
   Document After = published();
   LONGS_EQUAL(9, After.m_Pools[0].m_QueueLimit);
   LONGS_EQUAL(4, After.m_Pools[0].m_Endpoints.size());
@@ -107,19 +107,19 @@
 // Guards against rules whose order is lost: the first that matches decides.
 TEST(ConsolePages, RulesAndLinks) {
   start();
-  Ann->get("/rules");
-  Ann->submit("/rules/save", {{"rule.1.pool", "registry"},
-                              {"rule.1.method", "*"},
-                              {"rule.1.path", "/fees/list"},
-                              {"rule.1.idempotent", "true"},
-                              {"rule.1.position", "0.5"}});
-  Ann->submit("/links");
-  Ann->submit("/links/save", {{"link.0.position", "x"}});
-  CHECK(Ann->shows("must be a number"));
-  Ann->submit("/links/save", {{"link.0.position", "1"},
-                              {"link.1.from", "fd-b"},
-                              {"link.1.to", "fd-a"},
-                              {"link.1.one_way_micros", "700"}});
+  m_Ann->get("/rules");
+  m_Ann->submit("/rules/save", {{"rule.1.pool", "registry"},
+                                {"rule.1.method", "*"},
+                                {"rule.1.path", "/fees/list"},
+                                {"rule.1.idempotent", "true"},
+                                {"rule.1.position", "0.5"}});
+  m_Ann->submit("/links");
+  m_Ann->submit("/links/save", {{"link.0.position", "x"}});
+  CHECK(m_Ann->shows("must be a number"));
+  m_Ann->submit("/links/save", {{"link.0.position", "1"},
+                                {"link.1.from", "fd-b"},
+                                {"link.1.to", "fd-a"},
+                                {"link.1.one_way_micros", "700"}});
   Document After = published();
   STRCMP_EQUAL("/fees/list", After.m_Rules[0].m_Path.c_str());
   CHECK(After.m_Rules[0].m_IsIdempotent);
@@ -131,14 +131,14 @@
 // not name.
 TEST(ConsolePages, ImportThatMerges) {
   start();
-  Ann->get("/import");
+  m_Ann->get("/import");
   std::string Account = "[[account]]\nname = \"account-1\"\nkey_sha256 = \"" +
                         sha256Hex("other") + "\"\nshare = 3\n";
-  Ann->submit("/import/review",
-              {{"mode", "merge"}, {"text", Account + Account}});
-  LONGS_EQUAL(422, Ann->status());
-  CHECK(Ann->shows("occurs more than once in the text"));
-  Ann->submit("/import/review", {{"mode", "merge"}, {"text", Account}});
+  m_Ann->submit("/import/review",
+                {{"mode", "merge"}, {"text", Account + Account}});
+  LONGS_EQUAL(422, m_Ann->status());
+  CHECK(m_Ann->shows("occurs more than once in the text"));
+  m_Ann->submit("/import/review", {{"mode", "merge"}, {"text", Account}});
   Document After = published();
   LONGS_EQUAL(3, After.m_Accounts.size());
   CHECK(After.accountByKeyHash(sha256Hex("other"))->m_Share == 3);
@@ -148,14 +148,14 @@
 // do not answer.
 TEST(ConsolePages, Rollout) {
   // A console's metrics page has another gauge than a router's.
-  TestConsole Other(Values, Platform);
-  Values.m_Routers.push_back(
+  TestConsole Other(m_Values, m_Platform);
+  m_Values.m_Routers.push_back(
       {"vm-2", "127.0.0.1:" + std::to_string(Other.port())});
   start();
-  Ann->get("/rollout");
-  CHECK(Ann->shows("0 of 2 routers"));
-  CHECK(Ann->shows("no answer"));
-  CHECK(Ann->shows("no configuration version"));
+  m_Ann->get("/rollout");
+  CHECK(m_Ann->shows("0 of 2 routers"));
+  CHECK(m_Ann->shows("no answer"));
+  CHECK(m_Ann->shows("no configuration version"));
   CHECK(versionInMetrics("a 1\nparsleyring_configuration_version 12\nb 1\n") ==
         std::optional<ConfigurationVersion>(12));
   CHECK(versionInMetrics("parsleyring_configuration_version 1e+06\n") ==
@@ -172,10 +172,10 @@
   start();
   STRCMP_EQUAL("default-src 'none'; style-src 'self'; form-action 'self'; "
                "base-uri 'none'; frame-ancestors 'none'",
-               Ann->header("Content-Security-Policy").c_str());
-  CHECK(Ann->header("Set-Cookie").find("; HttpOnly; SameSite=Strict") !=
+               m_Ann->header("Content-Security-Policy").c_str());
+  CHECK(m_Ann->header("Set-Cookie").find("; HttpOnly; SameSite=Strict") !=
         std::string::npos);
-  ConsoleBrowser Nobody(Server->port());
+  ConsoleBrowser Nobody(m_Server->port());
   STRCMP_EQUAL("alive\n", Nobody.get("/healthz").c_str());
   CHECK(Nobody.get("/metrics").find("parsleyring_console_sign_ins_total 1") !=
         std::string::npos);
@@ -183,14 +183,14 @@
     Nobody.get(Path);
     LONGS_EQUAL(303, Nobody.status());
   }
-  Ann->get("/none");
-  LONGS_EQUAL(404, Ann->status());
-  Ann->get("/publish");
-  LONGS_EQUAL(405, Ann->status());
-  Ann->get("/");
-  Ann->submit("/sign-out");
-  Ann->get("/");
-  LONGS_EQUAL(303, Ann->status());
+  m_Ann->get("/none");
+  LONGS_EQUAL(404, m_Ann->status());
+  m_Ann->get("/publish");
+  LONGS_EQUAL(405, m_Ann->status());
+  m_Ann->get("/");
+  m_Ann->submit("/sign-out");
+  m_Ann->get("/");
+  LONGS_EQUAL(303, m_Ann->status());
 }
 
 PARSLEYRING_TEST_MAIN
--- a/tests/console/ConsoleTest.cpp
+++ b/tests/console/ConsoleTest.cpp
@@ -11,20 +11,20 @@
 using namespace parsleyring;
 
 TEST_GROUP(Console) {
-  FakePlatform Platform;
-  const Settings Values = testConsoleSettings();
-  TestConsole Server{Values, Platform};
-  ConsoleBrowser Ann{Server.port()};
-  ConsoleBrowser Bob{Server.port()};
+  FakePlatform m_Platform;
+  const Settings m_Values = testConsoleSettings();
+  TestConsole m_Server{m_Values, m_Platform};
+  ConsoleBrowser m_Ann{m_Server.port()};
+  ConsoleBrowser m_Bob{m_Server.port()};
 
   void publishSample(unsigned Accounts = 3) {
-    CHECK(Server.publish(sampleDocument(Accounts), 0, "setup").m_Status ==
+    CHECK(m_Server.publish(sampleDocument(Accounts), 0, "setup").m_Status ==
           PublicationStatus::Published);
   }
 
   void signIn() {
-    Ann.signIn("ann", "ann-password");
-    Bob.signIn("bob", "bob-password");
+    m_Ann.signIn("ann", "ann-password");
+    m_Bob.signIn("bob", "bob-password");
   }
 
   /// Opens an account and enters a share; shows the review page.
@@ -35,10 +35,10 @@
     LONGS_EQUAL(200, Browser.status());
   }
 
-  ConfigurationVersion version() { return Server.load().m_Version; }
+  ConfigurationVersion version() { return m_Server.load().m_Version; }
 
   double share(std::size_t Account) {
-    LoadedConfiguration Loaded = Server.load();
+    LoadedConfiguration Loaded = m_Server.load();
     std::string Name = "account-" + std::to_string(Account);
     for (const ClientAccount &Each :
          Loaded.m_Configuration->m_Document->m_Accounts)
@@ -51,48 +51,48 @@
 // Guards against a console on which operators cannot begin: nothing is
 // published, and the first document comes through the import page.
 TEST(Console, SignInImportReviewPublish) {
-  Ann.get("/");
-  LONGS_EQUAL(303, Ann.status());
-  STRCMP_EQUAL("/sign-in", Ann.header("Location").c_str());
-  Ann.signIn("ann", "ann-password");
-  LONGS_EQUAL(303, Ann.status());
-  CHECK(Ann.get("/").find("No configuration is published") !=
+  m_Ann.get("/");
+  LONGS_EQUAL(303, m_Ann.status());
+  STRCMP_EQUAL("/sign-in", m_Ann.header("Location").c_str());
+  m_Ann.signIn("ann", "ann-password");
+  LONGS_EQUAL(303, m_Ann.status());
+  CHECK(m_Ann.get("/").find("No configuration is published") !=
         std::string::npos);
-  Ann.get("/import");
-  Ann.submit("/import/review",
-             {{"text", DocumentWriter::write(sampleDocument(2))}});
-  CHECK(Ann.shows("account &quot;account-1&quot;: added"));
+  m_Ann.get("/import");
+  m_Ann.submit("/import/review",
+               {{"text", DocumentWriter::write(sampleDocument(2))}});
+  CHECK(m_Ann.shows("account &quot;account-1&quot;: added"));
   LONGS_EQUAL(0, version());
-  Ann.submit("/publish");
-  LONGS_EQUAL(200, Ann.status());
-  CHECK(Ann.shows("<strong id=\"version\">1</strong>"));
+  m_Ann.submit("/publish");
+  LONGS_EQUAL(200, m_Ann.status());
+  CHECK(m_Ann.shows("<strong id=\"version\">1</strong>"));
   LONGS_EQUAL(1, version());
-  CHECK(Ann.get("/").find("<td>ann</td>") != std::string::npos);
-  CHECK(
-      Server.records().find("\"status\":\"published\",\"operator\":\"ann\"") !=
-      std::string::npos);
+  CHECK(m_Ann.get("/").find("<td>ann</td>") != std::string::npos);
+  CHECK(m_Server.records().find(
+            "\"status\":\"published\",\"operator\":\"ann\"") !=
+        std::string::npos);
 }
 
 // Guards against a key that is stored, logged or shown a second time.
 TEST(Console, CreateAccountWithKey) {
   publishSample();
   signIn();
-  Ann.get("/account");
-  Ann.submit("/account/key", {{"account.name", "new <account>"}});
+  m_Ann.get("/account");
+  m_Ann.submit("/account/key", {{"account.name", "new <account>"}});
   std::smatch Key;
   std::regex Pattern("class=\"key\">([A-Za-z0-9_-]{43})</code>");
-  CHECK(std::regex_search(Ann.page(), Key, Pattern));
+  CHECK(std::regex_search(m_Ann.page(), Key, Pattern));
   std::string Secret = Key[1];
-  CHECK(Ann.shows("account new &lt;account&gt; is"));
-  Ann.submit("/publish");
-  CHECK(Ann.shows("<strong id=\"version\">2</strong>"));
-  CHECK_FALSE(Ann.shows(Secret));
-  LoadedConfiguration Loaded = Server.load();
+  CHECK(m_Ann.shows("account new &lt;account&gt; is"));
+  m_Ann.submit("/publish");
+  CHECK(m_Ann.shows("<strong id=\"version\">2</strong>"));
+  CHECK_FALSE(m_Ann.shows(Secret));
+  LoadedConfiguration Loaded = m_Server.load();
   const ClientAccount *Found =
       Loaded.m_Configuration->m_Document->accountByKeyHash(sha256Hex(Secret));
   STRCMP_EQUAL("new <account>", Found->m_Name.c_str());
-  CHECK(Server.records().find(Secret) == std::string::npos);
-  CHECK(Server.records().find("password") == std::string::npos);
+  CHECK(m_Server.records().find(Secret) == std::string::npos);
+  CHECK(m_Server.records().find("password") == std::string::npos);
 }
 
 // Guards against two operators of whom the second overwrites the first, or
@@ -100,25 +100,26 @@
 TEST(Console, SecondOperatorKeepsTheWork) {
   publishSample();
   signIn();
-  editShare(Ann, "account-0", "5");
-  editShare(Bob, "account-1", "7");
-  Ann.submit("/publish");
-  LONGS_EQUAL(200, Ann.status());
-  Bob.submit("/publish");
-  LONGS_EQUAL(409, Bob.status());
-  CHECK(Bob.shows("published by ann"));
-  CHECK(Bob.shows("account &quot;account-0&quot;: share 1 -&gt; 5"));
-  CHECK(Bob.shows("Apply the same edit to version 2"));
+  editShare(m_Ann, "account-0", "5");
+  editShare(m_Bob, "account-1", "7");
+  m_Ann.submit("/publish");
+  LONGS_EQUAL(200, m_Ann.status());
+  m_Bob.submit("/publish");
+  LONGS_EQUAL(409, m_Bob.status());
+  CHECK(m_Bob.shows("published by ann"));
+  CHECK(m_Bob.shows("account &quot;account-0&quot;: share 1 -&gt; 5"));
+  CHECK(m_Bob.shows("Apply the same edit to version 2"));
   DOUBLES_EQUAL(1, share(1), 0);
-  Bob.submit("/rebase");
-  CHECK(Bob.shows("account &quot;account-1&quot;: share 1 -&gt; 7"));
-  CHECK_FALSE(Bob.shows("account-0"));
-  Bob.submit("/publish");
+  m_Bob.submit("/rebase");
+  CHECK(m_Bob.shows("account &quot;account-1&quot;: share 1 -&gt; 7"));
+  CHECK_FALSE(m_Bob.shows("account-0"));
+  m_Bob.submit("/publish");
   LONGS_EQUAL(3, version());
   DOUBLES_EQUAL(5, share(0), 0);
   DOUBLES_EQUAL(7, share(1), 0);
-  CHECK(Server.records().find("\"status\":\"conflict\",\"operator\":\"bob\"") !=
-        std::string::npos);
+  CHECK(
+      m_Server.records().find("\"status\":\"conflict\",\"operator\":\"bob\"") !=
+      std::string::npos);
 }
 
 // Guards against an edit of the same entity that is applied on top of another
@@ -126,16 +127,16 @@
 TEST(Console, SameEntityIsNotOverwritten) {
   publishSample();
   signIn();
-  editShare(Ann, "account-0", "5");
-  editShare(Bob, "account-0", "7");
-  Ann.submit("/publish");
-  Bob.submit("/publish");
-  LONGS_EQUAL(409, Bob.status());
-  CHECK(Bob.shows("<li>account account-0</li>"));
-  CHECK(Bob.shows("share = 7"));
-  Bob.submit("/rebase");
-  CHECK(Bob.shows("share = 7"));
-  CHECK(Bob.shows("There is nothing to publish"));
+  editShare(m_Ann, "account-0", "5");
+  editShare(m_Bob, "account-0", "7");
+  m_Ann.submit("/publish");
+  m_Bob.submit("/publish");
+  LONGS_EQUAL(409, m_Bob.status());
+  CHECK(m_Bob.shows("<li>account account-0</li>"));
+  CHECK(m_Bob.shows("share = 7"));
+  m_Bob.submit("/rebase");
+  CHECK(m_Bob.shows("share = 7"));
+  CHECK(m_Bob.shows("There is nothing to publish"));
   DOUBLES_EQUAL(5, share(0), 0);
 }
 
@@ -144,13 +145,13 @@
 TEST(Console, FormOpenedBeforeAnotherChange) {
   publishSample();
   signIn();
-  Bob.get("/account?open=account-0");
-  editShare(Ann, "account-0", "5");
-  Ann.submit("/publish");
-  Bob.submit("/account/save", {{"account.max_outstanding", "9"}});
-  LONGS_EQUAL(409, Bob.status());
-  CHECK(Bob.shows("<li>account account-0</li>"));
-  CHECK(Bob.shows("max_outstanding = 9"));
+  m_Bob.get("/account?open=account-0");
+  editShare(m_Ann, "account-0", "5");
+  m_Ann.submit("/publish");
+  m_Bob.submit("/account/save", {{"account.max_outstanding", "9"}});
+  LONGS_EQUAL(409, m_Bob.status());
+  CHECK(m_Bob.shows("<li>account account-0</li>"));
+  CHECK(m_Bob.shows("max_outstanding = 9"));
 }
 
 // Guards against a lost answer that is taken for a failure, or published
@@ -158,11 +159,11 @@
 TEST(Console, LostAnswerIsSettled) {
   publishSample();
   signIn();
-  editShare(Ann, "account-0", "5");
-  std::string Review = Ann.page();
-  Platform.beforeNextWrite("config/head", [&] { Platform.loseAnswers(1); });
-  Ann.submit("/publish");
-  CHECK(Ann.shows("<strong id=\"version\">2</strong>"));
+  editShare(m_Ann, "account-0", "5");
+  std::string Review = m_Ann.page();
+  m_Platform.beforeNextWrite("config/head", [&] { m_Platform.loseAnswers(1); });
+  m_Ann.submit("/publish");
+  CHECK(m_Ann.shows("<strong id=\"version\">2</strong>"));
   LONGS_EQUAL(2, version());
 }
 
@@ -171,14 +172,14 @@
 TEST(Console, AnotherConsoleContinues) {
   publishSample();
   signIn();
-  editShare(Ann, "account-0", "5");
-  TestConsole Other(Values, Platform);
-  ConsoleBrowser Again = Ann;
-  Ann.moveTo(Other.port());
-  Ann.submit("/publish");
-  CHECK(Ann.shows("<strong id=\"version\">2</strong>"));
-  editShare(Bob, "account-1", "7");
-  Bob.submit("/publish");
+  editShare(m_Ann, "account-0", "5");
+  TestConsole Other(m_Values, m_Platform);
+  ConsoleBrowser Again = m_Ann;
+  m_Ann.moveTo(Other.port());
+  m_Ann.submit("/publish");
+  CHECK(m_Ann.shows("<strong id=\"version\">2</strong>"));
+  editShare(m_Bob, "account-1", "7");
+  m_Bob.submit("/publish");
   // The answer to the first post was lost on its way to the browser.
   Again.submit("/publish");
   CHECK(Again.shows("<strong id=\"version\">2</strong>"));
@@ -189,19 +190,19 @@
 TEST(Console, PlatformOutage) {
   publishSample();
   signIn();
-  Ann.get("/account?open=account-0");
-  Platform.setOutage(true);
-  Ann.submit("/account/save", {{"account.share", "5"}});
-  LONGS_EQUAL(503, Ann.status());
-  CHECK(Ann.shows("platform is down"));
-  Platform.setOutage(false);
-  Ann.submit("/account/save");
-  LONGS_EQUAL(200, Ann.status());
-  Platform.setOutage(true);
-  Ann.submit("/publish");
-  LONGS_EQUAL(503, Ann.status());
-  Platform.setOutage(false);
-  Ann.submit("/publish");
+  m_Ann.get("/account?open=account-0");
+  m_Platform.setOutage(true);
+  m_Ann.submit("/account/save", {{"account.share", "5"}});
+  LONGS_EQUAL(503, m_Ann.status());
+  CHECK(m_Ann.shows("platform is down"));
+  m_Platform.setOutage(false);
+  m_Ann.submit("/account/save");
+  LONGS_EQUAL(200, m_Ann.status());
+  m_Platform.setOutage(true);
+  m_Ann.submit("/publish");
+  LONGS_EQUAL(503, m_Ann.status());
+  m_Platform.setOutage(false);
+  m_Ann.submit("/publish");
   DOUBLES_EQUAL(5, share(0), 0);
 }
 
@@ -209,13 +210,13 @@
 TEST(Console, NoPublicationWithoutRecord) {
   publishSample();
   signIn();
-  editShare(Ann, "account-0", "5");
-  Server.m_IsCongested = true;
-  Ann.submit("/publish");
-  LONGS_EQUAL(503, Ann.status());
+  editShare(m_Ann, "account-0", "5");
+  m_Server.m_IsCongested = true;
+  m_Ann.submit("/publish");
+  LONGS_EQUAL(503, m_Ann.status());
   LONGS_EQUAL(1, version());
-  Server.m_IsCongested = false;
-  Ann.submit("/publish");
+  m_Server.m_IsCongested = false;
+  m_Ann.submit("/publish");
   LONGS_EQUAL(2, version());
 }
 
@@ -223,14 +224,15 @@
 TEST(Console, OutageDuringPublication) {
   publishSample();
   signIn();
-  editShare(Ann, "account-0", "5");
-  Platform.beforeNextWrite("config/head", [&] { Platform.setOutage(true); });
-  Ann.submit("/publish");
-  LONGS_EQUAL(503, Ann.status());
-  CHECK(Ann.shows("Your changes are kept"));
-  Platform.setOutage(false);
+  editShare(m_Ann, "account-0", "5");
+  m_Platform.beforeNextWrite("config/head",
+                             [&] { m_Platform.setOutage(true); });
+  m_Ann.submit("/publish");
+  LONGS_EQUAL(503, m_Ann.status());
+  CHECK(m_Ann.shows("Your changes are kept"));
+  m_Platform.setOutage(false);
   LONGS_EQUAL(1, version());
-  Ann.submit("/publish");
+  m_Ann.submit("/publish");
   LONGS_EQUAL(2, version());
 }
 
@@ -238,23 +240,23 @@
 TEST(Console, ForgedPostIsRefused) {
   publishSample();
   signIn();
-  editShare(Ann, "account-0", "5");
-  std::string DraftToken = Ann.fields()["token"];
-  Bob.get("/account");
-  std::string OtherToken = Bob.fields()["token"];
+  editShare(m_Ann, "account-0", "5");
+  std::string DraftToken = m_Ann.fields()["token"];
+  m_Bob.get("/account");
+  std::string OtherToken = m_Bob.fields()["token"];
   for (const std::string &Token : {std::string(), DraftToken, OtherToken}) {
-    ConsoleBrowser Forger = Ann;
+    ConsoleBrowser Forger = m_Ann;
     Forger.submit("/publish", {{"publish_token", Token}});
     LONGS_EQUAL(403, Forger.status());
   }
-  ConsoleBrowser::Fields Without = Ann.fields();
+  ConsoleBrowser::Fields Without = m_Ann.fields();
   Without.erase("publish_token");
-  ConsoleBrowser Forger = Ann;
+  ConsoleBrowser Forger = m_Ann;
   Forger.post("/publish", ConsoleBrowser::encode(Without));
   LONGS_EQUAL(400, Forger.status());
   LONGS_EQUAL(1, version());
-  CHECK(Server.records().find("\"status\":\"forged\"") != std::string::npos);
-  Ann.submit("/publish");
+  CHECK(m_Server.records().find("\"status\":\"forged\"") != std::string::npos);
+  m_Ann.submit("/publish");
   LONGS_EQUAL(2, version());
 }
 
@@ -262,18 +264,18 @@
 TEST(Console, SessionsEnd) {
   publishSample();
   signIn();
-  Settings Changed = Values;
+  Settings Changed = m_Values;
   Changed.m_Operators[1].m_PasswordHash = Changed.m_Operators[0].m_PasswordHash;
-  TestConsole Other(Changed, Platform);
-  Bob.moveTo(Other.port());
-  Bob.get("/");
-  LONGS_EQUAL(303, Bob.status());
-  Server.m_Age = SessionGuard::SessionTime - Duration(1);
-  Ann.get("/");
-  LONGS_EQUAL(200, Ann.status());
-  Server.m_Age = SessionGuard::SessionTime;
-  Ann.get("/");
-  LONGS_EQUAL(303, Ann.status());
+  TestConsole Other(Changed, m_Platform);
+  m_Bob.moveTo(Other.port());
+  m_Bob.get("/");
+  LONGS_EQUAL(303, m_Bob.status());
+  m_Server.m_Age = SessionGuard::SessionTime - Duration(1);
+  m_Ann.get("/");
+  LONGS_EQUAL(200, m_Ann.status());
+  m_Server.m_Age = SessionGuard::SessionTime;
+  m_Ann.get("/");
+  LONGS_EQUAL(303, m_Ann.status());
 }
 
 // Guards against malformed forms that change something, or are answered
@@ -281,11 +283,11 @@
 TEST(Console, MalformedFormsAreRefused) {
   publishSample();
   signIn();
-  editShare(Ann, "account-0", "5");
-  std::string Good = ConsoleBrowser::encode(Ann.fields());
+  editShare(m_Ann, "account-0", "5");
+  std::string Good = ConsoleBrowser::encode(m_Ann.fields());
   auto Refused = [&](const std::string &Path, const std::string &Body,
                      int Status, const std::string &Message) {
-    ConsoleBrowser Browser = Ann;
+    ConsoleBrowser Browser = m_Ann;
     Browser.post(Path, Body);
     LONGS_EQUAL(Status, Browser.status());
     CHECK_TEXT(Browser.shows(Message), Browser.page().c_str());
@@ -296,17 +298,17 @@
   Refused("/publish", Good + "&x=%0", 400, "malformed percent escape");
   Refused("/publish", Good + "&x=" + std::string(Console::MaxFormBytes, 'a'),
           413, "more than 4194304 bytes");
-  ConsoleBrowser::Fields Fields = Ann.fields();
+  ConsoleBrowser::Fields Fields = m_Ann.fields();
   Fields["draft"] = "eyJ9";
   Refused("/publish", ConsoleBrowser::encode(Fields), 400,
           "The draft is damaged");
-  Fields = Ann.fields();
+  Fields = m_Ann.fields();
   Fields.erase("nonce");
   Refused("/publish", ConsoleBrowser::encode(Fields), 400,
           "field &quot;nonce&quot; is missing");
   Refused("/account/save", Good, 400, "field &quot;original&quot; is missing");
   LONGS_EQUAL(1, version());
-  ConsoleBrowser Stranger(Server.port());
+  ConsoleBrowser Stranger(m_Server.port());
   Stranger.post("/publish", std::string(Console::MaxSignInBytes + 1, 'a'));
   LONGS_EQUAL(413, Stranger.status());
   Stranger.post("/publish", Good);
@@ -318,20 +320,20 @@
 TEST(Console, DamagedDocumentCanOnlyBeReplaced) {
   publishSample();
   signIn();
-  editShare(Ann, "account-0", "5");
-  ConfigurationHead Head = Server.load().m_Configuration->m_Head;
-  TestConsole Fresh(Values, Platform);
-  Platform.put(configurationChunkKey(Head.m_Chunks[0].m_Sha256), "by hand");
-  Ann.moveTo(Fresh.port());
-  Ann.get("/accounts");
-  LONGS_EQUAL(409, Ann.status());
-  CHECK(Ann.shows("does not have this SHA-256"));
-  Ann.get("/import");
-  Ann.submit("/import/review",
-             {{"text", DocumentWriter::write(sampleDocument(1))}});
-  LONGS_EQUAL(200, Ann.status());
-  Ann.submit("/publish");
-  CHECK(Ann.shows("<strong id=\"version\">2</strong>"));
+  editShare(m_Ann, "account-0", "5");
+  ConfigurationHead Head = m_Server.load().m_Configuration->m_Head;
+  TestConsole Fresh(m_Values, m_Platform);
+  m_Platform.put(configurationChunkKey(Head.m_Chunks[0].m_Sha256), "by hand");
+  m_Ann.moveTo(Fresh.port());
+  m_Ann.get("/accounts");
+  LONGS_EQUAL(409, m_Ann.status());
+  CHECK(m_Ann.shows("does not have this SHA-256"));
+  m_Ann.get("/import");
+  m_Ann.submit("/import/review",
+               {{"text", DocumentWriter::write(sampleDocument(1))}});
+  LONGS_EQUAL(200, m_Ann.status());
+  m_Ann.submit("/publish");
+  CHECK(m_Ann.shows("<strong id=\"version\">2</strong>"));
   CHECK(Fresh.load().m_Findings.empty());
 }
 
@@ -340,22 +342,22 @@
 TEST(Console, FindingsStandBesideTheirFields) {
   publishSample();
   signIn();
-  Ann.get("/import");
-  Ann.submit("/import/review", {{"text", "[policy]\nspeed = 1\n"}});
-  LONGS_EQUAL(422, Ann.status());
-  CHECK(Ann.shows("text line 2"));
-  CHECK(Ann.shows("speed = 1"));
-  Ann.get("/account?open=account-0");
-  Ann.submit("/account/save", {{"account.share", "many"}});
-  LONGS_EQUAL(422, Ann.status());
-  CHECK(Ann.shows("value=\"many\""));
-  CHECK(Ann.shows("must be a number"));
-  Ann.submit("/account/save", {{"account.share", "-1"}});
-  CHECK(Ann.shows("<td>share</td><td>-1</td>"
-                  "<td class=\"finding\">must be above 0"));
-  CHECK_FALSE(Ann.shows("publish_token"));
-  Ann.submit("/account?open=account-0");
-  CHECK(Ann.shows("<span class=\"finding\">must be above 0</span>"));
+  m_Ann.get("/import");
+  m_Ann.submit("/import/review", {{"text", "[policy]\nspeed = 1\n"}});
+  LONGS_EQUAL(422, m_Ann.status());
+  CHECK(m_Ann.shows("text line 2"));
+  CHECK(m_Ann.shows("speed = 1"));
+  m_Ann.get("/account?open=account-0");
+  m_Ann.submit("/account/save", {{"account.share", "many"}});
+  LONGS_EQUAL(422, m_Ann.status());
+  CHECK(m_Ann.shows("value=\"many\""));
+  CHECK(m_Ann.shows("must be a number"));
+  m_Ann.submit("/account/save", {{"account.share", "-1"}});
+  CHECK(m_Ann.shows("<td>share</td><td>-1</td>"
+                    "<td class=\"finding\">must be above 0"));
+  CHECK_FALSE(m_Ann.shows("publish_token"));
+  m_Ann.submit("/account?open=account-0");
+  CHECK(m_Ann.shows("<span class=\"finding\">must be above 0</span>"));
 }
 
 PARSLEYRING_TEST_MAIN
--- a/tests/console/DraftTest.cpp
+++ b/tests/console/DraftTest.cpp
@@ -13,17 +13,17 @@
 using namespace parsleyring;
 
 TEST_GROUP(Draft) {
-  const Document Base = sampleDocument();
+  const Document m_Base = sampleDocument();
 
   /// The draft of an edit, after its way through a form.
   Draft draftOf(const std::function<void(Document &)> &Edit) const {
-    Document Edited = Base;
+    Document Edited = m_Base;
     Edit(Edited);
     std::vector<Finding> Findings;
     auto Result =
-        Draft::decode(Draft({7, "{}"}, Base, Edited).encode(), Findings);
+        Draft::decode(Draft({7, "{}"}, m_Base, Edited).encode(), Findings);
     CHECK(Result.has_value());
-    CHECK(documentDifference(Edited, Result->applyTo(Base)).empty());
+    CHECK(documentDifference(Edited, Result->applyTo(m_Base)).empty());
     return *Result;
   }
 
@@ -71,7 +71,7 @@
     Edited.m_Accounts.push_back(Edited.m_Accounts[1]);
     Edited.m_Accounts.back().m_Name = "new";
   });
-  Document Theirs = Base;
+  Document Theirs = m_Base;
   Theirs.m_Pools[0].m_QueueLimit = 7;
   Theirs.m_Pools[0].m_Endpoints[0].m_Slots = 3;
   Theirs.m_Accounts[1].m_Share = 6;
@@ -83,7 +83,7 @@
   LONGS_EQUAL(4, Both.m_Accounts.size());
 
   Theirs.m_Accounts.erase(Theirs.m_Accounts.begin());
-  Theirs.m_Accounts.push_back(Base.m_Accounts[1]);
+  Theirs.m_Accounts.push_back(m_Base.m_Accounts[1]);
   Theirs.m_Accounts.back().m_Name = "new";
   Theirs.m_Accounts.back().m_Share = 8;
   STRCMP_EQUAL("account account-0;account new;",
@@ -92,7 +92,7 @@
   STRCMP_EQUAL("endpoint engines/full-b;",
                names(Rest.changedEntities()).c_str());
   // The same change by both is no conflict.
-  CHECK(Mine.conflicts(Mine.applyTo(Base)).empty());
+  CHECK(Mine.conflicts(Mine.applyTo(m_Base)).empty());
 }
 
 // Guards against a removed pool that takes along an endpoint that somebody
@@ -102,7 +102,7 @@
     Edited.m_Pools.erase(Edited.m_Pools.begin() + 1);
     Edited.m_Rules.clear();
   });
-  Document Theirs = Base;
+  Document Theirs = m_Base;
   EndpointSpec Added = Theirs.m_Pools[1].m_Endpoints[0];
   Added.m_Name = "registry-b";
   Theirs.m_Pools[1].m_Endpoints.push_back(Added);
--- a/tests/console/SessionGuardTest.cpp
+++ b/tests/console/SessionGuardTest.cpp
@@ -12,41 +12,41 @@
 using namespace parsleyring;
 
 TEST_GROUP(SessionGuard) {
-  const Settings Values = testConsoleSettings();
-  const SessionGuard Guard{Values};
-  const Time Now{std::chrono::hours(490000)};
+  const Settings m_Values = testConsoleSettings();
+  const SessionGuard m_Guard{m_Values};
+  const Time m_Now{std::chrono::hours(490000)};
 };
 
 // Guards against cookies that operators or others made up or changed.
 TEST(SessionGuard, ChangedCookiesAreRefused) {
-  std::string Cookie = Guard.startSession(Now, "ann");
-  STRCMP_EQUAL("ann", Guard.operatorOf(Now, Cookie)->c_str());
+  std::string Cookie = m_Guard.startSession(m_Now, "ann");
+  STRCMP_EQUAL("ann", m_Guard.operatorOf(m_Now, Cookie)->c_str());
   for (std::size_t At = 0; At < Cookie.size(); ++At) {
     std::string Changed = Cookie;
     Changed[At] = Changed[At] == '0' ? '1' : '0';
-    CHECK_FALSE(Guard.operatorOf(Now, Changed).has_value());
-    CHECK_FALSE(Guard.operatorOf(Now, Cookie.substr(0, At)).has_value());
+    CHECK_FALSE(m_Guard.operatorOf(m_Now, Changed).has_value());
+    CHECK_FALSE(m_Guard.operatorOf(m_Now, Cookie.substr(0, At)).has_value());
   }
-  Settings Other = Values;
+  Settings Other = m_Values;
   Other.m_SessionSecret[0] = 'A';
-  CHECK_FALSE(SessionGuard(Other).operatorOf(Now, Cookie).has_value());
-  Other = Values;
+  CHECK_FALSE(SessionGuard(Other).operatorOf(m_Now, Cookie).has_value());
+  Other = m_Values;
   Other.m_Operators.erase(Other.m_Operators.begin());
-  CHECK_FALSE(SessionGuard(Other).operatorOf(Now, Cookie).has_value());
-  CHECK(Guard.startSession(Now, "nobody").empty());
+  CHECK_FALSE(SessionGuard(Other).operatorOf(m_Now, Cookie).has_value());
+  CHECK(m_Guard.startSession(m_Now, "nobody").empty());
 }
 
 // Guards against a token that is good for another session or purpose.
 TEST(SessionGuard, FormTokensAreBound) {
-  std::string First = Guard.startSession(Now, "ann");
-  std::string Second = Guard.startSession(Now, "ann");
-  std::string Token = Guard.formToken(First, FormPurpose::Draft);
-  CHECK(Guard.isFormToken(Token, First, FormPurpose::Draft));
-  CHECK_FALSE(Guard.isFormToken(Token, First, FormPurpose::Publish));
-  CHECK_FALSE(Guard.isFormToken(Token, Second, FormPurpose::Draft));
-  CHECK_FALSE(Guard.isFormToken("", First, FormPurpose::Draft));
-  std::string ForNobody = Guard.formToken("", FormPurpose::SignIn);
-  CHECK_FALSE(Guard.isFormToken(ForNobody, "", FormPurpose::SignIn));
+  std::string First = m_Guard.startSession(m_Now, "ann");
+  std::string Second = m_Guard.startSession(m_Now, "ann");
+  std::string Token = m_Guard.formToken(First, FormPurpose::Draft);
+  CHECK(m_Guard.isFormToken(Token, First, FormPurpose::Draft));
+  CHECK_FALSE(m_Guard.isFormToken(Token, First, FormPurpose::Publish));
+  CHECK_FALSE(m_Guard.isFormToken(Token, Second, FormPurpose::Draft));
+  CHECK_FALSE(m_Guard.isFormToken("", First, FormPurpose::Draft));
+  std::string ForNobody = m_Guard.formToken("", FormPurpose::SignIn);
+  CHECK_FALSE(m_Guard.isFormToken(ForNobody, "", FormPurpose::SignIn));
 }
 
 // Guards against hashes that differ from other tools (the known hash is from
@@ -62,9 +62,9 @@
         "pbkdf2-sha256$x$00$00", "pbkdf2-sha256$0$00$00",
         "pbkdf2-sha256$1000$0g$00", "plain"})
     CHECK_FALSE(isPassword("", Malformed));
-  CHECK(Guard.canSignIn("ann", "ann-password"));
-  CHECK_FALSE(Guard.canSignIn("ann", "bob-password"));
-  CHECK_FALSE(Guard.canSignIn("nobody", "ann-password"));
+  CHECK(m_Guard.canSignIn("ann", "ann-password"));
+  CHECK_FALSE(m_Guard.canSignIn("ann", "bob-password"));
+  CHECK_FALSE(m_Guard.canSignIn("nobody", "ann-password"));
 }
 
 // Guards against a printed hash that the settings or the console refuse.
