Refuse TOML whose dotted keys overflow the stack

toml++ limits the nesting of values, but makes a table for each part of a dotted key, and destroys tables recursively: an import of 500,000 parts in one key (1 MB) ended the console with a segmentation fault. A text with more than 32 dots in a row of keys is now a finding with its line, for settings, documents and drafts alike. Ruled out was a larger stack: the form limit of 4 MB allows two million parts.

--- a/src/console/PageCall.cpp
+++ b/src/console/PageCall.cpp
@@ -18,6 +18,8 @@
 .key { font-family: monospace; background: #ffc; padding: .3em; }
 )";
 
+static constexpr std::size_t MaxShownFindings = 200;
+
 namespace {
 struct Section {
   const char *m_Path;
@@ -117,7 +119,9 @@
     return;
   Out << "<table class=\"findings\">\n"
          "<tr><th>place</th><th>key</th><th>finding</th></tr>\n";
-  for (const Finding &Each : Findings) {
+  for (std::size_t At = 0; At < Findings.size() && At < MaxShownFindings;
+       ++At) {
+    const Finding &Each = Findings[At];
     Out << "<tr><td>" << Each.m_File;
     if (Each.m_Line > 0)
       Out << " line " << Each.m_Line;
@@ -125,6 +129,8 @@
         << Each.m_Message << "</td></tr>\n";
   }
   Out << "</table>\n";
+  if (Findings.size() > MaxShownFindings)
+    Out << "<p>and " << Findings.size() - MaxShownFindings << " more</p>\n";
 }
 
 void writeLines(HtmlWriter &Out, const std::vector<std::string> &Lines,
--- a/src/core/TomlSection.cpp
+++ b/src/core/TomlSection.cpp
@@ -1,5 +1,7 @@
 #include "core/TomlSection.h"
 
+#include "core/TomlNesting.h"
+
 #include <toml++/toml.h>
 
 #include <algorithm>
@@ -196,6 +198,12 @@
                    std::vector<Finding> &Findings)
     : m_Parsed(std::make_unique<Parsed>()) {
   m_Parsed->m_Context = {File, &Findings};
+  if (int Line = lineOfDeepTomlKey(Text)) {
+    Findings.push_back({File, Line, "",
+                        "not valid here: a key has more than " +
+                            std::to_string(MaxTomlDots) + " dots"});
+    return;
+  }
   try {
     m_Parsed->m_Root = toml::parse(Text);
     m_Parsed->m_IsParsed = true;
--- a/tests/console/ConsoleTest.cpp
+++ b/tests/console/ConsoleTest.cpp
@@ -167,6 +167,41 @@
   LONGS_EQUAL(2, version());
 }
 
+// Guards against an unknown result that is called a failure, and cannot be
+// settled.
+TEST(Console, UnknownResultIsSettledLater) {
+  publishSample();
+  signIn();
+  editShare(m_Ann, "account-0", "5");
+  m_Platform.beforeNextWrite("config/head", [&] { m_Platform.loseWrites(99); });
+  m_Ann.submit("/publish");
+  LONGS_EQUAL(503, m_Ann.status());
+  CHECK(m_Ann.shows("It is not known whether the version was published"));
+  m_Platform.loseWrites(0);
+  m_Ann.submit("/publish");
+  CHECK(m_Ann.shows("<strong id=\"version\">2</strong>"));
+}
+
+// Guards against two publications at the same moment that both succeed.
+TEST(Console, PublicationsAtTheSameMoment) {
+  publishSample();
+  signIn();
+  editShare(m_Ann, "account-0", "5");
+  editShare(m_Bob, "account-1", "7");
+  m_Platform.beforeNextWrite("config/head", [&] {
+    m_Bob.submit("/publish");
+    LONGS_EQUAL(200, m_Bob.status());
+  });
+  m_Ann.submit("/publish");
+  LONGS_EQUAL(409, m_Ann.status());
+  CHECK(m_Ann.shows("account &quot;account-1&quot;: share 1 -&gt; 7"));
+  m_Ann.submit("/rebase");
+  m_Ann.submit("/publish");
+  LONGS_EQUAL(3, version());
+  DOUBLES_EQUAL(5, share(0), 0);
+  DOUBLES_EQUAL(7, share(1), 0);
+}
+
 // Guards against work that is lost, or published twice, when a console ends
 // between two steps or before its answer arrives.
 TEST(Console, AnotherConsoleContinues) {
--- a/tests/console/DraftTest.cpp
+++ b/tests/console/DraftTest.cpp
@@ -116,13 +116,18 @@
 // Guards against drafts that were changed in the browser or come from another
 // release.
 TEST(Draft, DamagedDrafts) {
-  for (const char *Json :
-       {"", "[]", "{}", "null", "{\"version\":-1,\"head\":\"\"}",
-        "{\"version\":1,\"head\":\"\",\"changes\":{},\"set\":5}",
-        "{\"version\":1,\"head\":\"\",\"changes\":[[\"shape\",\"\",\"\",\"\"]],"
-        "\"set\":\"\"}",
-        "{\"version\":1,\"head\":\"\",\"changes\":[[\"pool\"]],\"set\":\"\"}",
-        "{\"version\":1,\"head\":\"\",\"changes\":[],\"set\":\"[\"}"}) {
+  const std::string Texts[] = {
+      std::string(1000000, '['),
+      "[]",
+      "{}",
+      "null",
+      "{\"version\":-1,\"head\":\"\"}",
+      "{\"version\":1,\"head\":\"\",\"changes\":{},\"set\":5}",
+      "{\"version\":1,\"head\":\"\",\"changes\":[[\"shape\",\"\",\"\",\"\"]],"
+      "\"set\":\"\"}",
+      "{\"version\":1,\"head\":\"\",\"changes\":[[\"pool\"]],\"set\":\"\"}",
+      "{\"version\":1,\"head\":\"\",\"changes\":[],\"set\":\"[\"}"};
+  for (const std::string &Json : Texts) {
     std::vector<Finding> Findings;
     CHECK_FALSE(Draft::decode(encodeBase64Url(Json), Findings).has_value());
     LONGS_EQUAL(1, Findings.size());
