--- a/src/daemons/parsleyring.cpp
+++ b/src/daemons/parsleyring.cpp
@@ -1,3 +1,4 @@
+#include "audit/ExplainCommand.h"
 #include "console/HashPasswordCommand.h"
 #include "document/CheckCommand.h"
 
@@ -13,6 +14,7 @@
   App.require_subcommand(1);
   int ExitCode = 0;
   CheckCommand::addTo(App, ExitCode);
+  ExplainCommand::addTo(App, ExitCode);
   HashPasswordCommand::addTo(App, ExitCode);
   try {
     App.parse(ArgumentCount, Arguments);
