Add link proxies and load to the test cluster, and prove leaving and shutdown

The emulated endpoints now give their signs of leaving apart (load report, a number of refusals) and note when they last began work, so that a router that does not know of the sign shows as a late start. Before, an endpoint that was leaving refused everything, and late calls could not be seen.

A router announces its own peer address, which would lead its peers around a proxy; the proxy therefore replaces the address in passing. A setting for the announced address was ruled out, as nothing but tests would use it.

--- a/src/emulator/EngineBatch.cpp
+++ b/src/emulator/EngineBatch.cpp
@@ -79,17 +79,12 @@
   m_Changed.notify_all();
 }
 
-void EngineBatch::drain() {
+void EngineBatch::setDraining(bool IsDraining) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
-  m_IsDraining = true;
+  m_IsDraining = IsDraining;
   noteLoad();
 }
 
-bool EngineBatch::isDraining() const {
-  std::lock_guard<std::mutex> Lock(m_Mutex);
-  return m_IsDraining;
-}
-
 EngineBatch::Load EngineBatch::reportedLoad() {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   auto At = Clock::now() - m_ReportLag;
--- a/src/emulator/EngineBatch.h
+++ b/src/emulator/EngineBatch.h
@@ -40,8 +40,8 @@
   /// a free lane.
   void compute(const std::string &Request, std::chrono::microseconds Time);
 
-  void drain();
-  bool isDraining() const;
+  /// For the load report only.
+  void setDraining(bool IsDraining);
   /// The state as it was one report lag ago.
   Load reportedLoad();
 
--- a/src/emulator/EngineCounts.cpp
+++ b/src/emulator/EngineCounts.cpp
@@ -28,7 +28,8 @@
 }
 
 std::string EngineCounts::json(const std::string &Layers,
-                               const std::string &Request) const {
+                               const std::string &Request,
+                               std::int64_t LastStartMillis) const {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   nlohmann::json Requests = nlohmann::json::object();
   for (const auto &[Name, Entry] : m_Requests) {
@@ -43,6 +44,7 @@
                         {"refusals", m_Refusals},
                         {"cancels", m_Cancels},
                         {"tokens", m_Tokens},
+                        {"last_start_ms", LastStartMillis},
                         {"requests", Requests}}
       .dump();
 }
--- a/src/emulator/EngineCounts.h
+++ b/src/emulator/EngineCounts.h
@@ -18,9 +18,12 @@
   /// The engine computed its layers for the token at Position.
   void noteToken(const std::string &Request, std::uint32_t Position);
 
-  /// {starts, refusals, cancels, tokens, requests: {ID: {starts, positions:
-  /// {POSITION: {LAYERS: times}}}}}. With Request, only that request is listed.
-  std::string json(const std::string &Layers, const std::string &Request) const;
+  /// {starts, refusals, cancels, tokens, last_start_ms, requests: {ID: {starts,
+  /// positions: {POSITION: {LAYERS: times}}}}}. With Request, only that request
+  /// is listed. LastStartMillis also counts requests taken in from other
+  /// engines.
+  std::string json(const std::string &Layers, const std::string &Request,
+                   std::int64_t LastStartMillis) const;
 
 private:
   struct PerRequest {
--- a/src/emulator/EngineEmulator.cpp
+++ b/src/emulator/EngineEmulator.cpp
@@ -118,12 +118,13 @@
     Reply.m_Body =
         m_Counts.json(std::to_string(m_Options.m_Layers.m_First) + "-" +
                           std::to_string(m_Options.m_Layers.m_End),
-                      Call.query("request"));
+                      Call.query("request"), m_Gate.lastStartMillis());
     return;
   }
-  if (Name == "POST /admin/drain")
-    m_Batch.drain();
-  else if (Name == "POST /admin/freeze")
+  if (Name == "POST /admin/drain") {
+    m_Gate.drain(Call.m_Body);
+    m_Batch.setDraining(m_Gate.isDrainReported());
+  } else if (Name == "POST /admin/freeze")
     m_Server.freezeConnections();
   else
     Reply.m_Status = 404;
@@ -200,7 +201,7 @@
 }
 
 bool EngineEmulator::openStages(const Job &Work, HttpReply &Reply) {
-  if (m_Batch.isDraining()) {
+  if (m_Gate.takeRefusal()) {
     refuse(Reply, 503, "draining", "the engine is leaving");
     return false;
   }
@@ -213,6 +214,7 @@
     refuse(Reply, 429, "overloaded", "too many requests wait");
     return false;
   }
+  m_Gate.noteStart();
   if (!Work.hasNext())
     return true;
   auto Answer = m_Clients.post(Work.nextAddress(), "/v1/forward",
--- a/src/emulator/EngineEmulator.h
+++ b/src/emulator/EngineEmulator.h
@@ -6,6 +6,7 @@
 #include "emulator/HttpClientPool.h"
 #include "emulator/HttpServer.h"
 #include "emulator/PrefixCache.h"
+#include "emulator/WorkGate.h"
 #include "parsleyring/Types.h"
 
 #include <atomic>
@@ -64,6 +65,7 @@
   const std::string m_Incarnation;
   const Hop m_OwnHop;
   EngineBatch m_Batch;
+  WorkGate m_Gate;
   EngineCounts m_Counts;
   PrefixCache m_Cache;
   HttpClientPool m_Clients;
--- a/src/emulator/ProxyAdmin.cpp
+++ b/src/emulator/ProxyAdmin.cpp
@@ -25,15 +25,25 @@
 void ProxyAdmin::respond(const HttpCall &Call, HttpReply &Reply) try {
   if (Call.m_Path == "/admin/faults")
     setFaults(Call.m_Body);
+  else if (Call.m_Path == "/admin/replace")
+    setReplacement(Call.m_Body);
   else if (Call.m_Path == "/admin/heal")
     m_Proxy.setFaults({});
   else
     Reply.m_Status = 404;
-} catch (const Json::exception &Error) {
+} catch (const std::exception &Error) {
   Reply.m_Status = 400;
   Reply.m_Body = Error.what();
 }
 
+void ProxyAdmin::setReplacement(const std::string &Body) {
+  Json Given = Json::parse(Body);
+  TcpProxy::Replacement Wanted{Given.at("from"), Given.at("to")};
+  if (Wanted.m_From.size() != Wanted.m_To.size())
+    throw std::invalid_argument("the texts differ in length");
+  m_Proxy.setReplacement(Wanted);
+}
+
 void ProxyAdmin::setFaults(const std::string &Body) {
   Json Given = Json::parse(Body);
   TcpProxy::Faults Faults = m_Proxy.faults();
--- a/src/emulator/ProxyAdmin.h
+++ b/src/emulator/ProxyAdmin.h
@@ -17,7 +17,8 @@
 /// POST /admin/faults takes an object with any of delay_ms, bytes_per_second,
 /// cut, lose_to_server, lose_to_client, drop_answer_after and
 /// freeze_existing; what is not given stays. POST /admin/heal ends all faults,
-/// but frozen connections stay silent.
+/// but frozen connections stay silent. POST /admin/replace takes {from, to},
+/// see TcpProxy::Replacement; it is no fault and stays.
 class ProxyAdmin {
 public:
   explicit ProxyAdmin(const ProxyOptions &Options);
@@ -27,6 +28,7 @@
 private:
   void respond(const HttpCall &Call, HttpReply &Reply);
   void setFaults(const std::string &Body);
+  void setReplacement(const std::string &Body);
 
   const ProxyOptions m_Options;
   TcpProxy m_Proxy;
--- a/src/emulator/ServiceEmulator.cpp
+++ b/src/emulator/ServiceEmulator.cpp
@@ -11,15 +11,9 @@
 
 using Json = nlohmann::json;
 
-static std::int64_t nowMillis() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 ServiceEmulator::ServiceEmulator(const ServiceOptions &Options)
-    : m_Options(Options), m_Incarnation(std::to_string(nowMillis()) + "-" +
-                                        std::to_string(getpid())),
+    : m_Options(Options), m_Incarnation(std::to_string(wallClockMillis()) +
+                                        "-" + std::to_string(getpid())),
       m_Server([this](const HttpCall &Call, HttpReply &Reply) {
         respond(Call, Reply);
       }) {}
@@ -37,8 +31,7 @@
   } else if (Call.m_Path == "/admin/freeze") {
     m_Server.freezeConnections();
   } else if (Call.m_Path == "/admin/drain") {
-    std::lock_guard<std::mutex> Lock(m_Mutex);
-    m_IsDraining = true;
+    m_Gate.drain(Call.m_Body);
   } else {
     execute(Call, Reply);
   }
@@ -51,13 +44,14 @@
   std::uint32_t Execution = 0;
   {
     std::lock_guard<std::mutex> Lock(m_Mutex);
-    if (m_IsDraining) {
+    if (m_Gate.takeRefusal()) {
       ++m_Refusals;
       Reply.m_Status = 503;
       Reply.m_Headers["X-Outcome"] = "not-run";
       return;
     }
     ++m_Total;
+    m_Gate.noteStart();
     ++m_Running;
     Execution = ++m_Executions[Key];
   }
@@ -78,19 +72,21 @@
   std::lock_guard<std::mutex> Lock(m_Mutex);
   return Json{{"endpoint", m_Options.m_Endpoint},
               {"incarnation", m_Incarnation},
-              {"at_ms", nowMillis()},
+              {"at_ms", wallClockMillis()},
               {"running", m_Running},
               {"waiting", 0},
               {"slots", 64},
-              {"draining", m_IsDraining},
+              {"draining", m_Gate.isDrainReported()},
               {"cached_prefixes", Json::array()}}
       .dump();
 }
 
 std::string ServiceEmulator::countsJson() {
   std::lock_guard<std::mutex> Lock(m_Mutex);
-  return Json{
-      {"executions", m_Total}, {"refusals", m_Refusals}, {"keys", m_Executions}}
+  return Json{{"executions", m_Total},
+              {"refusals", m_Refusals},
+              {"last_start_ms", m_Gate.lastStartMillis()},
+              {"keys", m_Executions}}
       .dump();
 }
 
--- a/src/emulator/ServiceEmulator.h
+++ b/src/emulator/ServiceEmulator.h
@@ -2,6 +2,7 @@
 #define PARSLEYRING_EMULATOR_SERVICEEMULATOR_H
 
 #include "emulator/HttpServer.h"
+#include "emulator/WorkGate.h"
 
 #include <map>
 #include <mutex>
@@ -35,7 +36,7 @@
   std::uint64_t m_Total = 0;
   std::uint64_t m_Refusals = 0;
   std::uint32_t m_Running = 0;
-  bool m_IsDraining = false;
+  WorkGate m_Gate;
   HttpServer m_Server;
 };
 
--- a/src/emulator/TcpProxy.cpp
+++ b/src/emulator/TcpProxy.cpp
@@ -86,6 +86,11 @@
   m_Faults = Value;
 }
 
+void TcpProxy::setReplacement(const Replacement &Value) {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Replacement = Value;
+}
+
 void TcpProxy::freezeConnections() {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   m_WantsFreeze = true;
@@ -105,6 +110,7 @@
     {
       std::lock_guard<std::mutex> Lock(m_Mutex);
       m_Active = m_Faults;
+      m_ActiveReplacement = m_Replacement;
       std::swap(IsFreezing, m_WantsFreeze);
     }
     if (m_Active.m_IsCut && m_Listener >= 0) {
@@ -187,15 +193,28 @@
 
 void TcpProxy::moveBytes(Connection &Link, Clock::time_point Now) {
   bool IsGood =
-      receive(Link.m_ToServer, m_Active.m_LosesToServer, Now) &&
-      receive(Link.m_ToClient, m_Active.m_LosesToClient, Now) &&
+      receive(Link.m_ToServer, m_Active.m_LosesToServer, m_ActiveReplacement,
+              Now) &&
+      receive(Link.m_ToClient, m_Active.m_LosesToClient, {}, Now) &&
       sendDue(Link.m_ToServer, Unlimited, Now, m_ServerFreeAt) &&
       sendDue(Link.m_ToClient, m_Active.m_AnswerBytes, Now, m_ClientFreeAt);
   bool IsOver = Link.m_ToServer.m_IsShut && Link.m_ToClient.m_IsShut;
   Link.m_IsBroken = !IsGood || IsOver;
 }
 
-bool TcpProxy::receive(Way &Route, bool IsLost, Clock::time_point Now) {
+// A sender of small messages writes each of them at once, so that a text is
+// never split between two reads.
+static void replaceText(std::string &Bytes, const std::string &From,
+                        const std::string &To) {
+  if (From.empty())
+    return;
+  for (std::size_t At = Bytes.find(From); At != std::string::npos;
+       At = Bytes.find(From, At + To.size()))
+    Bytes.replace(At, From.size(), To);
+}
+
+bool TcpProxy::receive(Way &Route, bool IsLost, const Replacement &Replaced,
+                       Clock::time_point Now) {
   Clock::time_point Due =
       Now + std::chrono::milliseconds(m_Active.m_DelayMillis);
   while (!Route.m_HasEnded && Route.m_Chunks.size() < MaxQueuedChunks) {
@@ -208,6 +227,7 @@
       Bytes.clear();
     else
       Bytes.resize(static_cast<std::size_t>(Count));
+    replaceText(Bytes, Replaced.m_From, Replaced.m_To);
     Route.m_HasEnded = Count == 0;
     if (!Bytes.empty())
       Route.m_Chunks.push_back({Due, std::move(Bytes)});
--- a/src/emulator/TcpProxy.h
+++ b/src/emulator/TcpProxy.h
@@ -33,6 +33,14 @@
     std::uint64_t m_AnswerBytes = std::numeric_limits<std::uint64_t>::max();
   };
 
+  /// Text that is replaced on the way to the server, by one of equal length.
+  /// A server that is told where its client listens then answers through a
+  /// proxy as well.
+  struct Replacement {
+    std::string m_From;
+    std::string m_To;
+  };
+
   TcpProxy(const std::string &Listen, const std::string &To);
   ~TcpProxy();
 
@@ -41,6 +49,7 @@
 
   Faults faults() const;
   void setFaults(const Faults &Value);
+  void setReplacement(const Replacement &Value);
   /// The connections that exist now become silent for good.
   void freezeConnections();
 
@@ -77,7 +86,8 @@
   /// Waits for the sockets or the next chunk that is due.
   void waitForWork(Clock::time_point Now) const;
   void moveBytes(Connection &Link, Clock::time_point Now);
-  bool receive(Way &Route, bool IsLost, Clock::time_point Now);
+  bool receive(Way &Route, bool IsLost, const Replacement &Replaced,
+               Clock::time_point Now);
   /// Returns false if the connection failed or has sent Limit bytes and would
   /// send more.
   bool sendDue(Way &Route, std::uint64_t Limit, Clock::time_point Now,
@@ -92,7 +102,9 @@
   int m_Listener = -1;
   mutable std::mutex m_Mutex;
   Faults m_Faults;
-  Faults m_Active; ///< Copy for the running thread.
+  Replacement m_Replacement;
+  Faults m_Active;                 ///< Copy for the running thread.
+  Replacement m_ActiveReplacement; ///< Copy for the running thread.
   bool m_WantsFreeze = false;
   std::list<Connection> m_Connections;
   Clock::time_point m_ServerFreeAt; ///< When the bandwidth allows more bytes.
--- a/tests/integration/PlatformEmulatorTest.cpp
+++ b/tests/integration/PlatformEmulatorTest.cpp
@@ -90,7 +90,8 @@
 TEST(PlatformEmulator, OutageClosesCallsAndWatches) {
   put("/v1/kv/a", "1");
   std::string Before = index("a");
-  HttpAnswer Seen{200, {}, {}};
+  HttpAnswer Seen;
+  Seen.m_Status = 200;
   std::thread Watch([&] { Seen = get("/v1/kv/a?wait=60s&index=" + Before); });
   bool IsWaiting = eventually([&] { return count("watches") == 1; });
   setMode({{"outage", true}});
@@ -107,7 +108,8 @@
 TEST(PlatformEmulator, FrozenWatchStaysSilent) {
   put("/v1/kv/a", "1");
   std::string Before = index("a");
-  HttpAnswer Seen{200, {}, {}};
+  HttpAnswer Seen;
+  Seen.m_Status = 200;
   std::thread Watch([&] {
     Seen = get("/v1/kv/a?wait=60s&index=" + Before,
                std::chrono::milliseconds(2000));
--- /dev/null
+++ b/tests/support/BackgroundLoad.cpp
@@ -0,0 +1,47 @@
+#include "support/BackgroundLoad.h"
+
+#include "support/Eventually.h"
+
+namespace parsleyring {
+
+/// Keeps the load steady without using up the cores.
+static constexpr std::chrono::milliseconds Pause{5};
+
+BackgroundLoad::BackgroundLoad(unsigned Callers,
+                               const std::function<void(unsigned)> &Call)
+    : m_Rounds(Callers) {
+  for (unsigned Caller = 0; Caller < Callers; ++Caller)
+    m_Threads.emplace_back([this, Call, Caller] {
+      while (!m_IsStopping) {
+        Call(Caller);
+        ++m_Rounds[Caller];
+        std::this_thread::sleep_for(Pause);
+      }
+    });
+}
+
+BackgroundLoad::~BackgroundLoad() { stop(); }
+
+void BackgroundLoad::stop() {
+  m_IsStopping = true;
+  for (std::thread &Caller : m_Threads)
+    if (Caller.joinable())
+      Caller.join();
+}
+
+std::vector<unsigned> BackgroundLoad::rounds() const {
+  return {m_Rounds.begin(), m_Rounds.end()};
+}
+
+bool BackgroundLoad::waitForRounds(unsigned Count) const {
+  std::vector<unsigned> Before = rounds();
+  return eventually([&] {
+    std::vector<unsigned> Now = rounds();
+    for (std::size_t Caller = 0; Caller < Now.size(); ++Caller)
+      if (Now[Caller] < Before[Caller] + Count)
+        return false;
+    return true;
+  });
+}
+
+} // namespace parsleyring
--- a/tests/support/HttpCalls.h
+++ b/tests/support/HttpCalls.h
@@ -10,9 +10,11 @@
 namespace parsleyring {
 
 struct HttpAnswer {
-  int m_Status = 0; ///< 0: there was no whole answer.
+  int m_Status = 0;         ///< 0: there was no whole answer.
   std::map<std::string, std::string> m_Headers; ///< Names as the server sent.
   std::string m_Body;
+  /// There was no connection: nothing was sent.
+  bool m_IsRefused = false;
 
   /// Empty if the header is absent.
   std::string header(const std::string &Name) const;
--- a/tests/support/TestCluster.cpp
+++ b/tests/support/TestCluster.cpp
@@ -37,6 +37,12 @@
   return std::string("fd-") + Name[Name.find('-') + 1];
 }
 
+std::string TestCluster::domainOf(const std::string &Name) {
+  return Name.compare(0, 3, "vm-") == 0
+             ? domainOfRouter(static_cast<unsigned>(std::stoul(Name.substr(3))))
+             : domainOfEndpoint(Name);
+}
+
 static LayerRange layersOf(const std::string &Engine) {
   auto Stage = static_cast<std::uint32_t>(Engine.back() - '0');
   return {Stage * LayersPerStage, (Stage + 1) * LayersPerStage};
@@ -71,10 +77,13 @@
     m_Routers.push_back(std::make_unique<RouterFiles>());
     m_Addresses[routerName(Index)] = m_Routers.back()->m_CallerPort.address();
   }
-  for (unsigned Index = 0; Index < Options.m_Routers; ++Index)
+  if (Options.m_HasLinks)
+    startLinks();
+  unsigned Started = std::min(Options.m_Routers, Options.m_StartedRouters);
+  for (unsigned Index = 0; Index < Started; ++Index)
     startRouter(Index);
-  for (const std::string &Name : routerNames())
-    waitUntilReady(Name);
+  for (unsigned Index = 0; Index < Started; ++Index)
+    waitUntilReady(routerName(Index));
 }
 
 TestCluster::~TestCluster() = default;
@@ -110,7 +119,9 @@
     for (const std::string &Name : Names) {
       EndpointSpec Endpoint;
       Endpoint.m_Name = Name;
-      Endpoint.m_Address = m_Addresses[Name];
+      Endpoint.m_Address = m_Options.m_HasLinks
+                               ? m_Links.add(Name, m_Addresses[Name])
+                               : m_Addresses[Name];
       Endpoint.m_FailureDomain = domainOfEndpoint(Name);
       Endpoint.m_Accelerator = "emulated";
       Endpoint.m_Slots = m_Options.m_Slots;
@@ -158,17 +169,48 @@
   m_Document = Next;
 }
 
+void TestCluster::startLinks() {
+  std::vector<std::string> Names = routerNames();
+  for (const std::string &Router : Names)
+    m_Links.add(Router + ">platform", address("platform"));
+  auto ForEachPair = [&](auto Step) {
+    for (std::size_t From = 0; From < Names.size(); ++From)
+      for (std::size_t To = 0; To < Names.size(); ++To)
+        if (From != To)
+          Step(From, To);
+  };
+  ForEachPair([&](std::size_t From, std::size_t To) {
+    m_Links.add(Names[From] + ">" + Names[To],
+                m_Routers[To]->m_PeerPort.address());
+  });
+  // A router tells its peers where it listens; they are to use the link.
+  ForEachPair([&](std::size_t From, std::size_t To) {
+    m_Links.replace(Names[From] + ">" + Names[To],
+                    m_Routers[From]->m_PeerPort.address(),
+                    m_Links.address(Names[To] + ">" + Names[From]));
+  });
+}
+
+std::string TestCluster::addressFor(const std::string &Router,
+                                    const std::string &Target) const {
+  if (m_Options.m_HasLinks)
+    return m_Links.address(Router + ">" + Target);
+  if (Target == "platform")
+    return address("platform");
+  return m_Routers[std::stoul(Target.substr(3))]->m_PeerPort.address();
+}
+
 std::string TestCluster::routerSettings(unsigned Index) const {
   std::string Text =
       "[vm]\nid = \"" + routerName(Index) + "\"\nfailure_domain = \"" +
       domainOfRouter(Index) + "\"\n[listen]\ncallers = \"" +
       m_Routers[Index]->m_CallerPort.address() + "\"\npeers = \"" +
       m_Routers[Index]->m_PeerPort.address() + "\"\n[platform]\naddress = \"" +
-      m_Addresses.at("platform") + "\"\n";
+      addressFor(routerName(Index), "platform") + "\"\n";
   for (unsigned Peer = 0; Peer < m_Routers.size(); ++Peer)
     if (Peer != Index)
       Text += "[[peer]]\nid = \"" + routerName(Peer) + "\"\naddress = \"" +
-              m_Routers[Peer]->m_PeerPort.address() +
+              addressFor(routerName(Index), routerName(Peer)) +
               "\"\nfailure_domain = \"" + domainOfRouter(Peer) + "\"\n";
   return Text + m_Options.m_RouterSettings;
 }
--- a/tests/support/TestCluster.h
+++ b/tests/support/TestCluster.h
@@ -4,6 +4,7 @@
 #include "parsleyring/Document.h"
 #include "support/FreePort.h"
 #include "support/HttpCalls.h"
+#include "support/LinkProxies.h"
 #include "support/ProcessRunner.h"
 #include "support/TemporaryFile.h"
 
@@ -15,6 +16,12 @@
 
 struct TestClusterOptions {
   unsigned m_Routers = 2;
+  /// Routers that start at once; the others are started by the test.
+  unsigned m_StartedRouters = ~0U;
+  /// Puts a fault proxy in front of each endpoint (link "engine-a0", for all
+  /// clients), and per router in front of the platform ("vm-0>platform") and of
+  /// each peer ("vm-0>vm-1").
+  bool m_HasLinks = false;
   unsigned m_TokenMicros = 2000;
   unsigned m_Slots = 8;
   unsigned m_ServiceDelayMillis = 0;
@@ -45,6 +52,9 @@
   void startRouter(unsigned Index);
   void waitUntilReady(const std::string &Router);
   std::vector<std::string> routerNames() const;
+  const LinkProxies &links() const { return m_Links; }
+  /// Of a router or an endpoint.
+  static std::string domainOf(const std::string &Name);
 
   const Document &document() const { return m_Document; }
   /// Publishes the document as the next version.
@@ -78,6 +88,10 @@
                             std::vector<std::string> Arguments);
   void startEndpoints();
   void buildDocument();
+  void startLinks();
+  /// Address for a router's connections.
+  std::string addressFor(const std::string &Router,
+                         const std::string &Target) const;
   std::string routerSettings(unsigned Index) const;
   std::uint64_t total(const std::vector<std::string> &Names,
                       const std::string &Count) const;
@@ -87,6 +101,7 @@
   std::uint64_t m_Version = 0;
   std::map<std::string, std::string> m_Addresses;
   std::map<std::string, std::unique_ptr<ProcessRunner>> m_Processes;
+  LinkProxies m_Links;
   std::vector<std::unique_ptr<RouterFiles>> m_Routers;
 };
 
