Let the fault proxy tell its clients apart by their process

All processes have the same address on loopback, so a link between one router and an endpoint could not be cut without cutting those of the other routers. The proxy finds the owner of a connection in /proc. A separate address per router was ruled out: the document has one address per endpoint.

--- a/src/emulator/ProxyAdmin.h
+++ b/src/emulator/ProxyAdmin.h
@@ -15,7 +15,7 @@
 /// Sets the faults of a TcpProxy over HTTP.
 ///
 /// POST /admin/faults takes an object with any of delay_ms, bytes_per_second,
-/// cut, lose_to_server, lose_to_client, drop_answer_after and
+/// cut, lose_to_server, lose_to_client, drop_answer_after, processes and
 /// freeze_existing; what is not given stays. POST /admin/heal ends all faults,
 /// but frozen connections stay silent. POST /admin/replace takes {from, to},
 /// see TcpProxy::Replacement; it is no fault and stays.
--- a/src/emulator/TcpProxy.cpp
+++ b/src/emulator/TcpProxy.cpp
@@ -1,6 +1,7 @@
 #include "emulator/TcpProxy.h"
 
 #include "emulator/HttpServer.h"
+#include "emulator/SocketOwner.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <stdexcept>
+#include <utility>
 
 namespace parsleyring {
 
@@ -84,6 +86,7 @@
 void TcpProxy::setFaults(const Faults &Value) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   m_Faults = Value;
+  m_HasNewFaults = true;
 }
 
 void TcpProxy::setReplacement(const Replacement &Value) {
@@ -106,25 +109,15 @@
   for (;;) {
     Clock::time_point Now = Clock::now();
     waitForWork(Now);
-    bool IsFreezing = false;
-    {
-      std::lock_guard<std::mutex> Lock(m_Mutex);
-      m_Active = m_Faults;
-      m_ActiveReplacement = m_Replacement;
-      std::swap(IsFreezing, m_WantsFreeze);
-    }
-    if (m_Active.m_IsCut && m_Listener >= 0) {
-      close(m_Listener);
-      m_Listener = -1;
-    } else if (!m_Active.m_IsCut && m_Listener < 0) {
-      openListener();
-    }
+    takeFaults();
+    openOrCloseListener();
     if (m_Listener >= 0)
       acceptConnections();
     Now = Clock::now();
     for (auto Link = m_Connections.begin(); Link != m_Connections.end();) {
-      Link->m_IsFrozen |= IsFreezing;
-      if (m_Active.m_IsCut)
+      if (m_IsFreezing && hasFaults(*Link))
+        Link->m_IsFrozen = true;
+      if (m_Active.m_IsCut && hasFaults(*Link))
         Link->m_IsBroken = true;
       else if (!Link->m_IsFrozen && !Link->m_IsBroken)
         moveBytes(*Link, Now);
@@ -138,10 +131,41 @@
   }
 }
 
+void TcpProxy::takeFaults() {
+  std::lock_guard<std::mutex> Lock(m_Mutex);
+  if (std::exchange(m_HasNewFaults, false))
+    for (Connection &Link : m_Connections)
+      Link.m_HasFaults.reset();
+  m_Active = m_Faults;
+  m_ActiveReplacement = m_Replacement;
+  m_IsFreezing = std::exchange(m_WantsFreeze, false);
+}
+
+void TcpProxy::openOrCloseListener() {
+  bool IsRefusing = m_Active.m_IsCut && m_Active.m_Processes.empty();
+  if (IsRefusing && m_Listener >= 0) {
+    close(m_Listener);
+    m_Listener = -1;
+  } else if (!IsRefusing && m_Listener < 0) {
+    openListener();
+  }
+}
+
+bool TcpProxy::hasFaults(Connection &Link) const {
+  if (m_Active.m_Processes.empty())
+    return true;
+  if (!Link.m_HasFaults)
+    Link.m_HasFaults =
+        ownsConnection(m_Active.m_Processes, Link.m_ClientPort, m_Port);
+  return *Link.m_HasFaults;
+}
+
 void TcpProxy::acceptConnections() {
   for (;;) {
-    int Client =
-        accept4(m_Listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    sockaddr_in Peer{};
+    socklen_t Size = sizeof(Peer);
+    int Client = accept4(m_Listener, reinterpret_cast<sockaddr *>(&Peer), &Size,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (Client < 0)
       return;
     int Server = openSocket();
@@ -152,6 +176,7 @@
     int Result = connect(Server, reinterpret_cast<sockaddr *>(&Address),
                          sizeof(Address));
     Connection Link;
+    Link.m_ClientPort = ntohs(Peer.sin_port);
     Link.m_IsBroken = Result != 0 && errno != EINPROGRESS;
     Link.m_ToServer.m_From = Link.m_ToClient.m_To = Client;
     Link.m_ToServer.m_To = Link.m_ToClient.m_From = Server;
@@ -192,12 +217,14 @@
 }
 
 void TcpProxy::moveBytes(Connection &Link, Clock::time_point Now) {
+  const Faults Active = hasFaults(Link) ? m_Active : Faults();
   bool IsGood =
-      receive(Link.m_ToServer, m_Active.m_LosesToServer, m_ActiveReplacement,
-              Now) &&
-      receive(Link.m_ToClient, m_Active.m_LosesToClient, {}, Now) &&
-      sendDue(Link.m_ToServer, Unlimited, Now, m_ServerFreeAt) &&
-      sendDue(Link.m_ToClient, m_Active.m_AnswerBytes, Now, m_ClientFreeAt);
+      receive(Link.m_ToServer, Active.m_LosesToServer, Active,
+              m_ActiveReplacement, Now) &&
+      receive(Link.m_ToClient, Active.m_LosesToClient, Active, {}, Now) &&
+      sendDue(Link.m_ToServer, Unlimited, Active, Now, m_ServerFreeAt) &&
+      sendDue(Link.m_ToClient, Active.m_AnswerBytes, Active, Now,
+              m_ClientFreeAt);
   bool IsOver = Link.m_ToServer.m_IsShut && Link.m_ToClient.m_IsShut;
   Link.m_IsBroken = !IsGood || IsOver;
 }
@@ -213,10 +240,9 @@
     Bytes.replace(At, From.size(), To);
 }
 
-bool TcpProxy::receive(Way &Route, bool IsLost, const Replacement &Replaced,
-                       Clock::time_point Now) {
-  Clock::time_point Due =
-      Now + std::chrono::milliseconds(m_Active.m_DelayMillis);
+bool TcpProxy::receive(Way &Route, bool IsLost, const Faults &Active,
+                       const Replacement &Replaced, Clock::time_point Now) {
+  Clock::time_point Due = Now + std::chrono::milliseconds(Active.m_DelayMillis);
   while (!Route.m_HasEnded && Route.m_Chunks.size() < MaxQueuedChunks) {
     std::string Bytes(ChunkBytes, '\0');
     ssize_t Count = recv(Route.m_From, Bytes.data(), Bytes.size(), 0);
@@ -235,8 +261,8 @@
   return true;
 }
 
-bool TcpProxy::sendDue(Way &Route, std::uint64_t Limit, Clock::time_point Now,
-                       Clock::time_point &FreeAt) {
+bool TcpProxy::sendDue(Way &Route, std::uint64_t Limit, const Faults &Active,
+                       Clock::time_point Now, Clock::time_point &FreeAt) {
   while (!Route.m_Chunks.empty() && Route.m_Chunks.front().m_Due <= Now &&
          FreeAt <= Now) {
     std::string &Bytes = Route.m_Chunks.front().m_Bytes;
@@ -248,10 +274,10 @@
     if (Count < 0)
       return isTemporary(errno);
     Route.m_SentBytes += static_cast<std::uint64_t>(Count);
-    if (m_Active.m_BytesPerSecond > 0)
+    if (Active.m_BytesPerSecond > 0)
       FreeAt = std::max(FreeAt, Now - CheckInterval) +
                std::chrono::nanoseconds(Count * 1000000000 /
-                                        m_Active.m_BytesPerSecond);
+                                        Active.m_BytesPerSecond);
     Bytes.erase(0, static_cast<std::size_t>(Count));
     if (!Bytes.empty())
       return true;
--- a/src/emulator/TcpProxy.h
+++ b/src/emulator/TcpProxy.h
@@ -9,6 +9,7 @@
 #include <limits>
 #include <list>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,9 @@
     bool m_LosesToClient = false;
     /// A connection is closed after so many bytes to the client.
     std::uint64_t m_AnswerBytes = std::numeric_limits<std::uint64_t>::max();
+    /// Only the connections of these processes have the faults, and are
+    /// accepted also while cut; empty: all connections.
+    std::vector<pid_t> m_Processes;
   };
 
   /// Text that is replaced on the way to the server, by one of equal length.
@@ -77,6 +81,9 @@
     Way m_ToClient;
     bool m_IsFrozen = false;
     bool m_IsBroken = false;
+    int m_ClientPort = 0;
+    /// Whether the client is one of m_Active.m_Processes; empty: not known yet.
+    std::optional<bool> m_HasFaults;
   };
 
   void openListener();
@@ -85,13 +92,16 @@
                 Clock::time_point &Next) const;
   /// Waits for the sockets or the next chunk that is due.
   void waitForWork(Clock::time_point Now) const;
+  void takeFaults();
+  void openOrCloseListener();
+  bool hasFaults(Connection &Link) const;
   void moveBytes(Connection &Link, Clock::time_point Now);
-  bool receive(Way &Route, bool IsLost, const Replacement &Replaced,
-               Clock::time_point Now);
+  static bool receive(Way &Route, bool IsLost, const Faults &Active,
+                      const Replacement &Replaced, Clock::time_point Now);
   /// Returns false if the connection failed or has sent Limit bytes and would
   /// send more.
-  bool sendDue(Way &Route, std::uint64_t Limit, Clock::time_point Now,
-               Clock::time_point &FreeAt);
+  static bool sendDue(Way &Route, std::uint64_t Limit, const Faults &Active,
+                      Clock::time_point Now, Clock::time_point &FreeAt);
   static void closeConnection(Connection &Link);
 
   std::string m_Host;
@@ -106,6 +116,8 @@
   Faults m_Active;                 ///< Copy for the running thread.
   Replacement m_ActiveReplacement; ///< Copy for the running thread.
   bool m_WantsFreeze = false;
+  bool m_IsFreezing = false; ///< Used by the running thread.
+  bool m_HasNewFaults = false;
   std::list<Connection> m_Connections;
   Clock::time_point m_ServerFreeAt; ///< When the bandwidth allows more bytes.
   Clock::time_point m_ClientFreeAt;
--- a/tests/integration/LeavingEndpointTest.cpp
+++ b/tests/integration/LeavingEndpointTest.cpp
@@ -140,6 +140,19 @@
               m_Cluster->metric("vm-1", "load_reports_polled_total"));
 }
 
+// Guards against reports that nobody reads, because the router that polls is
+// cut off from the endpoint, but not from its peers, or is paused.
+TEST(LeavingEndpoint, SignOfTheLoadReportNotSeenByOneRouter) {
+  for (const char *Router : {"vm-0", "vm-2"}) {
+    start();
+    CHECK(eventually([this] { return isUsedByAll(); }));
+    for (const std::string &Endpoint : m_Leaving)
+      m_Cluster->links().silence(Endpoint, {m_Cluster->process(Router).pid()});
+    checkLeft([this] { drain(AllInReport); });
+    m_Load.reset();
+  }
+}
+
 // Guards against refusals that only the refused router learns from: the load
 // report of the endpoint does not say that it is leaving.
 TEST(LeavingEndpoint, SignOfTheAnswer) {
--- a/tests/support/HttpCalls.h
+++ b/tests/support/HttpCalls.h
@@ -10,7 +10,7 @@
 namespace parsleyring {
 
 struct HttpAnswer {
-  int m_Status = 0;         ///< 0: there was no whole answer.
+  int m_Status = 0; ///< 0: there was no whole answer.
   std::map<std::string, std::string> m_Headers; ///< Names as the server sent.
   std::string m_Body;
   /// There was no connection: nothing was sent.
--- a/tests/support/LinkProxies.cpp
+++ b/tests/support/LinkProxies.cpp
@@ -46,6 +46,17 @@
   setFaults(Link, R"({"lose_to_server": true, "lose_to_client": true})");
 }
 
+void LinkProxies::silence(const std::string &Link,
+                          const std::vector<pid_t> &Processes) const {
+  std::string List;
+  for (pid_t Process : Processes)
+    List += (List.empty() ? "" : ",") + std::to_string(Process);
+  setFaults(
+      Link,
+      R"({"lose_to_server": true, "lose_to_client": true, "processes": [)" +
+          List + "]}");
+}
+
 void LinkProxies::cut(const std::string &Link) const {
   setFaults(Link, R"({"cut": true})");
 }
--- a/tests/support/LinkProxies.h
+++ b/tests/support/LinkProxies.h
@@ -20,6 +20,9 @@
   void setFaults(const std::string &Link, const std::string &Faults) const;
   /// Bytes disappear both ways.
   void silence(const std::string &Link) const;
+  /// The same for the connections of these processes only.
+  void silence(const std::string &Link,
+               const std::vector<pid_t> &Processes) const;
   /// Connections are closed and refused.
   void cut(const std::string &Link) const;
   /// The connections that exist now stay silent, new ones work.
