Poll each endpoint from two routers

Cause: one router per failure domain polled an endpoint. While it was cut off from the endpoint, but not from its peers, no router saw the endpoint's load report and with it the sign that it leaves: last start 6671 ms after the sign (when the test ended), limit 3000 ms.

Ruled out: a second router that takes over once reports are missing. Reports are up to 2 s old in normal operation (poll and digest interval of 1 s each), so that noticing the gap and polling takes more than 3 s. A router that tells its peers of its failed polls would need a field in the digest, and a paused router tells nothing.

Now two routers poll; if the domain has only one, a router elsewhere is the second. The cost is one more poll per endpoint and second for the fleet: at the target size 3.5 instead of 1.8 polls/s per node.

--- a/src/membership/PeerTable.cpp
+++ b/src/membership/PeerTable.cpp
@@ -16,6 +16,10 @@
 static constexpr Duration LoadRelevance = std::chrono::seconds(5);
 static constexpr std::size_t MostLoadEntries = 64;
 static constexpr std::size_t MostPeerEntries = 16;
+// With one poller, nobody would see the sign of a leaving endpoint while that
+// VM is paused or cut off from the endpoint, but not from its peers. To find
+// this out first would take longer than the 3 s allowed.
+static constexpr std::size_t PollersPerEndpoint = 2;
 // VMs are replaced all the time; a partition between regions lasts minutes.
 static constexpr Duration SilentPeerLifetime = std::chrono::hours(1);
 // Beyond a full mesh, news of a peer arrives by way of others.
@@ -226,22 +230,25 @@
 
 bool PeerTable::isPoller(Time Now, const std::string &Endpoint,
                          const std::string &FailureDomain) const {
-  auto IsCandidate = [&](const Peer &Other, const std::string &Domain) {
-    return Other.m_Info.m_FailureDomain == Domain && !Other.m_IsDraining &&
-           isLive(Now, Other);
-  };
-  std::string Domain = FailureDomain;
-  if (Domain != m_Self.m_FailureDomain) {
-    for (const auto &[VM, Other] : m_Peers)
-      if (IsCandidate(Other, Domain))
-        return false;
-    Domain = m_Self.m_FailureDomain;
-  }
   std::uint64_t Own = weight(m_Self.m_Identity.m_VM, Endpoint);
-  for (const auto &[VM, Other] : m_Peers)
-    if (IsCandidate(Other, Domain) && weight(VM, Endpoint) > Own)
-      return false;
-  return true;
+  std::size_t InDomain = m_Self.m_FailureDomain == FailureDomain ? 1 : 0;
+  // Live VMs that come before this one, by domain of the VM.
+  std::size_t AheadInDomain = 0, AheadBeside = 0, AheadElsewhere = 0;
+  for (const auto &[VM, Other] : m_Peers) {
+    if (Other.m_IsDraining || !isLive(Now, Other))
+      continue;
+    const std::string &Domain = Other.m_Info.m_FailureDomain;
+    bool IsAhead = weight(VM, Endpoint) > Own;
+    InDomain += Domain == FailureDomain;
+    (Domain == FailureDomain            ? AheadInDomain
+     : Domain == m_Self.m_FailureDomain ? AheadBeside
+                                        : AheadElsewhere) += IsAhead;
+  }
+  if (m_Self.m_FailureDomain == FailureDomain)
+    return AheadInDomain < PollersPerEndpoint;
+  if (InDomain == 0)
+    return AheadBeside == 0;
+  return AheadBeside + AheadElsewhere + InDomain < PollersPerEndpoint;
 }
 
 } // namespace parsleyring
--- a/src/membership/PeerTable.h
+++ b/src/membership/PeerTable.h
@@ -59,8 +59,8 @@
   bool isAlive(Time Now, const std::string &VM) const;
   std::vector<std::string> livePeers(Time Now) const;
   PeersChanged summary(Time Now) const;
-  /// Rendezvous hashing over the live VMs of the failure domain, or of the own
-  /// one if no VM of that domain is alive.
+  /// Rendezvous hashing over the live VMs: two of the failure domain; if only
+  /// one is alive there, it and one other; if none is, one in each domain.
   bool isPoller(Time Now, const std::string &Endpoint,
                 const std::string &FailureDomain) const;
 
--- a/tests/integration/LeavingEndpointTest.cpp
+++ b/tests/integration/LeavingEndpointTest.cpp
@@ -141,7 +141,7 @@
 }
 
 // Guards against reports that nobody reads, because the router that polls is
-// cut off from the endpoint, but not from its peers, or is paused.
+// cut off from the endpoint, but not from its peers.
 TEST(LeavingEndpoint, SignOfTheLoadReportNotSeenByOneRouter) {
   for (const char *Router : {"vm-0", "vm-2"}) {
     start();
