--- a/src/routing/RouteExclusions.cpp
+++ b/src/routing/RouteExclusions.cpp
@@ -32,6 +32,8 @@
 /// Why the filter left the option out.
 static ExclusionReason reasonOfUnused(const StageOption &Option,
                                       const StageFilter &Filter) {
+  if (Option.m_IsStallQuarantined && !Filter.m_AllowsStallQuarantined)
+    return ExclusionReason::Quarantined;
   if (!Option.m_Endpoint->m_IsDomainReachable && !Filter.m_AllowsUnreachable)
     return ExclusionReason::UnreachableDomain;
   if (Option.m_IsAvoided && !Filter.m_AllowsAvoided)
--- a/src/routing/RoutePlanner.h
+++ b/src/routing/RoutePlanner.h
@@ -26,6 +26,7 @@
   std::string m_Endpoint;
   double m_EstimateMicros = 0;
   LayerRange m_Layers = {}; ///< [0, 1) for a plain service.
+  bool m_IsStallQuarantined = false;
 };
 
 /// Why an endpoint of the pool was no candidate.
@@ -109,7 +110,7 @@
   bool markLeaving(Time Now, const std::string &Endpoint,
                    const std::string &Incarnation);
   bool isLeaving(const std::string &Endpoint) const;
-  /// Returns how long the endpoint gets no new work.
+  /// The endpoint gave a wrong result. Returns how long it gets no new work.
   Duration quarantine(Time Now, const std::string &Endpoint);
   void setUnreachableDomains(const std::vector<std::string> &Domains);
 
