--- a/src/audit/RouteSentence.cpp
+++ b/src/audit/RouteSentence.cpp
@@ -119,6 +119,8 @@
           return Stage.m_Endpoint == Candidate.m_Endpoint;
         }))
       Text += " (chosen)";
+    if (Each.value("quarantined", false))
+      Text += " (quarantined for stalls, a last resort)";
   }
   if (Text.empty())
     return Text;
--- a/src/console/ConsoleServer.cpp
+++ b/src/console/ConsoleServer.cpp
@@ -2,7 +2,7 @@
 
 #include "callers/BoundedTaskQueue.h"
 #include "callers/CallerConnection.h"
-#include "http/Address.h"
+#include "core/SocketAddress.h"
 
 #include <glog/logging.h>
 
@@ -192,7 +192,7 @@
                              std::function<Time()> Now)
     : m_Implementation(
           std::make_unique<Implementation>(Pages, std::move(Now))) {
-  std::optional<parsleyring::Address> Own = parseAddress(Address);
+  std::optional<SocketAddress> Own = parseSocketAddress(Address);
   if (!Own)
     throw std::runtime_error(Address + " is not IP:port");
   Implementation &Server = *m_Implementation;
--- a/src/console/RolloutPoll.cpp
+++ b/src/console/RolloutPoll.cpp
@@ -1,6 +1,6 @@
 #include "console/RolloutPoll.h"
 
-#include "http/Address.h"
+#include "core/SocketAddress.h"
 
 #include <httplib.h>
 
@@ -39,7 +39,7 @@
 
 static RouterVersion ask(const RouterAddress &Router,
                          steady_clock::time_point End) {
-  std::optional<Address> Target = parseAddress(Router.m_Address);
+  std::optional<SocketAddress> Target = parseSocketAddress(Router.m_Address);
   if (!Target)
     return {0, "the address is malformed"};
   if (steady_clock::now() >= End)
--- a/src/load/LoadCaller.cpp
+++ b/src/load/LoadCaller.cpp
@@ -117,8 +117,8 @@
 
 bool LoadCaller::callCompletion(const PlannedCall &Planned, std::size_t Router,
                                 CallRecord &Record) const {
-  EndpointConnection Connection(*parseAddress(m_Options.m_Routers[Router]),
-                                ConnectLimit);
+  EndpointConnection Connection(
+      *parseSocketAddress(m_Options.m_Routers[Router]), ConnectLimit);
   Connection.setDeadline(deadline(Planned));
   httplib::Request Request =
       post("/v1/completions", m_Options.m_Accounts[Planned.m_Account].m_Key,
@@ -149,8 +149,8 @@
 
 bool LoadCaller::callService(const PlannedCall &Planned, std::size_t Router,
                              CallRecord &Record) const {
-  EndpointConnection Connection(*parseAddress(m_Options.m_Routers[Router]),
-                                ConnectLimit);
+  EndpointConnection Connection(
+      *parseSocketAddress(m_Options.m_Routers[Router]), ConnectLimit);
   Connection.setDeadline(deadline(Planned));
   httplib::Request Request =
       post(m_Options.m_ServicePath,
--- a/src/load/LoadPlan.cpp
+++ b/src/load/LoadPlan.cpp
@@ -1,6 +1,6 @@
 #include "load/LoadPlan.h"
 
-#include "http/Address.h"
+#include "core/SocketAddress.h"
 
 #include <cmath>
 #include <random>
@@ -36,7 +36,7 @@
   if (Options.m_Routers.empty() || Options.m_Accounts.empty())
     throw std::invalid_argument("a router and an account are needed");
   for (const std::string &Router : Options.m_Routers)
-    if (!parseAddress(Router))
+    if (!parseSocketAddress(Router))
       throw std::invalid_argument("router is not IP:port: " + Router);
   if (Options.m_CallsPerSecond <= 0 || Options.m_Seconds <= 0 ||
       Options.m_LeastTokens > Options.m_MostTokens || Options.m_Prefixes == 0)
--- a/src/requests/AuditRecords.cpp
+++ b/src/requests/AuditRecords.cpp
@@ -31,11 +31,14 @@
 
 static Json candidates(const std::vector<RouteCandidate> &Candidates) {
   Json Result = Json::array();
-  for (const RouteCandidate &Candidate : Candidates)
+  for (const RouteCandidate &Candidate : Candidates) {
     Result.push_back({{"endpoint", Candidate.m_Endpoint},
                       {"first_layer", Candidate.m_Layers.m_First},
                       {"end_layer", Candidate.m_Layers.m_End},
                       {"estimate_us", Candidate.m_EstimateMicros}});
+    if (Candidate.m_IsStallQuarantined)
+      Result.back()["quarantined"] = true;
+  }
   return Result;
 }
 
--- a/src/routing/RoutePlanner.cpp
+++ b/src/routing/RoutePlanner.cpp
@@ -177,7 +177,8 @@
       if (At < Count || IsChosen)
         Plan.m_Candidates.push_back(
             {Options[Shown[At]].m_Endpoint->m_Spec.m_Name,
-             Options[Shown[At]].m_CostMicros, Options[Shown[At]].m_Layers});
+             Options[Shown[At]].m_CostMicros, Options[Shown[At]].m_Layers,
+             Options[Shown[At]].m_IsStallQuarantined});
     }
   }
 }
