Pass headers of services on once, and share what two places did

A service that writes 'content-type' in lower case had it passed on twice: the names were compared by case, and the value was set once more. All headers are now passed on as they came.

--- a/src/callers/ServiceHandler.cpp
+++ b/src/callers/ServiceHandler.cpp
@@ -48,12 +48,8 @@
                                httplib::Response &Response) {
   Response.status = Value.m_Status;
   for (const auto &[Name, Text] : Value.m_Headers)
-    if (Name != "Content-Type")
-      Response.headers.emplace(Name, Text);
-  std::string ContentType = Value.contentType();
+    Response.headers.emplace(Name, Text);
   Response.body = Value.m_Body;
-  if (!ContentType.empty())
-    Response.set_header("Content-Type", ContentType);
 }
 
 void ServiceHandler::handle(Exchange &Call) const {
--- a/src/daemons/parsleyring-console.cpp
+++ b/src/daemons/parsleyring-console.cpp
@@ -1,10 +1,9 @@
 #include "console/ConsoleNode.h"
+#include "core/EndSignals.h"
 
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
-#include <pthread.h>
 
-#include <csignal>
 #include <iostream>
 
 using namespace parsleyring;
@@ -13,16 +12,10 @@
 static constexpr int ExitUsage = 2;
 
 static int runConsole(const Settings &Options) {
-  std::signal(SIGPIPE, SIG_IGN);
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  EndSignals Signals;
   ConsoleNode Node(Options);
   Node.start();
-  int Signal = 0;
-  sigwait(&Signals, &Signal);
+  Signals.wait();
   Node.stop();
   return 0;
 }
--- a/src/daemons/parsleyring-router.cpp
+++ b/src/daemons/parsleyring-router.cpp
@@ -1,11 +1,10 @@
+#include "core/EndSignals.h"
 #include "node/ListedPeerNetwork.h"
 #include "node/RouterNode.h"
 
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
-#include <pthread.h>
 
-#include <csignal>
 #include <iostream>
 
 using namespace parsleyring;
@@ -13,19 +12,8 @@
 static constexpr int ExitFailure = 1;
 static constexpr int ExitUsage = 2;
 
-/// Blocks the signals that end the process in all threads started later.
-static sigset_t blockEndSignals() {
-  std::signal(SIGPIPE, SIG_IGN);
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  return Signals;
-}
-
 static int runNode(const Settings &Options) {
-  sigset_t Signals = blockEndSignals();
+  EndSignals Signals;
   RouterNode Node(Options, [](const Settings &Own, const Incarnation &Self,
                               std::function<Time()> Now,
                               PlatformClient &Platform,
@@ -34,9 +22,7 @@
                                                Platform, Callbacks);
   });
   Node.start();
-  int Signal = 0;
-  sigwait(&Signals, &Signal);
-  // Further signals stay blocked: they change nothing.
+  Signals.wait();
   Node.drain();
   return 0;
 }
--- a/tests/callers/CallerServerTest.cpp
+++ b/tests/callers/CallerServerTest.cpp
@@ -72,6 +72,11 @@
             m_Arrived = Arrived->m_Request;
           if (auto *Gone = std::get_if<CallerGone>(&Value))
             m_Gone = Gone->m_Request;
+          if (auto *Call = std::get_if<ServiceCallArrived>(&Value)) {
+            m_Answers.find(Call->m_Request)
+                ->setServiceAnswer({200, {{"content-type", "a/b"}}, "body"});
+            finish(Call->m_Request, Outcome::Completed);
+          }
         },
         [] { return std::optional<ErrorAnswer>(); },
         [this](RequestNumber Number, const ErrorAnswer &Refusal) {
@@ -152,16 +157,26 @@
 // Guards against a caller who holds a request id of which no audit record tells
 // anything.
 TEST(CallerServer, RefusalsWithARequestIdAreRecorded) {
-  const std::string Post = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n";
+  const std::string Close = " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n";
+  const std::string Post = "POST /v1/completions" + Close;
   exchange(Post + "Content-Length: 1\r\n\r\n{");
   exchange(Post + "Content-Length: 5000\r\n\r\n{");
-  exchange("POST /services/p/../q HTTP/1.1\r\nHost: x\r\n\r\n");
+  exchange("POST /services/p/../q" + Close + "\r\n");
   CHECK(m_Refused == (std::vector<std::pair<RequestNumber, std::string>>{
                          {1, "malformed-body"},
                          {2, "body-too-large"},
                          {3, "malformed-path"}}));
 }
 
+// Guards against a header of a service that reaches the caller twice because
+// of its case.
+TEST(CallerServer, ServiceHeadersArePassedOnOnce) {
+  std::string Reply = exchange("GET /services/p/q HTTP/1.1\r\nHost: x\r\n"
+                               "Connection: close\r\n\r\n");
+  STRCMP_CONTAINS("content-type: a/b\r\n", Reply.c_str());
+  CHECK(Reply.find("Content-Type") == std::string::npos);
+}
+
 // Guards against callers beyond the capacity who are left without an answer,
 // and against health checks that fail because of them.
 TEST(CallerServer, ExcessConnectionsAreRefused) {
