--- a/src/callers/ServiceHandler.cpp
+++ b/src/callers/ServiceHandler.cpp
@@ -48,17 +48,16 @@
                                httplib::Response &Response) {
   Response.status = Value.m_Status;
   for (const auto &[Name, Text] : Value.m_Headers)
-    if (Name != "Content-Type")
-      Response.headers.emplace(Name, Text);
-  std::string ContentType = Value.contentType();
+    Response.headers.emplace(Name, Text);
   Response.body = Value.m_Body;
-  if (!ContentType.empty())
-    Response.set_header("Content-Type", ContentType);
 }
 
 void ServiceHandler::handle(Exchange &Call) const {
   RequestNumber Number = m_Context.m_NextRequest();
   std::string Id = requestId(m_Context.m_Self, Number);
+  Call.m_OnRefusal = [this, Number](const ErrorAnswer &Refusal) {
+    m_Context.m_RecordRefusal(Number, Refusal);
+  };
   std::optional<std::string> Body = Call.readBody(Id);
   if (!Body)
     return;
@@ -75,7 +74,7 @@
     return Call.refuse(400, "malformed-key", Problem, Id);
   if (std::optional<ErrorAnswer> Refusal = m_Context.m_Refusal()) {
     Refusal->m_RequestId = Id;
-    return Refusal->writeTo(Call.m_Response);
+    return Call.refuse(*Refusal);
   }
   ServiceCallArrived Arrived;
   Arrived.m_Request = Number;
--- a/src/daemons/parsleyring.cpp
+++ b/src/daemons/parsleyring.cpp
@@ -1,3 +1,5 @@
+#include "audit/ExplainCommand.h"
+#include "console/HashPasswordCommand.h"
 #include "document/CheckCommand.h"
 
 #include <CLI/CLI.hpp>
@@ -12,6 +14,8 @@
   App.require_subcommand(1);
   int ExitCode = 0;
   CheckCommand::addTo(App, ExitCode);
+  ExplainCommand::addTo(App, ExitCode);
+  HashPasswordCommand::addTo(App, ExitCode);
   try {
     App.parse(ArgumentCount, Arguments);
   } catch (const CLI::ParseError &Error) {
--- a/src/peers/PeerConnection.cpp
+++ b/src/peers/PeerConnection.cpp
@@ -1,5 +1,6 @@
 #include "peers/PeerConnection.h"
 
+#include "core/SocketAddress.h"
 #include "peers/CountingTransport.h"
 #include "peers/WireDigest.h"
 
@@ -19,9 +20,11 @@
 public:
   Client(const std::string &Address,
          const CountingTransport::Count &CountBytes) {
-    std::size_t Colon = Address.rfind(':');
-    auto Socket = std::make_shared<transport::TSocket>(
-        Address.substr(0, Colon), std::stoi(Address.substr(Colon + 1)));
+    std::optional<SocketAddress> Peer = parseSocketAddress(Address);
+    if (!Peer)
+      throw std::invalid_argument("peer address is not IP:port: " + Address);
+    auto Socket =
+        std::make_shared<transport::TSocket>(Peer->m_Host, Peer->m_Port);
     Socket->setConnTimeout(ConnectTimeoutMillis);
     Socket->setRecvTimeout(CallTimeoutMillis);
     Socket->setSendTimeout(CallTimeoutMillis);
--- a/src/routing/RoutePlanner.cpp
+++ b/src/routing/RoutePlanner.cpp
@@ -2,6 +2,7 @@
 
 #include "routing/AttemptTable.h"
 #include "routing/LeavingTable.h"
+#include "routing/RouteExclusions.h"
 #include "routing/RouteStrategy.h"
 #include "routing/SlotDivision.h"
 #include "routing/StallLog.h"
@@ -15,12 +16,14 @@
 static constexpr std::size_t CandidatesPerBoundary = 8;
 
 /// In this order: an endpoint that failed the request is tried again before an
-/// endpoint whose failure domain is believed to be unreachable.
+/// endpoint whose failure domain is believed to be unreachable. An endpoint
+/// that is quarantined for stalls is the last resort: if the machine of this VM
+/// is overloaded, all endpoints seem to stall, and refusing everything would be
+/// worse than trying them.
 static constexpr StageFilter Filters[] = {
-    {true, false, false},
-    {true, true, false},
-    {true, false, true},
-    {true, true, true},
+    {true, false, false, false}, {true, true, false, false},
+    {true, false, true, false},  {true, true, true, false},
+    {true, true, true, true},
 };
 
 class RoutePlanner::Implementation {
@@ -52,6 +55,7 @@
   std::unique_ptr<RouteStrategy> m_Strategy;
   std::vector<std::string> m_UnreachableDomains;
   std::uint32_t m_Routers = 1;
+  Preference m_Preference = Preference::Recovery;
 };
 
 void RoutePlanner::Implementation::useStrategy(const std::string &Name) {
@@ -101,6 +105,7 @@
     Option.m_CostMicros = Costs.stageMicros(Option.m_Estimate, Option.m_Load);
     Option.m_IsAvoided = std::find(Query.m_Avoid.begin(), Query.m_Avoid.end(),
                                    Spec.m_Name) != Query.m_Avoid.end();
+    Option.m_IsStallQuarantined = Member->m_Health.isStallQuarantined(Now);
     Result.push_back(Option);
   }
   SlotDivision(Now, m_Routers).apply(Result);
@@ -114,17 +119,19 @@
   CostModel Costs(Now, Query, m_Links, m_OwnDomain);
   StageGraph Graph(std::max(Query.m_Layers, 1U), options(Now, Query, Costs));
   RouteContext Context{Now, Query.m_Pool, Costs, m_Random};
+  StageFilter Used;
   for (StageFilter Filter : Filters) {
     bool HasFreeRoute = Graph.select(Filter);
-    if (!HasFreeRoute) {
-      Filter.m_NeedsFreeSlot = false;
-      if (!Graph.select(Filter))
-        continue;
-    }
+    Filter.m_NeedsFreeSlot = HasFreeRoute;
+    Used = Filter;
+    if (!HasFreeRoute && !Graph.select(Filter))
+      continue;
     Plan.m_Status = HasFreeRoute ? PlanStatus::Planned : PlanStatus::Saturated;
     fill(Plan, Graph, Costs, m_Strategy->choose(Graph, Context));
     break;
   }
+  Plan.m_Excluded =
+      routeExclusions(Now, m_Endpoints.pool(Query.m_Pool), Graph, Used);
   return Plan;
 }
 
@@ -170,7 +177,8 @@
       if (At < Count || IsChosen)
         Plan.m_Candidates.push_back(
             {Options[Shown[At]].m_Endpoint->m_Spec.m_Name,
-             Options[Shown[At]].m_CostMicros});
+             Options[Shown[At]].m_CostMicros, Options[Shown[At]].m_Layers,
+             Options[Shown[At]].m_IsStallQuarantined});
     }
   }
 }
@@ -186,6 +194,7 @@
   m_Implementation->m_Endpoints.apply(*Configuration,
                                       m_Implementation->m_Links);
   m_Implementation->useStrategy(Configuration->m_Policy.m_RouteStrategy);
+  m_Implementation->m_Preference = Configuration->m_Policy.m_Preference;
   m_Implementation->refreshFlags();
 }
 
@@ -277,7 +286,8 @@
 
 Duration RoutePlanner::progressTimeout(AttemptNumber Attempt) const {
   const RoutedAttempt *Known = m_Implementation->m_Attempts.find(Attempt);
-  return AttemptTable::progressTimeout(Known ? *Known : RoutedAttempt());
+  return AttemptTable::progressTimeout(Known ? *Known : RoutedAttempt(),
+                                       m_Implementation->m_Preference);
 }
 
 std::vector<std::string> RoutePlanner::noteStalled(Time Now,
@@ -294,7 +304,8 @@
   std::string Blamed = m_Implementation->m_Stalls.note(Now, Suspects);
   if (Blamed.empty())
     return {};
-  quarantine(Now, Blamed);
+  if (Endpoint *Known = m_Implementation->m_Endpoints.find(Blamed))
+    Known->m_Health.quarantine(Now, QuarantineReason::Stalls);
   return {Blamed};
 }
 
@@ -333,7 +344,8 @@
 
 Duration RoutePlanner::quarantine(Time Now, const std::string &Name) {
   Endpoint *Known = m_Implementation->m_Endpoints.find(Name);
-  return Known ? Known->m_Health.quarantine(Now) : Duration::zero();
+  return Known ? Known->m_Health.quarantine(Now, QuarantineReason::WrongResult)
+               : Duration::zero();
 }
 
 void RoutePlanner::setUnreachableDomains(
