Name a later stage only if its connection fails

The emulated engine named the next stage as unreachable also when that stage had not answered in time. With silent links the next stage itself waits for one behind it, with the same time limit, so the router blamed and avoided a healthy endpoint since it follows these names; with one engine per range and domain, no route was left.

An engine now names the next stage if the connection is refused or closed, passes on the name that a later stage gives, and names itself when it waits in vain.

--- a/src/emulator/EngineEmulator.cpp
+++ b/src/emulator/EngineEmulator.cpp
@@ -53,6 +53,13 @@
             {"message", Message}}}};
 }
 
+/// A connection that is refused or closed ends at once. Without an answer, any
+/// of the stages behind may be the one that is silent, so none is named.
+static bool isSilence(EngineBatch::Clock::time_point SentAt) {
+  static constexpr std::chrono::milliseconds Threshold{500};
+  return EngineBatch::Clock::now() - SentAt >= Threshold;
+}
+
 /// A request at one of its stages.
 struct EngineEmulator::Job {
   std::string m_Request;
@@ -64,6 +71,7 @@
   Json m_Stages; ///< This stage and the later ones.
   std::uint32_t m_Position = 0;
   std::uint32_t m_MaxTokens = 0;
+  std::string m_FailedStage; ///< If a token could not be computed.
 
   bool hasNext() const { return m_Stages.size() > 1; }
   std::string nextAddress() const { return m_Stages[1].at("address"); }
@@ -217,17 +225,21 @@
   m_Gate.noteStart();
   if (!Work.hasNext())
     return true;
+  auto SentAt = EngineBatch::Clock::now();
   auto Answer = m_Clients.post(Work.nextAddress(), "/v1/forward",
                                Work.forward("open").dump());
   if (Answer && Answer->m_Status == 200)
     return true;
+  bool IsSilent = isSilence(SentAt);
   m_Batch.close(Work.m_Key);
   // The code "draining" would tell the router that this stage is leaving.
   refuse(Reply, 503, "overloaded", "a later stage refused");
-  Json Error = Answer ? Json::parse(Answer->m_Body)
-                      : errorJson("unreachable", "not-run",
-                                  Work.m_Stages[1].at("endpoint"),
-                                  "a later stage cannot be reached");
+  Json Error = Answer
+                   ? Json::parse(Answer->m_Body)
+                   : errorJson(IsSilent ? "silent" : "unreachable", "not-run",
+                               IsSilent ? Json(m_Options.m_Endpoint)
+                                        : Work.m_Stages[1].at("endpoint"),
+                               "a later stage cannot be reached");
   Error["error"]["reason"] =
       Error["error"].value("reason", Error["error"]["code"]);
   Error["error"]["code"] = "overloaded";
@@ -255,9 +267,8 @@
       return false;
     auto Token = computeToken(Work, Position, {});
     if (!Token) {
-      Json Error =
-          errorJson("stage-failed", "failed", Work.m_Stages[1].at("endpoint"),
-                    "a later stage did not answer");
+      Json Error = errorJson("stage-failed", "failed", Work.m_FailedStage,
+                             "a later stage did not answer");
       Out.write("data: " + Error.dump() + "\n\n");
       return false;
     }
@@ -311,9 +322,17 @@
   Body["hops"] = toJson(Hops);
   if (IsPrefill)
     Body["prefixes"] = Work.m_Prefixes;
+  auto SentAt = EngineBatch::Clock::now();
   auto Answer = m_Clients.post(Work.nextAddress(), "/v1/forward", Body.dump());
-  if (!Answer || Answer->m_Status != 200)
+  if (!Answer || Answer->m_Status != 200) {
+    if (Answer)
+      Work.m_FailedStage = Answer->m_Body;
+    else if (isSilence(SentAt))
+      Work.m_FailedStage = m_Options.m_Endpoint;
+    else
+      Work.m_FailedStage = Work.m_Stages[1].at("endpoint");
     return std::nullopt;
+  }
   Json Result = Json::parse(Answer->m_Body);
   Hops = toHops(Result.at("hops"));
   if (IsLate) {
@@ -344,6 +363,7 @@
   auto Token = computeToken(Work, Body.at("position"), toHops(Body.at("hops")));
   if (!Token) {
     Reply.m_Status = 502;
+    Reply.m_Body = Work.m_FailedStage;
     return;
   }
   Reply.m_Body =
