--- a/tests/integration/ShutdownTest.cpp
+++ b/tests/integration/ShutdownTest.cpp
@@ -139,8 +139,9 @@
 TEST(Shutdown, RollingReplacement) {
   TestClusterOptions Options;
   Options.m_Routers = 3;
-  Options.m_RouterSettings = "[limits]\ndrain_lead_ms = 500\n";
-  Options.m_ServiceDelayMillis = 100;
+  // Calls outlast the lead, so that some are in progress at each end.
+  Options.m_RouterSettings = "[limits]\ndrain_lead_ms = 300\n";
+  Options.m_ServiceDelayMillis = 800;
   start(Options);
   std::vector<std::string> Names = m_Cluster->routerNames();
   std::atomic<unsigned> Lost{0};
