--- a/src/node/RouterNodeCallbacks.cpp
+++ b/src/node/RouterNodeCallbacks.cpp
@@ -1,5 +1,7 @@
 #include "node/RouterNodeImplementation.h"
 
+#include "requests/AuditRecords.h"
+
 #include <nlohmann/json.hpp>
 
 namespace parsleyring {
@@ -38,6 +40,10 @@
   Result.m_EndReservation = [this](const std::string &Key, ClaimEnd End) {
     m_Claims.endReservation(Key, End);
   };
+  Result.m_CountBytes = [this](std::uint64_t Bytes) {
+    m_Counters.add("peer_messages");
+    m_Counters.add("peer_bytes", Bytes);
+  };
   return Result;
 }
 
@@ -76,6 +82,9 @@
   Result.m_Failed = [this](const std::string &) {
     m_Counters.add("load_polls_failed");
   };
+  Result.m_CountBytes = [this](std::uint64_t Bytes) {
+    m_Counters.add("load_poll_bytes", Bytes);
+  };
   return Result;
 }
 
@@ -85,6 +94,9 @@
           [this] { return ++m_LastRequest; },
           [this](const Event &Value) { m_Loop.post(Value); },
           [this] { return refusal(); },
+          [this](RequestNumber Number, const ErrorAnswer &Refusal) {
+            recordRefusal(Number, Refusal);
+          },
           [this](const std::string &Model) {
             auto Current = m_Configuration.document();
             const Pipeline *Found =
@@ -167,6 +179,21 @@
   Target->setServiceAnswer(std::move(Copy));
 }
 
+void RouterNode::Implementation::recordRefusal(RequestNumber Number,
+                                               const ErrorAnswer &Refusal) {
+  // Records of refusals must not keep the output congested.
+  if (m_AuditOutput.isCongested())
+    return;
+  // The message may quote what the caller sent.
+  Ending End{Refusal.m_Outcome, Refusal.m_Status, Refusal.m_Code, {}, 0};
+  Time Now = m_Clock.now();
+  m_Audit.write(
+      rejectionRecord(Now, Number, {}, {}, End, m_Configuration.version()),
+      "callers");
+  m_Audit.write(outcomeRecord(Now, Number, End, 0, Duration::zero()),
+                "callers");
+}
+
 void RouterNode::Implementation::recordRejection(
     const ConfigurationRejection &Rejected) {
   static constexpr std::size_t MaxFindings = 20;
--- a/src/peers/PeerService.cpp
+++ b/src/peers/PeerService.cpp
@@ -1,12 +1,13 @@
 #include "peers/PeerService.h"
 
+#include "core/SocketAddress.h"
+#include "peers/CountingTransport.h"
 #include "peers/WireDigest.h"
 
 #include "Peer.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
-#include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
 
 #include <future>
@@ -108,16 +109,19 @@
 PeerService::~PeerService() { stop(); }
 
 void PeerService::start() {
-  std::size_t Colon = m_ListenAddress.rfind(':');
-  auto Socket = std::make_shared<transport::TServerSocket>(
-      m_ListenAddress.substr(0, Colon),
-      std::stoi(m_ListenAddress.substr(Colon + 1)));
+  std::optional<SocketAddress> Own = parseSocketAddress(m_ListenAddress);
+  if (!Own)
+    throw std::invalid_argument("listen.peers is not IP:port: " +
+                                m_ListenAddress);
+  auto Socket =
+      std::make_shared<transport::TServerSocket>(Own->m_Host, Own->m_Port);
   Socket->setRecvTimeout(IdleConnectionMillis);
   Socket->setSendTimeout(SendTimeoutMillis);
   auto Server = std::make_shared<server::TThreadedServer>(
       std::make_shared<wire::PeerProcessor>(
           std::make_shared<Handler>(m_Self, m_Callbacks, m_Receive)),
-      Socket, std::make_shared<transport::TFramedTransportFactory>(),
+      Socket,
+      std::make_shared<CountingTransportFactory>(m_Callbacks.m_CountBytes),
       std::make_shared<protocol::TCompactProtocolFactory>());
   Server->setConcurrentClientLimit(MostConnections);
   auto Notifier = std::make_shared<ListenNotifier>();
