Blame the stage that an engine names as failed

Cause: the endpoint in an engine's error went into the detail text only, and RetrySystem called RoutePlanner::noteEnded without it. A later stage that died made each first stage that used it unavailable for 1 to 16 s, and the resumed request avoided all stages of the old route.

AttemptEnded and AttemptReport carry m_FailedEndpoint. The planner judges that stage, the request avoids only it, and a leaving stage is marked instead of the first one. A name that is not on the route has no effect. The code "unreachable" of a refusal counts as a failed connection to the stage named; until now it counted as overload, so that a dead later stage stayed a candidate for every new request.

The emulator names the stage that failed also beyond its own next stage.

--- a/include/parsleyring/Events.h
+++ b/include/parsleyring/Events.h
@@ -108,6 +108,8 @@
   AttemptResult m_Result = AttemptResult::Finished;
   int m_Status = 0; ///< HTTP status; 0 if there was none.
   std::string m_Detail;
+  /// The stage that failed, as the first stage states; empty if not told.
+  std::string m_FailedEndpoint{};
 
   template <typename Self, typename Visitor>
   static void describe(Self &Event, Visitor &&Visit) {
@@ -115,6 +117,7 @@
     Visit("result", Event.m_Result);
     Visit("status", Event.m_Status);
     Visit("detail", Event.m_Detail);
+    Visit("failed_endpoint", Event.m_FailedEndpoint);
   }
 };
 
--- a/src/emulator/EngineEmulator.cpp
+++ b/src/emulator/EngineEmulator.cpp
@@ -64,6 +64,7 @@
   Json m_Stages; ///< This stage and the later ones.
   std::uint32_t m_Position = 0;
   std::uint32_t m_MaxTokens = 0;
+  std::string m_FailedEndpoint; ///< Later stage that gave no token.
 
   bool hasNext() const { return m_Stages.size() > 1; }
   std::string nextAddress() const { return m_Stages[1].at("address"); }
@@ -220,15 +221,16 @@
   if (Answer && Answer->m_Status == 200)
     return true;
   m_Batch.close(Work.m_Key);
-  // The code "draining" would tell the router that this stage is leaving.
   refuse(Reply, 503, "overloaded", "a later stage refused");
   Json Error = Answer ? Json::parse(Answer->m_Body)
                       : errorJson("unreachable", "not-run",
                                   Work.m_Stages[1].at("endpoint"),
                                   "a later stage cannot be reached");
-  Error["error"]["reason"] =
-      Error["error"].value("reason", Error["error"]["code"]);
-  Error["error"]["code"] = "overloaded";
+  // The code "draining" would tell the router that this stage is leaving.
+  if (Error["error"]["code"] == "draining") {
+    Error["error"]["reason"] = "draining";
+    Error["error"]["code"] = "overloaded";
+  }
   Reply.m_Body = Error.dump();
   return false;
 }
@@ -253,9 +255,8 @@
       return false;
     auto Token = computeToken(Work, Position, {});
     if (!Token) {
-      Json Error =
-          errorJson("stage-failed", "failed", Work.m_Stages[1].at("endpoint"),
-                    "a later stage did not answer");
+      Json Error = errorJson("stage-failed", "failed", Work.m_FailedEndpoint,
+                             "a later stage did not answer");
       Out.write("data: " + Error.dump() + "\n\n");
       return false;
     }
@@ -310,8 +311,12 @@
   if (IsPrefill)
     Body["prefixes"] = Work.m_Prefixes;
   auto Answer = m_Clients.post(Work.nextAddress(), "/v1/forward", Body.dump());
-  if (!Answer || Answer->m_Status != 200)
+  if (!Answer || Answer->m_Status != 200) {
+    Work.m_FailedEndpoint =
+        Answer ? Json::parse(Answer->m_Body).at("error").at("endpoint")
+               : Work.m_Stages[1].at("endpoint");
     return std::nullopt;
+  }
   Json Result = Json::parse(Answer->m_Body);
   Hops = toHops(Result.at("hops"));
   if (IsLate) {
@@ -342,6 +347,9 @@
   auto Token = computeToken(Work, Body.at("position"), toHops(Body.at("hops")));
   if (!Token) {
     Reply.m_Status = 502;
+    Reply.m_Body = errorJson("stage-failed", "failed", Work.m_FailedEndpoint,
+                             "a later stage did not answer")
+                       .dump();
     return;
   }
   Reply.m_Body =
--- a/src/endpoints/EndpointAttempt.h
+++ b/src/endpoints/EndpointAttempt.h
@@ -16,6 +16,7 @@
   std::string m_Detail;
   std::string m_FinishReason; ///< Of a completion that finished.
   std::optional<ServiceAnswer> m_Answer;
+  std::string m_FailedEndpoint{}; ///< Stage that an engine names as failed.
 };
 
 /// One attempt at an endpoint, run by one thread.
--- a/src/endpoints/EngineClient.cpp
+++ b/src/endpoints/EngineClient.cpp
@@ -55,10 +55,12 @@
   }
 
   void accept(EngineEvent Received) {
-    if (Received.m_Error)
+    if (Received.m_Error) {
+      m_Report.m_FailedEndpoint = Received.m_Error->m_Endpoint;
       return fail(AttemptResult::ConnectionLost,
                   "the engine broke off: " + Received.m_Error->m_Code + " " +
                       Received.m_Error->m_Endpoint);
+    }
     if (Received.m_IsEndMark)
       return end();
     if (!m_Report.m_FinishReason.empty())
@@ -85,19 +87,28 @@
     m_Report.m_FinishReason.clear();
   }
 
+  static AttemptResult refusalResult(const std::string &Code) {
+    if (Code == "draining")
+      return AttemptResult::RefusedLeaving;
+    // A later stage could not be reached; it is named in the error.
+    if (Code == "unreachable")
+      return AttemptResult::ConnectFailed;
+    return AttemptResult::RefusedNotRun;
+  }
+
   /// The engine answered with another status than 200. Only its own statement
   /// that it did not run the request is taken as a proof of that.
   AttemptReport statusReport(const EndpointConnection &Connection) const {
     AttemptReport Result;
     Result.m_Status = m_Status;
     auto Error = parseEndpointError(m_ErrorBody);
-    if (Error)
+    if (Error) {
       Result.m_Detail = Error->m_Code + ": " + Error->m_Message;
+      Result.m_FailedEndpoint = Error->m_Endpoint;
+    }
     bool IsRefusal = m_Status == 429 || m_Status == 503;
     if (IsRefusal && Error && Error->m_Outcome == "not-run")
-      Result.m_Result = Error->m_Code == "draining"
-                            ? AttemptResult::RefusedLeaving
-                            : AttemptResult::RefusedNotRun;
+      Result.m_Result = refusalResult(Error->m_Code);
     else if (Connection.isCancelled())
       Result.m_Result = AttemptResult::Cancelled;
     else if (m_Status >= 400 && m_Status < 500 && !IsRefusal)
--- a/src/node/RouterNode.cpp
+++ b/src/node/RouterNode.cpp
@@ -293,6 +293,7 @@
   End.m_Result = Report.m_Result;
   End.m_Status = Report.m_Status;
   End.m_Detail = Report.m_Detail;
+  End.m_FailedEndpoint = Report.m_FailedEndpoint;
   m_Loop.post({End, {}, std::move(Report)});
 }
 
--- a/src/requests/AuditRecords.cpp
+++ b/src/requests/AuditRecords.cpp
@@ -91,16 +91,18 @@
 
 WriteAudit attemptEndRecord(Time Now, const Attempt &Ended,
                             const AttemptEnded &End) {
-  return record(AuditKind::AttemptEnd, Now, Ended.m_Request,
-                {{"attempt", Ended.m_Number},
-                 {"epoch", Ended.m_Epoch},
-                 {"endpoint", firstEndpoint(Ended)},
-                 {"result", name(End.m_Result)},
-                 {"status", End.m_Status},
-                 {"detail", End.m_Detail.substr(0, MaxDetailBytes)},
-                 {"tokens", Ended.m_Tokens},
-                 {"abandoned", Ended.m_IsCancelled},
-                 {"elapsed_us", (Now - Ended.m_StartedAt).count()}});
+  return record(
+      AuditKind::AttemptEnd, Now, Ended.m_Request,
+      {{"attempt", Ended.m_Number},
+       {"epoch", Ended.m_Epoch},
+       {"endpoint", firstEndpoint(Ended)},
+       {"result", name(End.m_Result)},
+       {"status", End.m_Status},
+       {"detail", End.m_Detail.substr(0, MaxDetailBytes)},
+       {"failed_endpoint", End.m_FailedEndpoint.substr(0, MaxDetailBytes)},
+       {"tokens", Ended.m_Tokens},
+       {"abandoned", Ended.m_IsCancelled},
+       {"elapsed_us", (Now - Ended.m_StartedAt).count()}});
 }
 
 WriteAudit abandonRecord(Time Now, const Attempt &Abandoned,
--- a/src/requests/RetrySystem.cpp
+++ b/src/requests/RetrySystem.cpp
@@ -22,12 +22,24 @@
   Avoid.push_back(Endpoint);
 }
 
-/// Adds the endpoints that may be the reason for the failure. A refusal or a
-/// failed connection is the first stage's own; in other cases any stage may be
-/// the reason.
+/// The stage of the route that the engine names as failed; null if it names
+/// none of them.
+static const std::string *failedStage(const Attempt &Ended,
+                                      const AttemptEnded &End) {
+  for (const Stage &Part : Ended.m_Route)
+    if (Part.m_Hop.m_Endpoint == End.m_FailedEndpoint)
+      return &Part.m_Hop.m_Endpoint;
+  return nullptr;
+}
+
+/// Adds the endpoints that may be the reason for the failure: the one that the
+/// engine names. Otherwise a refusal or a failed connection is the first
+/// stage's own, and in other cases any stage may be the reason.
 static void avoidFailed(Request &Subject, const Attempt &Ended,
-                        AttemptResult Result) {
-  std::size_t Count = isProvablyNotRun(Result) ? 1 : Ended.m_Route.size();
+                        const AttemptEnded &End) {
+  if (const std::string *Failed = failedStage(Ended, End))
+    return avoid(Subject, *Failed);
+  std::size_t Count = isProvablyNotRun(End.m_Result) ? 1 : Ended.m_Route.size();
   for (std::size_t Index = 0; Index < Count; ++Index)
     avoid(Subject, Ended.m_Route[Index].m_Hop.m_Endpoint);
 }
@@ -38,12 +50,16 @@
     return m_State.m_Counters.add(Counter::EventsIgnored);
   Attempt Ended = std::move(Entry->second);
   m_State.m_Attempts.erase(Entry);
-  m_State.m_Planner.noteEnded(Call.m_Now, End.m_Attempt, End.m_Result);
+  m_State.m_Planner.noteEnded(Call.m_Now, End.m_Attempt, End.m_Result,
+                              End.m_FailedEndpoint);
   Call.add(attemptEndRecord(Call.m_Now, Ended, End));
-  if (End.m_Result == AttemptResult::RefusedLeaving)
+  if (End.m_Result == AttemptResult::RefusedLeaving) {
+    const std::string *Named = failedStage(Ended, End);
     m_Endpoints.endpointLeaving(
-        Call,
-        {Ended.m_Route.front().m_Hop.m_Endpoint, {}, LeavingSign::Answer});
+        Call, {Named ? *Named : Ended.m_Route.front().m_Hop.m_Endpoint,
+               {},
+               LeavingSign::Answer});
+  }
   Request *Subject = m_State.request(Ended.m_Request);
   if (!Subject)
     return;
@@ -62,7 +78,7 @@
   m_State.m_Counters.add(Counter::AttemptsFailed);
   if (End.m_Result == AttemptResult::Rejected)
     return rejected(Call, Subject, End);
-  avoidFailed(Subject, Ended, End.m_Result);
+  avoidFailed(Subject, Ended, End);
   // A refusal after a token contradicts itself and counts as a lost stream.
   bool IsRefusal = isProvablyNotRun(End.m_Result) && Ended.m_Tokens == 0;
   // Each such refusal removes an endpoint from the candidates, which bounds
--- a/tests/audit/TraceCodecTest.cpp
+++ b/tests/audit/TraceCodecTest.cpp
@@ -36,7 +36,7 @@
       ServiceCallArrived{8, "hash", "pool", "POST", "/p", "", "body"},
       CallerGone{9},
       TokenArrived{10, 4, Hops},
-      AttemptEnded{11, AttemptResult::RefusedLeaving, 503, "quote \" \n"},
+      AttemptEnded{11, AttemptResult::RefusedLeaving, 503, "quote \" \n", "e2"},
       LoadReported{"a", "run", At, 1, 2, true, {5, 6}},
       EndpointLeaving{"a", "run", LeavingSign::Peer},
       PeersChanged{3, {{"acct", 4}}, {"d2"}},
@@ -59,6 +59,9 @@
   LONGS_EQUAL(10, Token.m_Attempt);
   LONGS_EQUAL(4, Token.m_Position);
   CHECK(Token.m_Hops == Hops);
+  auto Ended = std::get<AttemptEnded>(
+      Codec.decode(Codec.encode(At, Events[4]).m_FieldsJson));
+  STRCMP_EQUAL("e2", Ended.m_FailedEndpoint.c_str());
   auto Load = std::get<LoadReported>(
       Codec.decode(Codec.encode(At, Events[5]).m_FieldsJson));
   CHECK(Load.m_ReportedAt == At && Load.m_IsDraining);
--- a/tests/endpoints/EngineClientTest.cpp
+++ b/tests/endpoints/EngineClientTest.cpp
@@ -90,6 +90,21 @@
   checkResult(AttemptResult::ConnectionLost, "");
 }
 
+// Guards against blaming the first stage for the failure of a later one.
+TEST(EngineClient, FailedStageIsNamed) {
+  AttemptReport Lost =
+      attempt(StreamHead + chunk("data: {\"error\":{\"code\":\"stage-failed\","
+                                 "\"endpoint\":\"e2\"}}\n\n"));
+  CHECK(Lost.m_Result == AttemptResult::ConnectionLost);
+  STRCMP_EQUAL("e2", Lost.m_FailedEndpoint.c_str());
+  AttemptReport Refused = attempt(
+      answer("503 Unreachable", R"({"error":{"code":"unreachable",)"
+                                R"("outcome":"not-run","endpoint":"e2"}})"));
+  CHECK(Refused.m_Result == AttemptResult::ConnectFailed);
+  STRCMP_EQUAL("e2", Refused.m_FailedEndpoint.c_str());
+  STRCMP_EQUAL("", attempt("").m_FailedEndpoint.c_str());
+}
+
 // Guards against tokens of streams that cannot be understood.
 TEST(EngineClient, MalformedStreams) {
   for (const char *Text :
--- a/tests/requests/CompletionTest.cpp
+++ b/tests/requests/CompletionTest.cpp
@@ -372,4 +372,40 @@
   LONGS_EQUAL(404, onlyFinish(Run.complete(2)).m_Status);
 }
 
+// Guards against first stages that get no work because a later stage died, and
+// against routes over the dead stage.
+TEST(Completion, OnlyTheNamedStageIsBlamed) {
+  for (bool IsNamed : {true, false}) {
+    StartedCompletion Run;
+    Run.deliver(2);
+    std::string First = Run.m_Start.m_Route[0].m_Hop.m_Endpoint;
+    std::string Second = Run.m_Start.m_Route[1].m_Hop.m_Endpoint;
+    Actions Decided = Run.handle(
+        AttemptEnded{Run.m_Start.m_Attempt, AttemptResult::ConnectionLost, 200,
+                     "", IsNamed ? Second : "not on the route"});
+    auto Resumed = all<StartCompletion>(Decided).at(0);
+    CHECK_FALSE(usesAny(Resumed.m_Route, Second));
+    CHECK(contains(auditText(Decided, AuditKind::Retry), "connection-lost"));
+    std::string Ended = auditText(Decided, AuditKind::AttemptEnd);
+    CHECK_EQUAL(IsNamed, contains(Ended, "\"failed_endpoint\":\"" + Second));
+    std::string Avoided = auditText(Decided, AuditKind::Route);
+    CHECK_EQUAL(!IsNamed, contains(Avoided, "\"avoid\":[\"" + First));
+    // The candidates of another request are the available endpoints.
+    std::string Others = auditText(Run.complete(2), AuditKind::Route);
+    CHECK_EQUAL(IsNamed, contains(Others, "{\"endpoint\":\"" + First));
+    CHECK_EQUAL(!IsNamed, contains(Others, "{\"endpoint\":\"" + Second));
+  }
+}
+
+// Guards against marking the first stage as leaving when a later one is.
+TEST(Completion, OnlyTheNamedStageIsLeaving) {
+  StartedCompletion Run;
+  std::string Second = Run.m_Start.m_Route[1].m_Hop.m_Endpoint;
+  Actions Decided = Run.handle(AttemptEnded{
+      Run.m_Start.m_Attempt, AttemptResult::RefusedLeaving, 503, "", Second});
+  auto Announced = all<AnnounceLeaving>(Decided);
+  LONGS_EQUAL(1, Announced.size());
+  STRCMP_EQUAL(Second.c_str(), Announced[0].m_Endpoint.c_str());
+}
+
 PARSLEYRING_TEST_MAIN
