Let a caller that lost its connection get the rest of its answer

Cause: CallerGone cancelled a completion at once, so that GET /v1/requests/ID gave the prefix and the outcome failed, but never the rest. A completion whose caller has tokens now goes on for 3 s, and for 3 s after each call for its state (new event CallerReturned). Queued completions and those without a token are cancelled at once as before; their callers do not have the id yet. Running on to the end without limit was ruled out: most callers that close a stream do not want the rest.

--- a/include/parsleyring/Events.h
+++ b/include/parsleyring/Events.h
@@ -63,7 +63,8 @@
   }
 };
 
-/// The caller's connection is gone; nobody waits for the answer.
+/// The caller's connection is gone. A caller that has a part of its answer may
+/// ask for the rest on another connection.
 struct CallerGone {
   RequestNumber m_Request = 0;
 
@@ -73,6 +74,16 @@
   }
 };
 
+/// The state of the request was asked for: its caller still wants the answer.
+struct CallerReturned {
+  RequestNumber m_Request = 0;
+
+  template <typename Self, typename Visitor>
+  static void describe(Self &Event, Visitor &&Visit) {
+    Visit("request", Event.m_Request);
+  }
+};
+
 /// A token came back on the stream of an attempt.
 struct TokenArrived {
   AttemptNumber m_Attempt = 0;
@@ -230,10 +241,11 @@
   static void describe(Self &, Visitor &&) {}
 };
 
-using Event = std::variant<CompletionArrived, ServiceCallArrived, CallerGone,
-                           TokenArrived, AttemptEnded, LoadReported,
-                           EndpointLeaving, PeersChanged, ConfigurationApplied,
-                           ClaimSettled, DrainStarted, Tick>;
+using Event =
+    std::variant<CompletionArrived, ServiceCallArrived, CallerGone,
+                 CallerReturned, TokenArrived, AttemptEnded, LoadReported,
+                 EndpointLeaving, PeersChanged, ConfigurationApplied,
+                 ClaimSettled, DrainStarted, Tick>;
 
 /// Name of the event's type as it stands in traces, for example
 /// "token-arrived".
--- a/src/callers/RequestStateHandler.cpp
+++ b/src/callers/RequestStateHandler.cpp
@@ -68,7 +68,10 @@
   if (Id.m_Owner.m_Number != m_Context.m_Self.m_Number)
     return std::nullopt;
   std::shared_ptr<Answer> Own = m_Context.m_Answers.find(Id.m_Number);
-  return Own ? Own->snapshot(From) : RemoteAnswer{};
+  if (!Own)
+    return RemoteAnswer{};
+  m_Context.m_Post(CallerReturned{Id.m_Number});
+  return Own->snapshot(From);
 }
 
 void RequestStateHandler::handle(Exchange &Call) const {
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -29,11 +29,20 @@
      "configuration", "membership", "endpoint", "event"}};
 
 // In the order of the alternatives of Event.
-static constexpr std::array<std::string_view, 12> EventNames{
-    "completion-arrived", "service-call-arrived", "caller-gone",
-    "token-arrived",      "attempt-ended",        "load-reported",
-    "endpoint-leaving",   "peers-changed",        "configuration-applied",
-    "claim-settled",      "drain-started",        "tick"};
+static constexpr std::array<std::string_view, 13> EventNames{
+    "completion-arrived",
+    "service-call-arrived",
+    "caller-gone",
+    "caller-returned",
+    "token-arrived",
+    "attempt-ended",
+    "load-reported",
+    "endpoint-leaving",
+    "peers-changed",
+    "configuration-applied",
+    "claim-settled",
+    "drain-started",
+    "tick"};
 static_assert(EventNames.size() == std::variant_size_v<Event>);
 
 std::string_view name(Outcome Value) { return OutcomeNames.name(Value); }
--- a/src/daemons/parsleyring.cpp
+++ b/src/daemons/parsleyring.cpp
@@ -1,3 +1,4 @@
+#include "audit/ReplayCommand.h"
 #include "document/CheckCommand.h"
 
 #include <CLI/CLI.hpp>
@@ -12,6 +13,7 @@
   App.require_subcommand(1);
   int ExitCode = 0;
   CheckCommand::addTo(App, ExitCode);
+  ReplayCommand::addTo(App, ExitCode);
   try {
     App.parse(ArgumentCount, Arguments);
   } catch (const CLI::ParseError &Error) {
--- a/src/emulator/EngineCounts.cpp
+++ b/src/emulator/EngineCounts.cpp
@@ -20,11 +20,17 @@
   ++m_Cancels;
 }
 
-void EngineCounts::noteToken(const std::string &Request,
-                             std::uint32_t Position) {
+void EngineCounts::noteToken(const std::string &Request, std::uint32_t Position,
+                             const Run &Computed) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   ++m_Tokens;
-  ++m_Requests[Request].m_Computed[Position];
+  m_Requests[Request].m_Computed[Position].push_back(Computed);
+}
+
+static std::int64_t micros(EngineCounts::Clock::time_point At) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             At.time_since_epoch())
+      .count();
 }
 
 std::string EngineCounts::json(const std::string &Layers,
@@ -35,9 +41,17 @@
     if (!Request.empty() && Name != Request)
       continue;
     nlohmann::json Positions = nlohmann::json::object();
-    for (auto [Position, Times] : Entry.m_Computed)
-      Positions[std::to_string(Position)][Layers] = Times;
-    Requests[Name] = {{"starts", Entry.m_Starts}, {"positions", Positions}};
+    nlohmann::json Runs = nlohmann::json::object();
+    for (const auto &[Position, Computed] : Entry.m_Computed) {
+      std::string Key = std::to_string(Position);
+      Positions[Key][Layers] = Computed.size();
+      for (const Run &Each : Computed)
+        Runs[Key].push_back(
+            {Each.m_Epoch, micros(Each.m_Begin), micros(Each.m_End)});
+    }
+    Requests[Name] = {{"starts", Entry.m_Starts},
+                      {"positions", std::move(Positions)},
+                      {"runs", std::move(Runs)}};
   }
   return nlohmann::json{{"starts", m_Starts},
                         {"refusals", m_Refusals},
--- a/src/emulator/EngineCounts.h
+++ b/src/emulator/EngineCounts.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYRING_EMULATOR_ENGINECOUNTS_H
 #define PARSLEYRING_EMULATOR_ENGINECOUNTS_H
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -15,17 +16,27 @@
   void noteStart(const std::string &Request);
   void noteRefusal();
   void noteCancel();
-  /// The engine computed its layers for the token at Position.
-  void noteToken(const std::string &Request, std::uint32_t Position);
+  using Clock = std::chrono::steady_clock;
+
+  /// The engine computed its layers for a token in an attempt of a request.
+  struct Run {
+    std::uint32_t m_Epoch = 0;
+    Clock::time_point m_Begin;
+    Clock::time_point m_End;
+  };
+  void noteToken(const std::string &Request, std::uint32_t Position,
+                 const Run &Computed);
 
   /// {starts, refusals, cancels, tokens, requests: {ID: {starts, positions:
-  /// {POSITION: {LAYERS: times}}}}}. With Request, only that request is listed.
+  /// {POSITION: {LAYERS: times}}, runs: {POSITION: [[epoch, begin_us,
+  /// end_us]]}}}}. The times are of the machine's steady clock. With Request,
+  /// only that request is listed.
   std::string json(const std::string &Layers, const std::string &Request) const;
 
 private:
   struct PerRequest {
     std::uint32_t m_Starts = 0;
-    std::map<std::uint32_t, std::uint32_t> m_Computed;
+    std::map<std::uint32_t, std::vector<Run>> m_Computed;
   };
 
   mutable std::mutex m_Mutex;
--- a/src/emulator/EngineEmulator.cpp
+++ b/src/emulator/EngineEmulator.cpp
@@ -57,6 +57,7 @@
 struct EngineEmulator::Job {
   std::string m_Request;
   std::string m_Key; ///< Unique for each start of a request.
+  std::uint32_t m_Epoch = 0;
   int m_Priority = 0;
   std::uint64_t m_Seed = 0;
   std::vector<std::uint64_t> m_Prefixes; ///< Empty after the first token.
@@ -71,11 +72,9 @@
 
   /// Body of POST /v1/forward to the next stage.
   Json forward(const char *Operation) const {
-    Json Body = {{"operation", Operation},
-                 {"request", m_Request},
-                 {"key", m_Key},
-                 {"priority", m_Priority},
-                 {"stages", m_Stages}};
+    Json Body = {{"operation", Operation}, {"request", m_Request},
+                 {"key", m_Key},           {"epoch", m_Epoch},
+                 {"priority", m_Priority}, {"stages", m_Stages}};
     Body["stages"].erase(0);
     return Body;
   }
@@ -174,6 +173,7 @@
   Work->m_Request = Pipeline.at("request");
   Work->m_Key = Work->m_Request + "#" + m_Options.m_Endpoint + "#" +
                 std::to_string(m_NextKey++);
+  Work->m_Epoch = Pipeline.value("epoch", 0);
   Work->m_Priority = Body.value("priority", 0);
   Work->m_Seed = promptSeed(Prompt);
   Work->m_Stages = Pipeline.at("stages");
@@ -279,9 +279,11 @@
   std::size_t Steps = 1;
   if (!Work.m_IsPrefilled)
     Steps = std::max<std::size_t>(1, m_Cache.use(Work.m_Prefixes));
+  EngineCounts::Run Computed{Work.m_Epoch, EngineCounts::Clock::now(), {}};
   m_Batch.compute(Work.m_Key,
                   Steps * std::chrono::microseconds(m_Options.m_TokenMicros));
-  m_Counts.noteToken(Work.m_Request, Position);
+  Computed.m_End = EngineCounts::Clock::now();
+  m_Counts.noteToken(Work.m_Request, Position, Computed);
 }
 
 std::optional<EngineEmulator::TokenResult>
@@ -331,6 +333,7 @@
   Job Work;
   Work.m_Request = Body.at("request");
   Work.m_Key = Body.at("key");
+  Work.m_Epoch = Body.at("epoch");
   Work.m_Priority = Body.at("priority");
   Work.m_Stages = Body.at("stages");
   std::string Operation = Body.at("operation");
--- a/src/node/RouterNode.cpp
+++ b/src/node/RouterNode.cpp
@@ -1,7 +1,6 @@
 #include "node/RouterNodeImplementation.h"
 
-#include "document/DocumentReader.h"
-#include "document/DocumentWriter.h"
+#include "audit/DocumentTrace.h"
 #include "metrics/MetricsPage.h"
 
 #include <glog/logging.h>
@@ -22,28 +21,13 @@
 static constexpr std::chrono::seconds ClaimFlushLimit(10);
 static constexpr std::chrono::seconds AuditFlushLimit(10);
 
-static std::string documentToText(const Document &Value) {
-  return DocumentWriter::write(Value);
-}
-
-static std::shared_ptr<const Document>
-documentFromText(const std::string &Text) {
-  DocumentReader Reader;
-  std::vector<Finding> Findings;
-  Reader.add("trace", Text, Findings);
-  if (!Findings.empty())
-    throw TraceError(toString(Findings.front()));
-  return std::make_shared<Document>(Reader.takeDocument());
-}
-
 RouterNode::Implementation::Implementation(const Settings &Options,
                                            const PeerFactory &MakePeers)
     : m_Settings(Options), m_Self(makeSelf()),
       m_Answers(Options.m_AnswerKeepTime, Options.m_AnswerKeepBytes),
       m_AuditOutput(STDOUT_FILENO), m_Audit(m_Self, m_AuditOutput.stream()),
       m_Platform(Options.m_PlatformAddress, Options.m_PlatformTimeout),
-      m_RouterOptions(routerOptions()),
-      m_Trace(documentToText, documentFromText),
+      m_RouterOptions(routerOptions()), m_Trace(documentTraceCodec()),
       m_Loop(
           m_RouterOptions, m_Clock,
           [this](Time Now, const Action &Next, LoopInput &Cause) {
--- a/src/node/RouterNodeCallbacks.cpp
+++ b/src/node/RouterNodeCallbacks.cpp
@@ -23,7 +23,10 @@
   Result.m_Outstanding = [this] { return m_Loop.counters().m_Outstanding; };
   Result.m_RequestState = [this](RequestNumber Number, std::uint32_t From) {
     auto Found = m_Answers.find(Number);
-    return Found ? Found->snapshot(From) : RemoteAnswer{};
+    if (!Found)
+      return RemoteAnswer{};
+    m_Loop.post(CallerReturned{Number});
+    return Found->snapshot(From);
   };
   Result.m_KeyState = [this](const std::string &Account,
                              const std::string &Key) {
--- a/src/requests/CancellationSystem.cpp
+++ b/src/requests/CancellationSystem.cpp
@@ -2,10 +2,18 @@
 
 namespace parsleyring {
 
+/// Long enough to connect to another VM after a failed attempt, and short, as
+/// most callers that close a stream do not want the rest.
+static constexpr Duration CallerReturnTime = std::chrono::seconds(3);
+
 void CancellationSystem::callerGone(Context &Call, const CallerGone &Gone) {
   Request *Subject = m_State.request(Gone.m_Request);
   if (!Subject)
     return m_State.m_Counters.add(Counter::EventsIgnored);
+  if (Subject->m_Kind == RequestKind::Completion && Subject->m_Delivered > 0) {
+    Subject->m_CallerAwaitedUntil = Call.m_Now + CallerReturnTime;
+    return;
+  }
   Subject->m_IsCallerGone = true;
   // The claim may be granted yet and has to be released then.
   if (Subject->m_State == RequestState::Claiming)
@@ -17,4 +25,22 @@
   m_Finisher.fail(Call, *Subject, FailureReason::CallerGone);
 }
 
+void CancellationSystem::callerReturned(Context &Call,
+                                        const CallerReturned &Returned) {
+  Request *Subject = m_State.request(Returned.m_Request);
+  if (!Subject)
+    return m_State.m_Counters.add(Counter::EventsIgnored);
+  if (Subject->m_CallerAwaitedUntil)
+    Subject->m_CallerAwaitedUntil = Call.m_Now + CallerReturnTime;
+}
+
+bool CancellationSystem::checkReturn(Context &Call, Request &Subject) {
+  if (!Subject.m_CallerAwaitedUntil ||
+      Call.m_Now < *Subject.m_CallerAwaitedUntil)
+    return false;
+  Subject.m_IsCallerGone = true;
+  m_Finisher.fail(Call, Subject, FailureReason::CallerGone);
+  return true;
+}
+
 } // namespace parsleyring
--- a/src/requests/Request.h
+++ b/src/requests/Request.h
@@ -3,6 +3,7 @@
 
 #include "parsleyring/Types.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,8 @@
   bool m_MayHaveRun = false;        ///< Seen by a token or an attempt's end.
   bool m_WasCut = false;            ///< A slow service attempt was replaced.
   bool m_IsCallerGone = false;
+  /// Set while the caller's connection is gone, but the caller may come back.
+  std::optional<Time> m_CallerAwaitedUntil;
   bool m_HasClaim = false;
   Time m_NotBefore;                 ///< Of the next attempt.
   std::vector<std::string> m_Avoid; ///< Endpoints that failed this request.
--- a/src/requests/Router.cpp
+++ b/src/requests/Router.cpp
@@ -24,7 +24,8 @@
         m_Tokens(m_State, m_Endpoints, m_Retries),
         m_Cancellations(m_State, m_Finisher),
         m_Configurations(m_State, m_Finisher),
-        m_Timeouts(m_State, m_Finisher, m_Claims, m_Endpoints, m_Retries) {}
+        m_Timeouts(m_State, m_Finisher, m_Claims, m_Endpoints, m_Retries,
+                   m_Cancellations) {}
 
   void handle(Context &Call, const Event &Input) {
     m_Timeouts.excusePause(Call.m_Now);
@@ -51,6 +52,10 @@
     m_Cancellations.callerGone(Call, Gone);
     return false;
   }
+  bool on(Context &Call, const CallerReturned &Returned) {
+    m_Cancellations.callerReturned(Call, Returned);
+    return false;
+  }
   bool on(Context &Call, const TokenArrived &Token) {
     return !m_Tokens.tokenArrived(Call, Token);
   }
--- a/src/requests/TimeoutSystem.cpp
+++ b/src/requests/TimeoutSystem.cpp
@@ -31,7 +31,8 @@
        Entry != m_State.m_Requests.end();) {
     // Advanced first, since the end of a request erases its entry.
     Request &Subject = (Entry++)->second;
-    checkDeadline(Call, Subject);
+    if (!m_Cancellations.checkReturn(Call, Subject))
+      checkDeadline(Call, Subject);
   }
   for (auto &[Number, Current] : m_State.m_Attempts)
     checkProgress(Call, Current);
--- a/src/requests/TimeoutSystem.h
+++ b/src/requests/TimeoutSystem.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYRING_REQUESTS_TIMEOUTSYSTEM_H
 #define PARSLEYRING_REQUESTS_TIMEOUTSYSTEM_H
 
+#include "requests/CancellationSystem.h"
 #include "requests/ClaimSystem.h"
 #include "requests/EndpointSystem.h"
 #include "requests/RequestFinisher.h"
@@ -15,9 +16,10 @@
 public:
   TimeoutSystem(RouterState &State, RequestFinisher &Finisher,
                 ClaimSystem &Claims, EndpointSystem &Endpoints,
-                RetrySystem &Retries)
+                RetrySystem &Retries, CancellationSystem &Cancellations)
       : m_State(State), m_Finisher(Finisher), m_Claims(Claims),
-        m_Endpoints(Endpoints), m_Retries(Retries) {}
+        m_Endpoints(Endpoints), m_Retries(Retries),
+        m_Cancellations(Cancellations) {}
 
   /// Takes the time since the last event out of the silence of the streams if
   /// this VM was paused: their tokens may be waiting in the sockets.
@@ -36,6 +38,7 @@
   ClaimSystem &m_Claims;
   EndpointSystem &m_Endpoints;
   RetrySystem &m_Retries;
+  CancellationSystem &m_Cancellations;
   std::optional<Time> m_LastEventAt;
 };
 
--- a/tests/audit/TraceCodecTest.cpp
+++ b/tests/audit/TraceCodecTest.cpp
@@ -35,6 +35,7 @@
       CompletionArrived{7, "hash", "model", 3, 9, -2, {1, ~0ULL}},
       ServiceCallArrived{8, "hash", "pool", "POST", "/p", "", "body"},
       CallerGone{9},
+      CallerReturned{9},
       TokenArrived{10, 4, Hops},
       AttemptEnded{11, AttemptResult::RefusedLeaving, 503, "quote \" \n", "e2"},
       LoadReported{"a", "run", At, 1, 2, true, {5, 6}},
@@ -55,18 +56,18 @@
     CHECK_EQUAL(Record.m_FieldsJson, Codec.encode(At, Back).m_FieldsJson);
   }
   auto Token = std::get<TokenArrived>(
-      Codec.decode(Codec.encode(At, Events[3]).m_FieldsJson));
+      Codec.decode(Codec.encode(At, Events[4]).m_FieldsJson));
   LONGS_EQUAL(10, Token.m_Attempt);
   LONGS_EQUAL(4, Token.m_Position);
   CHECK(Token.m_Hops == Hops);
   auto Ended = std::get<AttemptEnded>(
-      Codec.decode(Codec.encode(At, Events[4]).m_FieldsJson));
+      Codec.decode(Codec.encode(At, Events[5]).m_FieldsJson));
   STRCMP_EQUAL("e2", Ended.m_FailedEndpoint.c_str());
   auto Load = std::get<LoadReported>(
-      Codec.decode(Codec.encode(At, Events[5]).m_FieldsJson));
+      Codec.decode(Codec.encode(At, Events[6]).m_FieldsJson));
   CHECK(Load.m_ReportedAt == At && Load.m_IsDraining);
   auto Applied = std::get<ConfigurationApplied>(
-      Codec.decode(Codec.encode(At, Events[8]).m_FieldsJson));
+      Codec.decode(Codec.encode(At, Events[9]).m_FieldsJson));
   STRCMP_EQUAL("round-robin",
                Applied.m_Document->m_Policy.m_RouteStrategy.c_str());
   LONGS_EQUAL(7, Codec.encode(At, Events[0]).m_Request);
--- /dev/null
+++ b/tests/integration/WholeAnswerTest.cpp
@@ -0,0 +1,304 @@
+#include "emulator/TokenText.h"
+#include "support/CompletionBatch.h"
+#include "support/Eventually.h"
+#include "support/ScriptedServer.h"
+#include "support/TestMain.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+
+using Json = nlohmann::json;
+
+static constexpr unsigned Callers = 18;
+static constexpr unsigned Tokens = 60;
+/// Longer than a quarantine: on a loaded machine streams may stall although
+/// no engine is at fault.
+static constexpr std::uint32_t AmpleMillis = 100000;
+static const std::string Prompt = "who may moor at the east quay";
+
+static EndpointSpec engine(const std::string &Name, const std::string &Address,
+                           LayerRange Layers, std::uint32_t TokenMicros) {
+  EndpointSpec Result;
+  Result.m_Name = Name;
+  Result.m_Address = Address;
+  Result.m_FailureDomain = "fd-a";
+  Result.m_Accelerator = "emulated";
+  Result.m_Layers = Layers;
+  Result.m_TokenMicros = TokenMicros;
+  return Result;
+}
+
+TEST_GROUP(WholeAnswer) {
+  std::map<std::string, std::unique_ptr<ProcessRunner>> m_Proxies;
+  std::unique_ptr<TestCluster> m_Cluster;
+
+  /// Engines in Proxied are reached over a proxy.
+  void start(const std::vector<std::string> &Proxied = {},
+             const std::function<void(Document &)> &Adjust = {}) {
+    TestClusterOptions Options;
+    Options.m_Slots = 16;
+    Options.m_Adjust = [&](Document &Changed) {
+      Changed.m_Pools[0].m_RequestTimeoutMillis = AmpleMillis;
+      Changed.m_Pools[0].m_RetryBudget = 1;
+      for (EndpointSpec &Each : Changed.m_Pools[0].m_Endpoints)
+        if (std::count(Proxied.begin(), Proxied.end(), Each.m_Name))
+          Each.m_Address = addProxy(Each.m_Name, Each.m_Address);
+      if (Adjust)
+        Adjust(Changed);
+    };
+    m_Cluster = std::make_unique<TestCluster>(Options);
+  }
+
+  std::string addProxy(const std::string &Name, const std::string &To) {
+    auto &Proxy = m_Proxies[Name] = std::make_unique<ProcessRunner>(
+        "parsleyring-emulator",
+        std::vector<std::string>{"proxy", "--listen", "127.0.0.1:0", "--to",
+                                 To});
+    return Proxy->waitForLine("listening");
+  }
+
+  void setFaults(const std::string &Proxy, const Json &Faults) {
+    LONGS_EQUAL(200, sendHttp(m_Proxies.at(Proxy)->waitForLine("admin"),
+                              {"POST", "/admin/faults", Faults.dump()})
+                         .m_Status);
+  }
+
+  double total(const std::string &Counter) {
+    double Sum = 0;
+    for (const std::string &Router : m_Cluster->routerNames())
+      Sum += m_Cluster->metric(Router, Counter + "_total");
+    return Sum;
+  }
+
+  /// Each caller gets its whole answer although Fault strikes while the
+  /// streams run, and streams were resumed because of it.
+  void checkDespite(const std::function<void()> &Fault, bool IsResumed = true) {
+    double Before = total("resumes");
+    CompletionBatch Batch(*m_Cluster, Callers, Tokens);
+    bool HasStarted = Batch.waitForPieces(Callers * 4);
+    Fault();
+    STRCMP_EQUAL("", Batch.problems().c_str());
+    CHECK(HasStarted);
+    CHECK(!IsResumed || total("resumes") > Before);
+  }
+
+  HttpAnswer state(const std::string &Router, const std::string &Request,
+                   unsigned From) {
+    return m_Cluster->send(
+        Router,
+        {"GET", "/v1/requests/" + Request + "?from=" + std::to_string(From)});
+  }
+
+  /// Streams at vm-0 and loses the connection; returns the tokens received.
+  unsigned loseStream(unsigned MaxTokens, std::string &Text,
+                      std::string &Request) {
+    HttpOrder Order{"POST", "/v1/completions",
+                    Json{{"model", "ledger"},
+                         {"prompt", Prompt},
+                         {"max_tokens", MaxTokens},
+                         {"stream", true}}
+                        .dump()};
+    std::string Received;
+    Order.m_OnPiece = [&](std::string_view Piece) {
+      Received += Piece;
+      return eventData(Received).size() < 5;
+    };
+    m_Cluster->send("vm-0", Order);
+    unsigned Count = 0;
+    for (const std::string &Data : eventData(Received)) {
+      Json Event = Json::parse(Data);
+      Request = Event.at("id");
+      Text += Event.at("choices").at(0).at("text");
+      ++Count;
+    }
+    return Count;
+  }
+};
+
+// Guards against answers that lose, double or mix up tokens when a stage dies
+// under many streams.
+TEST(WholeAnswer, StageKilled) {
+  for (const std::string Name : {"engine-a0", "engine-b1", "engine-a2"}) {
+    start();
+    checkDespite([&] { m_Cluster->process(Name).kill(); });
+  }
+}
+
+// Guards against streams that wait for connections that are silent for good
+// while new ones to the same engine work.
+TEST(WholeAnswer, StageFrozen) {
+  start();
+  for (const std::string Name : {"engine-a0", "engine-b1", "engine-a2"})
+    checkDespite([&] { m_Cluster->admin(Name, "/admin/freeze"); });
+}
+
+// Guards against answers that a broken or slow link cuts off.
+TEST(WholeAnswer, LinkCutOrSlow) {
+  start({"engine-a0", "engine-b1"});
+  checkDespite([&] { setFaults("engine-a0", {{"cut", true}}); });
+  checkDespite([&] { setFaults("engine-b1", {{"lose_to_client", true}}); });
+  start({"engine-a0", "engine-b1"});
+  checkDespite([&] { setFaults("engine-b1", {{"delay_ms", 300}}); });
+  setFaults("engine-b1", {{"delay_ms", 0}});
+  // Fast enough for a stream, too slow for all of them.
+  checkDespite([&] { setFaults("engine-a0", {{"bytes_per_second", 20000}}); },
+               false);
+}
+
+// Guards against pieces of an engine that was given up, and that goes on
+// later.
+TEST(WholeAnswer, PausedEngineGoesOn) {
+  start();
+  checkDespite([&] {
+    double Before = total("resumes");
+    m_Cluster->process("engine-a0").pause();
+    eventually([&] { return total("resumes") > Before; });
+    m_Cluster->process("engine-a0").resume();
+  });
+}
+
+// Guards against delivering what an engine sends late, twice or out of order,
+// in the same burst as good tokens.
+TEST(WholeAnswer, LateAndReorderedPieces) {
+  const std::vector<std::vector<unsigned>> Orders = {
+      {0, 1, 2, 4, 3, 5, 6}, {0, 1, 2, 2, 3, 4, 5}, {3, 0, 1, 2, 4, 5, 6}};
+  for (const std::vector<unsigned> &Order : Orders) {
+    std::string Events;
+    for (unsigned Position : Order)
+      Events += "data: " +
+                Json{{"choices",
+                      {{{"index", 0},
+                        {"text", tokenText(promptSeed(Prompt), Position)}}}},
+                     {"position", Position},
+                     {"hops",
+                      {{{"endpoint", "engine-s"},
+                        {"first_layer", 0},
+                        {"end_layer", 24}}}}}
+                    .dump() +
+                "\n\n";
+    ScriptedServer Engine("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
+                          "\r\n\r\n" +
+                              Events,
+                          ScriptedServer::End::Silence);
+    // The scripted engine is by far the cheapest route.
+    start({}, [&](Document &Changed) {
+      Changed.m_Pools[0].m_Endpoints.push_back(
+          engine("engine-s", Engine.address(), {0, 24}, 1));
+    });
+    HttpAnswer Answer = m_Cluster->complete("vm-0", Prompt, Tokens, true);
+    STRCMP_EQUAL("", answerProblem(Answer, Prompt, Tokens, true).c_str());
+    CHECK(total("tokens_rejected_position") == 1);
+    CHECK(eventually([&] { return total("tokens_dropped_stale_epoch") >= 1; }));
+    CHECK(m_Cluster->process("vm-0").output().find("wrong-position") !=
+          std::string::npos);
+  }
+}
+
+// Guards against answers that suffer when engines join, and against engines
+// that join and get no work.
+TEST(WholeAnswer, EnginesJoin) {
+  start();
+  std::vector<std::unique_ptr<ProcessRunner>> Joined;
+  std::vector<std::string> Addresses;
+  checkDespite(
+      [&] {
+        Document Next = m_Cluster->document();
+        for (std::uint32_t Stage = 0; Stage < 3; ++Stage) {
+          std::string Name = "engine-c" + std::to_string(Stage);
+          LayerRange Layers{8 * Stage, 8 * Stage + 8};
+          Joined.push_back(std::make_unique<ProcessRunner>(
+              "parsleyring-emulator",
+              std::vector<std::string>{
+                  "engine", "--listen", "127.0.0.1:0", "--endpoint", Name,
+                  "--first-layer", std::to_string(Layers.m_First),
+                  "--end-layer", std::to_string(Layers.m_End)}));
+          Addresses.push_back(Joined.back()->waitForLine("listening"));
+          Next.m_Pools[0].m_Endpoints.push_back(
+              engine(Name, Addresses.back(), Layers, 1000));
+        }
+        m_Cluster->publish(Next);
+      },
+      false);
+  CHECK(eventually([&] {
+    CompletionBatch Batch(*m_Cluster, Callers, 10);
+    STRCMP_EQUAL("", Batch.problems().c_str());
+    for (const std::string &Address : Addresses)
+      if (Json::parse(sendHttp(Address, {"GET", "/admin/counts"}).m_Body)
+              .at("tokens") == 0)
+        return false;
+    return true;
+  }));
+}
+
+// Guards against the loss of the rest of an answer with the caller's
+// connection, and against a false statement when its owner is gone.
+TEST(WholeAnswer, RestAtAnotherRouter) {
+  start();
+  std::string Text;
+  std::string Request;
+  unsigned From = loseStream(300, Text, Request);
+  CHECK(From >= 5);
+  Json State;
+  CHECK(eventually([&] {
+    HttpAnswer Answer = state("vm-1", Request, From);
+    State = Json::parse(Answer.m_Body);
+    if (Answer.m_Status != 200)
+      return false;
+    Text += State.at("text").get<std::string>();
+    From = State.at("tokens");
+    return State.at("state") == "ended";
+  }));
+  STRCMP_EQUAL("completed", State.at("outcome").get<std::string>().c_str());
+  STRCMP_EQUAL(answerText(Prompt, 300).c_str(), Text.c_str());
+
+  Text.clear();
+  From = loseStream(300, Text, Request);
+  m_Cluster->process("vm-0").kill();
+  HttpAnswer Gone = state("vm-1", Request, From);
+  LONGS_EQUAL(404, Gone.m_Status);
+  STRCMP_EQUAL("unknown", Gone.header("X-Outcome").c_str());
+  // A new incarnation of the owner does not know better.
+  m_Cluster->startRouter(0);
+  m_Cluster->waitUntilReady("vm-0");
+  for (const std::string &Router : m_Cluster->routerNames())
+    STRCMP_EQUAL("unknown",
+                 state(Router, Request, From).header("X-Outcome").c_str());
+}
+
+// Guards against a stream that just stops when nothing can go on with it.
+TEST(WholeAnswer, ErrorIsExplicit) {
+  start({}, [](Document &Changed) {
+    Changed.m_Pools[0].m_RequestTimeoutMillis = 3000;
+  });
+  HttpOrder Order{"POST", "/v1/completions",
+                  Json{{"model", "ledger"},
+                       {"prompt", Prompt},
+                       {"max_tokens", 300},
+                       {"stream", true}}
+                      .dump()};
+  bool IsOut = false;
+  Order.m_OnPiece = [&](std::string_view) {
+    for (const char *Name : {"engine-a1", "engine-b1"})
+      if (!IsOut)
+        m_Cluster->process(Name).kill();
+    return IsOut = true;
+  };
+  HttpAnswer Answer = m_Cluster->send("vm-0", Order);
+  LONGS_EQUAL(200, Answer.m_Status);
+  std::vector<std::string> Events = eventData(Answer.m_Body);
+  CHECK(Events.size() >= 3);
+  STRCMP_EQUAL("[DONE]", Events.back().c_str());
+  Json Error = Json::parse(Events[Events.size() - 2]).at("error");
+  STRCMP_EQUAL("failed", Error.at("outcome").get<std::string>().c_str());
+  Events.resize(Events.size() - 2);
+  std::string Text;
+  for (const std::string &Event : Events)
+    Text += Json::parse(Event).at("choices").at(0).at("text");
+  STRCMP_EQUAL(answerText(Prompt, static_cast<unsigned>(Events.size())).c_str(),
+               Text.c_str());
+}
+
+PARSLEYRING_TEST_MAIN
--- a/tests/requests/CompletionTest.cpp
+++ b/tests/requests/CompletionTest.cpp
@@ -262,6 +262,29 @@
   CHECK(onlyFinish(Run.handle(CallerGone{2})).m_Outcome == Outcome::NotRun);
 }
 
+// Guards against an answer that ends with the connection of a caller who asks
+// for the rest, and against streams that go on for a caller who does not.
+TEST(Completion, CallerMayComeBackForTheRest) {
+  StartedCompletion Run;
+  Run.deliver(2);
+  CHECK(Run.handle(CallerGone{1}).empty());
+  for (std::uint32_t Position = 2; Position < 6; ++Position) {
+    CHECK(all<FinishRequest>(Run.pass(100ms)).empty());
+    CHECK(Run.handle(CallerReturned{1}).empty());
+    LONGS_EQUAL(1, all<DeliverToken>(Run.token(Run.m_Start, Position)).size());
+  }
+  // It is resumed like any other.
+  Actions Decided =
+      Run.end(Run.m_Start.m_Attempt, AttemptResult::ConnectionLost);
+  Run.m_Start = all<StartCompletion>(Decided).at(0);
+  LONGS_EQUAL(6, Run.m_Start.m_StartPosition);
+  CHECK(all<FinishRequest>(Run.pass(2900ms)).empty());
+  FinishRequest Ended = onlyFinish(Run.pass(200ms));
+  CHECK(Ended.m_Outcome == Outcome::Failed);
+  STRCMP_EQUAL("caller-gone", Ended.m_Code.c_str());
+  CHECK(Run.handle(CallerReturned{1}).empty());
+}
+
 // Guards against refusing work in progress at a shutdown, or accepting more.
 TEST(Completion, DrainRefusesOnlyNewRequests) {
   StartedCompletion Run;
--- /dev/null
+++ b/tests/support/TraceShortener.cpp
@@ -0,0 +1,64 @@
+#include "support/TraceShortener.h"
+
+#include <nlohmann/json.hpp>
+
+#include <sstream>
+#include <vector>
+
+namespace parsleyring {
+
+using Json = nlohmann::ordered_json;
+
+/// Below the gap that the Router takes for a pause of its VM.
+static constexpr std::int64_t LongestGapMicros = 45000;
+
+static bool isEvent(const Json &Record) { return Record.at("kind") == "event"; }
+
+static bool isTick(const Json &Record) {
+  return isEvent(Record) && Record.at("event") == "tick";
+}
+
+static std::vector<Json> routerRecords(const std::string &Trace) {
+  std::vector<Json> Records;
+  std::istringstream Lines(Trace);
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Json Record = Json::parse(Line); !Record.contains("module"))
+      Records.push_back(std::move(Record));
+  return Records;
+}
+
+/// True if anything but ticks follows within reach of the requests' times.
+static std::size_t lastDecision(const std::vector<Json> &Records) {
+  std::size_t Last = Records.size();
+  while (Last > 0 && isEvent(Records[Last - 1]))
+    --Last;
+  return Last;
+}
+
+std::string shortenedTrace(const std::string &Trace) {
+  std::vector<Json> Records = routerRecords(Trace);
+  std::size_t Count = lastDecision(Records);
+  std::string Result;
+  std::int64_t KeptAt = 0;
+  std::uint64_t Sequence = 0;
+  bool HasRequest = false;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    Json &Record = Records[Index];
+    HasRequest |= Record.contains("request");
+    if (isTick(Record)) {
+      const Json &Next = Records[Index + 1];
+      bool IsNeeded =
+          HasRequest &&
+          Next.at("at_us").get<std::int64_t>() - KeptAt > LongestGapMicros;
+      if (isEvent(Next) && !IsNeeded)
+        continue;
+    }
+    if (isEvent(Record))
+      KeptAt = Record.at("at_us");
+    Record["seq"] = ++Sequence;
+    Result += Record.dump() + "\n";
+  }
+  return Result;
+}
+
+} // namespace parsleyring
