--- /dev/null
+++ b/src/console/Console.cpp
@@ -0,0 +1,339 @@
+#include "console/Console.h"
+
+#include "console/AccountPages.h"
+#include "console/Cryptography.h"
+#include "console/ImportPage.h"
+#include "console/ListPages.h"
+#include "console/OverviewPage.h"
+#include "console/PipelinePages.h"
+#include "console/PolicyPage.h"
+#include "console/PoolPages.h"
+#include "console/ReviewPage.h"
+#include "console/RolloutPage.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace parsleyring {
+
+static const std::string SessionCookie = "parsleyring-session";
+/// Binds the token of the sign-in form to the browser that got the form.
+static const std::string VisitCookie = "parsleyring-visit";
+static const std::string CookieAttributes =
+    "; Path=/; HttpOnly; SameSite=Strict";
+static constexpr std::size_t VisitBytes = 16;
+static constexpr unsigned MaxWaitingSignIns = 8;
+
+/// What a page does with a draft that builds on another version.
+enum class OutdatedUse {
+  ShowConflict, ///< The conflict is shown instead of the page.
+  EditBase,     ///< An edit continues on the version of the draft.
+  PassOn,       ///< The page deals with it.
+};
+
+/// A page for operators who are signed in.
+struct Console::Page {
+  const char *m_Path;
+  bool m_IsGetAllowed;
+  /// Can be used while the document in the platform is damaged.
+  bool m_IsAllowedDamaged;
+  OutdatedUse m_Outdated;
+  ConsoleResponse (*m_Show)(PageCall &Call);
+};
+
+static constexpr OutdatedUse ShowConflict = OutdatedUse::ShowConflict;
+static constexpr OutdatedUse EditBase = OutdatedUse::EditBase;
+static constexpr OutdatedUse PassOn = OutdatedUse::PassOn;
+
+const Console::Page Console::Pages[] = {
+    {"/", true, false, ShowConflict, OverviewPage::show},
+    {"/document.toml", true, false, ShowConflict, ImportPage::download},
+    {"/import", true, true, ShowConflict, ImportPage::show},
+    {"/import/review", false, true, EditBase, ImportPage::review},
+    {"/accounts", true, false, ShowConflict, AccountPages::list},
+    {"/account", true, false, ShowConflict, AccountPages::open},
+    {"/account/save", false, false, EditBase, AccountPages::save},
+    {"/account/key", false, false, EditBase, AccountPages::createKey},
+    {"/account/delete", false, false, EditBase, AccountPages::remove},
+    {"/pipelines", true, false, ShowConflict, PipelinePages::list},
+    {"/pipeline", true, false, ShowConflict, PipelinePages::open},
+    {"/pipeline/save", false, false, EditBase, PipelinePages::save},
+    {"/pipeline/delete", false, false, EditBase, PipelinePages::remove},
+    {"/pools", true, false, ShowConflict, PoolPages::list},
+    {"/pool", true, false, ShowConflict, PoolPages::open},
+    {"/pool/save", false, false, EditBase, PoolPages::save},
+    {"/pool/delete", false, false, EditBase, PoolPages::remove},
+    {"/links", true, false, ShowConflict, ListPages::openLinks},
+    {"/links/save", false, false, EditBase, ListPages::saveLinks},
+    {"/rules", true, false, ShowConflict, ListPages::openRules},
+    {"/rules/save", false, false, EditBase, ListPages::saveRules},
+    {"/policy", true, false, ShowConflict, PolicyPage::open},
+    {"/policy/save", false, false, EditBase, PolicyPage::save},
+    {"/rollout", true, true, ShowConflict, RolloutPage::show},
+    {"/review", false, true, ShowConflict, ReviewPage::show},
+    {"/rebase", false, false, PassOn, ReviewPage::rebase},
+    {"/publish", false, true, PassOn, ReviewPage::publish},
+};
+
+const Console::Page *Console::pageAt(const std::string &Path) {
+  for (const Page &Each : Pages)
+    if (Path == Each.m_Path)
+      return &Each;
+  return nullptr;
+}
+
+static std::string cookie(const ConsoleRequest &Request,
+                          const std::string &Name) {
+  auto Found = Request.m_Cookies.find(Name);
+  return Found == Request.m_Cookies.end() ? "" : Found->second;
+}
+
+static ConsoleResponse redirect(const std::string &Location) {
+  ConsoleResponse Response;
+  Response.m_Status = 303;
+  Response.m_Location = Location;
+  return Response;
+}
+
+static ConsoleResponse textAnswer(const char *Type, std::string Text) {
+  ConsoleResponse Response;
+  Response.m_ContentType = Type;
+  Response.m_Body = std::move(Text);
+  return Response;
+}
+
+std::size_t Console::maxFormBytes(Time Now,
+                                  const ConsoleRequest &Request) const {
+  return m_Context.m_Sessions.operatorOf(Now, cookie(Request, SessionCookie))
+             ? MaxFormBytes
+             : MaxSignInBytes;
+}
+
+ConsoleResponse Console::refuse(int Status, const std::string &Message) const {
+  ++m_Context.m_Counters.m_RefusedRequests;
+  HtmlWriter Body;
+  Body << "<p class=\"finding\">" << Message
+       << "</p>\n<p>Nothing was changed. <a href=\"/\">Overview</a></p>\n";
+  return renderPlainPage("Request refused", Body, Status);
+}
+
+ConsoleResponse Console::handle(Time Now, const ConsoleRequest &Request) {
+  ++m_Context.m_Counters.m_Requests;
+  const std::string &Path = Request.m_Path;
+  if (!Request.m_IsPost && Path == "/healthz")
+    return textAnswer("text/plain", "alive\n");
+  if (!Request.m_IsPost && Path == "/metrics")
+    return textAnswer("text/plain; version=0.0.4",
+                      m_Context.m_Counters.metricsText());
+  if (!Request.m_IsPost && Path == "/style.css")
+    return textAnswer("text/css", std::string(StyleSheet));
+  try {
+    if (Path == "/sign-in")
+      return Request.m_IsPost ? signIn(Now, Request) : signInPage("", 200);
+    std::optional<std::string> Operator =
+        m_Context.m_Sessions.operatorOf(Now, cookie(Request, SessionCookie));
+    if (Operator)
+      return handleSignedIn(Now, Request, *Operator);
+    if (!Request.m_IsPost)
+      return redirect("/sign-in");
+    // A redirection would lose the entered work without a word.
+    return refuse(401, "You are not signed in, or the session has ended. Sign "
+                       "in from another tab, then go back and send this form "
+                       "again.");
+  } catch (const FormError &Error) {
+    return refuse(400, Error.what());
+  } catch (const PlatformError &Error) {
+    return platformError(Request, Error);
+  }
+}
+
+ConsoleResponse Console::signInPage(const std::string &Problem,
+                                    int Status) const {
+  std::string Visit = toHex(randomBytes(VisitBytes));
+  HtmlWriter Body;
+  if (!Problem.empty())
+    Body << "<p class=\"finding\">" << Problem << "</p>\n";
+  Body << "<form method=\"post\" action=\"/sign-in\">\n";
+  Body.hidden("token",
+              m_Context.m_Sessions.formToken(Visit, FormPurpose::SignIn));
+  Body << "<p><label>Operator <input name=\"operator\" required "
+          "autocomplete=\"username\"></label></p>\n"
+          "<p><label>Password <input type=\"password\" name=\"password\" "
+          "required autocomplete=\"current-password\"></label></p>\n"
+          "<p><button>Sign in</button></p>\n</form>\n";
+  ConsoleResponse Response = renderPlainPage("Sign in", Body, Status);
+  Response.m_Cookies.push_back(VisitCookie + "=" + Visit + CookieAttributes);
+  return Response;
+}
+
+void Console::recordSignIn(Time Now, const ConsoleRequest &Request,
+                           const std::string &Operator,
+                           const char *Status) const {
+  // A name that is not an operator's can be a password in the wrong field.
+  bool IsKnown = false;
+  for (const OperatorLogin &Each : m_Context.m_Settings.m_Operators)
+    IsKnown = IsKnown || Each.m_Name == Operator;
+  nlohmann::ordered_json Fields{{"event", "sign-in"},
+                                {"status", Status},
+                                {"operator", IsKnown ? Operator : ""},
+                                {"remote", Request.m_Remote}};
+  m_Context.m_Record({AuditKind::Configuration, Now, 0, Fields.dump()});
+}
+
+ConsoleResponse Console::signIn(Time Now, const ConsoleRequest &Request) {
+  const FormData &Input = Request.m_Input;
+  const std::string &Operator = Input.required("operator");
+  const std::string &Password = Input.required("password");
+  if (!m_Context.m_Sessions.isFormToken(Input.required("token"),
+                                        cookie(Request, VisitCookie),
+                                        FormPurpose::SignIn)) {
+    ++m_Context.m_Counters.m_RefusedRequests;
+    return signInPage("The form is not from this browser; try again.", 403);
+  }
+  if (++m_WaitingSignIns > MaxWaitingSignIns) {
+    --m_WaitingSignIns;
+    return signInPage("Too many sign-ins at once; try again.", 503);
+  }
+  bool IsRight = false;
+  {
+    std::lock_guard<std::mutex> Lock(m_PasswordMutex);
+    IsRight = m_Context.m_Sessions.canSignIn(Operator, Password);
+  }
+  --m_WaitingSignIns;
+  recordSignIn(Now, Request, Operator, IsRight ? "signed-in" : "refused");
+  if (!IsRight) {
+    ++m_Context.m_Counters.m_FailedSignIns;
+    return signInPage("Operator or password is wrong.", 403);
+  }
+  ++m_Context.m_Counters.m_SignIns;
+  ConsoleResponse Response = redirect("/");
+  Response.m_Cookies.push_back(
+      SessionCookie + "=" + m_Context.m_Sessions.startSession(Now, Operator) +
+      CookieAttributes);
+  return Response;
+}
+
+ConsoleResponse Console::signOut() const {
+  ConsoleResponse Response = redirect("/sign-in");
+  Response.m_Cookies.push_back(SessionCookie + "=; Max-Age=0" +
+                               CookieAttributes);
+  return Response;
+}
+
+ConsoleResponse Console::handleSignedIn(Time Now, const ConsoleRequest &Request,
+                                        const std::string &Operator) {
+  const std::string Session = cookie(Request, SessionCookie);
+  const FormData &Input = Request.m_Input;
+  const Page *Found = pageAt(Request.m_Path);
+  if (!Found && Request.m_Path != "/sign-out")
+    return refuse(404, "There is no page at this address.");
+  if (!Request.m_IsPost && !(Found && Found->m_IsGetAllowed))
+    return refuse(405, "This page needs a posted form.");
+  if (Request.m_IsPost) {
+    bool IsPublish = Request.m_Path == "/publish";
+    const std::string &Token =
+        Input.required(IsPublish ? "publish_token" : "token");
+    if (!m_Context.m_Sessions.isFormToken(Token, Session,
+                                          IsPublish ? FormPurpose::Publish
+                                                    : FormPurpose::Draft)) {
+      if (IsPublish)
+        ReviewPage::recordForgery(m_Context, Now, Request, Operator);
+      return staleForm(Request, Session);
+    }
+    if (Request.m_Path == "/sign-out")
+      return signOut();
+    // What cannot be recorded must not be done.
+    if (IsPublish && m_Context.m_IsRecordingCongested())
+      return retryPage(Request, "The audit records of this console are not "
+                                "taken off its standard output.");
+  }
+  return showPage(Now, Request, Session, Operator, *Found);
+}
+
+ConsoleResponse Console::showPage(Time Now, const ConsoleRequest &Request,
+                                  const std::string &Session,
+                                  const std::string &Operator,
+                                  const Page &Wanted) {
+  const FormData &Input = Request.m_Input;
+  Workspace Work(m_Context.m_Publisher.load());
+  m_Context.m_Counters.m_Version = Work.version();
+  if (Input.has("draft")) {
+    std::vector<Finding> Findings;
+    std::optional<Draft> Carried =
+        Draft::decode(Input.value("draft"), Findings);
+    if (!Carried)
+      return refuse(400, "The " + Findings.front().m_Key + " " +
+                             Findings.front().m_Message);
+    Work.setDraft(std::move(*Carried));
+  }
+  PageCall Call{Now, m_Context, Request, Session, Operator, Work};
+  if (!Wanted.m_IsAllowedDamaged && Work.isDamaged())
+    return OverviewPage::damaged(Call);
+  if (Wanted.m_Outdated == OutdatedUse::PassOn)
+    return Wanted.m_Show(Call);
+  // Changes of single entities cannot build on a document that is lost.
+  if (Work.isDamaged() && !(Work.draft().base() == Work.base()))
+    Work.setDraft(Draft());
+  if (Wanted.m_Outdated == OutdatedUse::ShowConflict && Work.isOutdated())
+    return ReviewPage::conflict(Call);
+  bool IsEdit = Wanted.m_Outdated == OutdatedUse::EditBase;
+  if (IsEdit && Input.has("draft") && !Work.openDraftBase(m_Context.m_Platform))
+    return refuse(409, "Another version is in force, and the version on which "
+                       "this form was opened cannot be read any more. Go back, "
+                       "note what you entered, and open the page again.");
+  return Wanted.m_Show(Call);
+}
+
+ConsoleResponse Console::staleForm(const ConsoleRequest &Request,
+                                   const std::string &Session) const {
+  ++m_Context.m_Counters.m_RefusedRequests;
+  static const std::set<std::string> Left{"token", "publish_token", "nonce"};
+  HtmlWriter Body;
+  Body << "<p class=\"finding\">The form is not from this session. Nothing was "
+          "changed.</p>\n<p>If it is your own, from before you signed in anew, "
+          "you can go on with what you entered. If you did not send one, leave "
+          "this page: <a href=\"/\">Overview</a></p>\n";
+  // Only steps that change nothing may be reached from here.
+  bool IsPublish = Request.m_Path == "/publish";
+  Body << "<form method=\"post\" action=\""
+       << (IsPublish ? std::string("/review") : Request.m_Path) << "\">\n";
+  Body.hidden("token",
+              m_Context.m_Sessions.formToken(Session, FormPurpose::Draft));
+  for (const auto &[Name, Value] : Request.m_Input.fields())
+    if (Left.count(Name) == 0)
+      Body.hidden(Name, Value);
+  Body << "<p><button>Go on with this form</button></p>\n</form>\n";
+  return renderPlainPage("Request refused", Body, 403);
+}
+
+ConsoleResponse Console::platformError(const ConsoleRequest &Request,
+                                       const PlatformError &Error) const {
+  ++m_Context.m_Counters.m_PlatformErrors;
+  return retryPage(Request,
+                   std::string("The platform's key-value service does not "
+                               "answer: ") +
+                       Error.what());
+}
+
+ConsoleResponse Console::retryPage(const ConsoleRequest &Request,
+                                   const std::string &Problem) const {
+  HtmlWriter Body;
+  Body << "<p class=\"finding\">" << Problem
+       << "</p>\n<p>Nothing was changed. The routers keep the configuration "
+          "that they have.</p>\n";
+  // The entered work travels on in the page.
+  if (Request.m_IsPost) {
+    Body << "<form method=\"post\" action=\"" << Request.m_Path << "\">\n";
+    for (const auto &[Name, Value] : Request.m_Input.fields())
+      Body.hidden(Name, Value);
+    Body << "<p>What you entered is kept in this page. "
+            "<button>Try again</button></p>\n</form>\n";
+  } else {
+    Body << "<p><a href=\"" << Request.m_Path << "\">Try again</a></p>\n";
+  }
+  return renderPlainPage("Unavailable", Body, 503);
+}
+
+} // namespace parsleyring
--- a/src/daemons/parsleyring.cpp
+++ b/src/daemons/parsleyring.cpp
@@ -1,4 +1,6 @@
+#include "audit/ExplainCommand.h"
 #include "audit/ReplayCommand.h"
+#include "console/HashPasswordCommand.h"
 #include "document/CheckCommand.h"
 
 #include <CLI/CLI.hpp>
@@ -13,6 +15,8 @@
   App.require_subcommand(1);
   int ExitCode = 0;
   CheckCommand::addTo(App, ExitCode);
+  ExplainCommand::addTo(App, ExitCode);
+  HashPasswordCommand::addTo(App, ExitCode);
   ReplayCommand::addTo(App, ExitCode);
   try {
     App.parse(ArgumentCount, Arguments);
--- a/src/emulator/EngineCounts.h
+++ b/src/emulator/EngineCounts.h
@@ -27,11 +27,13 @@
   void noteToken(const std::string &Request, std::uint32_t Position,
                  const Run &Computed);
 
-  /// {starts, refusals, cancels, tokens, requests: {ID: {starts, positions:
-  /// {POSITION: {LAYERS: times}}, runs: {POSITION: [[epoch, begin_us,
-  /// end_us]]}}}}. The times are of the machine's steady clock. With Request,
-  /// only that request is listed.
-  std::string json(const std::string &Layers, const std::string &Request) const;
+  /// {starts, refusals, cancels, tokens, last_start_ms, requests: {ID: {starts,
+  /// positions: {POSITION: {LAYERS: times}}, runs: {POSITION: [[epoch,
+  /// begin_us, end_us]]}}}}. The times of runs are of the machine's steady
+  /// clock. With Request, only that request is listed. LastStartMillis also
+  /// counts requests taken in from other engines.
+  std::string json(const std::string &Layers, const std::string &Request,
+                   std::int64_t LastStartMillis) const;
 
 private:
   struct PerRequest {
