--- a/include/parsleyring/Events.h
+++ b/include/parsleyring/Events.h
@@ -119,8 +119,8 @@
   AttemptResult m_Result = AttemptResult::Finished;
   int m_Status = 0; ///< HTTP status; 0 if there was none.
   std::string m_Detail;
-  /// The stage that failed, as the first stage states; empty if not told.
-  std::string m_FailedEndpoint{};
+  /// The stage that failed or refused, if the first stage names it.
+  std::string m_FailedEndpoint = {};
 
   template <typename Self, typename Visitor>
   static void describe(Self &Event, Visitor &&Visit) {
--- a/src/audit/RecordSentence.cpp
+++ b/src/audit/RecordSentence.cpp
@@ -61,6 +61,17 @@
                      "ahead of time"},
 };
 
+/// Refusals of requests that did not reach the admission checks.
+static constexpr NamedText RefusalTexts[] = {
+    {"malformed-body", "the body was not a completion request"},
+    {"malformed-path", "the path was not that of a service call"},
+    {"malformed-key", "the Idempotency-Key header was not usable"},
+    {"body-too-large", "the body was larger than this VM accepts"},
+    {"body-timeout", "the body did not arrive in time"},
+    {"body-broken", "the body did not arrive whole"},
+    {"no-configuration", "the VM had no configuration yet"},
+};
+
 template <std::size_t Count>
 static std::string textOf(const NamedText (&Table)[Count],
                           const std::string &Name) {
@@ -89,17 +100,18 @@
 }
 
 static std::string rejectionSentence(const AuditRecord &Record) {
+  std::string Code = Record.text("code");
+  std::string Message = Record.text("message");
   std::string Account = Record.text("account");
   std::string Text = "Refused before anything was sent to an endpoint: ";
-  Text += Record.has("message")
-              ? Record.text("message")
-              : std::string(messageOfCode(Record.text("code")));
-  Text += " (code \"" + Record.text("code") + "\"). The target was " +
-          targetText(Record);
-  Text += Account.empty() ? ", the account is not known"
-                          : ", the account \"" + Account + "\"";
-  return Text + ", the configuration version " +
-         std::to_string(Record.number("configuration")) + ".";
+  Text += Message.empty() ? textOf(RefusalTexts, Code) : Message;
+  Text += " (code \"" + Code + "\").";
+  if (!Record.text("target").empty())
+    Text += " The target was " + targetText(Record) +
+            (Account.empty() ? ", the account is not known."
+                             : ", the account \"" + Account + "\".");
+  return Text + " Configuration version " +
+         std::to_string(Record.number("configuration")) + " was in force.";
 }
 
 static std::string admissionSentence(const RequestHistory &,
@@ -143,17 +155,26 @@
              : Text + " From now on this request avoids " + Avoid + ".";
 }
 
-static std::string attemptEndSentence(const RequestHistory &,
+static bool isCompletion(const RequestHistory &History) {
+  for (const AuditRecord &Record : History.records())
+    if (Record.has("max_tokens"))
+      return true;
+  return false;
+}
+
+static std::string attemptEndSentence(const RequestHistory &History,
                                       const AuditRecord &Record) {
   if (Record.text("result") == "abandoned")
     return abandonSentence(Record);
   std::string Text = "Attempt " + std::to_string(Record.number("attempt"));
   if (Record.flag("abandoned"))
     Text += ", given up before,";
-  Text += " on " + Record.text("endpoint") + " ended after " +
-          elapsedText(Record) + " with " +
-          countText(Record.number("tokens"), "token") + ": " +
-          textOf(ReasonTexts, Record.text("result")) + statusText(Record);
+  Text +=
+      " on " + Record.text("endpoint") + " ended after " + elapsedText(Record) +
+      (isCompletion(History)
+           ? " with " + countText(Record.number("tokens"), "token")
+           : "") +
+      ": " + textOf(ReasonTexts, Record.text("result")) + statusText(Record);
   if (!Record.text("failed_endpoint").empty())
     Text += ", and " + Record.text("failed_endpoint") +
             " is named as the stage that failed";
@@ -206,7 +227,8 @@
            Record.text("outcome") + "\"";
   else if (!Code.empty())
     Text += ", code \"" + Code + "\"";
-  Text += ", after " + elapsedText(Record);
+  if (Record.number("elapsed_us") > 0)
+    Text += ", after " + elapsedText(Record);
   if (Record.number("tokens") > 0)
     Text += " and " + countText(Record.number("tokens"), "token");
   std::string_view Message = messageOfCode(Code);
--- a/src/emulator/EngineEmulator.cpp
+++ b/src/emulator/EngineEmulator.cpp
@@ -229,10 +229,9 @@
                                   Work.m_Stages[1].at("endpoint"),
                                   "a later stage cannot be reached");
   // The code "draining" would tell the router that this stage is leaving.
-  if (Error["error"]["code"] == "draining") {
-    Error["error"]["reason"] = "draining";
-    Error["error"]["code"] = "overloaded";
-  }
+  Error["error"]["reason"] =
+      Error["error"].value("reason", Error["error"]["code"]);
+  Error["error"]["code"] = "overloaded";
   Reply.m_Body = Error.dump();
   return false;
 }
--- a/src/endpoints/EngineClient.cpp
+++ b/src/endpoints/EngineClient.cpp
@@ -87,15 +87,6 @@
     m_Report.m_FinishReason.clear();
   }
 
-  static AttemptResult refusalResult(const std::string &Code) {
-    if (Code == "draining")
-      return AttemptResult::RefusedLeaving;
-    // A later stage could not be reached; it is named in the error.
-    if (Code == "unreachable")
-      return AttemptResult::ConnectFailed;
-    return AttemptResult::RefusedNotRun;
-  }
-
   /// The engine answered with another status than 200. Only its own statement
   /// that it did not run the request is taken as a proof of that.
   AttemptReport statusReport(const EndpointConnection &Connection) const {
@@ -108,7 +99,7 @@
     }
     bool IsRefusal = m_Status == 429 || m_Status == 503;
     if (IsRefusal && Error && Error->m_Outcome == "not-run")
-      Result.m_Result = refusalResult(Error->m_Code);
+      Result.m_Result = refusalResult(*Error);
     else if (Connection.isCancelled())
       Result.m_Result = AttemptResult::Cancelled;
     else if (m_Status >= 400 && m_Status < 500 && !IsRefusal)
@@ -120,6 +111,14 @@
     return Result;
   }
 
+  static AttemptResult refusalResult(const EndpointError &Error) {
+    if (Error.m_Code == "draining")
+      return AttemptResult::RefusedLeaving;
+    // The first stage could not reach a later one.
+    return Error.m_Reason == "unreachable" ? AttemptResult::ConnectFailed
+                                           : AttemptResult::RefusedNotRun;
+  }
+
   const TokenSink &m_OnToken;
   EventStreamParser m_Parser;
   int m_Status = 0;
@@ -130,8 +129,8 @@
 
 static std::unique_ptr<EndpointConnection>
 connectionTo(const std::vector<Stage> &Route) {
-  auto Target =
-      Route.empty() ? std::nullopt : parseAddress(Route.front().m_Address);
+  auto Target = Route.empty() ? std::nullopt
+                              : parseSocketAddress(Route.front().m_Address);
   if (!Target)
     return nullptr;
   return std::make_unique<EndpointConnection>(*Target, ConnectLimit);
--- a/src/routing/RoutePlanner.h
+++ b/src/routing/RoutePlanner.h
@@ -26,6 +26,7 @@
   std::string m_Endpoint;
   double m_EstimateMicros = 0;
   LayerRange m_Layers = {}; ///< [0, 1) for a plain service.
+  bool m_IsStallQuarantined = false;
 };
 
 /// Why an endpoint of the pool was no candidate.
