--- a/src/emulator/EngineEmulator.cpp
+++ b/src/emulator/EngineEmulator.cpp
@@ -57,6 +57,7 @@
 struct EngineEmulator::Job {
   std::string m_Request;
   std::string m_Key; ///< Unique for each start of a request.
+  std::uint32_t m_Epoch = 0;
   int m_Priority = 0;
   std::uint64_t m_Seed = 0;
   std::vector<std::uint64_t> m_Prefixes; ///< Empty after the first token.
@@ -64,17 +65,16 @@
   Json m_Stages; ///< This stage and the later ones.
   std::uint32_t m_Position = 0;
   std::uint32_t m_MaxTokens = 0;
+  std::string m_FailedEndpoint; ///< Later stage that gave no token.
 
   bool hasNext() const { return m_Stages.size() > 1; }
   std::string nextAddress() const { return m_Stages[1].at("address"); }
 
   /// Body of POST /v1/forward to the next stage.
   Json forward(const char *Operation) const {
-    Json Body = {{"operation", Operation},
-                 {"request", m_Request},
-                 {"key", m_Key},
-                 {"priority", m_Priority},
-                 {"stages", m_Stages}};
+    Json Body = {{"operation", Operation}, {"request", m_Request},
+                 {"key", m_Key},           {"epoch", m_Epoch},
+                 {"priority", m_Priority}, {"stages", m_Stages}};
     Body["stages"].erase(0);
     return Body;
   }
@@ -174,6 +174,7 @@
   Work->m_Request = Pipeline.at("request");
   Work->m_Key = Work->m_Request + "#" + m_Options.m_Endpoint + "#" +
                 std::to_string(m_NextKey++);
+  Work->m_Epoch = Pipeline.value("epoch", 0);
   Work->m_Priority = Body.value("priority", 0);
   Work->m_Seed = promptSeed(Prompt);
   Work->m_Stages = Pipeline.at("stages");
@@ -222,12 +223,12 @@
   if (Answer && Answer->m_Status == 200)
     return true;
   m_Batch.close(Work.m_Key);
-  // The code "draining" would tell the router that this stage is leaving.
   refuse(Reply, 503, "overloaded", "a later stage refused");
   Json Error = Answer ? Json::parse(Answer->m_Body)
                       : errorJson("unreachable", "not-run",
                                   Work.m_Stages[1].at("endpoint"),
                                   "a later stage cannot be reached");
+  // The code "draining" would tell the router that this stage is leaving.
   Error["error"]["reason"] =
       Error["error"].value("reason", Error["error"]["code"]);
   Error["error"]["code"] = "overloaded";
@@ -255,9 +256,8 @@
       return false;
     auto Token = computeToken(Work, Position, {});
     if (!Token) {
-      Json Error =
-          errorJson("stage-failed", "failed", Work.m_Stages[1].at("endpoint"),
-                    "a later stage did not answer");
+      Json Error = errorJson("stage-failed", "failed", Work.m_FailedEndpoint,
+                             "a later stage did not answer");
       Out.write("data: " + Error.dump() + "\n\n");
       return false;
     }
@@ -280,9 +280,11 @@
   std::size_t Steps = 1;
   if (!Work.m_IsPrefilled)
     Steps = std::max<std::size_t>(1, m_Cache.use(Work.m_Prefixes));
+  EngineCounts::Run Computed{Work.m_Epoch, EngineCounts::Clock::now(), {}};
   m_Batch.compute(Work.m_Key,
                   Steps * std::chrono::microseconds(m_Options.m_TokenMicros));
-  m_Counts.noteToken(Work.m_Request, Position);
+  Computed.m_End = EngineCounts::Clock::now();
+  m_Counts.noteToken(Work.m_Request, Position, Computed);
 }
 
 std::optional<EngineEmulator::TokenResult>
@@ -312,8 +314,12 @@
   if (IsPrefill)
     Body["prefixes"] = Work.m_Prefixes;
   auto Answer = m_Clients.post(Work.nextAddress(), "/v1/forward", Body.dump());
-  if (!Answer || Answer->m_Status != 200)
+  if (!Answer || Answer->m_Status != 200) {
+    Work.m_FailedEndpoint =
+        Answer ? Json::parse(Answer->m_Body).at("error").at("endpoint")
+               : Work.m_Stages[1].at("endpoint");
     return std::nullopt;
+  }
   Json Result = Json::parse(Answer->m_Body);
   Hops = toHops(Result.at("hops"));
   if (IsLate) {
@@ -328,6 +334,7 @@
   Job Work;
   Work.m_Request = Body.at("request");
   Work.m_Key = Body.at("key");
+  Work.m_Epoch = Body.at("epoch");
   Work.m_Priority = Body.at("priority");
   Work.m_Stages = Body.at("stages");
   std::string Operation = Body.at("operation");
@@ -344,6 +351,9 @@
   auto Token = computeToken(Work, Body.at("position"), toHops(Body.at("hops")));
   if (!Token) {
     Reply.m_Status = 502;
+    Reply.m_Body = errorJson("stage-failed", "failed", Work.m_FailedEndpoint,
+                             "a later stage did not answer")
+                       .dump();
     return;
   }
   Reply.m_Body =
--- a/tests/requests/CompletionTest.cpp
+++ b/tests/requests/CompletionTest.cpp
@@ -284,6 +284,29 @@
   CHECK(onlyFinish(Run.handle(CallerGone{2})).m_Outcome == Outcome::NotRun);
 }
 
+// Guards against an answer that ends with the connection of a caller who asks
+// for the rest, and against streams that go on for a caller who does not.
+TEST(Completion, CallerMayComeBackForTheRest) {
+  StartedCompletion Run;
+  Run.deliver(2);
+  CHECK(Run.handle(CallerGone{1}).empty());
+  for (std::uint32_t Position = 2; Position < 6; ++Position) {
+    CHECK(all<FinishRequest>(Run.pass(100ms)).empty());
+    CHECK(Run.handle(CallerReturned{1}).empty());
+    LONGS_EQUAL(1, all<DeliverToken>(Run.token(Run.m_Start, Position)).size());
+  }
+  // It is resumed like any other.
+  Actions Decided =
+      Run.end(Run.m_Start.m_Attempt, AttemptResult::ConnectionLost);
+  Run.m_Start = all<StartCompletion>(Decided).at(0);
+  LONGS_EQUAL(6, Run.m_Start.m_StartPosition);
+  CHECK(all<FinishRequest>(Run.pass(2900ms)).empty());
+  FinishRequest Ended = onlyFinish(Run.pass(200ms));
+  CHECK(Ended.m_Outcome == Outcome::Failed);
+  STRCMP_EQUAL("caller-gone", Ended.m_Code.c_str());
+  CHECK(Run.handle(CallerReturned{1}).empty());
+}
+
 // Guards against refusing work in progress at a shutdown, or accepting more.
 TEST(Completion, DrainRefusesOnlyNewRequests) {
   StartedCompletion Run;
@@ -437,4 +460,44 @@
   LONGS_EQUAL(404, onlyFinish(Run.complete(2)).m_Status);
 }
 
+// Guards against first stages that get no work because a later stage died, and
+// against routes over the dead stage.
+TEST(Completion, OnlyTheNamedStageIsBlamed) {
+  for (bool IsNamed : {true, false}) {
+    StartedCompletion Run;
+    Run.deliver(2);
+    std::string First = Run.m_Start.m_Route[0].m_Hop.m_Endpoint;
+    std::string Second = Run.m_Start.m_Route[1].m_Hop.m_Endpoint;
+    Actions Decided = Run.handle(
+        AttemptEnded{Run.m_Start.m_Attempt, AttemptResult::ConnectionLost, 200,
+                     "", IsNamed ? Second : "not on the route"});
+    auto Resumed = all<StartCompletion>(Decided).at(0);
+    CHECK_FALSE(usesAny(Resumed.m_Route, Second));
+    CHECK(contains(auditText(Decided, AuditKind::Retry), "connection-lost"));
+    std::string Ended = auditText(Decided, AuditKind::AttemptEnd);
+    CHECK_EQUAL(IsNamed, contains(Ended, "\"failed_endpoint\":\"" + Second));
+    std::string Avoided = auditText(Decided, AuditKind::Route);
+    CHECK_EQUAL(!IsNamed, contains(Avoided, "\"avoid\":[\"" + First));
+    // Another request may not use the endpoint that is blamed.
+    std::string Others = auditText(Run.complete(2), AuditKind::Route);
+    auto IsUnavailable = [&](const std::string &Endpoint) {
+      return contains(Others, "{\"endpoint\":\"" + Endpoint +
+                                  "\",\"reason\":\"unavailable\"}");
+    };
+    CHECK_EQUAL(!IsNamed, IsUnavailable(First));
+    CHECK_EQUAL(IsNamed, IsUnavailable(Second));
+  }
+}
+
+// Guards against marking the first stage as leaving when a later one is.
+TEST(Completion, OnlyTheNamedStageIsLeaving) {
+  StartedCompletion Run;
+  std::string Second = Run.m_Start.m_Route[1].m_Hop.m_Endpoint;
+  Actions Decided = Run.handle(AttemptEnded{
+      Run.m_Start.m_Attempt, AttemptResult::RefusedLeaving, 503, "", Second});
+  auto Announced = all<AnnounceLeaving>(Decided);
+  LONGS_EQUAL(1, Announced.size());
+  STRCMP_EQUAL(Second.c_str(), Announced[0].m_Endpoint.c_str());
+}
+
 PARSLEYRING_TEST_MAIN
--- /dev/null
+++ b/tests/support/TraceShortener.cpp
@@ -0,0 +1,76 @@
+#include "support/TraceShortener.h"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+#include <sstream>
+#include <vector>
+
+namespace parsleyring {
+
+using Json = nlohmann::ordered_json;
+
+/// Below the gap that the Router takes for a pause of its VM.
+static constexpr std::int64_t LongestGapMicros = 45000;
+
+static bool isEvent(const Json &Record) { return Record.at("kind") == "event"; }
+
+static bool isTick(const Json &Record) {
+  return isEvent(Record) && Record.at("event") == "tick";
+}
+
+static std::vector<Json> routerRecords(const std::string &Trace) {
+  std::vector<Json> Records;
+  std::istringstream Lines(Trace);
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Json Record = Json::parse(Line); !Record.contains("module"))
+      Records.push_back(std::move(Record));
+  return Records;
+}
+
+/// Times at which the Router looked for a route in vain, as later records say.
+static std::set<std::int64_t> searchTimes(const std::vector<Json> &Records) {
+  std::set<std::int64_t> Times;
+  for (const Json &Record : Records)
+    if (Record.contains("searched_at_us"))
+      Times.insert(Record.at("searched_at_us").get<std::int64_t>());
+  return Times;
+}
+
+/// Number of records up to the last one that is no event.
+static std::size_t lastDecision(const std::vector<Json> &Records) {
+  std::size_t Last = Records.size();
+  while (Last > 0 && isEvent(Records[Last - 1]))
+    --Last;
+  return Last;
+}
+
+std::string shortenedTrace(const std::string &Trace) {
+  std::vector<Json> Records = routerRecords(Trace);
+  std::size_t Count = lastDecision(Records);
+  std::set<std::int64_t> Searches = searchTimes(Records);
+  std::string Result;
+  std::int64_t KeptAt = 0;
+  std::uint64_t Sequence = 0;
+  bool HasRequest = false;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    Json &Record = Records[Index];
+    HasRequest |= Record.contains("request");
+    if (isTick(Record)) {
+      const Json &Next = Records[Index + 1];
+      bool IsNeeded =
+          HasRequest &&
+          Next.at("at_us").get<std::int64_t>() - KeptAt > LongestGapMicros;
+      bool IsSearch = Searches.count(Record.at("at_us")) > 0;
+      if (isEvent(Next) && !IsNeeded && !IsSearch)
+        continue;
+    }
+    if (isEvent(Record))
+      KeptAt = Record.at("at_us");
+    Record["seq"] = ++Sequence;
+    Result += Record.dump() + "\n";
+  }
+  return Result;
+}
+
+} // namespace parsleyring
