Issue reserved keys, and keep claims apart from silent peers

POST /v1/reservations issues a key for one later call. A VM that is draining refuses, since the reservation would end with its process.

Cause: reservations, platform calls and questions to peers shared four worker threads. Ruled out: more threads alone, since the number of shards that wait at once (64) has no relation to it. Now own reservations are settled at once, and peers have threads of their own. A repeat at another VM than the issuer gets the kept answer when the issuer ran the call itself.

--- a/src/callers/CallerContext.h
+++ b/src/callers/CallerContext.h
@@ -24,6 +24,12 @@
   std::function<bool(const std::string &KeySha256,
                      const std::string &OtherKeySha256)>
       m_IsSameAccount;
+  /// Name of the account of a key; empty if the key is not known.
+  std::function<std::optional<std::string>(const std::string &KeySha256)>
+      m_AccountName;
+  /// A reserved idempotency key; empty if too many are kept.
+  std::function<std::optional<std::string>(const std::string &Account)>
+      m_IssueReservation;
   /// Asks the VM that owns the request.
   std::function<std::optional<RemoteAnswer>(const OwnedId &,
                                             std::uint32_t FromPosition)>
--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -4,6 +4,7 @@
 #include "callers/CompletionHandler.h"
 #include "callers/Exchange.h"
 #include "callers/RequestStateHandler.h"
+#include "callers/ReservationHandler.h"
 #include "callers/ServiceHandler.h"
 #include "http/Address.h"
 
@@ -72,13 +73,14 @@
   CompletionHandler m_Completions;
   ServiceHandler m_Services;
   RequestStateHandler m_States;
+  ReservationHandler m_Reservations;
   std::atomic<BoundedTaskQueue *> m_Queue{nullptr};
 };
 
 CallerServer::Implementation::Implementation(const CallerServerOptions &Options,
                                              const CallerContext &Context)
     : m_Options(Options), m_Context(Context), m_Completions(Context),
-      m_Services(Context), m_States(Context) {
+      m_Services(Context), m_States(Context), m_Reservations(Context) {
   new_task_queue = [this] {
     auto *Queue = new BoundedTaskQueue(m_Options.m_MaxConnections);
     m_Queue = Queue;
@@ -203,6 +205,8 @@
     return m_Services.handle(Call);
   if (StartsWith("/v1/requests/") && IsRead)
     return m_States.handle(Call);
+  if (Path == "/v1/reservations" && Method == "POST")
+    return m_Reservations.handle(Call);
   if (Path == "/healthz" && IsRead)
     return Call.m_Response.set_content("alive\n", "text/plain");
   if (Path == "/readyz" && IsRead) {
@@ -216,8 +220,8 @@
                                        "text/plain; version=0.0.4");
   // The body, if there is one, stays unread.
   Call.m_Connection.closeAfterAnswer();
-  bool IsKnownPath = Path == "/v1/completions" || isStatusPage(Path) ||
-                     StartsWith("/v1/requests/");
+  bool IsKnownPath = Path == "/v1/completions" || Path == "/v1/reservations" ||
+                     isStatusPage(Path) || StartsWith("/v1/requests/");
   if (IsKnownPath)
     return Call.refuse(405, "method-not-allowed",
                        Method + " is not allowed for " + Path);
--- a/src/claims/PlatformClaimService.cpp
+++ b/src/claims/PlatformClaimService.cpp
@@ -4,7 +4,9 @@
 
 // Platform calls take milliseconds, or a whole timeout during an outage. Four
 // calls side by side carry today's claims; batching carries more.
-static constexpr int WorkerCount = 4;
+static constexpr int PlatformThreads = 4;
+// A call to a silent peer takes up to 1.5 s.
+static constexpr int PeerThreads = 8;
 static constexpr std::chrono::milliseconds ClaimTickInterval(20);
 
 PlatformClaimService::PlatformClaimService(const Incarnation &Self,
@@ -12,20 +14,19 @@
                                            PlatformClient &Platform,
                                            ClaimCallbacks Callbacks)
     : m_Self(Self), m_Platform(Platform), m_Callbacks(std::move(Callbacks)),
-      m_Coordinator(Self, Seed), m_Reservations(Self) {
-  for (int Index = 0; Index < WorkerCount; ++Index)
-    m_Threads.emplace_back([this] { run(); });
-  m_Threads.emplace_back([this] { runTicks(); });
-}
+      m_Coordinator(Self, Seed), m_Reservations(Self),
+      m_PlatformCalls(PlatformThreads), m_PeerCalls(PeerThreads),
+      m_TickThread([this] { runTicks(); }) {}
 
 PlatformClaimService::~PlatformClaimService() {
   {
-    std::lock_guard<std::mutex> Lock(m_QueueMutex);
+    std::lock_guard<std::mutex> Lock(m_TickMutex);
     m_IsStopping = true;
   }
-  m_QueueChanged.notify_all();
-  for (std::thread &Thread : m_Threads)
-    Thread.join();
+  m_Stopped.notify_all();
+  m_TickThread.join();
+  m_PlatformCalls.stop();
+  m_PeerCalls.stop();
 }
 
 void PlatformClaimService::claim(
@@ -36,7 +37,10 @@
     m_Done[Request.m_Request] = std::move(Done);
   }
   if (auto Id = parseOwnedId(ReservationPrefix, Request.m_IdempotencyKey)) {
-    queue([this, Request, Id = *Id] { claimReservation(Request, Id); });
+    if (isOwn(*Id))
+      return claimOwnReservation(Request, *Id);
+    m_PeerCalls.add(
+        [this, Request, Id = *Id] { claimRemoteReservation(Request, Id); });
     return;
   }
   decide([&](Time Now, std::vector<ClaimOutput> &Outputs) {
@@ -60,7 +64,7 @@
   if (isOwn(Reservation.m_Id))
     endReservation(Reservation.m_Key, End.m_End);
   else
-    queue([this, Reservation, Value = End.m_End] {
+    m_PeerCalls.add([this, Reservation, Value = End.m_End] {
       m_Callbacks.m_EndRemote(Reservation.m_Id, Reservation.m_Key, Value);
     });
 }
@@ -106,11 +110,12 @@
 void PlatformClaimService::execute(std::vector<ClaimOutput> &Outputs) {
   for (ClaimOutput &Output : Outputs) {
     if (auto *Read = std::get_if<ReadShard>(&Output))
-      queue([this, Call = std::move(*Read)] { readShard(Call); });
+      m_PlatformCalls.add([this, Call = std::move(*Read)] { readShard(Call); });
     else if (auto *Swap = std::get_if<SwapShard>(&Output))
-      queue([this, Call = std::move(*Swap)] { swapShard(Call); });
+      m_PlatformCalls.add([this, Call = std::move(*Swap)] { swapShard(Call); });
     else if (auto *Found = std::get_if<FoundClaim>(&Output))
-      queue([this, Repeat = std::move(*Found)] { settleRepeated(Repeat); });
+      m_PeerCalls.add(
+          [this, Repeat = std::move(*Found)] { settleRepeated(Repeat); });
     else
       settle(std::get<ClaimSettled>(Output));
   }
@@ -188,14 +193,17 @@
          Id.m_Owner.m_Number == m_Self.m_Number;
 }
 
-void PlatformClaimService::claimReservation(const RequestClaim &Request,
-                                            const OwnedId &Id) {
-  std::optional<ReservationTable::TakeResult> Result;
-  if (isOwn(Id))
-    Result = takeReservation(Request.m_Account, Request.m_IdempotencyKey,
-                             Request.m_BodySha256, m_Self.m_VM);
-  else
-    Result = m_Callbacks.m_TakeRemote(Id, Request);
+void PlatformClaimService::claimOwnReservation(const RequestClaim &Request,
+                                               const OwnedId &Id) {
+  settleReservation(Request, Id,
+                    takeReservation(Request.m_Account, Request.m_IdempotencyKey,
+                                    Request.m_BodySha256, m_Self.m_VM));
+}
+
+void PlatformClaimService::claimRemoteReservation(const RequestClaim &Request,
+                                                  const OwnedId &Id) {
+  std::optional<ReservationTable::TakeResult> Result =
+      m_Callbacks.m_TakeRemote(Id, Request);
   if (!Result) {
     ClaimSettled Settlement;
     Settlement.m_Request = Request.m_Request;
@@ -226,10 +234,13 @@
     Settlement.m_Result = ClaimResult::Granted;
     Settlement.m_Detail.clear();
   } else if (Result.m_Before != ReservationState::Absent) {
+    // Of a holder that is neither this VM nor the issuer, the incarnation is
+    // not known.
     std::optional<RemoteAnswer> Kept;
-    if (Result.m_Holder == m_Self.m_VM)
-      Kept = m_Callbacks.m_KeyState(m_Self, Request.m_Account,
-                                    Request.m_IdempotencyKey);
+    if (Result.m_Holder == m_Self.m_VM || Result.m_Holder == Id.m_Owner.m_VM)
+      Kept = m_Callbacks.m_KeyState(
+          Result.m_Holder == m_Self.m_VM ? m_Self : Id.m_Owner,
+          Request.m_Account, Request.m_IdempotencyKey);
     ClaimEntry Entry;
     Entry.m_State = Result.m_Before == ReservationState::Completed
                         ? ClaimState::Completed
@@ -242,34 +253,10 @@
   settle(Settlement);
 }
 
-void PlatformClaimService::queue(std::function<void()> Job) {
-  {
-    std::lock_guard<std::mutex> Lock(m_QueueMutex);
-    m_Queue.push_back(std::move(Job));
-  }
-  m_QueueChanged.notify_one();
-}
-
-void PlatformClaimService::run() {
-  for (;;) {
-    std::function<void()> Job;
-    {
-      std::unique_lock<std::mutex> Lock(m_QueueMutex);
-      m_QueueChanged.wait(Lock,
-                          [this] { return m_IsStopping || !m_Queue.empty(); });
-      if (m_IsStopping)
-        return;
-      Job = std::move(m_Queue.front());
-      m_Queue.pop_front();
-    }
-    Job();
-  }
-}
-
 void PlatformClaimService::runTicks() {
-  std::unique_lock<std::mutex> Lock(m_QueueMutex);
-  while (!m_QueueChanged.wait_for(Lock, ClaimTickInterval,
-                                  [this] { return m_IsStopping; })) {
+  std::unique_lock<std::mutex> Lock(m_TickMutex);
+  while (!m_Stopped.wait_for(Lock, ClaimTickInterval,
+                             [this] { return m_IsStopping; })) {
     Lock.unlock();
     decide([this](Time Now, std::vector<ClaimOutput> &Outputs) {
       m_Coordinator.tick(Now, Outputs);
--- a/src/claims/PlatformClaimService.h
+++ b/src/claims/PlatformClaimService.h
@@ -4,13 +4,10 @@
 #include "claims/ClaimCoordinator.h"
 #include "claims/ClaimService.h"
 #include "claims/ReservationTable.h"
+#include "claims/WorkerQueue.h"
 #include "membership/PeerNetwork.h"
 
-#include <condition_variable>
-#include <deque>
 #include <functional>
-#include <mutex>
-#include <thread>
 #include <unordered_map>
 
 namespace parsleyring {
@@ -69,15 +66,14 @@
     std::string m_Key;
   };
 
-  void run();
   void runTicks();
-  void queue(std::function<void()> Job);
   void execute(std::vector<ClaimOutput> &Outputs);
   void settle(const ClaimSettled &Settlement);
   void readShard(const ReadShard &Call);
   void swapShard(const SwapShard &Call);
   void settleRepeated(const FoundClaim &Found);
-  void claimReservation(const RequestClaim &Request, const OwnedId &Id);
+  void claimOwnReservation(const RequestClaim &Request, const OwnedId &Id);
+  void claimRemoteReservation(const RequestClaim &Request, const OwnedId &Id);
   void settleReservation(const RequestClaim &Request, const OwnedId &Id,
                          const ReservationTable::TakeResult &Result);
   bool isOwn(const OwnedId &Id) const;
@@ -97,12 +93,15 @@
       m_Done;
   std::unordered_map<RequestNumber, HeldReservation> m_HeldReservations;
 
-  std::mutex m_QueueMutex; ///< Guards the queue and the stop flag.
-  std::condition_variable m_QueueChanged;
-  std::deque<std::function<void()>> m_Queue;
+  std::mutex m_TickMutex;
+  std::condition_variable m_Stopped;
   bool m_IsStopping = false;
 
-  std::vector<std::thread> m_Threads;
+  // Separate, so that calls that wait for a slow platform do not delay the
+  // reservations, nor calls to a silent peer the claims.
+  WorkerQueue m_PlatformCalls;
+  WorkerQueue m_PeerCalls;
+  std::thread m_TickThread;
 };
 
 } // namespace parsleyring
--- /dev/null
+++ b/src/claims/WorkerQueue.cpp
@@ -0,0 +1,46 @@
+#include "claims/WorkerQueue.h"
+
+namespace parsleyring {
+
+WorkerQueue::WorkerQueue(int Threads) {
+  for (int Index = 0; Index < Threads; ++Index)
+    m_Threads.emplace_back([this] { run(); });
+}
+
+WorkerQueue::~WorkerQueue() { stop(); }
+
+void WorkerQueue::add(std::function<void()> Job) {
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_Jobs.push_back(std::move(Job));
+  }
+  m_Changed.notify_one();
+}
+
+void WorkerQueue::stop() {
+  {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_IsStopping = true;
+  }
+  m_Changed.notify_all();
+  for (std::thread &Thread : m_Threads)
+    if (Thread.joinable())
+      Thread.join();
+}
+
+void WorkerQueue::run() {
+  for (;;) {
+    std::function<void()> Job;
+    {
+      std::unique_lock<std::mutex> Lock(m_Mutex);
+      m_Changed.wait(Lock, [this] { return m_IsStopping || !m_Jobs.empty(); });
+      if (m_IsStopping)
+        return;
+      Job = std::move(m_Jobs.front());
+      m_Jobs.pop_front();
+    }
+    Job();
+  }
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/claims/WorkerQueue.h
@@ -0,0 +1,37 @@
+#ifndef PARSLEYRING_CLAIMS_WORKERQUEUE_H
+#define PARSLEYRING_CLAIMS_WORKERQUEUE_H
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace parsleyring {
+
+/// Runs jobs that may block, in order of their arrival, on a few threads.
+class WorkerQueue {
+public:
+  explicit WorkerQueue(int Threads);
+  ~WorkerQueue();
+  WorkerQueue(const WorkerQueue &) = delete;
+  WorkerQueue &operator=(const WorkerQueue &) = delete;
+
+  void add(std::function<void()> Job);
+  /// Waits for the jobs that run; the others are dropped.
+  void stop();
+
+private:
+  void run();
+
+  std::mutex m_Mutex;
+  std::condition_variable m_Changed;
+  std::deque<std::function<void()>> m_Jobs;
+  bool m_IsStopping = false;
+  std::vector<std::thread> m_Threads;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_CLAIMS_WORKERQUEUE_H
--- a/src/node/ConfigurationInForce.cpp
+++ b/src/node/ConfigurationInForce.cpp
@@ -2,6 +2,14 @@
 
 namespace parsleyring {
 
+std::optional<std::string>
+ConfigurationInForce::accountName(const std::string &KeySha256) const {
+  std::shared_ptr<const Document> Current = document();
+  const ClientAccount *Account =
+      Current ? Current->accountByKeyHash(KeySha256) : nullptr;
+  return Account ? std::optional<std::string>(Account->m_Name) : std::nullopt;
+}
+
 bool ConfigurationInForce::isSameAccount(
     const std::string &KeySha256, const std::string &OtherKeySha256) const {
   std::shared_ptr<const Document> Current = document();
--- a/src/node/ConfigurationInForce.h
+++ b/src/node/ConfigurationInForce.h
@@ -30,6 +30,9 @@
     return m_Document;
   }
 
+  /// Empty if no account of the document has the key.
+  std::optional<std::string> accountName(const std::string &KeySha256) const;
+
   /// True if both keys belong to one account of the document.
   bool isSameAccount(const std::string &KeySha256,
                      const std::string &OtherKeySha256) const;
--- a/src/node/RouterNode.cpp
+++ b/src/node/RouterNode.cpp
@@ -277,6 +277,12 @@
           [this](const std::string &Key, const std::string &Other) {
             return m_Configuration.isSameAccount(Key, Other);
           },
+          [this](const std::string &Key) {
+            return m_Configuration.accountName(Key);
+          },
+          [this](const std::string &Account) {
+            return m_Claims.issueReservation(Account);
+          },
           [this](const OwnedId &Id, std::uint32_t From) {
             return m_Peers->requestState(Id, From);
           },
--- a/tests/callers/CallerServerTest.cpp
+++ b/tests/callers/CallerServerTest.cpp
@@ -58,6 +58,8 @@
   std::atomic<RequestNumber> m_Last{0};
   std::atomic<RequestNumber> m_Arrived{0};
   std::atomic<RequestNumber> m_Gone{0};
+  unsigned m_Reserved = 0;
+  std::atomic<bool> m_IsDraining{false};
   std::unique_ptr<CallerContext> m_Context;
   std::unique_ptr<CallerServer> m_Server;
 
@@ -75,11 +77,19 @@
         [] { return std::optional<ErrorAnswer>(); },
         [](const std::string &) { return 16U; },
         [](const std::string &, const std::string &) { return true; },
+        [](const std::string &Key) {
+          return Key.empty() ? std::nullopt : std::make_optional("account");
+        },
+        [this](const std::string &Account) {
+          ++m_Reserved;
+          return m_Reserved <= 1 ? std::make_optional("rsv-vm-1-1 " + Account)
+                                 : std::nullopt;
+        },
         [](const OwnedId &, std::uint32_t) {
           return std::optional<RemoteAnswer>();
         },
         [] { return true; },
-        [] { return false; },
+        [this] { return m_IsDraining.load(); },
         [] { return std::string(); },
         [](const char *) {}});
     m_Server = std::make_unique<CallerServer>(
@@ -145,6 +155,25 @@
   LONGS_EQUAL(0, m_Arrived);
 }
 
+// Guards against keys that nobody can use later, and against refusals that do
+// not say so.
+TEST(CallerServer, ReservationsAreIssuedToKnownAccounts) {
+  auto Reserve = [this](const std::string &Headers) {
+    return exchange("POST /v1/reservations HTTP/1.1\r\nConnection: close\r\n"
+                    "Content-Length: 0\r\n" +
+                    Headers + "\r\n");
+  };
+  const std::string Known = "Authorization: Bearer k\r\n";
+  STRCMP_CONTAINS(" 401 ", Reserve("").c_str());
+  STRCMP_CONTAINS(R"({"key":"rsv-vm-1-1 account"})", Reserve(Known).c_str());
+  STRCMP_CONTAINS("too-many-reservations", Reserve(Known).c_str());
+  m_IsDraining = true;
+  std::string Reply = Reserve(Known);
+  STRCMP_CONTAINS("\"stopping\"", Reply.c_str());
+  STRCMP_CONTAINS("X-Outcome: not-run", Reply.c_str());
+  LONGS_EQUAL(2, m_Reserved);
+}
+
 // Guards against callers beyond the capacity who are left without an answer,
 // and against health checks that fail because of them.
 TEST(CallerServer, ExcessConnectionsAreRefused) {
