Prove at-most-once execution with real processes

AtMostOnceTest sends the same keys through three routers at once while a router is killed, paused or cut off, the platform is down, slow, or loses its answers after the effect, and a service dies or falls silent. The emulators print each execution, so that the count outlives a kill.

Found by ReservedKeys: a repeat of a reserved key at another VM got 400 not-run after its issuer was replaced. Cause: the new incarnation of the issuer answered that the reservation does not exist, although it does not know what the earlier one gave out. Ruled out: the new incarnation itself, which already said unknown for a call made to it.

--- a/src/emulator/EngineCounts.cpp
+++ b/src/emulator/EngineCounts.cpp
@@ -2,12 +2,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include <iostream>
+
 namespace parsleyring {
 
 void EngineCounts::noteStart(const std::string &Request) {
   std::lock_guard<std::mutex> Lock(m_Mutex);
   ++m_Starts;
   ++m_Requests[Request].m_Starts;
+  std::cout << "started " << Request << std::endl;
 }
 
 void EngineCounts::noteRefusal() {
--- a/src/emulator/EngineCounts.h
+++ b/src/emulator/EngineCounts.h
@@ -12,6 +12,7 @@
 /// What an engine did, for the tests. Safe to use from many threads.
 class EngineCounts {
 public:
+  /// Also prints "started REQUEST", so that the record outlives the process.
   void noteStart(const std::string &Request);
   void noteRefusal();
   void noteCancel();
--- a/src/emulator/ServiceEmulator.cpp
+++ b/src/emulator/ServiceEmulator.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <iostream>
 #include <thread>
 
 namespace parsleyring {
@@ -60,6 +61,8 @@
     ++m_Total;
     ++m_Running;
     Execution = ++m_Executions[Key];
+    std::cout << "executed " << Key << " " << Call.header("x-request-id")
+              << std::endl;
   }
   std::this_thread::sleep_for(
       std::chrono::milliseconds(m_Options.m_DelayMillis));
--- a/src/emulator/ServiceEmulator.h
+++ b/src/emulator/ServiceEmulator.h
@@ -16,7 +16,9 @@
 };
 
 /// Stands for a server of a plain service. It runs every call that reaches it
-/// and counts the executions per idempotency key or request id.
+/// and counts the executions per idempotency key or request id. Each one is
+/// also printed as "executed KEY REQUEST" before it begins, so that the record
+/// outlives the process.
 class ServiceEmulator {
 public:
   explicit ServiceEmulator(const ServiceOptions &Options);
--- a/src/peers/PeerService.cpp
+++ b/src/peers/PeerService.cpp
@@ -21,6 +21,8 @@
 static constexpr int IdleConnectionMillis = 10000;
 static constexpr int SendTimeoutMillis = 2000;
 static constexpr int MostConnections = 256;
+/// None of ReservationState; the asking VM treats it as no answer.
+static constexpr std::int32_t UnknownReservationState = -1;
 
 namespace {
 
@@ -63,6 +65,8 @@
                        const std::string &Account, const std::string &Key,
                        const std::string &BodySha256,
                        const std::string &Holder) override {
+    // What became of the reservations of an earlier incarnation is not known.
+    Result.stateBefore = UnknownReservationState;
     if (!isSelf(Run))
       return;
     ReservationTable::TakeResult Taken =
--- /dev/null
+++ b/tests/integration/AtMostOnceTest.cpp
@@ -0,0 +1,408 @@
+#include "support/CallerThreads.h"
+#include "support/Eventually.h"
+#include "support/ExecutionLog.h"
+#include "support/FaultProxy.h"
+#include "support/TestMain.h"
+
+#include <nlohmann/json.hpp>
+
+#include <mutex>
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+
+using Json = nlohmann::json;
+
+static constexpr unsigned Routers = 3;
+static constexpr unsigned Keys = 8;
+static constexpr unsigned Repeats = 2;
+static const std::string FeePath = "/services/registry/fees";
+
+struct Sent {
+  std::string m_Router;
+  std::string m_Key;
+  HttpAnswer m_Answer;
+};
+
+TEST_GROUP(AtMostOnce) {
+  std::unique_ptr<FaultProxy> m_Proxy;
+  std::unique_ptr<TestCluster> m_Cluster;
+  std::vector<Sent> m_Sent;
+  std::mutex m_SentMutex;
+  std::set<std::string> m_Killed; ///< Routers whose answers may be missing.
+
+  static TestClusterOptions options(unsigned ServiceDelayMillis,
+                                    unsigned TimeoutMillis = 2500) {
+    TestClusterOptions Options;
+    Options.m_Routers = Routers;
+    Options.m_ServiceDelayMillis = ServiceDelayMillis;
+    Options.m_Adjust = [TimeoutMillis](Document &Changed) {
+      Changed.m_Pools[1].m_RequestTimeoutMillis = TimeoutMillis;
+    };
+    return Options;
+  }
+
+  void start(unsigned ServiceDelayMillis = 50, unsigned TimeoutMillis = 2500) {
+    m_Cluster = std::make_unique<TestCluster>(
+        options(ServiceDelayMillis, TimeoutMillis));
+  }
+
+  void freezeServices() {
+    for (const std::string &Service : TestCluster::serviceNames())
+      m_Cluster->admin(Service, "/admin/freeze");
+  }
+
+  void teardown() override { m_Cluster.reset(); }
+
+  /// A non-idempotent call; without a key if Key is empty.
+  HttpAnswer fee(const std::string &Router, const std::string &Key) {
+    HttpOrder Order{"POST", FeePath, R"({"amount": 3})"};
+    if (!Key.empty())
+      Order.m_Headers["Idempotency-Key"] = Key;
+    HttpAnswer Answer = m_Cluster->send(Router, Order);
+    std::lock_guard<std::mutex> Guard(m_SentMutex);
+    m_Sent.push_back({Router, Key, Answer});
+    return Answer;
+  }
+
+  static std::vector<std::string> keys(const std::string &Name) {
+    std::vector<std::string> Result;
+    for (unsigned Number = 0; Number < Keys; ++Number)
+      Result.push_back(Name + "-" + std::to_string(Number));
+    return Result;
+  }
+
+  /// Sends each key through all routers at the same time, several times, and
+  /// runs Fault meanwhile.
+  void storm(const std::vector<std::string> &Used,
+             const std::function<void()> &Fault) {
+    CallerThreads Callers;
+    for (const std::string &Key : Used)
+      for (const std::string &Router : m_Cluster->routerNames())
+        Callers.add([this, Key, Router] {
+          for (unsigned Time = 0; Time < Repeats; ++Time)
+            fee(Router, Key);
+        });
+    Fault();
+  }
+
+  std::size_t executions() { return ExecutionLog(*m_Cluster).perKey().size(); }
+
+  void waitForExecutions(std::size_t Count) {
+    CHECK(eventually([&] { return executions() >= Count; }));
+  }
+
+  /// What is wrong with the answers and executions so far, or nothing.
+  std::string falsehood() {
+    ExecutionLog Log(*m_Cluster);
+    for (const auto &[Key, Times] : Log.perKey())
+      if (Times > 1)
+        return Key + " was run " + std::to_string(Times) + " times";
+    std::map<std::string, std::string> First;
+    for (const Sent &Each : m_Sent) {
+      if (Each.m_Answer.m_Status == 0 && m_Killed.count(Each.m_Router))
+        continue;
+      std::string Wrong = findFalsehood(Each.m_Answer, Log);
+      if (!Wrong.empty())
+        return Each.m_Key + " at " + Each.m_Router + ": " + Wrong;
+      std::string Outcome = Each.m_Answer.header("X-Outcome");
+      if (Each.m_Key.empty())
+        continue;
+      if (Outcome == "completed" && Log.ofKey(Each.m_Key) != 1)
+        return Each.m_Key + " is completed, but was not run";
+      if (Each.m_Answer.m_Status != 200)
+        continue;
+      std::string &Body =
+          First.emplace(Each.m_Key, Each.m_Answer.m_Body).first->second;
+      if (Body != Each.m_Answer.m_Body)
+        return Each.m_Key + " has two answers: " + Body + " and " +
+               Each.m_Answer.m_Body;
+    }
+    return {};
+  }
+
+  void checkTruth() { STRCMP_EQUAL("", falsehood().c_str()); }
+
+  void checkAnswer(const HttpAnswer &Answer, int Status, const char *Outcome) {
+    LONGS_EQUAL_TEXT(Status, Answer.m_Status, Answer.m_Body.c_str());
+    STRCMP_EQUAL(Outcome, Answer.header("X-Outcome").c_str());
+  }
+
+  /// A repeat of a key that was run or may have been.
+  void checkRepeat(const std::string &Router, const std::string &Key) {
+    HttpAnswer Answer = fee(Router, Key);
+    bool IsKept = Answer.m_Status == 200;
+    CHECK_TEXT(IsKept || Answer.m_Status == 409, Answer.m_Body.c_str());
+    CHECK(Answer.header("X-Outcome") != "not-run");
+  }
+
+  void repeatAll(const std::vector<std::string> &Used,
+                 const std::vector<std::string> &Through) {
+    ExecutionLog Log(*m_Cluster);
+    for (const std::string &Key : Used)
+      for (const std::string &Router : Through)
+        if (Log.ofKey(Key) > 0)
+          checkRepeat(Router, Key);
+  }
+
+  std::string reserve(const std::string &Router) {
+    HttpAnswer Answer = m_Cluster->send(Router, {"POST", "/v1/reservations"});
+    LONGS_EQUAL_TEXT(200, Answer.m_Status, Answer.m_Body.c_str());
+    return Json::parse(Answer.m_Body).at("key").get<std::string>();
+  }
+
+  std::vector<std::string> reserveAll() {
+    std::vector<std::string> Reserved;
+    for (unsigned Number = 0; Number < Keys; ++Number)
+      Reserved.push_back(reserve("vm-" + std::to_string(Number % Routers)));
+    return Reserved;
+  }
+
+  void setPlatform(const Json &Mode) {
+    m_Cluster->admin("platform", "/admin/mode", Mode.dump());
+  }
+
+  bool seesPeers(unsigned Count) {
+    return m_Cluster->metric("vm-1", "peers_alive") == Count &&
+           m_Cluster->metric("vm-2", "peers_alive") == Count;
+  }
+
+  /// Stops vm-0 for longer than each timeout: the others drop it after 3.5 s,
+  /// a claim ends after 2.5 s at the latest, a call after 2.5 s.
+  void pauseBeyondTimeouts() {
+    m_Cluster->process("vm-0").pause();
+    bool IsDropped = eventually([this] { return seesPeers(Routers - 2); });
+    m_Cluster->process("vm-0").resume();
+    CHECK(IsDropped);
+  }
+
+  /// What works without the platform, while other calls wait for it.
+  void checkServedWithoutPlatform(const std::string &Name) {
+    std::vector<std::string> Reserved = reserveAll();
+    std::vector<std::string> Refused;
+    for (unsigned Number = 0; Number < 40; ++Number)
+      Refused.push_back(Name + "-" + std::to_string(Number));
+    CallerThreads Callers;
+    for (const std::string &Key : Refused)
+      Callers.add([this, Key] { fee("vm-0", Key); });
+    CHECK(eventually(
+        [this] { return m_Cluster->metric("vm-0", "claims_pending") >= 10; }));
+    for (const std::string &Key : Reserved)
+      checkAnswer(fee("vm-0", Key), 200, "completed");
+    checkAnswer(fee("vm-0", ""), 200, "completed");
+    checkAnswer(m_Cluster->send("vm-0", {"PUT", "/services/registry/seals"}),
+                200, "completed");
+    checkAnswer(m_Cluster->complete("vm-0", "p", 4), 200, "completed");
+    Callers.join();
+    for (const Sent &Each : m_Sent)
+      if (Each.m_Key.compare(0, Name.size(), Name) == 0) {
+        checkAnswer(Each.m_Answer, 503, "not-run");
+        CHECK_FALSE(Each.m_Answer.header("Retry-After").empty());
+        // Not the end of the call's own time limit.
+        CHECK(Each.m_Answer.m_Body.find("claim") != std::string::npos);
+      }
+    checkTruth();
+  }
+
+  /// After an outage, refused keys can be used.
+  void checkKeysBecomeFree(const std::string &Name) {
+    for (unsigned Number = 0; Number < 4; ++Number) {
+      std::string Key = Name + "-" + std::to_string(Number);
+      CHECK(eventually([&] {
+        HttpAnswer Answer = fee("vm-" + std::to_string(Number % Routers), Key);
+        return Answer.header("X-Outcome") == "completed";
+      }));
+      LONGS_EQUAL(1, ExecutionLog(*m_Cluster).ofKey(Key));
+    }
+    checkTruth();
+  }
+};
+
+// Guards against calls that run again, through another VM, when the VM that
+// ran them dies, and against a successor that runs them again.
+TEST(AtMostOnce, RouterKilled) {
+  start(300);
+  m_Killed = {"vm-0"};
+  std::vector<std::string> Used = keys("killed");
+  storm(Used, [this] {
+    waitForExecutions(2);
+    m_Cluster->process("vm-0").kill();
+  });
+  repeatAll(Used, {"vm-1", "vm-2"});
+  m_Cluster->startRouter(0);
+  m_Cluster->waitUntilReady("vm-0");
+  repeatAll(Used, {"vm-0"});
+  checkTruth();
+}
+
+// Guards against a VM that acts on an old right to run a call after a pause,
+// with claims, calls, and reservations in progress.
+TEST(AtMostOnce, RouterPaused) {
+  start(300);
+  setPlatform({{"slow_ms", 100}});
+  std::vector<std::string> Claiming = keys("claiming");
+  storm(Claiming, [this] {
+    CHECK(eventually(
+        [this] { return m_Cluster->metric("vm-0", "claims_pending") > 0; }));
+    pauseBeyondTimeouts();
+  });
+  CHECK(eventually([this] { return seesPeers(Routers - 1); }));
+  std::vector<std::string> Used = keys("running");
+  std::vector<std::string> Reserved = reserveAll();
+  Used.insert(Used.end(), Reserved.begin(), Reserved.end());
+  std::size_t Before = executions();
+  storm(Used, [this, Before] {
+    waitForExecutions(Before + 3);
+    pauseBeyondTimeouts();
+  });
+  repeatAll(Claiming, m_Cluster->routerNames());
+  repeatAll(Used, m_Cluster->routerNames());
+  checkTruth();
+}
+
+// Guards against calls that run twice or are refused falsely when one VM
+// cannot reach the platform, or does not get its answers.
+TEST(AtMostOnce, RouterCutOff) {
+  TestClusterOptions Options = options(50);
+  Options.m_AdjustRouter = [this](const std::string &Router,
+                                  std::string &Settings) {
+    if (Router != "vm-0")
+      return;
+    static const std::string Table = "[platform]\naddress = \"";
+    std::size_t Begin = Settings.find(Table) + Table.size();
+    std::size_t Size = Settings.find('"', Begin) - Begin;
+    m_Proxy = std::make_unique<FaultProxy>(Settings.substr(Begin, Size));
+    Settings.replace(Begin, Size, m_Proxy->address());
+  };
+  m_Cluster = std::make_unique<TestCluster>(Options);
+  for (const char *Faults :
+       {R"({"lose_to_client": true})", R"({"lose_to_server": true})",
+        R"({"cut": true})", R"({"delay_ms": 1200})"}) {
+    std::vector<std::string> Used = keys(std::to_string(executions()));
+    storm(Used, [&] { m_Proxy->setFaults(Faults); });
+    m_Proxy->heal();
+    checkTruth();
+    repeatAll(Used, m_Cluster->routerNames());
+    checkTruth();
+  }
+}
+
+// Guards against services that become unavailable with the platform, against
+// refusals that come late or falsely, and against keys that stay blocked.
+TEST(AtMostOnce, PlatformOutage) {
+  start();
+  setPlatform({{"outage", true}});
+  checkServedWithoutPlatform("outage");
+  setPlatform({{"outage", false}});
+  checkKeysBecomeFree("outage");
+}
+
+// Guards against the same with a platform that answers too late: its writes
+// take effect after the callers were told not-run.
+TEST(AtMostOnce, PlatformSlow) {
+  start();
+  setPlatform({{"slow_ms", 1500}});
+  checkServedWithoutPlatform("slow");
+  setPlatform({{"slow_ms", 0}});
+  checkKeysBecomeFree("slow");
+}
+
+// Guards against keys that stay claimed by nobody: a write takes effect, its
+// answer is lost, and the caller has been told not-run before it is read back.
+TEST(AtMostOnce, PlatformSlowAndAnswersLost) {
+  start();
+  // Reading, writing and reading back take 2.7 s; the claim ends after 2 s.
+  setPlatform({{"slow_ms", 900}, {"lost_answers", 1000}});
+  checkServedWithoutPlatform("abandoned");
+  setPlatform({{"slow_ms", 0}, {"lost_answers", 0}});
+  checkKeysBecomeFree("abandoned");
+}
+
+// Guards against claims that are lost or granted twice when the platform takes
+// a write and its answer is lost.
+TEST(AtMostOnce, PlatformAnswersLost) {
+  start();
+  setPlatform({{"lost_answers", 1000}});
+  std::vector<std::string> Used = keys("lost");
+  storm(Used, [] {});
+  checkTruth();
+  setPlatform({{"lost_answers", 0}});
+  repeatAll(Used, m_Cluster->routerNames());
+  checkTruth();
+  LONGS_EQUAL(Keys, executions());
+}
+
+// Guards against a second dispatch of a call whose service died after it ran.
+TEST(AtMostOnce, ServiceKilledBeforeItsAnswer) {
+  // No answer comes before the service is killed, however slow the machine is.
+  start(20000, 10000);
+  for (const std::string &Service : TestCluster::serviceNames()) {
+    std::string Key = "died-at-" + Service;
+    std::size_t Before = executions();
+    HttpAnswer Keyed;
+    HttpAnswer Plain;
+    CallerThreads Callers;
+    Callers.add([&] { Keyed = fee("vm-0", Key); });
+    Callers.add([&] { Plain = fee("vm-1", ""); });
+    waitForExecutions(Before + 2);
+    for (const std::string &Name : TestCluster::serviceNames())
+      m_Cluster->restartEndpoint(Name);
+    Callers.join();
+    checkAnswer(Keyed, 504, "unknown");
+    checkAnswer(Plain, 504, "unknown");
+    for (const std::string &Router : m_Cluster->routerNames())
+      checkAnswer(fee(Router, Key), 409, "unknown");
+  }
+  checkTruth();
+}
+
+// Guards against a second dispatch when the connection to the service falls
+// silent, and against later calls that use such a connection.
+TEST(AtMostOnce, ServiceConnectionFrozen) {
+  start(2000, 5000);
+  for (unsigned Number = 0; Number < 2; ++Number)
+    checkAnswer(fee("vm-0", ""), 200, "completed");
+  freezeServices();
+  checkAnswer(fee("vm-0", ""), 200, "completed");
+  std::size_t Before = executions();
+  HttpAnswer Keyed;
+  CallerThreads Callers;
+  Callers.add([&] { Keyed = fee("vm-0", "frozen"); });
+  waitForExecutions(Before + 1);
+  freezeServices();
+  checkAnswer(fee("vm-1", "frozen"), 409, "unknown");
+  checkAnswer(fee("vm-0", "next"), 200, "completed");
+  Callers.join();
+  checkAnswer(Keyed, 504, "unknown");
+  for (const std::string &Router : m_Cluster->routerNames())
+    checkAnswer(fee(Router, "frozen"), 409, "unknown");
+  checkTruth();
+}
+
+// Guards against a reserved key that is given out twice, and that runs after
+// the VM that issued it is gone.
+TEST(AtMostOnce, ReservedKeys) {
+  start(200);
+  std::vector<std::string> Used = reserveAll();
+  std::string Unused = reserve("vm-0");
+  storm(Used, [] {});
+  checkTruth();
+  LONGS_EQUAL(Keys, executions());
+  m_Killed = {"vm-0"};
+  std::vector<std::string> Interrupted = reserveAll();
+  storm(Interrupted, [this] {
+    waitForExecutions(Keys + 2);
+    m_Cluster->process("vm-0").kill();
+  });
+  m_Cluster->startRouter(0);
+  m_Cluster->waitUntilReady("vm-0");
+  for (const std::string &Router : m_Cluster->routerNames())
+    checkAnswer(fee(Router, Unused), 409, "unknown");
+  LONGS_EQUAL(0, ExecutionLog(*m_Cluster).ofKey(Unused));
+  repeatAll(Interrupted, m_Cluster->routerNames());
+  checkTruth();
+}
+
+PARSLEYRING_TEST_MAIN
--- a/tests/peers/ThriftPeerNetworkTest.cpp
+++ b/tests/peers/ThriftPeerNetworkTest.cpp
@@ -155,6 +155,17 @@
   CHECK_FALSE(Second.m_Network->fetchHead("vm-3").has_value());
 }
 
+// Guards against a claim that the call of a reserved key was not run, by a VM
+// that does not know what its earlier incarnation ran.
+TEST(ThriftPeerNetwork, ReservationOfAnEarlierIncarnationIsNotAnswered) {
+  Node First("vm-1", m_FirstAddress, {});
+  Node Second("vm-2", m_SecondAddress, {seed("vm-1", m_FirstAddress)});
+  RequestClaim Request;
+  Request.m_IdempotencyKey = "rsv-vm-1-9-1";
+  OwnedId Id = *parseOwnedId(ReservationPrefix, Request.m_IdempotencyKey);
+  CHECK_FALSE(Second.m_Network->takeReservation(Id, Request).has_value());
+}
+
 // Guards against a reservation that two VMs run.
 TEST(ThriftPeerNetwork, ReservationIsTakenOnceAcrossVMs) {
   Node First("vm-1", m_FirstAddress, {seed("vm-2", m_SecondAddress)});
--- /dev/null
+++ b/tests/support/FaultProxy.h
@@ -0,0 +1,28 @@
+#ifndef PARSLEYRING_TESTS_SUPPORT_FAULTPROXY_H
+#define PARSLEYRING_TESTS_SUPPORT_FAULTPROXY_H
+
+#include "support/ProcessRunner.h"
+
+namespace parsleyring {
+
+/// A process that forwards TCP connections to Target, with faults.
+class FaultProxy {
+public:
+  explicit FaultProxy(const std::string &Target);
+
+  const std::string &address() const { return m_Address; }
+  /// Sets faults of ProxyAdmin, for example "{\"cut\": true}".
+  void setFaults(const std::string &Json) const;
+  void heal() const;
+
+private:
+  void post(const std::string &Path, const std::string &Body) const;
+
+  ProcessRunner m_Process;
+  std::string m_Address;
+  std::string m_Admin;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_TESTS_SUPPORT_FAULTPROXY_H
--- a/tests/support/HttpCalls.cpp
+++ b/tests/support/HttpCalls.cpp
@@ -33,6 +33,8 @@
   httplib::Error Error = httplib::Error::Success;
   if (Client.send(Request, Response, Error))
     Answer.m_Status = Response.status;
+  Answer.m_IsConnected = Error != httplib::Error::Connection &&
+                         Error != httplib::Error::ConnectionTimeout;
   for (const auto &[Name, Value] : Response.headers)
     Answer.m_Headers[Name] = Value;
   return Answer;
--- a/tests/support/HttpCalls.h
+++ b/tests/support/HttpCalls.h
@@ -13,6 +13,8 @@
   int m_Status = 0; ///< 0: there was no whole answer.
   std::map<std::string, std::string> m_Headers; ///< Names as the server sent.
   std::string m_Body;
+  /// False if there was no connection, so that nothing was sent.
+  bool m_IsConnected = true;
 
   /// Empty if the header is absent.
   std::string header(const std::string &Name) const;
--- a/tests/support/TestCluster.cpp
+++ b/tests/support/TestCluster.cpp
@@ -16,7 +16,7 @@
 static constexpr std::uint32_t Layers = 24;
 static constexpr std::uint32_t LayersPerStage = 8;
 static constexpr std::chrono::seconds PlatformTimeout{5};
-static const std::string Loopback = "127.0.0.1:0";
+static const std::string AnyPort = "127.0.0.1:0";
 
 struct TestCluster::RouterFiles {
   FreePort m_CallerPort;
@@ -64,7 +64,10 @@
 TestCluster::TestCluster(const TestClusterOptions &Options)
     : m_Options(Options) {
   m_Addresses["platform"] = startEmulator("platform", {"platform"});
-  startEndpoints();
+  for (const std::string &Name : engineNames())
+    startEndpoint(Name, AnyPort);
+  for (const std::string &Name : serviceNames())
+    startEndpoint(Name, AnyPort);
   buildDocument();
   publish(m_Document);
   for (unsigned Index = 0; Index < Options.m_Routers; ++Index) {
@@ -80,29 +83,48 @@
 TestCluster::~TestCluster() = default;
 
 std::string TestCluster::startEmulator(const std::string &Name,
-                                       std::vector<std::string> Arguments) {
+                                       std::vector<std::string> Arguments,
+                                       const std::string &Listen) {
   for (const std::string &Flag : m_Options.m_Flags[Name])
     Arguments.push_back(Flag);
-  Arguments.insert(Arguments.end(), {"--listen", Loopback});
+  Arguments.insert(Arguments.end(), {"--listen", Listen});
   auto &Process = m_Processes[Name];
   Process = std::make_unique<ProcessRunner>("parsleyring-emulator", Arguments);
   return Process->waitForLine("listening");
 }
 
-void TestCluster::startEndpoints() {
-  for (const std::string &Name : engineNames()) {
+void TestCluster::startEndpoint(const std::string &Name,
+                                const std::string &Listen) {
+  std::vector<std::string> Arguments = {
+      "service", "--endpoint", Name, "--delay-ms",
+      std::to_string(m_Options.m_ServiceDelayMillis)};
+  if (Name.compare(0, 6, "engine") == 0) {
     LayerRange Held = layersOf(Name);
-    m_Addresses[Name] =
-        startEmulator(Name, {"engine", "--endpoint", Name, "--first-layer",
-                             std::to_string(Held.m_First), "--end-layer",
-                             std::to_string(Held.m_End), "--token-micros",
-                             std::to_string(m_Options.m_TokenMicros), "--slots",
-                             std::to_string(m_Options.m_Slots)});
+    Arguments = {"engine",
+                 "--endpoint",
+                 Name,
+                 "--first-layer",
+                 std::to_string(Held.m_First),
+                 "--end-layer",
+                 std::to_string(Held.m_End),
+                 "--token-micros",
+                 std::to_string(m_Options.m_TokenMicros),
+                 "--slots",
+                 std::to_string(m_Options.m_Slots)};
   }
-  for (const std::string &Name : serviceNames())
-    m_Addresses[Name] =
-        startEmulator(Name, {"service", "--endpoint", Name, "--delay-ms",
-                             std::to_string(m_Options.m_ServiceDelayMillis)});
+  m_Addresses[Name] = startEmulator(Name, Arguments, Listen);
+}
+
+void TestCluster::restartEndpoint(const std::string &Name) {
+  process(Name).kill();
+  m_EarlierOutput[Name] += process(Name).output();
+  startEndpoint(Name, address(Name));
+}
+
+std::string TestCluster::printed(const std::string &Name) const {
+  auto Earlier = m_EarlierOutput.find(Name);
+  return (Earlier == m_EarlierOutput.end() ? std::string() : Earlier->second) +
+         m_Processes.at(Name)->output();
 }
 
 void TestCluster::buildDocument() {
@@ -170,11 +192,16 @@
       Text += "[[peer]]\nid = \"" + routerName(Peer) + "\"\naddress = \"" +
               m_Routers[Peer]->m_PeerPort.address() +
               "\"\nfailure_domain = \"" + domainOfRouter(Peer) + "\"\n";
-  return Text + m_Options.m_RouterSettings;
+  Text += m_Options.m_RouterSettings;
+  if (m_Options.m_AdjustRouter)
+    m_Options.m_AdjustRouter(routerName(Index), Text);
+  return Text;
 }
 
 void TestCluster::startRouter(unsigned Index) {
   RouterFiles &Started = *m_Routers.at(Index);
+  if (m_Processes.count(routerName(Index)))
+    m_EarlierOutput[routerName(Index)] += process(routerName(Index)).output();
   Started.m_Settings = std::make_unique<TemporaryFile>(routerSettings(Index));
   m_Processes[routerName(Index)] = std::make_unique<ProcessRunner>(
       "parsleyring-router",
--- a/tests/support/TestCluster.h
+++ b/tests/support/TestCluster.h
@@ -25,6 +25,10 @@
   /// TOML that is appended to the settings of each router, for example
   /// "[limits]\ndrain_lead_ms = 0\n".
   std::string m_RouterSettings;
+  /// Changes the settings of a router, for example to another address of the
+  /// platform.
+  std::function<void(const std::string &Router, std::string &Settings)>
+      m_AdjustRouter;
 };
 
 /// Real processes on loopback: the platform, a pipeline "ledger" of 24 layers
@@ -43,6 +47,10 @@
   const std::string &address(const std::string &Name) const;
   ProcessRunner &process(const std::string &Name);
   void startRouter(unsigned Index);
+  /// Kills an engine or service and starts it anew on the same address.
+  void restartEndpoint(const std::string &Name);
+  /// What the processes of this name have printed, over all their runs.
+  std::string printed(const std::string &Name) const;
   void waitUntilReady(const std::string &Router);
   std::vector<std::string> routerNames() const;
 
@@ -75,8 +83,9 @@
   struct RouterFiles;
 
   std::string startEmulator(const std::string &Name,
-                            std::vector<std::string> Arguments);
-  void startEndpoints();
+                            std::vector<std::string> Arguments,
+                            const std::string &Listen = "127.0.0.1:0");
+  void startEndpoint(const std::string &Name, const std::string &Listen);
   void buildDocument();
   std::string routerSettings(unsigned Index) const;
   std::uint64_t total(const std::vector<std::string> &Names,
@@ -87,6 +96,7 @@
   std::uint64_t m_Version = 0;
   std::map<std::string, std::string> m_Addresses;
   std::map<std::string, std::unique_ptr<ProcessRunner>> m_Processes;
+  std::map<std::string, std::string> m_EarlierOutput; ///< Of ended processes.
   std::vector<std::unique_ptr<RouterFiles>> m_Routers;
 };
 
