--- a/tests/integration/TruthfulRefusalTest.cpp
+++ b/tests/integration/TruthfulRefusalTest.cpp
@@ -24,7 +24,7 @@
 static constexpr unsigned Routers = 3;
 static constexpr unsigned Callers = 40;
 /// Faults of a run; each one goes on until some requests have ended.
-static constexpr unsigned Faults = 16;
+static constexpr unsigned Faults = 24;
 static constexpr unsigned RequestsPerFault = 60;
 static constexpr std::chrono::milliseconds ReconnectPause{10};
 /// A fault that holds up all callers ends after this time.
@@ -62,6 +62,8 @@
       Changed.m_Pools[0].m_QueueLimit = 4;
       Changed.m_Pools[0].m_RequestTimeoutMillis = 3000;
       Changed.m_Pools[1].m_RequestTimeoutMillis = 1000;
+      for (EndpointSpec &Service : Changed.m_Pools[1].m_Endpoints)
+        Service.m_Slots = 16;
     };
     m_Cluster = std::make_unique<TestCluster>(Options);
   }
@@ -101,7 +103,8 @@
     std::mt19937 Random(Seed + 1 + Caller);
     while (!m_IsOver) {
       Sent Each;
-      unsigned Router = Random() % Routers;
+      // While a router is paused, a third of the callers goes on.
+      unsigned Router = (Caller + Random() % 2) % Routers;
       Each.m_Router = "vm-" + std::to_string(Router);
       Each.m_Run = m_Runs[Router];
       HttpOrder Order = randomOrder(Random, Each);
