--- a/src/daemons/parsleyring.cpp
+++ b/src/daemons/parsleyring.cpp
@@ -1,4 +1,5 @@
 #include "audit/ExplainCommand.h"
+#include "audit/ReplayCommand.h"
 #include "console/HashPasswordCommand.h"
 #include "document/CheckCommand.h"
 
@@ -16,6 +17,7 @@
   CheckCommand::addTo(App, ExitCode);
   ExplainCommand::addTo(App, ExitCode);
   HashPasswordCommand::addTo(App, ExitCode);
+  ReplayCommand::addTo(App, ExitCode);
   try {
     App.parse(ArgumentCount, Arguments);
   } catch (const CLI::ParseError &Error) {
--- a/src/emulator/EngineEmulator.cpp
+++ b/src/emulator/EngineEmulator.cpp
@@ -64,6 +64,7 @@
 struct EngineEmulator::Job {
   std::string m_Request;
   std::string m_Key; ///< Unique for each start of a request.
+  std::uint32_t m_Epoch = 0;
   int m_Priority = 0;
   std::uint64_t m_Seed = 0;
   std::vector<std::uint64_t> m_Prefixes; ///< Empty after the first token.
@@ -71,18 +72,18 @@
   Json m_Stages; ///< This stage and the later ones.
   std::uint32_t m_Position = 0;
   std::uint32_t m_MaxTokens = 0;
-  std::string m_FailedStage; ///< If a token could not be computed.
+  /// Later stage that gave no token; empty if any of them may be silent.
+  std::string m_FailedEndpoint;
 
   bool hasNext() const { return m_Stages.size() > 1; }
   std::string nextAddress() const { return m_Stages[1].at("address"); }
+  std::string nextEndpoint() const { return m_Stages[1].at("endpoint"); }
 
   /// Body of POST /v1/forward to the next stage.
   Json forward(const char *Operation) const {
-    Json Body = {{"operation", Operation},
-                 {"request", m_Request},
-                 {"key", m_Key},
-                 {"priority", m_Priority},
-                 {"stages", m_Stages}};
+    Json Body = {{"operation", Operation}, {"request", m_Request},
+                 {"key", m_Key},           {"epoch", m_Epoch},
+                 {"priority", m_Priority}, {"stages", m_Stages}};
     Body["stages"].erase(0);
     return Body;
   }
@@ -182,6 +183,7 @@
   Work->m_Request = Pipeline.at("request");
   Work->m_Key = Work->m_Request + "#" + m_Options.m_Endpoint + "#" +
                 std::to_string(m_NextKey++);
+  Work->m_Epoch = Pipeline.value("epoch", 0);
   Work->m_Priority = Body.value("priority", 0);
   Work->m_Seed = promptSeed(Prompt);
   Work->m_Stages = Pipeline.at("stages");
@@ -232,14 +234,13 @@
     return true;
   bool IsSilent = isSilence(SentAt);
   m_Batch.close(Work.m_Key);
-  // The code "draining" would tell the router that this stage is leaving.
   refuse(Reply, 503, "overloaded", "a later stage refused");
   Json Error = Answer
                    ? Json::parse(Answer->m_Body)
                    : errorJson(IsSilent ? "silent" : "unreachable", "not-run",
-                               IsSilent ? Json(m_Options.m_Endpoint)
-                                        : Work.m_Stages[1].at("endpoint"),
+                               IsSilent ? "" : Work.nextEndpoint(),
                                "a later stage cannot be reached");
+  // The code "draining" would tell the router that this stage is leaving.
   Error["error"]["reason"] =
       Error["error"].value("reason", Error["error"]["code"]);
   Error["error"]["code"] = "overloaded";
@@ -267,7 +268,7 @@
       return false;
     auto Token = computeToken(Work, Position, {});
     if (!Token) {
-      Json Error = errorJson("stage-failed", "failed", Work.m_FailedStage,
+      Json Error = errorJson("stage-failed", "failed", Work.m_FailedEndpoint,
                              "a later stage did not answer");
       Out.write("data: " + Error.dump() + "\n\n");
       return false;
@@ -291,9 +292,11 @@
   std::size_t Steps = 1;
   if (!Work.m_IsPrefilled)
     Steps = std::max<std::size_t>(1, m_Cache.use(Work.m_Prefixes));
+  EngineCounts::Run Computed{Work.m_Epoch, EngineCounts::Clock::now(), {}};
   m_Batch.compute(Work.m_Key,
                   Steps * std::chrono::microseconds(m_Options.m_TokenMicros));
-  m_Counts.noteToken(Work.m_Request, Position);
+  Computed.m_End = EngineCounts::Clock::now();
+  m_Counts.noteToken(Work.m_Request, Position, Computed);
 }
 
 std::optional<EngineEmulator::TokenResult>
@@ -326,11 +329,10 @@
   auto Answer = m_Clients.post(Work.nextAddress(), "/v1/forward", Body.dump());
   if (!Answer || Answer->m_Status != 200) {
     if (Answer)
-      Work.m_FailedStage = Answer->m_Body;
-    else if (isSilence(SentAt))
-      Work.m_FailedStage = m_Options.m_Endpoint;
-    else
-      Work.m_FailedStage = Work.m_Stages[1].at("endpoint");
+      Work.m_FailedEndpoint =
+          Json::parse(Answer->m_Body).at("error").at("endpoint");
+    else if (!isSilence(SentAt))
+      Work.m_FailedEndpoint = Work.nextEndpoint();
     return std::nullopt;
   }
   Json Result = Json::parse(Answer->m_Body);
@@ -347,6 +349,7 @@
   Job Work;
   Work.m_Request = Body.at("request");
   Work.m_Key = Body.at("key");
+  Work.m_Epoch = Body.at("epoch");
   Work.m_Priority = Body.at("priority");
   Work.m_Stages = Body.at("stages");
   std::string Operation = Body.at("operation");
@@ -363,7 +366,9 @@
   auto Token = computeToken(Work, Body.at("position"), toHops(Body.at("hops")));
   if (!Token) {
     Reply.m_Status = 502;
-    Reply.m_Body = Work.m_FailedStage;
+    Reply.m_Body = errorJson("stage-failed", "failed", Work.m_FailedEndpoint,
+                             "a later stage did not answer")
+                       .dump();
     return;
   }
   Reply.m_Body =
