--- a/tests/integration/PartitionTest.cpp
+++ b/tests/integration/PartitionTest.cpp
@@ -73,8 +73,12 @@
 
   bool completes(const std::string &Router) const {
     HttpAnswer Answer = m_Cluster->complete(Router, Prompt, Tokens);
-    if (Answer.m_Status != 200)
+    if (Answer.m_Status != 200) {
+      UT_PRINT((Router + " status " + std::to_string(Answer.m_Status) + " " +
+                Answer.m_Body)
+                   .c_str());
       return false;
+    }
     Json Choice = Json::parse(Answer.m_Body).at("choices").at(0);
     return Choice.at("text") == answerText(Prompt, Tokens);
   }
--- a/tests/integration/ShutdownTest.cpp
+++ b/tests/integration/ShutdownTest.cpp
@@ -80,12 +80,16 @@
     return sendHttp(m_Cluster->address(Router), {"GET", "/readyz"}).m_Status;
   }
 
-  /// Fails if a request was cut or refused falsely: what was refused as not
-  /// run must not have run, and what ran was answered.
-  void checkLog() {
+  void checkNothingWrong() {
     for (const std::string &Wrong : m_Log.m_Wrong)
       UT_PRINT(Wrong.c_str());
     LONGS_EQUAL(0, m_Log.m_Wrong.size());
+  }
+
+  /// Fails if a request was cut or refused falsely: what was refused as not
+  /// run must not have run, and what ran was answered.
+  void checkLog() {
+    checkNothingWrong();
     Json Ran;
     for (const std::string &Name : TestCluster::serviceNames())
       Ran.update(m_Cluster->counts(Name).at("keys"));
@@ -129,7 +133,7 @@
   LONGS_EQUAL(0, m_Cluster->process("vm-0").waitForExit().value_or(-1));
   Load.stop();
   CHECK(!m_Log.m_NotRun.empty());
-  LONGS_EQUAL(0, m_Log.m_Wrong.size());
+  checkNothingWrong();
   // The service calls that were in progress at the signal.
   CHECK(m_Log.m_Completed >= 3);
   LONGS_EQUAL(200, m_Cluster->complete("vm-1", Prompt, 2).m_Status);
