--- a/tests/integration/TruthfulRefusalTest.cpp
+++ b/tests/integration/TruthfulRefusalTest.cpp
@@ -34,6 +34,7 @@
   struct Sent {
     std::string m_Router;
     unsigned m_Run = 0; ///< Of the router.
+    std::string m_Path;
     std::string m_Key;
     bool m_IsIdempotent = false;
     HttpAnswer m_Answer;
@@ -108,6 +109,7 @@
       Each.m_Router = "vm-" + std::to_string(Router);
       Each.m_Run = m_Runs[Router];
       HttpOrder Order = randomOrder(Random, Each);
+      Each.m_Path = Order.m_Path;
       Each.m_Answer = m_Cluster->send(Each.m_Router, Order);
       if (Each.m_Answer.m_IsRefused) {
         std::this_thread::sleep_for(ReconnectPause);
@@ -274,7 +276,9 @@
       bool MayBeMissing = m_EndedRuns.count({Each.m_Router, Each.m_Run}) > 0;
       std::string Id = Each.m_Answer.header("X-Request-Id");
       if (Each.m_Answer.m_Status == 0) {
-        CHECK_TEXT(MayBeMissing, (Each.m_Router + " gave no answer").c_str());
+        std::string Text = Each.m_Router + " gave no answer to " + Each.m_Path +
+                           "; received: " + Each.m_Answer.m_Body;
+        CHECK_TEXT(MayBeMissing, Text.c_str());
         continue;
       }
       STRCMP_EQUAL("", findFalsehood(Each.m_Answer, Log).c_str());
@@ -308,8 +312,8 @@
         this, [this](void *) { m_IsOver = true; });
     runFaults();
   }
-  checkAnswersAgainstRecords();
   checkAnswersAgainstExecutions();
+  checkAnswersAgainstRecords();
 }
 
 PARSLEYRING_TEST_MAIN
