Reset no connection that the kernel has accepted at shutdown

ShutdownTest (RequestsInProgressEndUndisturbed) failed in 2 of 6 runs: a caller that went on calling while the process ended got a closed connection without an answer. Closing a listening socket resets the connections in its queue. Waiting for a quiet time was ruled out as the only means, since steady callers leave none.

--- a/src/callers/CallerServer.cpp
+++ b/src/callers/CallerServer.cpp
@@ -9,8 +9,10 @@
 #include "core/SocketAddress.h"
 
 #include <glog/logging.h>
+#include <linux/filter.h>
 #include <netinet/tcp.h>
 
+#include <iterator>
 #include <stdexcept>
 
 namespace parsleyring {
@@ -48,6 +50,7 @@
                  const CallerContext &Context);
 
   void listenFurther() { ::listen(svr_sock_, ListenBacklog); }
+  void refuseConnections();
 
   const CallerServerOptions m_Options;
   const CallerContext &m_Context;
@@ -299,6 +302,28 @@
   Server.listenFurther();
 }
 
+// Closing a listening socket resets the connections that the kernel completed
+// and the server has not accepted yet: their callers would not know whether
+// their request ran. Packets that begin a connection (SYN without ACK) are
+// therefore dropped first, and what has begun gets its answer.
+void CallerServer::Implementation::refuseConnections() {
+  constexpr std::uint32_t FlagsOffset = 13; // In the TCP header.
+  constexpr std::uint32_t SynAndAck = 0x12;
+  constexpr std::uint32_t Syn = 0x02;
+  constexpr std::uint32_t AcceptAll = 0xffffffff;
+  sock_filter Steps[] = {
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, FlagsOffset),
+      BPF_STMT(BPF_ALU | BPF_AND | BPF_K, SynAndAck),
+      BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, Syn, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, AcceptAll),
+  };
+  sock_fprog Program{std::size(Steps), Steps};
+  if (::setsockopt(svr_sock_, SOL_SOCKET, SO_ATTACH_FILTER, &Program,
+                   sizeof(Program)) != 0)
+    PLOG(WARNING) << "new connections cannot be refused";
+}
+
 CallerServer::~CallerServer() { stop(); }
 
 void CallerServer::start() {
@@ -312,6 +337,10 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
 }
 
+void CallerServer::refuseConnections() {
+  m_Implementation->refuseConnections();
+}
+
 void CallerServer::stop() {
   if (!m_Implementation->m_Thread.joinable())
     return;
--- a/src/callers/CallerServer.h
+++ b/src/callers/CallerServer.h
@@ -25,6 +25,9 @@
   CallerServer &operator=(const CallerServer &) = delete;
 
   void start();
+  /// Lets no new connection begin. Those that have begun are still accepted,
+  /// so that none is reset by the end of the process.
+  void refuseConnections();
   /// Ends all connections. Answers in progress break off.
   void stop();
 
--- a/src/node/RouterNode.cpp
+++ b/src/node/RouterNode.cpp
@@ -147,6 +147,9 @@
   std::this_thread::sleep_for(m_Settings.m_DrainLead);
   m_Peers->startDraining();
   m_Loop.post(DrainStarted{});
+  while (m_Loop.hasRequestsInProgress())
+    std::this_thread::sleep_for(DrainCheckInterval);
+  m_Callers->refuseConnections();
   waitUntilIdle();
   stop();
   LOG(INFO) << "shutdown is complete";
