Prefer an endpoint that stalled to an unreachable failure domain

An endpoint that is quarantined for stalls now goes before an endpoint of an unreachable domain. Not counting such stalls was ruled out: which stage stalled is not known before the domain is marked.

--- a/src/routing/RoutePlanner.cpp
+++ b/src/routing/RoutePlanner.cpp
@@ -16,14 +16,15 @@
 static constexpr std::size_t CandidatesPerBoundary = 8;
 
 /// In this order: an endpoint that failed the request is tried again before an
-/// endpoint whose failure domain is believed to be unreachable. An endpoint
-/// that is quarantined for stalls is the last resort: if the machine of this VM
-/// is overloaded, all endpoints seem to stall, and refusing everything would be
-/// worse than trying them.
+/// endpoint that is quarantined for stalls, and that before an endpoint whose
+/// failure domain is believed to be unreachable. Stalls can be the fault of
+/// others: if the machine of this VM is overloaded, all endpoints seem to
+/// stall, and if a domain is cut off, routes through it stall, which also
+/// counts against their stages in other domains.
 static constexpr StageFilter Filters[] = {
     {true, false, false, false}, {true, true, false, false},
-    {true, false, true, false},  {true, true, true, false},
-    {true, true, true, true},
+    {true, true, false, true},   {true, false, true, false},
+    {true, true, true, false},   {true, true, true, true},
 };
 
 class RoutePlanner::Implementation {
--- a/tests/routing/RoutePlannerTest.cpp
+++ b/tests/routing/RoutePlannerTest.cpp
@@ -344,4 +344,20 @@
   LONGS_EQUAL(2, Orders.size());
 }
 
+// Guards against routes into a domain that is cut off because routes through it
+// had stalled, which also quarantined the good endpoints of the own domain.
+TEST(RoutePlanner, StallQuarantineGoesBeforeAnUnreachableDomain) {
+  auto Endpoints = pair();
+  Endpoints[1].m_FailureDomain = "b";
+  m_Planner->apply(routingDocument(Endpoints));
+  for (int Count = 0; Count < 3; ++Count) {
+    AttemptNumber Attempt = start({{{"x", {0, Layers}}, ""}});
+    m_Planner->noteStalled(m_Now += 1s, Attempt);
+    m_Planner->noteEnded(m_Now, Attempt, AttemptResult::Cancelled);
+  }
+  STRCMP_EQUAL("y", names().c_str());
+  m_Planner->setUnreachableDomains({"b"});
+  STRCMP_EQUAL("x", names().c_str());
+}
+
 PARSLEYRING_TEST_MAIN
