--- a/tests/integration/ProxyEmulatorTest.cpp
+++ b/tests/integration/ProxyEmulatorTest.cpp
@@ -4,6 +4,7 @@
 #include "support/TestMain.h"
 
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -84,4 +85,14 @@
         std::chrono::milliseconds(200));
 }
 
+// Guards against faults that hit clients other than the chosen ones, or nobody:
+// a test of a cut-off router would then show nothing.
+TEST(ProxyEmulator, FaultsOfAProcessHitItAlone) {
+  setFaults({{"lose_to_server", true}, {"processes", {m_Service.pid()}}});
+  LONGS_EQUAL(200, call("other").m_Status);
+  setFaults({{"lose_to_server", true}, {"processes", {getpid()}}});
+  LONGS_EQUAL(0, call("own", std::chrono::milliseconds(500)).m_Status);
+  LONGS_EQUAL(0, executions("own"));
+}
+
 PARSLEYRING_TEST_MAIN
