Pass load reports on only beyond a full mesh

Each digest held the reports of all endpoints, also those that its receiver polls or hears of directly, so the bytes grew with peers times endpoints. In a full mesh a digest now holds only the reports that its sender polled. Sending each report once instead of at each heartbeat was ruled out: polls and heartbeats have the same interval, so nothing is sent twice anyway.

--- a/src/membership/PeerTable.cpp
+++ b/src/membership/PeerTable.cpp
@@ -76,9 +76,9 @@
   for (const LoadReported &Report : Received.m_Load) {
     auto Known = m_Load.find(Report.m_Endpoint);
     if (Known != m_Load.end() &&
-        Known->second.m_ReportedAt >= Report.m_ReportedAt)
+        Known->second.m_Report.m_ReportedAt >= Report.m_ReportedAt)
       continue;
-    m_Load[Report.m_Endpoint] = Report;
+    m_Load[Report.m_Endpoint] = {Report, false};
     Fresh.m_Load.push_back(Report);
   }
   return Fresh;
@@ -109,10 +109,10 @@
 }
 
 void PeerTable::addLoad(const LoadReported &Report) {
-  LoadReported &Known = m_Load[Report.m_Endpoint];
-  if (Known.m_ReportedAt <= Report.m_ReportedAt)
-    Known = Report;
-  Known.m_CachedPrefixes.clear();
+  LoadRecord &Known = m_Load[Report.m_Endpoint];
+  if (Known.m_Report.m_ReportedAt <= Report.m_ReportedAt)
+    Known = {Report, true};
+  Known.m_Report.m_CachedPrefixes.clear();
 }
 
 Digest PeerTable::digest(Time Now) const {
@@ -123,12 +123,16 @@
        Now - Item->m_LearnedAt < LeavingRepeatTime;
        ++Item)
     Result.m_Leaving.push_back(Item->m_Entry);
-  for (const auto &[Endpoint, Report] : m_Load)
-    if (Now - Report.m_ReportedAt < LoadRelevance &&
+  // In a full mesh each peer hears the others itself; passing on what they
+  // reported would multiply the bytes by the number of VMs.
+  bool IsFullMesh = m_Peers.size() <= LargestFullMesh;
+  for (const auto &[Endpoint, Record] : m_Load)
+    if (Now - Record.m_Report.m_ReportedAt < LoadRelevance &&
+        (Record.m_IsOwn || !IsFullMesh) &&
         Result.m_Load.size() < MostLoadEntries)
-      Result.m_Load.push_back(Report);
-  if (m_Peers.size() <= LargestFullMesh)
-    return Result; // Each peer hears the others itself.
+      Result.m_Load.push_back(Record.m_Report);
+  if (IsFullMesh)
+    return Result;
   // A different part of the table in each digest, so that all of it gets
   // around.
   std::size_t Offset = static_cast<std::size_t>(
--- a/src/membership/PeerTable.h
+++ b/src/membership/PeerTable.h
@@ -78,6 +78,11 @@
     Time m_LearnedAt;
   };
 
+  struct LoadRecord {
+    LoadReported m_Report;
+    bool m_IsOwn = false; ///< Polled by this VM.
+  };
+
   bool isLive(Time Now, const Peer &Candidate) const;
   void notePassedOn(Time Now, const PeerInfo &Info);
   std::vector<PeerInfo> closest(std::vector<PeerInfo> Candidates,
@@ -88,7 +93,7 @@
   std::map<std::string, Peer> m_Peers;
   std::set<LeavingEndpoint> m_KnownLeaving;
   std::deque<LeavingRecord> m_RecentLeaving;
-  std::map<std::string, LoadReported> m_Load;
+  std::map<std::string, LoadRecord> m_Load;
 };
 
 } // namespace parsleyring
--- a/tests/membership/PeerTableTest.cpp
+++ b/tests/membership/PeerTableTest.cpp
@@ -186,4 +186,23 @@
   LONGS_EQUAL(0, Table.known().size());
 }
 
+// Guards against digests that grow with the number of VMs, and against reports
+// that do not get around where not every VM hears every other.
+TEST(PeerTable, LoadIsPassedOnOnlyBeyondAFullMesh) {
+  for (int Count : {8, 66}) {
+    Fleet Vms(Count, 3);
+    Vms.rounds(3);
+    LoadReported Report;
+    Report.m_Endpoint = "endpoint";
+    Report.m_ReportedAt = Vms.m_Now;
+    Vms.table(0).addLoad(Report);
+    Vms.rounds(3);
+    bool IsPassedOn = false;
+    for (int Number = 1; Number < Count; ++Number)
+      IsPassedOn |= !Vms.table(Number).digest(Vms.m_Now).m_Load.empty();
+    LONGS_EQUAL(1, Vms.table(0).digest(Vms.m_Now).m_Load.size());
+    CHECK_EQUAL(Count > 16, IsPassedOn);
+  }
+}
+
 PARSLEYRING_TEST_MAIN
