--- /dev/null
+++ b/src/fleet/FleetTable.cpp
@@ -0,0 +1,111 @@
+#include "fleet/FleetTable.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace parsleyring {
+
+// Weight of the newest result in the moving means.
+static constexpr double NewestWeight = 0.2;
+// Half-life of the share of failures, so that an endpoint that recovered is
+// tried again without probes.
+static constexpr double FailureHalfLifeSeconds = 3;
+
+double FleetEndpoint::failureShare(Time Now) const {
+  double Seconds =
+      std::chrono::duration<double>(Now - m_FailureNotedAt).count();
+  return m_FailureShare *
+         std::exp2(-std::max(0.0, Seconds) / FailureHalfLifeSeconds);
+}
+
+void FleetEndpoint::noteResult(bool IsSuccess, Duration Latency, Time Now) {
+  m_FailureShare =
+      failureShare(Now) * (1 - NewestWeight) + (IsSuccess ? 0 : NewestWeight);
+  m_FailureNotedAt = Now;
+  double Milliseconds =
+      std::chrono::duration<double, std::milli>(Latency).count();
+  m_LatencyMs = m_LatencyMs == 0 ? Milliseconds
+                                 : m_LatencyMs * (1 - NewestWeight) +
+                                       Milliseconds * NewestWeight;
+}
+
+void FleetTable::list(const EndpointEntry &Entry, Time Now) {
+  Handle &Slot = m_Endpoints[Entry.m_Id];
+  ++m_Generation;
+  if (Slot && Slot->m_Entry.m_Born == Entry.m_Born &&
+      Slot->m_Entry.m_Address == Entry.m_Address) {
+    Slot->m_Entry = Entry;
+    Slot->m_MissingSince = Time{};
+    return;
+  }
+  if (Slot)
+    Slot->m_IsGone = true;
+  Slot = std::make_shared<FleetEndpoint>();
+  Slot->m_Entry = Entry;
+  Slot->m_ListedAt = Now;
+}
+
+void FleetTable::remove(const std::string &Id) {
+  auto Found = m_Endpoints.find(Id);
+  if (Found == m_Endpoints.end())
+    return;
+  ++m_Generation;
+  Found->second->m_IsGone = true;
+  m_Endpoints.erase(Found);
+}
+
+void FleetTable::unlist(const std::string &Id, Time Now) {
+  auto Found = m_Endpoints.find(Id);
+  if (Found == m_Endpoints.end())
+    return;
+  FleetEndpoint &Endpoint = *Found->second;
+  bool IsAfterOutage = Now - m_OutageEndedAt < ReturnTime;
+  if (IsAfterOutage && Endpoint.m_Entry.m_State == EndpointState::Ready) {
+    if (Endpoint.m_MissingSince == Time{})
+      Endpoint.m_MissingSince = m_OutageEndedAt;
+    return;
+  }
+  remove(Id);
+}
+
+void FleetTable::keepOnly(const std::vector<std::string> &Ids, Time Now) {
+  std::vector<std::string> Missing;
+  for (const auto &[Id, Endpoint] : m_Endpoints)
+    if (std::find(Ids.begin(), Ids.end(), Id) == Ids.end())
+      Missing.push_back(Id);
+  for (const std::string &Id : Missing)
+    unlist(Id, Now);
+}
+
+void FleetTable::expire(Time Now) {
+  std::vector<std::string> Expired;
+  for (const auto &[Id, Endpoint] : m_Endpoints)
+    if (Endpoint->m_MissingSince != Time{} &&
+        Now - Endpoint->m_MissingSince >= ReturnTime)
+      Expired.push_back(Id);
+  for (const std::string &Id : Expired)
+    remove(Id);
+}
+
+FleetTable::Handle FleetTable::find(const std::string &Id) const {
+  auto Found = m_Endpoints.find(Id);
+  return Found == m_Endpoints.end() ? nullptr : Found->second;
+}
+
+FleetTable::Handle FleetTable::findByAddress(std::string_view Address) const {
+  for (const auto &[Id, Endpoint] : m_Endpoints)
+    if (Endpoint->m_Entry.m_Address == Address)
+      return Endpoint;
+  return nullptr;
+}
+
+std::vector<FleetTable::Handle>
+FleetTable::ofService(std::string_view Service) const {
+  std::vector<Handle> Result;
+  for (const auto &[Id, Endpoint] : m_Endpoints)
+    if (Endpoint->m_Entry.m_Service == Service)
+      Result.push_back(Endpoint);
+  return Result;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/fleet/FleetTable.h
@@ -0,0 +1,89 @@
+#ifndef PARSLEYRING_FLEET_FLEETTABLE_H
+#define PARSLEYRING_FLEET_FLEETTABLE_H
+
+#include "parsleyring/Types.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace parsleyring {
+
+enum class EndpointState { Ready, Draining };
+
+/// What an endpoint says of itself in the platform's list.
+struct EndpointEntry {
+  std::string m_Id;
+  std::string m_Service;
+  std::string m_Address; ///< IP:port
+  std::string m_FailureDomain;
+  EndpointState m_State = EndpointState::Ready;
+  std::uint32_t m_Slots = 0;
+  std::string m_CardKind;  ///< Empty for a plain service.
+  LayerRange m_Layers;     ///< Empty if it holds none.
+  std::int64_t m_Born = 0; ///< Start, milliseconds since the Unix epoch.
+};
+
+/// One endpoint, as listed and as this VM has seen it.
+struct FleetEndpoint {
+  EndpointEntry m_Entry;
+  bool m_IsGone = false;       ///< No longer listed; requests may still run.
+  Time m_MissingSince{};       ///< Not listed since an outage; zero if listed.
+  Time m_SuspectUntil{};       ///< Takes no new request before.
+  Time m_ListedAt{};           ///< Of this incarnation.
+  std::uint32_t m_Running = 0; ///< Requests of this VM.
+  double m_Tokens = 0;         ///< Of this VM's requests, weighted by layers.
+  double m_LatencyMs = 0;      ///< Moving mean; 0 if unknown.
+  double m_FailureShare = 0;   ///< Moving mean, decays with time.
+  Time m_FailureNotedAt{};
+
+  bool canServe(Time Now) const {
+    return !m_IsGone && m_Entry.m_State == EndpointState::Ready &&
+           m_SuspectUntil <= Now;
+  }
+  void noteResult(bool IsSuccess, Duration Latency, Time Now);
+  double failureShare(Time Now) const;
+};
+
+/// The endpoints that the platform lists, with what this VM has seen of them.
+/// An endpoint that leaves the list stays as an object while requests hold it.
+class FleetTable {
+public:
+  using Handle = std::shared_ptr<FleetEndpoint>;
+
+  /// Adds or replaces an entry. A new incarnation starts with a clean record.
+  void list(const EndpointEntry &Entry, Time Now);
+  /// The entry has left the list. If the list itself was not available until
+  /// lately, the endpoint is kept for ReturnTime, because entries that lapsed
+  /// meanwhile come back.
+  void unlist(const std::string &Id, Time Now);
+  /// The list was not available until now.
+  void noteOutageEnd(Time Now) { m_OutageEndedAt = Now; }
+  /// Unlists all endpoints whose ids are not in Ids.
+  void keepOnly(const std::vector<std::string> &Ids, Time Now);
+  /// Ends the wait for entries that did not come back.
+  void expire(Time Now);
+
+  Handle find(const std::string &Id) const;
+  Handle findByAddress(std::string_view Address) const;
+  const std::map<std::string, Handle> &endpoints() const { return m_Endpoints; }
+  std::vector<Handle> ofService(std::string_view Service) const;
+  /// Changes with every change of the list.
+  std::uint64_t generation() const { return m_Generation; }
+
+  /// Lapsed entries are back within about two seconds of the end of an outage.
+  static constexpr Duration ReturnTime = std::chrono::milliseconds(1900);
+
+private:
+  void remove(const std::string &Id);
+
+  std::map<std::string, Handle> m_Endpoints;
+  Time m_OutageEndedAt{};
+  std::uint64_t m_Generation = 0;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_FLEET_FLEETTABLE_H
--- /dev/null
+++ b/src/fleet/RouteTable.cpp
@@ -0,0 +1,49 @@
+#include "fleet/RouteTable.h"
+
+namespace parsleyring {
+
+const std::string &RouteRule::service(double Draw) const {
+  double Total = 0;
+  for (const ServiceShare &Share : m_Services)
+    Total += Share.m_Weight;
+  double Left = Draw * Total;
+  for (const ServiceShare &Share : m_Services) {
+    if (Left < Share.m_Weight)
+      return Share.m_Service;
+    Left -= Share.m_Weight;
+  }
+  return m_Services.back().m_Service;
+}
+
+void RouteTable::addRoute(RouteRule Rule) {
+  RoutesByPrefix &Routes = m_RoutesByHost[Rule.m_Host];
+  std::string Prefix = Rule.m_Prefix;
+  Routes[Prefix] = std::make_shared<const RouteRule>(std::move(Rule));
+  ++m_RouteCount;
+}
+
+std::shared_ptr<const RouteRule> RouteTable::find(const std::string &Host,
+                                                  std::string_view Path) const {
+  auto Routes = m_RoutesByHost.find(Host);
+  if (Routes == m_RoutesByHost.end())
+    return nullptr;
+  // Every prefix ends with a slash, so only the parts of the path that do can
+  // match.
+  std::size_t Slash = Path.rfind('/');
+  while (Slash != std::string_view::npos) {
+    auto Found = Routes->second.find(std::string(Path.substr(0, Slash + 1)));
+    if (Found != Routes->second.end())
+      return Found->second;
+    if (Slash == 0)
+      break;
+    Slash = Path.rfind('/', Slash - 1);
+  }
+  return nullptr;
+}
+
+const ServiceRule *RouteTable::service(std::string_view Name) const {
+  auto Found = m_Services.find(Name);
+  return Found == m_Services.end() ? nullptr : &Found->second;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/fleet/RouteTable.h
@@ -0,0 +1,100 @@
+#ifndef PARSLEYRING_FLEET_ROUTETABLE_H
+#define PARSLEYRING_FLEET_ROUTETABLE_H
+
+#include "fleet/EngineModel.h"
+#include "parsleyring/Types.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace parsleyring {
+
+/// What may be repeated of a request.
+enum class ExecutionKind { Idempotent, NonIdempotent, Streaming };
+
+/// A service to which a route sends a part of its requests.
+struct ServiceShare {
+  std::string m_Service;
+  double m_Weight = 1;
+};
+
+/// The rule for the requests of one host and path prefix.
+struct RouteRule {
+  std::string m_Name;
+  std::string m_Host;
+  std::string m_Prefix; ///< Begins and ends with a slash.
+  ExecutionKind m_Kind = ExecutionKind::NonIdempotent;
+  Duration m_Timeout{};
+  Duration m_LatencyGoal{};
+  Duration m_PauseGoal{}; ///< Longest pause between the events of a stream.
+  int m_MaxAttempts = 1;
+  int m_Priority = 0; ///< 0 is the most urgent.
+  bool m_IsAnonymous = false;
+  bool m_IsResumable = false;
+  std::vector<ServiceShare> m_Services;
+
+  /// Picks a service in proportion to the weights; Draw is in [0, 1).
+  const std::string &service(double Draw) const;
+  /// True if a second endpoint may run the same request.
+  bool isRepeatable() const {
+    return m_Kind == ExecutionKind::Idempotent ||
+           (m_Kind == ExecutionKind::Streaming && m_IsResumable);
+  }
+};
+
+/// A service and, if it runs a layered model, what that model costs.
+struct ServiceRule {
+  std::string m_Name;
+  std::string m_HealthPath;
+  std::uint32_t m_MaxConnections = 0;
+  std::optional<EngineModel> m_Engine;
+
+  bool isLayered() const { return m_Engine && m_Engine->m_Layers > 0; }
+};
+
+/// A client account as a key leads to it.
+struct AccountRule {
+  std::string m_Name;
+  std::optional<int> m_Priority; ///< Goes before that of the route.
+};
+
+/// Bounds on what a caller may send, and how long it may take.
+struct CallerLimits {
+  std::uint32_t m_MaxHeaderBytes = 16384;
+  std::uint64_t m_MaxBodyBytes = 4 << 20;
+  Duration m_HeaderTimeout = std::chrono::seconds(3);
+  Duration m_IdleTimeout = std::chrono::seconds(15);
+};
+
+/// One version of the routes, services, accounts and limits. Immutable once it
+/// is in force.
+class RouteTable {
+public:
+  ConfigurationVersion m_Version = 0;
+  CallerLimits m_Limits;
+  std::map<std::string, ServiceRule, std::less<>> m_Services;
+  std::unordered_map<std::string, AccountRule> m_AccountsByKey;
+  bool m_HasAccounts = false;
+
+  void addRoute(RouteRule Rule);
+  /// The rule with the longest prefix of Path; null if there is none.
+  std::shared_ptr<const RouteRule> find(const std::string &Host,
+                                        std::string_view Path) const;
+  const ServiceRule *service(std::string_view Name) const;
+  std::size_t routeCount() const { return m_RouteCount; }
+
+private:
+  using RoutesByPrefix =
+      std::unordered_map<std::string, std::shared_ptr<const RouteRule>>;
+  std::unordered_map<std::string, RoutesByPrefix> m_RoutesByHost;
+  std::size_t m_RouteCount = 0;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_FLEET_ROUTETABLE_H
--- /dev/null
+++ b/src/gateway/CallerConnection.h
@@ -0,0 +1,118 @@
+#ifndef PARSLEYRING_GATEWAY_CALLERCONNECTION_H
+#define PARSLEYRING_GATEWAY_CALLERCONNECTION_H
+
+#include "fleet/RouteTable.h"
+#include "parsleyring/Types.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace parsleyring {
+
+/// A whole request as a caller sent it.
+struct CallerRequest {
+  std::string m_Method;
+  std::string m_Target;
+  boost::beast::http::fields m_Fields;
+  std::string m_Body;
+  Time m_ReceivedAt{};
+
+  std::string field(const std::string &Name) const {
+    auto Value = m_Fields[Name];
+    return std::string(Value.data(), Value.size());
+  }
+};
+
+/// Header fields of an answer, in their order.
+using AnswerFields = std::vector<std::pair<std::string, std::string>>;
+
+class CallerConnection;
+
+/// Serves the requests of callers.
+class RequestHandler {
+public:
+  virtual ~RequestHandler() = default;
+  virtual Time now() const = 0;
+  virtual const CallerLimits &limits() const = 0;
+  /// True if connections are to end after the answer in progress.
+  virtual bool isStopping() const = 0;
+  /// Must lead to one answer on the connection, or to abort().
+  virtual void handleRequest(CallerRequest Request,
+                             const std::shared_ptr<CallerConnection> &From) = 0;
+  /// A request that could not be read; it is answered already.
+  virtual void handleMalformed(unsigned Status, const std::string &Reason) = 0;
+};
+
+/// One connection of a caller. Reads one request at a time and writes its
+/// answer; notices during a request that the caller has left.
+class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+public:
+  CallerConnection(boost::asio::ip::tcp::socket Socket,
+                   RequestHandler &Handler);
+
+  void start();
+  /// Called by the table of connections at each tick: ends connections that
+  /// are idle, or slow to send a request.
+  void tick(Time Now);
+
+  // One answer to the request in progress: whole, or in parts.
+  void answer(unsigned Status, const AnswerFields &Fields,
+              const std::string &Body);
+  void beginAnswer(unsigned Status, const AnswerFields &Fields);
+  void appendAnswer(std::string_view Bytes);
+  void endAnswer();
+  /// Closes the connection, so that an answer in progress is seen to be
+  /// incomplete.
+  void abort();
+
+  /// Called once if the caller leaves before its answer has ended.
+  void onGone(std::function<void()> Handler) { m_OnGone = std::move(Handler); }
+  bool isClosed() const { return m_IsClosed; }
+  bool isIdle() const { return !m_IsAnswering && !m_IsReceiving; }
+  std::size_t unsentBytes() const { return m_Output.size() + m_Writing.size(); }
+  /// Closes the connection if no request is in progress.
+  void closeIfIdle();
+
+private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void prepareParser();
+  void read();
+  void parse();
+  void dispatch();
+  void reject(unsigned Status, const std::string &Reason);
+  void flush();
+  void finishAnswer();
+  void lingerClose();
+  void close();
+
+  boost::asio::ip::tcp::socket m_Socket;
+  RequestHandler &m_Handler;
+  boost::beast::flat_buffer m_Buffer;
+  std::optional<Parser> m_Parser;
+  std::function<void()> m_OnGone;
+  std::string m_Output;  ///< Not handed to the socket yet.
+  std::string m_Writing; ///< Handed to the socket.
+  Time m_Since{};        ///< Start of the present state.
+  Time m_LastRead{};
+  bool m_IsReading = false;
+  bool m_IsReceiving = false; ///< A part of a request has been read.
+  bool m_IsAnswering = false;
+  bool m_IsChunked = false;
+  bool m_KeepsAlive = true;
+  bool m_ClosesAfterWrite = false;
+  bool m_IsLingering = false;
+  bool m_IsClosed = false;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_GATEWAY_CALLERCONNECTION_H
--- /dev/null
+++ b/src/gateway/CallerListener.cpp
@@ -0,0 +1,83 @@
+#include "gateway/CallerListener.h"
+
+#include "core/SocketAddress.h"
+
+#include <stdexcept>
+
+namespace parsleyring {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+static constexpr int Backlog = 1024;
+static constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(50);
+
+CallerListener::CallerListener(asio::io_context &Loop,
+                               const std::string &Address,
+                               RequestHandler &Handler)
+    : m_Acceptor(Loop), m_RetryTimer(Loop), m_Handler(Handler) {
+  std::optional<SocketAddress> Parsed = parseSocketAddress(Address);
+  if (!Parsed)
+    throw std::runtime_error("cannot listen on \"" + Address +
+                             "\": not an IP address with a port");
+  tcp::endpoint Local(asio::ip::make_address(Parsed->m_Host), Parsed->m_Port);
+  try {
+    m_Acceptor.open(Local.protocol());
+    m_Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    m_Acceptor.bind(Local);
+    m_Acceptor.listen(Backlog);
+  } catch (const boost::system::system_error &Error) {
+    throw std::runtime_error("cannot listen on " + Address + ": " +
+                             Error.what());
+  }
+  accept();
+}
+
+void CallerListener::accept() {
+  m_Acceptor.async_accept(
+      [this](boost::system::error_code Error, tcp::socket Socket) {
+        if (Error == asio::error::operation_aborted)
+          return;
+        if (Error) {
+          // Without descriptors each further call would fail at once.
+          m_RetryTimer.expires_after(AcceptRetryDelay);
+          m_RetryTimer.async_wait([this](boost::system::error_code Cancelled) {
+            if (!Cancelled)
+              accept();
+          });
+          return;
+        }
+        auto Connection =
+            std::make_shared<CallerConnection>(std::move(Socket), m_Handler);
+        m_Connections.push_back(Connection);
+        Connection->start();
+        accept();
+      });
+}
+
+void CallerListener::tick(Time Now) {
+  for (auto Entry = m_Connections.begin(); Entry != m_Connections.end();) {
+    (*Entry)->tick(Now);
+    Entry =
+        (*Entry)->isClosed() ? m_Connections.erase(Entry) : std::next(Entry);
+  }
+}
+
+void CallerListener::closeIdle() {
+  for (const auto &Connection : m_Connections)
+    Connection->closeIfIdle();
+}
+
+void CallerListener::close() {
+  boost::system::error_code Ignored;
+  m_Acceptor.close(Ignored);
+}
+
+bool CallerListener::hasRequests() const {
+  for (const auto &Connection : m_Connections)
+    if (!Connection->isClosed() && !Connection->isIdle())
+      return true;
+  return false;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/gateway/ForwardContext.cpp
@@ -0,0 +1,119 @@
+#include "gateway/ForwardContext.h"
+
+#include "core/NameTable.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+namespace parsleyring {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+static constexpr NameTable<ForwardOutcome, 5> ForwardOutcomeNames{
+    {"completed", "refused", "failed", "broken", "caller-left"}};
+
+std::string_view name(ForwardOutcome Value) {
+  return ForwardOutcomeNames.name(Value);
+}
+
+static std::string_view view(beast::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+// Fields that concern one connection only.
+static bool isConnectionField(http::field Field) {
+  switch (Field) {
+  case http::field::connection:
+  case http::field::keep_alive:
+  case http::field::proxy_connection:
+  case http::field::proxy_authenticate:
+  case http::field::proxy_authorization:
+  case http::field::te:
+  case http::field::trailer:
+  case http::field::transfer_encoding:
+  case http::field::upgrade:
+  case http::field::content_length:
+  case http::field::expect:
+    return true;
+  default:
+    return false;
+  }
+}
+
+static bool isListedInConnection(const http::fields &Fields,
+                                 beast::string_view Name) {
+  auto Connection = Fields[http::field::connection];
+  return !Connection.empty() && http::token_list{Connection}.exists(Name);
+}
+
+static void appendField(std::string &Text, std::string_view Name,
+                        std::string_view Value) {
+  Text.append(Name);
+  Text += ": ";
+  Text.append(Value);
+  Text += "\r\n";
+}
+
+std::string forwardedText(const ForwardJob &Job,
+                          const EndpointProtocol &Protocol,
+                          const EndpointEntry &Target, Time Now,
+                          const AnswerFields &Extra) {
+  const HeaderNames &Names = Protocol.headers();
+  const CallerRequest &Request = Job.m_Request;
+  auto IsSetHere = [&](beast::string_view Name) {
+    if (beast::iequals(Name, Names.m_Deadline) ||
+        beast::iequals(Name, Names.m_Account) ||
+        beast::iequals(Name, Names.m_ExpectedEndpoint) ||
+        beast::iequals(Name, Names.m_Path))
+      return true;
+    for (const auto &[ExtraName, Value] : Extra)
+      if (beast::iequals(Name, ExtraName))
+        return true;
+    return false;
+  };
+  std::string Text =
+      Request.m_Method + " " + Request.m_Target + " HTTP/1.1\r\n";
+  for (const auto &Field : Request.m_Fields) {
+    if (isConnectionField(Field.name()) ||
+        Field.name() == http::field::authorization ||
+        isListedInConnection(Request.m_Fields, Field.name_string()) ||
+        IsSetHere(Field.name_string()))
+      continue;
+    appendField(Text, view(Field.name_string()), view(Field.value()));
+  }
+  auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Job.m_Deadline - Now);
+  appendField(Text, Names.m_Deadline,
+              std::to_string(std::max<std::int64_t>(1, Left.count())));
+  appendField(Text, Names.m_ExpectedEndpoint, Target.m_Id);
+  if (!Job.m_Account.empty())
+    appendField(Text, Names.m_Account, Job.m_Account);
+  for (const auto &[Name, Value] : Extra)
+    appendField(Text, Name, Value);
+  if (!Request.m_Body.empty() || Request.m_Method == "POST" ||
+      Request.m_Method == "PUT" || Request.m_Method == "PATCH")
+    appendField(Text, "Content-Length", std::to_string(Request.m_Body.size()));
+  Text += "\r\n";
+  Text += Request.m_Body;
+  return Text;
+}
+
+AnswerFields answerFields(const ResponseHead &Head) {
+  AnswerFields Fields;
+  for (const auto &Field : Head.m_Fields) {
+    if (isConnectionField(Field.name()) ||
+        isListedInConnection(Head.m_Fields, Field.name_string()))
+      continue;
+    Fields.emplace_back(std::string(view(Field.name_string())),
+                        std::string(view(Field.value())));
+  }
+  return Fields;
+}
+
+bool provesNotRun(const ResponseHead &Head, const HeaderNames &Names) {
+  return Head.m_Status == 421 ||
+         (Head.has(Names.m_NotExecuted) && Head.m_Status >= 400);
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/gateway/GatewayNode.cpp
@@ -0,0 +1,524 @@
+#include "gateway/GatewayNode.h"
+
+#include "gateway/PlainForward.h"
+#include "gateway/StreamForward.h"
+
+#include <csignal>
+#include <unistd.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace parsleyring {
+
+namespace asio = boost::asio;
+
+static constexpr Duration TickInterval = std::chrono::milliseconds(40);
+// Every so many ticks, tables that change slowly are looked through.
+static constexpr std::uint64_t SlowTicks = 6;
+static constexpr std::uint64_t PlacementTicks = 10;
+static constexpr Duration OrderLimit = std::chrono::milliseconds(600);
+// No new connections come once the load balancer has seen two refusals.
+static constexpr Duration MinStopTime = std::chrono::milliseconds(3200);
+// What is left at the end is closed this long before the process is killed.
+static constexpr Duration StopMargin = std::chrono::milliseconds(350);
+
+namespace {
+
+/// Answers requests that end with the call.
+class SimpleHandler : public RequestHandler {
+public:
+  explicit SimpleHandler(GatewayNode &Node) : m_Node(Node) {}
+  Time now() const override { return m_Node.now(); }
+  const CallerLimits &limits() const override { return m_Limits; }
+  bool isStopping() const override { return false; }
+  void handleMalformed(unsigned, const std::string &) override {}
+
+protected:
+  GatewayNode &m_Node;
+
+private:
+  CallerLimits m_Limits;
+};
+
+} // namespace
+
+/// Tells the load balancer whether new connections are welcome.
+class GatewayNode::ReadyHandler final : public SimpleHandler {
+public:
+  using SimpleHandler::SimpleHandler;
+  void handleRequest(CallerRequest,
+                     const std::shared_ptr<CallerConnection> &From) override {
+    bool IsReady = m_Node.m_Table && !m_Node.isStopping();
+    From->answer(IsReady ? 200 : 503, {}, "");
+  }
+};
+
+/// Tells other VMs what this one has read from the store.
+class GatewayNode::PeerHandler final : public SimpleHandler {
+public:
+  PeerHandler(GatewayNode &Node, const StoreProtocol &Protocol)
+      : SimpleHandler(Node), m_Protocol(Protocol) {}
+  void handleRequest(CallerRequest Request,
+                     const std::shared_ptr<CallerConnection> &From) override {
+    const std::string &Path = StoreFollower::PeerPath;
+    if (Request.m_Target.compare(0, Path.size(), Path) != 0) {
+      From->answer(404, {}, "");
+      return;
+    }
+    std::uint64_t Revision = 0;
+    std::from_chars(Request.m_Target.data() + Path.size(),
+                    Request.m_Target.data() + Request.m_Target.size(),
+                    Revision);
+    From->answer(200, {{"Content-Type", "application/json"}},
+                 m_Protocol.pageText(m_Node.m_Follower.newerThan(Revision)));
+  }
+
+private:
+  const StoreProtocol &m_Protocol;
+};
+
+/// Serves counters and histograms.
+class GatewayNode::MetricsHandler final : public SimpleHandler {
+public:
+  using SimpleHandler::SimpleHandler;
+  void handleRequest(CallerRequest,
+                     const std::shared_ptr<CallerConnection> &From) override {
+    From->answer(200, {{"Content-Type", "text/plain; version=0.0.4"}},
+                 m_Node.m_Metrics.text());
+  }
+};
+
+GatewayNode::GatewayNode(GatewaySettings Settings, const StoreProtocol &Store,
+                         const EndpointProtocol &Endpoints,
+                         const PlatformRecords &Records)
+    : m_Settings(std::move(Settings)), m_Protocol(Endpoints),
+      m_Records(Records), m_Log(STDOUT_FILENO, m_Settings.m_VM),
+      m_Random(std::random_device{}()), m_Channels(m_Loop),
+      m_EndpointCaller(m_Loop, m_Channels, Endpoints, [this] { return now(); }),
+      m_Store(
+          m_Loop, [this] { return now(); }, m_Metrics),
+      m_Follower(
+          m_Loop, m_Store, Store, *this, [this] { return now(); },
+          m_Settings.m_StoreAddress),
+      m_Lease(m_Loop, m_Store, Store, [this] { return now(); },
+              m_Settings.m_StoreAddress,
+              {m_Settings.m_VM, m_Settings.m_PeerAddress,
+               m_Settings.m_FailureDomain}),
+      m_ReadyHandler(std::make_unique<ReadyHandler>(*this)),
+      m_PeerHandler(std::make_unique<PeerHandler>(*this, Store)),
+      m_MetricsHandler(std::make_unique<MetricsHandler>(*this)),
+      m_TickTimer(m_Loop), m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
+  auto Listen = [this](const std::string &Address, RequestHandler &Handler) {
+    m_Listeners.push_back(
+        std::make_unique<CallerListener>(m_Loop, Address, Handler));
+    return m_Listeners.back().get();
+  };
+  m_CallerListener = Listen(m_Settings.m_CallerAddress, *this);
+  Listen(m_Settings.m_ReadyAddress, *m_ReadyHandler);
+  Listen(m_Settings.m_PeerAddress, *m_PeerHandler);
+  if (!m_Settings.m_MetricsAddress.empty())
+    Listen(m_Settings.m_MetricsAddress, *m_MetricsHandler);
+}
+
+GatewayNode::~GatewayNode() = default;
+
+void GatewayNode::run() {
+  m_Log.write(now(), "start", "",
+              {{"failure_domain", m_Settings.m_FailureDomain},
+               {"callers", m_Settings.m_CallerAddress}});
+  m_Signals.async_wait([this](boost::system::error_code Error, int Signal) {
+    if (!Error)
+      handleSignal(Signal);
+  });
+  m_Follower.start();
+  m_Lease.start();
+  scheduleTick();
+  m_Loop.run();
+  m_Log.write(now(), "end", "", {});
+}
+
+const CallerLimits &GatewayNode::limits() const {
+  return m_Table ? m_Table->m_Limits : m_UsualLimits;
+}
+
+// Requests
+
+std::optional<GatewayNode::Refusal> GatewayNode::fillJob(ForwardJob &Job) {
+  if (!m_Table)
+    return Refusal{503, "no-configuration"};
+  Job.m_Table = m_Table;
+  const CallerRequest &Request = Job.m_Request;
+  if (Request.m_Target.empty() || Request.m_Target.front() != '/')
+    return Refusal{400, "bad-target"};
+  std::string_view Path = Request.m_Target;
+  Path = Path.substr(0, Path.find('?'));
+  Job.m_Route = m_Table->find(Request.field("Host"), Path);
+  if (!Job.m_Route)
+    return Refusal{404, "no-route"};
+  const HeaderNames &Names = m_Protocol.headers();
+  Job.m_Id = Request.field(Names.m_RequestId);
+  if (m_Table->m_HasAccounts && !Job.m_Route->m_IsAnonymous) {
+    std::string Credentials = Request.field("Authorization");
+    static const std::string Scheme = "Bearer ";
+    if (Credentials.compare(0, Scheme.size(), Scheme) != 0)
+      return Refusal{401, "no-key"};
+    auto Account =
+        m_Table->m_AccountsByKey.find(Credentials.substr(Scheme.size()));
+    if (Account == m_Table->m_AccountsByKey.end())
+      return Refusal{401, "unknown-key"};
+    Job.m_Account = Account->second.m_Name;
+  }
+  Job.m_Service = m_Table->service(Job.m_Route->service(random()));
+  if (!Job.m_Service)
+    return Refusal{503, "no-service"};
+  Duration Limit = Job.m_Route->m_Timeout;
+  std::string Text = Request.field(Names.m_Deadline);
+  std::int64_t Milliseconds = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
+  if (!Text.empty() && Error == std::errc())
+    Limit = std::min<Duration>(Limit, std::chrono::milliseconds(Milliseconds));
+  Job.m_Deadline = Request.m_ReceivedAt + Limit;
+  return std::nullopt;
+}
+
+void GatewayNode::handleRequest(CallerRequest Request,
+                                const std::shared_ptr<CallerConnection> &From) {
+  ForwardJob Job;
+  Job.m_Request = std::move(Request);
+  Job.m_Caller = From;
+  if (auto Why = fillJob(Job)) {
+    refuse(Job.m_Request, *From, *Why);
+    return;
+  }
+  std::shared_ptr<ForwardedRequest> Forward;
+  if (Job.m_Service->isLayered())
+    Forward = std::make_shared<StreamForward>(*this, std::move(Job));
+  else
+    Forward = std::make_shared<PlainForward>(*this, std::move(Job));
+  m_Requests.insert(Forward);
+  Forward->start();
+}
+
+void GatewayNode::refuse(const CallerRequest &Request, CallerConnection &Caller,
+                         Refusal Why) {
+  const HeaderNames &Names = m_Protocol.headers();
+  std::string Id = Request.field(Names.m_RequestId);
+  AnswerFields Fields{{"Content-Type", "text/plain"}};
+  if (!Id.empty())
+    Fields.emplace_back(Names.m_RequestId, Id);
+  if (Why.m_Status == 503)
+    Fields.emplace_back(Names.m_RetryAfter, "0.3");
+  if (Why.m_Status == 401)
+    Fields.emplace_back("WWW-Authenticate", "Bearer");
+  Caller.answer(Why.m_Status, Fields, std::string(Why.m_Reason) + "\n");
+  m_Metrics.countRequest("refused", Why.m_Reason, now() - Request.m_ReceivedAt);
+  m_Log.write(
+      now(), "request-refused", Id,
+      {{"status", std::int64_t(Why.m_Status)},
+       {"reason", Why.m_Reason},
+       {"configuration", std::int64_t(m_Table ? m_Table->m_Version : 0)}});
+}
+
+void GatewayNode::handleMalformed(unsigned Status, const std::string &Reason) {
+  m_Metrics.countRequest("refused", "malformed", Duration::zero());
+  m_Log.write(now(), "request-malformed", "",
+              {{"status", std::int64_t(Status)}, {"reason", Reason}});
+}
+
+// What forwarding uses
+
+RetryShare &GatewayNode::retryShare(const std::string &Service) {
+  // The share of a VM that others cannot see counts as well.
+  double VMs = static_cast<double>(m_VMs.size()) + 1;
+  double Fixed = m_Settings.m_FixedRetries / std::max(2.0, VMs);
+  auto Found = m_RetryShares.find(Service);
+  if (Found == m_RetryShares.end())
+    Found = m_RetryShares
+                .emplace(Service, RetryShare(m_Settings.m_RetryRatio, Fixed,
+                                             m_Settings.m_RetryWindow))
+                .first;
+  Found->second.setFixedRetries(Fixed);
+  return Found->second;
+}
+
+double GatewayNode::loadFactor() const {
+  double VMs = 0;
+  for (const auto &[Name, VM] : m_VMs)
+    if (VM.m_FailureDomain == m_Settings.m_FailureDomain)
+      ++VMs;
+  return std::max(1.0, VMs);
+}
+
+double GatewayNode::random() {
+  return std::uniform_real_distribution<double>(0, 1)(m_Random);
+}
+
+void GatewayNode::askReport(const FleetTable::Handle &Endpoint,
+                            ReportHandler OnReport) {
+  m_Metrics.countOrder("report");
+  m_EndpointCaller.askReport(Endpoint, std::move(OnReport));
+}
+
+void GatewayNode::callEndpoint(
+    const FleetTable::Handle &Endpoint, const EndpointCall &Call,
+    std::function<void(unsigned, const std::string &)> OnReply) {
+  m_EndpointCaller.call(Endpoint, Call, OrderLimit, std::move(OnReply));
+}
+
+void GatewayNode::suspect(const FleetTable::Handle &Endpoint,
+                          std::string_view Reason, Duration For) {
+  Time Now = now();
+  bool IsNew = Endpoint->m_SuspectUntil <= Now;
+  Endpoint->m_SuspectUntil = std::max(Endpoint->m_SuspectUntil, Now + For);
+  if (IsNew)
+    m_Log.write(Now, "endpoint-suspect", "",
+                {{"endpoint", Endpoint->m_Entry.m_Id},
+                 {"reason", Reason},
+                 {"running", std::int64_t(Endpoint->m_Running)}});
+  // Handling may end requests, which then leave the table at the next tick.
+  std::vector<std::shared_ptr<ForwardedRequest>> Requests(m_Requests.begin(),
+                                                          m_Requests.end());
+  for (const auto &Request : Requests)
+    Request->handleSuspect(Endpoint);
+}
+
+// What the store tells
+
+void GatewayNode::takeConfiguration(const StoreItem &Item) {
+  if (Item.m_Revision <= m_TableRevision)
+    return;
+  std::string Finding;
+  auto Table = m_Records.parseConfiguration(Item.m_Value, Finding);
+  m_TableRevision = Item.m_Revision;
+  if (!Table) {
+    m_Log.write(
+        now(), "configuration-rejected", "",
+        {{"revision", std::int64_t(Item.m_Revision)}, {"finding", Finding}});
+    return;
+  }
+  if (m_Table && Table->m_Version < m_Table->m_Version)
+    return;
+  m_Table = std::move(Table);
+  m_Metrics.setConfigurationVersion(m_Table->m_Version);
+  m_Log.write(now(), "configuration", "",
+              {{"version", std::int64_t(m_Table->m_Version)},
+               {"revision", std::int64_t(Item.m_Revision)},
+               {"routes", std::int64_t(m_Table->routeCount())}});
+}
+
+void GatewayNode::takeEndpoint(const StoreItem &Item) {
+  std::string Id = Item.m_Key.substr(m_Records.endpointPrefix().size());
+  std::string Finding;
+  auto Entry = m_Records.parseEndpoint(Id, Item.m_Value, Finding);
+  if (!Entry) {
+    m_Log.write(now(), "endpoint-entry-rejected", "",
+                {{"endpoint", Id}, {"finding", Finding}});
+    m_Fleet.unlist(Id, now());
+    return;
+  }
+  m_Fleet.list(*Entry, now());
+  m_Log.write(
+      now(), "endpoint-listed", "",
+      {{"endpoint", Id},
+       {"address", Entry->m_Address},
+       {"draining", std::int64_t(Entry->m_State == EndpointState::Draining)},
+       {"first_layer", std::int64_t(Entry->m_Layers.m_First)},
+       {"end_layer", std::int64_t(Entry->m_Layers.m_End)}});
+}
+
+void GatewayNode::takeDuty(const StoreItem &Item) {
+  m_Lease.noteDuty(Item.m_Value, Item.m_Revision);
+}
+
+void GatewayNode::takeVM(const StoreItem &Item) {
+  auto VM = VMLease::parseEntry(Item.m_Value);
+  if (VM)
+    m_VMs[Item.m_Key] = *VM;
+}
+
+static bool beginsWith(const std::string &Text, const std::string &Prefix) {
+  return Text.compare(0, Prefix.size(), Prefix) == 0;
+}
+
+void GatewayNode::itemChanged(const StoreItem &Item) {
+  if (Item.m_Key == m_Records.configurationKey())
+    takeConfiguration(Item);
+  else if (beginsWith(Item.m_Key, m_Records.endpointPrefix()))
+    takeEndpoint(Item);
+  else if (Item.m_Key == VMLease::DutyKey)
+    takeDuty(Item);
+  else if (beginsWith(Item.m_Key, VMLease::VMPrefix))
+    takeVM(Item);
+}
+
+void GatewayNode::itemDeleted(const std::string &Key) {
+  if (beginsWith(Key, m_Records.endpointPrefix())) {
+    std::string Id = Key.substr(m_Records.endpointPrefix().size());
+    m_Fleet.unlist(Id, now());
+    m_Log.write(now(), "endpoint-unlisted", "", {{"endpoint", Id}});
+  } else if (Key == VMLease::DutyKey) {
+    m_Lease.noteDuty("", 0);
+  } else {
+    m_VMs.erase(Key);
+  }
+}
+
+void GatewayNode::reloaded(const std::map<std::string, StoreItem> &Items) {
+  std::vector<std::string> Listed;
+  const std::string &Prefix = m_Records.endpointPrefix();
+  m_VMs.clear();
+  bool HasDuty = false;
+  for (const auto &[Key, Item] : Items) {
+    if (beginsWith(Key, Prefix))
+      Listed.push_back(Key.substr(Prefix.size()));
+    HasDuty = HasDuty || Key == VMLease::DutyKey;
+    itemChanged(Item);
+  }
+  m_Fleet.keepOnly(Listed, now());
+  if (!HasDuty)
+    m_Lease.noteDuty("", 0);
+}
+
+void GatewayNode::availabilityChanged(bool IsAvailable, Duration OutageTime) {
+  if (IsAvailable && OutageTime > Duration::zero())
+    m_Fleet.noteOutageEnd(now());
+  m_Log.write(now(), IsAvailable ? "store-available" : "store-lost", "",
+              {{"outage_ms", std::int64_t(OutageTime.count() / 1000)}});
+}
+
+std::vector<std::string> GatewayNode::peerAddresses() const {
+  std::vector<std::string> Near;
+  std::vector<std::string> Far;
+  for (const auto &[Key, VM] : m_VMs) {
+    if (VM.m_Name == m_Settings.m_VM)
+      continue;
+    bool IsNear = VM.m_FailureDomain == m_Settings.m_FailureDomain;
+    (IsNear ? Near : Far).push_back(VM.m_PeerAddress);
+  }
+  for (const std::string &Seed : m_Settings.m_SeedAddresses)
+    if (Seed != m_Settings.m_PeerAddress &&
+        std::find(Near.begin(), Near.end(), Seed) == Near.end() &&
+        std::find(Far.begin(), Far.end(), Seed) == Far.end())
+      Far.push_back(Seed);
+  Near.insert(Near.end(), Far.begin(), Far.end());
+  return Near;
+}
+
+// Ticks
+
+void GatewayNode::scheduleTick() {
+  m_TickTimer.expires_after(TickInterval);
+  m_TickTimer.async_wait([this](boost::system::error_code Error) {
+    if (Error)
+      return;
+    tick();
+    scheduleTick();
+  });
+}
+
+void GatewayNode::tick() {
+  Time Now = now();
+  ++m_Ticks;
+  std::vector<std::shared_ptr<ForwardedRequest>> Requests(m_Requests.begin(),
+                                                          m_Requests.end());
+  for (const auto &Request : Requests) {
+    Request->tick(Now);
+    if (Request->isDone())
+      m_Requests.erase(Request);
+  }
+  if (m_Ticks % SlowTicks == 0) {
+    for (const auto &Listener : m_Listeners)
+      Listener->tick(Now);
+    m_Channels.expire(Now);
+    m_Store.expireChannels(Now);
+    m_Fleet.expire(Now);
+    m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
+    m_Metrics.countDroppedLogLines(m_Log.droppedLines() -
+                                   m_CountedDroppedLines);
+    m_CountedDroppedLines = m_Log.droppedLines();
+  }
+  if (m_Ticks % PlacementTicks == 0)
+    tickPlacement();
+  if (isStopping())
+    tickShutdown();
+}
+
+void GatewayNode::tickPlacement() {
+  Time Now = now();
+  bool HoldsDuty = m_Lease.holdsDuty(Now) && !isStopping();
+  if (HoldsDuty != m_HeldDuty) {
+    m_HeldDuty = HoldsDuty;
+    m_Placement.clear();
+    m_Log.write(Now, HoldsDuty ? "duty-taken" : "duty-lost", "",
+                {{"token", std::int64_t(m_Lease.fencingToken())}});
+  }
+  if (!HoldsDuty || !m_Table || !m_Follower.isAvailable())
+    return;
+  for (const auto &[Name, Service] : m_Table->m_Services) {
+    if (!Service.isLayered())
+      continue;
+    for (const PlacementOrder &Order : m_Placement[Name].tick(
+             *Service.m_Engine, m_Fleet.ofService(Name), Now))
+      sendOrder(Name, Order);
+  }
+}
+
+void GatewayNode::sendOrder(const std::string &Service,
+                            const PlacementOrder &Order) {
+  FleetTable::Handle Endpoint = m_Fleet.find(Order.m_Endpoint);
+  if (!Endpoint)
+    return;
+  m_Metrics.countOrder("place");
+  m_Log.write(now(), "order", "",
+              {{"endpoint", Order.m_Endpoint},
+               {"first_layer", std::int64_t(Order.m_Layers.m_First)},
+               {"end_layer", std::int64_t(Order.m_Layers.m_End)},
+               {"token", std::int64_t(m_Lease.fencingToken())}});
+  m_EndpointCaller.call(
+      Endpoint, m_Protocol.placeCall(Order.m_Layers, std::nullopt), OrderLimit,
+      [this, Service, Order](unsigned Status, const std::string &Body) {
+        m_Log.write(now(), "order-answer", "",
+                    {{"endpoint", Order.m_Endpoint},
+                     {"status", std::int64_t(Status)},
+                     {"body", std::string_view(Body).substr(0, 200)}});
+        if (Status == 0)
+          m_Placement[Service].noteUnanswered(Order.m_Endpoint, now());
+        else if (Status >= 300)
+          m_Placement[Service].noteRefused(Order.m_Endpoint);
+      });
+}
+
+// Shutdown
+
+void GatewayNode::handleSignal(int Signal) {
+  m_Signals.async_wait([this](boost::system::error_code Error, int Next) {
+    if (!Error)
+      handleSignal(Next);
+  });
+  if (Signal == SIGHUP) {
+    // Addresses and bounds of a running process stay as they are.
+    m_Log.write(now(), "reload", "", {});
+    return;
+  }
+  if (isStopping())
+    return;
+  m_StoppingSince = now();
+  m_Log.write(m_StoppingSince, "stop", "",
+              {{"running", std::int64_t(m_Requests.size())}});
+  m_Lease.stop();
+}
+
+void GatewayNode::tickShutdown() {
+  Duration Stopped = now() - m_StoppingSince;
+  if (Stopped < MinStopTime)
+    return;
+  // A request that crosses the close of its connection is not passed on.
+  m_CallerListener->closeIdle();
+  bool IsOver = Stopped > m_Settings.m_ShutdownLimit - StopMargin;
+  if (IsOver || (m_Requests.empty() && m_CallerListener->size() == 0))
+    m_Loop.stop();
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/gateway/GatewayNode.h
@@ -0,0 +1,137 @@
+#ifndef PARSLEYRING_GATEWAY_GATEWAYNODE_H
+#define PARSLEYRING_GATEWAY_GATEWAYNODE_H
+
+#include "gateway/CallerListener.h"
+#include "gateway/EndpointCaller.h"
+#include "gateway/ForwardContext.h"
+#include "gateway/GatewaySettings.h"
+#include "node/NodeClock.h"
+#include "placement/PlacementDuty.h"
+#include "store/StoreFollower.h"
+#include "store/VMLease.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <random>
+#include <set>
+
+namespace parsleyring {
+
+/// One gateway process: accepts the requests of callers and forwards them to
+/// the endpoints that the platform's store lists, as the configuration in the
+/// store says. All of it runs on one event loop.
+class GatewayNode final : public RequestHandler,
+                          public ForwardContext,
+                          public StoreObserver {
+public:
+  /// Throws std::runtime_error if an address cannot be listened on. Store and
+  /// Endpoints must outlive the node.
+  GatewayNode(GatewaySettings Settings, const StoreProtocol &Store,
+              const EndpointProtocol &Endpoints,
+              const PlatformRecords &Records);
+  ~GatewayNode() override;
+
+  /// Runs until a signal has ended the process.
+  void run();
+
+  // RequestHandler
+  Time now() const override { return m_Clock.now(); }
+  const CallerLimits &limits() const override;
+  bool isStopping() const override { return m_StoppingSince != Time{}; }
+  void handleRequest(CallerRequest Request,
+                     const std::shared_ptr<CallerConnection> &From) override;
+  void handleMalformed(unsigned Status, const std::string &Reason) override;
+
+  // ForwardContext
+  ChannelPool &channels() override { return m_Channels; }
+  FleetTable &fleet() override { return m_Fleet; }
+  const EndpointProtocol &protocol() const override { return m_Protocol; }
+  RetryShare &retryShare(const std::string &Service) override;
+  DecisionLog &log() override { return m_Log; }
+  NodeMetrics &metrics() override { return m_Metrics; }
+  const std::string &failureDomain() const override {
+    return m_Settings.m_FailureDomain;
+  }
+  double loadFactor() const override;
+  double random() override;
+  void askReport(const FleetTable::Handle &Endpoint,
+                 ReportHandler OnReport) override;
+  void callEndpoint(
+      const FleetTable::Handle &Endpoint, const EndpointCall &Call,
+      std::function<void(unsigned, const std::string &)> OnReply) override;
+  void suspect(const FleetTable::Handle &Endpoint, std::string_view Reason,
+               Duration For) override;
+
+  // StoreObserver
+  void itemChanged(const StoreItem &Item) override;
+  void itemDeleted(const std::string &Key) override;
+  void reloaded(const std::map<std::string, StoreItem> &Items) override;
+  void availabilityChanged(bool IsAvailable, Duration OutageTime) override;
+  std::vector<std::string> peerAddresses() const override;
+
+private:
+  class ReadyHandler;
+  class PeerHandler;
+  class MetricsHandler;
+
+  /// Why a request is answered without being forwarded.
+  struct Refusal {
+    unsigned m_Status = 0;
+    std::string_view m_Reason;
+  };
+  std::optional<Refusal> fillJob(ForwardJob &Job);
+  void refuse(const CallerRequest &Request, CallerConnection &Caller,
+              Refusal Why);
+
+  void takeConfiguration(const StoreItem &Item);
+  void takeEndpoint(const StoreItem &Item);
+  void takeDuty(const StoreItem &Item);
+  void takeVM(const StoreItem &Item);
+
+  void scheduleTick();
+  void tick();
+  void tickPlacement();
+  void sendOrder(const std::string &Service, const PlacementOrder &Order);
+  void handleSignal(int Signal);
+  void tickShutdown();
+
+  const GatewaySettings m_Settings;
+  const EndpointProtocol &m_Protocol;
+  const PlatformRecords &m_Records;
+  boost::asio::io_context m_Loop{1};
+  NodeClock m_Clock;
+  DecisionLog m_Log;
+  NodeMetrics m_Metrics;
+  std::minstd_rand m_Random;
+
+  std::shared_ptr<const RouteTable> m_Table; ///< Null until the first one.
+  std::uint64_t m_TableRevision = 0;
+  CallerLimits m_UsualLimits;
+  FleetTable m_Fleet;
+  std::map<std::string, ListedVM> m_VMs;
+
+  ChannelPool m_Channels;
+  EndpointCaller m_EndpointCaller;
+  StoreClient m_Store;
+  StoreFollower m_Follower;
+  VMLease m_Lease;
+  std::map<std::string, PlacementDuty> m_Placement; ///< By service.
+  bool m_HeldDuty = false;
+  std::map<std::string, RetryShare> m_RetryShares;
+  std::set<std::shared_ptr<ForwardedRequest>> m_Requests;
+
+  std::unique_ptr<ReadyHandler> m_ReadyHandler;
+  std::unique_ptr<PeerHandler> m_PeerHandler;
+  std::unique_ptr<MetricsHandler> m_MetricsHandler;
+  std::vector<std::unique_ptr<CallerListener>> m_Listeners;
+  CallerListener *m_CallerListener = nullptr;
+  boost::asio::steady_timer m_TickTimer;
+  boost::asio::signal_set m_Signals;
+  std::uint64_t m_Ticks = 0;
+  std::uint64_t m_CountedDroppedLines = 0;
+  Time m_StoppingSince{};
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_GATEWAY_GATEWAYNODE_H
--- /dev/null
+++ b/src/gateway/HttpChannel.cpp
@@ -0,0 +1,269 @@
+#include "gateway/HttpChannel.h"
+
+#include "core/NameTable.h"
+#include "core/SocketAddress.h"
+
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+
+#include <charconv>
+
+namespace parsleyring {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+static constexpr NameTable<ExchangeEnd, 5> ExchangeEndNames{
+    {"complete", "connect-failed", "closed", "malformed", "timed-out"}};
+
+std::string_view name(ExchangeEnd Value) {
+  return ExchangeEndNames.name(Value);
+}
+
+static constexpr std::size_t ReadBytes = 16 << 10;
+// A header of an endpoint or of the store is far smaller.
+static constexpr std::uint32_t MaxResponseHeaderBytes = 64 << 10;
+// A peer behind a partition does not answer, and the kernel alone would wait
+// for minutes before it gives up on unacknowledged bytes.
+static constexpr unsigned UnacknowledgedTimeoutMs = 5000;
+// The server's own clock may be ahead, so its idle timeout is not used up.
+static constexpr Duration IdleMargin = std::chrono::milliseconds(500);
+
+HttpChannel::HttpChannel(asio::io_context &Loop, std::string Address)
+    : m_Loop(Loop), m_Address(std::move(Address)), m_Socket(Loop),
+      m_ConnectTimer(Loop) {}
+
+void HttpChannel::send(std::string Bytes, Duration ConnectTimeout,
+                       ExchangeHandlers Handlers) {
+  m_Output = std::move(Bytes);
+  m_HasWritten = false;
+  beginExchange(std::move(Handlers));
+  if (m_IsConnected)
+    write();
+  else
+    connect(ConnectTimeout);
+}
+
+void HttpChannel::receiveAnother(ExchangeHandlers Handlers) {
+  beginExchange(std::move(Handlers));
+  parse({});
+}
+
+void HttpChannel::beginExchange(ExchangeHandlers Handlers) {
+  m_Handlers = std::move(Handlers);
+  m_IsRunning = true;
+  m_IsHeadDelivered = false;
+  m_IsReusable = false;
+  m_IsPaused = false;
+  m_Parser.emplace();
+  m_Parser->body_limit(boost::none);
+  m_Parser->header_limit(MaxResponseHeaderBytes);
+  m_Parser->eager(true);
+}
+
+void HttpChannel::connect(Duration Timeout) {
+  std::optional<SocketAddress> Parsed = parseSocketAddress(m_Address);
+  auto Self = shared_from_this();
+  if (!Parsed) {
+    asio::post(m_Loop, [Self] { Self->finish(ExchangeEnd::ConnectFailed); });
+    return;
+  }
+  tcp::endpoint Target(asio::ip::make_address(Parsed->m_Host), Parsed->m_Port);
+  m_ConnectTimer.expires_after(Timeout);
+  m_ConnectTimer.async_wait([Self](beast::error_code Error) {
+    if (!Error && !Self->m_IsConnected)
+      Self->finish(ExchangeEnd::ConnectFailed);
+  });
+  m_Socket.async_connect(Target, [Self](beast::error_code Error) {
+    if (Self->m_IsClosed)
+      return;
+    if (Error) {
+      Self->finish(ExchangeEnd::ConnectFailed);
+      return;
+    }
+    Self->m_IsConnected = true;
+    Self->m_ConnectTimer.cancel();
+    beast::error_code Ignored;
+    Self->m_Socket.set_option(tcp::no_delay(true), Ignored);
+    setsockopt(Self->m_Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &UnacknowledgedTimeoutMs, sizeof(UnacknowledgedTimeoutMs));
+    Self->write();
+  });
+}
+
+void HttpChannel::write() {
+  auto Self = shared_from_this();
+  m_HasWritten = true;
+  m_IsWriting = true;
+  // The response may arrive before the request is written whole, so reading
+  // does not wait for the end of writing.
+  asio::async_write(
+      m_Socket, asio::buffer(m_Output),
+      [Self](beast::error_code, std::size_t) { Self->m_IsWriting = false; });
+  read();
+}
+
+// The parser is fed here and not by the library's read operations, which go on
+// until a message is complete when it arrives in chunks.
+void HttpChannel::read() {
+  if (m_IsReading || m_IsPaused || m_IsClosed)
+    return;
+  m_IsReading = true;
+  auto Self = shared_from_this();
+  m_Socket.async_read_some(m_Buffer.prepare(ReadBytes),
+                           [Self](beast::error_code Error, std::size_t Size) {
+                             Self->m_IsReading = false;
+                             if (!Self->m_IsRunning)
+                               return;
+                             Self->m_Buffer.commit(Size);
+                             Self->parse(Error);
+                           });
+}
+
+void HttpChannel::resumeReading() {
+  if (!m_IsPaused)
+    return;
+  m_IsPaused = false;
+  if (m_IsRunning)
+    read();
+}
+
+void HttpChannel::parse(beast::error_code ReadError) {
+  auto Self = shared_from_this();
+  beast::error_code Error;
+  while (m_Buffer.size() > 0 && !m_Parser->is_done()) {
+    std::size_t Used = m_Parser->put(m_Buffer.data(), Error);
+    m_Buffer.consume(Used);
+    if (Error || Used == 0)
+      break;
+  }
+  if (Error == http::error::need_more)
+    Error = {};
+  // Without a length, the end of the connection ends the body; a reset does
+  // not.
+  if (!Error && ReadError == asio::error::eof && m_Parser->got_some() &&
+      !m_Parser->is_done())
+    m_Parser->put_eof(Error);
+  deliver();
+  if (!m_IsRunning)
+    return;
+  if (m_Parser->is_done() && !Error) {
+    noteReuse();
+    finish(ExchangeEnd::Complete);
+    return;
+  }
+  if (Error && Error != http::error::partial_message) {
+    finish(ExchangeEnd::Malformed);
+    return;
+  }
+  if (Error || ReadError) {
+    finish(ExchangeEnd::Closed);
+    return;
+  }
+  read();
+}
+
+void HttpChannel::deliver() {
+  if (!m_Parser->is_header_done())
+    return;
+  if (!m_IsHeadDelivered) {
+    m_IsHeadDelivered = true;
+    ResponseHead Head;
+    Head.m_Status = m_Parser->get().result_int();
+    Head.m_Fields = m_Parser->get().base();
+    if (m_Handlers.m_OnHead)
+      m_Handlers.m_OnHead(Head);
+    if (!m_IsRunning)
+      return;
+  }
+  std::string &Body = m_Parser->get().body();
+  if (Body.empty())
+    return;
+  std::string Received;
+  Received.swap(Body);
+  if (m_Handlers.m_OnBody)
+    m_Handlers.m_OnBody(Received);
+}
+
+void HttpChannel::noteReuse() {
+  // A request that is not written whole would be continued by the next one.
+  m_IsReusable = m_Parser->keep_alive() && !m_IsWriting;
+  m_IdleTimeout.reset();
+  auto KeepAlive = m_Parser->get()[http::field::keep_alive];
+  std::string_view Text(KeepAlive.data(), KeepAlive.size());
+  std::size_t Position = Text.find("timeout=");
+  if (Position == std::string_view::npos)
+    return;
+  Text.remove_prefix(Position + 8);
+  int Seconds = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Seconds);
+  m_IdleTimeout = std::max<Duration>(
+      Duration::zero(), std::chrono::seconds(Seconds) - IdleMargin);
+}
+
+void HttpChannel::finish(ExchangeEnd End) {
+  if (!m_IsRunning)
+    return;
+  m_IsRunning = false;
+  if (!m_IsReusable)
+    close();
+  ExchangeHandlers Handlers = std::move(m_Handlers);
+  m_Handlers = {};
+  if (Handlers.m_OnEnd)
+    Handlers.m_OnEnd(End);
+}
+
+void HttpChannel::close() {
+  m_IsRunning = false;
+  if (m_IsClosed)
+    return;
+  m_IsClosed = true;
+  m_IsReusable = false;
+  m_IsConnected = false;
+  m_ConnectTimer.cancel();
+  beast::error_code Ignored;
+  m_Socket.close(Ignored);
+  // Handlers may hold the owner of this channel; posting lets the one that
+  // runs now return first.
+  asio::post(m_Loop, [Self = shared_from_this()] {
+    if (!Self->m_IsRunning)
+      Self->m_Handlers = {};
+  });
+}
+
+void HttpChannel::watchIdle(std::function<void()> OnEnded) {
+  m_OnIdleEnded = std::move(OnEnded);
+  std::uint64_t Watch = ++m_IdleWatch;
+  auto Self = shared_from_this();
+  m_Socket.async_wait(tcp::socket::wait_read, [Self, Watch](beast::error_code) {
+    if (Self->m_IdleWatch != Watch || !Self->m_OnIdleEnded)
+      return;
+    auto Handler = std::move(Self->m_OnIdleEnded);
+    Self->m_OnIdleEnded = nullptr;
+    Self->close();
+    Handler();
+  });
+}
+
+bool HttpChannel::takeFromIdle() {
+  ++m_IdleWatch;
+  m_OnIdleEnded = nullptr;
+  if (m_IsClosed)
+    return false;
+  beast::error_code Error;
+  m_Socket.cancel(Error);
+  // A close or stray bytes that the event loop has not reported yet.
+  char Byte;
+  ssize_t Size =
+      ::recv(m_Socket.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK)) {
+    close();
+    return false;
+  }
+  return true;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/gateway/NodeMetrics.cpp
@@ -0,0 +1,118 @@
+#include "gateway/NodeMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace parsleyring {
+
+using namespace prometheus;
+
+static const Histogram::BucketBoundaries SecondsBuckets{
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 20};
+
+static Family<Counter> &counters(Registry &Target, const char *Name,
+                                 const char *Help) {
+  return BuildCounter().Name(Name).Help(Help).Register(Target);
+}
+
+static Gauge &gauge(Registry &Target, const char *Name, const char *Help) {
+  return BuildGauge().Name(Name).Help(Help).Register(Target).Add({});
+}
+
+static Family<Histogram> &histograms(Registry &Target, const char *Name,
+                                     const char *Help) {
+  return BuildHistogram().Name(Name).Help(Help).Register(Target);
+}
+
+struct NodeMetrics::Families {
+  Registry m_Registry;
+  Family<Counter> &m_Requests =
+      counters(m_Registry, "parsleyring_requests_total",
+               "Requests ended, by outcome and reason.");
+  Family<Counter> &m_Attempts =
+      counters(m_Registry, "parsleyring_attempts_total",
+               "Exchanges with endpoints, by result.");
+  Family<Counter> &m_Retries =
+      counters(m_Registry, "parsleyring_retries_total",
+               "Requests sent to a further endpoint, by reason.");
+  Family<Counter> &m_StoreCalls = counters(
+      m_Registry, "parsleyring_store_calls_total", "Calls, by status.");
+  Family<Counter> &m_Orders = counters(m_Registry, "parsleyring_orders_total",
+                                       "Orders to endpoints, by kind.");
+  Counter &m_DroppedLines =
+      counters(m_Registry, "parsleyring_log_lines_dropped_total",
+               "Log lines left out.")
+          .Add({});
+  Histogram &m_RequestSeconds =
+      histograms(m_Registry, "parsleyring_request_seconds",
+                 "Time from a request to the end of its answer.")
+          .Add({}, SecondsBuckets);
+  Histogram &m_FirstEventSeconds =
+      histograms(m_Registry, "parsleyring_first_event_seconds",
+                 "Time from a request to the first event of its stream.")
+          .Add({}, SecondsBuckets);
+  Gauge &m_Version = gauge(m_Registry, "parsleyring_configuration_version",
+                           "Version of the configuration in force.");
+  Gauge &m_Running = gauge(m_Registry, "parsleyring_requests_running",
+                           "Requests in progress.");
+  Gauge &m_Connections = gauge(m_Registry, "parsleyring_caller_connections",
+                               "Open connections of callers.");
+};
+
+static double seconds(Duration Value) {
+  return std::chrono::duration<double>(Value).count();
+}
+
+NodeMetrics::NodeMetrics() : m_Families(std::make_unique<Families>()) {}
+NodeMetrics::~NodeMetrics() = default;
+
+void NodeMetrics::countRequest(std::string_view Outcome,
+                               std::string_view Reason, Duration Taken) {
+  m_Families->m_Requests
+      .Add({{"outcome", std::string(Outcome)}, {"reason", std::string(Reason)}})
+      .Increment();
+  m_Families->m_RequestSeconds.Observe(seconds(Taken));
+}
+
+void NodeMetrics::countAttempt(std::string_view Result) {
+  m_Families->m_Attempts.Add({{"result", std::string(Result)}}).Increment();
+}
+
+void NodeMetrics::countRetry(std::string_view Reason) {
+  m_Families->m_Retries.Add({{"reason", std::string(Reason)}}).Increment();
+}
+
+void NodeMetrics::countStoreCall(unsigned Status) {
+  m_Families->m_StoreCalls.Add({{"status", std::to_string(Status)}})
+      .Increment();
+}
+
+void NodeMetrics::countOrder(std::string_view Kind) {
+  m_Families->m_Orders.Add({{"kind", std::string(Kind)}}).Increment();
+}
+
+void NodeMetrics::observeFirstEvent(Duration Taken) {
+  m_Families->m_FirstEventSeconds.Observe(seconds(Taken));
+}
+
+void NodeMetrics::setConfigurationVersion(ConfigurationVersion Version) {
+  m_Families->m_Version.Set(static_cast<double>(Version));
+}
+
+void NodeMetrics::setRunning(std::size_t Requests, std::size_t Connections) {
+  m_Families->m_Running.Set(static_cast<double>(Requests));
+  m_Families->m_Connections.Set(static_cast<double>(Connections));
+}
+
+void NodeMetrics::countDroppedLogLines(std::uint64_t Lines) {
+  m_Families->m_DroppedLines.Increment(static_cast<double>(Lines));
+}
+
+std::string NodeMetrics::text() const {
+  return TextSerializer().Serialize(m_Families->m_Registry.Collect());
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/gateway/NodeMetrics.h
@@ -0,0 +1,37 @@
+#ifndef PARSLEYRING_GATEWAY_NODEMETRICS_H
+#define PARSLEYRING_GATEWAY_NODEMETRICS_H
+
+#include "parsleyring/Types.h"
+
+#include <memory>
+#include <string>
+
+namespace parsleyring {
+
+/// Counters and histograms of a node, in the Prometheus text format.
+class NodeMetrics {
+public:
+  NodeMetrics();
+  ~NodeMetrics();
+
+  /// A request has ended; Reason is one of a fixed set.
+  void countRequest(std::string_view Outcome, std::string_view Reason,
+                    Duration Taken);
+  void countAttempt(std::string_view Result);
+  void countRetry(std::string_view Reason);
+  void countStoreCall(unsigned Status);
+  void countOrder(std::string_view Kind);
+  void observeFirstEvent(Duration Taken);
+  void setConfigurationVersion(ConfigurationVersion Version);
+  void setRunning(std::size_t Requests, std::size_t Connections);
+  void countDroppedLogLines(std::uint64_t Lines);
+  std::string text() const;
+
+private:
+  struct Families;
+  std::unique_ptr<Families> m_Families;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_GATEWAY_NODEMETRICS_H
--- /dev/null
+++ b/src/gateway/PlainForward.cpp
@@ -0,0 +1,285 @@
+#include "gateway/PlainForward.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+static constexpr Duration ConnectLimit = std::chrono::milliseconds(250);
+// A connection that has been idle for longer may have been closed by the
+// endpoint; for a request that runs at most once that leaves its outcome
+// unknown.
+static constexpr Duration MaxIdleOnce = std::chrono::milliseconds(800);
+static constexpr Duration MaxIdleRepeatable = std::chrono::seconds(4);
+// No new request to an endpoint that does not accept connections.
+static constexpr Duration RefusedTime = std::chrono::milliseconds(700);
+// A full endpoint is left alone for about the time of one request.
+static constexpr Duration FullTime = std::chrono::milliseconds(60);
+static constexpr double RetryAfterSeconds = 0.3;
+// An endpoint in another failure domain is chosen if this one's is busier by
+// so many requests.
+static constexpr double RemoteRequests = 1.5;
+
+PlainForward::PlainForward(ForwardContext &Context, ForwardJob Job)
+    : m_Context(Context), m_Job(std::move(Job)) {}
+
+void PlainForward::start() {
+  auto Self = shared_from_this();
+  m_Job.m_Caller->onGone(
+      [Self] { Self->finish(ForwardOutcome::CallerLeft, "caller-left", 0); });
+  m_Context.retryShare(m_Job.m_Service->m_Name).noteRequest(m_Context.now());
+  if (!trySend("first"))
+    finishWithoutAnswer("no-endpoint");
+}
+
+// Least expected time: requests in progress times the usual latency, worse
+// for endpoints that failed lately.
+FleetTable::Handle PlainForward::choose() const {
+  Time Now = m_Context.now();
+  FleetTable::Handle Best;
+  double BestCost = 0;
+  for (const FleetTable::Handle &Candidate :
+       m_Context.fleet().ofService(m_Job.m_Service->m_Name)) {
+    if (!Candidate->canServe(Now))
+      continue;
+    bool WasTried = std::any_of(m_Attempts.begin(), m_Attempts.end(),
+                                [&](const AttemptHandle &Earlier) {
+                                  return Earlier->m_Endpoint == Candidate;
+                                });
+    if (WasTried)
+      continue;
+    double Queue = 1 + Candidate->m_Running * m_Context.loadFactor();
+    if (Candidate->m_Entry.m_FailureDomain != m_Context.failureDomain())
+      Queue += RemoteRequests;
+    double Share = Candidate->failureShare(Now);
+    double Cost = Queue * std::max(1.0, Candidate->m_LatencyMs) *
+                  (1 + 20 * Share * Share) * (1 + 0.05 * m_Context.random());
+    if (!Best || Cost < BestCost) {
+      Best = Candidate;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+bool PlainForward::trySend(std::string_view Reason) {
+  if (m_Sends >= m_Job.m_Route->m_MaxAttempts)
+    return false;
+  FleetTable::Handle Endpoint = choose();
+  if (!Endpoint)
+    return false;
+  Time Now = m_Context.now();
+  if (m_Sends > 0) {
+    if (!m_Context.retryShare(m_Job.m_Service->m_Name).tryTake(Now))
+      return false;
+    m_Context.metrics().countRetry(Reason);
+  }
+  ++m_Sends;
+  auto Sent = std::make_shared<Attempt>();
+  Sent->m_Endpoint = Endpoint;
+  Sent->m_SentAt = Now;
+  Sent->m_Channel = m_Context.channels().take(
+      Endpoint->m_Entry.m_Address,
+      isRepeatable() ? MaxIdleRepeatable : MaxIdleOnce, Now);
+  Sent->m_IsReused = Sent->m_Channel->isConnected();
+  ++Endpoint->m_Running;
+  m_Attempts.push_back(Sent);
+  std::string Text =
+      forwardedText(m_Job, m_Context.protocol(), Endpoint->m_Entry, Now, {});
+  Sent->m_Channel->send(std::move(Text), ConnectLimit, handlers(Sent));
+  return true;
+}
+
+ExchangeHandlers PlainForward::handlers(const AttemptHandle &Sent) {
+  auto Self = shared_from_this();
+  ExchangeHandlers Handlers;
+  Handlers.m_OnHead = [Sent](const ResponseHead &Head) { Sent->m_Head = Head; };
+  Handlers.m_OnBody = [Sent](std::string_view Bytes) {
+    Sent->m_Body.append(Bytes);
+  };
+  Handlers.m_OnEnd = [Self, Sent](ExchangeEnd End) {
+    Self->handleEnd(Sent, End);
+  };
+  return Handlers;
+}
+
+void PlainForward::handleEnd(const AttemptHandle &Ended, ExchangeEnd End) {
+  if (m_IsDone)
+    return;
+  if (End == ExchangeEnd::Complete) {
+    handleAnswer(Ended);
+    return;
+  }
+  Time Now = m_Context.now();
+  Ended->m_Endpoint->noteResult(false, Now - Ended->m_SentAt, Now);
+  m_Context.metrics().countAttempt(name(End));
+  release(*Ended);
+  if (End == ExchangeEnd::ConnectFailed) {
+    m_Context.suspect(Ended->m_Endpoint, "connect-failed", RefusedTime);
+    --m_Sends;
+    retryOrFinish("connect-failed");
+    return;
+  }
+  handleUnknown(Ended, name(End));
+}
+
+void PlainForward::handleAnswer(const AttemptHandle &Ended) {
+  const HeaderNames &Names = m_Context.protocol().headers();
+  const ResponseHead &Head = Ended->m_Head;
+  // A second answer to an earlier request of the connection; the one to this
+  // request follows.
+  std::string Echo = Head.field(Names.m_RequestId);
+  if (!Echo.empty() && Echo != m_Job.m_Id && Ended->m_Channel->isReusable()) {
+    Ended->m_Body.clear();
+    Ended->m_Channel->receiveAnother(handlers(Ended));
+    return;
+  }
+  Time Now = m_Context.now();
+  Duration Taken = Now - Ended->m_SentAt;
+  bool IsSuccess = Head.m_Status >= 200 && Head.m_Status < 300;
+  bool IsVouchedFor = Head.has(Names.m_Proof) && Echo == m_Job.m_Id &&
+                      !Head.has("Content-Encoding");
+  m_Context.metrics().countAttempt(std::to_string(Head.m_Status));
+  release(*Ended);
+  if (provesNotRun(Head, Names)) {
+    // Full endpoints are no faulty ones, so this is no failure.
+    m_Context.channels().give(Ended->m_Channel, Now);
+    handleNotRun(Ended, Head.m_Status == 421 ? "other-endpoint" : "refused");
+    return;
+  }
+  bool IsFailure = Head.m_Status >= 500 || !IsVouchedFor;
+  Ended->m_Endpoint->noteResult(!IsFailure, Taken, Now);
+  if (IsVouchedFor) {
+    m_Context.channels().give(Ended->m_Channel, Now);
+  } else {
+    Ended->m_Channel->close();
+    if (IsSuccess) {
+      handleUnknown(Ended, "unproved");
+      return;
+    }
+  }
+  if (Head.m_Status >= 500 && isRepeatable()) {
+    m_MayHaveRun = true;
+    m_LastFailure = Ended;
+    retryOrFinish("endpoint-failure");
+    return;
+  }
+  passOn(*Ended);
+}
+
+void PlainForward::handleNotRun(const AttemptHandle &Ended,
+                                std::string_view Reason) {
+  Time Now = m_Context.now();
+  Ended->m_Endpoint->m_SuspectUntil =
+      std::max(Ended->m_Endpoint->m_SuspectUntil, Now + FullTime);
+  retryOrFinish(Reason);
+}
+
+void PlainForward::handleUnknown(const AttemptHandle &Ended,
+                                 std::string_view Reason) {
+  m_MayHaveRun = true;
+  Ended->m_Channel->close();
+  if (isRepeatable()) {
+    retryOrFinish(Reason);
+    return;
+  }
+  finishWithoutAnswer(Reason);
+}
+
+bool PlainForward::hasRunning() const {
+  return std::any_of(
+      m_Attempts.begin(), m_Attempts.end(),
+      [](const AttemptHandle &Entry) { return Entry->m_IsRunning; });
+}
+
+void PlainForward::retryOrFinish(std::string_view Reason) {
+  if (m_Context.now() < m_Job.m_Deadline && !m_MayHaveRun && trySend(Reason))
+    return;
+  if (m_MayHaveRun && isRepeatable() && !hasRunning() && trySend(Reason))
+    return;
+  if (hasRunning())
+    return;
+  if (m_LastFailure) {
+    passOn(*m_LastFailure);
+    return;
+  }
+  finishWithoutAnswer(Reason);
+}
+
+void PlainForward::tick(Time Now) {
+  if (m_IsDone)
+    return;
+  if (Now >= m_Job.m_Deadline) {
+    m_MayHaveRun = m_MayHaveRun || hasRunning();
+    finishWithoutAnswer("timeout");
+    return;
+  }
+  // A second endpoint is asked while the first may still answer in time.
+  Duration Waited = Now - m_Job.m_Request.m_ReceivedAt;
+  if (isRepeatable() && !m_IsHedged &&
+      Waited >= m_Job.m_Route->m_LatencyGoal / 2 && hasRunning()) {
+    m_IsHedged = true;
+    trySend("slow");
+  }
+}
+
+void PlainForward::release(Attempt &Ended) {
+  if (!Ended.m_IsRunning)
+    return;
+  Ended.m_IsRunning = false;
+  --Ended.m_Endpoint->m_Running;
+}
+
+// 503 states that the request has not run; 502 and 504 state nothing.
+void PlainForward::finishWithoutAnswer(std::string_view Reason) {
+  const HeaderNames &Names = m_Context.protocol().headers();
+  if (!m_MayHaveRun) {
+    char Seconds[16];
+    std::snprintf(Seconds, sizeof(Seconds), "%.2f", RetryAfterSeconds);
+    m_Job.m_Caller->answer(
+        503, {{Names.m_RequestId, m_Job.m_Id}, {Names.m_RetryAfter, Seconds}},
+        "");
+    finish(ForwardOutcome::Refused, Reason, 503);
+    return;
+  }
+  unsigned Status = Reason == "timeout" ? 504 : 502;
+  m_Job.m_Caller->answer(Status, {{Names.m_RequestId, m_Job.m_Id}}, "");
+  finish(ForwardOutcome::Failed, Reason, Status);
+}
+
+void PlainForward::passOn(const Attempt &Ended) {
+  m_Job.m_Caller->answer(Ended.m_Head.m_Status, answerFields(Ended.m_Head),
+                         Ended.m_Body);
+  bool IsSuccess = Ended.m_Head.m_Status < 500;
+  finish(IsSuccess ? ForwardOutcome::Completed : ForwardOutcome::Failed,
+         "answered", Ended.m_Head.m_Status);
+}
+
+void PlainForward::finish(ForwardOutcome Outcome, std::string_view Reason,
+                          unsigned Status) {
+  if (m_IsDone)
+    return;
+  m_IsDone = true;
+  Time Now = m_Context.now();
+  std::string Endpoints;
+  for (const AttemptHandle &Entry : m_Attempts) {
+    if (Entry->m_IsRunning)
+      Entry->m_Channel->close();
+    release(*Entry);
+    Endpoints +=
+        (Endpoints.empty() ? "" : " ") + Entry->m_Endpoint->m_Entry.m_Id;
+  }
+  Duration Taken = Now - m_Job.m_Request.m_ReceivedAt;
+  m_Context.metrics().countRequest(name(Outcome), Reason, Taken);
+  m_Context.log().write(
+      Now, "request-end", m_Job.m_Id,
+      {{"route", m_Job.m_Route->m_Name},
+       {"outcome", name(Outcome)},
+       {"reason", Reason},
+       {"status", std::int64_t(Status)},
+       {"endpoints", Endpoints},
+       {"configuration", std::int64_t(m_Job.m_Table->m_Version)},
+       {"taken_ms", std::int64_t(Taken.count() / 1000)}});
+  m_Job.m_Caller.reset();
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/gateway/StreamForward.cpp
@@ -0,0 +1,535 @@
+#include "gateway/StreamForward.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace parsleyring {
+
+static constexpr Duration ConnectLimit = std::chrono::milliseconds(250);
+static constexpr Duration MaxIdle = std::chrono::seconds(4);
+// An endpoint that refused a connection or did not answer gets no new request
+// for so long; its entry lapses after about as long a silence.
+static constexpr Duration DeadTime = std::chrono::seconds(4);
+static constexpr Duration RejectingTime = std::chrono::milliseconds(150);
+// A stream that is silent for longer than these is checked.
+static constexpr Duration MinFirstEventSilence = std::chrono::milliseconds(450);
+static constexpr Duration MinSilence = std::chrono::milliseconds(260);
+// The new parts of a path read all tokens so far before the next event.
+static constexpr Duration RepathTime = std::chrono::milliseconds(700);
+static constexpr Duration CheckInterval = std::chrono::milliseconds(250);
+// A stream that stays silent without a known cause goes on elsewhere.
+static constexpr Duration MaxSilence = std::chrono::milliseconds(3500);
+static constexpr int MaxRepaths = 3;
+static constexpr int MaxSends = 4;
+static constexpr double RetryAfterSeconds = 0.5;
+// While a caller does not read, no more than this is kept for it.
+static constexpr std::size_t MaxUnsentBytes = 256 << 10;
+
+static double leadingNumber(std::string_view Text, double Missing) {
+  long long Number = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Number);
+  return Error == std::errc() && Number >= 0 ? static_cast<double>(Number)
+                                             : Missing;
+}
+
+StreamForward::StreamForward(ForwardContext &Context, ForwardJob Job)
+    : m_Context(Context), m_Job(std::move(Job)) {
+  const HeaderNames &Names = m_Context.protocol().headers();
+  const EngineModel Usual = m_Job.m_Service->m_Engine.value_or(EngineModel());
+  std::string Counts = m_Job.m_Request.field(Names.m_TokenCounts);
+  m_PromptTokens = leadingNumber(Counts, Usual.m_UsualPromptTokens);
+  double MaxAnswer = Usual.m_UsualAnswerTokens;
+  std::size_t Comma = Counts.find(',');
+  if (Comma != std::string::npos)
+    MaxAnswer =
+        leadingNumber(std::string_view(Counts).substr(Comma + 1), MaxAnswer);
+  double Hint = leadingNumber(m_Job.m_Request.field(Names.m_LengthHint),
+                              Usual.m_UsualAnswerTokens);
+  m_AnswerTokens = std::max(1.0, std::min(MaxAnswer, Hint));
+  m_LastEventId = static_cast<std::uint64_t>(
+      leadingNumber(m_Job.m_Request.field(Names.m_LastEventId), 0));
+}
+
+void StreamForward::start() {
+  auto Self = shared_from_this();
+  m_Job.m_Caller->onGone(
+      [Self] { Self->finish(ForwardOutcome::CallerLeft, "caller-left", 0); });
+  m_Context.retryShare(m_Job.m_Service->m_Name).noteRequest(m_Context.now());
+  if (!trySend("first"))
+    refuse("no-path");
+}
+
+double StreamForward::answerTokensLeft() const {
+  const auto &Engine = m_Job.m_Service->m_Engine;
+  double PerEvent = Engine ? Engine->m_TokensPerEvent : 1;
+  return std::max(PerEvent, m_AnswerTokens - m_Events * PerEvent);
+}
+
+PathDemand StreamForward::demand() const {
+  PathDemand Demand;
+  Demand.m_PromptTokens = m_PromptTokens;
+  Demand.m_AnswerTokens = answerTokensLeft();
+  Demand.m_FailureDomain = m_Context.failureDomain();
+  Demand.m_LoadFactor = m_Context.loadFactor();
+  Demand.m_Excluded = m_Failed;
+  return Demand;
+}
+
+LayerPath StreamForward::planPath() const {
+  PathDemand Demand = demand();
+  const EngineModel &Model = *m_Job.m_Service->m_Engine;
+  Demand.m_Layers = {0, Model.m_Layers};
+  return LayerPathPlanner::plan(
+      Model, m_Context.fleet().ofService(m_Job.m_Service->m_Name), Demand,
+      m_Context.now());
+}
+
+bool StreamForward::trySend(std::string_view Reason) {
+  Time Now = m_Context.now();
+  LayerPath Path = planPath();
+  if (Path.empty())
+    return false;
+  if (m_Sends > 0) {
+    if (m_Runs >= m_Job.m_Route->m_MaxAttempts || m_Sends >= MaxSends ||
+        !m_Context.retryShare(m_Job.m_Service->m_Name).tryTake(Now))
+      return false;
+    m_Context.metrics().countRetry(Reason);
+  }
+  ++m_Sends;
+  ++m_Runs;
+  std::uint64_t Run = ++m_Run;
+  const HeaderNames &Names = m_Context.protocol().headers();
+  const FleetTable::Handle First = Path.front().m_Endpoint;
+  AnswerFields Extra{{Names.m_Path, m_Context.protocol().pathText(Path)}};
+  if (m_Events > 0)
+    Extra.emplace_back(Names.m_LastEventId, std::to_string(m_LastEventId));
+  m_Load.set(Path, m_PromptTokens + answerTokensLeft());
+  m_SentAt = m_LastProgress = Now;
+  m_IsHeadSeen = m_IsStreaming = m_IsChecking = m_IsRepathing = false;
+  m_Repaths = 0;
+  m_Scanner.clear();
+  m_RejectionBody.clear();
+  m_Channel = m_Context.channels().take(First->m_Entry.m_Address, MaxIdle, Now);
+  if (m_Sends > 1)
+    m_Context.log().write(Now, "stream-moved", m_Job.m_Id,
+                          {{"reason", Reason},
+                           {"path", Extra.front().second},
+                           {"after_event", std::int64_t(m_LastEventId)}});
+  auto Self = shared_from_this();
+  ExchangeHandlers Handlers;
+  Handlers.m_OnHead = [Self, Run](const ResponseHead &Head) {
+    if (Self->m_Run == Run)
+      Self->handleHead(Head);
+  };
+  Handlers.m_OnBody = [Self, Run](std::string_view Bytes) {
+    if (Self->m_Run == Run)
+      Self->handleBody(Bytes);
+  };
+  Handlers.m_OnEnd = [Self, Run](ExchangeEnd End) {
+    if (Self->m_Run == Run)
+      Self->handleEnd(End);
+  };
+  m_Channel->send(
+      forwardedText(m_Job, m_Context.protocol(), First->m_Entry, Now, Extra),
+      ConnectLimit, std::move(Handlers));
+  return true;
+}
+
+void StreamForward::handleHead(const ResponseHead &Head) {
+  const HeaderNames &Names = m_Context.protocol().headers();
+  m_IsHeadSeen = true;
+  m_Head = Head;
+  m_IsStreaming = Head.m_Status == 200 && Head.has(Names.m_Proof) &&
+                  Head.field(Names.m_RequestId) == m_Job.m_Id &&
+                  !Head.has("Content-Encoding");
+}
+
+void StreamForward::handleBody(std::string_view Bytes) {
+  if (!m_IsStreaming) {
+    m_RejectionBody.append(Bytes);
+    return;
+  }
+  m_Scanner.add(Bytes);
+  passEvents();
+}
+
+void StreamForward::beginAnswer() {
+  m_HasAnswerBegun = true;
+  m_Job.m_Caller->beginAnswer(m_Head.m_Status, answerFields(m_Head));
+  m_FirstEventTime = m_Context.now() - m_Job.m_Request.m_ReceivedAt;
+  m_Context.metrics().observeFirstEvent(m_FirstEventTime);
+}
+
+void StreamForward::passEvents() {
+  while (auto Event = m_Scanner.next())
+    if (!passEvent(*Event))
+      return;
+  if (m_IsDone || !m_Job.m_Caller)
+    return;
+  // An endpoint that is read further than its caller reads fills the memory.
+  if (m_Job.m_Caller->unsentBytes() > MaxUnsentBytes)
+    m_Channel->pauseReading();
+}
+
+// False if the run has ended because of the event.
+bool StreamForward::passEvent(const EventScanner::Event &Event) {
+  Time Now = m_Context.now();
+  if (Event.m_Id) {
+    if (*Event.m_Id <= m_LastEventId)
+      return true;
+    if (*Event.m_Id != m_LastEventId + 1) {
+      moveOn("event-missing");
+      return false;
+    }
+    m_LastEventId = *Event.m_Id;
+  }
+  if (m_Events > 0) {
+    double Gap =
+        std::chrono::duration<double, std::milli>(Now - m_LastProgress).count();
+    m_EventGapMs = m_EventGapMs == 0 ? Gap : 0.8 * m_EventGapMs + 0.2 * Gap;
+  }
+  ++m_Events;
+  m_LastProgress = Now;
+  if (!hasBegun())
+    beginAnswer();
+  m_Job.m_Caller->appendAnswer(Event.m_Bytes);
+  return !m_IsDone;
+}
+
+void StreamForward::handleEnd(ExchangeEnd End) {
+  if (m_IsDone)
+    return;
+  Time Now = m_Context.now();
+  m_Context.metrics().countAttempt(End == ExchangeEnd::Complete
+                                       ? std::to_string(m_Head.m_Status)
+                                       : std::string(name(End)));
+  FleetTable::Handle First = m_Load.path().front().m_Endpoint;
+  if (End == ExchangeEnd::ConnectFailed) {
+    --m_Runs;
+    m_Failed.push_back(First);
+    std::uint64_t Run = m_Run;
+    m_Context.suspect(First, "connect-failed", DeadTime);
+    if (m_Run == Run)
+      moveOn("connect-failed");
+    return;
+  }
+  if (End != ExchangeEnd::Complete) {
+    m_MayHaveRun = true;
+    First->noteResult(false, Now - m_SentAt, Now);
+    m_Failed.push_back(First);
+    moveOn(name(End));
+    return;
+  }
+  if (!m_IsStreaming) {
+    handleRejection(m_Head);
+    return;
+  }
+  if (m_Scanner.hasPartialEvent()) {
+    m_MayHaveRun = true;
+    moveOn("partial-event");
+    return;
+  }
+  First->noteResult(true, Now - m_SentAt, Now);
+  m_Context.channels().give(m_Channel, Now);
+  if (!hasBegun())
+    beginAnswer();
+  m_Job.m_Caller->endAnswer();
+  finish(ForwardOutcome::Completed, "answered", m_Head.m_Status);
+}
+
+// The endpoint has answered with something else than a stream.
+void StreamForward::handleRejection(const ResponseHead &Head) {
+  const HeaderNames &Names = m_Context.protocol().headers();
+  Time Now = m_Context.now();
+  if (provesNotRun(Head, Names)) {
+    m_Context.channels().give(m_Channel, Now);
+    --m_Runs;
+    std::string Address = Head.field(Names.m_FaultyEndpoint);
+    FleetTable::Handle Faulty = m_Context.fleet().findByAddress(Address);
+    if (!Faulty)
+      Faulty = m_Load.path().front().m_Endpoint;
+    Faulty->m_SuspectUntil =
+        std::max(Faulty->m_SuspectUntil, Now + RejectingTime);
+    m_Context.log().write(Now, "path-rejected", m_Job.m_Id,
+                          {{"status", std::int64_t(Head.m_Status)},
+                           {"at", Faulty->m_Entry.m_Id},
+                           {"address", Address}});
+    moveOn("rejected");
+    return;
+  }
+  m_MayHaveRun = true;
+  FleetTable::Handle First = m_Load.path().front().m_Endpoint;
+  First->noteResult(false, Now - m_SentAt, Now);
+  if (canResume() && m_Runs < m_Job.m_Route->m_MaxAttempts) {
+    m_Failed.push_back(First);
+    moveOn("endpoint-failure");
+    return;
+  }
+  if (hasBegun()) {
+    breakOff("endpoint-failure");
+    return;
+  }
+  bool IsVouchedFor = Head.has(Names.m_Proof);
+  if (IsVouchedFor && Head.m_Status >= 400) {
+    m_Job.m_Caller->answer(Head.m_Status, answerFields(Head), m_RejectionBody);
+    finish(ForwardOutcome::Failed, "endpoint-failure", Head.m_Status);
+    return;
+  }
+  breakOff("unproved");
+}
+
+void StreamForward::dropAttempt() {
+  ++m_Run;
+  if (m_Channel)
+    m_Channel->close();
+  m_Channel.reset();
+  m_Load.clear();
+}
+
+void StreamForward::moveOn(std::string_view Reason) {
+  if (m_IsDone)
+    return;
+  dropAttempt();
+  bool IsAllowed = !m_MayHaveRun || canResume();
+  if (IsAllowed && m_Context.now() < m_Job.m_Deadline && trySend(Reason))
+    return;
+  if (!hasBegun() && !m_MayHaveRun) {
+    refuse(Reason);
+    return;
+  }
+  breakOff(Reason);
+}
+
+void StreamForward::tick(Time Now) {
+  if (m_IsDone)
+    return;
+  if (Now >= m_Job.m_Deadline) {
+    m_MayHaveRun = true;
+    breakOff("timeout");
+    return;
+  }
+  if (m_Channel && m_Job.m_Caller->unsentBytes() < MaxUnsentBytes / 2)
+    m_Channel->resumeReading();
+  checkSilence(Now);
+}
+
+Duration StreamForward::silenceLimit() const {
+  if (m_IsRepathing || m_Repaths > 0)
+    return RepathTime;
+  if (m_Events == 0)
+    return std::max<Duration>(MinFirstEventSilence,
+                              m_Job.m_Route->m_LatencyGoal * 9 / 10);
+  Duration Usual(static_cast<std::int64_t>(m_EventGapMs * 3000));
+  return std::max<Duration>(MinSilence, Usual);
+}
+
+bool StreamForward::hasSuspectPart(Time Now) const {
+  for (const PathPart &Part : m_Load.path())
+    if (Part.m_Endpoint->m_SuspectUntil > Now + RejectingTime)
+      return true;
+  return false;
+}
+
+void StreamForward::checkSilence(Time Now) {
+  Duration Silence = Now - m_LastProgress;
+  if (m_IsDone || !m_Channel || m_IsRepathing || Silence < silenceLimit())
+    return;
+  if (hasSuspectPart(Now)) {
+    replaceParts();
+    return;
+  }
+  if (Silence > MaxSilence && canResume() &&
+      m_Runs < m_Job.m_Route->m_MaxAttempts) {
+    m_MayHaveRun = true;
+    m_Failed.push_back(m_Load.path().front().m_Endpoint);
+    moveOn("silent");
+    return;
+  }
+  if (m_IsChecking || Now < m_NextCheck)
+    return;
+  m_IsChecking = true;
+  m_NextCheck = Now + CheckInterval;
+  auto Self = shared_from_this();
+  std::uint64_t Run = m_Run;
+  m_Context.askReport(m_Load.path().front().m_Endpoint,
+                      [Self, Run](const std::optional<EngineReport> &Report) {
+                        if (Self->m_IsDone || Self->m_Run != Run)
+                          return;
+                        Self->m_IsChecking = false;
+                        Self->handleReport(Report);
+                      });
+}
+
+void StreamForward::handleReport(const std::optional<EngineReport> &Report) {
+  if (!Report) {
+    // Copied, since the suspicion may move this stream.
+    FleetTable::Handle First = m_Load.path().front().m_Endpoint;
+    m_Context.suspect(First, "no-report", DeadTime);
+    return;
+  }
+  for (const EngineReport::Stalled &Stalled : Report->m_Stalled) {
+    if (Stalled.m_RequestId != m_Job.m_Id)
+      continue;
+    FleetTable::Handle Part =
+        m_Context.fleet().findByAddress(Stalled.m_Address);
+    if (!Part) {
+      for (const PathPart &Used : m_Load.path())
+        if (Used.m_Endpoint->m_Entry.m_Address == Stalled.m_Address)
+          Part = Used.m_Endpoint;
+    }
+    if (Part)
+      m_Context.suspect(Part, "stalled", DeadTime);
+    return;
+  }
+}
+
+void StreamForward::handleSuspect(const FleetTable::Handle &Endpoint) {
+  if (m_IsDone || !m_Channel || m_IsRepathing)
+    return;
+  const LayerPath &Path = m_Load.path();
+  bool IsUsed =
+      std::any_of(Path.begin(), Path.end(), [&](const PathPart &Part) {
+        return Part.m_Endpoint == Endpoint;
+      });
+  Time Now = m_Context.now();
+  // A stream that still gets events does not wait for the endpoint.
+  if (IsUsed && Now - m_LastProgress > MinSilence / 2)
+    replaceParts();
+}
+
+// Replaces the parts of the path that are suspected; the others keep their
+// memory of the request.
+void StreamForward::replaceParts() {
+  Time Now = m_Context.now();
+  const LayerPath Path = m_Load.path();
+  auto IsSuspect = [&](const PathPart &Part) {
+    return Part.m_Endpoint->m_SuspectUntil > Now || Part.m_Endpoint->m_IsGone;
+  };
+  for (const PathPart &Part : Path)
+    if (IsSuspect(Part))
+      m_Failed.push_back(Part.m_Endpoint);
+  m_MayHaveRun = true;
+  if (IsSuspect(Path.front()) || ++m_Repaths > MaxRepaths) {
+    if (IsSuspect(Path.front()))
+      --m_Runs;
+    moveOn("part-lost");
+    return;
+  }
+  LayerPath Replaced;
+  for (std::size_t Index = 0; Index < Path.size(); ++Index) {
+    if (!IsSuspect(Path[Index])) {
+      Replaced.push_back(Path[Index]);
+      continue;
+    }
+    PathDemand Demand = demand();
+    Demand.m_PromptTokens += m_Events;
+    Demand.m_Layers = Path[Index].m_Layers;
+    Demand.m_FailureDomain =
+        Path[Index - 1].m_Endpoint->m_Entry.m_FailureDomain;
+    for (const PathPart &Part : Path)
+      Demand.m_Excluded.push_back(Part.m_Endpoint);
+    for (const PathPart &Part : Replaced)
+      Demand.m_Excluded.push_back(Part.m_Endpoint);
+    if (Index + 1 < Path.size())
+      Demand.m_Next = Path[Index + 1].m_Endpoint;
+    LayerPath Detour = LayerPathPlanner::plan(
+        *m_Job.m_Service->m_Engine,
+        m_Context.fleet().ofService(m_Job.m_Service->m_Name), Demand, Now);
+    if (Detour.empty()) {
+      moveOn("no-detour");
+      return;
+    }
+    Replaced.insert(Replaced.end(), Detour.begin(), Detour.end());
+  }
+  m_IsRepathing = true;
+  auto Self = shared_from_this();
+  std::uint64_t Run = m_Run;
+  m_Context.metrics().countOrder("repath");
+  m_Context.log().write(
+      Now, "repath", m_Job.m_Id,
+      {{"path", m_Context.protocol().pathText(Replaced)},
+       {"silent_ms", std::int64_t((Now - m_LastProgress).count() / 1000)}});
+  m_Context.callEndpoint(
+      Path.front().m_Endpoint,
+      m_Context.protocol().repathCall(m_Job.m_Id, Replaced),
+      [Self, Run, Replaced](unsigned Status, const std::string &) {
+        if (!Self->m_IsDone && Self->m_Run == Run)
+          Self->handleRepath(Status, Replaced);
+      });
+}
+
+void StreamForward::handleRepath(unsigned Status, const LayerPath &Path) {
+  m_IsRepathing = false;
+  m_Context.log().write(m_Context.now(), "repath-answer", m_Job.m_Id,
+                        {{"status", std::int64_t(Status)}});
+  if (Status == 200 || Status == 202) {
+    m_Load.set(Path, m_PromptTokens + answerTokensLeft());
+    m_LastProgress = m_Context.now();
+    return;
+  }
+  moveOn("repath-refused");
+}
+
+void StreamForward::refuse(std::string_view Reason) {
+  const HeaderNames &Names = m_Context.protocol().headers();
+  char Seconds[16];
+  std::snprintf(Seconds, sizeof(Seconds), "%.2f", RetryAfterSeconds);
+  m_Job.m_Caller->answer(
+      503, {{Names.m_RequestId, m_Job.m_Id}, {Names.m_RetryAfter, Seconds}},
+      "");
+  finish(ForwardOutcome::Refused, Reason, 503);
+}
+
+// An answer that has begun cannot be completed: closing shows that.
+void StreamForward::breakOff(std::string_view Reason) {
+  if (hasBegun()) {
+    auto Caller = m_Job.m_Caller;
+    finish(ForwardOutcome::Broken, Reason, 0);
+    Caller->abort();
+    return;
+  }
+  unsigned Status = Reason == "timeout" ? 504 : 502;
+  m_Job.m_Caller->answer(
+      Status, {{m_Context.protocol().headers().m_RequestId, m_Job.m_Id}}, "");
+  finish(ForwardOutcome::Failed, Reason, Status);
+}
+
+static std::string idText(const LayerPath &Path) {
+  std::string Text;
+  for (const PathPart &Part : Path)
+    Text += (Text.empty() ? "" : " ") + Part.m_Endpoint->m_Entry.m_Id + "=" +
+            std::to_string(Part.m_Layers.m_First) + "-" +
+            std::to_string(Part.m_Layers.m_End);
+  return Text;
+}
+
+void StreamForward::finish(ForwardOutcome Outcome, std::string_view Reason,
+                           unsigned Status) {
+  if (m_IsDone)
+    return;
+  m_IsDone = true;
+  Time Now = m_Context.now();
+  std::string Path = idText(m_Load.path());
+  if (Outcome != ForwardOutcome::Completed && m_Channel)
+    m_Channel->close();
+  m_Channel.reset();
+  m_Load.clear();
+  Duration Taken = Now - m_Job.m_Request.m_ReceivedAt;
+  m_Context.metrics().countRequest(name(Outcome), Reason, Taken);
+  m_Context.log().write(
+      Now, "request-end", m_Job.m_Id,
+      {{"route", m_Job.m_Route->m_Name},
+       {"outcome", name(Outcome)},
+       {"reason", Reason},
+       {"status", std::int64_t(Status)},
+       {"path", Path},
+       {"sends", std::int64_t(m_Sends)},
+       {"events", std::int64_t(m_Events)},
+       {"first_event_ms", std::int64_t(m_FirstEventTime.count() / 1000)},
+       {"configuration", std::int64_t(m_Job.m_Table->m_Version)},
+       {"taken_ms", std::int64_t(Taken.count() / 1000)}});
+  m_Job.m_Caller.reset();
+}
+
+} // namespace parsleyring
--- a/src/node/NodeClock.h
+++ b/src/node/NodeClock.h
@@ -3,25 +3,31 @@
 
 #include "parsleyring/Types.h"
 
+#include <ctime>
+
 namespace parsleyring {
 
-/// Wall-clock time, anchored once at the start to a steady clock, so that it
-/// never goes back.
+/// Wall-clock time, anchored once at the start to the time since the boot of
+/// the VM, so that it never goes back. Time in which the VM is suspended
+/// counts: leases and deadlines go on meanwhile.
 class NodeClock {
 public:
   NodeClock()
       : m_Wall(std::chrono::time_point_cast<Duration>(
             std::chrono::system_clock::now())),
-        m_Steady(std::chrono::steady_clock::now()) {}
+        m_Boot(sinceBoot()) {}
 
-  Time now() const {
-    return m_Wall + std::chrono::duration_cast<Duration>(
-                        std::chrono::steady_clock::now() - m_Steady);
-  }
+  Time now() const { return m_Wall + (sinceBoot() - m_Boot); }
 
 private:
+  static Duration sinceBoot() {
+    timespec Now{};
+    clock_gettime(CLOCK_BOOTTIME, &Now);
+    return std::chrono::seconds(Now.tv_sec) + Duration(Now.tv_nsec / 1000);
+  }
+
   Time m_Wall;
-  std::chrono::steady_clock::time_point m_Steady;
+  Duration m_Boot;
 };
 
 } // namespace parsleyring
--- /dev/null
+++ b/src/placement/LayoutPlanner.cpp
@@ -0,0 +1,223 @@
+#include "placement/LayoutPlanner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace parsleyring {
+
+// Share of the memory of a failure domain that is left for requests; without
+// it more copies would fit, but no request.
+static constexpr double RequestMemoryShare = 0.15;
+// No card is filled further with layers, so that it can keep some requests.
+static constexpr double MaxLayerShare = 0.9;
+
+namespace {
+
+/// The cards of a group of failure domains that hold whole copies together.
+class GroupPlan {
+public:
+  GroupPlan(const EngineModel &Model, std::vector<PlacementCard> Cards)
+      : m_Model(Model), m_Cards(std::move(Cards)) {}
+
+  std::vector<PlacementOrder> plan();
+
+private:
+  double memory() const;
+  std::uint32_t copies() const;
+  std::uint32_t maxLayers(const PlacementCard &Card) const;
+  std::vector<int> coverage() const;
+  void planChains();
+  void planChain(std::vector<PlacementCard *> &Chain);
+  void fillCard(PlacementCard &Card);
+  void closeHoles();
+  void order(PlacementCard &Card, LayerRange Layers);
+
+  const EngineModel &m_Model;
+  std::vector<PlacementCard> m_Cards;
+  std::vector<PlacementOrder> m_Orders;
+};
+
+} // namespace
+
+double GroupPlan::memory() const {
+  double Sum = 0;
+  for (const PlacementCard &Card : m_Cards)
+    Sum += Card.m_MemoryMegabytes;
+  return Sum;
+}
+
+std::uint32_t GroupPlan::copies() const {
+  double Copy = m_Model.m_LayerMegabytes * m_Model.m_Layers;
+  double Copies = memory() * (1 - RequestMemoryShare) / Copy;
+  return std::max(1u, static_cast<std::uint32_t>(Copies));
+}
+
+std::uint32_t GroupPlan::maxLayers(const PlacementCard &Card) const {
+  double Layers =
+      Card.m_MemoryMegabytes * MaxLayerShare / m_Model.m_LayerMegabytes;
+  return std::min(m_Model.m_Layers, static_cast<std::uint32_t>(Layers));
+}
+
+std::vector<int> GroupPlan::coverage() const {
+  std::vector<int> Holders(m_Model.m_Layers);
+  for (const PlacementCard &Card : m_Cards)
+    for (std::uint32_t Layer = Card.m_Layers.m_First;
+         Layer < Card.m_Layers.m_End && Layer < m_Model.m_Layers; ++Layer)
+      ++Holders[Layer];
+  return Holders;
+}
+
+void GroupPlan::order(PlacementCard &Card, LayerRange Layers) {
+  Card.m_Layers = Layers;
+  for (PlacementOrder &Earlier : m_Orders)
+    if (Earlier.m_Endpoint == Card.m_Endpoint) {
+      Earlier.m_Layers = Layers;
+      return;
+    }
+  m_Orders.push_back({Card.m_Endpoint, Layers});
+}
+
+// Deals the cards out so that all chains get about the same memory.
+void GroupPlan::planChains() {
+  std::vector<PlacementCard *> Largest;
+  for (PlacementCard &Card : m_Cards)
+    Largest.push_back(&Card);
+  std::stable_sort(Largest.begin(), Largest.end(),
+                   [](const PlacementCard *Left, const PlacementCard *Right) {
+                     return Left->m_MemoryMegabytes > Right->m_MemoryMegabytes;
+                   });
+  struct Chain {
+    double m_Memory = 0;
+    std::vector<PlacementCard *> m_Cards;
+  };
+  std::vector<Chain> Chains(copies());
+  for (PlacementCard *Card : Largest) {
+    auto Least = std::min_element(Chains.begin(), Chains.end(),
+                                  [](const Chain &Left, const Chain &Right) {
+                                    return Left.m_Memory < Right.m_Memory;
+                                  });
+    Least->m_Memory += Card->m_MemoryMegabytes;
+    Least->m_Cards.push_back(Card);
+  }
+  for (Chain &Planned : Chains)
+    planChain(Planned.m_Cards);
+}
+
+// Splits the layers in proportion to the memory of the cards, so that all run
+// out of memory for requests at the same time.
+void GroupPlan::planChain(std::vector<PlacementCard *> &Chain) {
+  double Left = 0;
+  for (const PlacementCard *Card : Chain)
+    Left += Card->m_MemoryMegabytes;
+  std::uint32_t First = 0;
+  for (PlacementCard *Card : Chain) {
+    std::uint32_t Remaining = m_Model.m_Layers - First;
+    double Share = Remaining * Card->m_MemoryMegabytes / Left;
+    auto Layers = static_cast<std::uint32_t>(std::lround(Share));
+    Layers = std::min({Layers, maxLayers(*Card), Remaining});
+    Left -= Card->m_MemoryMegabytes;
+    if (Layers == 0)
+      continue;
+    order(*Card, {First, First + Layers});
+    First += Layers;
+  }
+}
+
+// Takes the range whose layers have the fewest holders.
+void GroupPlan::fillCard(PlacementCard &Card) {
+  std::vector<int> Holders = coverage();
+  double Share = Card.m_MemoryMegabytes * copies() / memory();
+  auto Length =
+      static_cast<std::uint32_t>(std::lround(Share * m_Model.m_Layers));
+  std::uint32_t Limit = maxLayers(Card);
+  Length = std::clamp(Length, 1u, std::max(1u, Limit));
+  std::uint32_t LongestHole = 0;
+  for (std::uint32_t Layer = 0, Run = 0; Layer < m_Model.m_Layers; ++Layer) {
+    Run = Holders[Layer] == 0 ? Run + 1 : 0;
+    LongestHole = std::max(LongestHole, Run);
+  }
+  if (LongestHole > Length)
+    Length = std::min(LongestHole, Limit);
+  if (Length == 0)
+    return;
+  double BestNeed = -1;
+  std::uint32_t BestFirst = 0;
+  for (std::uint32_t First = 0; First + Length <= m_Model.m_Layers; ++First) {
+    double Need = 0;
+    for (std::uint32_t Layer = First; Layer < First + Length; ++Layer)
+      Need += 1 / std::pow(1 + Holders[Layer], 4);
+    if (Need > BestNeed + 1e-9) {
+      BestNeed = Need;
+      BestFirst = First;
+    }
+  }
+  order(Card, {BestFirst, BestFirst + Length});
+}
+
+// A layer that nobody in the group holds is given to the smallest card all of
+// whose layers have another holder.
+void GroupPlan::closeHoles() {
+  for (std::size_t Round = 0; Round < m_Cards.size(); ++Round) {
+    std::vector<int> Holders = coverage();
+    if (std::find(Holders.begin(), Holders.end(), 0) == Holders.end())
+      return;
+    PlacementCard *Spare = nullptr;
+    for (PlacementCard &Card : m_Cards) {
+      bool IsSpare = !Card.isEmpty();
+      for (std::uint32_t Layer = Card.m_Layers.m_First;
+           Layer < Card.m_Layers.m_End; ++Layer)
+        IsSpare = IsSpare && Holders[Layer] > 1;
+      if (IsSpare &&
+          (!Spare || Card.m_MemoryMegabytes < Spare->m_MemoryMegabytes))
+        Spare = &Card;
+    }
+    if (!Spare)
+      return;
+    Spare->m_Layers = {};
+    fillCard(*Spare);
+  }
+}
+
+std::vector<PlacementOrder> GroupPlan::plan() {
+  bool AreAllEmpty =
+      std::all_of(m_Cards.begin(), m_Cards.end(),
+                  [](const PlacementCard &Card) { return Card.isEmpty(); });
+  if (AreAllEmpty)
+    planChains();
+  for (PlacementCard &Card : m_Cards)
+    if (Card.isEmpty())
+      fillCard(Card);
+  closeHoles();
+  return m_Orders;
+}
+
+std::vector<PlacementOrder>
+LayoutPlanner::plan(const EngineModel &Model,
+                    const std::vector<PlacementCard> &Cards) {
+  std::map<std::string, std::vector<PlacementCard>> Domains;
+  for (const PlacementCard &Card : Cards)
+    Domains[Card.m_FailureDomain].push_back(Card);
+  double Copy = Model.m_LayerMegabytes * Model.m_Layers;
+  std::vector<PlacementCard> Small;
+  std::vector<PlacementOrder> Orders;
+  auto PlanGroup = [&](std::vector<PlacementCard> Group) {
+    for (PlacementOrder &Order : GroupPlan(Model, std::move(Group)).plan())
+      Orders.push_back(std::move(Order));
+  };
+  for (auto &[Domain, Group] : Domains) {
+    double Memory = 0;
+    for (const PlacementCard &Card : Group)
+      Memory += Card.m_MemoryMegabytes;
+    // Failure domains that are too small for a copy hold one together.
+    if (Memory * (1 - RequestMemoryShare) < Copy)
+      Small.insert(Small.end(), Group.begin(), Group.end());
+    else
+      PlanGroup(std::move(Group));
+  }
+  if (!Small.empty())
+    PlanGroup(std::move(Small));
+  return Orders;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/placement/LayoutPlanner.h
@@ -0,0 +1,42 @@
+#ifndef PARSLEYRING_PLACEMENT_LAYOUTPLANNER_H
+#define PARSLEYRING_PLACEMENT_LAYOUTPLANNER_H
+
+#include "fleet/EngineModel.h"
+#include "parsleyring/Types.h"
+
+#include <string>
+#include <vector>
+
+namespace parsleyring {
+
+/// An engine whose card can hold layers.
+struct PlacementCard {
+  std::string m_Endpoint;
+  std::string m_FailureDomain;
+  double m_MemoryMegabytes = 0;
+  LayerRange m_Layers; ///< Held or ordered; empty if none.
+
+  bool isEmpty() const { return m_Layers.m_End <= m_Layers.m_First; }
+};
+
+/// The layers that an engine is to hold.
+struct PlacementOrder {
+  std::string m_Endpoint;
+  LayerRange m_Layers;
+};
+
+/// Decides which layers each engine holds. Keeps whole copies of the model
+/// inside each failure domain, so that requests need not cross between them,
+/// and gives each card layers in proportion to its memory, so that no card of
+/// a chain runs out of memory for requests before the others.
+class LayoutPlanner {
+public:
+  /// Orders for the cards that hold nothing, and for cards whose layers others
+  /// hold as well if a layer is held by nobody in a failure domain.
+  static std::vector<PlacementOrder>
+  plan(const EngineModel &Model, const std::vector<PlacementCard> &Cards);
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_PLACEMENT_LAYOUTPLANNER_H
--- /dev/null
+++ b/src/placement/PlacementDuty.cpp
@@ -0,0 +1,93 @@
+#include "placement/PlacementDuty.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+// The engines of a deployment that starts are listed one after the other. A
+// layout of only the first ones gives each too many layers, which leaves no
+// memory for requests.
+static constexpr Duration SettleTime = std::chrono::milliseconds(1300);
+static constexpr Duration MaxSettleTime = std::chrono::seconds(4);
+// An order may be carried out this late although it got no answer.
+static constexpr Duration LateOrderTime = std::chrono::seconds(13);
+// On top of the time of a load, until the engine's entry shows the layers.
+static constexpr Duration ListingTime = std::chrono::seconds(4);
+
+bool PlacementDuty::isSettled(const std::vector<FleetTable::Handle> &Endpoints,
+                              Time Now) const {
+  if (Now - m_FirstSeen > MaxSettleTime)
+    return true;
+  return std::all_of(Endpoints.begin(), Endpoints.end(),
+                     [Now](const FleetTable::Handle &Endpoint) {
+                       return Now - Endpoint->m_ListedAt > SettleTime;
+                     });
+}
+
+void PlacementDuty::dropFulfilled(
+    const std::vector<FleetTable::Handle> &Endpoints, Time Now) {
+  for (auto Order = m_Pending.begin(); Order != m_Pending.end();) {
+    auto Found = std::find_if(Endpoints.begin(), Endpoints.end(),
+                              [&](const FleetTable::Handle &Endpoint) {
+                                return Endpoint->m_Entry.m_Id == Order->first;
+                              });
+    bool IsOver = Found == Endpoints.end() || Now >= Order->second.m_Until ||
+                  (*Found)->m_Entry.m_Born != Order->second.m_Born ||
+                  (*Found)->m_Entry.m_Layers == Order->second.m_Layers;
+    Order = IsOver ? m_Pending.erase(Order) : std::next(Order);
+  }
+}
+
+std::vector<PlacementOrder>
+PlacementDuty::tick(const EngineModel &Model,
+                    const std::vector<FleetTable::Handle> &Endpoints,
+                    Time Now) {
+  if (Endpoints.empty())
+    return {};
+  if (m_FirstSeen == Time{})
+    m_FirstSeen = Now;
+  dropFulfilled(Endpoints, Now);
+  if (!m_HasPlanned && !isSettled(Endpoints, Now))
+    return {};
+  m_HasPlanned = true;
+  std::vector<PlacementCard> Cards;
+  for (const FleetTable::Handle &Endpoint : Endpoints) {
+    const EndpointEntry &Entry = Endpoint->m_Entry;
+    const CardKind *Kind = Model.cardKind(Entry.m_CardKind);
+    if (!Kind || Entry.m_State != EndpointState::Ready || Endpoint->m_IsGone)
+      continue;
+    PlacementCard Card{Entry.m_Id, Entry.m_FailureDomain,
+                       Kind->m_MemoryMegabytes, Entry.m_Layers};
+    auto Pending = m_Pending.find(Entry.m_Id);
+    if (Pending != m_Pending.end())
+      Card.m_Layers = Pending->second.m_Layers;
+    Cards.push_back(std::move(Card));
+  }
+  std::vector<PlacementOrder> Orders = LayoutPlanner::plan(Model, Cards);
+  // Loads that run at the same time slow each other down.
+  double Rounds = 1.0 + static_cast<double>(Orders.size()) /
+                            std::max(1u, Model.m_LoadsAtOnce);
+  for (const PlacementOrder &Order : Orders) {
+    double Share =
+        static_cast<double>(Order.m_Layers.m_End - Order.m_Layers.m_First) /
+        Model.m_Layers;
+    Duration Load(static_cast<std::int64_t>(Model.m_LoadMilliseconds * Share *
+                                            Rounds * 1000));
+    auto Endpoint =
+        std::find_if(Endpoints.begin(), Endpoints.end(),
+                     [&](const FleetTable::Handle &Candidate) {
+                       return Candidate->m_Entry.m_Id == Order.m_Endpoint;
+                     });
+    m_Pending[Order.m_Endpoint] = {Order.m_Layers, (*Endpoint)->m_Entry.m_Born,
+                                   Now + Load + ListingTime};
+  }
+  return Orders;
+}
+
+void PlacementDuty::noteUnanswered(const std::string &Endpoint, Time Now) {
+  auto Order = m_Pending.find(Endpoint);
+  if (Order != m_Pending.end())
+    Order->second.m_Until = Now + LateOrderTime;
+}
+
+} // namespace parsleyring
