--- a/src/routing/LayerPathPlanner.cpp
+++ b/src/routing/LayerPathPlanner.cpp
@@ -9,12 +9,17 @@
 static constexpr double Unreachable = std::numeric_limits<double>::infinity();
 
 // Each part waits for the pass that its engine is in.
-static constexpr double PartMilliseconds = 40;
+static constexpr double PartMilliseconds = 20;
 // Keeps paths inside a failure domain unless it has no whole path left: the
 // connection between failure domains is shared by all requests, and a path
 // over two of them is exposed to the loss of either.
 static constexpr double CrossingMilliseconds = 600;
-// An engine whose memory is fuller preempts its newest requests.
+// Callers see the time to the first event and the pauses between events. The
+// time to the last event counts less: it keeps memory in use.
+static constexpr double StepTimeWeight = 0.3;
+// Memory binds before arithmetic, so it is spread evenly: an engine whose
+// memory is full preempts its newest requests.
+static constexpr double FillMilliseconds = 600;
 static constexpr double FullShare = 0.92;
 static constexpr double FullMilliseconds = 2500;
 
@@ -117,7 +122,7 @@
                 Card.m_StepFactor;
   double Read = m_Demand.m_PromptTokens / m_Model.m_ReadTokensPerMillisecond *
                 Card.m_ReadFactor;
-  double Cost = (Step * m_Demand.m_AnswerTokens + Read) / m_Model.m_Layers;
+  double Busy = StepTimeWeight * Step * m_Demand.m_AnswerTokens + Read;
   double Capacity =
       LayerPathPlanner::cacheCapacity(m_Model, Card, Endpoint.m_Entry.m_Layers);
   double Layers =
@@ -125,11 +130,11 @@
   double Used = Endpoint.m_Tokens * m_Demand.m_LoadFactor +
                 (m_Demand.m_PromptTokens + m_Demand.m_AnswerTokens) * Layers;
   double Fill = Capacity > 0 ? Used / Capacity : 1;
+  double Memory = FillMilliseconds * Fill * Fill;
   if (Fill >= FullShare)
-    Cost += FullMilliseconds / Layers * (1 + Fill - FullShare);
-  else
-    Cost /= 1 - Fill * Fill;
-  return Cost * (1 + 4 * Endpoint.m_FailureShare);
+    Memory += FullMilliseconds * (1 + Fill - FullShare);
+  return (Busy / m_Model.m_Layers + Memory / Layers) *
+         (1 + 4 * Endpoint.m_FailureShare);
 }
 
 double PathSearch::crossingCost() const {
--- a/src/store/StoreFollower.cpp
+++ b/src/store/StoreFollower.cpp
@@ -6,6 +6,9 @@
 // slack.
 static constexpr Duration WatchWait = std::chrono::seconds(4);
 static constexpr Duration WatchSlack = std::chrono::milliseconds(900);
+// Changes come in groups, and each answer wakes every VM, so the next poll
+// waits for more of them. Far below the time in which a change must apply.
+static constexpr Duration GroupingDelay = std::chrono::milliseconds(150);
 static constexpr Duration CallLimit = std::chrono::milliseconds(1500);
 // Refused calls count towards the rates of the store, so retries slow down.
 static constexpr Duration FirstRetryDelay = std::chrono::milliseconds(120);
@@ -105,7 +108,15 @@
     }
   }
   m_Revision = std::max(m_Revision, Changes->m_Revision);
-  watch();
+  if (Changes->m_Items.empty()) {
+    watch();
+    return;
+  }
+  m_RetryTimer.expires_after(GroupingDelay);
+  m_RetryTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      watch();
+  });
 }
 
 void StoreFollower::noteAvailable() {
