--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -20,6 +20,10 @@
 static constexpr Duration OrderLimit = std::chrono::milliseconds(600);
 // No new connections come once the load balancer has seen two refusals.
 static constexpr Duration MinStopTime = std::chrono::milliseconds(3200);
+// A stream that begins later than this may not end before the process does,
+// and a plain request later than that.
+static constexpr Duration MaxStreamAge = std::chrono::milliseconds(3000);
+static constexpr Duration MaxRequestAge = std::chrono::milliseconds(5500);
 // What is left at the end is closed this long before the process is killed.
 static constexpr Duration StopMargin = std::chrono::milliseconds(350);
 
@@ -192,6 +196,11 @@
     refuse(Job.m_Request, *From, *Why);
     return;
   }
+  Duration Stopping = isStopping() ? now() - m_StoppingSince : Duration::zero();
+  if (Stopping > (Job.m_Service->isLayered() ? MaxStreamAge : MaxRequestAge)) {
+    refuse(Job.m_Request, *From, {503, "stopping"});
+    return;
+  }
   std::shared_ptr<ForwardedRequest> Forward;
   if (Job.m_Service->isLayered())
     Forward = std::make_shared<StreamForward>(*this, std::move(Job));
@@ -230,16 +239,12 @@
 // What forwarding uses
 
 RetryShare &GatewayNode::retryShare(const std::string &Service) {
-  // The share of a VM that others cannot see counts as well.
-  double VMs = static_cast<double>(m_VMs.size()) + 1;
-  double Fixed = m_Settings.m_FixedRetries / std::max(2.0, VMs);
   auto Found = m_RetryShares.find(Service);
   if (Found == m_RetryShares.end())
     Found = m_RetryShares
-                .emplace(Service, RetryShare(m_Settings.m_RetryRatio, Fixed,
-                                             m_Settings.m_RetryWindow))
+                .emplace(Service, RetryShare(m_Settings.m_RetryBound, now()))
                 .first;
-  Found->second.setFixedRetries(Fixed);
+  Found->second.setVMs(m_VMs.size());
   return Found->second;
 }
 
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 #define PARSLEYRING_GATEWAY_GATEWAYSETTINGS_H
 
 #include "parsleyring/Types.h"
+#include "retries/RetryShare.h"
 
 #include <string>
 
@@ -19,10 +20,7 @@
   std::vector<std::string> m_SeedAddresses; ///< Peer addresses of some VMs.
   /// After SIGTERM; the platform kills the process then.
   Duration m_ShutdownLimit = std::chrono::seconds(8);
-  // Bound on the retries of all VMs together, for each service.
-  double m_RetryRatio = 0.2;
-  double m_FixedRetries = 100;
-  Duration m_RetryWindow = std::chrono::seconds(10);
+  RetryBound m_RetryBound; ///< For each service.
 };
 
 } // namespace parsleyring
--- a/src/retries/RetryShare.h
+++ b/src/retries/RetryShare.h
@@ -7,15 +7,23 @@
 
 namespace parsleyring {
 
-/// This VM's share of a bound on the retries of all VMs together: in each
-/// window, a ratio of the requests plus a fixed number.
+/// A bound on the retries of all VMs together: in each window, a ratio of the
+/// requests plus a fixed number.
+struct RetryBound {
+  double m_Ratio = 0;
+  double m_FixedRetries = 0;
+  Duration m_Window{};
+};
+
+/// This VM's share of the bound. The VMs keep to it without talking to each
+/// other.
 class RetryShare {
 public:
-  /// FixedRetries is the share of this VM in the fixed number.
-  RetryShare(double Ratio, double FixedRetries, Duration Window)
-      : m_Ratio(Ratio), m_FixedRetries(FixedRetries), m_Window(Window) {}
+  RetryShare(const RetryBound &Bound, Time StartedAt)
+      : m_Bound(Bound), m_StartedAt(StartedAt) {}
 
-  void setFixedRetries(double Value) { m_FixedRetries = Value; }
+  /// VMs among which the fixed number is divided.
+  void setVMs(std::size_t VMs);
   void noteRequest(Time Now);
   /// Takes one retry; false if the share of the window is used up.
   bool tryTake(Time Now);
@@ -25,9 +33,9 @@
 private:
   void forget(Time Now);
 
-  double m_Ratio;
-  double m_FixedRetries;
-  Duration m_Window;
+  RetryBound m_Bound;
+  Time m_StartedAt;
+  std::size_t m_VMs = 0;
   std::deque<Time> m_Requests;
   std::deque<Time> m_Retries;
 };
--- /dev/null
+++ b/tests/placement/LayoutPlannerTest.cpp
@@ -0,0 +1,155 @@
+#include "placement/LayoutPlanner.h"
+
+#include "support/EngineFleet.h"
+#include "support/TestMain.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+using namespace parsleyring;
+
+static void applyOrders(std::vector<PlacementCard> &Cards,
+                        const std::vector<PlacementOrder> &Orders) {
+  for (const PlacementOrder &Order : Orders)
+    for (PlacementCard &Card : Cards)
+      if (Card.m_Endpoint == Order.m_Endpoint)
+        Card.m_Layers = Order.m_Layers;
+}
+
+/// The fewest holders of a layer in a failure domain; in all if it is empty.
+static int fewestHolders(const EngineModel &Model,
+                         const std::vector<PlacementCard> &Cards,
+                         const std::string &Domain) {
+  std::vector<int> Holders(Model.m_Layers);
+  for (const PlacementCard &Card : Cards)
+    if (Domain.empty() || Card.m_FailureDomain == Domain)
+      for (std::uint32_t Layer = Card.m_Layers.m_First;
+           Layer < Card.m_Layers.m_End; ++Layer)
+        ++Holders[Layer];
+  return *std::min_element(Holders.begin(), Holders.end());
+}
+
+static bool fitsMemory(const EngineModel &Model,
+                       const std::vector<PlacementCard> &Cards) {
+  return std::all_of(Cards.begin(), Cards.end(), [&](const auto &Card) {
+    return (Card.m_Layers.m_End - Card.m_Layers.m_First) *
+               Model.m_LayerMegabytes <=
+           Card.m_MemoryMegabytes;
+  });
+}
+
+TEST_GROUP(LayoutPlanner) {
+  EngineModel m_Model = largeModel();
+  std::vector<PlacementCard> m_Cards = mixedCards();
+};
+
+// Guards against a start at which a failure domain has to send its requests
+// through another one.
+TEST(LayoutPlanner, EachFailureDomainStartsWithTwoCopies) {
+  applyOrders(m_Cards, LayoutPlanner::plan(m_Model, m_Cards));
+  for (const char *Domain : {"a", "b", "c"})
+    CHECK(fewestHolders(m_Model, m_Cards, Domain) >= 2);
+  CHECK(fitsMemory(m_Model, m_Cards));
+}
+
+// Guards against a layout in which one card of a chain has memory for a few
+// requests only, while the others have plenty.
+TEST(LayoutPlanner, ChainsRunOutOfMemoryEvenly) {
+  applyOrders(m_Cards, LayoutPlanner::plan(m_Model, m_Cards));
+  std::map<std::string, double> FreeOfDomain;
+  std::map<std::string, double> LayersOfDomain;
+  auto FreeMegabytes = [&](const PlacementCard &Card) {
+    return Card.m_MemoryMegabytes -
+           (Card.m_Layers.m_End - Card.m_Layers.m_First) *
+               m_Model.m_LayerMegabytes;
+  };
+  for (const PlacementCard &Card : m_Cards) {
+    FreeOfDomain[Card.m_FailureDomain] += FreeMegabytes(Card);
+    LayersOfDomain[Card.m_FailureDomain] +=
+        Card.m_Layers.m_End - Card.m_Layers.m_First;
+  }
+  for (const PlacementCard &Card : m_Cards) {
+    double Mean = FreeOfDomain[Card.m_FailureDomain] /
+                  LayersOfDomain[Card.m_FailureDomain];
+    double Own =
+        FreeMegabytes(Card) / (Card.m_Layers.m_End - Card.m_Layers.m_First);
+    CHECK(Own > Mean / 2);
+  }
+}
+
+// Guards against orders, which are priced, when nothing is amiss.
+TEST(LayoutPlanner, OrdersNothingOnceTheLayoutStands) {
+  applyOrders(m_Cards, LayoutPlanner::plan(m_Model, m_Cards));
+  LONGS_EQUAL(0, LayoutPlanner::plan(m_Model, m_Cards).size());
+}
+
+// Guards against a crashed engine that comes back empty and stays so, and
+// against an answer to it that moves layers of other engines.
+TEST(LayoutPlanner, EmptyEngineTakesTheMissingLayers) {
+  applyOrders(m_Cards, LayoutPlanner::plan(m_Model, m_Cards));
+  m_Cards[4].m_Layers = {};
+  auto Orders = LayoutPlanner::plan(m_Model, m_Cards);
+  LONGS_EQUAL(1, Orders.size());
+  STRCMP_EQUAL(m_Cards[4].m_Endpoint.c_str(), Orders[0].m_Endpoint.c_str());
+  applyOrders(m_Cards, Orders);
+  CHECK(fewestHolders(m_Model, m_Cards, m_Cards[4].m_FailureDomain) >= 2);
+}
+
+// Guards against layers that nobody in a failure domain holds after both of
+// their holders were lost for good.
+TEST(LayoutPlanner, HoleIsClosedByAnEngineThatCanBeSpared) {
+  applyOrders(m_Cards, LayoutPlanner::plan(m_Model, m_Cards));
+  const std::string Domain = m_Cards[0].m_FailureDomain;
+  m_Cards.erase(std::remove_if(m_Cards.begin(), m_Cards.end(),
+                               [&](const PlacementCard &Card) {
+                                 return Card.m_FailureDomain == Domain &&
+                                        Card.m_Layers.m_First <= 79 &&
+                                        Card.m_Layers.m_End > 79;
+                               }),
+                m_Cards.end());
+  LONGS_EQUAL(0, fewestHolders(m_Model, m_Cards, Domain));
+  applyOrders(m_Cards, LayoutPlanner::plan(m_Model, m_Cards));
+  CHECK(fewestHolders(m_Model, m_Cards, Domain) >= 1);
+  CHECK(fitsMemory(m_Model, m_Cards));
+}
+
+// Guards against failure domains that are too small for a copy and so get
+// none, although they could hold one together.
+TEST(LayoutPlanner, SmallFailureDomainsHoldOneCopyTogether) {
+  std::vector<PlacementCard> Cards;
+  for (int Index = 0; Index < 9; ++Index)
+    Cards.push_back(
+        {"e" + std::to_string(Index), std::string(1, 'a' + Index), 21600, {}});
+  applyOrders(Cards, LayoutPlanner::plan(m_Model, Cards));
+  CHECK(fewestHolders(m_Model, Cards, "") >= 1);
+  CHECK(fitsMemory(m_Model, Cards));
+}
+
+// Guards against layouts that leave layers out, or overfill a card, on fleets
+// of other sizes. The seeds are the numbers of the fleets.
+TEST(LayoutPlanner, RandomFleetsGetWholeCopies) {
+  for (unsigned Seed = 1; Seed <= 100; ++Seed) {
+    std::mt19937 Random(Seed);
+    std::vector<PlacementCard> Cards;
+    std::map<std::string, double> Memory;
+    const double Kinds[] = {72000, 43200, 21600};
+    int Count = 8 + static_cast<int>(Random() % 80);
+    for (int Index = 0; Index < Count; ++Index) {
+      std::string Domain(1, static_cast<char>('a' + Random() % 4));
+      double Size = Kinds[Random() % 3];
+      Memory[Domain] += Size;
+      Cards.push_back({"e" + std::to_string(Index), Domain, Size, {}});
+    }
+    applyOrders(Cards, LayoutPlanner::plan(m_Model, Cards));
+    CHECK(fitsMemory(m_Model, Cards));
+    for (const auto &[Domain, Size] : Memory)
+      if (Size * 0.85 > 140000)
+        CHECK_TEXT(fewestHolders(m_Model, Cards, Domain) >= 1,
+                   ("seed " + std::to_string(Seed)).c_str());
+  }
+}
+
+PARSLEYRING_TEST_MAIN
--- /dev/null
+++ b/tests/routing/LayerPathPlannerTest.cpp
@@ -0,0 +1,154 @@
+#include "routing/LayerPathPlanner.h"
+
+#include "support/EngineFleet.h"
+#include "support/TestMain.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <random>
+#include <set>
+
+using namespace parsleyring;
+using namespace std::chrono_literals;
+
+static PathDemand usualDemand(const std::string &Domain) {
+  PathDemand Demand;
+  Demand.m_PromptTokens = 774;
+  Demand.m_AnswerTokens = 200;
+  Demand.m_Layers = {0, 80};
+  Demand.m_FailureDomain = Domain;
+  return Demand;
+}
+
+/// True if each layer is run once, in order, by an endpoint that holds it, and
+/// no endpoint is used twice.
+static bool isSound(const LayerPath &Path, LayerRange Layers) {
+  std::uint32_t Next = Layers.m_First;
+  std::set<std::string> Used;
+  for (const PathPart &Part : Path) {
+    const LayerRange &Held = Part.m_Endpoint->m_Entry.m_Layers;
+    if (Part.m_Layers.m_First != Next || Part.m_Layers.m_End <= Next ||
+        Part.m_Layers.m_First < Held.m_First ||
+        Part.m_Layers.m_End > Held.m_End ||
+        !Used.insert(Part.m_Endpoint->m_Entry.m_Id).second)
+      return false;
+    Next = Part.m_Layers.m_End;
+  }
+  return Next == Layers.m_End;
+}
+
+static int crossings(const LayerPath &Path, std::string Domain) {
+  int Count = 0;
+  for (const PathPart &Part : Path) {
+    Count += Part.m_Endpoint->m_Entry.m_FailureDomain != Domain;
+    Domain = Part.m_Endpoint->m_Entry.m_FailureDomain;
+  }
+  return Count;
+}
+
+TEST_GROUP(LayerPathPlanner) {
+  EngineModel m_Model = largeModel();
+  std::vector<FleetTable::Handle> m_Engines = placedEngines();
+  Time m_Now{1000s};
+
+  LayerPath plan(const PathDemand &Demand) const {
+    return LayerPathPlanner::plan(m_Model, m_Engines, Demand, m_Now);
+  }
+};
+
+// Guards against requests that use the connections between failure domains
+// while their own one has a whole path.
+TEST(LayerPathPlanner, StaysInItsFailureDomain) {
+  for (const char *Domain : {"a", "b", "c"}) {
+    LayerPath Path = plan(usualDemand(Domain));
+    CHECK(isSound(Path, {0, 80}));
+    LONGS_EQUAL(0, crossings(Path, Domain));
+  }
+}
+
+// Guards against a failure domain that refuses all requests because it has
+// lost one range of layers.
+TEST(LayerPathPlanner, CrossesForLayersThatAreLost) {
+  for (const auto &Engine : m_Engines)
+    if (Engine->m_Entry.m_FailureDomain == "a" &&
+        Engine->m_Entry.m_Layers.m_First == 0)
+      Engine->m_SuspectUntil = m_Now + 1s;
+  LayerPath Path = plan(usualDemand("a"));
+  CHECK(isSound(Path, {0, 80}));
+  CHECK(crossings(Path, "a") >= 1);
+}
+
+// Guards against paths over endpoints that leave, are suspected or are gone.
+TEST(LayerPathPlanner, LeavesOutEndpointsThatCannotServe) {
+  LayerPath Path = plan(usualDemand("b"));
+  Path[0].m_Endpoint->m_Entry.m_State = EndpointState::Draining;
+  Path[1].m_Endpoint->m_IsGone = true;
+  Path[2].m_Endpoint->m_SuspectUntil = m_Now + 1s;
+  LayerPath Other = plan(usualDemand("b"));
+  CHECK(isSound(Other, {0, 80}));
+  for (const PathPart &Part : Other)
+    for (int Index = 0; Index < 3; ++Index)
+      CHECK(Part.m_Endpoint != Path[Index].m_Endpoint);
+}
+
+// Pattern: many requests in one failure domain. Guards against a fast engine
+// that gets most of them until its memory is full.
+TEST(LayerPathPlanner, SpreadsTheMemoryOfManyRequests) {
+  for (int Request = 0; Request < 60; ++Request)
+    for (const PathPart &Part : plan(usualDemand("b"))) {
+      ++Part.m_Endpoint->m_Running;
+      Part.m_Endpoint->m_Tokens +=
+          974.0 * (Part.m_Layers.m_End - Part.m_Layers.m_First);
+    }
+  double Most = 0;
+  for (const auto &Engine : m_Engines) {
+    const CardKind &Card = *m_Model.cardKind(Engine->m_Entry.m_CardKind);
+    double Capacity = LayerPathPlanner::cacheCapacity(m_Model, Card,
+                                                      Engine->m_Entry.m_Layers);
+    Most = std::max(Most, Engine->m_Tokens / Capacity);
+  }
+  CHECK(Most < 0.75);
+}
+
+// Guards against a detour around a lost part that uses an endpoint twice.
+TEST(LayerPathPlanner, ReplacesOnePartOfAPath) {
+  LayerPath Path = plan(usualDemand("b"));
+  for (std::size_t Index = 1; Index < Path.size(); ++Index) {
+    PathDemand Demand = usualDemand("b");
+    Demand.m_Layers = Path[Index].m_Layers;
+    for (const PathPart &Part : Path)
+      Demand.m_Excluded.push_back(Part.m_Endpoint);
+    LayerPath Detour = plan(Demand);
+    CHECK(isSound(Detour, Path[Index].m_Layers));
+  }
+}
+
+// Guards against a path that leaves layers out when nobody holds them.
+TEST(LayerPathPlanner, FindsNoPathWithoutAllLayers) {
+  for (const auto &Engine : m_Engines)
+    Engine->m_IsGone = Engine->m_Entry.m_Layers.m_First <= 40 &&
+                       Engine->m_Entry.m_Layers.m_End > 40;
+  LONGS_EQUAL(0, plan(usualDemand("a")).size());
+}
+
+// Guards against unsound paths through layouts whose ranges overlap at random.
+// The seeds are the numbers of the layouts.
+TEST(LayerPathPlanner, RandomLayoutsGiveSoundPaths) {
+  for (unsigned Seed = 1; Seed <= 200; ++Seed) {
+    std::mt19937 Random(Seed);
+    for (const auto &Engine : m_Engines) {
+      std::uint32_t First = Random() % 75;
+      Engine->m_Entry.m_Layers = {
+          First, std::min<std::uint32_t>(80, First + 3 + Random() % 25)};
+      Engine->m_Running = Random() % 50;
+      Engine->m_Tokens = Random() % 1000000;
+    }
+    LayerPath Path = plan(usualDemand("a"));
+    if (!Path.empty())
+      CHECK_TEXT(isSound(Path, {0, 80}),
+                 ("seed " + std::to_string(Seed)).c_str());
+  }
+}
+
+PARSLEYRING_TEST_MAIN
