--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -29,14 +29,20 @@
 /// One endpoint, as listed and as this VM has seen it.
 struct FleetEndpoint {
   EndpointEntry m_Entry;
-  bool m_IsGone = false;       ///< No longer listed; requests may still run.
-  Time m_MissingSince{};       ///< Not listed since an outage; zero if listed.
-  Time m_SuspectUntil{};       ///< Takes no new request before.
+  bool m_IsGone = false; ///< No longer listed; requests may still run.
+  Time m_MissingSince{}; ///< Not listed since an outage; zero if listed.
+  Time m_SuspectUntil{}; ///< Takes no new request before.
+  bool m_IsOwnSuspicion = false; ///< Found out by this VM, not told by others.
+  double m_Pace = 1;             ///< Over 1: slower than its kind.
+  Time m_PaceNotedAt{};
+  bool m_IsOwnPace = false;
   Time m_ListedAt{};           ///< Of this incarnation.
   std::uint32_t m_Running = 0; ///< Requests of this VM.
   double m_Tokens = 0;         ///< Of this VM's requests, weighted by layers.
-  double m_LatencyMs = 0;      ///< Moving mean; 0 if unknown.
-  double m_FailureShare = 0;   ///< Moving mean, decays with time.
+  double m_PeerTokens = 0;     ///< Of the requests of other VMs.
+  std::uint32_t m_PeerRunning = 0;
+  double m_LatencyMs = 0;    ///< Moving mean; 0 if unknown.
+  double m_FailureShare = 0; ///< Moving mean, decays with time.
   Time m_FailureNotedAt{};
 
   bool canServe(Time Now) const {
@@ -45,6 +51,16 @@
   }
   void noteResult(bool IsSuccess, Duration Latency, Time Now);
   double failureShare(Time Now) const;
+  void notePace(double Pace, Time Now) {
+    m_Pace = Pace;
+    m_PaceNotedAt = Now;
+  }
+  /// The pace noted last; 1 if that is long ago.
+  double pace(Time Now) const {
+    return Now - m_PaceNotedAt < PaceLifetime ? m_Pace : 1;
+  }
+
+  static constexpr Duration PaceLifetime = std::chrono::seconds(4);
 };
 
 /// The endpoints that the platform lists, with what this VM has seen of them.
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayNode.h"
 
+#include "core/SocketAddress.h"
 #include "gateway/PlainForward.h"
 #include "gateway/StreamForward.h"
 
@@ -93,6 +94,13 @@
   }
 };
 
+static asio::ip::udp::endpoint udpEndpoint(const std::string &Address) {
+  std::optional<SocketAddress> Parsed = parseSocketAddress(Address);
+  if (!Parsed)
+    throw std::runtime_error("\"" + Address + "\" is not an address IP:PORT");
+  return {asio::ip::make_address(Parsed->m_Host), Parsed->m_Port};
+}
+
 GatewayNode::GatewayNode(GatewaySettings Settings, const StoreProtocol &Store,
                          const EndpointProtocol &Endpoints,
                          const PlatformRecords &Records)
@@ -112,7 +120,8 @@
       m_ReadyHandler(std::make_unique<ReadyHandler>(*this)),
       m_PeerHandler(std::make_unique<PeerHandler>(*this, Store)),
       m_MetricsHandler(std::make_unique<MetricsHandler>(*this)),
-      m_TickTimer(m_Loop), m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
+      m_DigestSocket(m_Loop), m_TickTimer(m_Loop),
+      m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
   auto Listen = [this](const std::string &Address, RequestHandler &Handler) {
     m_Listeners.push_back(
         std::make_unique<CallerListener>(m_Loop, Address, Handler));
@@ -121,6 +130,12 @@
   m_CallerListener = Listen(m_Settings.m_CallerAddress, *this);
   Listen(m_Settings.m_ReadyAddress, *m_ReadyHandler);
   Listen(m_Settings.m_PeerAddress, *m_PeerHandler);
+  if (!m_Settings.m_DigestAddress.empty()) {
+    asio::ip::udp::endpoint Local = udpEndpoint(m_Settings.m_DigestAddress);
+    m_DigestSocket.open(Local.protocol());
+    m_DigestSocket.bind(Local);
+    receiveDigest();
+  }
   if (!m_Settings.m_MetricsAddress.empty())
     Listen(m_Settings.m_MetricsAddress, *m_MetricsHandler);
 }
@@ -253,7 +268,9 @@
   for (const auto &[Name, VM] : m_VMs)
     if (VM.m_FailureDomain == m_Settings.m_FailureDomain)
       ++VMs;
-  return std::max(1.0, VMs);
+  // The digests tell the loads of the VMs that were heard from.
+  double Known = static_cast<double>(m_Digests.freshVMs()) + 1;
+  return std::max(1.0, VMs / Known);
 }
 
 double GatewayNode::random() {
@@ -277,11 +294,19 @@
   Time Now = now();
   bool IsNew = Endpoint->m_SuspectUntil <= Now;
   Endpoint->m_SuspectUntil = std::max(Endpoint->m_SuspectUntil, Now + For);
+  Endpoint->m_IsOwnSuspicion = true;
   if (IsNew)
     m_Log.write(Now, "endpoint-suspect", "",
                 {{"endpoint", Endpoint->m_Entry.m_Id},
                  {"reason", Reason},
                  {"running", std::int64_t(Endpoint->m_Running)}});
+  // The other VMs hear of a new suspicion at once.
+  if (IsNew)
+    sendDigest();
+  notifySuspicion(Endpoint);
+}
+
+void GatewayNode::notifySuspicion(const FleetTable::Handle &Endpoint) {
   // Handling may end requests, which then leave the table at the next tick.
   std::vector<std::shared_ptr<ForwardedRequest>> Requests(m_Requests.begin(),
                                                           m_Requests.end());
@@ -434,6 +459,8 @@
       m_Requests.erase(Request);
   }
   if (m_Ticks % SlowTicks == 0) {
+    m_Digests.refresh(m_Fleet, Now);
+    sendDigest();
     for (const auto &Listener : m_Listeners)
       Listener->tick(Now);
     m_Channels.expire(Now);
@@ -495,6 +522,48 @@
       });
 }
 
+// Digests
+
+void GatewayNode::receiveDigest() {
+  m_DigestSocket.async_receive_from(
+      asio::buffer(m_DigestBuffer), m_DigestSender,
+      [this](boost::system::error_code Error, std::size_t Size) {
+        if (Error == asio::error::operation_aborted)
+          return;
+        auto Digest = Error ? std::nullopt
+                            : LoadDigest::decode({m_DigestBuffer.data(), Size});
+        if (Digest && Digest->m_VM != m_Settings.m_VM)
+          for (const auto &Endpoint : m_Digests.take(*Digest, m_Fleet, now())) {
+            m_Log.write(now(), "endpoint-suspect", "",
+                        {{"endpoint", Endpoint->m_Entry.m_Id},
+                         {"reason", "told"},
+                         {"by", Digest->m_VM}});
+            notifySuspicion(Endpoint);
+          }
+        receiveDigest();
+      });
+}
+
+void GatewayNode::sendDigest() {
+  if (!m_DigestSocket.is_open())
+    return;
+  std::string Bytes = m_Digests.own(m_Settings.m_VM, m_Fleet, now()).encode();
+  std::uint16_t Port = udpEndpoint(m_Settings.m_DigestAddress).port();
+  for (const auto &[Key, VM] : m_VMs) {
+    if (VM.m_Name == m_Settings.m_VM ||
+        VM.m_FailureDomain != m_Settings.m_FailureDomain)
+      continue;
+    std::optional<SocketAddress> Peer = parseSocketAddress(VM.m_PeerAddress);
+    if (!Peer)
+      continue;
+    // A digest that is lost is followed by the next one.
+    boost::system::error_code Ignored;
+    m_DigestSocket.send_to(asio::buffer(Bytes),
+                           {asio::ip::make_address(Peer->m_Host), Port}, 0,
+                           Ignored);
+  }
+}
+
 // Shutdown
 
 void GatewayNode::handleSignal(int Signal) {
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -5,13 +5,16 @@
 #include "gateway/EndpointCaller.h"
 #include "gateway/ForwardContext.h"
 #include "gateway/GatewaySettings.h"
+#include "membership/LoadDigest.h"
 #include "node/NodeClock.h"
 #include "placement/PlacementDuty.h"
 #include "store/StoreFollower.h"
 #include "store/VMLease.h"
 
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <array>
 #include <random>
 #include <set>
 
@@ -92,6 +95,9 @@
   void tick();
   void tickPlacement();
   void sendOrder(const std::string &Service, const PlacementOrder &Order);
+  void notifySuspicion(const FleetTable::Handle &Endpoint);
+  void receiveDigest();
+  void sendDigest();
   void handleSignal(int Signal);
   void tickShutdown();
 
@@ -125,6 +131,10 @@
   std::unique_ptr<MetricsHandler> m_MetricsHandler;
   std::vector<std::unique_ptr<CallerListener>> m_Listeners;
   CallerListener *m_CallerListener = nullptr;
+  LoadDigestTable m_Digests;
+  boost::asio::ip::udp::socket m_DigestSocket;
+  boost::asio::ip::udp::endpoint m_DigestSender;
+  std::array<char, 16384> m_DigestBuffer{};
   boost::asio::steady_timer m_TickTimer;
   boost::asio::signal_set m_Signals;
   std::uint64_t m_Ticks = 0;
--- a/src/placement/LayoutPlanner.cpp
+++ b/src/placement/LayoutPlanner.cpp
@@ -9,6 +9,10 @@
 // Share of the memory of a failure domain that is left for requests; without
 // it more copies would fit, but no request.
 static constexpr double RequestMemoryShare = 0.15;
+// Memory of a chain against that of its layers. The fastest chain gets it if
+// the others are left with their layers and a little memory for requests.
+static constexpr double ChainMemoryFactor = 1.3;
+static constexpr double LeastChainMemoryFactor = 1.06;
 // No card is filled further with layers, so that it can keep some requests.
 static constexpr double MaxLayerShare = 0.9;
 
@@ -78,30 +82,39 @@
   m_Orders.push_back({Card.m_Endpoint, Layers});
 }
 
-// Deals the cards out so that all chains get about the same memory.
+// The fastest cards form the first chain. The time of an event is the sum over
+// the cards of a chain, so one slow card among fast ones slows all requests of
+// its chain down, and keeps their memory in use for longer.
 void GroupPlan::planChains() {
-  std::vector<PlacementCard *> Largest;
+  std::vector<PlacementCard *> Fastest;
   for (PlacementCard &Card : m_Cards)
-    Largest.push_back(&Card);
-  std::stable_sort(Largest.begin(), Largest.end(),
+    Fastest.push_back(&Card);
+  std::stable_sort(Fastest.begin(), Fastest.end(),
                    [](const PlacementCard *Left, const PlacementCard *Right) {
+                     if (Left->m_StepFactor != Right->m_StepFactor)
+                       return Left->m_StepFactor < Right->m_StepFactor;
                      return Left->m_MemoryMegabytes > Right->m_MemoryMegabytes;
                    });
-  struct Chain {
-    double m_Memory = 0;
-    std::vector<PlacementCard *> m_Cards;
-  };
-  std::vector<Chain> Chains(copies());
-  for (PlacementCard *Card : Largest) {
-    auto Least = std::min_element(Chains.begin(), Chains.end(),
-                                  [](const Chain &Left, const Chain &Right) {
-                                    return Left.m_Memory < Right.m_Memory;
-                                  });
-    Least->m_Memory += Card->m_MemoryMegabytes;
-    Least->m_Cards.push_back(Card);
+  const double Copy = m_Model.m_LayerMegabytes * m_Model.m_Layers;
+  double MemoryLeft = memory();
+  std::size_t Next = 0;
+  for (std::uint32_t ChainsLeft = copies(); ChainsLeft > 0; --ChainsLeft) {
+    std::vector<PlacementCard *> Chain;
+    double ChainMemory = 0;
+    while (Next < Fastest.size()) {
+      const PlacementCard &Card = *Fastest[Next];
+      double Others = (ChainsLeft - 1) * Copy * LeastChainMemoryFactor;
+      bool HasEnough = ChainMemory >= Copy * ChainMemoryFactor;
+      bool LeavesEnough = MemoryLeft - Card.m_MemoryMegabytes >= Others;
+      bool IsWhole = ChainMemory >= Copy * LeastChainMemoryFactor;
+      if (ChainsLeft > 1 && (HasEnough || (IsWhole && !LeavesEnough)))
+        break;
+      ChainMemory += Card.m_MemoryMegabytes;
+      MemoryLeft -= Card.m_MemoryMegabytes;
+      Chain.push_back(Fastest[Next++]);
+    }
+    planChain(Chain);
   }
-  for (Chain &Planned : Chains)
-    planChain(Planned.m_Cards);
 }
 
 // Splits the layers in proportion to the memory of the cards, so that all run
--- a/src/placement/LayoutPlanner.h
+++ b/src/placement/LayoutPlanner.h
@@ -14,7 +14,8 @@
   std::string m_Endpoint;
   std::string m_FailureDomain;
   double m_MemoryMegabytes = 0;
-  LayerRange m_Layers; ///< Held or ordered; empty if none.
+  double m_StepFactor = 1; ///< Time of a step against that of other cards.
+  LayerRange m_Layers;     ///< Held or ordered; empty if none.
 
   bool isEmpty() const { return m_Layers.m_End <= m_Layers.m_First; }
 };
@@ -26,9 +27,10 @@
 };
 
 /// Decides which layers each engine holds. Keeps whole copies of the model
-/// inside each failure domain, so that requests need not cross between them,
-/// and gives each card layers in proportion to its memory, so that no card of
-/// a chain runs out of memory for requests before the others.
+/// inside each failure domain, so that requests need not cross between them.
+/// Each copy is a chain of cards of about the same speed. The cards of a chain
+/// get layers in proportion to their memory, so that no card runs out of memory
+/// for requests before the others.
 class LayoutPlanner {
 public:
   /// Orders for the cards that hold nothing, and for cards whose layers others
--- a/src/placement/PlacementDuty.cpp
+++ b/src/placement/PlacementDuty.cpp
@@ -57,7 +57,8 @@
     if (!Kind || Entry.m_State != EndpointState::Ready || Endpoint->m_IsGone)
       continue;
     PlacementCard Card{Entry.m_Id, Entry.m_FailureDomain,
-                       Kind->m_MemoryMegabytes, Entry.m_Layers};
+                       Kind->m_MemoryMegabytes, Kind->m_StepFactor,
+                       Entry.m_Layers};
     auto Pending = m_Pending.find(Entry.m_Id);
     if (Pending != m_Pending.end())
       Card.m_Layers = Pending->second.m_Layers;
--- a/src/routing/LayerPathPlanner.cpp
+++ b/src/routing/LayerPathPlanner.cpp
@@ -16,7 +16,7 @@
 static constexpr double CrossingMilliseconds = 600;
 // Callers see the time to the first event and the pauses between events. The
 // time to the last event counts less: it keeps memory in use.
-static constexpr double StepTimeWeight = 0.3;
+static constexpr double StepTimeWeight = 0.6;
 // Memory binds before arithmetic, so it is spread evenly: an engine whose
 // memory is full preempts its newest requests.
 static constexpr double FillMilliseconds = 600;
@@ -68,6 +68,7 @@
 
   const EngineModel &m_Model;
   const PathDemand &m_Demand;
+  const Time m_Now;
   std::vector<std::string> m_Domains;
   std::vector<Candidate> m_Candidates;
   std::vector<std::uint32_t> m_Boundaries;
@@ -79,7 +80,7 @@
 PathSearch::PathSearch(const EngineModel &Model,
                        const std::vector<FleetTable::Handle> &Endpoints,
                        const PathDemand &Demand, Time Now)
-    : m_Model(Model), m_Demand(Demand) {
+    : m_Model(Model), m_Demand(Demand), m_Now(Now) {
   domainIndex(Demand.m_FailureDomain);
   std::set<std::uint32_t> Boundaries{Demand.m_Layers.m_First,
                                      Demand.m_Layers.m_End};
@@ -116,19 +117,22 @@
 
 double PathSearch::costPerLayer(const FleetEndpoint &Endpoint,
                                 const CardKind &Card) const {
-  double Running = Endpoint.m_Running * m_Demand.m_LoadFactor;
+  double Pace = std::max(1.0, Endpoint.pace(m_Now));
+  double Running =
+      (Endpoint.m_Running + Endpoint.m_PeerRunning) * m_Demand.m_LoadFactor;
   double Step = (m_Model.m_StepMilliseconds +
                  m_Model.m_StepMillisecondsPerSequence * (Running + 1)) *
-                Card.m_StepFactor;
+                Card.m_StepFactor * Pace;
   double Read = m_Demand.m_PromptTokens / m_Model.m_ReadTokensPerMillisecond *
-                Card.m_ReadFactor;
+                Card.m_ReadFactor * Pace;
   double Busy = StepTimeWeight * Step * m_Demand.m_AnswerTokens + Read;
   double Capacity =
       LayerPathPlanner::cacheCapacity(m_Model, Card, Endpoint.m_Entry.m_Layers);
   double Layers =
       Endpoint.m_Entry.m_Layers.m_End - Endpoint.m_Entry.m_Layers.m_First;
-  double Used = Endpoint.m_Tokens * m_Demand.m_LoadFactor +
-                (m_Demand.m_PromptTokens + m_Demand.m_AnswerTokens) * Layers;
+  double Used =
+      (Endpoint.m_Tokens + Endpoint.m_PeerTokens) * m_Demand.m_LoadFactor +
+      (m_Demand.m_PromptTokens + m_Demand.m_AnswerTokens) * Layers;
   double Fill = Capacity > 0 ? Used / Capacity : 1;
   double Memory = FillMilliseconds * Fill * Fill;
   if (Fill >= FullShare)
--- a/tests/placement/LayoutPlannerTest.cpp
+++ b/tests/placement/LayoutPlannerTest.cpp
@@ -121,8 +121,11 @@
 TEST(LayoutPlanner, SmallFailureDomainsHoldOneCopyTogether) {
   std::vector<PlacementCard> Cards;
   for (int Index = 0; Index < 9; ++Index)
-    Cards.push_back(
-        {"e" + std::to_string(Index), std::string(1, 'a' + Index), 21600, {}});
+    Cards.push_back({"e" + std::to_string(Index),
+                     std::string(1, 'a' + Index),
+                     21600,
+                     16,
+                     {}});
   applyOrders(Cards, LayoutPlanner::plan(m_Model, Cards));
   CHECK(fewestHolders(m_Model, Cards, "") >= 1);
   CHECK(fitsMemory(m_Model, Cards));
@@ -136,12 +139,15 @@
     std::vector<PlacementCard> Cards;
     std::map<std::string, double> Memory;
     const double Kinds[] = {72000, 43200, 21600};
+    const double Factors[] = {2.4, 5.6, 16};
     int Count = 8 + static_cast<int>(Random() % 80);
     for (int Index = 0; Index < Count; ++Index) {
       std::string Domain(1, static_cast<char>('a' + Random() % 4));
-      double Size = Kinds[Random() % 3];
+      auto Kind = Random() % 3;
+      double Size = Kinds[Kind];
       Memory[Domain] += Size;
-      Cards.push_back({"e" + std::to_string(Index), Domain, Size, {}});
+      Cards.push_back(
+          {"e" + std::to_string(Index), Domain, Size, Factors[Kind], {}});
     }
     applyOrders(Cards, LayoutPlanner::plan(m_Model, Cards));
     CHECK(fitsMemory(m_Model, Cards));
--- a/tests/support/EngineFleet.cpp
+++ b/tests/support/EngineFleet.cpp
@@ -30,6 +30,7 @@
   };
   const Group Groups[] = {{"a", {1, 3, 8}}, {"b", {1, 6, 5}}, {"c", {2, 2, 5}}};
   const double Sizes[] = {72000, 43200, 21600};
+  const double Factors[] = {2.4, 5.6, 16};
   std::vector<PlacementCard> Cards;
   for (const Group &Members : Groups)
     for (int Kind = 0; Kind < 3; ++Kind)
