--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -18,6 +18,8 @@
 // Every so many ticks, tables that change slowly are looked through.
 static constexpr std::uint64_t SlowTicks = 6;
 static constexpr std::uint64_t PlacementTicks = 10;
+// Two, so that one that has died and is still listed is not missed.
+static constexpr std::size_t SpeakersPerDomain = 2;
 static constexpr Duration OrderLimit = std::chrono::milliseconds(600);
 // No new connections come once the load balancer has seen two refusals.
 static constexpr Duration MinStopTime = std::chrono::milliseconds(3200);
@@ -461,6 +463,8 @@
   if (m_Ticks % SlowTicks == 0) {
     m_Digests.refresh(m_Fleet, Now);
     sendDigest();
+    if (m_Ticks % (2 * SlowTicks) == 0)
+      sendDomainDigest();
     for (const auto &Listener : m_Listeners)
       Listener->tick(Now);
     m_Channels.expire(Now);
@@ -530,38 +534,86 @@
       [this](boost::system::error_code Error, std::size_t Size) {
         if (Error == asio::error::operation_aborted)
           return;
-        auto Digest = Error ? std::nullopt
-                            : LoadDigest::decode({m_DigestBuffer.data(), Size});
-        if (Digest && Digest->m_VM != m_Settings.m_VM)
-          for (const auto &Endpoint : m_Digests.take(*Digest, m_Fleet, now())) {
-            m_Log.write(now(), "endpoint-suspect", "",
-                        {{"endpoint", Endpoint->m_Entry.m_Id},
-                         {"reason", "told"},
-                         {"by", Digest->m_VM}});
-            notifySuspicion(Endpoint);
-          }
+        if (!Error)
+          takeDigest({m_DigestBuffer.data(), Size});
         receiveDigest();
       });
 }
 
-void GatewayNode::sendDigest() {
-  if (!m_DigestSocket.is_open())
+void GatewayNode::takeDigest(const std::string &Bytes) {
+  auto Digest = LoadDigest::decode(Bytes);
+  if (!Digest || Digest->m_Sender == m_Settings.m_VM ||
+      Digest->m_Sender == m_Settings.m_FailureDomain)
+    return;
+  for (const auto &Endpoint : m_Digests.take(*Digest, m_Fleet, now())) {
+    m_Log.write(now(), "endpoint-suspect", "",
+                {{"endpoint", Endpoint->m_Entry.m_Id},
+                 {"reason", "told"},
+                 {"by", Digest->m_Sender}});
+    notifySuspicion(Endpoint);
+  }
+  // The sums of another failure domain reach only some VMs of this one.
+  bool IsFromOutside = Digest->m_IsDomain &&
+                       parseSocketAddress(m_Settings.m_PeerAddress)->m_Host !=
+                           m_DigestSender.address().to_string() &&
+                       !isInDomain(m_DigestSender.address().to_string());
+  if (IsFromOutside)
+    sendToDomain(Bytes);
+}
+
+bool GatewayNode::isInDomain(const std::string &Host) const {
+  for (const auto &[Key, VM] : m_VMs)
+    if (VM.m_FailureDomain == m_Settings.m_FailureDomain &&
+        VM.m_PeerAddress.compare(0, Host.size() + 1, Host + ":") == 0)
+      return true;
+  return false;
+}
+
+// A digest that is lost is followed by the next one.
+void GatewayNode::sendTo(const ListedVM &VM, const std::string &Bytes) {
+  std::optional<SocketAddress> Peer = parseSocketAddress(VM.m_PeerAddress);
+  if (!Peer || !m_DigestSocket.is_open())
     return;
-  std::string Bytes = m_Digests.own(m_Settings.m_VM, m_Fleet, now()).encode();
   std::uint16_t Port = udpEndpoint(m_Settings.m_DigestAddress).port();
+  boost::system::error_code Ignored;
+  m_DigestSocket.send_to(asio::buffer(Bytes),
+                         {asio::ip::make_address(Peer->m_Host), Port}, 0,
+                         Ignored);
+}
+
+void GatewayNode::sendToDomain(const std::string &Bytes) {
+  for (const auto &[Key, VM] : m_VMs)
+    if (VM.m_Name != m_Settings.m_VM &&
+        VM.m_FailureDomain == m_Settings.m_FailureDomain)
+      sendTo(VM, Bytes);
+}
+
+void GatewayNode::sendDigest() {
+  sendToDomain(m_Digests.ofVM(m_Settings.m_VM, m_Fleet, now()).encode());
+}
+
+// Bytes between failure domains are dear, so only the first VMs of each one
+// send to the first VMs of the others, which pass the sums on.
+void GatewayNode::sendDomainDigest() {
+  std::map<std::string, std::vector<const ListedVM *>> Speakers;
   for (const auto &[Key, VM] : m_VMs) {
-    if (VM.m_Name == m_Settings.m_VM ||
-        VM.m_FailureDomain != m_Settings.m_FailureDomain)
-      continue;
-    std::optional<SocketAddress> Peer = parseSocketAddress(VM.m_PeerAddress);
-    if (!Peer)
-      continue;
-    // A digest that is lost is followed by the next one.
-    boost::system::error_code Ignored;
-    m_DigestSocket.send_to(asio::buffer(Bytes),
-                           {asio::ip::make_address(Peer->m_Host), Port}, 0,
-                           Ignored);
+    auto &OfDomain = Speakers[VM.m_FailureDomain];
+    if (OfDomain.size() < SpeakersPerDomain)
+      OfDomain.push_back(&VM);
   }
+  const auto &Own = Speakers[m_Settings.m_FailureDomain];
+  bool IsSpeaker =
+      std::any_of(Own.begin(), Own.end(), [this](const ListedVM *VM) {
+        return VM->m_Name == m_Settings.m_VM;
+      });
+  if (!IsSpeaker)
+    return;
+  std::string Bytes =
+      m_Digests.ofDomain(m_Settings.m_FailureDomain, m_Fleet, now()).encode();
+  for (const auto &[Domain, VMs] : Speakers)
+    if (Domain != m_Settings.m_FailureDomain)
+      for (const ListedVM *VM : VMs)
+        sendTo(*VM, Bytes);
 }
 
 // Shutdown
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -97,7 +97,12 @@
   void sendOrder(const std::string &Service, const PlacementOrder &Order);
   void notifySuspicion(const FleetTable::Handle &Endpoint);
   void receiveDigest();
+  void takeDigest(const std::string &Bytes);
+  bool isInDomain(const std::string &Host) const;
+  void sendTo(const ListedVM &VM, const std::string &Bytes);
+  void sendToDomain(const std::string &Bytes);
   void sendDigest();
+  void sendDomainDigest();
   void handleSignal(int Signal);
   void tickShutdown();
 
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -104,6 +104,13 @@
   AnswerFields Extra{{Names.m_Path, m_Context.protocol().pathText(Path)}};
   if (m_Events > 0)
     Extra.emplace_back(Names.m_LastEventId, std::to_string(m_LastEventId));
+  m_PlannedFill = 0;
+  for (const PathPart &Part : Path)
+    m_PlannedFill = std::max(
+        m_PlannedFill,
+        LayerPathPlanner::memoryFill(*m_Job.m_Service->m_Engine,
+                                     *Part.m_Endpoint, m_Context.loadFactor(),
+                                     m_PromptTokens + answerTokensLeft()));
   m_Load.set(Path, m_PromptTokens + answerTokensLeft());
   m_SentAt = m_LastProgress = Now;
   m_IsHeadSeen = m_IsStreaming = m_IsChecking = m_IsRepathing = false;
@@ -525,6 +532,10 @@
        {"status", std::int64_t(Status)},
        {"path", Path},
        {"sends", std::int64_t(m_Sends)},
+       {"prompt_tokens", m_PromptTokens},
+       {"answer_tokens", m_AnswerTokens},
+       {"planned_fill", m_PlannedFill},
+       {"load_factor", m_Context.loadFactor()},
        {"events", std::int64_t(m_Events)},
        {"first_event_ms", std::int64_t(m_FirstEventTime.count() / 1000)},
        {"configuration", std::int64_t(m_Job.m_Table->m_Version)},
--- a/src/membership/LoadDigest.cpp
+++ b/src/membership/LoadDigest.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace parsleyring {
 
@@ -15,31 +16,40 @@
 
 std::string LoadDigest::encode() const {
   json Loads = json::array();
+  // Whole numbers are short in this encoding.
   for (const Load &Entry : m_Loads)
-    Loads.push_back({Entry.m_Endpoint, Entry.m_Tokens, Entry.m_Running,
-                     Entry.m_Pace, Entry.m_SuspectMs});
-  std::vector<std::uint8_t> Bytes =
-      json::to_cbor(json{{"vm", m_VM}, {"n", m_Number}, {"loads", Loads}});
+    Loads.push_back({Entry.m_Endpoint, std::llround(Entry.m_Tokens),
+                     Entry.m_Running, std::llround(Entry.m_Pace * 100),
+                     Entry.m_SuspectMs});
+  std::vector<std::uint8_t> Bytes = json::to_cbor(json{{"from", m_Sender},
+                                                       {"sum", m_IsDomain},
+                                                       {"n", m_Number},
+                                                       {"loads", Loads}});
   return {Bytes.begin(), Bytes.end()};
 }
 
 std::optional<LoadDigest> LoadDigest::decode(const std::string &Bytes) {
   json Root = json::from_cbor(Bytes, true, false);
-  if (!Root.is_object() || !Root.contains("vm") || !Root["vm"].is_string() ||
-      !Root.contains("n") || !Root["n"].is_number_unsigned() ||
-      !Root.contains("loads") || !Root["loads"].is_array())
+  auto Has = [&](const char *Name, bool (json::*IsType)() const) {
+    return Root.contains(Name) && (Root[Name].*IsType)();
+  };
+  if (!Root.is_object() || !Has("from", &json::is_string) ||
+      !Has("sum", &json::is_boolean) || !Has("n", &json::is_number_unsigned) ||
+      !Has("loads", &json::is_array))
     return std::nullopt;
   LoadDigest Digest;
-  Digest.m_VM = Root["vm"].get<std::string>();
+  Digest.m_Sender = Root["from"].get<std::string>();
+  Digest.m_IsDomain = Root["sum"].get<bool>();
   Digest.m_Number = Root["n"].get<std::uint64_t>();
   for (const json &Entry : Root["loads"]) {
-    if (!Entry.is_array() || Entry.size() < 5 || !Entry[0].is_string() ||
-        !Entry[1].is_number() || !Entry[2].is_number_unsigned() ||
-        !Entry[3].is_number() || !Entry[4].is_number_integer())
+    if (!Entry.is_array() || Entry.size() < 5 || !Entry[0].is_string())
       return std::nullopt;
+    for (std::size_t Index = 1; Index < 5; ++Index)
+      if (!Entry[Index].is_number_unsigned())
+        return std::nullopt;
     Digest.m_Loads.push_back(
         {Entry[0].get<std::string>(), Entry[1].get<double>(),
-         Entry[2].get<std::uint32_t>(), Entry[3].get<double>(),
+         Entry[2].get<std::uint32_t>(), Entry[3].get<double>() / 100,
          Entry[4].get<std::int64_t>()});
   }
   return Digest;
@@ -47,8 +57,10 @@
 
 std::vector<FleetTable::Handle>
 LoadDigestTable::take(const LoadDigest &Digest, FleetTable &Fleet, Time Now) {
-  Entry &Known = m_Entries[Digest.m_VM];
-  bool IsOld = Digest.m_Number <= Known.m_Digest.m_Number &&
+  Entry &Known = m_Entries[Digest.m_Sender];
+  // The sums of a domain come from more than one VM, in any order.
+  bool IsOld = !Digest.m_IsDomain &&
+               Digest.m_Number <= Known.m_Digest.m_Number &&
                Now - Known.m_ReceivedAt < DigestLifetime;
   if (IsOld)
     return {};
@@ -93,10 +105,16 @@
       }
 }
 
-LoadDigest LoadDigestTable::own(const std::string &VM, const FleetTable &Fleet,
-                                Time Now) {
+std::size_t LoadDigestTable::freshVMs() const {
+  return std::count_if(
+      m_Entries.begin(), m_Entries.end(),
+      [](const auto &Known) { return !Known.second.m_Digest.m_IsDomain; });
+}
+
+LoadDigest LoadDigestTable::ofVM(const std::string &VM, const FleetTable &Fleet,
+                                 Time Now) {
   LoadDigest Digest;
-  Digest.m_VM = VM;
+  Digest.m_Sender = VM;
   Digest.m_Number = ++m_OwnNumber;
   for (const auto &[Id, Endpoint] : Fleet.endpoints()) {
     std::int64_t SuspectMs = 0;
@@ -113,4 +131,29 @@
   return Digest;
 }
 
+LoadDigest LoadDigestTable::ofDomain(const std::string &Domain,
+                                     const FleetTable &Fleet, Time Now) {
+  LoadDigest Sum = ofVM(Domain, Fleet, Now);
+  Sum.m_IsDomain = true;
+  std::map<std::string, std::size_t> Places;
+  for (std::size_t Index = 0; Index < Sum.m_Loads.size(); ++Index)
+    Places[Sum.m_Loads[Index].m_Endpoint] = Index;
+  for (const auto &[Sender, Known] : m_Entries) {
+    if (Known.m_Digest.m_IsDomain)
+      continue;
+    for (const LoadDigest::Load &Load : Known.m_Digest.m_Loads) {
+      auto [Place, IsNew] = Places.emplace(Load.m_Endpoint, Sum.m_Loads.size());
+      if (IsNew) {
+        Sum.m_Loads.push_back(Load);
+        continue;
+      }
+      LoadDigest::Load &Target = Sum.m_Loads[Place->second];
+      Target.m_Tokens += Load.m_Tokens;
+      Target.m_Running += Load.m_Running;
+      Target.m_Pace = std::max(Target.m_Pace, Load.m_Pace);
+    }
+  }
+  return Sum;
+}
+
 } // namespace parsleyring
--- a/src/membership/LoadDigest.h
+++ b/src/membership/LoadDigest.h
@@ -10,8 +10,8 @@
 
 namespace parsleyring {
 
-/// What one VM tells the others of its failure domain about the endpoints that
-/// it uses.
+/// What one VM, or one failure domain as a whole, says about the endpoints
+/// that it uses.
 struct LoadDigest {
   struct Load {
     std::string m_Endpoint;
@@ -21,8 +21,9 @@
     std::int64_t m_SuspectMs = 0; ///< For so long it gets no new requests.
   };
 
-  std::string m_VM;
-  std::uint64_t m_Number = 0; ///< Grows with each digest of a process.
+  std::string m_Sender;       ///< A VM, or a failure domain.
+  bool m_IsDomain = false;    ///< The sums over the VMs of a failure domain.
+  std::uint64_t m_Number = 0; ///< Grows with each digest of a VM.
   std::vector<Load> m_Loads;
 
   std::string encode() const;
@@ -30,20 +31,25 @@
   static std::optional<LoadDigest> decode(const std::string &Bytes);
 };
 
-/// The newest digest of each other VM of the failure domain.
+/// The newest digest of each other VM of the failure domain, and of each other
+/// failure domain.
 class LoadDigestTable {
 public:
   /// Takes a digest over into the endpoints. Older ones are dropped. Returns
   /// the endpoints that the sender suspects and this VM did not.
   std::vector<FleetTable::Handle> take(const LoadDigest &Digest,
                                        FleetTable &Fleet, Time Now);
-  /// Forgets VMs that have been silent, and sums up the loads of the others.
+  /// Forgets senders that have been silent, and sums up the loads of the
+  /// others.
   void refresh(FleetTable &Fleet, Time Now);
-  /// VMs heard from lately.
-  std::size_t freshVMs() const { return m_Entries.size(); }
+  /// Other VMs of the failure domain that were heard from lately.
+  std::size_t freshVMs() const;
 
   /// The digest of this VM.
-  LoadDigest own(const std::string &VM, const FleetTable &Fleet, Time Now);
+  LoadDigest ofVM(const std::string &VM, const FleetTable &Fleet, Time Now);
+  /// The sums over this VM and the VMs that were heard from.
+  LoadDigest ofDomain(const std::string &Domain, const FleetTable &Fleet,
+                      Time Now);
 
 private:
   struct Entry {
--- a/src/routing/LayerPathPlanner.cpp
+++ b/src/routing/LayerPathPlanner.cpp
@@ -32,6 +32,17 @@
          (Model.m_CacheBytesPerToken / Model.m_Layers);
 }
 
+double LayerPathPlanner::memoryFill(const EngineModel &Model,
+                                    const FleetEndpoint &Endpoint,
+                                    double LoadFactor, double Tokens) {
+  const LayerRange &Held = Endpoint.m_Entry.m_Layers;
+  const CardKind *Card = Model.cardKind(Endpoint.m_Entry.m_CardKind);
+  double Capacity = Card ? cacheCapacity(Model, *Card, Held) : 0;
+  double Used = (Endpoint.m_Tokens + Endpoint.m_PeerTokens) * LoadFactor +
+                Tokens * (Held.m_End - Held.m_First);
+  return Capacity > 0 ? Used / Capacity : 1;
+}
+
 namespace {
 
 /// An endpoint that may take a part, with its cost for one layer.
@@ -126,14 +137,11 @@
   double Read = m_Demand.m_PromptTokens / m_Model.m_ReadTokensPerMillisecond *
                 Card.m_ReadFactor * Pace;
   double Busy = StepTimeWeight * Step * m_Demand.m_AnswerTokens + Read;
-  double Capacity =
-      LayerPathPlanner::cacheCapacity(m_Model, Card, Endpoint.m_Entry.m_Layers);
+  double Fill = LayerPathPlanner::memoryFill(
+      m_Model, Endpoint, m_Demand.m_LoadFactor,
+      m_Demand.m_PromptTokens + m_Demand.m_AnswerTokens);
   double Layers =
       Endpoint.m_Entry.m_Layers.m_End - Endpoint.m_Entry.m_Layers.m_First;
-  double Used =
-      (Endpoint.m_Tokens + Endpoint.m_PeerTokens) * m_Demand.m_LoadFactor +
-      (m_Demand.m_PromptTokens + m_Demand.m_AnswerTokens) * Layers;
-  double Fill = Capacity > 0 ? Used / Capacity : 1;
   double Memory = FillMilliseconds * Fill * Fill;
   if (Fill >= FullShare)
     Memory += FullMilliseconds * (1 + Fill - FullShare);
--- a/src/routing/LayerPathPlanner.h
+++ b/src/routing/LayerPathPlanner.h
@@ -40,6 +40,12 @@
                         const std::vector<FleetTable::Handle> &Endpoints,
                         const PathDemand &Demand, Time Now);
 
+  /// Share of the memory for requests that the requests of all VMs are expected
+  /// to take at their end, with Tokens more over all layers that it holds.
+  static double memoryFill(const EngineModel &Model,
+                           const FleetEndpoint &Endpoint, double LoadFactor,
+                           double Tokens);
+
   /// Tokens times layers that a card can keep beside the weights of Layers.
   static double cacheCapacity(const EngineModel &Model, const CardKind &Card,
                               LayerRange Layers);
