--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -51,8 +51,10 @@
   }
   void noteResult(bool IsSuccess, Duration Latency, Time Now);
   double failureShare(Time Now) const;
-  void notePace(double Pace, Time Now) {
+  /// The endpoint's own word on its pace, as told to this VM or to another one.
+  void notePace(double Pace, bool IsOwn, Time Now) {
     m_Pace = Pace;
+    m_IsOwnPace = IsOwn;
     m_PaceNotedAt = Now;
   }
   /// The pace noted last; 1 if that is long ago.
@@ -61,6 +63,14 @@
   }
 
   static constexpr Duration PaceLifetime = std::chrono::seconds(4);
+  /// No VM of a failure domain asks for the pace again before.
+  static constexpr Duration PaceInterval = std::chrono::milliseconds(1500);
+  /// An endpoint at this pace is watched until it is itself again.
+  static constexpr double SlowPace = 1.3;
+
+  bool isPaceKnown(Time Now) const {
+    return Now - m_PaceNotedAt < PaceInterval;
+  }
 };
 
 /// The endpoints that the platform lists, with what this VM has seen of them.
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -37,6 +37,8 @@
   /// Asks an engine for its report; the answer is empty if it gives none.
   virtual void askReport(const FleetTable::Handle &Endpoint,
                          ReportHandler OnReport) = 0;
+  /// Asks an engine for its pace, unless it is known.
+  virtual void checkPace(const FleetTable::Handle &Endpoint) = 0;
   /// Calls an endpoint; the status is 0 if there was no answer.
   virtual void
   callEndpoint(const FleetTable::Handle &Endpoint, const EndpointCall &Call,
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -282,7 +282,42 @@
 void GatewayNode::askReport(const FleetTable::Handle &Endpoint,
                             ReportHandler OnReport) {
   m_Metrics.countOrder("report");
-  m_EndpointCaller.askReport(Endpoint, std::move(OnReport));
+  m_EndpointCaller.askReport(Endpoint,
+                             [this, Endpoint, OnReport = std::move(OnReport)](
+                                 const std::optional<EngineReport> &Report) {
+                               if (Report)
+                                 takePace(*Endpoint, Report->m_Pace);
+                               if (OnReport)
+                                 OnReport(Report);
+                             });
+}
+
+void GatewayNode::takePace(FleetEndpoint &Endpoint, double Pace) {
+  Time Now = now();
+  bool WasSlow = Endpoint.pace(Now) >= FleetEndpoint::SlowPace;
+  bool IsSlow = Pace >= FleetEndpoint::SlowPace;
+  Endpoint.notePace(Pace, true, Now);
+  if (WasSlow != IsSlow)
+    m_Log.write(Now, IsSlow ? "endpoint-slow" : "endpoint-recovered", "",
+                {{"endpoint", Endpoint.m_Entry.m_Id}, {"pace", Pace}});
+}
+
+void GatewayNode::checkPace(const FleetTable::Handle &Endpoint) {
+  Time Now = now();
+  if (Endpoint->m_IsGone || Endpoint->isPaceKnown(Now))
+    return;
+  // Not asked again while the answer is on its way.
+  Endpoint->notePace(Endpoint->pace(Now), true, Now);
+  askReport(Endpoint, nullptr);
+}
+
+// A slow engine gets few requests, so nothing else would show that it has
+// recovered.
+void GatewayNode::watchSlowEngines() {
+  Time Now = now();
+  for (const auto &[Id, Endpoint] : m_Fleet.endpoints())
+    if (Endpoint->m_IsOwnPace && Endpoint->pace(Now) >= FleetEndpoint::SlowPace)
+      checkPace(Endpoint);
 }
 
 void GatewayNode::callEndpoint(
@@ -461,6 +496,7 @@
       m_Requests.erase(Request);
   }
   if (m_Ticks % SlowTicks == 0) {
+    watchSlowEngines();
     m_Digests.refresh(m_Fleet, Now);
     sendDigest();
     if (m_Ticks % (2 * SlowTicks) == 0)
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -59,6 +59,7 @@
   double random() override;
   void askReport(const FleetTable::Handle &Endpoint,
                  ReportHandler OnReport) override;
+  void checkPace(const FleetTable::Handle &Endpoint) override;
   void callEndpoint(
       const FleetTable::Handle &Endpoint, const EndpointCall &Call,
       std::function<void(unsigned, const std::string &)> OnReply) override;
@@ -93,6 +94,8 @@
 
   void scheduleTick();
   void tick();
+  void takePace(FleetEndpoint &Endpoint, double Pace);
+  void watchSlowEngines();
   void tickPlacement();
   void sendOrder(const std::string &Service, const PlacementOrder &Order);
   void notifySuspicion(const FleetTable::Handle &Endpoint);
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -14,6 +14,9 @@
 // A stream that is silent for longer than these is checked.
 static constexpr Duration MinFirstEventSilence = std::chrono::milliseconds(450);
 static constexpr Duration MinSilence = std::chrono::milliseconds(260);
+// The engines of a path with a pause of this length are asked for their pace.
+static constexpr Duration SlowFirstEvent = std::chrono::milliseconds(300);
+static constexpr Duration SlowEvent = std::chrono::milliseconds(130);
 // The new parts of a path read all tokens so far before the next event.
 static constexpr Duration RepathTime = std::chrono::milliseconds(700);
 static constexpr Duration CheckInterval = std::chrono::milliseconds(250);
@@ -338,8 +341,19 @@
   return false;
 }
 
+// An engine of the path may be slow; its own report tells.
+void StreamForward::checkPaces(Duration Silence) {
+  Duration Limit = m_Events == 0 ? SlowFirstEvent : SlowEvent;
+  if (Silence < Limit)
+    return;
+  for (const PathPart &Part : m_Load.path())
+    m_Context.checkPace(Part.m_Endpoint);
+}
+
 void StreamForward::checkSilence(Time Now) {
   Duration Silence = Now - m_LastProgress;
+  if (m_Channel && !m_IsRepathing)
+    checkPaces(Silence);
   if (m_IsDone || !m_Channel || m_IsRepathing || Silence < silenceLimit())
     return;
   if (hasSuspectPart(Now)) {
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -38,6 +38,7 @@
   bool passEvent(const EventScanner::Event &Event);
   void beginAnswer();
 
+  void checkPaces(Duration Silence);
   void checkSilence(Time Now);
   Duration silenceLimit() const;
   void handleReport(const std::optional<EngineReport> &Report);
--- a/src/membership/LoadDigest.cpp
+++ b/src/membership/LoadDigest.cpp
@@ -70,10 +70,9 @@
     FleetTable::Handle Endpoint = Fleet.find(Load.m_Endpoint);
     if (!Endpoint)
       continue;
-    if (Load.m_Pace > Endpoint->pace(Now)) {
-      Endpoint->notePace(Load.m_Pace, Now);
-      Endpoint->m_IsOwnPace = false;
-    }
+    if (Load.m_Pace > 0 &&
+        !(Endpoint->m_IsOwnPace && Endpoint->isPaceKnown(Now)))
+      Endpoint->notePace(Load.m_Pace, false, Now);
     if (Load.m_SuspectMs <= 0)
       continue;
     if (Endpoint->m_SuspectUntil <= Now) {
@@ -122,8 +121,9 @@
     // suspicion alive for ever.
     if (Endpoint->m_IsOwnSuspicion && Endpoint->m_SuspectUntil > Now)
       SuspectMs = (Endpoint->m_SuspectUntil - Now).count() / 1000;
-    double Pace = Endpoint->m_IsOwnPace ? Endpoint->pace(Now) : 1;
-    if (Endpoint->m_Running == 0 && SuspectMs == 0 && Pace <= 1)
+    bool IsPaceNews = Endpoint->m_IsOwnPace && Endpoint->isPaceKnown(Now);
+    double Pace = IsPaceNews ? Endpoint->m_Pace : 0;
+    if (Endpoint->m_Running == 0 && SuspectMs == 0 && Pace == 0)
       continue;
     Digest.m_Loads.push_back(
         {Id, Endpoint->m_Tokens, Endpoint->m_Running, Pace, SuspectMs});
--- a/src/membership/LoadDigest.h
+++ b/src/membership/LoadDigest.h
@@ -17,7 +17,8 @@
     std::string m_Endpoint;
     double m_Tokens = 0; ///< Of its requests, weighted by layers.
     std::uint32_t m_Running = 0;
-    double m_Pace = 1; ///< Over 1 if the endpoint was seen to be slow.
+    /// Over 1 if the endpoint is slow; 0 if the sender has not asked lately.
+    double m_Pace = 0;
     std::int64_t m_SuspectMs = 0; ///< For so long it gets no new requests.
   };
 
--- a/src/routing/LayerPathPlanner.cpp
+++ b/src/routing/LayerPathPlanner.cpp
@@ -1,6 +1,7 @@
 #include "routing/LayerPathPlanner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <set>
 
@@ -128,7 +129,9 @@
 
 double PathSearch::costPerLayer(const FleetEndpoint &Endpoint,
                                 const CardKind &Card) const {
-  double Pace = std::max(1.0, Endpoint.pace(m_Now));
+  // A slow engine also works off less of what waits for it, so it is avoided
+  // by more than its pace.
+  double Pace = std::pow(std::max(1.0, Endpoint.pace(m_Now)), 2);
   double Running =
       (Endpoint.m_Running + Endpoint.m_PeerRunning) * m_Demand.m_LoadFactor;
   double Step = (m_Model.m_StepMilliseconds +
--- a/tests/membership/LoadDigestTest.cpp
+++ b/tests/membership/LoadDigestTest.cpp
@@ -83,6 +83,20 @@
     LONGS_EQUAL(0, Load.m_SuspectMs);
 }
 
+// Pattern: a slow engine. Guards against VMs that each ask it for its pace, and
+// against the word of another VM that takes the place of a newer own one.
+TEST(LoadDigest, PaceIsToldOnce) {
+  m_Table.take(digest("a", 1, 100), m_Fleet, m_Now);
+  CHECK(endpoint().isPaceKnown(m_Now));
+  DOUBLES_EQUAL(1.5, endpoint().pace(m_Now), 0.01);
+  LONGS_EQUAL(0, m_Table.ofVM("b", m_Fleet, m_Now).m_Loads.size());
+  endpoint().notePace(4, true, m_Now);
+  m_Table.take(digest("a", 2, 100), m_Fleet, m_Now);
+  DOUBLES_EQUAL(4, endpoint().pace(m_Now), 0.01);
+  DOUBLES_EQUAL(4, m_Table.ofVM("b", m_Fleet, m_Now).m_Loads[0].m_Pace, 0.01);
+  DOUBLES_EQUAL(1, endpoint().pace(m_Now + 5s), 0.01);
+}
+
 // Pattern: a failure domain that is short of memory uses the engines of another
 // one. Guards against sums that leave out VMs, or count other domains.
 TEST(LoadDigest, SumsOfAFailureDomain) {
--- a/tests/routing/LayerPathPlannerTest.cpp
+++ b/tests/routing/LayerPathPlannerTest.cpp
@@ -111,6 +111,15 @@
   CHECK(Most < 0.75);
 }
 
+// Pattern: a slow engine. Guards against paths over an engine that needs
+// several times as long while another one holds the same layers.
+TEST(LayerPathPlanner, AvoidsASlowEngine) {
+  FleetTable::Handle Slow = plan(usualDemand("a"))[1].m_Endpoint;
+  Slow->notePace(5, true, m_Now);
+  for (const PathPart &Part : plan(usualDemand("a")))
+    CHECK(Part.m_Endpoint != Slow);
+}
+
 // Guards against a detour around a lost part that uses an endpoint twice.
 TEST(LayerPathPlanner, ReplacesOnePartOfAPath) {
   LayerPath Path = plan(usualDemand("b"));
