--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -20,6 +20,8 @@
 static constexpr std::uint64_t PlacementTicks = 10;
 // Two, so that one that has died and is still listed is not missed.
 static constexpr std::size_t SpeakersPerDomain = 2;
+// Up to so many VMs of a failure domain follow the store themselves.
+static constexpr std::ptrdiff_t MaxDirectVMs = 4;
 static constexpr Duration OrderLimit = std::chrono::milliseconds(600);
 // No new connections come once the load balancer has seen two refusals.
 static constexpr Duration MinStopTime = std::chrono::milliseconds(3200);
@@ -61,28 +63,56 @@
   }
 };
 
-/// Tells other VMs what this one has read from the store.
+/// Tells other VMs what this one has read from the store, as soon as there is
+/// something new or their wait is over.
 class GatewayNode::PeerHandler final : public SimpleHandler {
 public:
-  PeerHandler(GatewayNode &Node, const StoreProtocol &Protocol)
-      : SimpleHandler(Node), m_Protocol(Protocol) {}
+  using SimpleHandler::SimpleHandler;
   void handleRequest(CallerRequest Request,
                      const std::shared_ptr<CallerConnection> &From) override {
-    const std::string &Path = StoreFollower::PeerPath;
-    if (Request.m_Target.compare(0, Path.size(), Path) != 0) {
+    auto Call = PeerItemsCall::parse(Request.m_Target);
+    if (!Call) {
       From->answer(404, {}, "");
       return;
     }
-    std::uint64_t Revision = 0;
-    std::from_chars(Request.m_Target.data() + Path.size(),
-                    Request.m_Target.data() + Request.m_Target.size(),
-                    Revision);
-    From->answer(200, {{"Content-Type", "application/json"}},
-                 m_Protocol.pageText(m_Node.m_Follower.newerThan(Revision)));
+    if (m_Node.m_Follower.revision() > Call->m_Revision ||
+        Call->m_Wait == Duration::zero())
+      answer(*From, Call->m_Revision);
+    else
+      m_Waiting.push_back({From, Call->m_Revision, now() + Call->m_Wait});
+  }
+  void answerNews() {
+    answerIf([](const Waiting &) { return true; });
+  }
+  void answerLate(Time Now) {
+    answerIf([Now](const Waiting &Entry) { return Now >= Entry.m_Until; });
   }
 
 private:
-  const StoreProtocol &m_Protocol;
+  struct Waiting {
+    std::shared_ptr<CallerConnection> m_From;
+    std::uint64_t m_Revision = 0;
+    Time m_Until{};
+  };
+
+  void answer(CallerConnection &From, std::uint64_t Revision) {
+    From.answer(200, {{"Content-Type", "application/cbor"}},
+                m_Node.m_Follower.newerThan(Revision).encode());
+  }
+  template <typename Condition> void answerIf(Condition IsDue) {
+    std::vector<Waiting> Left;
+    for (Waiting &Entry : m_Waiting) {
+      if (Entry.m_From->isClosed())
+        continue;
+      if (IsDue(Entry))
+        answer(*Entry.m_From, Entry.m_Revision);
+      else
+        Left.push_back(std::move(Entry));
+    }
+    m_Waiting = std::move(Left);
+  }
+
+  std::vector<Waiting> m_Waiting;
 };
 
 /// Serves counters and histograms.
@@ -114,13 +144,13 @@
           m_Loop, [this] { return now(); }, m_Metrics),
       m_Follower(
           m_Loop, m_Store, Store, *this, [this] { return now(); },
-          m_Settings.m_StoreAddress),
+          m_Settings.m_StoreAddress, m_Settings.m_ApplyLimit),
       m_Lease(m_Loop, m_Store, Store, [this] { return now(); },
               m_Settings.m_StoreAddress,
               {m_Settings.m_VM, m_Settings.m_PeerAddress,
                m_Settings.m_FailureDomain}),
       m_ReadyHandler(std::make_unique<ReadyHandler>(*this)),
-      m_PeerHandler(std::make_unique<PeerHandler>(*this, Store)),
+      m_PeerHandler(std::make_unique<PeerHandler>(*this)),
       m_MetricsHandler(std::make_unique<MetricsHandler>(*this)),
       m_DigestSocket(m_Loop), m_TickTimer(m_Loop),
       m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
@@ -455,6 +485,8 @@
               {{"outage_ms", std::int64_t(OutageTime.count() / 1000)}});
 }
 
+void GatewayNode::revisionChanged() { m_PeerHandler->answerNews(); }
+
 std::vector<std::string> GatewayNode::peerAddresses() const {
   std::vector<std::string> Near;
   std::vector<std::string> Far;
@@ -496,6 +528,7 @@
       m_Requests.erase(Request);
   }
   if (m_Ticks % SlowTicks == 0) {
+    m_PeerHandler->answerLate(Now);
     watchSlowEngines();
     m_Digests.refresh(m_Fleet, Now);
     sendDigest();
@@ -631,25 +664,55 @@
 // Bytes between failure domains are dear, so only the first VMs of each one
 // send to the first VMs of the others, which pass the sums on.
 void GatewayNode::sendDomainDigest() {
-  std::map<std::string, std::vector<const ListedVM *>> Speakers;
-  for (const auto &[Key, VM] : m_VMs) {
-    auto &OfDomain = Speakers[VM.m_FailureDomain];
-    if (OfDomain.size() < SpeakersPerDomain)
-      OfDomain.push_back(&VM);
-  }
-  const auto &Own = Speakers[m_Settings.m_FailureDomain];
-  bool IsSpeaker =
-      std::any_of(Own.begin(), Own.end(), [this](const ListedVM *VM) {
-        return VM->m_Name == m_Settings.m_VM;
-      });
-  if (!IsSpeaker)
+  if (!isSpeaker())
     return;
   std::string Bytes =
       m_Digests.ofDomain(m_Settings.m_FailureDomain, m_Fleet, now()).encode();
-  for (const auto &[Domain, VMs] : Speakers)
-    if (Domain != m_Settings.m_FailureDomain)
-      for (const ListedVM *VM : VMs)
-        sendTo(*VM, Bytes);
+  std::set<std::string> Domains;
+  for (const auto &[Key, VM] : m_VMs)
+    Domains.insert(VM.m_FailureDomain);
+  Domains.erase(m_Settings.m_FailureDomain);
+  for (const std::string &Domain : Domains)
+    for (const ListedVM *VM : speakers(Domain))
+      sendTo(*VM, Bytes);
+}
+
+// The first VMs by name; all VMs that see the same list agree on them.
+std::vector<const ListedVM *>
+GatewayNode::speakers(const std::string &Domain) const {
+  std::vector<const ListedVM *> Speakers;
+  for (const auto &[Key, VM] : m_VMs)
+    if (VM.m_FailureDomain == Domain && Speakers.size() < SpeakersPerDomain)
+      Speakers.push_back(&VM);
+  return Speakers;
+}
+
+bool GatewayNode::isSpeaker() const {
+  for (const ListedVM *VM : speakers(m_Settings.m_FailureDomain))
+    if (VM->m_Name == m_Settings.m_VM)
+      return true;
+  return false;
+}
+
+bool GatewayNode::isReader() const {
+  auto InDomain =
+      std::count_if(m_VMs.begin(), m_VMs.end(), [this](const auto &Listed) {
+        return Listed.second.m_FailureDomain == m_Settings.m_FailureDomain;
+      });
+  return InDomain > MaxDirectVMs && isSpeaker();
+}
+
+std::vector<std::string> GatewayNode::readerAddresses() const {
+  auto InDomain =
+      std::count_if(m_VMs.begin(), m_VMs.end(), [this](const auto &Listed) {
+        return Listed.second.m_FailureDomain == m_Settings.m_FailureDomain;
+      });
+  std::vector<std::string> Readers;
+  if (InDomain <= MaxDirectVMs || isSpeaker())
+    return Readers;
+  for (const ListedVM *VM : speakers(m_Settings.m_FailureDomain))
+    Readers.push_back(VM->m_PeerAddress);
+  return Readers;
 }
 
 // Shutdown
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -71,7 +71,10 @@
   void itemDeleted(const std::string &Key) override;
   void reloaded(const std::map<std::string, StoreItem> &Items) override;
   void availabilityChanged(bool IsAvailable, Duration OutageTime) override;
+  void revisionChanged() override;
   std::vector<std::string> peerAddresses() const override;
+  std::vector<std::string> readerAddresses() const override;
+  bool isReader() const override;
 
 private:
   class ReadyHandler;
@@ -106,6 +109,8 @@
   void sendToDomain(const std::string &Bytes);
   void sendDigest();
   void sendDomainDigest();
+  std::vector<const ListedVM *> speakers(const std::string &Domain) const;
+  bool isSpeaker() const;
   void handleSignal(int Signal);
   void tickShutdown();
 
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -21,6 +21,8 @@
   std::vector<std::string> m_SeedAddresses; ///< Peer addresses of some VMs.
   /// After SIGTERM; the platform kills the process then.
   Duration m_ShutdownLimit = std::chrono::seconds(8);
+  /// A change in the store must be in force so long after it.
+  Duration m_ApplyLimit = std::chrono::seconds(2);
   RetryBound m_RetryBound; ///< For each service.
 };
 
--- a/src/store/StoreFollower.cpp
+++ b/src/store/StoreFollower.cpp
@@ -6,6 +6,11 @@
 // slack.
 static constexpr Duration WatchWait = std::chrono::seconds(4);
 static constexpr Duration WatchSlack = std::chrono::milliseconds(900);
+// A reader for other VMs hears from the store at least this often, as a share
+// of the time in which a change must apply, and is trusted for that long.
+static constexpr double ReaderWaitShare = 0.35;
+static constexpr double ReaderAgeShare = 0.6;
+static constexpr Duration ReaderSlack = std::chrono::milliseconds(400);
 // Changes come in groups, and each answer wakes every VM, so the next poll
 // waits for more of them. Far below the time in which a change must apply.
 static constexpr Duration GroupingDelay = std::chrono::milliseconds(150);
@@ -13,19 +18,27 @@
 // Refused calls count towards the rates of the store, so retries slow down.
 static constexpr Duration FirstRetryDelay = std::chrono::milliseconds(120);
 static constexpr Duration MaxRetryDelay = std::chrono::milliseconds(800);
+// While the readers are there, the other VMs leave the store to them.
+static constexpr Duration MaxFollowerRetryDelay = std::chrono::seconds(3);
 static constexpr Duration PeerInterval = std::chrono::milliseconds(400);
 static constexpr Duration PeerLimit = std::chrono::milliseconds(600);
-
-const std::string StoreFollower::PeerPath = "/peer/items-after/";
+// Changes that are kept for peers; one that is further behind gets all items.
+static constexpr std::size_t MaxChanges = 512;
 
 StoreFollower::StoreFollower(boost::asio::io_context &Loop, StoreClient &Client,
                              const StoreProtocol &Protocol,
                              StoreObserver &Observer, std::function<Time()> Now,
-                             std::string StoreAddress)
+                             std::string StoreAddress, Duration ApplyLimit)
     : m_Loop(Loop), m_Client(Client), m_Protocol(Protocol),
       m_Observer(Observer), m_Now(std::move(Now)),
-      m_StoreAddress(std::move(StoreAddress)), m_RetryTimer(Loop),
-      m_PeerTimer(Loop), m_Random(std::random_device{}()) {}
+      m_StoreAddress(std::move(StoreAddress)), m_ApplyLimit(ApplyLimit),
+      m_RetryTimer(Loop), m_PeerTimer(Loop), m_Random(std::random_device{}()) {}
+
+static Duration share(Duration Whole, double Share) {
+  return Duration(static_cast<std::int64_t>(Whole.count() * Share));
+}
+
+// Reading the store
 
 void StoreFollower::load(const std::string &After) {
   if (After.empty()) {
@@ -57,19 +70,34 @@
     load(Last);
     return;
   }
-  m_MustReload = false;
-  m_Items = std::move(m_Loading);
+  replaceAll(std::move(m_Loading), m_LoadingRevision);
   m_Loading.clear();
-  m_Revision = m_LoadingRevision;
-  m_Observer.reloaded(m_Items);
-  watch();
+  followOn();
+}
+
+void StoreFollower::followOn() {
+  if (m_MustReload)
+    load("");
+  else if (!m_Observer.readerAddresses().empty())
+    followReader();
+  else
+    watch();
+}
+
+void StoreFollower::followLater(Duration Delay) {
+  m_RetryTimer.expires_after(Delay);
+  m_RetryTimer.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      followOn();
+  });
 }
 
 void StoreFollower::watch() {
   std::uint64_t Watched = m_Revision;
-  m_Client.call(m_StoreAddress, m_Protocol.watchCall("", Watched, WatchWait),
-                WatchWait + WatchSlack,
-                [this, Watched](const StoreReply &Reply) {
+  Duration Wait =
+      m_Observer.isReader() ? share(m_ApplyLimit, ReaderWaitShare) : WatchWait;
+  m_Client.call(m_StoreAddress, m_Protocol.watchCall("", Watched, Wait),
+                Wait + WatchSlack, [this, Watched](const StoreReply &Reply) {
                   handleChanges(Reply, Watched);
                 });
 }
@@ -79,7 +107,7 @@
   if (Reply.m_Status == 410) {
     m_MustReload = true;
     noteAvailable();
-    load("");
+    followOn();
     return;
   }
   std::optional<StorePage> Changes;
@@ -90,37 +118,18 @@
     return;
   }
   noteAvailable();
-  // A snapshot of a peer may have overtaken this watch.
-  if (Watched < m_Revision) {
-    watch();
-    return;
-  }
-  for (const StoreItem &Item : Changes->m_Items) {
-    auto Known = m_Items.find(Item.m_Key);
-    if (Known != m_Items.end() && Known->second.m_Revision >= Item.m_Revision)
-      continue;
-    if (Item.m_IsDeleted) {
-      m_Items.erase(Item.m_Key);
-      m_Observer.itemDeleted(Item.m_Key);
-    } else {
-      m_Items[Item.m_Key] = Item;
-      m_Observer.itemChanged(Item);
-    }
-  }
-  m_Revision = std::max(m_Revision, Changes->m_Revision);
-  if (Changes->m_Items.empty()) {
-    watch();
-    return;
-  }
-  m_RetryTimer.expires_after(GroupingDelay);
-  m_RetryTimer.async_wait([this](boost::system::error_code Error) {
-    if (!Error)
-      watch();
-  });
+  // What a peer told meanwhile may have overtaken this watch.
+  bool IsOvertaken = Watched < m_Revision;
+  if (!IsOvertaken && apply(Changes->m_Items, Changes->m_Revision))
+    followLater(GroupingDelay);
+  else
+    followOn();
 }
 
-void StoreFollower::noteAvailable() {
+// The store was available Age ago.
+void StoreFollower::noteAvailable(Duration Age) {
   m_Failures = 0;
+  m_StoreHeardAt = std::max(m_StoreHeardAt, m_Now() - Age);
   if (m_IsAvailable)
     return;
   m_IsAvailable = true;
@@ -132,6 +141,9 @@
 
 void StoreFollower::handleFailure() {
   ++m_Failures;
+  // A poll that waits would not tell soon whether the store answers again.
+  if (m_Failures > 1)
+    m_MustReload = true;
   if (m_IsAvailable && m_Failures >= 2) {
     m_IsAvailable = false;
     m_LostAt = m_Now();
@@ -141,23 +153,45 @@
     m_IsAskingPeers = true;
     askPeer();
   }
-  retryLater();
+  Duration Most = m_Observer.readerAddresses().empty() ? MaxRetryDelay
+                                                       : MaxFollowerRetryDelay;
+  Duration Delay = std::min(Most, FirstRetryDelay * m_Failures * m_Failures);
+  followLater(Delay + Duration(m_Random() % Delay.count() / 2));
 }
 
-void StoreFollower::retryLater() {
-  Duration Delay = std::min(MaxRetryDelay, FirstRetryDelay * m_Failures);
-  Delay += Duration(m_Random() % Delay.count() / 2);
-  m_RetryTimer.expires_after(Delay);
-  m_RetryTimer.async_wait([this](boost::system::error_code Error) {
-    if (Error)
-      return;
-    // After a failure, a poll that would wait cannot tell whether the store
-    // answers, so all is read again.
-    if (m_MustReload || m_Failures > 1)
-      load("");
+// Following other VMs
+
+void StoreFollower::followReader() {
+  std::vector<std::string> Readers = m_Observer.readerAddresses();
+  const std::string &Reader = Readers[m_NextReader % Readers.size()];
+  PeerItemsCall Call{m_Revision, share(m_ApplyLimit, ReaderWaitShare)};
+  m_Client.call(Reader, Call.call(), Call.m_Wait + ReaderSlack,
+                [this](const StoreReply &Reply) { handleReader(Reply); });
+}
+
+void StoreFollower::handleReader(const StoreReply &Reply) {
+  std::optional<PeerItems> Items;
+  if (Reply.isOk())
+    Items = PeerItems::decode(Reply.m_Body);
+  bool IsFresh = Items && Items->m_Age < share(m_ApplyLimit, ReaderAgeShare);
+  Duration Age = Items ? Items->m_Age : Duration::zero();
+  bool HasChanges = Items && takeItems(std::move(*Items));
+  if (IsFresh) {
+    m_ReaderFailures = 0;
+    noteAvailable(Age);
+    if (HasChanges)
+      followLater(GroupingDelay);
     else
-      watch();
-  });
+      followOn();
+    return;
+  }
+  ++m_NextReader;
+  ++m_ReaderFailures;
+  // The other reader is asked next. If none is fresh, the store is.
+  if (m_ReaderFailures % (m_Observer.readerAddresses().size() + 1) != 0)
+    followOn();
+  else
+    load("");
 }
 
 void StoreFollower::askPeer() {
@@ -166,14 +200,13 @@
   std::vector<std::string> Peers = m_Observer.peerAddresses();
   if (!Peers.empty()) {
     const std::string &Peer = Peers[m_NextPeer++ % Peers.size()];
-    StoreCall Call{"GET", PeerPath + std::to_string(m_Revision), ""};
-    m_Client.call(Peer, Call, PeerLimit, [this](const StoreReply &Reply) {
-      if (m_IsAvailable || !Reply.isOk())
-        return;
-      std::optional<StorePage> Page = m_Protocol.parsePage(Reply.m_Body);
-      if (Page)
-        takeSnapshot(std::move(*Page));
-    });
+    m_Client.call(Peer, PeerItemsCall{m_Revision, Duration::zero()}.call(),
+                  PeerLimit, [this](const StoreReply &Reply) {
+                    if (m_IsAvailable || !Reply.isOk())
+                      return;
+                    if (auto Items = PeerItems::decode(Reply.m_Body))
+                      takeItems(std::move(*Items));
+                  });
   }
   m_PeerTimer.expires_after(PeerInterval);
   m_PeerTimer.async_wait([this](boost::system::error_code Error) {
@@ -182,27 +215,84 @@
   });
 }
 
-void StoreFollower::takeSnapshot(StorePage Page) {
-  if (Page.m_Revision <= m_Revision || Page.m_Items.empty())
-    return;
-  m_Items.clear();
-  for (StoreItem &Item : Page.m_Items) {
+// True if there was something new.
+bool StoreFollower::takeItems(PeerItems Items) {
+  if (Items.m_Revision <= m_Revision)
+    return false;
+  if (!Items.m_IsComplete)
+    return apply(Items.m_Items, Items.m_Revision);
+  std::map<std::string, StoreItem> All;
+  for (StoreItem &Item : Items.m_Items) {
     std::string Key = Item.m_Key;
-    m_Items[Key] = std::move(Item);
+    All[Key] = std::move(Item);
   }
-  m_Revision = Page.m_Revision;
+  replaceAll(std::move(All), Items.m_Revision);
+  return true;
+}
+
+// Items
+
+void StoreFollower::replaceAll(std::map<std::string, StoreItem> Items,
+                               std::uint64_t Revision) {
   m_MustReload = false;
+  // A peer may have told of a later revision while the pages were read.
+  if (Revision < m_Revision)
+    return;
+  m_Items = std::move(Items);
+  m_Revision = Revision;
+  m_Changes.clear();
+  m_ChangesSince = Revision;
   m_Observer.reloaded(m_Items);
+  m_Observer.revisionChanged();
 }
 
-StorePage StoreFollower::newerThan(std::uint64_t Revision) const {
-  StorePage Page;
-  Page.m_Revision = m_Revision;
+bool StoreFollower::apply(const std::vector<StoreItem> &Changes,
+                          std::uint64_t Revision) {
+  for (const StoreItem &Item : Changes) {
+    auto Known = m_Items.find(Item.m_Key);
+    if (Known != m_Items.end() && Known->second.m_Revision >= Item.m_Revision)
+      continue;
+    m_Changes.push_back({Item.m_Revision, Item.m_Key});
+    if (Item.m_IsDeleted) {
+      m_Items.erase(Item.m_Key);
+      m_Observer.itemDeleted(Item.m_Key);
+    } else {
+      m_Items[Item.m_Key] = Item;
+      m_Observer.itemChanged(Item);
+    }
+  }
+  while (m_Changes.size() > MaxChanges) {
+    m_ChangesSince = std::max(m_ChangesSince, m_Changes.front().m_Revision);
+    m_Changes.pop_front();
+  }
+  m_Revision = std::max(m_Revision, Revision);
+  if (!Changes.empty())
+    m_Observer.revisionChanged();
+  return !Changes.empty();
+}
+
+PeerItems StoreFollower::newerThan(std::uint64_t Revision) const {
+  PeerItems Result;
+  Result.m_Revision = m_Revision;
+  Result.m_Age = m_Now() - m_StoreHeardAt;
   if (m_Revision <= Revision)
-    return Page;
-  for (const auto &[Key, Item] : m_Items)
-    Page.m_Items.push_back(Item);
-  return Page;
+    return Result;
+  Result.m_IsComplete = Revision < m_ChangesSince;
+  if (Result.m_IsComplete) {
+    for (const auto &[Key, Item] : m_Items)
+      Result.m_Items.push_back(Item);
+    return Result;
+  }
+  for (const Change &Entry : m_Changes) {
+    if (Entry.m_Revision <= Revision)
+      continue;
+    auto Found = m_Items.find(Entry.m_Key);
+    if (Found == m_Items.end())
+      Result.m_Items.push_back({Entry.m_Key, "", Entry.m_Revision, true});
+    else if (Found->second.m_Revision == Entry.m_Revision)
+      Result.m_Items.push_back(Found->second);
+  }
+  return Result;
 }
 
 } // namespace parsleyring
--- a/src/store/StoreFollower.h
+++ b/src/store/StoreFollower.h
@@ -1,8 +1,10 @@
 #ifndef PARSLEYRING_STORE_STOREFOLLOWER_H
 #define PARSLEYRING_STORE_STOREFOLLOWER_H
 
+#include "store/PeerItems.h"
 #include "store/StoreClient.h"
 
+#include <deque>
 #include <map>
 #include <random>
 
@@ -16,42 +18,60 @@
   virtual void itemDeleted(const std::string &Key) = 0;
   /// All items have been read anew; keys that are not in Items are gone.
   virtual void reloaded(const std::map<std::string, StoreItem> &Items) = 0;
+  /// The items have a new revision.
+  virtual void revisionChanged() = 0;
   /// IsAvailable tells whether the store itself answers; a change after a
   /// loss that lasted OutageTime.
   virtual void availabilityChanged(bool IsAvailable, Duration OutageTime) = 0;
   /// Other VMs that may know newer items, the preferred ones first.
   virtual std::vector<std::string> peerAddresses() const = 0;
+  /// The VMs that follow the store for this one; empty if it does so itself.
+  virtual std::vector<std::string> readerAddresses() const = 0;
+  /// True if other VMs follow the store through this one.
+  virtual bool isReader() const = 0;
 };
 
-/// Follows all keys of the store by one long poll after the other. While the
-/// store does not answer this VM, it asks other VMs for what they have read.
+/// Follows all keys of the store by one long poll after the other. In a large
+/// failure domain a few VMs follow the store, and the others follow these, so
+/// that the calls to the store do not grow with the number of VMs. A VM whose
+/// sources do not answer, or have not heard from the store lately, asks the
+/// store itself; while that fails too, it asks any other VM.
 class StoreFollower {
 public:
+  /// Changes must be known ApplyLimit after the store has them.
   StoreFollower(boost::asio::io_context &Loop, StoreClient &Client,
                 const StoreProtocol &Protocol, StoreObserver &Observer,
-                std::function<Time()> Now, std::string StoreAddress);
-
-  /// Begins the path of the call by which a peer asks for newer items; the
-  /// revision that it knows follows.
-  static const std::string PeerPath;
+                std::function<Time()> Now, std::string StoreAddress,
+                Duration ApplyLimit);
 
   void start() { load(""); }
   bool isAvailable() const { return m_IsAvailable; }
   std::uint64_t revision() const { return m_Revision; }
-  const std::map<std::string, StoreItem> &items() const { return m_Items; }
   /// The answer to a peer that knows the items up to Revision.
-  StorePage newerThan(std::uint64_t Revision) const;
+  PeerItems newerThan(std::uint64_t Revision) const;
 
 private:
+  /// A revision at which a key changed.
+  struct Change {
+    std::uint64_t m_Revision = 0;
+    std::string m_Key;
+  };
+
+  void followOn();
+  void followLater(Duration Delay);
   void load(const std::string &After);
   void handlePage(const StoreReply &Reply);
   void watch();
   void handleChanges(const StoreReply &Reply, std::uint64_t Watched);
+  void followReader();
+  void handleReader(const StoreReply &Reply);
+  bool takeItems(PeerItems Items);
+  bool apply(const std::vector<StoreItem> &Changes, std::uint64_t Revision);
+  void replaceAll(std::map<std::string, StoreItem> Items,
+                  std::uint64_t Revision);
   void handleFailure();
-  void retryLater();
-  void noteAvailable();
+  void noteAvailable(Duration Age = Duration::zero());
   void askPeer();
-  void takeSnapshot(StorePage Page);
 
   boost::asio::io_context &m_Loop;
   StoreClient &m_Client;
@@ -59,19 +79,25 @@
   StoreObserver &m_Observer;
   std::function<Time()> m_Now;
   const std::string m_StoreAddress;
+  const Duration m_ApplyLimit;
   boost::asio::steady_timer m_RetryTimer;
   boost::asio::steady_timer m_PeerTimer;
   std::minstd_rand m_Random;
   std::map<std::string, StoreItem> m_Items;
+  std::deque<Change> m_Changes;     ///< The newest ones, for peers.
+  std::uint64_t m_ChangesSince = 0; ///< Revision before the oldest of them.
   std::map<std::string, StoreItem> m_Loading;
   std::uint64_t m_LoadingRevision = 0;
   std::uint64_t m_Revision = 0;
+  Time m_StoreHeardAt{}; ///< When the store last answered, as far as known.
   bool m_MustReload = true;
   bool m_IsAvailable = false;
   bool m_IsAskingPeers = false;
   Time m_LostAt{};
   std::size_t m_NextPeer = 0;
-  int m_Failures = 0;
+  std::size_t m_NextReader = 0;
+  std::size_t m_ReaderFailures = 0; ///< In a row.
+  int m_Failures = 0;               ///< Of calls to the store, in a row.
 };
 
 } // namespace parsleyring
--- a/src/store/StoreProtocol.h
+++ b/src/store/StoreProtocol.h
@@ -59,8 +59,6 @@
   parseChanges(const std::string &Body) const = 0;
   virtual std::optional<std::uint64_t>
   parseLease(const std::string &Body) const = 0;
-  /// A page in the format that parsePage() reads.
-  virtual std::string pageText(const StorePage &Page) const = 0;
 };
 
 } // namespace parsleyring
--- a/tests/platform/PlatformDocumentsTest.cpp
+++ b/tests/platform/PlatformDocumentsTest.cpp
@@ -58,12 +58,12 @@
 
 // Guards against store answers that are cut or of another program.
 TEST(PlatformDocuments, ReadsTheAnswersOfTheStore) {
-  StorePage Page;
-  Page.m_Items = {{"k", std::string("\0\xff text", 7), 5, false}};
-  Page.m_Revision = 9;
-  auto Read = m_Store.parsePage(m_Store.pageText(Page));
+  auto Read = m_Store.parsePage(
+      R"({"items":[{"key":"k","value":"AP8gdGU=","revision":5,"created":1,)"
+      R"("lease_id":0}],"has_more":true,"at":9})");
   CHECK(Read.has_value());
-  CHECK(Read->m_Items[0].m_Value == Page.m_Items[0].m_Value);
+  CHECK(Read->m_Items[0].m_Value == std::string("\0\xff te", 5));
+  CHECK(Read->m_HasMore);
   LONGS_EQUAL(9, Read->m_Revision);
   auto Changes = m_Store.parseChanges(
       R"({"events":[{"key":"k","revision":6,"deleted":true}],"at":6})");
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -22,6 +22,7 @@
           {"platform", {{"address", "10.0.0.9:9"}}},
           {"bounds",
            {{"grace_s", 8},
+            {"config_apply_ms", 2000},
             {"retry_ratio", 0.2},
             {"retry_slack", 198},
             {"retry_window_s", 10}}},
--- /dev/null
+++ b/tests/store/PeerItemsTest.cpp
@@ -0,0 +1,49 @@
+#include "store/PeerItems.h"
+
+#include "support/TestMain.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+using namespace std::chrono_literals;
+
+TEST_GROUP(PeerItems){};
+
+// Guards against items that lose bytes on the way between two VMs.
+TEST(PeerItems, AreReadAsTheyWereWritten) {
+  PeerItems Items;
+  Items.m_Items = {{"k", std::string("\0\xff", 2), 5, false},
+                   {"gone", "", 6, true}};
+  Items.m_Revision = 6;
+  Items.m_IsComplete = true;
+  Items.m_Age = 1500ms;
+  auto Read = PeerItems::decode(Items.encode());
+  CHECK(Read.has_value());
+  LONGS_EQUAL(6, Read->m_Revision);
+  CHECK(Read->m_IsComplete);
+  CHECK(Read->m_Age == 1500ms);
+  CHECK(Read->m_Items[0].m_Value == Items.m_Items[0].m_Value);
+  CHECK(Read->m_Items[1].m_IsDeleted);
+}
+
+// Guards against cut messages that seem to say that all other keys are gone.
+TEST(PeerItems, CutMessagesAreRefused) {
+  PeerItems Items;
+  Items.m_Items = {{"k", "value", 5, false}};
+  std::string Bytes = Items.encode();
+  for (std::size_t Size = 0; Size < Bytes.size(); ++Size)
+    CHECK(!PeerItems::decode(Bytes.substr(0, Size)));
+}
+
+// Guards against calls that the two sides spell differently.
+TEST(PeerItems, CallsAreReadAsTheyWereWritten) {
+  auto Read = PeerItemsCall::parse(PeerItemsCall{77, 900ms}.call().m_Target);
+  LONGS_EQUAL(77, Read->m_Revision);
+  CHECK(Read->m_Wait == 900ms);
+  for (const char *Target : {"/", "/peer/items-after/", "/peer/items-after/7",
+                             "/peer/items-after/7/x", "/peer/items-after//5",
+                             "/peer/items-after/7/5/1"})
+    CHECK(!PeerItemsCall::parse(Target));
+}
+
+PARSLEYRING_TEST_MAIN
--- a/tests/support/PlatformStandIn.cpp
+++ b/tests/support/PlatformStandIn.cpp
@@ -275,6 +275,7 @@
       {"platform", {{"address", StoreAddress}}},
       {"bounds",
        {{"grace_s", 8},
+        {"config_apply_ms", 2000},
         {"retry_ratio", 0.2},
         {"retry_slack", 200},
         {"retry_window_s", 10}}}};
