--- a/src/placement/LayoutPlanner.cpp
+++ b/src/placement/LayoutPlanner.cpp
@@ -6,9 +6,14 @@
 
 namespace parsleyring {
 
-// Share of the memory of a failure domain that is left for requests; without
-// it more copies would fit, but no request.
-static constexpr double RequestMemoryShare = 0.15;
+// Share of the memory of a failure domain that is left for requests. Memory
+// binds before arithmetic: with more copies the engines would reject requests
+// while they have little to do.
+static constexpr double RequestMemoryShare = 0.45;
+// A second copy, which takes over when an engine of the first one fails, is
+// worth more of the memory.
+static constexpr std::uint32_t LeastCopies = 2;
+static constexpr double LeastRequestMemoryShare = 0.15;
 // Memory of a chain against that of its layers. The fastest chain gets it if
 // the others are left with their layers and a little memory for requests.
 static constexpr double ChainMemoryFactor = 1.3;
@@ -53,8 +58,11 @@
 
 std::uint32_t GroupPlan::copies() const {
   double Copy = m_Model.m_LayerMegabytes * m_Model.m_Layers;
-  double Copies = memory() * (1 - RequestMemoryShare) / Copy;
-  return std::max(1u, static_cast<std::uint32_t>(Copies));
+  auto Fitting = [&](double RequestShare) {
+    return static_cast<std::uint32_t>(memory() * (1 - RequestShare) / Copy);
+  };
+  std::uint32_t Least = std::min(LeastCopies, Fitting(LeastRequestMemoryShare));
+  return std::max({1u, Least, Fitting(RequestMemoryShare)});
 }
 
 std::uint32_t GroupPlan::maxLayers(const PlacementCard &Card) const {
@@ -96,6 +104,7 @@
                      return Left->m_MemoryMegabytes > Right->m_MemoryMegabytes;
                    });
   const double Copy = m_Model.m_LayerMegabytes * m_Model.m_Layers;
+  const double Enough = std::max(Copy * ChainMemoryFactor, memory() / copies());
   double MemoryLeft = memory();
   std::size_t Next = 0;
   for (std::uint32_t ChainsLeft = copies(); ChainsLeft > 0; --ChainsLeft) {
@@ -104,7 +113,7 @@
     while (Next < Fastest.size()) {
       const PlacementCard &Card = *Fastest[Next];
       double Others = (ChainsLeft - 1) * Copy * LeastChainMemoryFactor;
-      bool HasEnough = ChainMemory >= Copy * ChainMemoryFactor;
+      bool HasEnough = ChainMemory >= Enough;
       bool LeavesEnough = MemoryLeft - Card.m_MemoryMegabytes >= Others;
       bool IsWhole = ChainMemory >= Copy * LeastChainMemoryFactor;
       if (ChainsLeft > 1 && (HasEnough || (IsWhole && !LeavesEnough)))
@@ -225,7 +234,7 @@
     for (const PlacementCard &Card : Group)
       Memory += Card.m_MemoryMegabytes;
     // Failure domains that are too small for a copy hold one together.
-    if (Memory * (1 - RequestMemoryShare) < Copy)
+    if (Memory * (1 - LeastRequestMemoryShare) < Copy)
       Small.insert(Small.end(), Group.begin(), Group.end());
     else
       PlanGroup(std::move(Group));
