--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -76,7 +76,7 @@
       return;
     }
     if (m_Node.m_Follower.revision() > Call->m_Revision ||
-        Call->m_Wait == Duration::zero())
+        Call->m_Wait == Duration::zero() || !m_Node.m_Follower.isFresh())
       answer(*From, Call->m_Revision);
     else
       m_Waiting.push_back({From, Call->m_Revision, now() + Call->m_Wait});
@@ -85,7 +85,11 @@
     answerIf([](const Waiting &) { return true; });
   }
   void answerLate(Time Now) {
-    answerIf([Now](const Waiting &Entry) { return Now >= Entry.m_Until; });
+    // One that cannot tell any more what is new says so at once.
+    bool IsFresh = m_Node.m_Follower.isFresh();
+    answerIf([Now, IsFresh](const Waiting &Entry) {
+      return Now >= Entry.m_Until || !IsFresh;
+    });
   }
 
 private:
@@ -527,8 +531,8 @@
     if (Request->isDone())
       m_Requests.erase(Request);
   }
+  m_PeerHandler->answerLate(Now);
   if (m_Ticks % SlowTicks == 0) {
-    m_PeerHandler->answerLate(Now);
     watchSlowEngines();
     m_Digests.refresh(m_Fleet, Now);
     sendDigest();
--- a/src/store/StoreFollower.cpp
+++ b/src/store/StoreFollower.cpp
@@ -10,6 +10,8 @@
 // of the time in which a change must apply, and is trusted for that long.
 static constexpr double ReaderWaitShare = 0.35;
 static constexpr double ReaderAgeShare = 0.6;
+// After the readers have failed, the store is followed directly for a while.
+static constexpr Duration DirectTime = std::chrono::seconds(10);
 static constexpr Duration ReaderSlack = std::chrono::milliseconds(400);
 // Changes come in groups, and each answer wakes every VM, so the next poll
 // waits for more of them. Far below the time in which a change must apply.
@@ -19,7 +21,7 @@
 static constexpr Duration FirstRetryDelay = std::chrono::milliseconds(120);
 static constexpr Duration MaxRetryDelay = std::chrono::milliseconds(800);
 // While the readers are there, the other VMs leave the store to them.
-static constexpr Duration MaxFollowerRetryDelay = std::chrono::seconds(3);
+static constexpr Duration MaxFollowerRetryDelay = std::chrono::seconds(2);
 static constexpr Duration PeerInterval = std::chrono::milliseconds(400);
 static constexpr Duration PeerLimit = std::chrono::milliseconds(600);
 // Changes that are kept for peers; one that is further behind gets all items.
@@ -78,7 +80,7 @@
 void StoreFollower::followOn() {
   if (m_MustReload)
     load("");
-  else if (!m_Observer.readerAddresses().empty())
+  else if (m_Now() >= m_DirectUntil && !m_Observer.readerAddresses().empty())
     followReader();
   else
     watch();
@@ -164,7 +166,13 @@
 void StoreFollower::followReader() {
   std::vector<std::string> Readers = m_Observer.readerAddresses();
   const std::string &Reader = Readers[m_NextReader % Readers.size()];
-  PeerItemsCall Call{m_Revision, share(m_ApplyLimit, ReaderWaitShare)};
+  // What is known must not grow older than it may while the reader waits, as
+  // it may not answer at all.
+  Duration Trust = share(m_ApplyLimit, ReaderAgeShare);
+  Duration Left =
+      std::max(Duration::zero(), Trust - (m_Now() - m_StoreHeardAt));
+  PeerItemsCall Call{m_Revision,
+                     std::min(share(m_ApplyLimit, ReaderWaitShare), Left)};
   m_Client.call(Reader, Call.call(), Call.m_Wait + ReaderSlack,
                 [this](const StoreReply &Reply) { handleReader(Reply); });
 }
@@ -173,7 +181,7 @@
   std::optional<PeerItems> Items;
   if (Reply.isOk())
     Items = PeerItems::decode(Reply.m_Body);
-  bool IsFresh = Items && Items->m_Age < share(m_ApplyLimit, ReaderAgeShare);
+  bool IsFresh = Items && Items->m_Age <= share(m_ApplyLimit, ReaderAgeShare);
   Duration Age = Items ? Items->m_Age : Duration::zero();
   bool HasChanges = Items && takeItems(std::move(*Items));
   if (IsFresh) {
@@ -188,10 +196,13 @@
   ++m_NextReader;
   ++m_ReaderFailures;
   // The other reader is asked next. If none is fresh, the store is.
-  if (m_ReaderFailures % (m_Observer.readerAddresses().size() + 1) != 0)
+  if (m_ReaderFailures < m_Observer.readerAddresses().size()) {
     followOn();
-  else
-    load("");
+    return;
+  }
+  m_ReaderFailures = 0;
+  m_DirectUntil = m_Now() + DirectTime;
+  load("");
 }
 
 void StoreFollower::askPeer() {
@@ -271,6 +282,10 @@
   return !Changes.empty();
 }
 
+bool StoreFollower::isFresh() const {
+  return m_Now() - m_StoreHeardAt <= share(m_ApplyLimit, ReaderAgeShare);
+}
+
 PeerItems StoreFollower::newerThan(std::uint64_t Revision) const {
   PeerItems Result;
   Result.m_Revision = m_Revision;
--- a/src/store/StoreFollower.h
+++ b/src/store/StoreFollower.h
@@ -46,6 +46,8 @@
 
   void start() { load(""); }
   bool isAvailable() const { return m_IsAvailable; }
+  /// True if the store was heard from so lately that others may rely on it.
+  bool isFresh() const;
   std::uint64_t revision() const { return m_Revision; }
   /// The answer to a peer that knows the items up to Revision.
   PeerItems newerThan(std::uint64_t Revision) const;
@@ -94,6 +96,7 @@
   bool m_IsAvailable = false;
   bool m_IsAskingPeers = false;
   Time m_LostAt{};
+  Time m_DirectUntil{}; ///< The readers are not relied on before.
   std::size_t m_NextPeer = 0;
   std::size_t m_NextReader = 0;
   std::size_t m_ReaderFailures = 0; ///< In a row.
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -1,4 +1,5 @@
 #include "support/Eventually.h"
+#include "support/FaultProxy.h"
 #include "support/HttpCalls.h"
 #include "support/PlatformStandIn.h"
 #include "support/ScriptedServer.h"
@@ -313,4 +314,46 @@
   LONGS_EQUAL(0, *Code);
 }
 
+// Guards against VMs that follow the store through others, and keep an old
+// configuration because these have been cut off from the store without notice,
+// or stand still. A change must be in force within 2 s.
+TEST(Gateway, VMsLeaveReadersThatAreCutOff) {
+  StandInEndpoint Endpoint(answerWell);
+  list("e1", "plain", Endpoint.address());
+  FaultProxy Link(m_Store.address());
+  std::vector<std::unique_ptr<GatewayProcess>> VMs;
+  for (int Index = 0; Index < 6; ++Index) {
+    // The first two VMs by name are the readers.
+    VMs.push_back(std::make_unique<GatewayProcess>(
+        "vm-" + std::to_string(Index),
+        Index < 2 ? Link.address() : m_Store.address()));
+    CHECK(VMs.back()->waitUntilReady());
+  }
+  std::this_thread::sleep_for(2s);
+  auto Answer = [&](int Index) {
+    return sendHttp(VMs[Index]->callers(), order("/repeat/a")).m_Status;
+  };
+  auto AllAnswer = [&](int Status) {
+    return eventually(
+        [&] {
+          for (int Index = 2; Index < 6; ++Index)
+            if (Answer(Index) != Status)
+              return false;
+          return true;
+        },
+        2s);
+  };
+  LONGS_EQUAL(200, Answer(5));
+  Link.setFaults("{\"lose_to_server\": true, \"lose_to_client\": true}");
+  m_Store.put("op/config", standInConfiguration(2, false));
+  CHECK(AllAnswer(404));
+  Link.heal();
+  VMs[0]->process().pause();
+  VMs[1]->process().pause();
+  m_Store.put("op/config", standInConfiguration(3, true));
+  CHECK(AllAnswer(200));
+  VMs[0]->process().resume();
+  VMs[1]->process().resume();
+}
+
 PARSLEYRING_TEST_MAIN
