--- a/src/fleet/FleetTable.cpp
+++ b/src/fleet/FleetTable.cpp
@@ -29,6 +29,17 @@
                                        Milliseconds * NewestWeight;
 }
 
+// An endpoint that is full has room again soon. One that is cut off or lacks
+// its part goes on rejecting, and each try would take from the retries.
+void FleetEndpoint::noteRejection(Time Now) {
+  int Doublings = std::min(m_RejectionsInARow, MaxRejectionDoublings);
+  // Rejections of requests that were on their way together count once.
+  if (m_SuspectUntil <= Now)
+    ++m_RejectionsInARow;
+  m_SuspectUntil =
+      std::max(m_SuspectUntil, Now + RejectingTime * (1 << Doublings));
+}
+
 void FleetTable::list(const EndpointEntry &Entry, Time Now) {
   Handle &Slot = m_Endpoints[Entry.m_Id];
   ++m_Generation;
--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -44,11 +44,16 @@
   double m_LatencyMs = 0;    ///< Moving mean; 0 if unknown.
   double m_FailureShare = 0; ///< Moving mean, decays with time.
   Time m_FailureNotedAt{};
+  int m_RejectionsInARow = 0;
 
   bool canServe(Time Now) const {
     return !m_IsGone && m_Entry.m_State == EndpointState::Ready &&
            m_SuspectUntil <= Now;
   }
+  /// The endpoint has rejected a request that it has not run. It gets no new
+  /// one for a time that doubles with each rejection in a row.
+  void noteRejection(Time Now);
+  void noteAcceptance() { m_RejectionsInARow = 0; }
   void noteResult(bool IsSuccess, Duration Latency, Time Now);
   double failureShare(Time Now) const;
   /// The endpoint's own word on its pace, as told to this VM or to another one.
@@ -62,6 +67,10 @@
     return Now - m_PaceNotedAt < PaceLifetime ? m_Pace : 1;
   }
 
+  /// After the first rejection; about the time in which one request of many
+  /// ends.
+  static constexpr Duration RejectingTime = std::chrono::milliseconds(150);
+  static constexpr int MaxRejectionDoublings = 4;
   static constexpr Duration PaceLifetime = std::chrono::seconds(4);
   /// No VM of a failure domain asks for the pace again before.
   static constexpr Duration PaceInterval = std::chrono::milliseconds(1500);
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -10,7 +10,6 @@
 // An endpoint that refused a connection or did not answer gets no new request
 // for so long; its entry lapses after about as long a silence.
 static constexpr Duration DeadTime = std::chrono::seconds(4);
-static constexpr Duration RejectingTime = std::chrono::milliseconds(150);
 // A stream that is silent for longer than these is checked.
 static constexpr Duration MinFirstEventSilence = std::chrono::milliseconds(450);
 static constexpr Duration MinSilence = std::chrono::milliseconds(260);
@@ -23,7 +22,7 @@
 // A stream that stays silent without a known cause goes on elsewhere.
 static constexpr Duration MaxSilence = std::chrono::milliseconds(3500);
 static constexpr int MaxRepaths = 3;
-static constexpr int MaxSends = 4;
+static constexpr int MaxSends = 3;
 static constexpr double RetryAfterSeconds = 0.5;
 // While a caller does not read, no more than this is kept for it.
 static constexpr std::size_t MaxUnsentBytes = 256 << 10;
@@ -201,6 +200,9 @@
   }
   ++m_Events;
   m_LastProgress = Now;
+  if (m_Events == 1)
+    for (const PathPart &Part : m_Load.path())
+      Part.m_Endpoint->noteAcceptance();
   if (!hasBegun())
     beginAnswer();
   m_Job.m_Caller->appendAnswer(Event.m_Bytes);
@@ -259,8 +261,7 @@
     FleetTable::Handle Faulty = m_Context.fleet().findByAddress(Address);
     if (!Faulty)
       Faulty = m_Load.path().front().m_Endpoint;
-    Faulty->m_SuspectUntil =
-        std::max(Faulty->m_SuspectUntil, Now + RejectingTime);
+    Faulty->noteRejection(Now);
     m_Context.log().write(Now, "path-rejected", m_Job.m_Id,
                           {{"status", std::int64_t(Head.m_Status)},
                            {"at", Faulty->m_Entry.m_Id},
@@ -336,7 +337,7 @@
 
 bool StreamForward::hasSuspectPart(Time Now) const {
   for (const PathPart &Part : m_Load.path())
-    if (Part.m_Endpoint->m_SuspectUntil > Now + RejectingTime)
+    if (Part.m_Endpoint->m_SuspectUntil > Now + FleetEndpoint::RejectingTime)
       return true;
   return false;
 }
--- a/src/retries/RetryShare.cpp
+++ b/src/retries/RetryShare.cpp
@@ -9,7 +9,7 @@
 static constexpr std::size_t MinVMs = 6;
 static constexpr std::size_t UnlistedVMs = 2;
 // What is kept back for retries that a VM made before it was restarted.
-static constexpr double UsedShare = 0.85;
+static constexpr double UsedShare = 0.75;
 
 void RetryShare::setVMs(std::size_t VMs) {
   // A VM that has lost its entry for a while goes on retrying.
--- a/tests/fleet/FleetTableTest.cpp
+++ b/tests/fleet/FleetTableTest.cpp
@@ -68,6 +68,24 @@
   CHECK(Old->m_IsGone);
 }
 
+// Pattern: a failure domain that is cut off, whose endpoints go on being
+// listed. Guards against requests that are sent to each of them again and
+// again, and use the retries up.
+TEST(FleetTable, RejectionsInARowTakeAnEndpointOutForLonger) {
+  FleetEndpoint Endpoint;
+  int Sends = 0;
+  for (Time Now = m_Now; Now < m_Now + 10s; Now += 10ms)
+    if (Endpoint.canServe(Now)) {
+      ++Sends;
+      Endpoint.noteRejection(Now);
+    }
+  CHECK(Sends <= 8);
+  Endpoint.noteAcceptance();
+  Time Later = m_Now + 20s;
+  Endpoint.noteRejection(Later);
+  CHECK(Endpoint.canServe(Later + FleetEndpoint::RejectingTime));
+}
+
 // Guards against an endpoint that failed for a while and is never used again.
 TEST(FleetTable, FailuresAreForgotten) {
   FleetEndpoint Endpoint;
