--- a/src/fleet/FleetTable.cpp
+++ b/src/fleet/FleetTable.cpp
@@ -7,6 +7,10 @@
 
 // Weight of the newest result in the moving means.
 static constexpr double NewestWeight = 0.2;
+// A failure domain in which so many endpoints were silent within this time is
+// taken to be cut off; single engines fail one at a time.
+static constexpr int SilentEndpoints = 3;
+static constexpr Duration SilenceTime = std::chrono::seconds(1);
 // Half-life of the share of failures, so that an endpoint that recovered is
 // tried again without probes.
 static constexpr double FailureHalfLifeSeconds = 3;
@@ -31,13 +35,13 @@
 
 // An endpoint that is full has room again soon. One that is cut off or lacks
 // its part goes on rejecting, and each try would take from the retries.
-void FleetEndpoint::noteRejection(Time Now) {
+void FleetEndpoint::noteRejection(bool IsInOwnDomain, Time Now) {
   int Doublings = std::min(m_RejectionsInARow, MaxRejectionDoublings);
   // Rejections of requests that were on their way together count once.
   if (m_SuspectUntil <= Now)
     ++m_RejectionsInARow;
-  m_SuspectUntil =
-      std::max(m_SuspectUntil, Now + RejectingTime * (1 << Doublings));
+  Duration Pause = IsInOwnDomain ? FullTime : RejectingTime * (1 << Doublings);
+  m_SuspectUntil = std::max(m_SuspectUntil, Now + Pause);
 }
 
 void FleetTable::list(const EndpointEntry &Entry, Time Now) {
@@ -110,6 +114,16 @@
   return nullptr;
 }
 
+bool FleetTable::isDomainSilent(const std::string &Domain, Time Now) const {
+  int Silent = 0;
+  for (const auto &[Id, Endpoint] : m_Endpoints)
+    if (Endpoint->m_Entry.m_FailureDomain == Domain &&
+        Endpoint->m_SilentAt != Time{} &&
+        Now - Endpoint->m_SilentAt < SilenceTime)
+      ++Silent;
+  return Silent >= SilentEndpoints;
+}
+
 std::vector<FleetTable::Handle>
 FleetTable::ofService(std::string_view Service) const {
   std::vector<Handle> Result;
--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -32,6 +32,7 @@
   bool m_IsGone = false; ///< No longer listed; requests may still run.
   Time m_MissingSince{}; ///< Not listed since an outage; zero if listed.
   Time m_SuspectUntil{}; ///< Takes no new request before.
+  Time m_SilentAt{};     ///< When this VM last got no answer from it.
   bool m_IsOwnSuspicion = false; ///< Found out by this VM, not told by others.
   double m_Pace = 1;             ///< Over 1: slower than its kind.
   Time m_PaceNotedAt{};
@@ -51,8 +52,9 @@
            m_SuspectUntil <= Now;
   }
   /// The endpoint has rejected a request that it has not run. It gets no new
-  /// one for a time that doubles with each rejection in a row.
-  void noteRejection(Time Now);
+  /// one for a time that, in another failure domain, doubles with each
+  /// rejection in a row.
+  void noteRejection(bool IsInOwnDomain, Time Now);
   void noteAcceptance() { m_RejectionsInARow = 0; }
   void noteResult(bool IsSuccess, Duration Latency, Time Now);
   double failureShare(Time Now) const;
@@ -71,6 +73,9 @@
   /// ends.
   static constexpr Duration RejectingTime = std::chrono::milliseconds(150);
   static constexpr int MaxRejectionDoublings = 4;
+  /// In the own failure domain only a full endpoint rejects, and no other one
+  /// may hold the same layers.
+  static constexpr Duration FullTime = std::chrono::milliseconds(60);
   static constexpr Duration PaceLifetime = std::chrono::seconds(4);
   /// No VM of a failure domain asks for the pace again before.
   static constexpr Duration PaceInterval = std::chrono::milliseconds(1500);
@@ -107,6 +112,9 @@
   std::vector<Handle> ofService(std::string_view Service) const;
   /// Changes with every change of the list.
   std::uint64_t generation() const { return m_Generation; }
+  /// True if so many endpoints of a failure domain did not answer this VM
+  /// lately that the whole of it seems to be cut off.
+  bool isDomainSilent(const std::string &Domain, Time Now) const;
 
   /// Lapsed entries are back within about two seconds of the end of an outage.
   static constexpr Duration ReturnTime = std::chrono::milliseconds(1900);
--- a/src/fleet/RouteTable.h
+++ b/src/fleet/RouteTable.h
@@ -31,7 +31,6 @@
   ExecutionKind m_Kind = ExecutionKind::NonIdempotent;
   Duration m_Timeout{};
   Duration m_LatencyGoal{};
-  Duration m_PauseGoal{}; ///< Longest pause between the events of a stream.
   int m_MaxAttempts = 1;
   int m_Priority = 0; ///< 0 is the most urgent.
   bool m_IsAnonymous = false;
@@ -50,8 +49,6 @@
 /// A service and, if it runs a layered model, what that model costs.
 struct ServiceRule {
   std::string m_Name;
-  std::string m_HealthPath;
-  std::uint32_t m_MaxConnections = 0;
   std::optional<EngineModel> m_Engine;
 
   bool isLayered() const { return m_Engine && m_Engine->m_Layers > 0; }
--- a/src/gateway/EndpointProtocol.h
+++ b/src/gateway/EndpointProtocol.h
@@ -25,7 +25,7 @@
   std::string m_RetryAfter;
   std::string m_Path;
   std::string m_FaultyEndpoint; ///< Address of the part that failed.
-  std::string m_EndpointId;
+  std::string m_Priority;       ///< 0 to 9, 0 is the most urgent.
 };
 
 /// What an engine reports of itself.
@@ -35,11 +35,7 @@
     std::string m_Address; ///< Of the part that the request waits for.
   };
   std::vector<Stalled> m_Stalled;
-  std::optional<std::uint64_t> m_OrderSequence;
-  LayerRange m_Layers;
-  bool m_IsBusy = false; ///< An order is in progress.
-  double m_Pace = 1;     ///< Over 1 if the engine is slow.
-  std::int64_t m_Born = 0;
+  double m_Pace = 1; ///< Over 1 if the engine is slow.
 };
 
 /// A call to an endpoint that is not a caller's request.
@@ -58,9 +54,8 @@
   virtual EndpointCall reportCall() const = 0;
   virtual std::optional<EngineReport>
   parseReport(const std::string &Body) const = 0;
-  /// Sequence is the number of orders that the engine has accepted, if known.
-  virtual EndpointCall
-  placeCall(LayerRange Layers, std::optional<std::uint64_t> Sequence) const = 0;
+  /// The engine is to hold Layers and nothing else.
+  virtual EndpointCall placeCall(LayerRange Layers) const = 0;
   virtual EndpointCall repathCall(const std::string &RequestId,
                                   const LayerPath &Path) const = 0;
 };
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -57,6 +57,7 @@
   std::shared_ptr<const RouteRule> m_Route;
   const ServiceRule *m_Service = nullptr; ///< Owned by the table.
   std::string m_Account;
+  int m_Priority = 0; ///< 0 is the most urgent.
   std::string m_Id;
   /// When the caller stops waiting or the timeout of the route ends.
   Time m_Deadline{};
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -22,6 +22,8 @@
 static constexpr std::size_t SpeakersPerDomain = 2;
 // Up to so many VMs of a failure domain follow the store themselves.
 static constexpr std::ptrdiff_t MaxDirectVMs = 4;
+// After this, single endpoints of the failure domain are tried again.
+static constexpr Duration DomainSuspectTime = std::chrono::milliseconds(1500);
 static constexpr Duration OrderLimit = std::chrono::milliseconds(600);
 // No new connections come once the load balancer has seen two refusals.
 static constexpr Duration MinStopTime = std::chrono::milliseconds(3200);
@@ -210,6 +212,7 @@
   Job.m_Route = m_Table->find(Request.field("Host"), Path);
   if (!Job.m_Route)
     return Refusal{404, "no-route"};
+  Job.m_Priority = Job.m_Route->m_Priority;
   const HeaderNames &Names = m_Protocol.headers();
   Job.m_Id = Request.field(Names.m_RequestId);
   if (m_Table->m_HasAccounts && !Job.m_Route->m_IsAnonymous) {
@@ -222,6 +225,7 @@
     if (Account == m_Table->m_AccountsByKey.end())
       return Refusal{401, "unknown-key"};
     Job.m_Account = Account->second.m_Name;
+    Job.m_Priority = Account->second.m_Priority.value_or(Job.m_Priority);
   }
   Job.m_Service = m_Table->service(Job.m_Route->service(random()));
   if (!Job.m_Service)
@@ -374,6 +378,29 @@
   if (IsNew)
     sendDigest();
   notifySuspicion(Endpoint);
+  Endpoint->m_SilentAt = Now;
+  const std::string &Domain = Endpoint->m_Entry.m_FailureDomain;
+  if (IsNew && Domain != m_Settings.m_FailureDomain &&
+      m_Fleet.isDomainSilent(Domain, Now))
+    suspectDomain(Domain);
+}
+
+// Else each endpoint of a failure domain that is cut off would have to be found
+// silent by requests of its own.
+void GatewayNode::suspectDomain(const std::string &Domain) {
+  Time Now = now();
+  m_Log.write(Now, "failure-domain-suspect", "", {{"failure_domain", Domain}});
+  std::vector<FleetTable::Handle> Marked;
+  for (const auto &[Id, Endpoint] : m_Fleet.endpoints()) {
+    if (Endpoint->m_Entry.m_FailureDomain != Domain)
+      continue;
+    Endpoint->m_SuspectUntil =
+        std::max(Endpoint->m_SuspectUntil, Now + DomainSuspectTime);
+    if (Endpoint->m_Running > 0)
+      Marked.push_back(Endpoint);
+  }
+  for (const FleetTable::Handle &Endpoint : Marked)
+    notifySuspicion(Endpoint);
 }
 
 void GatewayNode::notifySuspicion(const FleetTable::Handle &Endpoint) {
@@ -584,7 +611,7 @@
                {"end_layer", std::int64_t(Order.m_Layers.m_End)},
                {"token", std::int64_t(m_Lease.fencingToken())}});
   m_EndpointCaller.call(
-      Endpoint, m_Protocol.placeCall(Order.m_Layers, std::nullopt), OrderLimit,
+      Endpoint, m_Protocol.placeCall(Order.m_Layers), OrderLimit,
       [this, Service, Order](const CallReply &Reply) {
         m_Log.write(now(), "order-answer", "",
                     {{"endpoint", Order.m_Endpoint},
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -101,6 +101,7 @@
   void watchSlowEngines();
   void tickPlacement();
   void sendOrder(const std::string &Service, const PlacementOrder &Order);
+  void suspectDomain(const std::string &Domain);
   void notifySuspicion(const FleetTable::Handle &Endpoint);
   void receiveDigest();
   void takeDigest(const std::string &Bytes);
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -104,6 +104,8 @@
   const HeaderNames &Names = m_Context.protocol().headers();
   const FleetTable::Handle First = Path.front().m_Endpoint;
   AnswerFields Extra{{Names.m_Path, m_Context.protocol().pathText(Path)}};
+  Extra.emplace_back(Names.m_Priority,
+                     std::to_string(std::clamp(m_Job.m_Priority, 0, 9)));
   if (m_Events > 0)
     Extra.emplace_back(Names.m_LastEventId, std::to_string(m_LastEventId));
   m_PlannedFill = 0;
@@ -261,7 +263,8 @@
     FleetTable::Handle Faulty = m_Context.fleet().findByAddress(Address);
     if (!Faulty)
       Faulty = m_Load.path().front().m_Endpoint;
-    Faulty->noteRejection(Now);
+    Faulty->noteRejection(
+        Faulty->m_Entry.m_FailureDomain == m_Context.failureDomain(), Now);
     m_Context.log().write(Now, "path-rejected", m_Job.m_Id,
                           {{"status", std::int64_t(Head.m_Status)},
                            {"at", Faulty->m_Entry.m_Id},
--- a/tests/fleet/FleetTableTest.cpp
+++ b/tests/fleet/FleetTableTest.cpp
@@ -77,15 +77,43 @@
   for (Time Now = m_Now; Now < m_Now + 10s; Now += 10ms)
     if (Endpoint.canServe(Now)) {
       ++Sends;
-      Endpoint.noteRejection(Now);
+      Endpoint.noteRejection(false, Now);
     }
   CHECK(Sends <= 8);
   Endpoint.noteAcceptance();
   Time Later = m_Now + 20s;
-  Endpoint.noteRejection(Later);
+  Endpoint.noteRejection(false, Later);
   CHECK(Endpoint.canServe(Later + FleetEndpoint::RejectingTime));
 }
 
+// Pattern: the only engine of the failure domain with some layers is full.
+// Guards against a failure domain that refuses everything for seconds.
+TEST(FleetTable, FullEndpointOfTheOwnDomainIsTriedAgainSoon) {
+  FleetEndpoint Endpoint;
+  for (int Rejection = 0; Rejection < 10; ++Rejection) {
+    m_Now += 100ms;
+    CHECK(Endpoint.canServe(m_Now));
+    Endpoint.noteRejection(true, m_Now);
+  }
+}
+
+// Pattern: a failure domain is cut off. Guards against requests that find out
+// for each of its endpoints, and against a domain given up for one dead engine.
+TEST(FleetTable, FailureDomainWithSilentEndpointsIsSilent) {
+  for (const char *Id : {"a", "b", "c", "d"}) {
+    EndpointEntry Entry = entry(Id);
+    Entry.m_FailureDomain = "far";
+    m_Fleet.list(Entry, m_Now);
+  }
+  m_Fleet.find("a")->m_SilentAt = m_Now;
+  m_Fleet.find("b")->m_SilentAt = m_Now;
+  CHECK(!m_Fleet.isDomainSilent("far", m_Now));
+  m_Fleet.find("c")->m_SilentAt = m_Now + 500ms;
+  CHECK(m_Fleet.isDomainSilent("far", m_Now + 500ms));
+  CHECK(!m_Fleet.isDomainSilent("near", m_Now + 500ms));
+  CHECK(!m_Fleet.isDomainSilent("far", m_Now + 2s));
+}
+
 // Guards against an endpoint that failed for a while and is never used again.
 TEST(FleetTable, FailuresAreForgotten) {
   FleetEndpoint Endpoint;
--- a/tests/platform/PlatformDocumentsTest.cpp
+++ b/tests/platform/PlatformDocumentsTest.cpp
@@ -82,7 +82,7 @@
   STRCMP_EQUAL("1.2.3.4:5=0-20,1.2.3.4:5=20-80",
                m_Endpoints.pathText(Path).c_str());
   STRCMP_CONTAINS("\"target\":31",
-                  m_Endpoints.placeCall({20, 31}, std::nullopt).m_Body.c_str());
+                  m_Endpoints.placeCall({20, 31}).m_Body.c_str());
   auto Report = m_Endpoints.parseReport(
       R"({"layers":{"from":1,"target":2,"version":1},"pace":3.5,)"
       R"("stalled":[{"id":"r","address":"a"}]})");
