--- /dev/null
+++ b/src/gateway/DigestExchange.cpp
@@ -0,0 +1,92 @@
+#include "gateway/DigestExchange.h"
+
+#include "core/SocketAddress.h"
+
+#include <boost/asio/buffer.hpp>
+
+#include <stdexcept>
+
+namespace parsleyring {
+
+namespace asio = boost::asio;
+using udp = asio::ip::udp;
+
+DigestExchange::DigestExchange(asio::io_context &Loop,
+                               const std::string &Address, const ListedVM &Self,
+                               const VMDirectory &VMs, FleetTable &Fleet,
+                               std::function<Time()> Now,
+                               SuspicionHandler OnSuspicion)
+    : m_Self(Self), m_VMs(VMs), m_Fleet(Fleet), m_Now(std::move(Now)),
+      m_OnSuspicion(std::move(OnSuspicion)), m_Socket(Loop) {
+  if (Address.empty())
+    return;
+  std::optional<SocketAddress> Parsed = parseSocketAddress(Address);
+  if (!Parsed)
+    throw std::runtime_error("cannot exchange digests on \"" + Address +
+                             "\": not an IP address with a port");
+  m_Port = Parsed->m_Port;
+  udp::endpoint Local(asio::ip::make_address(Parsed->m_Host), m_Port);
+  m_Socket.open(Local.protocol());
+  m_Socket.bind(Local);
+  receive();
+}
+
+void DigestExchange::receive() {
+  m_Socket.async_receive_from(
+      asio::buffer(m_Buffer), m_Sender,
+      [this](boost::system::error_code Error, std::size_t Size) {
+        if (Error == asio::error::operation_aborted)
+          return;
+        if (!Error)
+          take({m_Buffer.data(), Size});
+        receive();
+      });
+}
+
+void DigestExchange::take(const std::string &Bytes) {
+  auto Digest = LoadDigest::decode(Bytes);
+  if (!Digest || Digest->m_Sender == m_Self.m_Name ||
+      Digest->m_Sender == m_Self.m_FailureDomain)
+    return;
+  for (const auto &Endpoint : m_Table.take(*Digest, m_Fleet, m_Now()))
+    m_OnSuspicion(Endpoint, Digest->m_Sender);
+  if (Digest->m_IsDomain)
+    passOn(Bytes);
+}
+
+// The sums of another failure domain reach only some VMs of this one. What a
+// neighbour has passed on goes no further.
+void DigestExchange::passOn(const std::string &Bytes) {
+  if (m_VMs.isNeighbour(m_Sender.address().to_string()))
+    return;
+  for (const ListedVM &VM : m_VMs.neighbours())
+    send(VM, Bytes);
+}
+
+// A digest that is lost is followed by the next one.
+void DigestExchange::send(const ListedVM &VM, const std::string &Bytes) {
+  std::optional<SocketAddress> Peer = parseSocketAddress(VM.m_PeerAddress);
+  if (!Peer || !m_Socket.is_open())
+    return;
+  boost::system::error_code Ignored;
+  m_Socket.send_to(asio::buffer(Bytes),
+                   {asio::ip::make_address(Peer->m_Host), m_Port}, 0, Ignored);
+}
+
+void DigestExchange::sendToNeighbours() {
+  std::string Bytes = m_Table.ofVM(m_Self.m_Name, m_Fleet, m_Now()).encode();
+  for (const ListedVM &VM : m_VMs.neighbours())
+    send(VM, Bytes);
+}
+
+void DigestExchange::sendToOtherDomains() {
+  if (!m_VMs.isSpeaker())
+    return;
+  std::string Bytes =
+      m_Table.ofDomain(m_Self.m_FailureDomain, m_Fleet, m_Now()).encode();
+  for (const std::string &Domain : m_VMs.otherDomains())
+    for (const ListedVM &VM : m_VMs.speakers(Domain))
+      send(VM, Bytes);
+}
+
+} // namespace parsleyring
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -1,6 +1,5 @@
 #include "gateway/GatewayNode.h"
 
-#include "core/SocketAddress.h"
 #include "gateway/PlainForward.h"
 #include "gateway/StreamForward.h"
 
@@ -18,10 +17,6 @@
 // Every so many ticks, tables that change slowly are looked through.
 static constexpr std::uint64_t SlowTicks = 6;
 static constexpr std::uint64_t PlacementTicks = 10;
-// Two, so that one that has died and is still listed is not missed.
-static constexpr std::size_t SpeakersPerDomain = 2;
-// Up to so many VMs of a failure domain follow the store themselves.
-static constexpr std::ptrdiff_t MaxDirectVMs = 4;
 // After this, single endpoints of the failure domain are tried again.
 static constexpr Duration DomainSuspectTime = std::chrono::milliseconds(1500);
 static constexpr Duration OrderLimit = std::chrono::milliseconds(600);
@@ -132,33 +127,33 @@
   }
 };
 
-static asio::ip::udp::endpoint udpEndpoint(const std::string &Address) {
-  std::optional<SocketAddress> Parsed = parseSocketAddress(Address);
-  if (!Parsed)
-    throw std::runtime_error("\"" + Address + "\" is not an address IP:PORT");
-  return {asio::ip::make_address(Parsed->m_Host), Parsed->m_Port};
-}
-
 GatewayNode::GatewayNode(GatewaySettings Settings, const StoreProtocol &Store,
                          const EndpointProtocol &Endpoints,
                          const PlatformRecords &Records)
     : m_Settings(std::move(Settings)), m_Protocol(Endpoints),
       m_Records(Records), m_Log(STDOUT_FILENO, m_Settings.m_VM),
-      m_Random(std::random_device{}()), m_Channels(m_Loop),
+      m_Random(std::random_device{}()), m_Self{m_Settings.m_VM,
+                                               m_Settings.m_PeerAddress,
+                                               m_Settings.m_FailureDomain},
+      m_VMs(m_Self, m_Settings.m_SeedAddresses), m_Channels(m_Loop),
       m_Caller(m_Loop, m_Channels, [this] { return now(); }),
       m_EndpointCaller(m_Caller, Endpoints), m_Store(m_Caller, m_Metrics),
       m_Follower(
           m_Loop, m_Store, Store, *this, [this] { return now(); },
           m_Settings.m_StoreAddress, m_Settings.m_ApplyLimit),
-      m_Lease(m_Loop, m_Store, Store, [this] { return now(); },
-              m_Settings.m_StoreAddress,
-              {m_Settings.m_VM, m_Settings.m_PeerAddress,
-               m_Settings.m_FailureDomain}),
+      m_Lease(
+          m_Loop, m_Store, Store, [this] { return now(); },
+          m_Settings.m_StoreAddress, m_Self),
       m_ReadyHandler(std::make_unique<ReadyHandler>(*this)),
       m_PeerHandler(std::make_unique<PeerHandler>(*this)),
       m_MetricsHandler(std::make_unique<MetricsHandler>(*this)),
-      m_DigestSocket(m_Loop), m_TickTimer(m_Loop),
-      m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
+      m_Digests(
+          m_Loop, m_Settings.m_DigestAddress, m_Self, m_VMs, m_Fleet,
+          [this] { return now(); },
+          [this](const FleetTable::Handle &Endpoint, const std::string &By) {
+            takeSuspicion(Endpoint, By);
+          }),
+      m_TickTimer(m_Loop), m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
   auto Listen = [this](const std::string &Address, RequestHandler &Handler) {
     m_Listeners.push_back(
         std::make_unique<CallerListener>(m_Loop, Address, Handler));
@@ -167,12 +162,6 @@
   m_CallerListener = Listen(m_Settings.m_CallerAddress, *this);
   Listen(m_Settings.m_ReadyAddress, *m_ReadyHandler);
   Listen(m_Settings.m_PeerAddress, *m_PeerHandler);
-  if (!m_Settings.m_DigestAddress.empty()) {
-    asio::ip::udp::endpoint Local = udpEndpoint(m_Settings.m_DigestAddress);
-    m_DigestSocket.open(Local.protocol());
-    m_DigestSocket.bind(Local);
-    receiveDigest();
-  }
   if (!m_Settings.m_MetricsAddress.empty())
     Listen(m_Settings.m_MetricsAddress, *m_MetricsHandler);
 }
@@ -303,13 +292,9 @@
 }
 
 double GatewayNode::loadFactor() const {
-  double VMs = 0;
-  for (const auto &[Name, VM] : m_VMs)
-    if (VM.m_FailureDomain == m_Settings.m_FailureDomain)
-      ++VMs;
   // The digests tell the loads of the VMs that were heard from.
   double Known = static_cast<double>(m_Digests.freshVMs()) + 1;
-  return std::max(1.0, VMs / Known);
+  return std::max(1.0, static_cast<double>(m_VMs.sizeOfOwnDomain()) / Known);
 }
 
 double GatewayNode::random() {
@@ -376,7 +361,7 @@
                  {"running", std::int64_t(Endpoint->m_Running)}});
   // The other VMs hear of a new suspicion at once.
   if (IsNew)
-    sendDigest();
+    m_Digests.sendToNeighbours();
   notifySuspicion(Endpoint);
   Endpoint->m_SilentAt = Now;
   const std::string &Domain = Endpoint->m_Entry.m_FailureDomain;
@@ -403,6 +388,15 @@
     notifySuspicion(Endpoint);
 }
 
+// Another VM has found an endpoint that does not answer.
+void GatewayNode::takeSuspicion(const FleetTable::Handle &Endpoint,
+                                const std::string &By) {
+  m_Log.write(
+      now(), "endpoint-suspect", "",
+      {{"endpoint", Endpoint->m_Entry.m_Id}, {"reason", "told"}, {"by", By}});
+  notifySuspicion(Endpoint);
+}
+
 void GatewayNode::notifySuspicion(const FleetTable::Handle &Endpoint) {
   // Handling may end requests, which then leave the table at the next tick.
   std::vector<std::shared_ptr<ForwardedRequest>> Requests(m_Requests.begin(),
@@ -462,7 +456,7 @@
 void GatewayNode::takeVM(const StoreItem &Item) {
   auto VM = VMLease::parseEntry(Item.m_Value);
   if (VM)
-    m_VMs[Item.m_Key] = *VM;
+    m_VMs.list(Item.m_Key, *VM);
 }
 
 static bool beginsWith(const std::string &Text, const std::string &Prefix) {
@@ -488,7 +482,7 @@
   } else if (Key == VMLease::DutyKey) {
     m_Lease.noteDuty("", 0);
   } else {
-    m_VMs.erase(Key);
+    m_VMs.unlist(Key);
   }
 }
 
@@ -517,24 +511,6 @@
 
 void GatewayNode::revisionChanged() { m_PeerHandler->answerNews(); }
 
-std::vector<std::string> GatewayNode::peerAddresses() const {
-  std::vector<std::string> Near;
-  std::vector<std::string> Far;
-  for (const auto &[Key, VM] : m_VMs) {
-    if (VM.m_Name == m_Settings.m_VM)
-      continue;
-    bool IsNear = VM.m_FailureDomain == m_Settings.m_FailureDomain;
-    (IsNear ? Near : Far).push_back(VM.m_PeerAddress);
-  }
-  for (const std::string &Seed : m_Settings.m_SeedAddresses)
-    if (Seed != m_Settings.m_PeerAddress &&
-        std::find(Near.begin(), Near.end(), Seed) == Near.end() &&
-        std::find(Far.begin(), Far.end(), Seed) == Far.end())
-      Far.push_back(Seed);
-  Near.insert(Near.end(), Far.begin(), Far.end());
-  return Near;
-}
-
 // Ticks
 
 void GatewayNode::scheduleTick() {
@@ -560,10 +536,10 @@
   m_PeerHandler->answerLate(Now);
   if (m_Ticks % SlowTicks == 0) {
     watchSlowEngines();
-    m_Digests.refresh(m_Fleet, Now);
-    sendDigest();
+    m_Digests.refresh();
+    m_Digests.sendToNeighbours();
     if (m_Ticks % (2 * SlowTicks) == 0)
-      sendDomainDigest();
+      m_Digests.sendToOtherDomains();
     for (const auto &Listener : m_Listeners)
       Listener->tick(Now);
     m_Channels.expire(Now);
@@ -624,126 +600,6 @@
       });
 }
 
-// Digests
-
-void GatewayNode::receiveDigest() {
-  m_DigestSocket.async_receive_from(
-      asio::buffer(m_DigestBuffer), m_DigestSender,
-      [this](boost::system::error_code Error, std::size_t Size) {
-        if (Error == asio::error::operation_aborted)
-          return;
-        if (!Error)
-          takeDigest({m_DigestBuffer.data(), Size});
-        receiveDigest();
-      });
-}
-
-void GatewayNode::takeDigest(const std::string &Bytes) {
-  auto Digest = LoadDigest::decode(Bytes);
-  if (!Digest || Digest->m_Sender == m_Settings.m_VM ||
-      Digest->m_Sender == m_Settings.m_FailureDomain)
-    return;
-  for (const auto &Endpoint : m_Digests.take(*Digest, m_Fleet, now())) {
-    m_Log.write(now(), "endpoint-suspect", "",
-                {{"endpoint", Endpoint->m_Entry.m_Id},
-                 {"reason", "told"},
-                 {"by", Digest->m_Sender}});
-    notifySuspicion(Endpoint);
-  }
-  // The sums of another failure domain reach only some VMs of this one.
-  bool IsFromOutside = Digest->m_IsDomain &&
-                       parseSocketAddress(m_Settings.m_PeerAddress)->m_Host !=
-                           m_DigestSender.address().to_string() &&
-                       !isInDomain(m_DigestSender.address().to_string());
-  if (IsFromOutside)
-    sendToDomain(Bytes);
-}
-
-bool GatewayNode::isInDomain(const std::string &Host) const {
-  for (const auto &[Key, VM] : m_VMs)
-    if (VM.m_FailureDomain == m_Settings.m_FailureDomain &&
-        VM.m_PeerAddress.compare(0, Host.size() + 1, Host + ":") == 0)
-      return true;
-  return false;
-}
-
-// A digest that is lost is followed by the next one.
-void GatewayNode::sendTo(const ListedVM &VM, const std::string &Bytes) {
-  std::optional<SocketAddress> Peer = parseSocketAddress(VM.m_PeerAddress);
-  if (!Peer || !m_DigestSocket.is_open())
-    return;
-  std::uint16_t Port = udpEndpoint(m_Settings.m_DigestAddress).port();
-  boost::system::error_code Ignored;
-  m_DigestSocket.send_to(asio::buffer(Bytes),
-                         {asio::ip::make_address(Peer->m_Host), Port}, 0,
-                         Ignored);
-}
-
-void GatewayNode::sendToDomain(const std::string &Bytes) {
-  for (const auto &[Key, VM] : m_VMs)
-    if (VM.m_Name != m_Settings.m_VM &&
-        VM.m_FailureDomain == m_Settings.m_FailureDomain)
-      sendTo(VM, Bytes);
-}
-
-void GatewayNode::sendDigest() {
-  sendToDomain(m_Digests.ofVM(m_Settings.m_VM, m_Fleet, now()).encode());
-}
-
-// Bytes between failure domains are dear, so only the first VMs of each one
-// send to the first VMs of the others, which pass the sums on.
-void GatewayNode::sendDomainDigest() {
-  if (!isSpeaker())
-    return;
-  std::string Bytes =
-      m_Digests.ofDomain(m_Settings.m_FailureDomain, m_Fleet, now()).encode();
-  std::set<std::string> Domains;
-  for (const auto &[Key, VM] : m_VMs)
-    Domains.insert(VM.m_FailureDomain);
-  Domains.erase(m_Settings.m_FailureDomain);
-  for (const std::string &Domain : Domains)
-    for (const ListedVM *VM : speakers(Domain))
-      sendTo(*VM, Bytes);
-}
-
-// The first VMs by name; all VMs that see the same list agree on them.
-std::vector<const ListedVM *>
-GatewayNode::speakers(const std::string &Domain) const {
-  std::vector<const ListedVM *> Speakers;
-  for (const auto &[Key, VM] : m_VMs)
-    if (VM.m_FailureDomain == Domain && Speakers.size() < SpeakersPerDomain)
-      Speakers.push_back(&VM);
-  return Speakers;
-}
-
-bool GatewayNode::isSpeaker() const {
-  for (const ListedVM *VM : speakers(m_Settings.m_FailureDomain))
-    if (VM->m_Name == m_Settings.m_VM)
-      return true;
-  return false;
-}
-
-bool GatewayNode::isReader() const {
-  auto InDomain =
-      std::count_if(m_VMs.begin(), m_VMs.end(), [this](const auto &Listed) {
-        return Listed.second.m_FailureDomain == m_Settings.m_FailureDomain;
-      });
-  return InDomain > MaxDirectVMs && isSpeaker();
-}
-
-std::vector<std::string> GatewayNode::readerAddresses() const {
-  auto InDomain =
-      std::count_if(m_VMs.begin(), m_VMs.end(), [this](const auto &Listed) {
-        return Listed.second.m_FailureDomain == m_Settings.m_FailureDomain;
-      });
-  std::vector<std::string> Readers;
-  if (InDomain <= MaxDirectVMs || isSpeaker())
-    return Readers;
-  for (const ListedVM *VM : speakers(m_Settings.m_FailureDomain))
-    Readers.push_back(VM->m_PeerAddress);
-  return Readers;
-}
-
 // Shutdown
 
 void GatewayNode::handleSignal(int Signal) {
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -2,19 +2,18 @@
 #define PARSLEYRING_GATEWAY_GATEWAYNODE_H
 
 #include "gateway/CallerListener.h"
+#include "gateway/DigestExchange.h"
 #include "gateway/EndpointCaller.h"
 #include "gateway/ForwardContext.h"
 #include "gateway/GatewaySettings.h"
-#include "membership/LoadDigest.h"
 #include "node/NodeClock.h"
 #include "placement/PlacementDuty.h"
 #include "store/StoreFollower.h"
+#include "store/VMDirectory.h"
 #include "store/VMLease.h"
 
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include <array>
 #include <random>
 #include <set>
 
@@ -72,9 +71,13 @@
   void reloaded(const std::map<std::string, StoreItem> &Items) override;
   void availabilityChanged(bool IsAvailable, Duration OutageTime) override;
   void revisionChanged() override;
-  std::vector<std::string> peerAddresses() const override;
-  std::vector<std::string> readerAddresses() const override;
-  bool isReader() const override;
+  std::vector<std::string> peerAddresses() const override {
+    return m_VMs.peerAddresses();
+  }
+  std::vector<std::string> readerAddresses() const override {
+    return m_VMs.readerAddresses();
+  }
+  bool isReader() const override { return m_VMs.isReader(); }
 
 private:
   class ReadyHandler;
@@ -102,16 +105,8 @@
   void tickPlacement();
   void sendOrder(const std::string &Service, const PlacementOrder &Order);
   void suspectDomain(const std::string &Domain);
+  void takeSuspicion(const FleetTable::Handle &Endpoint, const std::string &By);
   void notifySuspicion(const FleetTable::Handle &Endpoint);
-  void receiveDigest();
-  void takeDigest(const std::string &Bytes);
-  bool isInDomain(const std::string &Host) const;
-  void sendTo(const ListedVM &VM, const std::string &Bytes);
-  void sendToDomain(const std::string &Bytes);
-  void sendDigest();
-  void sendDomainDigest();
-  std::vector<const ListedVM *> speakers(const std::string &Domain) const;
-  bool isSpeaker() const;
   void handleSignal(int Signal);
   void tickShutdown();
 
@@ -128,7 +123,8 @@
   std::uint64_t m_TableRevision = 0;
   CallerLimits m_UsualLimits;
   FleetTable m_Fleet;
-  std::map<std::string, ListedVM> m_VMs;
+  const ListedVM m_Self;
+  VMDirectory m_VMs;
 
   ChannelPool m_Channels;
   HttpCaller m_Caller;
@@ -146,10 +142,7 @@
   std::unique_ptr<MetricsHandler> m_MetricsHandler;
   std::vector<std::unique_ptr<CallerListener>> m_Listeners;
   CallerListener *m_CallerListener = nullptr;
-  LoadDigestTable m_Digests;
-  boost::asio::ip::udp::socket m_DigestSocket;
-  boost::asio::ip::udp::endpoint m_DigestSender;
-  std::array<char, 16384> m_DigestBuffer{};
+  DigestExchange m_Digests;
   boost::asio::steady_timer m_TickTimer;
   boost::asio::signal_set m_Signals;
   std::uint64_t m_Ticks = 0;
--- /dev/null
+++ b/src/store/VMDirectory.cpp
@@ -0,0 +1,87 @@
+#include "store/VMDirectory.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+// Two, so that one that has died and is still listed is not missed.
+static constexpr std::size_t SpeakersPerDomain = 2;
+// Up to so many VMs of a failure domain follow the store themselves.
+static constexpr std::size_t MaxDirectVMs = 4;
+
+std::size_t VMDirectory::sizeOfOwnDomain() const {
+  return std::count_if(m_VMs.begin(), m_VMs.end(), [this](const auto &Listed) {
+    return Listed.second.m_FailureDomain == m_Self.m_FailureDomain;
+  });
+}
+
+std::set<std::string> VMDirectory::otherDomains() const {
+  std::set<std::string> Domains;
+  for (const auto &[Key, VM] : m_VMs)
+    Domains.insert(VM.m_FailureDomain);
+  Domains.erase(m_Self.m_FailureDomain);
+  return Domains;
+}
+
+std::vector<ListedVM> VMDirectory::neighbours() const {
+  std::vector<ListedVM> Result;
+  for (const auto &[Key, VM] : m_VMs)
+    if (VM.m_FailureDomain == m_Self.m_FailureDomain &&
+        VM.m_Name != m_Self.m_Name)
+      Result.push_back(VM);
+  return Result;
+}
+
+std::vector<ListedVM> VMDirectory::speakers(const std::string &Domain) const {
+  std::vector<ListedVM> Speakers;
+  for (const auto &[Key, VM] : m_VMs)
+    if (VM.m_FailureDomain == Domain && Speakers.size() < SpeakersPerDomain)
+      Speakers.push_back(VM);
+  return Speakers;
+}
+
+bool VMDirectory::isSpeaker() const {
+  for (const ListedVM &VM : speakers(m_Self.m_FailureDomain))
+    if (VM.m_Name == m_Self.m_Name)
+      return true;
+  return false;
+}
+
+bool VMDirectory::isReader() const {
+  return sizeOfOwnDomain() > MaxDirectVMs && isSpeaker();
+}
+
+std::vector<std::string> VMDirectory::readerAddresses() const {
+  std::vector<std::string> Readers;
+  if (sizeOfOwnDomain() <= MaxDirectVMs || isSpeaker())
+    return Readers;
+  for (const ListedVM &VM : speakers(m_Self.m_FailureDomain))
+    Readers.push_back(VM.m_PeerAddress);
+  return Readers;
+}
+
+std::vector<std::string> VMDirectory::peerAddresses() const {
+  std::vector<std::string> Near;
+  std::vector<std::string> Far;
+  for (const auto &[Key, VM] : m_VMs) {
+    if (VM.m_Name == m_Self.m_Name)
+      continue;
+    bool IsNear = VM.m_FailureDomain == m_Self.m_FailureDomain;
+    (IsNear ? Near : Far).push_back(VM.m_PeerAddress);
+  }
+  Near.insert(Near.end(), Far.begin(), Far.end());
+  for (const std::string &Seed : m_SeedAddresses)
+    if (Seed != m_Self.m_PeerAddress &&
+        std::find(Near.begin(), Near.end(), Seed) == Near.end())
+      Near.push_back(Seed);
+  return Near;
+}
+
+bool VMDirectory::isNeighbour(const std::string &Host) const {
+  for (const ListedVM &VM : neighbours())
+    if (VM.m_PeerAddress.compare(0, Host.size() + 1, Host + ":") == 0)
+      return true;
+  return false;
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/tests/store/VMDirectoryTest.cpp
@@ -0,0 +1,61 @@
+#include "store/VMDirectory.h"
+
+#include "support/TestMain.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+
+static VMDirectory directoryOf(const std::string &Self, int VMsInDomain) {
+  VMDirectory Directory({Self, "10.1.0." + Self + ":1", "a"},
+                        {"10.9.0.1:1", "10.1.0." + Self + ":1"});
+  for (int VM = 1; VM <= VMsInDomain; ++VM) {
+    std::string Name = std::to_string(VM);
+    Directory.list("k" + Name, {Name, "10.1.0." + Name + ":1", "a"});
+  }
+  Directory.list("x1", {"x1", "10.2.0.1:1", "b"});
+  return Directory;
+}
+
+TEST_GROUP(VMDirectory){};
+
+// Guards against VMs of a small failure domain that depend on each other for
+// what they could read themselves.
+TEST(VMDirectory, SmallFailureDomainsFollowTheStoreThemselves) {
+  CHECK(directoryOf("3", 4).readerAddresses().empty());
+  CHECK(!directoryOf("1", 4).isReader());
+}
+
+// Guards against calls to the store that grow with the number of VMs, and
+// against readers that follow each other.
+TEST(VMDirectory, LargeFailureDomainsHaveTwoReaders) {
+  int Readers = 0;
+  for (int VM = 1; VM <= 9; ++VM) {
+    VMDirectory Directory = directoryOf(std::to_string(VM), 9);
+    Readers += Directory.isReader();
+    LONGS_EQUAL(Directory.isReader() ? 0 : 2,
+                Directory.readerAddresses().size());
+  }
+  LONGS_EQUAL(2, Readers);
+}
+
+// Guards against a VM that is left alone although another one could tell it
+// what is new.
+TEST(VMDirectory, PeersAreTheNearOnesThenTheOthersThenSeeds) {
+  auto Peers = directoryOf("2", 3).peerAddresses();
+  LONGS_EQUAL(4, Peers.size());
+  STRCMP_EQUAL("10.1.0.1:1", Peers[0].c_str());
+  STRCMP_EQUAL("10.2.0.1:1", Peers[2].c_str());
+  STRCMP_EQUAL("10.9.0.1:1", Peers[3].c_str());
+}
+
+// Guards against sums of another failure domain that are passed round for ever.
+TEST(VMDirectory, KnowsItsNeighboursByAddress) {
+  VMDirectory Directory = directoryOf("2", 3);
+  CHECK(Directory.isNeighbour("10.1.0.3"));
+  CHECK(!Directory.isNeighbour("10.1.0.2"));
+  CHECK(!Directory.isNeighbour("10.2.0.1"));
+  CHECK(!Directory.isNeighbour("10.1.0"));
+}
+
+PARSLEYRING_TEST_MAIN
