--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -242,6 +242,47 @@
   LONGS_EQUAL(0, send(order("/stream/a")).m_Status);
 }
 
+// Guards against endpoints that work on for a caller that has left, for a plain
+// request and for a stream that has begun.
+TEST(Gateway, CancelsWhenTheCallerLeaves) {
+  ScriptedServer Plain("", ScriptedServer::End::Silence);
+  ScriptedServer Engine("HTTP/1.1 200 OK\r\nServer-Seal: s\r\n"
+                        "Attempt-Id: id-2\r\nContent-Type: text/event-stream"
+                        "\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        "11\r\nid: 1\ndata: abc\n\n\r\n",
+                        ScriptedServer::End::Silence);
+  list("e1", "plain", Plain.address());
+  list("m1", "model", Engine.address());
+  start();
+  HttpOrder Call = order("/once/a");
+  Call.m_Timeout = 300ms;
+  LONGS_EQUAL(0, send(Call).m_Status);
+  CHECK(eventually([&] { return Plain.wasLeft(); }, 500ms));
+  HttpOrder Stream = order("/stream/a");
+  std::string Received;
+  Stream.m_OnPiece = [&](std::string_view Piece) {
+    Received += Piece;
+    return false;
+  };
+  send(Stream);
+  STRCMP_EQUAL("id: 1\ndata: abc\n\n", Received.c_str());
+  CHECK(eventually([&] { return Engine.wasLeft(); }, 500ms));
+}
+
+// Guards against callers that wait beyond the timeout of their route for an
+// endpoint that does not answer.
+TEST(Gateway, AnswersAtTheTimeoutOfTheRoute) {
+  ScriptedServer Silent("", ScriptedServer::End::Silence);
+  list("e1", "plain", Silent.address());
+  start();
+  HttpOrder Call = order("/once/a");
+  Call.m_Headers["Deadline-Ms"] = "20000";
+  auto Start = std::chrono::steady_clock::now();
+  LONGS_EQUAL(504, send(Call).m_Status);
+  auto Taken = std::chrono::steady_clock::now() - Start;
+  CHECK(Taken >= 2900ms && Taken < 3500ms);
+}
+
 // Guards against an old configuration that stays in force, and against a
 // configuration that cannot be read and ends the service.
 TEST(Gateway, FollowsTheConfiguration) {
--- a/tests/support/ScriptedServer.cpp
+++ b/tests/support/ScriptedServer.cpp
@@ -73,8 +73,10 @@
   ::send(Connection, m_Answer.data(), m_Answer.size(), MSG_NOSIGNAL);
   while (!m_IsStopping && m_End == End::Silence)
     if (isReadable(Connection) &&
-        ::recv(Connection, Buffer.data(), Buffer.size(), 0) <= 0)
+        ::recv(Connection, Buffer.data(), Buffer.size(), 0) <= 0) {
+      m_WasLeft = true;
       return;
+    }
 }
 
 std::string refusingAddress() {
--- a/tests/support/ScriptedServer.h
+++ b/tests/support/ScriptedServer.h
@@ -19,6 +19,9 @@
   std::string address() const;
   /// True once a request was read to the end of its headers.
   bool hasRequest() const { return m_HasRequest; }
+  /// True once the other side has closed a connection on which this one was
+  /// silent.
+  bool wasLeft() const { return m_WasLeft; }
 
 private:
   void serve();
@@ -29,6 +32,7 @@
   int m_Listener = -1;
   std::atomic<bool> m_IsStopping{false};
   std::atomic<bool> m_HasRequest{false};
+  std::atomic<bool> m_WasLeft{false};
   std::thread m_Thread;
 };
 
