--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -20,6 +20,9 @@
 // After this, single endpoints of the failure domain are tried again.
 static constexpr Duration DomainSuspectTime = std::chrono::milliseconds(1500);
 static constexpr Duration OrderLimit = std::chrono::milliseconds(600);
+// A gateway that starts has its configuration, and one that stops is left by
+// its callers, within this time or little more.
+static constexpr const char *RetryAfterSeconds = "0.3";
 // No new connections come once the load balancer has seen two refusals.
 static constexpr Duration MinStopTime = std::chrono::milliseconds(3200);
 // A stream that begins later than this may not end before the process does,
@@ -261,7 +264,7 @@
   if (!Id.empty())
     Fields.emplace_back(Names.m_RequestId, Id);
   if (Why.m_Status == 503)
-    Fields.emplace_back(Names.m_RetryAfter, "0.3");
+    Fields.emplace_back(Names.m_RetryAfter, RetryAfterSeconds);
   if (Why.m_Status == 401)
     Fields.emplace_back("WWW-Authenticate", "Bearer");
   Caller.answer(Why.m_Status, Fields, std::string(Why.m_Reason) + "\n");
