Count silent engines among the attempts of a stream

Ruled out: retries after rejections (each of the three runs began).

Now the run is taken back only if the engine has left the list. The new case in GatewayTest counted three runs before, two are allowed.

--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -436,7 +436,9 @@
       m_Failed.push_back(Part.m_Endpoint);
   m_MayHaveRun = true;
   if (IsSuspect(Path.front()) || ++m_Repaths > MaxRepaths) {
-    if (IsSuspect(Path.front()))
+    // Only an engine that has ended is not counted. One that is silent may
+    // still run the request.
+    if (Path.front().m_Endpoint->m_IsGone)
       --m_Runs;
     moveOn("part-lost");
     return;
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -229,6 +229,31 @@
   STRCMP_CONTAINS("=0-10", Call.header("Hop-Count").c_str());
 }
 
+// Guards against a request that runs on more engines than its route allows,
+// because engines that are only silent were taken for dead ones.
+TEST(Gateway, SilentEnginesCountAsAttempts) {
+  auto Respond = [](const ReceivedCall &Call) {
+    if (Call.m_Path == "/stream/a")
+      std::this_thread::sleep_for(2600ms);
+    StandInAnswer NoReport;
+    NoReport.m_Status = 500;
+    return NoReport;
+  };
+  StandInEndpoint First(Respond);
+  StandInEndpoint Second(Respond);
+  StandInEndpoint Third(Respond);
+  list("m1", "model", First.address());
+  list("m2", "model", Second.address());
+  list("m3", "model", Third.address());
+  start();
+  LONGS_EQUAL(502, send(order("/stream/a")).m_Status);
+  int Runs = 0;
+  for (const StandInEndpoint *Each : {&First, &Second, &Third})
+    for (const ReceivedCall &Call : Each->calls())
+      Runs += Call.m_Path == "/stream/a";
+  LONGS_EQUAL(2, Runs);
+}
+
 // Guards against a stream that seems complete although its engine skipped an
 // event and no other engine is left.
 TEST(Gateway, StreamWithAGapIsNotComplete) {
