Place layers by the worth of request memory, and move cards after lasting losses

After a release, a crash and a removal the three failure domains together could carry 1,394 MB of requests for each layer inside a domain, of 3,975 MB at the start, while other layers had up to 8,789 MB. Ruled out: wrong estimates of memory (a trial asked the engines at each rejection: used and total agreed with the estimate within a tenth in most samples), and too little memory in all (mean 4,100 MB).

An empty card now takes the range at which its memory is worth most, where the worth of a layer falls with the memory and the holders that it has. Once the layout has been quiet for 3 s, one card at a time is grown, shrunk or moved if that adds enough to the largest flow through the layers (LayoutQuality).

Also logged: the longest pause of a stream, and card and failure domain of a listed engine, which the search needed.

Tried and left out: moving running streams off slow engines by repath.

--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -447,6 +447,8 @@
       now(), "endpoint-listed", "",
       {{"endpoint", Id},
        {"address", Entry->m_Address},
+       {"failure_domain", Entry->m_FailureDomain},
+       {"card", Entry->m_CardKind},
        {"draining", std::int64_t(Entry->m_State == EndpointState::Draining)},
        {"first_layer", std::int64_t(Entry->m_Layers.m_First)},
        {"end_layer", std::int64_t(Entry->m_Layers.m_End)}});
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -199,6 +199,7 @@
     double Gap =
         std::chrono::duration<double, std::milli>(Now - m_LastProgress).count();
     m_EventGapMs = m_EventGapMs == 0 ? Gap : 0.8 * m_EventGapMs + 0.2 * Gap;
+    m_LongestPauseMs = std::max(m_LongestPauseMs, Gap);
   }
   ++m_Events;
   m_LastProgress = Now;
@@ -542,7 +543,8 @@
            {"planned_fill", m_PlannedFill},
            {"load_factor", m_Context.loadFactor()},
            {"events", std::int64_t(m_Events)},
-           {"first_event_ms", std::int64_t(m_FirstEventTime.count() / 1000)}});
+           {"first_event_ms", std::int64_t(m_FirstEventTime.count() / 1000)},
+           {"longest_pause_ms", std::int64_t(m_LongestPauseMs)}});
   m_Job.m_Caller.reset();
 }
 
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -75,6 +75,7 @@
   std::vector<FleetTable::Handle> m_Failed; ///< Not used again.
   std::uint64_t m_LastEventId = 0;
   double m_EventGapMs = 0;  ///< Moving mean.
+  double m_LongestPauseMs = 0;
   double m_PlannedFill = 0; ///< Of the fullest part of the path when sent.
   Duration m_FirstEventTime{};
   int m_Events = 0;
--- a/src/placement/LayoutPlanner.cpp
+++ b/src/placement/LayoutPlanner.cpp
@@ -1,8 +1,11 @@
 #include "placement/LayoutPlanner.h"
 
+#include "placement/LayoutQuality.h"
+
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <numeric>
 
 namespace parsleyring {
 
@@ -18,6 +21,20 @@
 // the others are left with their layers and a little memory for requests.
 static constexpr double ChainMemoryFactor = 1.3;
 static constexpr double LeastChainMemoryFactor = 1.06;
+// Share of the mean memory for each layer below which a layer is as bad as one
+// without a holder.
+static constexpr double FloorShare = 0.02;
+// Growing or shrinking a range has to add this much to the usable memory.
+static constexpr double LeastResizeGain = 1.15;
+// A card that changes to a range without its former layers serves nothing until
+// its requests have ended and it has loaded, about 8 s. So it has to add more,
+// and must not be missed meanwhile.
+static constexpr double LeastMoveGain = 1.4;
+static constexpr double LeastLeftByMove = 0.85;
+// Moves whose effect on the usable memory is worked out, which takes longest.
+static constexpr std::size_t ComparedMoves = 8;
+// A move towards a hole takes at least this much of what it costs away.
+static constexpr double HoleMoveShare = 0.95;
 // No card is filled further with layers, so that it can keep some requests.
 static constexpr double MaxLayerShare = 0.9;
 
@@ -30,15 +47,22 @@
       : m_Model(Model), m_Cards(std::move(Cards)) {}
 
   std::vector<PlacementOrder> plan();
+  /// The move of one card that helps most; empty if none is worth it.
+  std::vector<PlacementOrder> planMove();
 
 private:
   double memory() const;
   std::uint32_t copies() const;
   std::uint32_t maxLayers(const PlacementCard &Card) const;
   std::vector<int> coverage() const;
+  std::vector<double> requestMemory() const;
+  LayerRange neediestRange(const PlacementCard &Card) const;
   void planChains();
   void planChain(std::vector<PlacementCard *> &Chain);
-  void fillCard(PlacementCard &Card);
+  bool isSpare(const PlacementCard &Card, LayerRange Range) const;
+  double worth(double Megabytes, int Holders) const;
+  double totalWorth() const;
+  std::vector<LayerRange> otherRanges(PlacementCard &Card);
   void closeHoles();
   void order(PlacementCard &Card, LayerRange Layers);
 
@@ -146,37 +170,155 @@
   }
 }
 
-// Takes the range whose layers have the fewest holders.
-void GroupPlan::fillCard(PlacementCard &Card) {
+// Megabytes for requests at each layer, if each card spreads its own evenly.
+std::vector<double> GroupPlan::requestMemory() const {
+  std::vector<double> Memory(m_Model.m_Layers);
+  for (const PlacementCard &Card : m_Cards)
+    for (std::uint32_t Layer = Card.m_Layers.m_First;
+         Layer < Card.m_Layers.m_End && Layer < m_Model.m_Layers; ++Layer)
+      Memory[Layer] +=
+          LayoutQuality::memoryPerLayer(m_Model, Card, Card.m_Layers);
+  return Memory;
+}
+
+// What the memory of a layer is worth. A path needs memory at every layer, so
+// it is worth the more the less there is. What a single card holds is lost with
+// it and counts less.
+double GroupPlan::worth(double Megabytes, int Holders) const {
+  double Share = 1 - 0.75 * std::pow(3, 1 - Holders);
+  double Safe = Megabytes * Share + FloorShare * memory() / m_Model.m_Layers;
+  return -1 / (Safe * Safe);
+}
+
+double GroupPlan::totalWorth() const {
+  const std::vector<double> Memory = requestMemory();
+  const std::vector<int> Holders = coverage();
+  double Sum = 0;
+  for (std::uint32_t Layer = 0; Layer < m_Model.m_Layers; ++Layer)
+    Sum += worth(Memory[Layer], Holders[Layer]);
+  return Sum;
+}
+
+// The range at which the card's memory is worth most.
+LayerRange GroupPlan::neediestRange(const PlacementCard &Card) const {
+  const std::vector<double> Memory = requestMemory();
+  const std::vector<int> Holders = coverage();
+  LayerRange Best;
+  double BestGain = 0;
+  for (std::uint32_t Length = 1; Length <= maxLayers(Card); ++Length) {
+    double Own = LayoutQuality::memoryPerLayer(m_Model, Card, {0, Length});
+    std::vector<double> Gains;
+    for (std::uint32_t Layer = 0; Layer < m_Model.m_Layers; ++Layer)
+      Gains.push_back(worth(Memory[Layer] + Own, Holders[Layer] + 1) -
+                      worth(Memory[Layer], Holders[Layer]));
+    double Gain = 0;
+    for (std::uint32_t End = 1; End <= m_Model.m_Layers; ++End) {
+      Gain += Gains[End - 1];
+      if (End > Length)
+        Gain -= Gains[End - 1 - Length];
+      if (End >= Length && Gain > BestGain) {
+        BestGain = Gain;
+        Best = {End - Length, End};
+      }
+    }
+  }
+  return Best;
+}
+
+// True if each layer of Range has another holder than the card.
+bool GroupPlan::isSpare(const PlacementCard &Card, LayerRange Range) const {
   std::vector<int> Holders = coverage();
-  double Share = Card.m_MemoryMegabytes * copies() / memory();
-  auto Length =
-      static_cast<std::uint32_t>(std::lround(Share * m_Model.m_Layers));
-  std::uint32_t Limit = maxLayers(Card);
-  Length = std::clamp(Length, 1u, std::max(1u, Limit));
-  // As many layers as lack a holder side by side, if the card can take them.
-  int Fewest = *std::min_element(Holders.begin(), Holders.end());
-  std::uint32_t LongestRun = 0;
-  for (std::uint32_t Layer = 0, Run = 0; Layer < m_Model.m_Layers; ++Layer) {
-    Run = Holders[Layer] == Fewest ? Run + 1 : 0;
-    LongestRun = std::max(LongestRun, Run);
+  for (std::uint32_t Layer = Range.m_First; Layer < Range.m_End; ++Layer)
+    if (Holders[Layer] <= 1)
+      return false;
+  return !Card.isEmpty();
+}
+
+// Ranges that a card could hold instead: longer or shorter ones, for which it
+// need not stop serving, and any other if it can be spared.
+std::vector<LayerRange> GroupPlan::otherRanges(PlacementCard &Card) {
+  const LayerRange Held = Card.m_Layers;
+  std::vector<LayerRange> Ranges;
+  for (std::uint32_t Count : {1U, 2U, 4U, 8U, 16U}) {
+    bool CanGrow = Held.m_End - Held.m_First + Count <= maxLayers(Card);
+    if (CanGrow && Held.m_First >= Count)
+      Ranges.push_back({Held.m_First - Count, Held.m_End});
+    if (CanGrow && Held.m_End + Count <= m_Model.m_Layers)
+      Ranges.push_back({Held.m_First, Held.m_End + Count});
+    if (Held.m_End - Held.m_First <= Count)
+      continue;
+    if (isSpare(Card, {Held.m_First, Held.m_First + Count}))
+      Ranges.push_back({Held.m_First + Count, Held.m_End});
+    if (isSpare(Card, {Held.m_End - Count, Held.m_End}))
+      Ranges.push_back({Held.m_First, Held.m_End - Count});
   }
-  if (Fewest < static_cast<int>(copies()) && LongestRun > Length)
-    Length = std::min(LongestRun, Limit);
-  if (Length == 0)
-    return;
-  double BestNeed = -1;
-  std::uint32_t BestFirst = 0;
-  for (std::uint32_t First = 0; First + Length <= m_Model.m_Layers; ++First) {
-    double Need = 0;
-    for (std::uint32_t Layer = First; Layer < First + Length; ++Layer)
-      Need += 1 / std::pow(1 + Holders[Layer], 4);
-    if (Need > BestNeed + 1e-9) {
-      BestNeed = Need;
-      BestFirst = First;
+  if (isSpare(Card, Held)) {
+    double Usable = LayoutQuality::usableMemory(m_Model, m_Cards);
+    Card.m_Layers = {};
+    if (LayoutQuality::usableMemory(m_Model, m_Cards) >=
+        Usable * LeastLeftByMove)
+      Ranges.push_back(neediestRange(Card));
+    Card.m_Layers = Held;
+  }
+  return Ranges;
+}
+
+std::vector<PlacementOrder> GroupPlan::planMove() {
+  const double Usable = LayoutQuality::usableMemory(m_Model, m_Cards);
+  const std::vector<double> Memory = requestMemory();
+  double Mean = std::accumulate(Memory.begin(), Memory.end(), 0.0) /
+                std::max(1U, m_Model.m_Layers);
+  // Nothing could add enough to it.
+  if (Usable * LeastResizeGain >= Mean)
+    return {};
+  struct Move {
+    double m_Worth;
+    PlacementCard *m_Card;
+    LayerRange m_Layers;
+  };
+  std::vector<Move> Moves;
+  const double Worth = totalWorth();
+  for (PlacementCard &Card : m_Cards) {
+    if (Card.isEmpty())
+      continue;
+    for (const LayerRange &Range : otherRanges(Card)) {
+      const LayerRange Held = Card.m_Layers;
+      Card.m_Layers = Range;
+      double Moved = totalWorth();
+      Card.m_Layers = Held;
+      if (Moved > Worth)
+        Moves.push_back({Moved, &Card, Range});
     }
   }
-  order(Card, {BestFirst, BestFirst + Length});
+  std::sort(Moves.begin(), Moves.end(),
+            [](const Move &Left, const Move &Right) {
+              return Left.m_Worth > Right.m_Worth;
+            });
+  if (Moves.size() > ComparedMoves)
+    Moves.resize(ComparedMoves);
+  const Move *Best = nullptr;
+  double Most = Usable;
+  for (const Move &Each : Moves) {
+    const LayerRange Held = Each.m_Card->m_Layers;
+    Each.m_Card->m_Layers = Each.m_Layers;
+    double Moved = LayoutQuality::usableMemory(m_Model, m_Cards);
+    Each.m_Card->m_Layers = Held;
+    bool IsResize = Each.m_Layers.m_First < Held.m_End &&
+                    Held.m_First < Each.m_Layers.m_End;
+    double Least = Usable * (IsResize ? LeastResizeGain : LeastMoveGain);
+    if (Moved > Most && Moved >= Least) {
+      Most = Moved;
+      Best = &Each;
+    }
+  }
+  // A hole can take several moves, of which only the last one adds memory.
+  bool HasHole = Usable < 1;
+  if (!Best && HasHole && !Moves.empty() &&
+      Moves.front().m_Worth > Worth * HoleMoveShare)
+    Best = &Moves.front();
+  if (!Best)
+    return {};
+  return {{Best->m_Card->m_Endpoint, Best->m_Layers}};
 }
 
 // A layer that nobody in the group holds is given to the smallest card all of
@@ -188,18 +330,14 @@
       return;
     PlacementCard *Spare = nullptr;
     for (PlacementCard &Card : m_Cards) {
-      bool IsSpare = !Card.isEmpty();
-      for (std::uint32_t Layer = Card.m_Layers.m_First;
-           Layer < Card.m_Layers.m_End; ++Layer)
-        IsSpare = IsSpare && Holders[Layer] > 1;
-      if (IsSpare &&
+      if (!Card.isEmpty() && isSpare(Card, Card.m_Layers) &&
           (!Spare || Card.m_MemoryMegabytes < Spare->m_MemoryMegabytes))
         Spare = &Card;
     }
     if (!Spare)
       return;
     Spare->m_Layers = {};
-    fillCard(*Spare);
+    order(*Spare, neediestRange(*Spare));
   }
 }
 
@@ -210,37 +348,52 @@
   if (AreAllEmpty)
     planChains();
   for (PlacementCard &Card : m_Cards)
-    if (Card.isEmpty())
-      fillCard(Card);
+    if (Card.isEmpty() && maxLayers(Card) > 0)
+      order(Card, neediestRange(Card));
   closeHoles();
   return m_Orders;
 }
 
-std::vector<PlacementOrder>
-LayoutPlanner::plan(const EngineModel &Model,
-                    const std::vector<PlacementCard> &Cards) {
+/// Failure domains that hold whole copies each, and all others together.
+static std::vector<std::vector<PlacementCard>>
+groups(const EngineModel &Model, const std::vector<PlacementCard> &Cards) {
   std::map<std::string, std::vector<PlacementCard>> Domains;
   for (const PlacementCard &Card : Cards)
     Domains[Card.m_FailureDomain].push_back(Card);
   double Copy = Model.m_LayerMegabytes * Model.m_Layers;
   std::vector<PlacementCard> Small;
-  std::vector<PlacementOrder> Orders;
-  auto PlanGroup = [&](std::vector<PlacementCard> Group) {
-    for (PlacementOrder &Order : GroupPlan(Model, std::move(Group)).plan())
-      Orders.push_back(std::move(Order));
-  };
+  std::vector<std::vector<PlacementCard>> Result;
   for (auto &[Domain, Group] : Domains) {
     double Memory = 0;
     for (const PlacementCard &Card : Group)
       Memory += Card.m_MemoryMegabytes;
-    // Failure domains that are too small for a copy hold one together.
     if (Memory * (1 - LeastRequestMemoryShare) < Copy)
       Small.insert(Small.end(), Group.begin(), Group.end());
     else
-      PlanGroup(std::move(Group));
+      Result.push_back(std::move(Group));
   }
   if (!Small.empty())
-    PlanGroup(std::move(Small));
+    Result.push_back(std::move(Small));
+  return Result;
+}
+
+std::vector<PlacementOrder>
+LayoutPlanner::plan(const EngineModel &Model,
+                    const std::vector<PlacementCard> &Cards) {
+  std::vector<PlacementOrder> Orders;
+  for (auto &Group : groups(Model, Cards))
+    for (PlacementOrder &Order : GroupPlan(Model, std::move(Group)).plan())
+      Orders.push_back(std::move(Order));
+  return Orders;
+}
+
+std::vector<PlacementOrder>
+LayoutPlanner::planMoves(const EngineModel &Model,
+                         const std::vector<PlacementCard> &Cards) {
+  std::vector<PlacementOrder> Orders;
+  for (auto &Group : groups(Model, Cards))
+    for (PlacementOrder &Order : GroupPlan(Model, std::move(Group)).planMove())
+      Orders.push_back(std::move(Order));
   return Orders;
 }
 
--- a/src/placement/LayoutPlanner.h
+++ b/src/placement/LayoutPlanner.h
@@ -37,6 +37,12 @@
   /// hold as well if a layer is held by nobody in a failure domain.
   static std::vector<PlacementOrder>
   plan(const EngineModel &Model, const std::vector<PlacementCard> &Cards);
+
+  /// Moves of cards that serve, at most one for each failure domain, to layers
+  /// that have so little memory for requests that the others' is of no use.
+  /// For a layout that has settled.
+  static std::vector<PlacementOrder>
+  planMoves(const EngineModel &Model, const std::vector<PlacementCard> &Cards);
 };
 
 } // namespace parsleyring
--- /dev/null
+++ b/src/placement/LayoutQuality.h
@@ -0,0 +1,31 @@
+#ifndef PARSLEYRING_PLACEMENT_LAYOUTQUALITY_H
+#define PARSLEYRING_PLACEMENT_LAYOUTQUALITY_H
+
+#include "placement/LayoutPlanner.h"
+
+#include <vector>
+
+namespace parsleyring {
+
+/// How much request memory a layout offers to whole paths.
+class LayoutQuality {
+public:
+  /// Memory of Card for requests beside Layers, for each of them. Megabytes.
+  static double memoryPerLayer(const EngineModel &Model,
+                               const PlacementCard &Card, LayerRange Layers);
+
+  /// Request memory that paths over all layers can use at the same time, for
+  /// each layer in megabytes: the largest flow through the layers. What the
+  /// other layers have beyond it is of no use.
+  static double usableMemory(const EngineModel &Model,
+                             const std::vector<PlacementCard> &Cards);
+
+  /// No layout that holds each layer Copies times has more usable memory.
+  static double bound(const EngineModel &Model,
+                      const std::vector<PlacementCard> &Cards,
+                      std::uint32_t Copies);
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_PLACEMENT_LAYOUTQUALITY_H
--- a/src/placement/PlacementDuty.cpp
+++ b/src/placement/PlacementDuty.cpp
@@ -13,6 +13,11 @@
 static constexpr Duration LateOrderTime = std::chrono::seconds(13);
 // On top of the time of a load, until the engine's entry shows the layers.
 static constexpr Duration ListingTime = std::chrono::seconds(4);
+// Engines that are replaced or cut off leave the list and come back within
+// seconds. Moves answer only what lasts.
+static constexpr Duration MoveSettleTime = std::chrono::seconds(3);
+// Each search for a move takes milliseconds.
+static constexpr Duration MoveInterval = std::chrono::seconds(2);
 
 bool PlacementDuty::isSettled(const std::vector<FleetTable::Handle> &Endpoints,
                               Time Now) const {
@@ -64,7 +69,38 @@
       Card.m_Layers = Pending->second.m_Layers;
     Cards.push_back(std::move(Card));
   }
+  noteLayout(Cards, Now);
   std::vector<PlacementOrder> Orders = LayoutPlanner::plan(Model, Cards);
+  bool IsQuiet = Orders.empty() && m_Pending.empty() &&
+                 Now - m_LayoutChangedAt >= MoveSettleTime;
+  if (IsQuiet && Now >= m_NextMove) {
+    Orders = LayoutPlanner::planMoves(Model, Cards);
+    m_NextMove = Now + MoveInterval;
+  }
+  notePending(Model, Endpoints, Orders, Now);
+  return Orders;
+}
+
+void PlacementDuty::noteLayout(const std::vector<PlacementCard> &Cards,
+                               Time Now) {
+  std::vector<PlacementOrder> Layout;
+  for (const PlacementCard &Card : Cards)
+    Layout.push_back({Card.m_Endpoint, Card.m_Layers});
+  bool IsSame =
+      std::equal(Layout.begin(), Layout.end(), m_Layout.begin(), m_Layout.end(),
+                 [](const PlacementOrder &Left, const PlacementOrder &Right) {
+                   return Left.m_Endpoint == Right.m_Endpoint &&
+                          Left.m_Layers == Right.m_Layers;
+                 });
+  if (IsSame)
+    return;
+  m_Layout = std::move(Layout);
+  m_LayoutChangedAt = Now;
+}
+
+void PlacementDuty::notePending(
+    const EngineModel &Model, const std::vector<FleetTable::Handle> &Endpoints,
+    const std::vector<PlacementOrder> &Orders, Time Now) {
   // Loads that run at the same time slow each other down.
   double Rounds = 1.0 + static_cast<double>(Orders.size()) /
                             std::max(1u, Model.m_LoadsAtOnce);
@@ -82,7 +118,6 @@
     m_Pending[Order.m_Endpoint] = {Order.m_Layers, (*Endpoint)->m_Entry.m_Born,
                                    Now + Load + ListingTime};
   }
-  return Orders;
 }
 
 void PlacementDuty::noteUnanswered(const std::string &Endpoint, Time Now) {
--- a/src/placement/PlacementDuty.h
+++ b/src/placement/PlacementDuty.h
@@ -37,7 +37,15 @@
   void dropFulfilled(const std::vector<FleetTable::Handle> &Endpoints,
                      Time Now);
 
+  void noteLayout(const std::vector<PlacementCard> &Cards, Time Now);
+  void notePending(const EngineModel &Model,
+                   const std::vector<FleetTable::Handle> &Endpoints,
+                   const std::vector<PlacementOrder> &Orders, Time Now);
+
   std::map<std::string, PendingOrder> m_Pending;
+  std::vector<PlacementOrder> m_Layout; ///< As it was last.
+  Time m_LayoutChangedAt{};
+  Time m_NextMove{};
   Time m_FirstSeen{};
   bool m_HasPlanned = false;
 };
--- a/tests/placement/LayoutPlannerTest.cpp
+++ b/tests/placement/LayoutPlannerTest.cpp
@@ -1,5 +1,7 @@
 #include "placement/LayoutPlanner.h"
 
+#include "placement/LayoutQuality.h"
+
 #include "support/EngineFleet.h"
 #include "support/TestMain.h"
 
@@ -41,6 +43,18 @@
   });
 }
 
+/// Memory for requests that stay in their failure domain.
+static double usableInDomains(const EngineModel &Model,
+                              const std::vector<PlacementCard> &Cards) {
+  std::map<std::string, std::vector<PlacementCard>> Domains;
+  for (const PlacementCard &Card : Cards)
+    Domains[Card.m_FailureDomain].push_back(Card);
+  double Sum = 0;
+  for (const auto &[Domain, Members] : Domains)
+    Sum += LayoutQuality::usableMemory(Model, Members);
+  return Sum;
+}
+
 TEST_GROUP(LayoutPlanner) {
   EngineModel m_Model = largeModel();
   std::vector<PlacementCard> m_Cards = mixedCards();
@@ -105,6 +119,7 @@
 TEST(LayoutPlanner, OrdersNothingOnceTheLayoutStands) {
   applyOrders(m_Cards, LayoutPlanner::plan(m_Model, m_Cards));
   LONGS_EQUAL(0, LayoutPlanner::plan(m_Model, m_Cards).size());
+  LONGS_EQUAL(0, LayoutPlanner::planMoves(m_Model, m_Cards).size());
 }
 
 // Guards against a crashed engine that comes back empty and stays so, and
@@ -179,4 +194,59 @@
   }
 }
 
+/// Cards of the three kinds over four failure domains.
+static std::vector<PlacementCard> randomCards(unsigned Seed) {
+  std::mt19937 Random(Seed);
+  std::vector<PlacementCard> Cards;
+  const double Kinds[] = {72000, 43200, 21600};
+  const double Factors[] = {2.4, 5.6, 16};
+  int Count = 24 + static_cast<int>(Random() % 70);
+  for (int Index = 0; Index < Count; ++Index) {
+    std::string Domain(1, static_cast<char>('a' + Random() % 4));
+    auto Kind = Random() % 3;
+    Cards.push_back(
+        {"e" + std::to_string(Index), Domain, Kinds[Kind], Factors[Kind], {}});
+  }
+  return Cards;
+}
+
+// Pattern: engines are lost, replaced and released one after the other.
+// Guards against a layout that holds each layer but has little memory for
+// requests at some of them, so that engines reject requests while the others
+// are half empty.
+TEST(LayoutPlanner, MemoryStaysEvenWhenEnginesComeAndGo) {
+  std::vector<double> Shares;
+  for (unsigned Seed = 1; Seed <= 100; ++Seed) {
+    std::mt19937 Random(Seed);
+    std::vector<PlacementCard> Cards = randomCards(Seed);
+    applyOrders(Cards, LayoutPlanner::plan(m_Model, Cards));
+    for (int Event = 0; Event < 12; ++Event) {
+      std::size_t Index = Random() % Cards.size();
+      if (Random() % 3 == 0 && Cards.size() > 20)
+        Cards.erase(Cards.begin() + static_cast<std::ptrdiff_t>(Index));
+      else
+        Cards[Index].m_Layers = {};
+      // Orders are carried out before the next event or after it.
+      if (Random() % 2 == 0)
+        applyOrders(Cards, LayoutPlanner::plan(m_Model, Cards));
+    }
+    for (int Round = 0; Round < 20; ++Round) {
+      applyOrders(Cards, LayoutPlanner::plan(m_Model, Cards));
+      applyOrders(Cards, LayoutPlanner::planMoves(m_Model, Cards));
+    }
+    CHECK(fitsMemory(m_Model, Cards));
+    LONGS_EQUAL(0, LayoutPlanner::plan(m_Model, Cards).size());
+    LONGS_EQUAL(0, LayoutPlanner::planMoves(m_Model, Cards).size());
+    std::vector<PlacementCard> Fresh = Cards;
+    for (PlacementCard &Card : Fresh)
+      Card.m_Layers = {};
+    applyOrders(Fresh, LayoutPlanner::plan(m_Model, Fresh));
+    Shares.push_back(usableInDomains(m_Model, Cards) /
+                     usableInDomains(m_Model, Fresh));
+  }
+  std::sort(Shares.begin(), Shares.end());
+  CHECK(Shares[50] >= 0.9);
+  CHECK(Shares[5] >= 0.75);
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/placement/PlacementDutyTest.cpp
+++ b/tests/placement/PlacementDutyTest.cpp
@@ -102,4 +102,38 @@
   LONGS_EQUAL(0, Next.tick(m_Model, m_Engines, m_Now + 5s).size());
 }
 
+// Guards against a failure domain that keeps a range of layers with too little
+// memory for good, and against moves while engines are only being replaced.
+TEST(PlacementDuty, MovesAnEngineOnceALossLasts) {
+  tick();
+  m_Now += 5s;
+  carryOut(tick());
+  m_Now += 60s;
+  LONGS_EQUAL(0, tick().size());
+  // The fast chain of the failure domain loses a card.
+  auto IsLost = [](const FleetTable::Handle &Engine) {
+    return Engine->m_Entry.m_FailureDomain == "a" &&
+           Engine->m_Entry.m_Layers.m_End == 80 &&
+           Engine->m_Entry.m_CardKind == "l40s";
+  };
+  auto Lost = std::find_if(m_Engines.begin(), m_Engines.end(), IsLost);
+  CHECK(Lost != m_Engines.end());
+  m_Engines.erase(Lost);
+  LONGS_EQUAL(0, tick().size());
+  m_Now += 2s;
+  LONGS_EQUAL(0, tick().size());
+  m_Now += 2s;
+  auto Moves = tick();
+  LONGS_EQUAL(1, Moves.size());
+  STRCMP_EQUAL("a", find(Moves[0].m_Endpoint)->m_Entry.m_FailureDomain.c_str());
+  // The move is one at a time, and ends.
+  for (int Round = 0; Round < 40; ++Round) {
+    carryOut(Moves);
+    m_Now += 1s;
+    Moves = tick();
+    CHECK(Moves.size() <= 1);
+  }
+  LONGS_EQUAL(0, Moves.size());
+}
+
 PARSLEYRING_TEST_MAIN
