Let streams wait a moment for room at the engines

Cause: an engine that has rejected a path gets no request for 60 ms or more.

A stream without a path now waits for up to half of its latency goal in a short line, ordered by FairQueue of the product: fair between client accounts, then by priority. A stream that has begun waits for up to 1.5 s in place of breaking off. A full line refuses at once.

--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -23,6 +23,8 @@
 static constexpr Duration MaxSilence = std::chrono::milliseconds(3500);
 static constexpr int MaxRepaths = 3;
 static constexpr int MaxSends = 3;
+// Callers leave a stream after a pause of two seconds.
+static constexpr Duration MaxPauseForRoom = std::chrono::milliseconds(1500);
 static constexpr double RetryAfterSeconds = 0.5;
 // While a caller does not read, no more than this is kept for it.
 static constexpr std::size_t MaxUnsentBytes = 256 << 10;
@@ -58,10 +60,63 @@
   m_Job.m_Caller->onGone(
       [Self] { Self->finish(ForwardOutcome::CallerLeft, "caller-left", 0); });
   m_Context.retryShare(m_Job.m_Service->m_Name).noteRequest(m_Context.now());
-  if (!trySend("first"))
+  bool IsOvertaking = !m_Context.waitingLine(m_Job.m_Service->m_Name).empty();
+  if (!IsOvertaking && trySend("first"))
+    return;
+  if (!waitForRoom("no-path"))
     refuse("no-path");
 }
 
+// Engines that are full have room again as soon as one of their requests ends.
+bool StreamForward::waitForRoom(std::string_view Reason) {
+  Time Now = m_Context.now();
+  Time Until = hasBegun() ? m_LastProgress + MaxPauseForRoom
+                          : m_Job.m_Request.m_ReceivedAt +
+                                m_Job.m_Route->m_LatencyGoal / 2;
+  Until = std::min(Until, m_Job.m_Deadline);
+  if (Until <= Now || !canSendAgain())
+    return false;
+  auto Self = shared_from_this();
+  std::string WaitsFor(Reason);
+  WaitingLine::Visitor Joining;
+  Joining.m_Account = m_Job.m_Account;
+  // A stream that stops midway has cost its whole path already.
+  Joining.m_Priority = hasBegun() ? 1 : -m_Job.m_Priority;
+  Joining.m_Until = Until;
+  Joining.m_Try = [Self, WaitsFor] {
+    RequestNumber Place = Self->m_Place;
+    Self->m_Place = 0;
+    if (Self->trySend(WaitsFor)) {
+      Self->endWait();
+      return true;
+    }
+    Self->m_Place = Place;
+    return false;
+  };
+  Joining.m_GiveUp = [Self, WaitsFor] {
+    Self->m_Place = 0;
+    Self->endWait();
+    Self->giveUp(WaitsFor);
+  };
+  m_WaitingSince = Now;
+  m_Place = m_Context.waitingLine(m_Job.m_Service->m_Name)
+                .add(Now, std::move(Joining));
+  if (m_Place == 0)
+    return false;
+  m_Context.log().write(
+      Now, "request-waits", m_Job.m_Id,
+      {{"reason", Reason},
+       {"at_most_ms", std::int64_t((Until - Now).count() / 1000)}});
+  return true;
+}
+
+void StreamForward::endWait() { m_Waited += m_Context.now() - m_WaitingSince; }
+
+bool StreamForward::canSendAgain() const {
+  return m_Sends == 0 ||
+         (m_Runs < m_Job.m_Route->m_MaxAttempts && m_Sends < MaxSends);
+}
+
 double StreamForward::answerTokensLeft() const {
   const auto &Engine = m_Job.m_Service->m_Engine;
   double PerEvent = Engine ? Engine->m_TokensPerEvent : 1;
@@ -93,7 +148,7 @@
   if (Path.empty())
     return false;
   if (m_Sends > 0) {
-    if (m_Runs >= m_Job.m_Route->m_MaxAttempts || m_Sends >= MaxSends ||
+    if (!canSendAgain() ||
         !m_Context.retryShare(m_Job.m_Service->m_Name).tryTake(Now))
       return false;
     m_Context.metrics().countRetry(Reason);
@@ -307,8 +362,13 @@
     return;
   dropAttempt();
   bool IsAllowed = !m_MayHaveRun || canResume();
-  if (IsAllowed && m_Context.now() < m_Job.m_Deadline && trySend(Reason))
+  if (IsAllowed && m_Context.now() < m_Job.m_Deadline &&
+      (trySend(Reason) || waitForRoom(Reason)))
     return;
+  giveUp(Reason);
+}
+
+void StreamForward::giveUp(std::string_view Reason) {
   if (!hasBegun() && !m_MayHaveRun) {
     refuse(Reason);
     return;
@@ -317,7 +377,8 @@
 }
 
 void StreamForward::tick(Time Now) {
-  if (m_IsDone)
+  // The line gives up in time a request that waits in it.
+  if (m_IsDone || m_Place != 0)
     return;
   if (Now >= m_Job.m_Deadline) {
     m_MayHaveRun = true;
@@ -530,6 +591,10 @@
   if (m_IsDone)
     return;
   m_IsDone = true;
+  if (m_Place != 0) {
+    endWait();
+    m_Context.waitingLine(m_Job.m_Service->m_Name).remove(m_Place);
+  }
   std::string Path = idText(m_Load.path());
   if (Outcome != ForwardOutcome::Completed && m_Channel)
     m_Channel->close();
@@ -544,6 +609,7 @@
            {"load_factor", m_Context.loadFactor()},
            {"events", std::int64_t(m_Events)},
            {"first_event_ms", std::int64_t(m_FirstEventTime.count() / 1000)},
+           {"waited_ms", std::int64_t(m_Waited.count() / 1000)},
            {"longest_pause_ms", std::int64_t(m_LongestPauseMs)}});
   m_Job.m_Caller.reset();
 }
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -23,11 +23,15 @@
 
 private:
   bool canResume() const { return m_Job.m_Route->m_IsResumable; }
+  bool canSendAgain() const;
   bool hasBegun() const { return m_HasAnswerBegun; }
   double answerTokensLeft() const;
   PathDemand demand() const;
   LayerPath planPath() const;
   bool trySend(std::string_view Reason);
+  /// False if waiting for room is of no use.
+  bool waitForRoom(std::string_view Reason);
+  void endWait();
   void handleHead(const ResponseHead &Head);
   void handleBody(std::string_view Bytes);
   void handleEnd(ExchangeEnd End);
@@ -45,6 +49,8 @@
   void handleRepath(unsigned Status, const LayerPath &Path);
   /// Goes on at another path, or ends the answer.
   void moveOn(std::string_view Reason);
+  /// Ends the request without a whole answer.
+  void giveUp(std::string_view Reason);
   void dropAttempt();
 
   void refuse(std::string_view Reason);
@@ -71,11 +77,16 @@
   int m_Repaths = 0;
   Time m_NextCheck{};
 
+  // While the request waits for room at the engines.
+  RequestNumber m_Place = 0; ///< In the line; 0 if it does not wait.
+  Time m_WaitingSince{};
+
   // Over all runs.
   std::vector<FleetTable::Handle> m_Failed; ///< Not used again.
   std::uint64_t m_LastEventId = 0;
-  double m_EventGapMs = 0;  ///< Moving mean.
+  double m_EventGapMs = 0; ///< Moving mean.
   double m_LongestPauseMs = 0;
+  Duration m_Waited{};
   double m_PlannedFill = 0; ///< Of the fullest part of the path when sent.
   Duration m_FirstEventTime{};
   int m_Events = 0;
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -229,6 +229,28 @@
   STRCMP_CONTAINS("=0-10", Call.header("Hop-Count").c_str());
 }
 
+// Guards against requests that are refused because the only engine is full for
+// a moment.
+TEST(Gateway, WaitsAMomentForAFullEngine) {
+  std::atomic<int> Calls{0};
+  StandInEndpoint Engine([&](const ReceivedCall &) {
+    StandInAnswer Answer;
+    if (Calls++ == 0) {
+      Answer.m_Status = 503;
+      Answer.m_Headers["Not-Executed"] = "full";
+      return Answer;
+    }
+    Answer.m_Pieces = {events(1, 3)};
+    return Answer;
+  });
+  list("m1", "model", Engine.address());
+  start();
+  HttpAnswer Answer = send(order("/stream/a"));
+  LONGS_EQUAL(200, Answer.m_Status);
+  STRCMP_EQUAL(events(1, 3).c_str(), Answer.m_Body.c_str());
+  LONGS_EQUAL(2, Calls);
+}
+
 // Guards against a request that runs on more engines than its route allows,
 // because engines that are only silent were taken for dead ones.
 TEST(Gateway, SilentEnginesCountAsAttempts) {
