Let streams in the waiting line pass one that has no path

Cause: the line stopped at its first stream without a path. Such a stream may be one that must not use some engines again and has no path at all; it then held up all others of its VM, a stream that had begun for up to 1.5 s, and new streams joined behind it without being tried.

WaitingLineTest fails before (a stuck stream), and has a case for a place that is taken while a request is tried.

--- a/src/admission/WaitingLine.cpp
+++ b/src/admission/WaitingLine.cpp
@@ -8,18 +8,26 @@
 
 RequestNumber WaitingLine::add(Time Now, Visitor Joining) {
   RequestNumber Number = ++m_LastNumber;
+  m_Visitors.emplace(Number, std::move(Joining));
+  if (queue(Now, Number))
+    return Number;
+  m_Visitors.erase(Number);
+  return 0;
+}
+
+bool WaitingLine::queue(Time Now, RequestNumber Number) {
+  auto Found = m_Visitors.find(Number);
+  if (Found == m_Visitors.end())
+    return false;
   QueueEntry Entry;
   Entry.m_Request = Number;
-  Entry.m_Account = Joining.m_Account;
-  Entry.m_Priority = Joining.m_Priority;
-  Entry.m_Deadline = Joining.m_Until;
+  Entry.m_Account = Found->second.m_Account;
+  Entry.m_Priority = Found->second.m_Priority;
+  Entry.m_Deadline = Found->second.m_Until;
   PushResult Result = m_Queue.push(Now, Entry);
-  if (!Result.m_IsQueued)
-    return 0;
-  m_Visitors.emplace(Number, std::move(Joining));
   if (Result.m_Displaced)
     giveUp(*Result.m_Displaced);
-  return Number;
+  return Result.m_IsQueued;
 }
 
 void WaitingLine::remove(RequestNumber Number) {
@@ -40,18 +48,30 @@
 void WaitingLine::tick(Time Now) {
   for (RequestNumber Number : m_Queue.takeExpired(Now))
     giveUp(Number);
-  for (int Count = 0; Count < MostPerTick; ++Count) {
-    auto Next = m_Queue.front(Now);
+  // A request that has no path, because it must not use some endpoints again,
+  // does not hold up the others.
+  std::vector<RequestNumber> Waiting;
+  int Gone = 0;
+  while (Gone < MostPerTick) {
+    auto Next = m_Queue.pop(Now);
     if (!Next)
-      return;
+      break;
+    auto Found = m_Visitors.find(*Next);
+    if (Found == m_Visitors.end())
+      continue;
     // Copied, since the request may leave the line while it is sent.
-    auto Try = m_Visitors.at(*Next).m_Try;
-    if (!Try())
-      return;
-    if (m_Queue.front(Now) == Next)
-      m_Queue.pop(Now);
-    remove(*Next);
+    auto Try = Found->second.m_Try;
+    if (Try()) {
+      m_Visitors.erase(*Next);
+      ++Gone;
+    } else {
+      Waiting.push_back(*Next);
+    }
   }
+  // Others may have taken the places while requests were sent.
+  for (RequestNumber Number : Waiting)
+    if (!queue(Now, Number))
+      giveUp(Number);
 }
 
 } // namespace parsleyring
--- a/src/admission/WaitingLine.h
+++ b/src/admission/WaitingLine.h
@@ -38,6 +38,7 @@
   static constexpr std::size_t MaxLength = 12;
 
 private:
+  bool queue(Time Now, RequestNumber Number);
   void giveUp(RequestNumber Number);
 
   FairQueue m_Queue;
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -60,8 +60,7 @@
   m_Job.m_Caller->onGone(
       [Self] { Self->finish(ForwardOutcome::CallerLeft, "caller-left", 0); });
   m_Context.retryShare(m_Job.m_Service->m_Name).noteRequest(m_Context.now());
-  bool IsOvertaking = !m_Context.waitingLine(m_Job.m_Service->m_Name).empty();
-  if (!IsOvertaking && trySend("first"))
+  if (trySend("first"))
     return;
   if (!waitForRoom("no-path"))
     refuse("no-path");
--- a/tests/admission/WaitingLineTest.cpp
+++ b/tests/admission/WaitingLineTest.cpp
@@ -88,6 +88,46 @@
   STRCMP_EQUAL("2", m_Sent.c_str());
 }
 
+// Guards against a request that has no path left, because it must not use some
+// engines again, and holds up all others behind it.
+TEST(WaitingLine, ARequestWithoutAPathDoesNotHoldUpOthers) {
+  WaitingLine::Visitor Stuck;
+  Stuck.m_Account = "a";
+  Stuck.m_Priority = 1;
+  Stuck.m_Until = m_Now + 1500ms;
+  Stuck.m_Try = [] { return false; };
+  Stuck.m_GiveUp = [this] { m_GivenUp += "stuck"; };
+  CHECK(m_Line.add(m_Now, Stuck) != 0);
+  join("1");
+  join("2", "b");
+  m_Room = 10;
+  pass(40ms);
+  LONGS_EQUAL(2, m_Sent.size());
+  STRCMP_EQUAL("", m_GivenUp.c_str());
+  CHECK_FALSE(m_Line.empty());
+  pass(1500ms);
+  STRCMP_EQUAL("stuck", m_GivenUp.c_str());
+}
+
+// Guards against a request that is neither sent nor given up, because others
+// took its place while it was tried.
+TEST(WaitingLine, EachRequestIsSentOrGivenUp) {
+  WaitingLine::Visitor Inviting;
+  Inviting.m_Account = "a";
+  Inviting.m_Until = m_Now + 250ms;
+  Inviting.m_Try = [this] {
+    for (std::size_t Count = 0; Count < WaitingLine::MaxLength; ++Count)
+      join("x", "b");
+    return false;
+  };
+  Inviting.m_GiveUp = [this] { m_GivenUp += "first"; };
+  m_Line.add(m_Now, Inviting);
+  pass(40ms);
+  pass(600ms);
+  CHECK(m_GivenUp.find("first") != std::string::npos);
+  CHECK(m_Line.empty());
+}
+
 // Guards against a caller that has left and is sent on, or answered, later.
 TEST(WaitingLine, RemovedRequestsAreNotSent) {
   RequestNumber First = join("1");
