Move silent streams before their callers leave

The stream went on elsewhere after 3.5 s, but callers leave after 2 s.

The limit is now 1.2 s. The new case in GatewayTest got no answer before.

--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -19,8 +19,10 @@
 // The new parts of a path read all tokens so far before the next event.
 static constexpr Duration RepathTime = std::chrono::milliseconds(700);
 static constexpr Duration CheckInterval = std::chrono::milliseconds(250);
-// A stream that stays silent without a known cause goes on elsewhere.
-static constexpr Duration MaxSilence = std::chrono::milliseconds(3500);
+// A stream that stays silent without a known cause goes on elsewhere: its
+// answer may be lost on a connection that stays open. Callers leave a stream
+// after a pause of two seconds.
+static constexpr Duration MaxSilence = std::chrono::milliseconds(1200);
 static constexpr int MaxRepaths = 3;
 static constexpr int MaxSends = 3;
 // Callers leave a stream after a pause of two seconds.
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -229,6 +229,35 @@
   STRCMP_CONTAINS("=0-10", Call.header("Hop-Count").c_str());
 }
 
+// Guards against a stream that waits for an answer that was lost on a
+// connection which stays open, while its engine reports that all is well,
+// until its caller has left.
+TEST(Gateway, LostAnswerIsNoticedBeforeTheCallerLeaves) {
+  std::atomic<int> Streams{0};
+  auto Respond = [&](const ReceivedCall &Call) {
+    StandInAnswer Answer;
+    if (Call.m_Path != "/stream/a") {
+      Answer.m_Body = "{\"pace\":1.0,\"stalled\":[]}";
+      return Answer;
+    }
+    if (Streams++ == 0)
+      std::this_thread::sleep_for(2600ms);
+    Answer.m_Pieces = {events(1, 3)};
+    return Answer;
+  };
+  StandInEndpoint First(Respond);
+  StandInEndpoint Second(Respond);
+  list("m1", "model", First.address());
+  list("m2", "model", Second.address());
+  start();
+  HttpOrder Order = order("/stream/a");
+  Order.m_Timeout = 2s;
+  HttpAnswer Answer = send(Order);
+  LONGS_EQUAL(200, Answer.m_Status);
+  STRCMP_EQUAL(events(1, 3).c_str(), Answer.m_Body.c_str());
+  LONGS_EQUAL(2, Streams);
+}
+
 // Guards against requests that are refused because the only engine is full for
 // a moment.
 TEST(Gateway, WaitsAMomentForAFullEngine) {
