Rename the waiting line to AdmissionQueue, and say more when a repeat fails

AdmissionQueue, WaitingRequest, utility and mostUsefulRange are the usual terms for what was called line, visitor, worth and neediest range. No change of behaviour: AdmissionQueueTest, LayoutPlannerTest, PlacementDutyTest and ExplainCommandTest pass as before.

--- a/src/admission/WaitingLine.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -1,4 +1,4 @@
-#include "admission/WaitingLine.h"
+#include "admission/AdmissionQueue.h"
 
 namespace parsleyring {
 
@@ -6,18 +6,18 @@
 // that wait would fill it again and be rejected together.
 static constexpr int MostPerTick = 2;
 
-RequestNumber WaitingLine::add(Time Now, Visitor Joining) {
+RequestNumber AdmissionQueue::add(Time Now, WaitingRequest Added) {
   RequestNumber Number = ++m_LastNumber;
-  m_Visitors.emplace(Number, std::move(Joining));
+  m_Waiting.emplace(Number, std::move(Added));
   if (queue(Now, Number))
     return Number;
-  m_Visitors.erase(Number);
+  m_Waiting.erase(Number);
   return 0;
 }
 
-bool WaitingLine::queue(Time Now, RequestNumber Number) {
-  auto Found = m_Visitors.find(Number);
-  if (Found == m_Visitors.end())
+bool AdmissionQueue::queue(Time Now, RequestNumber Number) {
+  auto Found = m_Waiting.find(Number);
+  if (Found == m_Waiting.end())
     return false;
   QueueEntry Entry;
   Entry.m_Request = Number;
@@ -30,22 +30,22 @@
   return Result.m_IsQueued;
 }
 
-void WaitingLine::remove(RequestNumber Number) {
+void AdmissionQueue::remove(RequestNumber Number) {
   m_Queue.remove(Number);
-  m_Visitors.erase(Number);
+  m_Waiting.erase(Number);
 }
 
-void WaitingLine::giveUp(RequestNumber Number) {
-  auto Found = m_Visitors.find(Number);
-  if (Found == m_Visitors.end())
+void AdmissionQueue::giveUp(RequestNumber Number) {
+  auto Found = m_Waiting.find(Number);
+  if (Found == m_Waiting.end())
     return;
-  // Moved out first, since the handler may use the line.
+  // Moved out first, since the handler may use the queue.
   auto Handler = std::move(Found->second.m_GiveUp);
-  m_Visitors.erase(Found);
+  m_Waiting.erase(Found);
   Handler();
 }
 
-void WaitingLine::tick(Time Now) {
+void AdmissionQueue::tick(Time Now) {
   for (RequestNumber Number : m_Queue.takeExpired(Now))
     giveUp(Number);
   // A request that has no path, because it must not use some endpoints again,
@@ -56,19 +56,19 @@
     auto Next = m_Queue.pop(Now);
     if (!Next)
       break;
-    auto Found = m_Visitors.find(*Next);
-    if (Found == m_Visitors.end())
+    auto Found = m_Waiting.find(*Next);
+    if (Found == m_Waiting.end())
       continue;
-    // Copied, since the request may leave the line while it is sent.
+    // Copied, since the request may leave the queue while it is sent.
     auto Try = Found->second.m_Try;
     if (Try()) {
-      m_Visitors.erase(*Next);
+      m_Waiting.erase(*Next);
       ++Gone;
     } else {
       Waiting.push_back(*Next);
     }
   }
-  // Others may have taken the places while requests were sent.
+  // Others may have filled the queue while requests were sent.
   for (RequestNumber Number : Waiting)
     if (!queue(Now, Number))
       giveUp(Number);
--- a/src/admission/WaitingLine.h
+++ b/src/admission/AdmissionQueue.h
@@ -1,5 +1,5 @@
-#ifndef PARSLEYRING_ADMISSION_WAITINGLINE_H
-#define PARSLEYRING_ADMISSION_WAITINGLINE_H
+#ifndef PARSLEYRING_ADMISSION_ADMISSIONQUEUE_H
+#define PARSLEYRING_ADMISSION_ADMISSIONQUEUE_H
 
 #include "admission/FairQueue.h"
 
@@ -10,9 +10,9 @@
 /// Requests that wait a moment for room at the endpoints of a service. They
 /// leave in the order of FairQueue: fair between client accounts, then by
 /// priority.
-class WaitingLine {
+class AdmissionQueue {
 public:
-  struct Visitor {
+  struct WaitingRequest {
     std::string m_Account;
     std::int32_t m_Priority = 0; ///< Greater goes first within the account.
     Time m_Until;                ///< Given up from then on.
@@ -22,17 +22,17 @@
     std::function<void()> m_GiveUp;
   };
 
-  WaitingLine() : m_Queue(MaxLength) {}
+  AdmissionQueue() : m_Queue(MaxLength) {}
 
-  /// Number of the place in the line; 0 if it is full. A place of an account
+  /// Number in the queue; 0 if it is full. A request of an account
   /// that holds more than its share is given up for it.
-  RequestNumber add(Time Now, Visitor Joining);
-  /// Does nothing if Number is not in the line.
+  RequestNumber add(Time Now, WaitingRequest Added);
+  /// Does nothing if Number is not in the queue.
   void remove(RequestNumber Number);
   /// Lets requests go while there is room, and gives up those whose time has
   /// passed.
   void tick(Time Now);
-  bool empty() const { return m_Visitors.empty(); }
+  bool empty() const { return m_Waiting.empty(); }
 
   /// About as many as one VM can let go within the wait.
   static constexpr std::size_t MaxLength = 12;
@@ -42,10 +42,10 @@
   void giveUp(RequestNumber Number);
 
   FairQueue m_Queue;
-  std::map<RequestNumber, Visitor> m_Visitors;
+  std::map<RequestNumber, WaitingRequest> m_Waiting;
   RequestNumber m_LastNumber = 0;
 };
 
 } // namespace parsleyring
 
-#endif // PARSLEYRING_ADMISSION_WAITINGLINE_H
+#endif // PARSLEYRING_ADMISSION_ADMISSIONQUEUE_H
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -1,7 +1,7 @@
 #ifndef PARSLEYRING_GATEWAY_FORWARDCONTEXT_H
 #define PARSLEYRING_GATEWAY_FORWARDCONTEXT_H
 
-#include "admission/WaitingLine.h"
+#include "admission/AdmissionQueue.h"
 #include "fleet/FleetTable.h"
 #include "fleet/RouteTable.h"
 #include "gateway/CallerConnection.h"
@@ -30,7 +30,7 @@
   virtual FleetTable &fleet() = 0;
   virtual const EndpointProtocol &protocol() const = 0;
   virtual RetryShare &retryShare(const std::string &Service) = 0;
-  virtual WaitingLine &waitingLine(const std::string &Service) = 0;
+  virtual AdmissionQueue &admissionQueue(const std::string &Service) = 0;
   virtual DecisionLog &log() = 0;
   virtual NodeMetrics &metrics() = 0;
   virtual const std::string &failureDomain() const = 0;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -538,8 +538,8 @@
     if (Request->isDone())
       m_Requests.erase(Request);
   }
-  for (auto &[Service, Line] : m_WaitingLines)
-    Line.tick(Now);
+  for (auto &[Service, Queue] : m_AdmissionQueues)
+    Queue.tick(Now);
   m_PeerHandler->answerLate(Now);
   if (m_Ticks % SlowTicks == 0) {
     watchSlowEngines();
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -49,8 +49,8 @@
   FleetTable &fleet() override { return m_Fleet; }
   const EndpointProtocol &protocol() const override { return m_Protocol; }
   RetryShare &retryShare(const std::string &Service) override;
-  WaitingLine &waitingLine(const std::string &Service) override {
-    return m_WaitingLines[Service];
+  AdmissionQueue &admissionQueue(const std::string &Service) override {
+    return m_AdmissionQueues[Service];
   }
   DecisionLog &log() override { return m_Log; }
   NodeMetrics &metrics() override { return m_Metrics; }
@@ -137,7 +137,7 @@
   VMLease m_Lease;
   std::map<std::string, PlacementDuty> m_Placement; ///< By service.
   bool m_HeldDuty = false;
-  std::map<std::string, WaitingLine> m_WaitingLines; ///< By service.
+  std::map<std::string, AdmissionQueue> m_AdmissionQueues; ///< By service.
   std::map<std::string, RetryShare> m_RetryShares;
   std::set<std::shared_ptr<ForwardedRequest>> m_Requests;
 
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -79,30 +79,30 @@
     return false;
   auto Self = shared_from_this();
   std::string WaitsFor(Reason);
-  WaitingLine::Visitor Joining;
-  Joining.m_Account = m_Job.m_Account;
+  AdmissionQueue::WaitingRequest Added;
+  Added.m_Account = m_Job.m_Account;
   // A stream that stops midway has cost its whole path already.
-  Joining.m_Priority = hasBegun() ? 1 : -m_Job.m_Priority;
-  Joining.m_Until = Until;
-  Joining.m_Try = [Self, WaitsFor] {
-    RequestNumber Place = Self->m_Place;
-    Self->m_Place = 0;
+  Added.m_Priority = hasBegun() ? 1 : -m_Job.m_Priority;
+  Added.m_Until = Until;
+  Added.m_Try = [Self, WaitsFor] {
+    RequestNumber QueueNumber = Self->m_QueueNumber;
+    Self->m_QueueNumber = 0;
     if (Self->trySend(WaitsFor)) {
       Self->endWait();
       return true;
     }
-    Self->m_Place = Place;
+    Self->m_QueueNumber = QueueNumber;
     return false;
   };
-  Joining.m_GiveUp = [Self, WaitsFor] {
-    Self->m_Place = 0;
+  Added.m_GiveUp = [Self, WaitsFor] {
+    Self->m_QueueNumber = 0;
     Self->endWait();
     Self->giveUp(WaitsFor);
   };
   m_WaitingSince = Now;
-  m_Place = m_Context.waitingLine(m_Job.m_Service->m_Name)
-                .add(Now, std::move(Joining));
-  if (m_Place == 0)
+  m_QueueNumber = m_Context.admissionQueue(m_Job.m_Service->m_Name)
+                      .add(Now, std::move(Added));
+  if (m_QueueNumber == 0)
     return false;
   m_Context.log().write(
       Now, "request-waits", m_Job.m_Id,
@@ -378,8 +378,8 @@
 }
 
 void StreamForward::tick(Time Now) {
-  // The line gives up in time a request that waits in it.
-  if (m_IsDone || m_Place != 0)
+  // A request that waits is given up in time by the queue.
+  if (m_IsDone || m_QueueNumber != 0)
     return;
   if (Now >= m_Job.m_Deadline) {
     m_MayHaveRun = true;
@@ -592,9 +592,9 @@
   if (m_IsDone)
     return;
   m_IsDone = true;
-  if (m_Place != 0) {
+  if (m_QueueNumber != 0) {
     endWait();
-    m_Context.waitingLine(m_Job.m_Service->m_Name).remove(m_Place);
+    m_Context.admissionQueue(m_Job.m_Service->m_Name).remove(m_QueueNumber);
   }
   std::string Path = idText(m_Load.path());
   if (Outcome != ForwardOutcome::Completed && m_Channel)
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -78,7 +78,7 @@
   Time m_NextCheck{};
 
   // While the request waits for room at the engines.
-  RequestNumber m_Place = 0; ///< In the line; 0 if it does not wait.
+  RequestNumber m_QueueNumber = 0; ///< 0 if it does not wait.
   Time m_WaitingSince{};
 
   // Over all runs.
--- a/src/placement/LayerMemory.cpp
+++ b/src/placement/LayerMemory.cpp
@@ -55,7 +55,7 @@
          std::max(1U, m_Model.m_Layers);
 }
 
-bool LayerMemory::hasHole() const {
+bool LayerMemory::hasUncoveredLayer() const {
   return std::find(m_Holders.begin(), m_Holders.end(), 0) != m_Holders.end();
 }
 
@@ -66,31 +66,31 @@
   return Layers.m_End > Layers.m_First;
 }
 
-// A path needs memory at every layer, so that of a layer is worth the more the
-// less there is.
-double LayerMemory::worthOf(double Megabytes, int Holders) const {
+// A path needs memory at every layer, so that of a layer has the more utility
+// the less there is.
+double LayerMemory::utilityOf(double Megabytes, int Holders) const {
   auto Row = std::min<std::size_t>(static_cast<std::size_t>(Holders),
                                    SafeShares.size() - 1);
   double Safe = Megabytes * SafeShares[Row] + m_Floor;
   return -1 / (Safe * Safe);
 }
 
-double LayerMemory::worth() const {
+double LayerMemory::utility() const {
   double Sum = 0;
   for (std::uint32_t Layer = 0; Layer < m_Model.m_Layers; ++Layer)
-    Sum += worthOf(m_Megabytes[Layer], m_Holders[Layer]);
+    Sum += utilityOf(m_Megabytes[Layer], m_Holders[Layer]);
   return Sum;
 }
 
-LayerRange LayerMemory::neediestRange(const PlacementCard &Card) const {
+LayerRange LayerMemory::mostUsefulRange(const PlacementCard &Card) const {
   LayerRange Best;
   double BestGain = 0;
   std::vector<double> Gains(m_Model.m_Layers);
   for (std::uint32_t Length = 1; Length <= maxLayers(m_Model, Card); ++Length) {
     double Own = LayoutQuality::memoryPerLayer(m_Model, Card, {0, Length});
     for (std::uint32_t Layer = 0; Layer < m_Model.m_Layers; ++Layer)
-      Gains[Layer] = worthOf(m_Megabytes[Layer] + Own, m_Holders[Layer] + 1) -
-                     worthOf(m_Megabytes[Layer], m_Holders[Layer]);
+      Gains[Layer] = utilityOf(m_Megabytes[Layer] + Own, m_Holders[Layer] + 1) -
+                     utilityOf(m_Megabytes[Layer], m_Holders[Layer]);
     double Gain = 0;
     for (std::uint32_t End = 1; End <= m_Model.m_Layers; ++End) {
       Gain += Gains[End - 1];
--- a/src/placement/LayerMemory.h
+++ b/src/placement/LayerMemory.h
@@ -8,7 +8,7 @@
 namespace parsleyring {
 
 /// What cards have for requests at each layer, if each card spreads its memory
-/// evenly over its layers, and how much that is worth.
+/// evenly over its layers, and its utility.
 class LayerMemory {
 public:
   LayerMemory(const EngineModel &Model,
@@ -20,20 +20,20 @@
 
   /// Megabytes of the average layer.
   double mean() const;
-  bool hasHole() const;
+  bool hasUncoveredLayer() const;
   /// True if each of Layers has another holder than the card that asks.
   bool isSpare(LayerRange Layers) const;
   /// Negative; nearer to 0 is better.
-  double worth() const;
-  /// The layers at which the memory of an empty card is worth most.
-  LayerRange neediestRange(const PlacementCard &Card) const;
+  double utility() const;
+  /// The layers at which the memory of an empty card has most utility.
+  LayerRange mostUsefulRange(const PlacementCard &Card) const;
 
   /// How many layers a card may hold, so that it keeps some requests.
   static std::uint32_t maxLayers(const EngineModel &Model,
                                  const PlacementCard &Card);
 
 private:
-  double worthOf(double Megabytes, int Holders) const;
+  double utilityOf(double Megabytes, int Holders) const;
   void change(const PlacementCard &Card, LayerRange Layers, int Sign);
 
   const EngineModel &m_Model;
--- a/src/placement/LayoutMove.cpp
+++ b/src/placement/LayoutMove.cpp
@@ -15,8 +15,9 @@
 static constexpr double LeastLeftByMove = 0.85;
 // Moves whose effect on the usable memory is worked out, which takes longest.
 static constexpr std::size_t ComparedMoves = 8;
-// A move towards a hole takes at least this much of what it costs away.
-static constexpr double HoleMoveShare = 0.95;
+// A move towards a layer without a holder raises the utility, which is
+// negative, to at most this share.
+static constexpr double CoveringMoveShare = 0.95;
 
 LayoutMove::LayoutMove(const EngineModel &Model,
                        std::vector<PlacementCard> &Cards)
@@ -54,7 +55,7 @@
   if (m_Memory.isSpare(Held) &&
       usableWith(Card, {}) >= m_Usable * LeastLeftByMove) {
     m_Memory.remove(Card, Held);
-    Ranges.push_back(m_Memory.neediestRange(Card));
+    Ranges.push_back(m_Memory.mostUsefulRange(Card));
     m_Memory.add(Card, Held);
   }
   return Ranges;
@@ -62,7 +63,7 @@
 
 std::vector<LayoutMove::Move> LayoutMove::promisingMoves() {
   std::vector<Move> Moves;
-  const double Worth = m_Memory.worth();
+  const double Utility = m_Memory.utility();
   for (PlacementCard &Card : m_Cards) {
     if (Card.isEmpty())
       continue;
@@ -70,13 +71,13 @@
       LayerMemory Changed = m_Memory;
       Changed.remove(Card, Card.m_Layers);
       Changed.add(Card, Range);
-      if (Changed.worth() > Worth)
-        Moves.push_back({Changed.worth(), &Card, Range});
+      if (Changed.utility() > Utility)
+        Moves.push_back({Changed.utility(), &Card, Range});
     }
   }
   std::stable_sort(Moves.begin(), Moves.end(),
                    [](const Move &Left, const Move &Right) {
-                     return Left.m_Worth > Right.m_Worth;
+                     return Left.m_Utility > Right.m_Utility;
                    });
   if (Moves.size() > ComparedMoves)
     Moves.resize(ComparedMoves);
@@ -101,9 +102,10 @@
       Best = &Each;
     }
   }
-  // A hole can take several moves, of which only the last one adds memory.
-  if (!Best && m_Memory.hasHole() && !Moves.empty() &&
-      Moves.front().m_Worth > m_Memory.worth() * HoleMoveShare)
+  // Layers without a holder can take several moves, of which only the last adds
+  // memory.
+  if (!Best && m_Memory.hasUncoveredLayer() && !Moves.empty() &&
+      Moves.front().m_Utility > m_Memory.utility() * CoveringMoveShare)
     Best = &Moves.front();
   if (!Best)
     return std::nullopt;
--- a/src/placement/LayoutMove.h
+++ b/src/placement/LayoutMove.h
@@ -20,7 +20,7 @@
 
 private:
   struct Move {
-    double m_Worth = 0;
+    double m_Utility = 0;
     PlacementCard *m_Card = nullptr;
     LayerRange m_Layers;
   };
--- a/src/placement/LayoutPlanner.cpp
+++ b/src/placement/LayoutPlanner.cpp
@@ -37,7 +37,7 @@
   std::uint32_t copies() const;
   void planChains();
   void planChain(std::vector<PlacementCard *> &Chain);
-  void closeHoles();
+  void coverAllLayers();
   void order(PlacementCard &Card, LayerRange Layers);
 
   const EngineModel &m_Model;
@@ -126,10 +126,10 @@
 
 // A layer that nobody in the group holds is given to the smallest card all of
 // whose layers have another holder.
-void GroupPlan::closeHoles() {
+void GroupPlan::coverAllLayers() {
   for (std::size_t Round = 0; Round < m_Cards.size(); ++Round) {
     LayerMemory Memory(m_Model, m_Cards);
-    if (!Memory.hasHole())
+    if (!Memory.hasUncoveredLayer())
       return;
     PlacementCard *Spare = nullptr;
     for (PlacementCard &Card : m_Cards)
@@ -139,7 +139,7 @@
     if (!Spare)
       return;
     Memory.remove(*Spare, Spare->m_Layers);
-    order(*Spare, Memory.neediestRange(*Spare));
+    order(*Spare, Memory.mostUsefulRange(*Spare));
   }
 }
 
@@ -151,8 +151,8 @@
     planChains();
   for (PlacementCard &Card : m_Cards)
     if (Card.isEmpty() && LayerMemory::maxLayers(m_Model, Card) > 0)
-      order(Card, LayerMemory(m_Model, m_Cards).neediestRange(Card));
-  closeHoles();
+      order(Card, LayerMemory(m_Model, m_Cards).mostUsefulRange(Card));
+  coverAllLayers();
   return m_Orders;
 }
 
--- a/tests/integration/AtMostOnceTest.cpp
+++ b/tests/integration/AtMostOnceTest.cpp
@@ -134,7 +134,9 @@
   void checkRepeat(const std::string &Router, const std::string &Key) {
     HttpAnswer Answer = fee(Router, Key);
     bool IsKept = Answer.m_Status == 200;
-    CHECK_TEXT(IsKept || Answer.m_Status == 409, Answer.m_Body.c_str());
+    std::string Seen = Router + ", " + Key + ": status " +
+                       std::to_string(Answer.m_Status) + " " + Answer.m_Body;
+    CHECK_TEXT(IsKept || Answer.m_Status == 409, Seen.c_str());
     CHECK(Answer.header("X-Outcome") != "not-run");
   }
 
