--- a/src/audit/GatewayHistory.cpp
+++ b/src/audit/GatewayHistory.cpp
@@ -95,6 +95,8 @@
                                                       "endpoint-unlisted",
                                                       "store-lost",
                                                       "store-available",
+                                                      "store-items-unconfirmed",
+                                                      "store-items-confirmed",
                                                       "start",
                                                       "stop",
                                                       "end"};
--- a/src/gateway/DigestExchange.cpp
+++ b/src/gateway/DigestExchange.cpp
@@ -14,10 +14,11 @@
 DigestExchange::DigestExchange(asio::io_context &Loop,
                                const std::string &Address, const ListedVM &Self,
                                const VMDirectory &VMs, FleetTable &Fleet,
-                               std::function<Time()> Now,
+                               StoreWatcher &Watcher, std::function<Time()> Now,
                                SuspicionHandler OnSuspicion)
-    : m_Self(Self), m_VMs(VMs), m_Fleet(Fleet), m_Now(std::move(Now)),
-      m_OnSuspicion(std::move(OnSuspicion)), m_Socket(Loop) {
+    : m_Self(Self), m_VMs(VMs), m_Fleet(Fleet), m_StoreWatcher(Watcher),
+      m_Now(std::move(Now)), m_OnSuspicion(std::move(OnSuspicion)),
+      m_Socket(Loop) {
   if (Address.empty())
     return;
   std::optional<SocketAddress> Parsed = parseSocketAddress(Address);
@@ -50,6 +51,10 @@
     return;
   for (const auto &Endpoint : m_DigestTable.apply(*Digest, m_Fleet, m_Now()))
     m_OnSuspicion(Endpoint, Digest->m_Sender);
+  if (Digest->m_StoreRevision > 0)
+    m_StoreWatcher.noteReport(
+        Digest->m_StoreRevision, Digest->m_StoreAnswerAge,
+        m_VMs.peerAddressAt(m_Sender.address().to_string()));
   if (Digest->m_IsDomainSum)
     forwardDigest(Bytes);
 }
@@ -74,9 +79,17 @@
                    {asio::ip::make_address(Peer->m_Host), m_Port}, 0, Ignored);
 }
 
+// Tells only what the store itself answered to this VM: ages that were passed
+// on and back would hide that the store has stopped answering.
+std::string DigestExchange::encode(LoadDigest Digest) const {
+  Digest.m_StoreRevision = m_StoreWatcher.revision();
+  Digest.m_StoreAnswerAge = m_StoreWatcher.storeAnswerAge();
+  return Digest.encode();
+}
+
 void DigestExchange::sendToDomainPeers() {
   std::string Bytes =
-      m_DigestTable.digestOfVM(m_Self.m_Name, m_Fleet, m_Now()).encode();
+      encode(m_DigestTable.digestOfVM(m_Self.m_Name, m_Fleet, m_Now()));
   for (const ListedVM &VM : m_VMs.domainPeers())
     send(VM, Bytes);
 }
@@ -84,9 +97,8 @@
 void DigestExchange::sendToOtherDomains() {
   if (!m_VMs.isRepresentative())
     return;
-  std::string Bytes =
-      m_DigestTable.digestOfDomain(m_Self.m_FailureDomain, m_Fleet, m_Now())
-          .encode();
+  std::string Bytes = encode(
+      m_DigestTable.digestOfDomain(m_Self.m_FailureDomain, m_Fleet, m_Now()));
   for (const std::string &Domain : m_VMs.otherDomains())
     for (const ListedVM &VM : m_VMs.representatives(Domain))
       send(VM, Bytes);
--- a/src/gateway/DigestExchange.h
+++ b/src/gateway/DigestExchange.h
@@ -2,6 +2,7 @@
 #define PARSLEYRING_GATEWAY_DIGESTEXCHANGE_H
 
 #include "membership/LoadDigest.h"
+#include "store/StoreWatcher.h"
 #include "store/VMDirectory.h"
 
 #include <boost/asio/io_context.hpp>
@@ -12,7 +13,8 @@
 
 namespace parsleyring {
 
-/// Exchanges load digests over UDP. Within a failure domain each VM sends to
+/// Exchanges load digests over UDP, which also tell which revision of the
+/// store's items each VM knows. Within a failure domain each VM sends to
 /// all others. Between failure domains, where traffic is expensive, only the
 /// representatives exchange the sums of their domains, and forward those that
 /// they receive within their own domain.
@@ -26,8 +28,8 @@
   /// the same port. Throws std::exception if the address cannot be bound.
   DigestExchange(boost::asio::io_context &Loop, const std::string &Address,
                  const ListedVM &Self, const VMDirectory &VMs,
-                 FleetTable &Fleet, std::function<Time()> Now,
-                 SuspicionHandler OnSuspicion);
+                 FleetTable &Fleet, StoreWatcher &Watcher,
+                 std::function<Time()> Now, SuspicionHandler OnSuspicion);
 
   /// Drops the digests of silent senders and updates the endpoints' loads.
   void refresh() { m_DigestTable.refresh(m_Fleet, m_Now()); }
@@ -41,11 +43,13 @@
   void receive();
   void handleDigest(const std::string &Bytes);
   void forwardDigest(const std::string &Bytes);
+  std::string encode(LoadDigest Digest) const;
   void send(const ListedVM &VM, const std::string &Bytes);
 
   const ListedVM m_Self;
   const VMDirectory &m_VMs;
   FleetTable &m_Fleet;
+  StoreWatcher &m_StoreWatcher;
   std::function<Time()> m_Now;
   SuspicionHandler m_OnSuspicion;
   LoadDigestTable m_DigestTable;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -161,7 +161,7 @@
       m_MetricsHandler(std::make_unique<MetricsHandler>(*this)),
       m_Digests(
           m_Loop, m_Settings.m_DigestAddress, m_Self, m_VMs, m_Fleet,
-          [this] { return now(); },
+          m_StoreWatcher, [this] { return now(); },
           [this](const FleetTable::Handle &Endpoint, const std::string &By) {
             handlePeerSuspicion(Endpoint, By);
           }),
@@ -529,6 +529,16 @@
               {{"outage_ms", std::int64_t(OutageTime.count() / 1000)}});
 }
 
+void GatewayNode::freshnessChanged(bool IsFresh, Duration ConfirmationAge,
+                                   std::uint64_t KnownRevision) {
+  m_Log.write(
+      now(), IsFresh ? "store-items-confirmed" : "store-items-unconfirmed", "",
+      {{"age_ms", std::int64_t(ConfirmationAge.count() / 1000)},
+       {"revision", std::int64_t(m_StoreWatcher.revision())},
+       {"known_revision", std::int64_t(KnownRevision)},
+       {"configuration", std::int64_t(m_Table ? m_Table->m_Version : 0)}});
+}
+
 void GatewayNode::revisionChanged() { m_PeerHandler->answerAll(); }
 
 // Ticks
@@ -555,6 +565,7 @@
   }
   for (auto &[Service, Queue] : m_AdmissionQueues)
     Queue.tick(Now);
+  m_StoreWatcher.tick();
   m_PeerHandler->answerDue(Now);
   if (m_Ticks % MaintenanceTicks == 0) {
     pollSlowEngines();
@@ -567,6 +578,7 @@
     m_ConnectionPool.expire(Now);
     m_Fleet.expire(Now);
     m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
+    m_Metrics.setConfirmationAge(m_StoreWatcher.confirmationAge());
     m_Metrics.countDroppedLogLines(m_Log.droppedLines() -
                                    m_CountedDroppedLines);
     m_CountedDroppedLines = m_Log.droppedLines();
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -73,6 +73,8 @@
   void itemDeleted(const std::string &Key) override;
   void itemsReloaded(const std::map<std::string, StoreItem> &Items) override;
   void availabilityChanged(bool IsAvailable, Duration OutageTime) override;
+  void freshnessChanged(bool IsFresh, Duration ConfirmationAge,
+                        std::uint64_t KnownRevision) override;
   void revisionChanged() override;
   std::vector<std::string> peerAddresses() const override {
     return m_VMs.peerAddresses();
@@ -80,7 +82,7 @@
   std::vector<std::string> relayAddresses() const override {
     return m_VMs.relayAddresses();
   }
-  bool isRelay() const override { return m_VMs.isRelay(); }
+  bool isPrimaryWatcher() const override { return m_VMs.isPrimaryWatcher(); }
 
 private:
   class ReadyHandler;
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -56,6 +56,9 @@
           .Add({}, SecondsBuckets);
   Gauge &m_Version = gauge(m_Registry, "parsleyring_configuration_version",
                            "Version of the configuration in force.");
+  Gauge &m_ConfirmationAge =
+      gauge(m_Registry, "parsleyring_configuration_confirmation_age_seconds",
+            "Time since the configuration was known to be the newest one.");
   Gauge &m_Running = gauge(m_Registry, "parsleyring_requests_running",
                            "Requests in progress.");
   Gauge &m_Connections = gauge(m_Registry, "parsleyring_caller_connections",
@@ -102,6 +105,10 @@
   m_Families->m_Version.Set(static_cast<double>(Version));
 }
 
+void NodeMetrics::setConfirmationAge(Duration Age) {
+  m_Families->m_ConfirmationAge.Set(seconds(Age));
+}
+
 void NodeMetrics::setRunning(std::size_t Requests, std::size_t Connections) {
   m_Families->m_Running.Set(static_cast<double>(Requests));
   m_Families->m_Connections.Set(static_cast<double>(Connections));
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -23,6 +23,8 @@
   void countOrder(std::string_view Kind);
   void observeFirstEvent(Duration Taken);
   void setConfigurationVersion(ConfigurationVersion Version);
+  /// Age of the last confirmation that the store's items are the newest ones.
+  void setConfirmationAge(Duration Age);
   void setRunning(std::size_t Requests, std::size_t Connections);
   void countDroppedLogLines(std::uint64_t Lines);
   std::string text() const;
--- a/src/membership/LoadDigest.cpp
+++ b/src/membership/LoadDigest.cpp
@@ -22,9 +22,12 @@
     Loads.push_back({Entry.m_Endpoint, std::llround(Entry.m_Tokens),
                      Entry.m_Running, std::llround(Entry.m_Pace * 100),
                      Entry.m_SuspectMs});
+  std::int64_t AgeMs = m_StoreAnswerAge / std::chrono::milliseconds(1);
   std::vector<std::uint8_t> Bytes = json::to_cbor(json{{"from", m_Sender},
                                                        {"sum", m_IsDomainSum},
                                                        {"n", m_Number},
+                                                       {"at", m_StoreRevision},
+                                                       {"age", AgeMs},
                                                        {"loads", Loads}});
   return {Bytes.begin(), Bytes.end()};
 }
@@ -42,6 +45,13 @@
   Digest.m_Sender = Root["from"].get<std::string>();
   Digest.m_IsDomainSum = Root["sum"].get<bool>();
   Digest.m_Number = Root["n"].get<std::uint64_t>();
+  // Digests of earlier versions have no revision.
+  if (Has("at", &json::is_number_unsigned) &&
+      Has("age", &json::is_number_unsigned)) {
+    Digest.m_StoreRevision = Root["at"].get<std::uint64_t>();
+    Digest.m_StoreAnswerAge =
+        std::chrono::milliseconds(Root["age"].get<std::int64_t>());
+  }
   for (const json &Entry : Root["loads"]) {
     if (!Entry.is_array() || Entry.size() < 5 || !Entry[0].is_string())
       return std::nullopt;
--- a/src/membership/LoadDigest.h
+++ b/src/membership/LoadDigest.h
@@ -26,6 +26,10 @@
   bool m_IsDomainSum = false; ///< Sums over the VMs of a domain.
   std::uint64_t m_Number = 0; ///< Sequence number at the sending VM.
   std::vector<Load> m_Loads;
+  /// Revision of the store's items that the sender knows, and the time since
+  /// the store itself last answered it; 0 if the sender knows none.
+  std::uint64_t m_StoreRevision = 0;
+  Duration m_StoreAnswerAge{};
 
   std::string encode() const;
   /// Returns nothing if Bytes is no valid digest.
--- a/src/store/StoreWatcher.cpp
+++ b/src/store/StoreWatcher.cpp
@@ -2,30 +2,29 @@
 
 namespace parsleyring {
 
-// A watch call times out after its wait time plus this margin, which detects a
-// dead connection.
-static constexpr Duration WatchWait = std::chrono::seconds(4);
-static constexpr Duration WatchTimeoutMargin = std::chrono::milliseconds(900);
-// Fractions of the time within which a change must apply. RelayWaitFraction
-// limits the wait of a relay's watch call and of a poll of a relay, so that a
-// relay gets an answer from the store at least that often. MaxAgeFraction is
-// the maximum age of a relay's items on which other VMs rely.
-static constexpr double RelayWaitFraction = 0.35;
+// Longest wait of a poll while the reports of other VMs confirm the items.
+static constexpr Duration ConfirmedWait = std::chrono::seconds(4);
+// The following fractions of the time within which a change must apply leave
+// time for two answers in a row to be lost.
+static constexpr double WaitFraction = 0.3;
+static constexpr double AnswerFraction = 0.25;
 static constexpr double MaxAgeFraction = 0.6;
+// A VM that other VMs are ahead of waits this fraction for its own poll, since
+// a change does not reach all VMs at the same moment.
+static constexpr double BehindFraction = 0.15;
+static constexpr double QuestionFraction = 0.1;
+// The store also counts refused calls against its rate limits, so the retry
+// delay grows. VMs on which no other one relies retry less often.
+static constexpr double FirstRetryFraction = 0.06;
+static constexpr double MaxPrimaryRetryFraction = 0.2;
+static constexpr double MaxRetryFraction = 0.35;
+// A poll that is not answered in time may still get a late answer.
+static constexpr Duration LateAnswerTime = std::chrono::milliseconds(1500);
 // After all relays have failed, the store is watched directly for this long.
 static constexpr Duration RelayRetryDelay = std::chrono::seconds(10);
-static constexpr Duration RelayTimeoutMargin = std::chrono::milliseconds(400);
 // Delay before the next poll after a change. Changes come in groups, and each
 // answer causes work on every VM, so one answer should contain several changes.
-// Far below the time within which a change must apply.
-static constexpr Duration BatchingDelay = std::chrono::milliseconds(150);
-static constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
-// The store also counts refused calls against its rate limits, so the retry
-// delay grows.
-static constexpr Duration FirstRetryDelay = std::chrono::milliseconds(120);
-static constexpr Duration MaxRetryDelay = std::chrono::milliseconds(800);
-// VMs with relays retry the store less often and leave it to the relays.
-static constexpr Duration MaxRelayedRetryDelay = std::chrono::seconds(2);
+static constexpr double BatchingFraction = 0.075;
 static constexpr Duration PeerInterval = std::chrono::milliseconds(400);
 static constexpr Duration PeerTimeout = std::chrono::milliseconds(600);
 // Changes kept for peers; a peer that is further behind gets all items.
@@ -44,48 +43,51 @@
   return Duration(static_cast<std::int64_t>(Whole.count() * Fraction));
 }
 
-// Reading the store
+// Polls
 
-void StoreWatcher::loadPage(const std::string &After) {
-  if (After.empty()) {
-    m_Loading.clear();
-    m_LoadingRevision = 0;
-  }
-  m_Client.call(m_StoreAddress, m_Protocol.rangeCall("", After), CallTimeout,
-                [this](const CallReply &Reply) { handlePage(Reply); });
+std::uint64_t StoreWatcher::beginPoll(Duration Wait) {
+  m_IsPolling = true;
+  m_IsPollingRelay = false;
+  m_PollWait = Wait;
+  m_PollDueAt = m_Now() + Wait + fractionOf(m_MaxApplyDelay, AnswerFraction);
+  return ++m_NewestPoll;
 }
 
-void StoreWatcher::handlePage(const CallReply &Reply) {
-  std::optional<StorePage> Page;
-  if (Reply.isOk())
-    Page = m_Protocol.parsePage(Reply.m_Body);
-  if (!Page) {
+// Ends a poll that got an answer, and all others. Returns false if another one
+// was answered before, so that this one must not go on.
+bool StoreWatcher::endPoll(std::uint64_t Poll) {
+  if (Poll < m_OldestPoll)
+    return false;
+  m_OldestPoll = ++m_NewestPoll;
+  m_IsPolling = false;
+  m_RetryTimer.cancel();
+  return true;
+}
+
+// The failure of an older poll tells nothing about the newest one.
+void StoreWatcher::failPoll(std::uint64_t Poll) {
+  if (Poll == m_NewestPoll && m_IsPolling)
     handleFailure();
-    return;
-  }
-  markAvailable();
-  // The pages are not one snapshot, so the watch starts at the revision of the
-  // first page.
-  if (m_LoadingRevision == 0)
-    m_LoadingRevision = Page->m_Revision;
-  std::string Last;
-  for (StoreItem &Item : Page->m_Items) {
-    Last = Item.m_Key;
-    m_Loading[Item.m_Key] = std::move(Item);
-  }
-  if (Page->m_HasMore && !Last.empty()) {
-    loadPage(Last);
-    return;
+}
+
+void StoreWatcher::tick() {
+  updateFreshness();
+  if (m_IsPolling && m_Now() >= m_PollDueAt) {
+    if (m_IsPollingRelay)
+      handleRelayFailure();
+    else
+      handleFailure();
+  } else if (m_IsPolling && m_PollWait > Duration::zero() && !isFresh()) {
+    // The poll waits for a change, but nothing shows that it would hear of one.
+    pollNext();
   }
-  replaceAll(std::move(m_Loading), m_LoadingRevision);
-  m_Loading.clear();
-  pollNext();
+  askNewerPeer();
 }
 
 void StoreWatcher::pollNext() {
   if (m_MustReload)
-    loadPage("");
-  else if (m_Now() >= m_WatchDirectlyUntil &&
+    loadPage(std::make_shared<Reload>(), "");
+  else if (isFresh() && m_Now() >= m_WatchDirectlyUntil &&
            !m_Observer.relayAddresses().empty())
     pollRelay();
   else
@@ -100,22 +102,100 @@
   });
 }
 
+// Without recent confirmation the answer should come at once, since it also
+// shows whether the store answers again.
+Duration StoreWatcher::pollWait() const {
+  if (m_Failures > 0 || !isFresh())
+    return Duration::zero();
+  bool IsConfirmedByOthers =
+      m_Now() - m_LastReportAt < fractionOf(m_MaxApplyDelay, WaitFraction);
+  if (IsConfirmedByOthers && !m_Observer.isPrimaryWatcher())
+    return ConfirmedWait;
+  return fractionOf(m_MaxApplyDelay, WaitFraction);
+}
+
+void StoreWatcher::handleFailure() {
+  m_IsPolling = false;
+  ++m_Failures;
+  if (m_IsAvailable && m_Failures >= 2) {
+    m_IsAvailable = false;
+    m_UnavailableSince = m_Now();
+    m_Observer.availabilityChanged(false, Duration::zero());
+  }
+  if (!m_IsAvailable && !m_IsPollingPeers) {
+    m_IsPollingPeers = true;
+    pollPeer();
+  }
+  Duration MaxDelay = fractionOf(m_MaxApplyDelay, m_Observer.isPrimaryWatcher()
+                                                      ? MaxPrimaryRetryFraction
+                                                      : MaxRetryFraction);
+  Duration Delay =
+      std::min(MaxDelay, fractionOf(m_MaxApplyDelay, FirstRetryFraction) *
+                             m_Failures * m_Failures);
+  schedulePoll(Delay + Duration(m_Random() % Delay.count() / 2));
+}
+
+// Reading the store
+
+void StoreWatcher::loadPage(const std::shared_ptr<Reload> &Pages,
+                            const std::string &After) {
+  std::uint64_t Poll = beginPoll(Duration::zero());
+  m_Client.call(m_StoreAddress, m_Protocol.rangeCall("", After), LateAnswerTime,
+                [this, Pages, Poll](const CallReply &Reply) {
+                  handlePage(Pages, Reply, Poll);
+                });
+}
+
+void StoreWatcher::handlePage(const std::shared_ptr<Reload> &Pages,
+                              const CallReply &Reply, std::uint64_t Poll) {
+  std::optional<StorePage> Page;
+  if (Reply.isOk())
+    Page = m_Protocol.parsePage(Reply.m_Body);
+  if (!Page) {
+    failPoll(Poll);
+    return;
+  }
+  if (!endPoll(Poll))
+    return;
+  m_LastStoreAnswerAt = m_Now();
+  markAvailable();
+  // The pages are not one snapshot, so the watch starts at the revision of the
+  // first page.
+  if (Pages->m_Revision == 0)
+    Pages->m_Revision = Page->m_Revision;
+  std::string Last;
+  for (StoreItem &Item : Page->m_Items) {
+    Last = Item.m_Key;
+    Pages->m_Items[Item.m_Key] = std::move(Item);
+  }
+  if (Page->m_HasMore && !Last.empty()) {
+    loadPage(Pages, Last);
+    return;
+  }
+  replaceAll(std::move(Pages->m_Items), Pages->m_Revision);
+  confirm(Page->m_Revision, m_Now());
+  pollNext();
+}
+
 void StoreWatcher::watch() {
+  Duration Wait = pollWait();
   std::uint64_t WatchedRevision = m_Revision;
-  Duration Wait = m_Observer.isRelay()
-                      ? fractionOf(m_MaxApplyDelay, RelayWaitFraction)
-                      : WatchWait;
+  std::uint64_t Poll = beginPoll(Wait);
   m_Client.call(m_StoreAddress, m_Protocol.watchCall("", WatchedRevision, Wait),
-                Wait + WatchTimeoutMargin,
-                [this, WatchedRevision](const CallReply &Reply) {
-                  handleChanges(Reply, WatchedRevision);
+                Wait + LateAnswerTime,
+                [this, WatchedRevision, Poll](const CallReply &Reply) {
+                  handleChanges(Reply, WatchedRevision, Poll);
                 });
 }
 
 void StoreWatcher::handleChanges(const CallReply &Reply,
-                                 std::uint64_t WatchedRevision) {
+                                 std::uint64_t WatchedRevision,
+                                 std::uint64_t Poll) {
   if (Reply.m_Status == 410) {
+    if (!endPoll(Poll))
+      return;
     m_MustReload = true;
+    m_LastStoreAnswerAt = m_Now();
     markAvailable();
     pollNext();
     return;
@@ -124,22 +204,26 @@
   if (Reply.isOk())
     Changes = m_Protocol.parseChanges(Reply.m_Body);
   if (!Changes) {
-    handleFailure();
+    failPoll(Poll);
     return;
   }
+  if (!endPoll(Poll))
+    return;
+  m_LastStoreAnswerAt = m_Now();
   markAvailable();
   // Items from a peer may already be newer than this reply.
   bool IsSuperseded = WatchedRevision < m_Revision;
-  if (!IsSuperseded && applyChanges(Changes->m_Items, Changes->m_Revision))
-    schedulePoll(BatchingDelay);
+  bool HasChanges =
+      !IsSuperseded && applyChanges(Changes->m_Items, Changes->m_Revision);
+  confirm(Changes->m_Revision, m_Now());
+  if (HasChanges)
+    schedulePoll(fractionOf(m_MaxApplyDelay, BatchingFraction));
   else
     pollNext();
 }
 
-// Records that the store answered Age ago.
-void StoreWatcher::markAvailable(Duration Age) {
+void StoreWatcher::markAvailable() {
   m_Failures = 0;
-  m_LastStoreAnswerAt = std::max(m_LastStoreAnswerAt, m_Now() - Age);
   if (m_IsAvailable)
     return;
   m_IsAvailable = true;
@@ -150,27 +234,62 @@
   m_Observer.availabilityChanged(true, Outage);
 }
 
-void StoreWatcher::handleFailure() {
-  ++m_Failures;
-  // Reload instead of a long poll, which would not show soon whether the store
-  // answers again.
-  if (m_Failures > 1)
-    m_MustReload = true;
-  if (m_IsAvailable && m_Failures >= 2) {
-    m_IsAvailable = false;
-    m_UnavailableSince = m_Now();
-    m_Observer.availabilityChanged(false, Duration::zero());
-  }
-  if (!m_IsAvailable && !m_IsPollingPeers) {
-    m_IsPollingPeers = true;
-    pollPeer();
+// Freshness
+
+bool StoreWatcher::isFresh() const {
+  return confirmationAge() <= fractionOf(m_MaxApplyDelay, MaxAgeFraction);
+}
+
+// Revision was the newest one at the time At. That says nothing about the known
+// items if they are older.
+void StoreWatcher::confirm(std::uint64_t Revision, Time At) {
+  if (Revision <= m_Revision)
+    m_ConfirmedAt = std::max(m_ConfirmedAt, At);
+  updateFreshness();
+}
+
+bool StoreWatcher::isBehindPeer() const {
+  return m_ReportedRevision > m_Revision &&
+         m_Now() - m_BehindSince >= fractionOf(m_MaxApplyDelay, BehindFraction);
+}
+
+void StoreWatcher::updateFreshness() {
+  bool IsFresh = isFresh() && !isBehindPeer();
+  if (IsFresh == m_WasFresh || m_Revision == 0)
+    return;
+  m_WasFresh = IsFresh;
+  m_Observer.freshnessChanged(IsFresh, confirmationAge(),
+                              std::max(m_Revision, m_ReportedRevision));
+}
+
+void StoreWatcher::noteReport(std::uint64_t Revision, Duration Age,
+                              const std::string &PeerAddress) {
+  Time Now = m_Now();
+  if (Revision <= m_Revision) {
+    Time ConfirmedAt = Now - Age;
+    m_LastReportAt = std::max(m_LastReportAt, ConfirmedAt);
+    confirm(Revision, ConfirmedAt);
+    return;
   }
-  Duration MaxDelay = m_Observer.relayAddresses().empty()
-                          ? MaxRetryDelay
-                          : MaxRelayedRetryDelay;
-  Duration Delay =
-      std::min(MaxDelay, FirstRetryDelay * m_Failures * m_Failures);
-  schedulePoll(Delay + Duration(m_Random() % Delay.count() / 2));
+  if (m_ReportedRevision <= m_Revision)
+    m_BehindSince = Now;
+  m_ReportedRevision = std::max(m_ReportedRevision, Revision);
+  m_ReportingPeer = PeerAddress;
+}
+
+// Asks the VM that is ahead, and the store in turn with it: the own poll should
+// have brought the change, so its answer was probably lost.
+void StoreWatcher::askNewerPeer() {
+  Time Now = m_Now();
+  if (!isBehindPeer() || Now < m_NextQuestionAt)
+    return;
+  m_NextQuestionAt = Now + fractionOf(m_MaxApplyDelay, QuestionFraction);
+  bool AsksStore = m_AsksStoreNext;
+  m_AsksStoreNext = !m_AsksStoreNext;
+  if (!AsksStore)
+    askPeer(m_ReportingPeer);
+  else if (m_IsPolling && m_PollWait > Duration::zero())
+    watch();
 }
 
 // Polling other VMs
@@ -178,61 +297,76 @@
 void StoreWatcher::pollRelay() {
   std::vector<std::string> Relays = m_Observer.relayAddresses();
   const std::string &Relay = Relays[m_NextRelay % Relays.size()];
-  // The wait ends before the known items exceed their maximum age, since the
-  // relay may not answer at all.
-  Duration MaxAge = fractionOf(m_MaxApplyDelay, MaxAgeFraction);
-  Duration Remaining =
-      std::max(Duration::zero(), MaxAge - (m_Now() - m_LastStoreAnswerAt));
-  PeerItemsCall Call{
-      m_Revision,
-      std::min(fractionOf(m_MaxApplyDelay, RelayWaitFraction), Remaining)};
-  m_Client.call(Relay, Call.call(), Call.m_Wait + RelayTimeoutMargin,
-                [this](const CallReply &Reply) { handleRelayReply(Reply); });
+  PeerItemsCall Call{m_Revision, pollWait()};
+  std::uint64_t Poll = beginPoll(Call.m_Wait);
+  m_IsPollingRelay = true;
+  m_Client.call(
+      Relay, Call.call(), Call.m_Wait + LateAnswerTime,
+      [this, Poll](const CallReply &Reply) { handleRelayReply(Reply, Poll); });
 }
 
-void StoreWatcher::handleRelayReply(const CallReply &Reply) {
+void StoreWatcher::handleRelayReply(const CallReply &Reply,
+                                    std::uint64_t Poll) {
   std::optional<PeerItems> Items;
   if (Reply.isOk())
     Items = PeerItems::decode(Reply.m_Body);
-  bool IsFresh =
+  bool IsFreshRelay =
       Items && Items->m_Age <= fractionOf(m_MaxApplyDelay, MaxAgeFraction);
-  Duration Age = Items ? Items->m_Age : Duration::zero();
-  bool HasChanges = Items && applyPeerItems(std::move(*Items));
-  if (IsFresh) {
-    m_RelayFailures = 0;
-    markAvailable(Age);
-    if (HasChanges)
-      schedulePoll(BatchingDelay);
-    else
-      pollNext();
+  if (!IsFreshRelay) {
+    if (Items)
+      applyPeerItems(std::move(*Items));
+    if (Poll == m_NewestPoll && m_IsPolling)
+      handleRelayFailure();
     return;
   }
-  ++m_NextRelay;
-  ++m_RelayFailures;
-  // Tries the next relay; if all have failed, the store itself.
-  if (m_RelayFailures < m_Observer.relayAddresses().size()) {
-    pollNext();
+  if (!endPoll(Poll))
     return;
-  }
   m_RelayFailures = 0;
-  m_WatchDirectlyUntil = m_Now() + RelayRetryDelay;
-  loadPage("");
+  markAvailable();
+  std::uint64_t Revision = Items->m_Revision;
+  Time ConfirmedAt = m_Now() - Items->m_Age;
+  bool HasChanges = applyPeerItems(std::move(*Items));
+  confirm(Revision, ConfirmedAt);
+  if (HasChanges)
+    schedulePoll(fractionOf(m_MaxApplyDelay, BatchingFraction));
+  else
+    pollNext();
+}
+
+// Tries the next relay; if all have failed, the store itself.
+void StoreWatcher::handleRelayFailure() {
+  ++m_NextRelay;
+  if (++m_RelayFailures >= m_Observer.relayAddresses().size()) {
+    m_RelayFailures = 0;
+    m_WatchDirectlyUntil = m_Now() + RelayRetryDelay;
+  }
+  pollNext();
 }
 
+void StoreWatcher::askPeer(const std::string &Address) {
+  m_Client.call(Address, PeerItemsCall{m_Revision, Duration::zero()}.call(),
+                PeerTimeout, [this](const CallReply &Reply) {
+                  std::optional<PeerItems> Items;
+                  if (Reply.isOk())
+                    Items = PeerItems::decode(Reply.m_Body);
+                  if (!Items)
+                    return;
+                  std::uint64_t Revision = Items->m_Revision;
+                  Time ConfirmedAt = m_Now() - Items->m_Age;
+                  applyPeerItems(std::move(*Items));
+                  confirm(Revision, ConfirmedAt);
+                });
+}
+
+// Asks any VM while the store is unavailable, unless other VMs report which
+// revision they know.
 void StoreWatcher::pollPeer() {
   if (m_IsAvailable || !m_IsPollingPeers)
     return;
   std::vector<std::string> Peers = m_Observer.peerAddresses();
-  if (!Peers.empty()) {
-    const std::string &Peer = Peers[m_NextPeer++ % Peers.size()];
-    m_Client.call(Peer, PeerItemsCall{m_Revision, Duration::zero()}.call(),
-                  PeerTimeout, [this](const CallReply &Reply) {
-                    if (m_IsAvailable || !Reply.isOk())
-                      return;
-                    if (auto Items = PeerItems::decode(Reply.m_Body))
-                      applyPeerItems(std::move(*Items));
-                  });
-  }
+  bool HasReports = m_Now() - m_LastReportAt < PeerInterval;
+  if (!Peers.empty() && !HasReports)
+    askPeer(Peers[m_NextPeer++ % Peers.size()]);
   m_PeerTimer.expires_after(PeerInterval);
   m_PeerTimer.async_wait([this](boost::system::error_code Error) {
     if (!Error)
@@ -297,15 +431,10 @@
   return !Changes.empty();
 }
 
-bool StoreWatcher::isFresh() const {
-  return m_Now() - m_LastStoreAnswerAt <=
-         fractionOf(m_MaxApplyDelay, MaxAgeFraction);
-}
-
 PeerItems StoreWatcher::itemsSince(std::uint64_t Revision) const {
   PeerItems Result;
   Result.m_Revision = m_Revision;
-  Result.m_Age = m_Now() - m_LastStoreAnswerAt;
+  Result.m_Age = confirmationAge();
   if (m_Revision <= Revision)
     return Result;
   Result.m_IsComplete = Revision < m_ChangesBaseRevision;
--- a/src/store/StoreWatcher.h
+++ b/src/store/StoreWatcher.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <random>
 
 namespace parsleyring {
@@ -24,14 +25,18 @@
   /// The store has become available, after an outage of OutageTime (0 at
   /// start), or unavailable.
   virtual void availabilityChanged(bool IsAvailable, Duration OutageTime) = 0;
+  /// The items may no longer be the newest ones, or are known to be so again.
+  /// KnownRevision is the newest revision that any VM has reported.
+  virtual void freshnessChanged(bool IsFresh, Duration ConfirmationAge,
+                                std::uint64_t KnownRevision) = 0;
   /// Peer addresses of other VMs that may know newer items, preferred ones
   /// first.
   virtual std::vector<std::string> peerAddresses() const = 0;
   /// Peer addresses of the relays of this VM; empty if it watches the store
   /// itself.
   virtual std::vector<std::string> relayAddresses() const = 0;
-  /// True if this VM is a relay for other VMs.
-  virtual bool isRelay() const = 0;
+  /// True if other VMs rely on this one to ask the store often.
+  virtual bool isPrimaryWatcher() const = 0;
 };
 
 /// Watches all keys of the store by repeated long polls. In a large failure
@@ -39,6 +44,12 @@
 /// relays, so that calls to the store do not grow with the number of VMs. If no
 /// relay answers with recent data, the VM asks the store itself; while the
 /// store does not answer either, it asks any other VM.
+///
+/// The items count as fresh while the store, a relay or the report of another
+/// VM has confirmed recently that there are no newer ones. A poll that gets no
+/// answer in time is followed by another one on a further connection, and the
+/// first answer is used: a lost answer must not hide changes, and a slow store
+/// still gets its answers through.
 class StoreWatcher {
 public:
   /// Changes must be known within MaxApplyDelay after the store has them.
@@ -47,10 +58,22 @@
                std::function<Time()> Now, std::string StoreAddress,
                Duration MaxApplyDelay);
 
-  void start() { loadPage(""); }
+  void start() { pollNext(); }
+  /// Starts another poll if the current one is overdue or the items are not
+  /// fresh. To be called several times per MaxApplyDelay.
+  void tick();
+  /// Notes that the VM at PeerAddress knows Revision, and that the store told
+  /// it Age ago that there is no newer one.
+  void noteReport(std::uint64_t Revision, Duration Age,
+                  const std::string &PeerAddress);
   bool isAvailable() const { return m_IsAvailable; }
-  /// True if the store answered recently enough for other VMs to rely on it.
+  /// True if the items were the newest ones recently enough for this VM and
+  /// others to rely on them.
   bool isFresh() const;
+  /// Time since the items were last known to be the newest ones.
+  Duration confirmationAge() const { return m_Now() - m_ConfirmedAt; }
+  /// Time since the last answer of the store to this VM itself.
+  Duration storeAnswerAge() const { return m_Now() - m_LastStoreAnswerAt; }
   std::uint64_t revision() const { return m_Revision; }
   /// The items to send to a peer that knows those up to Revision.
   PeerItems itemsSince(std::uint64_t Revision) const;
@@ -62,21 +85,39 @@
     std::string m_Key;
   };
 
+  /// The pages read so far by a reload of all items.
+  struct Reload {
+    std::map<std::string, StoreItem> m_Items;
+    std::uint64_t m_Revision = 0;
+  };
+
   void pollNext();
   void schedulePoll(Duration Delay);
-  void loadPage(const std::string &After);
-  void handlePage(const CallReply &Reply);
+  std::uint64_t beginPoll(Duration Wait);
+  bool endPoll(std::uint64_t Poll);
+  void failPoll(std::uint64_t Poll);
+  Duration pollWait() const;
+  void loadPage(const std::shared_ptr<Reload> &Pages, const std::string &After);
+  void handlePage(const std::shared_ptr<Reload> &Pages, const CallReply &Reply,
+                  std::uint64_t Poll);
   void watch();
-  void handleChanges(const CallReply &Reply, std::uint64_t WatchedRevision);
+  void handleChanges(const CallReply &Reply, std::uint64_t WatchedRevision,
+                     std::uint64_t Poll);
   void pollRelay();
-  void handleRelayReply(const CallReply &Reply);
+  void handleRelayReply(const CallReply &Reply, std::uint64_t Poll);
+  void handleRelayFailure();
   bool applyPeerItems(PeerItems Items);
   bool applyChanges(const std::vector<StoreItem> &Changes,
                     std::uint64_t Revision);
   void replaceAll(std::map<std::string, StoreItem> Items,
                   std::uint64_t Revision);
   void handleFailure();
-  void markAvailable(Duration Age = Duration::zero());
+  void markAvailable();
+  void confirm(std::uint64_t Revision, Time At);
+  bool isBehindPeer() const;
+  void updateFreshness();
+  void askNewerPeer();
+  void askPeer(const std::string &Address);
   void pollPeer();
 
   StoreClient &m_Client;
@@ -92,10 +133,7 @@
   std::deque<Change> m_Changes; ///< The latest changes, for peers.
   /// Revision before the oldest of m_Changes.
   std::uint64_t m_ChangesBaseRevision = 0;
-  std::map<std::string, StoreItem> m_Loading;
-  std::uint64_t m_LoadingRevision = 0;
   std::uint64_t m_Revision = 0;
-  Time m_LastStoreAnswerAt{}; ///< Last answer of the store, also via a relay.
   bool m_MustReload = true;
   bool m_IsAvailable = false;
   bool m_IsPollingPeers = false;
@@ -105,6 +143,27 @@
   std::size_t m_NextRelay = 0;
   std::size_t m_RelayFailures = 0; ///< Consecutive.
   int m_Failures = 0;              ///< Consecutive failed store calls.
+
+  /// Polls are numbered. Those below m_OldestPoll were overtaken by a later or
+  /// earlier one that got an answer, and are not continued.
+  std::uint64_t m_OldestPoll = 0;
+  std::uint64_t m_NewestPoll = 0;
+  bool m_IsPolling = false;      ///< The newest poll has no answer yet.
+  bool m_IsPollingRelay = false; ///< It was sent to a relay.
+  Duration m_PollWait{}; ///< How long the newest poll may wait for a change.
+  Time m_PollDueAt{};    ///< Until when it should have an answer.
+
+  Time m_LastStoreAnswerAt{};
+  Time m_ConfirmedAt{}; ///< When the items were known to be the newest ones.
+  bool m_WasFresh = true;
+  /// Newest revision that another VM has reported, where, and since when this
+  /// VM has not had it.
+  std::uint64_t m_ReportedRevision = 0;
+  std::string m_ReportingPeer;
+  Time m_BehindSince{};
+  Time m_NextQuestionAt{};
+  bool m_AsksStoreNext = false;
+  Time m_LastReportAt{}; ///< Last report that confirmed the items.
 };
 
 } // namespace parsleyring
--- a/src/store/VMDirectory.cpp
+++ b/src/store/VMDirectory.cpp
@@ -50,8 +50,21 @@
   return false;
 }
 
-bool VMDirectory::isRelay() const {
-  return sizeOfOwnDomain() > MaxDirectWatchers && isRepresentative();
+// A VM that knows of no other one relies on itself.
+bool VMDirectory::isPrimaryWatcher() const {
+  std::vector<ListedVM> Candidates = representatives(m_Self.m_FailureDomain);
+  return Candidates.empty() || Candidates.front().m_Name == m_Self.m_Name;
+}
+
+static bool hasHost(const ListedVM &VM, const std::string &Host) {
+  return VM.m_PeerAddress.compare(0, Host.size() + 1, Host + ":") == 0;
+}
+
+std::string VMDirectory::peerAddressAt(const std::string &Host) const {
+  for (const auto &[Key, VM] : m_VMs)
+    if (hasHost(VM, Host))
+      return VM.m_PeerAddress;
+  return "";
 }
 
 std::vector<std::string> VMDirectory::relayAddresses() const {
@@ -84,7 +97,7 @@
 
 bool VMDirectory::isDomainPeer(const std::string &Host) const {
   for (const ListedVM &VM : domainPeers())
-    if (VM.m_PeerAddress.compare(0, Host.size() + 1, Host + ":") == 0)
+    if (hasHost(VM, Host))
       return true;
   return false;
 }
--- a/src/store/VMDirectory.h
+++ b/src/store/VMDirectory.h
@@ -31,8 +31,11 @@
   /// failure domain, are its relays for the store.
   std::vector<ListedVM> representatives(const std::string &Domain) const;
   bool isRepresentative() const;
-  /// True if other VMs watch the store through this one.
-  bool isRelay() const;
+  /// True if the other VMs of the failure domain rely on this VM to ask the
+  /// store often, and hear of the answers by digest.
+  bool isPrimaryWatcher() const;
+  /// Peer address of the VM with this IP address; empty if none is listed.
+  std::string peerAddressAt(const std::string &Host) const;
   /// Peer addresses of the VMs through which this one watches the store; empty
   /// if it watches the store itself.
   std::vector<std::string> relayAddresses() const;
--- a/tests/store/VMDirectoryTest.cpp
+++ b/tests/store/VMDirectoryTest.cpp
@@ -23,7 +23,7 @@
 // although each of them could watch the store itself.
 TEST(VMDirectory, SmallFailureDomainsHaveNoRelays) {
   CHECK(directoryOf("3", 4).relayAddresses().empty());
-  CHECK(!directoryOf("1", 4).isRelay());
+  CHECK(directoryOf("1", 4).relayAddresses().empty());
 }
 
 // Guards against calls to the store that grow with the number of VMs, and
@@ -32,12 +32,26 @@
   int Relays = 0;
   for (int VM = 1; VM <= 9; ++VM) {
     VMDirectory Directory = directoryOf(std::to_string(VM), 9);
-    Relays += Directory.isRelay();
-    LONGS_EQUAL(Directory.isRelay() ? 0 : 2, Directory.relayAddresses().size());
+    bool IsRelay = Directory.relayAddresses().empty();
+    Relays += IsRelay;
+    LONGS_EQUAL(IsRelay ? 0 : 2, Directory.relayAddresses().size());
+    CHECK_EQUAL(IsRelay, Directory.isRepresentative());
   }
   LONGS_EQUAL(2, Relays);
 }
 
+// Guards against a failure domain in which no VM asks the store often, or in
+// which all do.
+TEST(VMDirectory, EachFailureDomainHasOnePrimaryWatcher) {
+  for (int Size : {1, 3, 9}) {
+    int Primary = 0;
+    for (int VM = 1; VM <= Size; ++VM)
+      Primary += directoryOf(std::to_string(VM), Size).isPrimaryWatcher();
+    LONGS_EQUAL(1, Primary);
+  }
+  CHECK(directoryOf("1", 0).isPrimaryWatcher());
+}
+
 // Guards against a VM that gets no updates during an outage of the store
 // although another VM has them.
 TEST(VMDirectory, ListsOwnDomainThenOtherDomainsThenSeeds) {
--- a/tests/support/FreePort.h
+++ b/tests/support/FreePort.h
@@ -5,17 +5,17 @@
 
 namespace parsleyring {
 
-/// Reserves a TCP port of 127.0.0.1 for one server. A bound socket that does
-/// not listen prevents the kernel from giving the port to another process; a
-/// server that sets SO_REUSEADDR can still bind the port.
+/// Reserves a TCP port of a loopback address for one server. A bound socket
+/// that does not listen prevents the kernel from giving the port to another
+/// process; a server that sets SO_REUSEADDR can still bind the port.
 class FreePort {
 public:
-  FreePort();
+  explicit FreePort(const std::string &Host = "127.0.0.1");
   ~FreePort();
   FreePort(const FreePort &) = delete;
   FreePort &operator=(const FreePort &) = delete;
 
-  /// "127.0.0.1:port".
+  /// IP:port.
   const std::string &address() const { return m_Address; }
 
 private:
--- a/tests/support/GatewayTestServers.cpp
+++ b/tests/support/GatewayTestServers.cpp
@@ -28,7 +28,7 @@
 public:
   explicit LoopbackServer(const httplib::Server::Handler &Respond) {
     // Each long poll occupies a thread.
-    m_Server.new_task_queue = [] { return new httplib::ThreadPool(24); };
+    m_Server.new_task_queue = [] { return new httplib::ThreadPool(64); };
     m_Server.set_keep_alive_max_count(1000);
     // stop() waits for idle keep-alive connections, so their timeout is short.
     m_Server.set_keep_alive_timeout(1);
@@ -260,20 +260,22 @@
 
 // GatewayProcess
 
-GatewayProcess::GatewayProcess(const std::string &Name,
-                               const std::string &StoreAddress,
-                               const std::vector<std::string> &Seeds) {
-  int InternalPort = parseSocketAddress(m_InternalPort.address())->m_Port;
-  json Settings{{"node_name", Name},
+GatewayProcess::GatewayProcess(const GatewayOptions &Options)
+    : m_CallerPort(Options.m_Host), m_ReadyPort(Options.m_Host),
+      m_PeerPort(Options.m_Host), m_InternalPort(Options.m_Host) {
+  int InternalPort = Options.m_DigestPort;
+  if (InternalPort == 0)
+    InternalPort = parseSocketAddress(m_InternalPort.address())->m_Port;
+  json Settings{{"node_name", Options.m_Name},
                 {"zone", "zone-a"},
-                {"ip", "127.0.0.1"},
+                {"ip", Options.m_Host},
                 {"listen",
                  {{"frontend", callerAddress()},
                   {"ready", readyAddress()},
                   {"control", peerAddress()}}},
                 {"internal_ports", {InternalPort, InternalPort + 1}},
-                {"seeds", Seeds},
-                {"platform", {{"address", StoreAddress}}},
+                {"seeds", Options.m_Seeds},
+                {"platform", {{"address", Options.m_StoreAddress}}},
                 {"bounds",
                  {{"grace_s", 8},
                   {"config_apply_ms", 2000},
--- a/tests/support/GatewayTestServers.h
+++ b/tests/support/GatewayTestServers.h
@@ -72,12 +72,24 @@
   std::unique_ptr<Implementation> m_Implementation;
 };
 
+/// What differs between the gateway processes of a test.
+struct GatewayOptions {
+  std::string m_Name; ///< Of the VM.
+  std::string m_StoreAddress;
+  std::vector<std::string> m_Seeds; ///< Peer addresses.
+  /// A loopback address. Processes exchange digests if their hosts differ and
+  /// their digest ports do not.
+  std::string m_Host = "127.0.0.1";
+  int m_DigestPort = 0; ///< 0: a free one.
+};
+
 /// A gateway process with a settings file in the platform's format.
 class GatewayProcess {
 public:
-  /// Name is that of the VM; Seeds are addresses of peers.
+  explicit GatewayProcess(const GatewayOptions &Options);
   GatewayProcess(const std::string &Name, const std::string &StoreAddress,
-                 const std::vector<std::string> &Seeds = {});
+                 const std::vector<std::string> &Seeds = {})
+      : GatewayProcess(GatewayOptions{Name, StoreAddress, Seeds}) {}
 
   const std::string &callerAddress() const { return m_CallerPort.address(); }
   const std::string &readyAddress() const { return m_ReadyPort.address(); }
