--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -34,17 +34,21 @@
   /// End of the list outage after which the endpoint was missing from the list;
   /// OutageGracePeriod counts from then. Zero while the endpoint is listed.
   Time m_OutageGraceStartedAt{};
-  Time m_SuspectUntil{};         ///< Gets no new requests until then.
-  Time m_SilentAt{};             ///< Last time that this VM got no answer.
-  bool m_IsOwnSuspicion = false; ///< Suspected by this VM itself.
-  double m_Pace = 1;             ///< Relative step time; over 1 is slow.
+  Time m_SuspectUntil{};    ///< Gets no new requests until then.
+  Time m_SilentAt{};        ///< Last time that this VM got no answer.
+  Time m_OwnSuspectUntil{}; ///< As far as this VM itself suspects it.
+  double m_Pace = 1;        ///< Relative step time; over 1 is slow.
   Time m_PaceNotedAt{};
+  Time m_PaceQueriedAt{}; ///< Last query of this VM.
   bool m_IsOwnPace = false;
   Time m_ListedAt{};           ///< When this incarnation was first listed.
   std::uint32_t m_Running = 0; ///< Requests of this VM.
-  double m_Tokens = 0;         ///< Tokens times layers, this VM's requests.
-  double m_PeerTokens = 0;     ///< Tokens times layers, other VMs' requests.
+  /// Of these, the ones whose path begins here: only they take up its slots.
+  std::uint32_t m_RunningAsFirst = 0;
+  double m_Tokens = 0;     ///< Tokens times layers, this VM's requests.
+  double m_PeerTokens = 0; ///< Tokens times layers, other VMs' requests.
   std::uint32_t m_PeerRunning = 0;
+  std::uint32_t m_PeerRunningAsFirst = 0;
   double m_LatencyMs = 0;   ///< Moving average; 0 if unknown.
   double m_FailureRate = 0; ///< Moving average at m_FailureRateUpdatedAt.
   Time m_FailureRateUpdatedAt{};
@@ -91,6 +95,10 @@
   bool isPaceRecent(Time Now) const {
     return Now - m_PaceNotedAt < PaceQueryInterval;
   }
+  /// True if the pace is not known and was not queried recently either.
+  bool isPaceQueryDue(Time Now) const {
+    return !isPaceRecent(Now) && Now - m_PaceQueriedAt >= PaceQueryInterval;
+  }
 };
 
 /// The endpoints that the platform lists, with this VM's observations of them.
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -343,11 +343,9 @@
 
 void GatewayNode::checkPace(const FleetTable::Handle &Endpoint) {
   Time Now = now();
-  if (Endpoint->m_IsRemoved || Endpoint->isPaceRecent(Now))
+  if (Endpoint->m_IsRemoved || !Endpoint->isPaceQueryDue(Now))
     return;
-  // Counts the known pace as recent, so that no second request is sent before
-  // the reply.
-  Endpoint->notePace(Endpoint->pace(Now), true, Now);
+  Endpoint->m_PaceQueriedAt = Now;
   requestReport(Endpoint, nullptr);
 }
 
@@ -371,7 +369,8 @@
   Time Now = now();
   bool IsNew = Endpoint->m_SuspectUntil <= Now;
   Endpoint->m_SuspectUntil = std::max(Endpoint->m_SuspectUntil, Now + Period);
-  Endpoint->m_IsOwnSuspicion = true;
+  Endpoint->m_OwnSuspectUntil =
+      std::max(Endpoint->m_OwnSuspectUntil, Now + Period);
   if (IsNew)
     m_Log.write(Now, "endpoint-suspect", "",
                 {{"endpoint", Endpoint->m_Entry.m_Id},
--- a/src/gateway/PathLoad.h
+++ b/src/gateway/PathLoad.h
@@ -28,6 +28,8 @@
 
 private:
   void count(int Sign) {
+    if (!m_Path.empty())
+      m_Path.front().m_Endpoint->m_RunningAsFirst += Sign;
     for (const PathStage &Part : m_Path) {
       Part.m_Endpoint->m_Running += Sign;
       Part.m_Endpoint->m_Tokens +=
--- a/src/membership/LoadDigest.cpp
+++ b/src/membership/LoadDigest.cpp
@@ -21,7 +21,7 @@
   for (const Load &Entry : m_Loads)
     Loads.push_back({Entry.m_Endpoint, std::llround(Entry.m_Tokens),
                      Entry.m_Running, std::llround(Entry.m_Pace * 100),
-                     Entry.m_SuspectMs});
+                     Entry.m_SuspectMs, Entry.m_RunningAsFirst});
   std::int64_t AgeMs = m_StoreAnswerAge / std::chrono::milliseconds(1);
   std::vector<std::uint8_t> Bytes = json::to_cbor(json{{"from", m_Sender},
                                                        {"sum", m_IsDomainSum},
@@ -55,13 +55,14 @@
   for (const json &Entry : Root["loads"]) {
     if (!Entry.is_array() || Entry.size() < 5 || !Entry[0].is_string())
       return std::nullopt;
-    for (std::size_t Index = 1; Index < 5; ++Index)
+    for (std::size_t Index = 1; Index < Entry.size(); ++Index)
       if (!Entry[Index].is_number_unsigned())
         return std::nullopt;
     Digest.m_Loads.push_back(
         {Entry[0].get<std::string>(), Entry[1].get<double>(),
          Entry[2].get<std::uint32_t>(), Entry[3].get<double>() / 100,
-         Entry[4].get<std::int64_t>()});
+         Entry[4].get<std::int64_t>(),
+         Entry.size() > 5 ? Entry[5].get<std::uint32_t>() : 0});
   }
   return Digest;
 }
@@ -87,10 +88,8 @@
       Endpoint->notePace(Load.m_Pace, false, Now);
     if (Load.m_SuspectMs <= 0)
       continue;
-    if (Endpoint->m_SuspectUntil <= Now) {
+    if (Endpoint->m_SuspectUntil <= Now)
       NewSuspects.push_back(Endpoint);
-      Endpoint->m_IsOwnSuspicion = false;
-    }
     Time Until = Now + std::chrono::milliseconds(
                            std::min(Load.m_SuspectMs, MaxSuspectMs));
     Endpoint->m_SuspectUntil = std::max(Endpoint->m_SuspectUntil, Until);
@@ -107,12 +106,14 @@
   for (const auto &[Id, Endpoint] : Fleet.endpoints()) {
     Endpoint->m_PeerTokens = 0;
     Endpoint->m_PeerRunning = 0;
+    Endpoint->m_PeerRunningAsFirst = 0;
   }
   for (const auto &[VM, Known] : m_Entries)
     for (const LoadDigest::Load &Load : Known.m_Digest.m_Loads)
       if (FleetTable::Handle Endpoint = Fleet.find(Load.m_Endpoint)) {
         Endpoint->m_PeerTokens += Load.m_Tokens;
         Endpoint->m_PeerRunning += Load.m_Running;
+        Endpoint->m_PeerRunningAsFirst += Load.m_RunningAsFirst;
       }
 }
 
@@ -131,14 +132,14 @@
     std::int64_t SuspectMs = 0;
     // Only suspicions of this VM are sent; passing on those of other VMs would
     // keep a suspicion alive for ever.
-    if (Endpoint->m_IsOwnSuspicion && Endpoint->m_SuspectUntil > Now)
-      SuspectMs = (Endpoint->m_SuspectUntil - Now).count() / 1000;
+    if (Endpoint->m_OwnSuspectUntil > Now)
+      SuspectMs = (Endpoint->m_OwnSuspectUntil - Now).count() / 1000;
     bool IsOwnPaceRecent = Endpoint->m_IsOwnPace && Endpoint->isPaceRecent(Now);
     double Pace = IsOwnPaceRecent ? Endpoint->m_Pace : 0;
     if (Endpoint->m_Running == 0 && SuspectMs == 0 && Pace == 0)
       continue;
-    Digest.m_Loads.push_back(
-        {Id, Endpoint->m_Tokens, Endpoint->m_Running, Pace, SuspectMs});
+    Digest.m_Loads.push_back({Id, Endpoint->m_Tokens, Endpoint->m_Running, Pace,
+                              SuspectMs, Endpoint->m_RunningAsFirst});
   }
   return Digest;
 }
@@ -163,6 +164,7 @@
       LoadDigest::Load &Target = Sum.m_Loads[Position->second];
       Target.m_Tokens += Load.m_Tokens;
       Target.m_Running += Load.m_Running;
+      Target.m_RunningAsFirst += Load.m_RunningAsFirst;
       Target.m_Pace = std::max(Target.m_Pace, Load.m_Pace);
     }
   }
--- a/src/membership/LoadDigest.h
+++ b/src/membership/LoadDigest.h
@@ -19,7 +19,8 @@
     std::uint32_t m_Running = 0;
     /// Relative step time: over 1 is slow; 0 if the sender does not know it.
     double m_Pace = 0;
-    std::int64_t m_SuspectMs = 0; ///< Time left without new requests.
+    std::int64_t m_SuspectMs = 0;       ///< Time left without new requests.
+    std::uint32_t m_RunningAsFirst = 0; ///< Requests that take up a slot.
   };
 
   std::string m_Sender;       ///< A VM, or a failure domain.
--- a/src/routing/LayerPathPlanner.cpp
+++ b/src/routing/LayerPathPlanner.cpp
@@ -19,12 +19,12 @@
 // Callers notice the time to the first event and the pauses between events. The
 // time to the last event counts less: it only keeps memory in use.
 static constexpr double StepTimeWeight = 0.6;
-// Penalties that spread the use of memory evenly. Memory is the bottleneck
-// before compute, and an engine whose memory is full preempts its newest
-// requests.
-static constexpr double MemoryFillMilliseconds = 600;
-static constexpr double FullMemoryShare = 0.92;
-static constexpr double FullMemoryMilliseconds = 2500;
+// Penalties that spread the use of memory and of slots evenly. An engine whose
+// memory is full preempts its newest requests, and one without a free slot
+// makes requests wait for the end of another one.
+static constexpr double FillMilliseconds = 600;
+static constexpr double FullShare = 0.92;
+static constexpr double FullMilliseconds = 2500;
 
 double LayerPathPlanner::cacheCapacity(const EngineModel &Model,
                                        const CardKind &Card,
@@ -48,6 +48,22 @@
   return Capacity > 0 ? UsedCapacity / Capacity : 1;
 }
 
+double LayerPathPlanner::slotFill(const FleetEndpoint &Endpoint,
+                                  double LoadFactor) {
+  if (Endpoint.m_Entry.m_Slots == 0)
+    return 0;
+  double Running =
+      (Endpoint.m_RunningAsFirst + Endpoint.m_PeerRunningAsFirst) * LoadFactor;
+  return (Running + 1) / Endpoint.m_Entry.m_Slots;
+}
+
+static double fillPenalty(double Fill) {
+  double Penalty = FillMilliseconds * Fill * Fill;
+  if (Fill >= FullShare)
+    Penalty += FullMilliseconds * (1 + Fill - FullShare);
+  return Penalty;
+}
+
 namespace {
 
 /// An endpoint that may be used, with its cost per layer.
@@ -151,11 +167,8 @@
       m_Query.m_PromptTokens + m_Query.m_AnswerTokens);
   double Layers =
       Endpoint.m_Entry.m_Layers.m_End - Endpoint.m_Entry.m_Layers.m_First;
-  double MemoryPenalty = MemoryFillMilliseconds * Fill * Fill;
-  if (Fill >= FullMemoryShare)
-    MemoryPenalty += FullMemoryMilliseconds * (1 + Fill - FullMemoryShare);
-  return (Compute / m_Model.m_Layers + MemoryPenalty / Layers) *
-         (1 + 4 * Endpoint.m_FailureRate);
+  return (Compute / m_Model.m_Layers + fillPenalty(Fill) / Layers) *
+         (1 + 4 * Endpoint.failureRate(m_Now));
 }
 
 double PathSearch::domainCrossingCost() const {
@@ -176,6 +189,10 @@
     if (HeldLayers.m_First > First || HeldLayers.m_End <= First)
       continue;
     double Cost = CostSoFar + StageMilliseconds;
+    // A section of a path joins a request that already has its slot.
+    if (First == 0)
+      Cost += fillPenalty(
+          LayerPathPlanner::slotFill(*Next.m_Endpoint, m_Query.m_LoadFactor));
     if (Next.m_Domain != Domain)
       Cost += domainCrossingCost();
     for (std::size_t End = Boundary + 1;
--- a/src/routing/LayerPathPlanner.h
+++ b/src/routing/LayerPathPlanner.h
@@ -48,6 +48,10 @@
                            const FleetEndpoint &Endpoint, double LoadFactor,
                            double Tokens);
 
+  /// Share of the endpoint's slots in use with one more request whose path
+  /// begins there. 0 if its number of slots is unknown.
+  static double slotFill(const FleetEndpoint &Endpoint, double LoadFactor);
+
   /// Cache capacity of a card that holds the weights of Layers, in tokens times
   /// layers.
   static double cacheCapacity(const EngineModel &Model, const CardKind &Card,
--- a/tests/membership/LoadDigestTest.cpp
+++ b/tests/membership/LoadDigestTest.cpp
@@ -83,6 +83,28 @@
     LONGS_EQUAL(0, Load.m_SuspectMs);
 }
 
+// Guards against a VM that prolongs its own suspicion by that of another VM,
+// which prolongs its own in turn.
+TEST(LoadDigest, OwnSuspicionIsNotProlongedByOthers) {
+  endpoint().m_SuspectUntil = endpoint().m_OwnSuspectUntil = m_Now + 100ms;
+  m_Table.apply(digest("a", 1, 0, 4000), m_Fleet, m_Now);
+  CHECK(!endpoint().canServe(m_Now + 3900ms));
+  LONGS_EQUAL(100,
+              m_Table.digestOfVM("b", m_Fleet, m_Now).m_Loads[0].m_SuspectMs);
+}
+
+// Guards against an old pace that never expires since it is noted again with
+// each query, also if the engine does not answer.
+TEST(LoadDigest, QueryDoesNotRenewThePace) {
+  endpoint().notePace(5, true, m_Now);
+  Time Later = m_Now + 2s;
+  CHECK(endpoint().isPaceQueryDue(Later));
+  endpoint().m_PaceQueriedAt = Later;
+  CHECK(!endpoint().isPaceQueryDue(Later + 1s));
+  CHECK(!endpoint().isPaceRecent(Later));
+  DOUBLES_EQUAL(1, endpoint().pace(m_Now + 5s), 0);
+}
+
 // Pattern: a slow engine. Guards against each VM querying the engine for its
 // pace, and against a peer's value that replaces a newer own one.
 TEST(LoadDigest, ReceivedPaceIsNotPassedOn) {
--- a/tests/routing/LayerPathPlannerTest.cpp
+++ b/tests/routing/LayerPathPlannerTest.cpp
@@ -112,6 +112,34 @@
   CHECK(Most < 0.75);
 }
 
+// Pattern: one fast engine begins most paths of a failure domain. Guards
+// against requests that wait for a slot there while another engine with the
+// same layers has free ones.
+TEST(LayerPathPlanner, UsesTheFreeSlotsOfSlowerEngines) {
+  FleetTable::Handle Preferred = plan(typicalQuery("b"))[0].m_Endpoint;
+  for (const auto &Engine : m_Engines)
+    Engine->m_Entry.m_Slots = 192;
+  Preferred->m_RunningAsFirst = 90;
+  Preferred->m_PeerRunningAsFirst = 95;
+  LayerPath Path = plan(typicalQuery("b"));
+  CHECK(isValidPath(Path, {0, 80}));
+  CHECK(Path[0].m_Endpoint != Preferred);
+  // A section that replaces a part of a path takes up no slot.
+  PathQuery Section = typicalQuery("b");
+  Section.m_Layers = {1, 80};
+  CHECK(plan(Section)[0].m_Endpoint == Preferred);
+}
+
+// Guards against an engine that is left alone for ever after failures.
+TEST(LayerPathPlanner, PastFailuresAreForgotten) {
+  FleetTable::Handle Preferred = plan(typicalQuery("b"))[0].m_Endpoint;
+  for (int Failure = 0; Failure < 20; ++Failure)
+    Preferred->noteResult(false, 100ms, m_Now);
+  CHECK(plan(typicalQuery("b"))[0].m_Endpoint != Preferred);
+  m_Now += 30s;
+  CHECK(plan(typicalQuery("b"))[0].m_Endpoint == Preferred);
+}
+
 // Pattern: a slow engine. Guards against paths over an engine that takes
 // several times as long while another engine holds the same layers.
 TEST(LayerPathPlanner, AvoidsASlowEngine) {
