--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -145,7 +145,8 @@
       m_Records(Records), m_Log(STDOUT_FILENO, m_Settings.m_VM),
       m_Random(std::random_device{}()), m_Self{m_Settings.m_VM,
                                                m_Settings.m_PeerAddress,
-                                               m_Settings.m_FailureDomain},
+                                               m_Settings.m_FailureDomain,
+                                               m_Settings.m_Cores},
       m_VMs(m_Self, m_Settings.m_SeedAddresses), m_ConnectionPool(m_Loop),
       m_HttpClient(m_Loop, m_ConnectionPool, [this] { return now(); }),
       m_EndpointClient(m_HttpClient, Endpoints),
@@ -405,13 +406,14 @@
     notifySuspicion(Endpoint);
 }
 
-// Handles an endpoint that another VM reports as suspect.
+// Handles an endpoint that another VM reports as suspect. It gets no new
+// requests, but those in progress stay: the other VM may be the one that is cut
+// off or slow.
 void GatewayNode::handlePeerSuspicion(const FleetTable::Handle &Endpoint,
                                       const std::string &By) {
   m_Log.write(
       now(), "endpoint-suspect", "",
       {{"endpoint", Endpoint->m_Entry.m_Id}, {"reason", "told"}, {"by", By}});
-  notifySuspicion(Endpoint);
 }
 
 void GatewayNode::notifySuspicion(const FleetTable::Handle &Endpoint) {
--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -23,6 +23,7 @@
   Duration m_ShutdownTimeout = std::chrono::seconds(8);
   /// Longest time from a change in the store until it is in force here.
   Duration m_MaxApplyDelay = std::chrono::seconds(2);
+  double m_Cores = 0;      ///< Processor capacity of the VM; 0 if unknown.
   RetryBound m_RetryBound; ///< Applies to each service.
 };
 
--- a/src/store/StoreWatcher.cpp
+++ b/src/store/StoreWatcher.cpp
@@ -117,6 +117,10 @@
 void StoreWatcher::handleFailure() {
   m_IsPolling = false;
   ++m_Failures;
+  // After an outage the changes since then may be many times as large as the
+  // items themselves.
+  if (m_Failures > 1)
+    m_MustReload = true;
   if (m_IsAvailable && m_Failures >= 2) {
     m_IsAvailable = false;
     m_UnavailableSince = m_Now();
--- a/src/store/VMDirectory.cpp
+++ b/src/store/VMDirectory.cpp
@@ -35,12 +35,19 @@
 
 std::vector<ListedVM>
 VMDirectory::representatives(const std::string &Domain) const {
-  std::vector<ListedVM> Representatives;
+  std::vector<ListedVM> Members;
   for (const auto &[Key, VM] : m_VMs)
-    if (VM.m_FailureDomain == Domain &&
-        Representatives.size() < RepresentativesPerDomain)
-      Representatives.push_back(VM);
-  return Representatives;
+    if (VM.m_FailureDomain == Domain)
+      Members.push_back(VM);
+  // The work for the other VMs of the domain would take up a large part of a
+  // small VM and of its link.
+  std::stable_sort(Members.begin(), Members.end(),
+                   [](const ListedVM &Left, const ListedVM &Right) {
+                     return Left.m_Cores > Right.m_Cores;
+                   });
+  if (Members.size() > RepresentativesPerDomain)
+    Members.resize(RepresentativesPerDomain);
+  return Members;
 }
 
 bool VMDirectory::isRepresentative() const {
--- a/src/store/VMDirectory.h
+++ b/src/store/VMDirectory.h
@@ -28,7 +28,7 @@
   /// The other VMs of this VM's failure domain.
   std::vector<ListedVM> domainPeers() const;
   /// The VMs that exchange digests with other failure domains and, in a large
-  /// failure domain, are its relays for the store.
+  /// failure domain, are its relays for the store. The largest ones.
   std::vector<ListedVM> representatives(const std::string &Domain) const;
   bool isRepresentative() const;
   /// True if the other VMs of the failure domain rely on this VM to ask the
--- a/src/store/VMLease.cpp
+++ b/src/store/VMLease.cpp
@@ -27,7 +27,8 @@
 std::string VMLease::encodeEntry(const ListedVM &VM) {
   return nlohmann::json{{"name", VM.m_Name},
                         {"peer_address", VM.m_PeerAddress},
-                        {"failure_domain", VM.m_FailureDomain}}
+                        {"failure_domain", VM.m_FailureDomain},
+                        {"cores", VM.m_Cores}}
       .dump();
 }
 
@@ -44,6 +45,9 @@
   if (!Read("name", VM.m_Name) || !Read("peer_address", VM.m_PeerAddress) ||
       !Read("failure_domain", VM.m_FailureDomain))
     return std::nullopt;
+  // Entries of earlier versions have no capacity.
+  if (Entry.contains("cores") && Entry["cores"].is_number())
+    VM.m_Cores = Entry["cores"].get<double>();
   return VM;
 }
 
--- a/src/store/VMLease.h
+++ b/src/store/VMLease.h
@@ -12,6 +12,7 @@
   std::string m_Name;
   std::string m_PeerAddress; ///< IP:port
   std::string m_FailureDomain;
+  double m_Cores = 0; ///< Processor capacity; 0 if unknown.
 };
 
 /// Lists this VM in the store under a lease. If there is no placement leader
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -1,3 +1,5 @@
+#include "core/SocketAddress.h"
+#include "membership/LoadDigest.h"
 #include "support/Eventually.h"
 #include "support/FaultProxy.h"
 #include "support/GatewayTestServers.h"
@@ -5,6 +7,10 @@
 #include "support/ScriptedServer.h"
 #include "support/TestMain.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
 #include <atomic>
 #include <memory>
 #include <thread>
@@ -20,6 +26,15 @@
   return Answer;
 }
 
+static void sendDatagram(const std::string &Address, const std::string &Bytes) {
+  std::optional<SocketAddress> Target = parseSocketAddress(Address);
+  boost::asio::io_context Loop;
+  boost::asio::ip::udp::socket Socket(Loop, boost::asio::ip::udp::v4());
+  Socket.send_to(
+      boost::asio::buffer(Bytes),
+      {boost::asio::ip::make_address(Target->m_Host), Target->m_Port});
+}
+
 static std::string event(int Id) {
   return "id: " + std::to_string(Id) + "\ndata: event-" + std::to_string(Id) +
          "\n\n";
@@ -230,6 +245,42 @@
   STRCMP_CONTAINS("=0-10", Call.header("Hop-Count").c_str());
 }
 
+// Guards against a sound stream that is given up since another VM, which may
+// itself be cut off or slow, tells that it does not reach the engine.
+TEST(Gateway, StreamStaysOnAnEngineThatOnlyOthersSuspect) {
+  std::atomic<int> Streams{0};
+  auto Respond = [&](const ReceivedCall &) {
+    ++Streams;
+    std::this_thread::sleep_for(300ms);
+    FakeEndpointAnswer Answer;
+    Answer.m_Chunks = {events(1, 3)};
+    return Answer;
+  };
+  FakeEndpoint First(Respond);
+  FakeEndpoint Second(Respond);
+  listEndpoint("m1", "model", First.address());
+  listEndpoint("m2", "model", Second.address());
+  FreePort DigestPort;
+  GatewayOptions Options{"vm-0", m_Store.address(), {}};
+  Options.m_DigestPort = parseSocketAddress(DigestPort.address())->m_Port;
+  m_Gateway = std::make_unique<GatewayProcess>(Options);
+  CHECK(m_Gateway->waitUntilReady());
+  std::thread Teller([&] {
+    eventually([&] { return Streams > 0; });
+    std::this_thread::sleep_for(150ms);
+    LoadDigest Digest{"vm-1", false, 1, {}};
+    for (const char *Engine : {"m1", "m2"})
+      Digest.m_Loads.push_back({Engine, 0, 0, 0, 4000});
+    sendDatagram(DigestPort.address(), Digest.encode());
+  });
+  HttpAnswer Answer = send(makeRequest("/stream/a"));
+  Teller.join();
+  LONGS_EQUAL(200, Answer.m_Status);
+  STRCMP_EQUAL(events(1, 3).c_str(), Answer.m_Body.c_str());
+  LONGS_EQUAL(1, Streams);
+  STRCMP_CONTAINS("\"told\"", m_Gateway->process().output().c_str());
+}
+
 // Guards against a stream that waits until its caller gives up: the engine's
 // answer was lost, but the connection stays open and the engine reports no
 // stalled streams.
--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -47,6 +47,19 @@
   DOUBLES_EQUAL(198, Settings.m_RetryBound.m_FixedRetries, 0);
 }
 
+// Guards against small VMs that do the work of large ones since their capacity
+// is not read, and against settings without it that are refused.
+TEST(PlatformSettings, ReadsTheCapacityOfTheVM) {
+  json Settings = goodSettings();
+  DOUBLES_EQUAL(0, read(Settings).m_Cores, 0);
+  Settings["limits"] = {{"cpu_share", 0.25}, {"cores", 2}};
+  DOUBLES_EQUAL(0.5, read(Settings).m_Cores, 0);
+  LONGS_EQUAL(0, m_Findings.size());
+  Settings["limits"]["cores"] = "2";
+  read(Settings);
+  LONGS_EQUAL(1, m_Findings.size());
+}
+
 // Guards against reporting only the first finding.
 TEST(PlatformSettings, ReportsAllFindings) {
   json Settings = goodSettings();
--- a/tests/store/VMDirectoryTest.cpp
+++ b/tests/store/VMDirectoryTest.cpp
@@ -52,6 +52,18 @@
   CHECK(directoryOf("1", 0).isPrimaryWatcher());
 }
 
+// Guards against representatives that are too small for the work that they do
+// for the other VMs of their failure domain.
+TEST(VMDirectory, RepresentativesAreTheLargestVMs) {
+  VMDirectory Directory = directoryOf("1", 6);
+  Directory.list("k4", {"4", "10.1.0.4:1", "a", 0.5});
+  Directory.list("k5", {"5", "10.1.0.5:1", "a", 0.25});
+  auto Representatives = Directory.representatives("a");
+  STRCMP_EQUAL("4", Representatives[0].m_Name.c_str());
+  STRCMP_EQUAL("5", Representatives[1].m_Name.c_str());
+  CHECK(!Directory.isPrimaryWatcher());
+}
+
 // Guards against a VM that gets no updates during an outage of the store
 // although another VM has them.
 TEST(VMDirectory, ListsOwnDomainThenOtherDomainsThenSeeds) {
