--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -17,6 +17,7 @@
 // Ticks between the maintenance of digests, connections and listed endpoints.
 static constexpr std::uint64_t MaintenanceTicks = 6;
 static constexpr std::uint64_t PlacementTicks = 10;
+static constexpr std::uint64_t ChangedPlacementTicks = 2;
 // How long all endpoints of a silent failure domain get no new requests.
 static constexpr Duration DomainSuspectTime = std::chrono::milliseconds(1500);
 static constexpr Duration OrderTimeout = std::chrono::milliseconds(600);
@@ -584,8 +585,12 @@
                                    m_CountedDroppedLines);
     m_CountedDroppedLines = m_Log.droppedLines();
   }
-  if (m_Ticks % PlacementTicks == 0)
+  // A change of the list may leave layers without a holder.
+  bool HasNewList = m_PlacedGeneration != m_Fleet.generation();
+  if (m_Ticks % (HasNewList ? ChangedPlacementTicks : PlacementTicks) == 0) {
+    m_PlacedGeneration = m_Fleet.generation();
     tickPlacement();
+  }
   if (isStopping())
     tickShutdown();
 }
@@ -631,7 +636,7 @@
         if (Reply.m_Status == 0)
           m_Placement[Service].noteUnanswered(Order.m_Endpoint, now());
         else if (Reply.m_Status >= 300)
-          m_Placement[Service].noteRefused(Order.m_Endpoint);
+          m_Placement[Service].noteRefused(Order.m_Endpoint, now());
       });
 }
 
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -140,6 +140,7 @@
   VMLease m_Lease;
   std::map<std::string, PlacementController> m_Placement; ///< By service.
   bool m_WasLeader = false;
+  std::uint64_t m_PlacedGeneration = 0; ///< Of the list at the last placement.
   std::map<std::string, AdmissionQueue> m_AdmissionQueues; ///< By service.
   std::map<std::string, RetryShare> m_RetryShares;
   std::set<std::shared_ptr<ForwardedRequest>> m_Requests;
--- a/src/placement/LayerMemory.cpp
+++ b/src/placement/LayerMemory.cpp
@@ -62,6 +62,18 @@
   return std::find(m_Holders.begin(), m_Holders.end(), 0) != m_Holders.end();
 }
 
+std::vector<LayerRange> LayerMemory::uncoveredRanges() const {
+  std::vector<LayerRange> Ranges;
+  for (std::uint32_t Layer = 0; Layer < m_Model.m_Layers; ++Layer) {
+    if (m_Holders[Layer] != 0)
+      continue;
+    if (Ranges.empty() || Ranges.back().m_End != Layer)
+      Ranges.push_back({Layer, Layer});
+    Ranges.back().m_End = Layer + 1;
+  }
+  return Ranges;
+}
+
 bool LayerMemory::isRedundant(LayerRange Layers) const {
   for (std::uint32_t Layer = Layers.m_First; Layer < Layers.m_End; ++Layer)
     if (m_Holders[Layer] <= 1)
--- a/src/placement/LayerMemory.h
+++ b/src/placement/LayerMemory.h
@@ -21,6 +21,8 @@
   /// Mean request memory per layer, in megabytes.
   double mean() const;
   bool hasUncoveredLayer() const;
+  /// The ranges of layers without a holder, in order.
+  std::vector<LayerRange> uncoveredRanges() const;
   /// True if each of Layers has at least two holders, so that one of them can
   /// drop it; false for an empty range.
   bool isRedundant(LayerRange Layers) const;
--- a/src/placement/LayoutMoveFinder.cpp
+++ b/src/placement/LayoutMoveFinder.cpp
@@ -71,7 +71,7 @@
   std::vector<Move> Moves;
   const double Utility = m_Memory.utility();
   for (PlacementCard &Card : m_Cards) {
-    if (Card.isEmpty())
+    if (Card.isEmpty() || Card.m_IsBusy)
       continue;
     for (const LayerRange &Range : candidateRanges(Card)) {
       LayerMemory Changed = m_Memory;
--- a/src/placement/LayoutPlanner.cpp
+++ b/src/placement/LayoutPlanner.cpp
@@ -1,9 +1,11 @@
 #include "placement/LayoutPlanner.h"
 
 #include "placement/LayoutMoveFinder.h"
+#include "placement/LayoutQuality.h"
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <map>
 
 namespace parsleyring {
@@ -39,6 +41,7 @@
   std::uint32_t copyCount() const;
   void planChains();
   void planChain(std::vector<PlacementCard *> &Chain);
+  void extendNeighbours();
   void coverAllLayers();
   void addOrder(PlacementCard &Card, LayerRange Layers);
 
@@ -133,6 +136,64 @@
   }
 }
 
+// Lets the cards that hold the layers before and after a hole extend into it. A
+// card that moves instead serves nothing until its requests have ended.
+void DomainGroupPlanner::extendNeighbours() {
+  LayerMemory Memory(m_Model, m_Cards);
+  for (LayerRange Hole : Memory.uncoveredRanges()) {
+    PlacementCard *Left = nullptr;
+    PlacementCard *Right = nullptr;
+    auto IsLarger = [](const PlacementCard &Card, const PlacementCard *Other) {
+      return !Other || Card.m_MemoryMegabytes > Other->m_MemoryMegabytes;
+    };
+    for (PlacementCard &Card : m_Cards) {
+      if (Card.isEmpty() || Card.m_IsBusy)
+        continue;
+      if (Card.m_Layers.m_End == Hole.m_First && IsLarger(Card, Left))
+        Left = &Card;
+      if (Card.m_Layers.m_First == Hole.m_End && IsLarger(Card, Right))
+        Right = &Card;
+    }
+    double BestMegabytes = 0;
+    std::uint32_t BestLimit = 0;
+    for (std::uint32_t Limit = Hole.m_First; Limit <= Hole.m_End; ++Limit) {
+      LayerRange LeftLayers, RightLayers;
+      if (Left)
+        LeftLayers = {Left->m_Layers.m_First, Limit};
+      if (Right)
+        RightLayers = {Limit, Right->m_Layers.m_End};
+      bool IsLeftNeeded = Limit > Hole.m_First;
+      bool IsRightNeeded = Limit < Hole.m_End;
+      if ((IsLeftNeeded && !Left) || (IsRightNeeded && !Right))
+        continue;
+      double Megabytes = std::numeric_limits<double>::infinity();
+      auto Extend = [&](const PlacementCard &Card, LayerRange Layers) {
+        double Free = LayoutQuality::memoryPerLayer(m_Model, Card, Layers) *
+                      (Layers.m_End - Layers.m_First);
+        bool HasRequestMemory =
+            Free >= Card.m_MemoryMegabytes * MinRequestMemoryFraction;
+        Megabytes = std::min(
+            Megabytes,
+            HasRequestMemory ? Free / (Layers.m_End - Layers.m_First) : 0);
+      };
+      if (IsLeftNeeded)
+        Extend(*Left, LeftLayers);
+      if (IsRightNeeded)
+        Extend(*Right, RightLayers);
+      if (Megabytes > BestMegabytes) {
+        BestMegabytes = Megabytes;
+        BestLimit = Limit;
+      }
+    }
+    if (BestMegabytes == 0)
+      continue;
+    if (BestLimit > Hole.m_First)
+      addOrder(*Left, {Left->m_Layers.m_First, BestLimit});
+    if (BestLimit < Hole.m_End)
+      addOrder(*Right, {BestLimit, Right->m_Layers.m_End});
+  }
+}
+
 // Assigns layers without a holder to the smallest card all of whose layers have
 // another holder.
 void DomainGroupPlanner::coverAllLayers() {
@@ -142,7 +203,7 @@
       return;
     PlacementCard *SpareCard = nullptr;
     for (PlacementCard &Card : m_Cards)
-      if (Memory.isRedundant(Card.m_Layers) &&
+      if (!Card.m_IsBusy && Memory.isRedundant(Card.m_Layers) &&
           (!SpareCard || Card.m_MemoryMegabytes < SpareCard->m_MemoryMegabytes))
         SpareCard = &Card;
     if (!SpareCard)
@@ -158,9 +219,15 @@
                   [](const PlacementCard &Card) { return Card.isEmpty(); });
   if (AreAllEmpty)
     planChains();
-  for (PlacementCard &Card : m_Cards)
-    if (Card.isEmpty() && LayerMemory::maxLayers(m_Model, Card) > 0)
-      addOrder(Card, LayerMemory(m_Model, m_Cards).mostUsefulRange(Card));
+  for (PlacementCard &Card : m_Cards) {
+    if (!Card.isEmpty() || Card.m_IsBusy ||
+        LayerMemory::maxLayers(m_Model, Card) == 0)
+      continue;
+    LayerMemory Memory(m_Model, m_Cards);
+    if (!Card.m_IsReserved || Memory.hasUncoveredLayer())
+      addOrder(Card, Memory.mostUsefulRange(Card));
+  }
+  extendNeighbours();
   coverAllLayers();
   return m_Orders;
 }
--- a/src/placement/LayoutPlanner.h
+++ b/src/placement/LayoutPlanner.h
@@ -16,6 +16,9 @@
   double m_MemoryMegabytes = 0;
   double m_StepFactor = 1; ///< Time of a token step relative to other cards.
   LayerRange m_Layers;     ///< Held or ordered; empty if none.
+  bool m_IsBusy = false;   ///< Would refuse an order now.
+  /// Empty and needed soon; gets only layers that nobody else holds.
+  bool m_IsReserved = false;
 
   bool isEmpty() const { return m_Layers.m_End <= m_Layers.m_First; }
 };
@@ -30,7 +33,8 @@
 /// inside each failure domain, so that requests need not cross between domains.
 /// Each copy is a chain of cards of similar speed. The cards of a chain get
 /// layers in proportion to their memory, so that no card runs out of memory for
-/// requests before the others.
+/// requests before the others. Layers that lose their only holder go to the
+/// neighbours in their chain, which keep serving meanwhile.
 class LayoutPlanner {
 public:
   /// Returns orders for cards that hold nothing. If a layer in a group of
--- a/src/placement/PlacementController.cpp
+++ b/src/placement/PlacementController.cpp
@@ -13,6 +13,8 @@
 static constexpr Duration UnansweredOrderTimeout = std::chrono::seconds(13);
 // Added to the load time: delay until the engine's entry shows the layers.
 static constexpr Duration ListingDelay = std::chrono::seconds(4);
+// An engine refuses orders while it carries out an earlier one.
+static constexpr Duration RefusedOrderPause = std::chrono::seconds(2);
 // Engines that are being replaced or are briefly cut off leave the list and
 // return within seconds. Moves are made only after lasting changes.
 static constexpr Duration MoveSettleTime = std::chrono::seconds(3);
@@ -54,6 +56,9 @@
   if (m_FirstSeenAt == Time{})
     m_FirstSeenAt = Now;
   removeEndedOrders(Endpoints, Now);
+  for (auto Refused = m_BusyUntil.begin(); Refused != m_BusyUntil.end();)
+    Refused = Now >= Refused->second ? m_BusyUntil.erase(Refused)
+                                     : std::next(Refused);
   if (!m_HasPlanned && !isSettled(Endpoints, Now))
     return {};
   m_HasPlanned = true;
@@ -69,10 +74,24 @@
     auto Pending = m_Pending.find(Entry.m_Id);
     if (Pending != m_Pending.end())
       Card.m_Layers = Pending->second.m_Layers;
+    auto Refused = m_BusyUntil.find(Entry.m_Id);
+    Card.m_IsBusy = Pending != m_Pending.end() ||
+                    (Refused != m_BusyUntil.end() && Now < Refused->second);
     Cards.push_back(std::move(Card));
   }
   trackLayout(Cards, Now);
-  std::vector<PlacementOrder> Orders = LayoutPlanner::plan(Model, Cards);
+  std::vector<PlacementOrder> Orders;
+  bool IsFirstLayout =
+      std::all_of(Cards.begin(), Cards.end(),
+                  [](const PlacementCard &Card) { return Card.isEmpty(); });
+  if (!IsFirstLayout)
+    Orders = m_Succession.plan(Model, Cards, Now);
+  for (const PlacementOrder &Order : Orders)
+    for (PlacementCard &Card : Cards)
+      if (Card.m_Endpoint == Order.m_Endpoint)
+        Card.m_IsBusy = true;
+  for (PlacementOrder &Order : LayoutPlanner::plan(Model, Cards))
+    Orders.push_back(std::move(Order));
   bool IsStable = Orders.empty() && m_Pending.empty() &&
                   Now - m_LayoutChangedAt >= MoveSettleTime;
   if (IsStable && Now >= m_NextMoveSearchAt) {
@@ -123,6 +142,17 @@
   }
 }
 
+void PlacementController::noteRefused(const std::string &Endpoint, Time Now) {
+  m_Pending.erase(Endpoint);
+  m_BusyUntil[Endpoint] = Now + RefusedOrderPause;
+}
+
+void PlacementController::clear() {
+  m_Pending.clear();
+  m_BusyUntil.clear();
+  m_Succession.clear();
+}
+
 void PlacementController::noteUnanswered(const std::string &Endpoint,
                                          Time Now) {
   auto Order = m_Pending.find(Endpoint);
--- a/src/placement/PlacementController.h
+++ b/src/placement/PlacementController.h
@@ -3,7 +3,7 @@
 
 #include "fleet/EngineModel.h"
 #include "fleet/FleetTable.h"
-#include "placement/LayoutPlanner.h"
+#include "placement/SuccessionPlanner.h"
 
 #include <map>
 
@@ -20,10 +20,10 @@
        const std::vector<FleetTable::Handle> &Endpoints, Time Now);
   /// Reports that the engine refused the order or did not answer. An order
   /// without an answer may still be carried out.
-  void noteRefused(const std::string &Endpoint) { m_Pending.erase(Endpoint); }
+  void noteRefused(const std::string &Endpoint, Time Now);
   void noteUnanswered(const std::string &Endpoint, Time Now);
   /// Drops all pending orders. Called when leadership has been lost.
-  void clear() { m_Pending.clear(); }
+  void clear();
 
 private:
   struct PendingOrder {
@@ -43,6 +43,9 @@
                         const std::vector<PlacementOrder> &Orders, Time Now);
 
   std::map<std::string, PendingOrder> m_Pending;
+  /// Engines that refused an order, and until when they get no other one.
+  std::map<std::string, Time> m_BusyUntil;
+  SuccessionPlanner m_Succession;
   std::vector<PlacementOrder> m_LastLayout; ///< At the last tick.
   Time m_LayoutChangedAt{};
   Time m_NextMoveSearchAt{};
--- a/tests/placement/LayoutPlannerTest.cpp
+++ b/tests/placement/LayoutPlannerTest.cpp
@@ -155,6 +155,28 @@
   CHECK(fitsMemory(m_Model, m_Cards));
 }
 
+// Guards against an engine that stops serving its layers to cover those of a
+// lost one while the neighbours in the chain have memory for them.
+TEST(LayoutPlanner, NeighboursExtendIntoAHole) {
+  std::vector<PlacementCard> Cards;
+  for (std::uint32_t Index = 0; Index < 4; ++Index)
+    Cards.push_back({"e" + std::to_string(Index),
+                     "a",
+                     72000,
+                     2,
+                     {Index * 20, Index * 20 + 20}});
+  Cards.push_back({"spare", "a", 21600, 16, {0, 5}});
+  Cards.erase(Cards.begin() + 1);
+  auto Orders = LayoutPlanner::plan(m_Model, Cards);
+  LONGS_EQUAL(2, Orders.size());
+  CHECK(Orders[0].m_Layers == (LayerRange{0, 30}));
+  CHECK(Orders[1].m_Layers == (LayerRange{30, 60}));
+  // A busy engine would refuse the order.
+  Cards[0].m_IsBusy = true;
+  for (const PlacementOrder &Order : LayoutPlanner::plan(m_Model, Cards))
+    CHECK(Order.m_Endpoint != "e0");
+}
+
 // Guards against leaving failure domains empty that are too small for a copy
 // each but could hold one together.
 TEST(LayoutPlanner, SmallFailureDomainsHoldOneCopyTogether) {
