--- a/src/audit/GatewayHistory.cpp
+++ b/src/audit/GatewayHistory.cpp
@@ -134,6 +134,12 @@
          return "refused before the search for a path: " +
                 Logged.text("reason");
        }},
+      {"attempt-abandoned",
+       [](const Line &Logged) {
+         return "path given up: " + Logged.text("reason") + ", silent for " +
+                Logged.text("silent_ms") + " ms after " +
+                Logged.text("events") + " events";
+       }},
       {"request-waits",
        [](const Line &Logged) {
          return "waits for capacity at the engines for at most " +
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -39,6 +39,23 @@
                                              : Default;
 }
 
+static int domainCrossings(const LayerPath &Path) {
+  int Crossings = 0;
+  for (std::size_t Index = 1; Index < Path.size(); ++Index)
+    Crossings += Path[Index].m_Endpoint->m_Entry.m_FailureDomain !=
+                 Path[Index - 1].m_Endpoint->m_Entry.m_FailureDomain;
+  return Crossings;
+}
+
+static std::string pathIds(const LayerPath &Path) {
+  std::string Text;
+  for (const PathStage &Part : Path)
+    Text += (Text.empty() ? "" : " ") + Part.m_Endpoint->m_Entry.m_Id + "=" +
+            std::to_string(Part.m_Layers.m_First) + "-" +
+            std::to_string(Part.m_Layers.m_End);
+  return Text;
+}
+
 StreamForward::StreamForward(ForwardContext &Context, ForwardJob Job)
     : ForwardedRequest(Context, std::move(Job)) {
   const HeaderNames &Names = m_Context.protocol().headers();
@@ -367,9 +384,16 @@
 void StreamForward::retryElsewhere(std::string_view Reason) {
   if (m_IsDone)
     return;
+  Time Now = m_Context.now();
+  m_Context.log().write(
+      Now, "attempt-abandoned", m_Job.m_Id,
+      {{"reason", Reason},
+       {"path", pathIds(m_PathLoad.path())},
+       {"events", std::int64_t(m_Events)},
+       {"silent_ms", std::int64_t((Now - m_LastProgressAt).count() / 1000)}});
   abandonAttempt();
   bool IsAllowed = !m_MayHaveRun || canResume();
-  if (IsAllowed && m_Context.now() < m_Job.m_Deadline &&
+  if (IsAllowed && Now < m_Job.m_Deadline &&
       (trySend(Reason) || waitForCapacity(Reason)))
     return;
   endUnanswered(Reason);
@@ -541,6 +565,14 @@
     }
     NewPath.insert(NewPath.end(), Replacement.begin(), Replacement.end());
   }
+  // A new part reads all tokens so far, and their state crosses the connection
+  // between the domains twice. The streams of a lost engine together fill it
+  // for seconds, while a whole path in one domain reads them without it.
+  if (domainCrossings(NewPath) > domainCrossings(Path) && canResume() &&
+      m_CountedAttempts < m_Job.m_Route->m_MaxAttempts) {
+    retryElsewhere("part-lost");
+    return;
+  }
   m_IsRepathing = true;
   auto Self = shared_from_this();
   std::uint64_t SentAttempt = m_AttemptNumber;
@@ -589,15 +621,6 @@
   finish(ForwardOutcome::Failed, Reason, Status);
 }
 
-static std::string pathIds(const LayerPath &Path) {
-  std::string Text;
-  for (const PathStage &Part : Path)
-    Text += (Text.empty() ? "" : " ") + Part.m_Endpoint->m_Entry.m_Id + "=" +
-            std::to_string(Part.m_Layers.m_First) + "-" +
-            std::to_string(Part.m_Layers.m_End);
-  return Text;
-}
-
 void StreamForward::finish(ForwardOutcome Outcome, std::string_view Reason,
                            unsigned Status) {
   if (m_IsDone)
--- a/src/placement/LayoutPlanner.cpp
+++ b/src/placement/LayoutPlanner.cpp
@@ -1,11 +1,10 @@
 #include "placement/LayoutPlanner.h"
 
+#include "placement/HoleFiller.h"
 #include "placement/LayoutMoveFinder.h"
-#include "placement/LayoutQuality.h"
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <map>
 
 namespace parsleyring {
@@ -41,7 +40,7 @@
   std::uint32_t copyCount() const;
   void planChains();
   void planChain(std::vector<PlacementCard *> &Chain);
-  void extendNeighbours();
+  bool extendNeighbours();
   void coverAllLayers();
   void addOrder(PlacementCard &Card, LayerRange Layers);
 
@@ -66,6 +65,7 @@
 
 void DomainGroupPlanner::addOrder(PlacementCard &Card, LayerRange Layers) {
   Card.m_Layers = Layers;
+  Card.m_IsBusy = true;
   for (PlacementOrder &Earlier : m_Orders)
     if (Earlier.m_Endpoint == Card.m_Endpoint) {
       Earlier.m_Layers = Layers;
@@ -136,62 +136,24 @@
   }
 }
 
-// Lets the cards that hold the layers before and after a hole extend into it. A
-// card that moves instead serves nothing until its requests have ended.
-void DomainGroupPlanner::extendNeighbours() {
-  LayerMemory Memory(m_Model, m_Cards);
-  for (LayerRange Hole : Memory.uncoveredRanges()) {
-    PlacementCard *Left = nullptr;
-    PlacementCard *Right = nullptr;
-    auto IsLarger = [](const PlacementCard &Card, const PlacementCard *Other) {
-      return !Other || Card.m_MemoryMegabytes > Other->m_MemoryMegabytes;
-    };
-    for (PlacementCard &Card : m_Cards) {
-      if (Card.isEmpty() || Card.m_IsBusy)
-        continue;
-      if (Card.m_Layers.m_End == Hole.m_First && IsLarger(Card, Left))
-        Left = &Card;
-      if (Card.m_Layers.m_First == Hole.m_End && IsLarger(Card, Right))
-        Right = &Card;
-    }
-    double BestMegabytes = 0;
-    std::uint32_t BestLimit = 0;
-    for (std::uint32_t Limit = Hole.m_First; Limit <= Hole.m_End; ++Limit) {
-      LayerRange LeftLayers, RightLayers;
-      if (Left)
-        LeftLayers = {Left->m_Layers.m_First, Limit};
-      if (Right)
-        RightLayers = {Limit, Right->m_Layers.m_End};
-      bool IsLeftNeeded = Limit > Hole.m_First;
-      bool IsRightNeeded = Limit < Hole.m_End;
-      if ((IsLeftNeeded && !Left) || (IsRightNeeded && !Right))
-        continue;
-      double Megabytes = std::numeric_limits<double>::infinity();
-      auto Extend = [&](const PlacementCard &Card, LayerRange Layers) {
-        double Free = LayoutQuality::memoryPerLayer(m_Model, Card, Layers) *
-                      (Layers.m_End - Layers.m_First);
-        bool HasRequestMemory =
-            Free >= Card.m_MemoryMegabytes * MinRequestMemoryFraction;
-        Megabytes = std::min(
-            Megabytes,
-            HasRequestMemory ? Free / (Layers.m_End - Layers.m_First) : 0);
-      };
-      if (IsLeftNeeded)
-        Extend(*Left, LeftLayers);
-      if (IsRightNeeded)
-        Extend(*Right, RightLayers);
-      if (Megabytes > BestMegabytes) {
-        BestMegabytes = Megabytes;
-        BestLimit = Limit;
-      }
-    }
-    if (BestMegabytes == 0)
-      continue;
-    if (BestLimit > Hole.m_First)
-      addOrder(*Left, {Left->m_Layers.m_First, BestLimit});
-    if (BestLimit < Hole.m_End)
-      addOrder(*Right, {BestLimit, Right->m_Layers.m_End});
+// Returns true if cards next to each hole are changing, so that it may be
+// covered soon.
+bool DomainGroupPlanner::extendNeighbours() {
+  const std::vector<LayerRange> Holes =
+      LayerMemory(m_Model, m_Cards).uncoveredRanges();
+  bool AreAllChanging = true;
+  for (LayerRange Hole : Holes) {
+    std::vector<PlacementOrder> Orders =
+        HoleFiller(m_Model, m_Cards).fill(Hole);
+    bool IsNextToBusyCard = std::any_of(
+        m_Cards.begin(), m_Cards.end(), [Hole](const PlacementCard &Card) {
+          return Card.m_IsBusy && (Card.m_Layers.m_End == Hole.m_First ||
+                                   Card.m_Layers.m_First == Hole.m_End);
+        });
+    AreAllChanging &= IsNextToBusyCard || !Orders.empty();
+    m_Orders.insert(m_Orders.end(), Orders.begin(), Orders.end());
   }
+  return AreAllChanging;
 }
 
 // Assigns layers without a holder to the smallest card all of whose layers have
@@ -227,8 +189,8 @@
     if (!Card.m_IsReserved || Memory.hasUncoveredLayer())
       addOrder(Card, Memory.mostUsefulRange(Card));
   }
-  extendNeighbours();
-  coverAllLayers();
+  if (!extendNeighbours())
+    coverAllLayers();
   return m_Orders;
 }
 
--- a/src/placement/SuccessionPlanner.cpp
+++ b/src/placement/SuccessionPlanner.cpp
@@ -33,13 +33,17 @@
   std::map<std::string, PlacementCard> Holders;
   std::map<std::string, Time> EmptySince;
   for (const PlacementCard &Card : Cards) {
-    if (!Card.isEmpty()) {
-      Holders[Card.m_Endpoint] = Card;
-      continue;
+    const std::string &Endpoint = Card.m_Endpoint;
+    // The layers of a busy card are only ordered; the order may yet fail.
+    auto Former = m_Holders.find(Endpoint);
+    if (Card.m_IsBusy && Former != m_Holders.end()) {
+      Holders.insert(*Former);
+    } else if (Card.m_IsBusy || Card.isEmpty()) {
+      auto Known = m_EmptySince.find(Endpoint);
+      EmptySince[Endpoint] = Known == m_EmptySince.end() ? Now : Known->second;
+    } else {
+      Holders[Endpoint] = Card;
     }
-    auto Known = m_EmptySince.find(Card.m_Endpoint);
-    EmptySince[Card.m_Endpoint] =
-        Known == m_EmptySince.end() ? Now : Known->second;
   }
   for (const auto &[Endpoint, Card] : m_Holders) {
     if (Holders.count(Endpoint))
@@ -54,18 +58,38 @@
     if (Copy != m_Copies.end())
       m_Copies.erase(Copy);
     else
-      m_Vacancies.push_back({Former, Now});
+      m_Vacancies.push_back({Former, Now, ""});
   }
-  // A card that is back with its layers needs no successor.
-  m_Vacancies.erase(
-      std::remove_if(m_Vacancies.begin(), m_Vacancies.end(),
-                     [&](const Vacancy &Entry) {
-                       return Holders.count(Entry.m_Card.m_Endpoint) ||
-                              Now - Entry.m_Since >= VacancyLifetime;
-                     }),
-      m_Vacancies.end());
   m_Holders = std::move(Holders);
   m_EmptySince = std::move(EmptySince);
+  checkSuccessors(Cards, Now);
+}
+
+void SuccessionPlanner::checkSuccessors(const std::vector<PlacementCard> &Cards,
+                                        Time Now) {
+  auto IsBusy = [&](const std::string &Endpoint) {
+    return std::any_of(Cards.begin(), Cards.end(),
+                       [&](const PlacementCard &Card) {
+                         return Card.m_Endpoint == Endpoint && Card.m_IsBusy;
+                       });
+  };
+  auto IsFilled = [&](Vacancy &Entry) {
+    // A card that is back with its layers needs no successor.
+    if (m_Holders.count(Entry.m_Card.m_Endpoint) ||
+        Now - Entry.m_Since >= VacancyLifetime)
+      return true;
+    if (Entry.m_Successor.empty() || IsBusy(Entry.m_Successor))
+      return false;
+    auto Successor = m_Holders.find(Entry.m_Successor);
+    if (Successor != m_Holders.end() &&
+        Successor->second.m_Layers == Entry.m_Card.m_Layers)
+      return true;
+    Entry.m_Successor.clear();
+    return false;
+  };
+  m_Vacancies.erase(
+      std::remove_if(m_Vacancies.begin(), m_Vacancies.end(), IsFilled),
+      m_Vacancies.end());
 }
 
 // The empty card closest in size that can hold the layers.
@@ -89,17 +113,17 @@
 
 // Returns nothing if too many cards could be the one that New replaces.
 const PlacementCard *
-SuccessionPlanner::findPredecessor(const std::vector<PlacementCard> &Cards,
-                                   const PlacementCard &New) const {
+SuccessionPlanner::findPredecessor(const PlacementCard &New) const {
   std::vector<const PlacementCard *> Candidates;
-  for (const PlacementCard &Card : Cards) {
+  for (const auto &[Endpoint, Card] : m_Holders) {
+    const PlacementCard &Holder = Card;
     bool IsCopied =
         std::any_of(m_Copies.begin(), m_Copies.end(), [&](const auto &Copy) {
-          return Copy.second.m_FailureDomain == Card.m_FailureDomain &&
-                 Copy.second.m_Layers == Card.m_Layers;
+          return Copy.second.m_FailureDomain == Holder.m_FailureDomain &&
+                 Copy.second.m_Layers == Holder.m_Layers;
         });
-    if (!Card.isEmpty() && !IsCopied && isSameKind(Card, New))
-      Candidates.push_back(&Card);
+    if (!IsCopied && isSameKind(Holder, New))
+      Candidates.push_back(&Holder);
   }
   if (Candidates.empty() || Candidates.size() > MaxPredecessorsToCopy)
     return nullptr;
@@ -113,23 +137,21 @@
   std::vector<PlacementOrder> Orders;
   auto Order = [&](PlacementCard &Card, LayerRange Layers) {
     Card.m_Layers = Layers;
-    m_Holders[Card.m_Endpoint] = Card;
-    m_EmptySince.erase(Card.m_Endpoint);
     Orders.push_back({Card.m_Endpoint, Layers});
   };
-  for (auto Entry = m_Vacancies.begin(); Entry != m_Vacancies.end();) {
-    PlacementCard *Successor = findSuccessor(Model, Cards, Entry->m_Card);
-    if (!Successor) {
-      ++Entry;
+  for (Vacancy &Entry : m_Vacancies) {
+    if (!Entry.m_Successor.empty())
       continue;
-    }
-    Order(*Successor, Entry->m_Card.m_Layers);
-    Entry = m_Vacancies.erase(Entry);
+    PlacementCard *Successor = findSuccessor(Model, Cards, Entry.m_Card);
+    if (!Successor)
+      continue;
+    Entry.m_Successor = Successor->m_Endpoint;
+    Order(*Successor, Entry.m_Card.m_Layers);
   }
   for (PlacementCard &Card : Cards) {
     if (!Card.isEmpty() || Card.m_IsBusy)
       continue;
-    if (const PlacementCard *Predecessor = findPredecessor(Cards, Card)) {
+    if (const PlacementCard *Predecessor = findPredecessor(Card)) {
       Order(Card, Predecessor->m_Layers);
       m_Copies[Card.m_Endpoint] = Card;
       continue;
--- a/src/placement/SuccessionPlanner.h
+++ b/src/placement/SuccessionPlanner.h
@@ -27,16 +27,18 @@
   struct Vacancy {
     PlacementCard m_Card;
     Time m_Since{};
+    std::string m_Successor; ///< Endpoint that is loading them; or empty.
   };
 
   void trackVacancies(const std::vector<PlacementCard> &Cards, Time Now);
+  void checkSuccessors(const std::vector<PlacementCard> &Cards, Time Now);
   PlacementCard *findSuccessor(const EngineModel &Model,
                                std::vector<PlacementCard> &Cards,
                                const PlacementCard &Former) const;
-  const PlacementCard *findPredecessor(const std::vector<PlacementCard> &Cards,
-                                       const PlacementCard &New) const;
+  const PlacementCard *findPredecessor(const PlacementCard &New) const;
 
-  std::map<std::string, PlacementCard> m_Holders; ///< By endpoint.
+  /// By endpoint, with the layers that each card was last known to hold.
+  std::map<std::string, PlacementCard> m_Holders;
   std::vector<Vacancy> m_Vacancies;
   /// Cards that hold a copy in advance, and for which no card has left yet.
   std::map<std::string, PlacementCard> m_Copies;
--- a/src/routing/LayerPathPlanner.cpp
+++ b/src/routing/LayerPathPlanner.cpp
@@ -12,10 +12,13 @@
 
 // Each stage of a path waits for the forward pass that its engine is running.
 static constexpr double StageMilliseconds = 20;
-// Penalty that keeps a path inside one failure domain unless the domain has no
-// whole path left: all requests share the connection between failure domains,
-// and a path over two of them fails if either is lost.
-static constexpr double DomainCrossingMilliseconds = 600;
+// Penalties that keep a path inside the failure domain of its request unless
+// the domain has no whole path left, and else inside another one: each crossing
+// sends the state of all prompt tokens over a connection that all requests
+// share, and a path over two domains fails if either is lost. A path that lies
+// in another domain as a whole sends only the request and the events.
+static constexpr double DomainEntryMilliseconds = 600;
+static constexpr double DomainCrossingMilliseconds = 1500;
 // Callers notice the time to the first event and the pauses between events. The
 // time to the last event counts less: it only keeps memory in use.
 static constexpr double StepTimeWeight = 0.6;
@@ -194,7 +197,7 @@
       Cost += fillPenalty(
           LayerPathPlanner::slotFill(*Next.m_Endpoint, m_Query.m_LoadFactor));
     if (Next.m_Domain != Domain)
-      Cost += domainCrossingCost();
+      Cost += First == 0 ? DomainEntryMilliseconds : domainCrossingCost();
     for (std::size_t End = Boundary + 1;
          End < m_Boundaries.size() && m_Boundaries[End] <= HeldLayers.m_End;
          ++End) {
--- a/tests/placement/SuccessionPlannerTest.cpp
+++ b/tests/placement/SuccessionPlannerTest.cpp
@@ -165,6 +165,40 @@
   }
 }
 
+// Guards against an order that an engine refused and that is taken for layers
+// which it held and has lost, so that others are moved in its place.
+TEST(SuccessionPlanner, RefusedOrderLeavesNoVacancy) {
+  SuccessionPlanner Planner;
+  std::vector<PlacementCard> Cards{{"e", "a", 72000, 2, {0, 16}},
+                                   {"other", "a", 72000, 2, {}}};
+  Cards[0].m_IsBusy = true;
+  Time Now{1000s};
+  Planner.plan(m_Model, Cards, Now);
+  Cards[0].m_Layers = {};
+  LONGS_EQUAL(0, Planner.plan(m_Model, Cards, Now + 80ms).size());
+  // If the successor refuses the order, another one gets it.
+  Cards = {{"e", "a", 72000, 2, {0, 16}},
+           {"f", "a", 60000, 2, {}},
+           {"g", "a", 60000, 2, {}}};
+  SuccessionPlanner Next;
+  Next.plan(m_Model, Cards, Now);
+  Cards.erase(Cards.begin());
+  for (PlacementCard &Card : Cards)
+    Card = {Card.m_Endpoint, "a", 60000, 2, {}};
+  auto Orders = Next.plan(m_Model, Cards, Now + 1s);
+  LONGS_EQUAL(1, Orders.size());
+  for (PlacementCard &Card : Cards) {
+    Card.m_Layers = {};
+    Card.m_IsBusy = Card.m_Endpoint == Orders[0].m_Endpoint;
+  }
+  LONGS_EQUAL(0, Next.plan(m_Model, Cards, Now + 1100ms).size());
+  for (PlacementCard &Card : Cards)
+    Card.m_IsBusy = false;
+  Orders = Next.plan(m_Model, Cards, Now + 3s);
+  LONGS_EQUAL(1, Orders.size());
+  CHECK(Orders[0].m_Layers == (LayerRange{0, 16}));
+}
+
 // Guards against a new engine that is left empty when no other one leaves.
 TEST(SuccessionPlanner, AddedEnginesGetLayersSoon) {
   SimulatedFleet Fleet(m_Model);
