--- a/src/fleet/FleetTable.cpp
+++ b/src/fleet/FleetTable.cpp
@@ -40,8 +40,13 @@
   // Rejections of requests that were sent at the same time count once.
   if (m_SuspectUntil <= Now)
     ++m_ConsecutiveRejections;
+  if (m_RejectingSince == Time{})
+    m_RejectingSince = Now;
+  Duration OwnDomainPause = Now - m_RejectingSince < MaxFullTime
+                                ? FullEndpointPause
+                                : LeavingEndpointPause;
   Duration Pause =
-      IsInOwnDomain ? FullEndpointPause : RejectionPause * (1 << Doublings);
+      IsInOwnDomain ? OwnDomainPause : RejectionPause * (1 << Doublings);
   m_SuspectUntil = std::max(m_SuspectUntil, Now + Pause);
 }
 
--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -53,6 +53,7 @@
   double m_FailureRate = 0; ///< Moving average at m_FailureRateUpdatedAt.
   Time m_FailureRateUpdatedAt{};
   int m_ConsecutiveRejections = 0;
+  Time m_RejectingSince{}; ///< First of the consecutive rejections.
 
   bool canServe(Time Now) const {
     return !m_IsRemoved && m_Entry.m_State == EndpointState::Ready &&
@@ -60,9 +61,13 @@
   }
   /// Records that the endpoint rejected a request without running it. The
   /// endpoint gets no new requests for a time, which doubles with each
-  /// consecutive rejection if the endpoint is in another failure domain.
+  /// consecutive rejection if the endpoint is in another failure domain, and is
+  /// longer after MaxFullTime if it is in this one.
   void noteRejection(bool IsInOwnDomain, Time Now);
-  void noteAcceptance() { m_ConsecutiveRejections = 0; }
+  void noteAcceptance() {
+    m_ConsecutiveRejections = 0;
+    m_RejectingSince = Time{};
+  }
   void noteResult(bool IsSuccess, Duration Latency, Time Now);
   double failureRate(Time Now) const;
   /// Records the pace that the endpoint reported to this VM (IsOwn) or to
@@ -84,6 +89,12 @@
   /// Pause after a rejection in this VM's failure domain. There only a full
   /// endpoint rejects, and possibly no other endpoint holds the same layers.
   static constexpr Duration FullEndpointPause = std::chrono::milliseconds(60);
+  /// An endpoint that rejects all requests for this long is not just full, as
+  /// one of its requests would have ended: it is leaving, and its entry does
+  /// not tell while the platform's list is not available.
+  static constexpr Duration MaxFullTime = std::chrono::milliseconds(1500);
+  static constexpr Duration LeavingEndpointPause =
+      std::chrono::milliseconds(1000);
   static constexpr Duration PaceLifetime = std::chrono::seconds(4);
   /// Minimum time between two queries for the pace by the VMs of a failure
   /// domain.
--- a/tests/fleet/FleetTableTest.cpp
+++ b/tests/fleet/FleetTableTest.cpp
@@ -98,6 +98,23 @@
   }
 }
 
+// Pattern: an engine begins to drain while the list is not available. Guards
+// against requests that are sent to it again and again for the whole outage.
+TEST(FleetTable, EndpointThatOnlyRejectsIsTriedSeldom) {
+  FleetEndpoint Endpoint;
+  int Sends = 0;
+  for (Time Now = m_Now; Now < m_Now + 10s; Now += 10ms)
+    if (Endpoint.canServe(Now)) {
+      ++Sends;
+      Endpoint.noteRejection(true, Now);
+    }
+  CHECK(Sends <= 35);
+  Time Later = m_Now + 20s;
+  Endpoint.noteAcceptance();
+  Endpoint.noteRejection(true, Later);
+  CHECK(Endpoint.canServe(Later + FleetEndpoint::FullEndpointPause));
+}
+
 // Pattern: a failure domain is cut off. Guards against requests that fail at
 // each of its endpoints in turn, and against excluding a whole domain because
 // of one dead engine.
