--- a/src/placement/HoleFiller.cpp
+++ b/src/placement/HoleFiller.cpp
@@ -51,13 +51,17 @@
   return Redundant;
 }
 
+std::uint32_t HoleFiller::mostLayers(const PlacementCard &Card) const {
+  return static_cast<std::uint32_t>(Card.m_MemoryMegabytes *
+                                    (1 - MinRequestMemoryFraction) /
+                                    m_Model.m_LayerMegabytes);
+}
+
 // Number of layers that the card can add, including those that it can give up
 // on its far side for them.
 std::uint32_t HoleFiller::freeLayers(const PlacementCard &Card,
                                      Side FarSide) const {
-  auto Most = static_cast<std::uint32_t>(Card.m_MemoryMegabytes *
-                                         (1 - MinRequestMemoryFraction) /
-                                         m_Model.m_LayerMegabytes);
+  std::uint32_t Most = mostLayers(Card);
   std::uint32_t Kept = count(Card.m_Layers) - redundantLayers(Card, FarSide);
   return Most > Kept ? Most - Kept : 0;
 }
@@ -67,15 +71,9 @@
 void HoleFiller::extend(PlacementCard &Card, Side Where, std::uint32_t Count) {
   if (Count == 0)
     return;
-  const Side FarSide = Where == Side::Before ? Side::After : Side::Before;
-  std::uint32_t Spare =
-      freeLayers(Card, FarSide) - redundantLayers(Card, FarSide);
-  bool MustGiveUp = freeLayers(Card, FarSide) < redundantLayers(Card, FarSide);
-  std::uint32_t GivenUp = 0;
-  if (MustGiveUp)
-    GivenUp = redundantLayers(Card, FarSide);
-  else if (Count > Spare)
-    GivenUp = Count - Spare;
+  std::uint32_t Most = mostLayers(Card);
+  std::uint32_t Wanted = count(Card.m_Layers) + Count;
+  std::uint32_t GivenUp = Wanted > Most ? Wanted - Most : 0;
   if (Where == Side::Before) {
     Card.m_Layers.m_First -= Count;
     Card.m_Layers.m_End -= GivenUp;
--- a/src/placement/HoleFiller.h
+++ b/src/placement/HoleFiller.h
@@ -23,6 +23,8 @@
 
   PlacementCard *neighbour(std::uint32_t Boundary, Side Where) const;
   std::uint32_t redundantLayers(const PlacementCard &Card, Side Where) const;
+  /// Number of layers that leaves the card memory for requests.
+  std::uint32_t mostLayers(const PlacementCard &Card) const;
   std::uint32_t freeLayers(const PlacementCard &Card, Side FarSide) const;
   void extend(PlacementCard &Card, Side Where, std::uint32_t Count);
   void makeRoom(const PlacementCard &Card, Side FarSide, std::uint32_t Count,
