--- a/src/placement/HoleFiller.cpp
+++ b/src/placement/HoleFiller.cpp
@@ -66,6 +66,17 @@
   return Most > Kept ? Most - Kept : 0;
 }
 
+// Number of layers that the next cards along the chain could take over.
+std::uint32_t HoleFiller::roomBeyond(const PlacementCard &Card, Side FarSide,
+                                     int Depth) const {
+  PlacementCard *Next = neighbour(
+      FarSide == Side::Before ? Card.m_Layers.m_First : Card.m_Layers.m_End,
+      FarSide);
+  if (!Next || Depth == 0)
+    return 0;
+  return freeLayers(*Next, FarSide) + roomBeyond(*Next, FarSide, Depth - 1);
+}
+
 // Adds Count layers on one side and gives up as many redundant ones on the
 // other side as the memory requires.
 void HoleFiller::extend(PlacementCard &Card, Side Where, std::uint32_t Count) {
@@ -114,6 +125,12 @@
   const std::uint32_t Needed = count(Hole);
   if (FreeBefore + FreeAfter < Needed) {
     std::uint32_t Missing = Needed - FreeBefore - FreeAfter;
+    std::uint32_t Room =
+        (Before ? roomBeyond(*Before, Side::Before, MaxDepth) : 0) +
+        (After ? roomBeyond(*After, Side::After, MaxDepth) : 0);
+    // Changes that do not cover the hole in the end would only cost memory.
+    if (Room < Missing)
+      return m_Orders;
     if (Before)
       makeRoom(*Before, Side::Before, Missing, MaxDepth);
     if (After)
--- a/src/placement/HoleFiller.h
+++ b/src/placement/HoleFiller.h
@@ -26,6 +26,8 @@
   /// Number of layers that leaves the card memory for requests.
   std::uint32_t mostLayers(const PlacementCard &Card) const;
   std::uint32_t freeLayers(const PlacementCard &Card, Side FarSide) const;
+  std::uint32_t roomBeyond(const PlacementCard &Card, Side FarSide,
+                           int Depth) const;
   void extend(PlacementCard &Card, Side Where, std::uint32_t Count);
   void makeRoom(const PlacementCard &Card, Side FarSide, std::uint32_t Count,
                 int Depth);
--- a/src/placement/LayoutMoveFinder.cpp
+++ b/src/placement/LayoutMoveFinder.cpp
@@ -49,7 +49,9 @@
       if (CurrentRange.m_End + Count <= m_Model.m_Layers)
         Ranges.push_back({CurrentRange.m_First, CurrentRange.m_End + Count});
     }
-    if (Length <= Count)
+    // A card may hold redundant layers since it makes room for one that is to
+    // cover a hole.
+    if (Length <= Count || m_Memory.hasUncoveredLayer())
       continue;
     if (m_Memory.isRedundant(
             {CurrentRange.m_First, CurrentRange.m_First + Count}))
