--- a/src/store/StoreWatcher.cpp
+++ b/src/store/StoreWatcher.cpp
@@ -64,6 +64,15 @@
   return true;
 }
 
+// Ends a poll that the store itself has answered.
+bool StoreWatcher::acceptStoreAnswer(std::uint64_t Poll) {
+  if (!endPoll(Poll))
+    return false;
+  m_LastStoreAnswerAt = m_Now();
+  markAvailable();
+  return true;
+}
+
 // The failure of an older poll tells nothing about the newest one.
 void StoreWatcher::failPoll(std::uint64_t Poll) {
   if (Poll == m_NewestPoll && m_IsPolling)
@@ -159,10 +168,8 @@
     failPoll(Poll);
     return;
   }
-  if (!endPoll(Poll))
+  if (!acceptStoreAnswer(Poll))
     return;
-  m_LastStoreAnswerAt = m_Now();
-  markAvailable();
   // The pages are not one snapshot, so the watch starts at the revision of the
   // first page.
   if (Pages->m_Revision == 0)
@@ -196,11 +203,9 @@
                                  std::uint64_t WatchedRevision,
                                  std::uint64_t Poll) {
   if (Reply.m_Status == 410) {
-    if (!endPoll(Poll))
+    if (!acceptStoreAnswer(Poll))
       return;
     m_MustReload = true;
-    m_LastStoreAnswerAt = m_Now();
-    markAvailable();
     pollNext();
     return;
   }
@@ -211,10 +216,8 @@
     failPoll(Poll);
     return;
   }
-  if (!endPoll(Poll))
+  if (!acceptStoreAnswer(Poll))
     return;
-  m_LastStoreAnswerAt = m_Now();
-  markAvailable();
   // Items from a peer may already be newer than this reply.
   bool IsSuperseded = WatchedRevision < m_Revision;
   bool HasChanges =
--- a/src/store/StoreWatcher.h
+++ b/src/store/StoreWatcher.h
@@ -95,6 +95,7 @@
   void schedulePoll(Duration Delay);
   std::uint64_t beginPoll(Duration Wait);
   bool endPoll(std::uint64_t Poll);
+  bool acceptStoreAnswer(std::uint64_t Poll);
   void failPoll(std::uint64_t Poll);
   Duration pollWait() const;
   void loadPage(const std::shared_ptr<Reload> &Pages, const std::string &After);
