--- a/src/gateway/EndpointProtocol.h
+++ b/src/gateway/EndpointProtocol.h
@@ -18,6 +18,9 @@
   std::string m_LastEventId;
   std::string m_TokenCounts; ///< "PROMPT,ANSWER"; ANSWER is a maximum.
   std::string m_LengthHint;  ///< Estimated tokens of the answer.
+  /// "ID:TOKENS" for each part of the prompt in order, separated by commas. The
+  /// last part belongs to the request or its session alone.
+  std::string m_PromptParts;
   std::string m_Account;
   std::string m_ExpectedEndpoint;
   std::string m_Seal; ///< Present on each genuine answer.
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -60,6 +60,25 @@
   return Text;
 }
 
+// The ids of all parts but the last one.
+static std::vector<std::string> sharedPromptParts(std::string_view Parts) {
+  std::vector<std::string> Ids;
+  std::size_t Comma;
+  while ((Comma = Parts.find(',')) != std::string_view::npos) {
+    std::string_view Part = Parts.substr(0, Comma);
+    Ids.emplace_back(Part.substr(0, Part.find(':')));
+    Parts.remove_prefix(Comma + 1);
+  }
+  return Ids;
+}
+
+static std::string joined(const std::vector<std::string> &Words) {
+  std::string Text;
+  for (const std::string &Word : Words)
+    Text += (Text.empty() ? "" : " ") + Word;
+  return Text;
+}
+
 StreamForward::StreamForward(ForwardContext &Context, ForwardJob Job)
     : ForwardedRequest(Context, std::move(Job)) {
   const HeaderNames &Names = m_Context.protocol().headers();
@@ -74,6 +93,8 @@
   double Hint = leadingNumber(m_Job.m_Request.field(Names.m_LengthHint),
                               Usual.m_UsualAnswerTokens);
   m_AnswerTokens = std::max(1.0, std::min(MaxAnswer, Hint));
+  m_SharedParts =
+      sharedPromptParts(m_Job.m_Request.field(Names.m_PromptParts));
   m_LastEventId = static_cast<std::uint64_t>(
       leadingNumber(m_Job.m_Request.field(Names.m_LastEventId), 0));
 }
@@ -198,6 +219,7 @@
   m_SentAt = m_LastProgressAt = Now;
   m_IsHeadSeen = m_IsStreaming = m_IsReportRequested = m_IsRepathing = false;
   m_Repaths = 0;
+  m_AttemptEvents = 0;
   m_Scanner.clear();
   m_RejectionBody.clear();
   m_Connection = m_Context.connectionPool().acquire(First->m_Entry.m_Address,
@@ -303,6 +325,7 @@
     m_LongestPauseMs = std::max(m_LongestPauseMs, Gap);
   }
   ++m_Events;
+  ++m_AttemptEvents;
   m_LastProgressAt = Now;
   if (m_Events == 1)
     for (const PathStage &Part : m_PathLoad.path())
@@ -426,7 +449,9 @@
       Now, "attempt-abandoned", m_Job.m_Id,
       {{"reason", Reason},
        {"path", pathIds(m_PathLoad.path())},
+       {"prompt_parts", joined(m_SharedParts)},
        {"events", std::int64_t(m_Events)},
+       {"attempt_events", std::int64_t(m_AttemptEvents)},
        {"silent_ms", std::int64_t((Now - m_LastProgressAt).count() / 1000)}});
   abandonAttempt();
   bool IsAllowed = !m_MayHaveRun || canResume();
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -63,6 +63,8 @@
 
   double m_PromptTokens = 0;
   double m_AnswerTokens = 0;
+  /// Ids of the parts of the prompt that other requests may have, too.
+  std::vector<std::string> m_SharedParts;
 
   // The attempt in progress.
   std::shared_ptr<HttpConnection> m_Connection;
@@ -74,6 +76,7 @@
   std::string m_RejectionBody; ///< Body of an answer that is not a stream.
   Time m_SentAt{};
   Time m_LastProgressAt{};
+  int m_AttemptEvents = 0;
   bool m_IsHeadSeen = false;
   bool m_IsStreaming = false; ///< A valid event stream is arriving.
   bool m_IsReportRequested = false;
