Quarantine prompt parts that crash engines

Cause: a crash counted as the failure of one engine. The request went on to the next one, and nothing was remembered about what it had in common with earlier ones, neither by the VM nor by the others.

Change: an engine that closes the connection of an unanswered request, and then does not answer a call for its report, has crashed. The VM writes the crash into the store, with the shared parts of the prompts that it cut off, so that all VMs have the same crashes, also those that start later. A part is quarantined if it explains at least three crashes that did not happen together and if no prompt with it was answered since; the part that explains most crashes goes first, and those do not count against others. Requests with a quarantined part are refused with 503, or 502 if they were sent; those that wait for an engine's first event are ended. An answer to a prompt with the part releases it on all VMs; otherwise ten minutes do. A part that was answered before needs five crashes within a minute.

GatewayTest (StreamResumesAfterLastEvent) counted all calls of its engines, and now only the streams, as strictly as before: the engine that cut one off is asked for its report.

--- /dev/null
+++ b/src/fleet/EngineCrash.cpp
@@ -0,0 +1,48 @@
+#include "fleet/EngineCrash.h"
+
+#include <nlohmann/json.hpp>
+
+namespace parsleyring {
+
+using nlohmann::json;
+
+std::string EngineCrash::encode() const {
+  json Suspects = json::array();
+  for (const Suspect &Each : m_Suspects)
+    Suspects.push_back({{"part", Each.m_Part},
+                        {"requests", Each.m_Requests},
+                        {"was_answered", Each.m_WasAnswered}});
+  return json{{"engine", m_Engine},
+              {"at_us", m_At.time_since_epoch().count()},
+              {"suspects", Suspects}}
+      .dump();
+}
+
+static bool isSuspect(const json &Entry) {
+  return Entry.is_object() && Entry.contains("part") &&
+         Entry["part"].is_string() && Entry.contains("requests") &&
+         Entry["requests"].is_number_unsigned() &&
+         Entry.contains("was_answered") && Entry["was_answered"].is_boolean();
+}
+
+std::optional<EngineCrash> EngineCrash::parse(const std::string &Text) {
+  json Root = json::parse(Text, nullptr, false);
+  if (!Root.is_object() || !Root.contains("engine") ||
+      !Root["engine"].is_string() || !Root.contains("at_us") ||
+      !Root["at_us"].is_number_integer() || !Root.contains("suspects") ||
+      !Root["suspects"].is_array())
+    return std::nullopt;
+  EngineCrash Crash;
+  Crash.m_Engine = Root["engine"].get<std::string>();
+  Crash.m_At = Time(Duration(Root["at_us"].get<std::int64_t>()));
+  for (const json &Entry : Root["suspects"]) {
+    if (!isSuspect(Entry))
+      return std::nullopt;
+    Crash.m_Suspects.push_back({Entry["part"].get<std::string>(),
+                                Entry["requests"].get<std::uint32_t>(),
+                                Entry["was_answered"].get<bool>()});
+  }
+  return Crash;
+}
+
+} // namespace parsleyring
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -18,6 +18,8 @@
 
 namespace parsleyring {
 
+class PromptGuard;
+
 /// The parts of the gateway node that forwarded requests use.
 class ForwardContext {
 public:
@@ -31,6 +33,7 @@
   virtual const EndpointProtocol &protocol() const = 0;
   virtual RetryShare &retryShare(const std::string &Service) = 0;
   virtual AdmissionQueue &admissionQueue(const std::string &Service) = 0;
+  virtual PromptGuard &promptGuard() = 0;
   virtual DecisionLog &log() = 0;
   virtual NodeMetrics &metrics() = 0;
   virtual const std::string &failureDomain() const = 0;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -20,6 +20,9 @@
 static constexpr std::uint64_t ChangedPlacementTicks = 2;
 // How long all endpoints of a silent failure domain get no new requests.
 static constexpr Duration DomainSuspectTime = std::chrono::milliseconds(1500);
+// How long a crashed engine gets no new requests. Its entry expires after about
+// the same time.
+static constexpr Duration CrashedTime = std::chrono::seconds(4);
 static constexpr Duration OrderTimeout = std::chrono::milliseconds(600);
 // Within about this time a starting gateway has its configuration, and callers
 // have left a stopping one.
@@ -155,6 +158,13 @@
       m_StoreWatcher(
           m_Loop, m_StoreClient, Store, *this, [this] { return now(); },
           m_Settings.m_StoreAddress, m_Settings.m_MaxApplyDelay),
+      m_PromptGuard(
+          {m_Loop, m_EndpointClient, Endpoints, m_StoreClient, Store, m_Log,
+           m_Metrics},
+          m_Settings.m_VM, m_Settings.m_StoreAddress, [this] { return now(); },
+          [this](const FleetTable::Handle &Engine) {
+            suspect(Engine, "crashed", CrashedTime);
+          }),
       m_Lease(
           m_Loop, m_StoreClient, Store, [this] { return now(); },
           m_Settings.m_StoreAddress, m_Self),
@@ -494,6 +504,8 @@
     applyLeader(Item);
   else if (beginsWith(Item.m_Key, VMLease::VMPrefix))
     applyVMEntry(Item);
+  else
+    m_PromptGuard.itemChanged(Item);
 }
 
 void GatewayNode::itemDeleted(const std::string &Key) {
@@ -503,8 +515,10 @@
     m_Log.write(now(), "endpoint-unlisted", "", {{"endpoint", Id}});
   } else if (Key == VMLease::LeaderKey) {
     m_Lease.noteLeader("", 0);
-  } else {
+  } else if (beginsWith(Key, VMLease::VMPrefix)) {
     m_VMs.unlist(Key);
+  } else {
+    m_PromptGuard.itemDeleted(Key);
   }
 }
 
@@ -519,6 +533,7 @@
     HasLeader = HasLeader || Key == VMLease::LeaderKey;
     itemChanged(Item);
   }
+  m_PromptGuard.itemsReloaded(Items);
   m_Fleet.unlistAllExcept(Listed, now());
   if (!HasLeader)
     m_Lease.noteLeader("", 0);
@@ -541,7 +556,10 @@
        {"configuration", std::int64_t(m_Table ? m_Table->m_Version : 0)}});
 }
 
-void GatewayNode::revisionChanged() { m_PeerHandler->answerAll(); }
+void GatewayNode::revisionChanged() {
+  m_PromptGuard.update();
+  m_PeerHandler->answerAll();
+}
 
 // Ticks
 
@@ -579,6 +597,7 @@
       Listener->tick(Now);
     m_ConnectionPool.expire(Now);
     m_Fleet.expire(Now);
+    m_PromptGuard.tick(m_WasLeader);
     m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
     m_Metrics.setConfirmationAge(m_StoreWatcher.confirmationAge());
     m_Metrics.countDroppedLogLines(m_Log.droppedLines() -
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -6,6 +6,7 @@
 #include "gateway/EndpointClient.h"
 #include "gateway/ForwardContext.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/PromptGuard.h"
 #include "node/NodeClock.h"
 #include "placement/PlacementController.h"
 #include "store/StoreWatcher.h"
@@ -52,6 +53,7 @@
   AdmissionQueue &admissionQueue(const std::string &Service) override {
     return m_AdmissionQueues[Service];
   }
+  PromptGuard &promptGuard() override { return m_PromptGuard; }
   DecisionLog &log() override { return m_Log; }
   NodeMetrics &metrics() override { return m_Metrics; }
   const std::string &failureDomain() const override {
@@ -137,6 +139,7 @@
   EndpointClient m_EndpointClient;
   StoreClient m_StoreClient;
   StoreWatcher m_StoreWatcher;
+  PromptGuard m_PromptGuard;
   VMLease m_Lease;
   std::map<std::string, PlacementController> m_Placement; ///< By service.
   bool m_WasLeader = false;
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -42,6 +42,10 @@
       m_Registry, "parsleyring_store_calls_total", "Calls, by status.");
   Family<Counter> &m_Orders = counters(m_Registry, "parsleyring_orders_total",
                                        "Orders to endpoints, by kind.");
+  Counter &m_EngineCrashes =
+      counters(m_Registry, "parsleyring_engine_crashes_total",
+               "Crashes of engines that cut off requests of this VM.")
+          .Add({});
   Counter &m_DroppedLines =
       counters(m_Registry, "parsleyring_log_lines_dropped_total",
                "Log lines left out.")
@@ -59,6 +63,9 @@
   Gauge &m_ConfirmationAge =
       gauge(m_Registry, "parsleyring_configuration_confirmation_age_seconds",
             "Time since the configuration was known to be the newest one.");
+  Gauge &m_QuarantinedParts =
+      gauge(m_Registry, "parsleyring_quarantined_prompt_parts",
+            "Parts of prompts that are not sent since they crash engines.");
   Gauge &m_Running = gauge(m_Registry, "parsleyring_requests_running",
                            "Requests in progress.");
   Gauge &m_Connections = gauge(m_Registry, "parsleyring_caller_connections",
@@ -109,6 +116,14 @@
   m_Families->m_ConfirmationAge.Set(seconds(Age));
 }
 
+void NodeMetrics::countEngineCrash() {
+  m_Families->m_EngineCrashes.Increment();
+}
+
+void NodeMetrics::setQuarantinedPromptParts(std::size_t Parts) {
+  m_Families->m_QuarantinedParts.Set(static_cast<double>(Parts));
+}
+
 void NodeMetrics::setRunning(std::size_t Requests, std::size_t Connections) {
   m_Families->m_Running.Set(static_cast<double>(Requests));
   m_Families->m_Connections.Set(static_cast<double>(Connections));
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -25,6 +25,8 @@
   void setConfigurationVersion(ConfigurationVersion Version);
   /// Age of the last confirmation that the store's items are the newest ones.
   void setConfirmationAge(Duration Age);
+  void countEngineCrash();
+  void setQuarantinedPromptParts(std::size_t Parts);
   void setRunning(std::size_t Requests, std::size_t Connections);
   void countDroppedLogLines(std::uint64_t Lines);
   std::string text() const;
--- /dev/null
+++ b/src/gateway/PromptGuard.cpp
@@ -0,0 +1,155 @@
+#include "gateway/PromptGuard.h"
+
+#include <charconv>
+
+namespace parsleyring {
+
+// Followed by the engine and the VM that reports the crash.
+static const std::string CrashPrefix = "parsleyring/engine-crashes/";
+// Followed by a part that left the quarantine since a prompt with it was
+// answered; the value is the time of the answer.
+static const std::string AnswerPrefix = "parsleyring/answered-prompt-parts/";
+
+// Bounds the size of an item.
+static constexpr std::size_t MaxSuspects = 200;
+
+static bool beginsWith(const std::string &Text, const std::string &Prefix) {
+  return Text.compare(0, Prefix.size(), Prefix) == 0;
+}
+
+// An id may be used again by a later incarnation.
+static std::string incarnationOf(const EndpointEntry &Entry) {
+  return Entry.m_Id + "@" + std::to_string(Entry.m_StartTimeMs);
+}
+
+static std::optional<Time> parseTime(const std::string &Text) {
+  std::int64_t Microseconds = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Microseconds);
+  if (Error != std::errc() || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Time(Duration(Microseconds));
+}
+
+PromptGuard::PromptGuard(Surroundings Around, std::string VM,
+                         std::string StoreAddress, std::function<Time()> Now,
+                         CrashHandler OnCrash)
+    : m_Log(Around.m_Log), m_Metrics(Around.m_Metrics), m_VM(std::move(VM)),
+      m_Now(std::move(Now)), m_OnCrash(std::move(OnCrash)),
+      m_Detector(Around.m_Loop, Around.m_EndpointClient,
+                 Around.m_EndpointProtocol, m_Now,
+                 [this](const FleetTable::Handle &Engine, Time At,
+                        const CrashDetector::RequestsByPart &Requests) {
+                   handleCrash(Engine, At, Requests);
+                 }),
+      m_Writer(Around.m_Loop, Around.m_StoreClient, Around.m_StoreProtocol,
+               std::move(StoreAddress),
+               [this](const std::string &Key, unsigned Status) {
+                 m_Log.write(m_Now(), "store-write-rejected", "",
+                             {{"key", Key}, {"status", std::int64_t(Status)}});
+               }) {}
+
+std::string PromptGuard::crashKey(const std::string &Engine) const {
+  return CrashPrefix + Engine + "/" + m_VM;
+}
+
+void PromptGuard::handleCrash(const FleetTable::Handle &Engine, Time At,
+                              const CrashDetector::RequestsByPart &Requests) {
+  EngineCrash Crash;
+  Crash.m_Engine = incarnationOf(Engine->m_Entry);
+  Crash.m_At = At;
+  for (const auto &[Part, Count] : Requests)
+    if (Crash.m_Suspects.size() < MaxSuspects)
+      Crash.m_Suspects.push_back({Part, Count, m_Quarantine.wasAnswered(Part)});
+  m_Metrics.countEngineCrash();
+  m_Log.write(m_Now(), "engine-crashed", "",
+              {{"endpoint", Engine->m_Entry.m_Id},
+               {"suspect_parts", std::int64_t(Crash.m_Suspects.size())}});
+  if (!Crash.m_Suspects.empty()) {
+    m_Writer.put(crashKey(Crash.m_Engine), Crash.encode());
+    m_Quarantine.addCrash(m_VM, std::move(Crash));
+    update();
+  }
+  m_OnCrash(Engine);
+}
+
+void PromptGuard::noteAnswer(const std::vector<std::string> &PromptParts) {
+  Time Now = m_Now();
+  for (const std::string &Part : PromptParts) {
+    // Without a request that was already running, no VM would ever learn that
+    // the part is harmless.
+    if (m_Quarantine.isQuarantined(Part))
+      m_Writer.put(AnswerPrefix + Part,
+                   std::to_string(Now.time_since_epoch().count()));
+    m_Quarantine.noteAnswer(Part, Now);
+  }
+  update();
+}
+
+void PromptGuard::update() {
+  Time Now = m_Now();
+  for (const PromptQuarantine::Change &Each : m_Quarantine.update(Now))
+    m_Log.write(
+        Now,
+        Each.m_IsQuarantined ? "prompt-part-quarantined"
+                             : "prompt-part-released",
+        "", {{"part", Each.m_Part}, {"crashes", std::int64_t(Each.m_Crashes)}});
+  m_Metrics.setQuarantinedPromptParts(m_Quarantine.size());
+}
+
+void PromptGuard::tick(bool IsLeader) {
+  m_Detector.expire();
+  update();
+  if (!IsLeader)
+    return;
+  Time Now = m_Now();
+  for (auto Item = m_StoredItems.begin(); Item != m_StoredItems.end();) {
+    bool IsOld = Now - Item->second > PromptQuarantine::Memory;
+    if (IsOld)
+      m_Writer.remove(Item->first);
+    Item = IsOld ? m_StoredItems.erase(Item) : std::next(Item);
+  }
+}
+
+void PromptGuard::itemChanged(const StoreItem &Item) {
+  if (beginsWith(Item.m_Key, CrashPrefix)) {
+    std::optional<EngineCrash> Crash = EngineCrash::parse(Item.m_Value);
+    std::size_t Slash = Item.m_Key.rfind('/');
+    if (!Crash) {
+      m_Log.write(m_Now(), "engine-crash-rejected", "", {{"key", Item.m_Key}});
+      return;
+    }
+    m_StoredItems[Item.m_Key] = Crash->m_At;
+    m_Quarantine.addCrash(Item.m_Key.substr(Slash + 1), std::move(*Crash));
+  } else if (beginsWith(Item.m_Key, AnswerPrefix)) {
+    std::optional<Time> AnsweredAt = parseTime(Item.m_Value);
+    if (!AnsweredAt) {
+      m_Log.write(m_Now(), "engine-crash-rejected", "", {{"key", Item.m_Key}});
+      return;
+    }
+    m_StoredItems[Item.m_Key] = *AnsweredAt;
+    m_Quarantine.noteAnswer(Item.m_Key.substr(AnswerPrefix.size()),
+                            *AnsweredAt);
+  }
+}
+
+void PromptGuard::itemDeleted(const std::string &Key) {
+  m_StoredItems.erase(Key);
+  if (!beginsWith(Key, CrashPrefix))
+    return;
+  std::size_t Slash = Key.rfind('/');
+  m_Quarantine.removeCrash(
+      Key.substr(Slash + 1),
+      Key.substr(CrashPrefix.size(), Slash - CrashPrefix.size()));
+}
+
+void PromptGuard::itemsReloaded(const std::map<std::string, StoreItem> &Items) {
+  std::vector<std::string> Deleted;
+  for (const auto &[Key, At] : m_StoredItems)
+    if (!Items.count(Key))
+      Deleted.push_back(Key);
+  for (const std::string &Key : Deleted)
+    itemDeleted(Key);
+}
+
+} // namespace parsleyring
--- /dev/null
+++ b/src/gateway/PromptGuard.h
@@ -0,0 +1,78 @@
+#ifndef PARSLEYRING_GATEWAY_PROMPTGUARD_H
+#define PARSLEYRING_GATEWAY_PROMPTGUARD_H
+
+#include "admission/PromptQuarantine.h"
+#include "gateway/CrashDetector.h"
+#include "gateway/DecisionLog.h"
+#include "store/StoreWriter.h"
+
+namespace parsleyring {
+
+/// Keeps prompts that crash engines away from the engines of the fleet:
+/// collects what this VM sees of crashes, shares it with the other VMs through
+/// the store, where it also survives the end of all VMs, and keeps the
+/// quarantine.
+class PromptGuard {
+public:
+  using CrashHandler = std::function<void(const FleetTable::Handle &)>;
+
+  /// What a guard works with; all of it must outlive the guard.
+  struct Surroundings {
+    boost::asio::io_context &m_Loop;
+    EndpointClient &m_EndpointClient;
+    const EndpointProtocol &m_EndpointProtocol;
+    StoreClient &m_StoreClient;
+    const StoreProtocol &m_StoreProtocol;
+    DecisionLog &m_Log;
+    NodeMetrics &m_Metrics;
+  };
+
+  PromptGuard(Surroundings Around, std::string VM, std::string StoreAddress,
+              std::function<Time()> Now, CrashHandler OnCrash);
+
+  /// When the quarantine of these prompt parts ends; empty if there is none.
+  std::optional<Time>
+  quarantinedUntil(const std::vector<std::string> &PromptParts) const {
+    return m_Quarantine.quarantinedUntil(PromptParts);
+  }
+  /// An engine has answered a prompt with these parts, and still runs.
+  void noteAnswer(const std::vector<std::string> &PromptParts);
+  /// Engine has closed the connection of a request whose prompt has these
+  /// parts, before it was answered.
+  void noteCutOff(const FleetTable::Handle &Engine,
+                  const std::vector<std::string> &PromptParts) {
+    m_Detector.noteCutOff(Engine, PromptParts);
+  }
+  /// Applies the items that have changed.
+  void update();
+  /// To be called now and then. The placement leader also removes old items
+  /// from the store.
+  void tick(bool IsLeader);
+
+  // Items of the store; those with other keys are ignored. update() is to be
+  // called after them.
+  void itemChanged(const StoreItem &Item);
+  void itemDeleted(const std::string &Key);
+  /// Items are all that the store holds.
+  void itemsReloaded(const std::map<std::string, StoreItem> &Items);
+
+private:
+  void handleCrash(const FleetTable::Handle &Engine, Time At,
+                   const CrashDetector::RequestsByPart &Requests);
+  std::string crashKey(const std::string &Engine) const;
+
+  DecisionLog &m_Log;
+  NodeMetrics &m_Metrics;
+  const std::string m_VM;
+  std::function<Time()> m_Now;
+  CrashHandler m_OnCrash;
+  CrashDetector m_Detector;
+  StoreWriter m_Writer;
+  PromptQuarantine m_Quarantine;
+  /// The store's items that concern the guard, and the times they tell of.
+  std::map<std::string, Time> m_StoredItems;
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_GATEWAY_PROMPTGUARD_H
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -1,6 +1,9 @@
 #include "gateway/StreamForward.h"
 
+#include "gateway/PromptGuard.h"
+
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 
 namespace parsleyring {
@@ -28,6 +31,9 @@
 // Callers leave a stream after a pause of two seconds.
 static constexpr Duration MaxPauseForCapacity = std::chrono::milliseconds(1500);
 static constexpr double RetryAfterSeconds = 0.5;
+// An engine that crashes on a prompt does so when it begins to answer.
+static constexpr Duration HarmlessAnswerTime = std::chrono::milliseconds(300);
+static constexpr std::size_t MaxPartIdLength = 64;
 // Limits of the memory that bytes without end take, in an answer that is no
 // event stream and in a single event.
 static constexpr std::size_t MaxRejectionBytes = 64 << 10;
@@ -60,14 +66,21 @@
   return Text;
 }
 
-// The ids of all parts but the last one.
+// The ids of all parts but the last one. They become keys of the store, so
+// others than short words are left out.
 static std::vector<std::string> sharedPromptParts(std::string_view Parts) {
   std::vector<std::string> Ids;
   std::size_t Comma;
   while ((Comma = Parts.find(',')) != std::string_view::npos) {
-    std::string_view Part = Parts.substr(0, Comma);
-    Ids.emplace_back(Part.substr(0, Part.find(':')));
+    std::string_view Id = Parts.substr(0, Comma);
     Parts.remove_prefix(Comma + 1);
+    Id = Id.substr(0, Id.find(':'));
+    Id.remove_prefix(std::min(Id.find_first_not_of(' '), Id.size()));
+    bool IsWord = std::all_of(Id.begin(), Id.end(), [](unsigned char Each) {
+      return std::isalnum(Each);
+    });
+    if (IsWord && !Id.empty() && Id.size() <= MaxPartIdLength)
+      Ids.emplace_back(Id);
   }
   return Ids;
 }
@@ -93,8 +106,7 @@
   double Hint = leadingNumber(m_Job.m_Request.field(Names.m_LengthHint),
                               Usual.m_UsualAnswerTokens);
   m_AnswerTokens = std::max(1.0, std::min(MaxAnswer, Hint));
-  m_SharedParts =
-      sharedPromptParts(m_Job.m_Request.field(Names.m_PromptParts));
+  m_SharedParts = sharedPromptParts(m_Job.m_Request.field(Names.m_PromptParts));
   m_LastEventId = static_cast<std::uint64_t>(
       leadingNumber(m_Job.m_Request.field(Names.m_LastEventId), 0));
 }
@@ -104,10 +116,10 @@
   m_Job.m_Caller->onDisconnect(
       [Self] { Self->finish(ForwardOutcome::CallerLeft, "caller-left", 0); });
   m_Context.retryShare(m_Job.m_Service->m_Name).noteRequest(m_Context.now());
-  if (trySend("first"))
+  if (endIfQuarantined() || trySend("first"))
     return;
   if (!waitForCapacity("no-path"))
-    refuse("no-path");
+    refuse("no-path", RetryAfterSeconds);
 }
 
 // A full engine has capacity again as soon as one of its requests ends.
@@ -220,6 +232,7 @@
   m_IsHeadSeen = m_IsStreaming = m_IsReportRequested = m_IsRepathing = false;
   m_Repaths = 0;
   m_AttemptEvents = 0;
+  m_IsAnswered = false;
   m_Scanner.clear();
   m_RejectionBody.clear();
   m_Connection = m_Context.connectionPool().acquire(First->m_Entry.m_Address,
@@ -325,13 +338,46 @@
     m_LongestPauseMs = std::max(m_LongestPauseMs, Gap);
   }
   ++m_Events;
-  ++m_AttemptEvents;
+  if (++m_AttemptEvents == 1)
+    m_FirstEventAt = Now;
+  if (Now - m_FirstEventAt >= HarmlessAnswerTime)
+    noteAnswered();
   m_LastProgressAt = Now;
   if (m_Events == 1)
     for (const PathStage &Part : m_PathLoad.path())
       Part.m_Endpoint->noteAcceptance();
 }
 
+void StreamForward::noteAnswered() {
+  if (m_IsAnswered)
+    return;
+  m_IsAnswered = true;
+  m_Context.promptGuard().noteAnswer(m_SharedParts);
+}
+
+// Ends the request if a part of its prompt crashes engines, unless it has been
+// answered already, which shows that it does not. Returns true if it was ended.
+bool StreamForward::endIfQuarantined() {
+  if (m_Events > 0)
+    return false;
+  std::optional<Time> Until =
+      m_Context.promptGuard().quarantinedUntil(m_SharedParts);
+  if (!Until)
+    return false;
+  static constexpr std::string_view Reason = "prompt-quarantined";
+  if (m_Connection) {
+    m_MayHaveRun = true;
+    abandonAttempt();
+  }
+  if (m_MayHaveRun) {
+    failRequest(Reason);
+    return true;
+  }
+  refuse(Reason,
+         std::chrono::duration<double>(*Until - m_Context.now()).count());
+  return true;
+}
+
 void StreamForward::handleEnd(ExchangeEnd End) {
   if (m_IsDone)
     return;
@@ -353,6 +399,8 @@
     m_MayHaveRun = true;
     First->noteResult(false, Now - m_SentAt, Now);
     m_ExcludedEndpoints.push_back(First);
+    if (End == ExchangeEnd::Closed && !m_IsAnswered)
+      m_Context.promptGuard().noteCutOff(First, m_SharedParts);
     retryElsewhere(name(End));
     return;
   }
@@ -367,6 +415,8 @@
     return;
   }
   First->noteResult(true, Now - m_SentAt, Now);
+  if (m_AttemptEvents > 0)
+    noteAnswered();
   m_Context.connectionPool().release(m_Connection, Now);
   if (!hasAnswerBegun())
     beginAnswer();
@@ -454,6 +504,8 @@
        {"attempt_events", std::int64_t(m_AttemptEvents)},
        {"silent_ms", std::int64_t((Now - m_LastProgressAt).count() / 1000)}});
   abandonAttempt();
+  if (endIfQuarantined())
+    return;
   bool IsAllowed = !m_MayHaveRun || canResume();
   if (IsAllowed && Now < m_Job.m_Deadline &&
       (trySend(Reason) || waitForCapacity(Reason)))
@@ -463,7 +515,7 @@
 
 void StreamForward::endUnanswered(std::string_view Reason) {
   if (!hasAnswerBegun() && !m_MayHaveRun) {
-    refuse(Reason);
+    refuse(Reason, RetryAfterSeconds);
     return;
   }
   failRequest(Reason);
@@ -471,7 +523,7 @@
 
 void StreamForward::tick(Time Now) {
   // The admission queue ends a waiting request by its deadline.
-  if (m_IsDone || m_QueueNumber != 0)
+  if (m_IsDone || endIfQuarantined() || m_QueueNumber != 0)
     return;
   if (Now >= m_Job.m_Deadline) {
     m_MayHaveRun = true;
@@ -664,8 +716,8 @@
   retryElsewhere("repath-refused");
 }
 
-void StreamForward::refuse(std::string_view Reason) {
-  answerNotRun(RetryAfterSeconds);
+void StreamForward::refuse(std::string_view Reason, double RetryAfter) {
+  answerNotRun(RetryAfter);
   finish(ForwardOutcome::Refused, Reason, 503);
 }
 
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -42,6 +42,8 @@
   void forwardEvents();
   bool forwardEvent(const EventScanner::Event &Event);
   void noteProgress();
+  void noteAnswered();
+  bool endIfQuarantined();
   void beginAnswer();
 
   void checkPaces(Duration Silence);
@@ -57,7 +59,7 @@
   void endUnanswered(std::string_view Reason);
   void abandonAttempt();
 
-  void refuse(std::string_view Reason);
+  void refuse(std::string_view Reason, double RetryAfter);
   void failRequest(std::string_view Reason);
   void finish(ForwardOutcome Outcome, std::string_view Reason, unsigned Status);
 
@@ -77,6 +79,9 @@
   Time m_SentAt{};
   Time m_LastProgressAt{};
   int m_AttemptEvents = 0;
+  Time m_FirstEventAt{}; ///< Of the attempt.
+  /// The engine has answered long enough to show that the prompt is harmless.
+  bool m_IsAnswered = false;
   bool m_IsHeadSeen = false;
   bool m_IsStreaming = false; ///< A valid event stream is arriving.
   bool m_IsReportRequested = false;
--- a/src/store/StoreProtocol.h
+++ b/src/store/StoreProtocol.h
@@ -51,6 +51,7 @@
   virtual StoreCall watchCall(const std::string &Prefix, std::uint64_t Revision,
                               Duration Wait) const = 0;
   virtual StoreCall putCall(const StorePut &Put) const = 0;
+  virtual StoreCall removeCall(const std::string &Key) const = 0;
   virtual StoreCall grantCall(Duration TimeToLive) const = 0;
   virtual StoreCall renewCall(std::uint64_t Lease) const = 0;
   virtual StoreCall revokeCall(std::uint64_t Lease) const = 0;
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -220,10 +220,14 @@
 // Guards against missing, repeated or partial events in a stream whose engine
 // stopped in the middle of an event.
 TEST(Gateway, StreamResumesAfterLastEvent) {
-  std::atomic<int> Calls{0};
+  std::atomic<int> Streams{0};
   auto Respond = [&](const ReceivedCall &Call) {
     FakeEndpointAnswer Answer;
-    if (Calls++ == 0) {
+    if (Call.m_Path != "/stream/a") {
+      Answer.m_Body = "{\"pace\":1.0,\"stalled\":[]}";
+      return Answer;
+    }
+    if (Streams++ == 0) {
       Answer.m_Chunks = {events(1, 3), "id: 4\ndata: ev"};
       Answer.m_IsTruncated = true;
       return Answer;
@@ -240,7 +244,7 @@
   HttpAnswer Answer = send(makeRequest("/stream/a"));
   LONGS_EQUAL(200, Answer.m_Status);
   STRCMP_EQUAL(events(1, 9).c_str(), Answer.m_Body.c_str());
-  LONGS_EQUAL(2, Calls);
+  LONGS_EQUAL(2, Streams);
   ReceivedCall Call = (First.calls().empty() ? Second : First).calls()[0];
   STRCMP_CONTAINS("=0-10", Call.header("Hop-Count").c_str());
 }
--- a/tests/support/GatewayTestServers.cpp
+++ b/tests/support/GatewayTestServers.cpp
@@ -144,6 +144,7 @@
   std::unique_ptr<LoopbackServer> m_Server;
 
   void putLocked(const std::string &Key, const std::string &Value);
+  void removeLocked(const std::string &Key);
   void handle(const httplib::Request &Request, httplib::Response &Response);
   json range();
   json watch(std::unique_lock<std::mutex> &Lock, const httplib::Request &);
@@ -181,6 +182,13 @@
   return {{"events", Events}, {"at", m_Revision}};
 }
 
+void FakeMetadataStore::Implementation::removeLocked(const std::string &Key) {
+  m_Items.erase(Key);
+  m_Events.push_back(
+      {{"key", Key}, {"revision", ++m_Revision}, {"deleted", true}});
+  m_Changed.notify_all();
+}
+
 int FakeMetadataStore::Implementation::transact(const json &Body) {
   for (const json &Expected : Body["expected"]) {
     auto Found = m_Items.find(Expected["key"].get<std::string>());
@@ -192,6 +200,8 @@
   for (const json &Put : Body["put"])
     putLocked(Put["key"].get<std::string>(),
               *decodeBase64(Put["value"].get<std::string>()));
+  for (const json &Key : Body["remove"])
+    removeLocked(Key.get<std::string>());
   return 200;
 }
 
@@ -239,12 +249,7 @@
 
 void FakeMetadataStore::remove(const std::string &Key) {
   std::lock_guard<std::mutex> Lock(m_Implementation->m_Mutex);
-  m_Implementation->m_Items.erase(Key);
-  m_Implementation->m_Events.push_back(
-      {{"key", Key},
-       {"revision", ++m_Implementation->m_Revision},
-       {"deleted", true}});
-  m_Implementation->m_Changed.notify_all();
+  m_Implementation->removeLocked(Key);
 }
 
 bool FakeMetadataStore::has(const std::string &Key) const {
