Explain crashes and quarantined prompt parts

parsleyring explain printed the new lines as raw fields, and left them out of the state changes around a request. Built; audit/ExplainCommandTest passes.

--- a/src/audit/GatewayHistory.cpp
+++ b/src/audit/GatewayHistory.cpp
@@ -93,6 +93,9 @@
                                                       "endpoint-recovered",
                                                       "failure-domain-suspect",
                                                       "endpoint-unlisted",
+                                                      "engine-crashed",
+                                                      "prompt-part-quarantined",
+                                                      "prompt-part-released",
                                                       "store-lost",
                                                       "store-available",
                                                       "store-items-unconfirmed",
@@ -181,6 +184,22 @@
          return "excluded " + Logged.text("endpoint") +
                 " from new paths: " + Logged.text("reason");
        }},
+      {"engine-crashed",
+       [](const Line &Logged) {
+         return Logged.text("endpoint") + " crashed; " +
+                Logged.text("suspect_parts") +
+                " prompt parts may have caused it";
+       }},
+      {"prompt-part-quarantined",
+       [](const Line &Logged) {
+         return "refuses prompts with part " + Logged.text("part") +
+                ", which explains " + Logged.text("crashes") +
+                " crashes of engines";
+       }},
+      {"prompt-part-released",
+       [](const Line &Logged) {
+         return "sends prompts with part " + Logged.text("part") + " again";
+       }},
       {"endpoint-slow",
        [](const Line &Logged) {
          return Logged.text("endpoint") + " reported " + Logged.text("pace") +
