Log each engine crash once, and report crashes soon after an outage

A request that turned out later to have been cut off by a crash made the VM count and log the crash again. A report that the store had not taken waited up to 2.6 s for the next try, nearly all of the 3 s in which the other VMs must know of a crash after an outage; it now waits up to 1.4 s.

Two cases of integration/CrashingPromptTest: crashes that one VM saw while the store was down are known to all VMs and to a new one 3 s after its return, and an answer seen by another VM releases a part.

--- a/src/gateway/CrashDetector.cpp
+++ b/src/gateway/CrashDetector.cpp
@@ -15,12 +15,10 @@
 
 struct CrashDetector::Check {
   Check(boost::asio::io_context &Loop, FleetTable::Handle Engine, Time Now)
-      : m_Engine(std::move(Engine)), m_StartedAt(Now), m_Timer(Loop) {}
+      : m_Crash{std::move(Engine), Now, {}}, m_Timer(Loop) {}
 
-  const FleetTable::Handle m_Engine;
-  const Time m_StartedAt;
+  Crash m_Crash; ///< As it is reported if the engine has crashed.
   boost::asio::steady_timer m_Timer;
-  RequestsByPart m_Requests;
   int m_Calls = 0;
   bool m_HasCrashed = false;
 };
@@ -47,17 +45,17 @@
   // A copy, since the handler may change the map.
   std::shared_ptr<Check> Current = Known;
   for (const std::string &Part : PromptParts)
-    ++Current->m_Requests[Part];
+    ++Current->m_Crash.m_RequestsByPart[Part];
   if (IsNew)
     ask(Current);
   else if (Current->m_HasCrashed)
-    m_OnCrash(Engine, Current->m_StartedAt, Current->m_Requests);
+    m_OnCrash(Current->m_Crash);
 }
 
 void CrashDetector::ask(const std::shared_ptr<Check> &Asked) {
   ++Asked->m_Calls;
   m_Client.call(
-      Asked->m_Engine, m_Protocol.reportCall(), ReportTimeout,
+      Asked->m_Crash.m_Engine, m_Protocol.reportCall(), ReportTimeout,
       [this, Asked](const CallReply &Reply) { handleReply(Asked, Reply); });
 }
 
@@ -67,7 +65,7 @@
   bool IsGone = Reply.m_Status == OtherIncarnationStatus ||
                 (Reply.m_Status == 0 && Reply.m_End != ExchangeEnd::TimedOut);
   if (!IsGone) {
-    m_Checks.erase(Asked->m_Engine.get());
+    m_Checks.erase(Asked->m_Crash.m_Engine.get());
     return;
   }
   if (Asked->m_Calls < MaxCalls) {
@@ -79,13 +77,14 @@
     return;
   }
   Asked->m_HasCrashed = true;
-  m_OnCrash(Asked->m_Engine, Asked->m_StartedAt, Asked->m_Requests);
+  m_OnCrash(Asked->m_Crash);
+  Asked->m_Crash.m_IsNew = false;
 }
 
 void CrashDetector::expire() {
   Time Now = m_Now();
   for (auto Entry = m_Checks.begin(); Entry != m_Checks.end();)
-    Entry = Now - Entry->second->m_StartedAt > CutOffPeriod
+    Entry = Now - Entry->second->m_Crash.m_At > CutOffPeriod
                 ? m_Checks.erase(Entry)
                 : std::next(Entry);
 }
--- a/src/gateway/CrashDetector.h
+++ b/src/gateway/CrashDetector.h
@@ -18,13 +18,16 @@
 /// asked for its report. If it does not answer either, it has crashed.
 class CrashDetector {
 public:
-  /// Requests that a crash cut off before they were answered, by the parts of
-  /// their prompts.
-  using RequestsByPart = std::map<std::string, std::uint32_t>;
-  /// Called when an engine has crashed, and again if further requests turn out
-  /// to have been cut off, with all of them.
-  using CrashHandler = std::function<void(const FleetTable::Handle &, Time At,
-                                          const RequestsByPart &)>;
+  struct Crash {
+    FleetTable::Handle m_Engine;
+    Time m_At{}; ///< When the first connection was closed.
+    /// Requests that were cut off before they were answered, by the parts of
+    /// their prompts.
+    std::map<std::string, std::uint32_t> m_RequestsByPart;
+    /// False if the crash was reported before, with fewer requests.
+    bool m_IsNew = true;
+  };
+  using CrashHandler = std::function<void(const Crash &)>;
 
   CrashDetector(boost::asio::io_context &Loop, EndpointClient &Client,
                 const EndpointProtocol &Protocol, std::function<Time()> Now,
--- a/src/gateway/PromptGuard.cpp
+++ b/src/gateway/PromptGuard.cpp
@@ -36,12 +36,10 @@
                          CrashHandler OnCrash)
     : m_Log(Around.m_Log), m_Metrics(Around.m_Metrics), m_VM(std::move(VM)),
       m_Now(std::move(Now)), m_OnCrash(std::move(OnCrash)),
-      m_Detector(Around.m_Loop, Around.m_EndpointClient,
-                 Around.m_EndpointProtocol, m_Now,
-                 [this](const FleetTable::Handle &Engine, Time At,
-                        const CrashDetector::RequestsByPart &Requests) {
-                   handleCrash(Engine, At, Requests);
-                 }),
+      m_Detector(
+          Around.m_Loop, Around.m_EndpointClient, Around.m_EndpointProtocol,
+          m_Now,
+          [this](const CrashDetector::Crash &Seen) { handleCrash(Seen); }),
       m_Writer(Around.m_Loop, Around.m_StoreClient, Around.m_StoreProtocol,
                std::move(StoreAddress),
                [this](const std::string &Key, unsigned Status) {
@@ -53,24 +51,27 @@
   return CrashPrefix + Engine + "/" + m_VM;
 }
 
-void PromptGuard::handleCrash(const FleetTable::Handle &Engine, Time At,
-                              const CrashDetector::RequestsByPart &Requests) {
+void PromptGuard::handleCrash(const CrashDetector::Crash &Seen) {
   EngineCrash Crash;
-  Crash.m_Engine = incarnationOf(Engine->m_Entry);
-  Crash.m_At = At;
-  for (const auto &[Part, Count] : Requests)
+  Crash.m_Engine = incarnationOf(Seen.m_Engine->m_Entry);
+  Crash.m_At = Seen.m_At;
+  for (const auto &[Part, Requests] : Seen.m_RequestsByPart)
     if (Crash.m_Suspects.size() < MaxSuspects)
-      Crash.m_Suspects.push_back({Part, Count, m_Quarantine.wasAnswered(Part)});
-  m_Metrics.countEngineCrash();
-  m_Log.write(m_Now(), "engine-crashed", "",
-              {{"endpoint", Engine->m_Entry.m_Id},
-               {"suspect_parts", std::int64_t(Crash.m_Suspects.size())}});
+      Crash.m_Suspects.push_back(
+          {Part, Requests, m_Quarantine.wasAnswered(Part)});
+  if (Seen.m_IsNew) {
+    m_Metrics.countEngineCrash();
+    m_Log.write(m_Now(), "engine-crashed", "",
+                {{"endpoint", Seen.m_Engine->m_Entry.m_Id},
+                 {"suspect_parts", std::int64_t(Crash.m_Suspects.size())}});
+  }
   if (!Crash.m_Suspects.empty()) {
     m_Writer.put(crashKey(Crash.m_Engine), Crash.encode());
     m_Quarantine.addCrash(m_VM, std::move(Crash));
     update();
   }
-  m_OnCrash(Engine);
+  if (Seen.m_IsNew)
+    m_OnCrash(Seen.m_Engine);
 }
 
 void PromptGuard::noteAnswer(const std::vector<std::string> &PromptParts) {
--- a/src/gateway/PromptGuard.h
+++ b/src/gateway/PromptGuard.h
@@ -57,8 +57,7 @@
   void itemsReloaded(const std::map<std::string, StoreItem> &Items);
 
 private:
-  void handleCrash(const FleetTable::Handle &Engine, Time At,
-                   const CrashDetector::RequestsByPart &Requests);
+  void handleCrash(const CrashDetector::Crash &Seen);
   std::string crashKey(const std::string &Engine) const;
 
   DecisionLog &m_Log;
--- a/src/store/StoreWriter.cpp
+++ b/src/store/StoreWriter.cpp
@@ -4,11 +4,11 @@
 
 namespace parsleyring {
 
-static constexpr Duration CallTimeout = std::chrono::milliseconds(1000);
+static constexpr Duration CallTimeout = std::chrono::milliseconds(800);
 // The store also counts refused calls against its rate limits, so the retry
 // delay grows.
 static constexpr Duration FirstRetryDelay = std::chrono::milliseconds(100);
-static constexpr Duration MaxRetryDelay = std::chrono::milliseconds(1600);
+static constexpr Duration MaxRetryDelay = std::chrono::milliseconds(600);
 
 StoreWriter::StoreWriter(boost::asio::io_context &Loop, StoreClient &Client,
                          const StoreProtocol &Protocol,
--- a/tests/integration/CrashingPromptTest.cpp
+++ b/tests/integration/CrashingPromptTest.cpp
@@ -1,3 +1,4 @@
+#include "fleet/EngineCrash.h"
 #include "support/Eventually.h"
 #include "support/GatewayTestServers.h"
 #include "support/HttpCalls.h"
@@ -235,4 +236,48 @@
   CHECK_TEXT(After.share() >= Before.share() / 2, Message.c_str());
 }
 
+// Guards against crashes that only the VM knows that saw them, since the store
+// was not available then: the other VMs and a new one would repeat them.
+TEST(CrashingPrompt, AllVMsKnowOfCrashesAfterAnOutageOfTheStore) {
+  CrashingEngines Engines(m_Store, 8);
+  for (int Count = 0; Count < 3; ++Count)
+    startGateway();
+  m_Store.setDown(true);
+  for (int Count = 0; Count < 8; ++Count) {
+    sendStream(CrashingPart, 0);
+    std::this_thread::sleep_for(100ms);
+  }
+  CHECK(Engines.crashes() > 0 && Engines.crashes() <= MaxCrashes);
+  m_Store.setDown(false);
+  std::this_thread::sleep_for(StableTime);
+  startGateway();
+  int RequestsBefore = Engines.crashingRequests();
+  for (std::size_t Gateway = 0; Gateway < m_Gateways.size(); ++Gateway)
+    for (int Count = 0; Count < 4; ++Count)
+      sendStream(CrashingPart, Gateway);
+  CHECK(Engines.crashingRequests() - RequestsBefore <= MaxLateRequests);
+}
+
+// Guards against a part that one VM refuses although an answer that another VM
+// has seen shows that it is harmless, and against items that are misread.
+TEST(CrashingPrompt, AnswerSeenByAnotherVMReleasesAPart) {
+  CrashingEngines Engines(m_Store, 2);
+  Time Now =
+      std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
+  for (int Number = 0; Number < 3; ++Number) {
+    EngineCrash Crash{"engine-" + std::to_string(Number),
+                      Now + Number * 300ms - 2s,
+                      {{"bbbb0001", 1, false}}};
+    m_Store.put("parsleyring/engine-crashes/" + Crash.m_Engine + "/vm-9",
+                Crash.encode());
+  }
+  m_Store.put("parsleyring/engine-crashes/other/vm-9", "not a crash");
+  startGateway();
+  LONGS_EQUAL(503, sendStream("bbbb0001", 0));
+  LONGS_EQUAL(200, sendStream("bbbb0002", 0));
+  m_Store.put("parsleyring/answered-prompt-parts/bbbb0001",
+              std::to_string(Now.time_since_epoch().count()));
+  CHECK(eventually([this] { return sendStream("bbbb0001", 0) == 200; }, 5s));
+}
+
 PARSLEYRING_TEST_MAIN
