--- a/tests/admission/PromptQuarantineTest.cpp
+++ b/tests/admission/PromptQuarantineTest.cpp
@@ -4,6 +4,7 @@
 #include "support/TestMain.h"
 
 #include <algorithm>
+#include <deque>
 #include <random>
 
 #include <CppUTest/TestHarness.h>
@@ -29,6 +30,7 @@
   void run(Duration Length, double SoundPerSecond, double CrashingPerSecond) {
     for (Time End = m_Now + Length; m_Now < End; m_Now += Step) {
       finishReading();
+      receiveReports();
       restartEngines();
       double StepSeconds = std::chrono::duration<double>(Step).count();
       if (chance(SoundPerSecond * StepSeconds))
@@ -63,7 +65,15 @@
     std::vector<Request> m_Requests;
   };
 
+  struct PendingReport {
+    Time m_ReceivedAt{};
+    std::string m_Reporter;
+    EngineCrash m_Crash;
+  };
+
   static constexpr Duration Step = 10ms;
+  /// Until all VMs have read a report in the store.
+  static constexpr Duration ReportDelay = 400ms;
   static constexpr Duration RestartTime = 4s;
   static constexpr Duration StableTime = 3s;
 
@@ -141,13 +151,22 @@
       for (const auto &[Part, Requests] : Suspects)
         Report.m_Suspects.push_back(
             {Part, Requests, m_Answered[VM].count(Part) > 0});
-      m_Quarantine.addCrash("vm-" + std::to_string(VM), std::move(Report));
+      m_PendingReports.push_back(
+          {m_Now + ReportDelay, "vm-" + std::to_string(VM), Report});
     }
-    m_Quarantine.update(m_Now);
     for (Request &Each : CutOff)
       send(std::move(Each));
   }
 
+  void receiveReports() {
+    while (!m_PendingReports.empty() &&
+           m_PendingReports.front().m_ReceivedAt <= m_Now) {
+      PendingReport &Received = m_PendingReports.front();
+      m_Quarantine.addCrash(Received.m_Reporter, std::move(Received.m_Crash));
+      m_PendingReports.pop_front();
+    }
+  }
+
   void restartEngines() {
     for (Engine &Each : m_Engines)
       if (Each.m_DownUntil != Time{} && Each.m_DownUntil <= m_Now) {
@@ -160,6 +179,7 @@
   Time m_Now = Start;
   PromptQuarantine m_Quarantine;
   std::vector<Engine> m_Engines;
+  std::deque<PendingReport> m_PendingReports;
   std::map<int, std::set<std::string>> m_Answered; ///< Parts, by VM.
   int m_Crashes = 0;
   Time m_FifthCrashAt = Time::max();
