Report the parts first that were never answered, and streams that end midway

A VM reports up to 200 parts of a crash, in the order of their ids; the harmful one could be left out. Parts that were never answered go first now. A stream without a length that ends inside its first event may be the work of a crash as well. The prefix check of keys has one place.

--- a/src/admission/PromptQuarantine.cpp
+++ b/src/admission/PromptQuarantine.cpp
@@ -5,8 +5,8 @@
 
 namespace parsleyring {
 
-// A request is sent to two engines before its caller gets an error, so more
-// than two crashes can't be the bad luck of a single request.
+// Few requests are sent to more than two engines, so three crashes are hardly
+// the bad luck of a single harmless one.
 const PromptQuarantine::Requirement PromptQuarantine::NeverAnswered{
     3, std::chrono::milliseconds(250), Memory};
 // When a whole failure domain fails, parts that many prompts have lose requests
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -491,31 +491,27 @@
     m_VMs.list(Item.m_Key, *VM);
 }
 
-static bool beginsWith(const std::string &Text, const std::string &Prefix) {
-  return Text.compare(0, Prefix.size(), Prefix) == 0;
-}
-
 void GatewayNode::itemChanged(const StoreItem &Item) {
   if (Item.m_Key == m_Records.configurationKey())
     applyConfiguration(Item);
-  else if (beginsWith(Item.m_Key, m_Records.endpointPrefix()))
+  else if (hasPrefix(Item.m_Key, m_Records.endpointPrefix()))
     applyEndpointEntry(Item);
   else if (Item.m_Key == VMLease::LeaderKey)
     applyLeader(Item);
-  else if (beginsWith(Item.m_Key, VMLease::VMPrefix))
+  else if (hasPrefix(Item.m_Key, VMLease::VMPrefix))
     applyVMEntry(Item);
   else
     m_PromptGuard.itemChanged(Item);
 }
 
 void GatewayNode::itemDeleted(const std::string &Key) {
-  if (beginsWith(Key, m_Records.endpointPrefix())) {
+  if (hasPrefix(Key, m_Records.endpointPrefix())) {
     std::string Id = Key.substr(m_Records.endpointPrefix().size());
     m_Fleet.unlist(Id, now());
     m_Log.write(now(), "endpoint-unlisted", "", {{"endpoint", Id}});
   } else if (Key == VMLease::LeaderKey) {
     m_Lease.noteLeader("", 0);
-  } else if (beginsWith(Key, VMLease::VMPrefix)) {
+  } else if (hasPrefix(Key, VMLease::VMPrefix)) {
     m_VMs.unlist(Key);
   } else {
     m_PromptGuard.itemDeleted(Key);
@@ -528,7 +524,7 @@
   m_VMs.clear();
   bool HasLeader = false;
   for (const auto &[Key, Item] : Items) {
-    if (beginsWith(Key, Prefix))
+    if (hasPrefix(Key, Prefix))
       Listed.push_back(Key.substr(Prefix.size()));
     HasLeader = HasLeader || Key == VMLease::LeaderKey;
     itemChanged(Item);
--- a/src/gateway/PromptGuard.cpp
+++ b/src/gateway/PromptGuard.cpp
@@ -13,10 +13,6 @@
 // Bounds the size of an item.
 static constexpr std::size_t MaxSuspects = 200;
 
-static bool beginsWith(const std::string &Text, const std::string &Prefix) {
-  return Text.compare(0, Prefix.size(), Prefix) == 0;
-}
-
 // An id may be used again by a later incarnation.
 static std::string incarnationOf(const EndpointEntry &Entry) {
   return Entry.m_Id + "@" + std::to_string(Entry.m_StartTimeMs);
@@ -31,16 +27,15 @@
   return Time(Duration(Microseconds));
 }
 
-PromptGuard::PromptGuard(Surroundings Around, std::string VM,
+PromptGuard::PromptGuard(Dependencies Used, std::string VM,
                          std::string StoreAddress, std::function<Time()> Now,
                          CrashHandler OnCrash)
-    : m_Log(Around.m_Log), m_Metrics(Around.m_Metrics), m_VM(std::move(VM)),
+    : m_Log(Used.m_Log), m_Metrics(Used.m_Metrics), m_VM(std::move(VM)),
       m_Now(std::move(Now)), m_OnCrash(std::move(OnCrash)),
       m_Detector(
-          Around.m_Loop, Around.m_EndpointClient, Around.m_EndpointProtocol,
-          m_Now,
+          Used.m_Loop, Used.m_EndpointClient, Used.m_EndpointProtocol, m_Now,
           [this](const CrashDetector::Crash &Seen) { handleCrash(Seen); }),
-      m_Writer(Around.m_Loop, Around.m_StoreClient, Around.m_StoreProtocol,
+      m_Writer(Used.m_Loop, Used.m_StoreClient, Used.m_StoreProtocol,
                std::move(StoreAddress),
                [this](const std::string &Key, unsigned Status) {
                  m_Log.write(m_Now(), "store-write-rejected", "",
@@ -55,10 +50,12 @@
   EngineCrash Crash;
   Crash.m_Engine = incarnationOf(Seen.m_Engine->m_Entry);
   Crash.m_At = Seen.m_At;
-  for (const auto &[Part, Requests] : Seen.m_RequestsByPart)
-    if (Crash.m_Suspects.size() < MaxSuspects)
-      Crash.m_Suspects.push_back(
-          {Part, Requests, m_Quarantine.wasAnswered(Part)});
+  // Those that were never answered first, since they are the likelier causes.
+  for (bool WereAnswered : {false, true})
+    for (const auto &[Part, Requests] : Seen.m_RequestsByPart)
+      if (m_Quarantine.wasAnswered(Part) == WereAnswered &&
+          Crash.m_Suspects.size() < MaxSuspects)
+        Crash.m_Suspects.push_back({Part, Requests, WereAnswered});
   if (Seen.m_IsNew) {
     m_Metrics.countEngineCrash();
     m_Log.write(m_Now(), "engine-crashed", "",
@@ -113,7 +110,7 @@
 }
 
 void PromptGuard::itemChanged(const StoreItem &Item) {
-  if (beginsWith(Item.m_Key, CrashPrefix)) {
+  if (hasPrefix(Item.m_Key, CrashPrefix)) {
     std::optional<EngineCrash> Crash = EngineCrash::parse(Item.m_Value);
     std::size_t Slash = Item.m_Key.rfind('/');
     if (!Crash) {
@@ -122,7 +119,7 @@
     }
     m_StoredItems[Item.m_Key] = Crash->m_At;
     m_Quarantine.addCrash(Item.m_Key.substr(Slash + 1), std::move(*Crash));
-  } else if (beginsWith(Item.m_Key, AnswerPrefix)) {
+  } else if (hasPrefix(Item.m_Key, AnswerPrefix)) {
     std::optional<Time> AnsweredAt = parseTime(Item.m_Value);
     if (!AnsweredAt) {
       m_Log.write(m_Now(), "engine-crash-rejected", "", {{"key", Item.m_Key}});
@@ -136,7 +133,7 @@
 
 void PromptGuard::itemDeleted(const std::string &Key) {
   m_StoredItems.erase(Key);
-  if (!beginsWith(Key, CrashPrefix))
+  if (!hasPrefix(Key, CrashPrefix))
     return;
   std::size_t Slash = Key.rfind('/');
   m_Quarantine.removeCrash(
--- a/src/gateway/PromptGuard.h
+++ b/src/gateway/PromptGuard.h
@@ -17,7 +17,7 @@
   using CrashHandler = std::function<void(const FleetTable::Handle &)>;
 
   /// What a guard works with; all of it must outlive the guard.
-  struct Surroundings {
+  struct Dependencies {
     boost::asio::io_context &m_Loop;
     EndpointClient &m_EndpointClient;
     const EndpointProtocol &m_EndpointProtocol;
@@ -27,7 +27,7 @@
     NodeMetrics &m_Metrics;
   };
 
-  PromptGuard(Surroundings Around, std::string VM, std::string StoreAddress,
+  PromptGuard(Dependencies Used, std::string VM, std::string StoreAddress,
               std::function<Time()> Now, CrashHandler OnCrash);
 
   /// When the quarantine of these prompt parts ends; empty if there is none.
@@ -45,8 +45,8 @@
   }
   /// Applies the items that have changed.
   void update();
-  /// To be called now and then. The placement leader also removes old items
-  /// from the store.
+  /// To be called several times per second. The placement leader also removes
+  /// old items from the store.
   void tick(bool IsLeader);
 
   // Items of the store; those with other keys are ignored. update() is to be
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -355,6 +355,12 @@
   m_Context.promptGuard().noteAnswer(m_SharedParts);
 }
 
+// The engine may have crashed, perhaps because of this request.
+void StreamForward::noteCutOff(const FleetTable::Handle &Engine) {
+  if (!m_IsAnswered)
+    m_Context.promptGuard().noteCutOff(Engine, m_SharedParts);
+}
+
 // Ends the request if a part of its prompt crashes engines, unless it has been
 // answered already, which shows that it does not. Returns true if it was ended.
 bool StreamForward::endIfQuarantined() {
@@ -399,8 +405,8 @@
     m_MayHaveRun = true;
     First->noteResult(false, Now - m_SentAt, Now);
     m_ExcludedEndpoints.push_back(First);
-    if (End == ExchangeEnd::Closed && !m_IsAnswered)
-      m_Context.promptGuard().noteCutOff(First, m_SharedParts);
+    if (End == ExchangeEnd::Closed)
+      noteCutOff(First);
     retryElsewhere(name(End));
     return;
   }
@@ -411,6 +417,7 @@
   }
   if (m_Scanner.hasPartialEvent()) {
     m_MayHaveRun = true;
+    noteCutOff(First);
     retryElsewhere("partial-event");
     return;
   }
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -43,6 +43,7 @@
   bool forwardEvent(const EventScanner::Event &Event);
   void noteProgress();
   void noteAnswered();
+  void noteCutOff(const FleetTable::Handle &Engine);
   bool endIfQuarantined();
   void beginAnswer();
 
--- a/src/store/StoreProtocol.h
+++ b/src/store/StoreProtocol.h
@@ -17,6 +17,11 @@
   bool m_IsDeleted = false;
 };
 
+/// True if Key begins with Prefix, as all keys of one kind do.
+inline bool hasPrefix(std::string_view Key, std::string_view Prefix) {
+  return Key.substr(0, Prefix.size()) == Prefix;
+}
+
 /// One page of items or changes, as of a revision of the store.
 struct StorePage {
   std::vector<StoreItem> m_Items;
--- a/tests/integration/CrashingPromptTest.cpp
+++ b/tests/integration/CrashingPromptTest.cpp
@@ -280,4 +280,34 @@
   CHECK(eventually([this] { return sendStream("bbbb0001", 0) == 200; }, 5s));
 }
 
+// Guards against prompts that are refused since the connections of engines that
+// still run were cut.
+TEST(CrashingPrompt, ConnectionThatIsCutIsNoCrash) {
+  std::atomic<int> Streams{0};
+  auto Respond = [&](const ReceivedCall &Call) {
+    FakeEndpointAnswer Answer;
+    if (Call.m_Path != "/stream/a") {
+      Answer.m_Body = "{\"pace\":1.0,\"stalled\":[]}";
+      return Answer;
+    }
+    ++Streams;
+    Answer.m_ClosesConnection = true;
+    return Answer;
+  };
+  std::vector<std::unique_ptr<FakeEndpoint>> Engines;
+  for (int Number = 0; Number < 6; ++Number) {
+    Engines.push_back(std::make_unique<FakeEndpoint>(Respond));
+    m_Store.put("servers/m" + std::to_string(Number),
+                serverEntry("model", Engines.back()->address()));
+  }
+  startGateway();
+  for (int Count = 0; Count < 6; ++Count) {
+    LONGS_EQUAL(502, sendStream("bbbb0001", 0));
+    std::this_thread::sleep_for(100ms);
+  }
+  LONGS_EQUAL(12, Streams);
+  std::string Output = m_Gateways[0]->process().output();
+  CHECK(Output.find("engine-crashed") == std::string::npos);
+}
+
 PARSLEYRING_TEST_MAIN
