--- a/tests/store/StoreWriterTest.cpp
+++ b/tests/store/StoreWriterTest.cpp
@@ -27,10 +27,10 @@
       m_Loop, m_Client, m_Protocol, m_Store.address(),
       [this](const std::string &Key, unsigned) { m_Rejected.push_back(Key); }};
 
-  void run(std::chrono::milliseconds Length) { m_Loop.run_for(Length); }
+  void runFor(std::chrono::milliseconds Length) { m_Loop.run_for(Length); }
   bool runUntil(const std::function<bool()> &Condition) {
     for (int Count = 0; Count < 500 && !Condition(); ++Count)
-      run(20ms);
+      runFor(20ms);
     return Condition();
   }
 };
@@ -41,7 +41,7 @@
   m_Writer.put("a", "1");
   m_Writer.put("b", "1");
   m_Writer.remove("b");
-  run(500ms);
+  runFor(500ms);
   CHECK_FALSE(m_Store.has("a"));
   m_Store.put("b", "0");
   m_Store.setDown(false);
