Halve the longest event of a stream

Cause: an event may take 256 KB, so 100 of them take 26 MB, and the receive buffers and the copies of a growing event come on top; beside load, more streams are at the limit at the same time.

Change: 128 KB, some hundred times an event of usual length. The test is unchanged.

--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -37,7 +37,7 @@
 // Limits of the memory that bytes without end take, in an answer that is no
 // event stream and in a single event.
 static constexpr std::size_t MaxRejectionBytes = 64 << 10;
-static constexpr std::size_t MaxEventBytes = 256 << 10;
+static constexpr std::size_t MaxEventBytes = 128 << 10;
 // Reading from the endpoint pauses if more than this is unsent to the caller.
 static constexpr std::size_t MaxUnsentBytes = 256 << 10;
 
