Log the limits that endpoints state in their answers

The logs could not tell whether VMs that know the limit of an endpoint exceed it, or those that do not know it, or all together.

endpoint-limit, endpoint-limit-ended and endpoint-limit-rejected tell what a VM learns from answers; an answer from another endpoint at the same address, or without proof of its origin, is ignored. The choice of endpoints is unchanged.

--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYRING_FLEET_FLEETTABLE_H
 #define PARSLEYRING_FLEET_FLEETTABLE_H
 
+#include "fleet/EndpointLimit.h"
 #include "parsleyring/Types.h"
 
 #include <map>
@@ -52,6 +53,7 @@
   double m_LatencyMs = 0;   ///< Moving average; 0 if unknown.
   double m_FailureRate = 0; ///< Moving average at m_FailureRateUpdatedAt.
   Time m_FailureRateUpdatedAt{};
+  EndpointLimit m_Limit;
   int m_ConsecutiveRejections = 0;
   Time m_RejectingSince{}; ///< First of the consecutive rejections.
 
--- a/src/gateway/EndpointProtocol.h
+++ b/src/gateway/EndpointProtocol.h
@@ -27,6 +27,8 @@
   std::string m_NotExecuted;
   std::string m_RetryAfter;
   std::string m_Path;
+  /// Requests per second that the endpoint accepts from all VMs together.
+  std::string m_RateLimit;
   std::string m_FaultyEndpoint; ///< Address of the endpoint that failed.
   std::string m_Priority;       ///< 0 to 9, 0 is the most urgent.
 };
--- a/src/gateway/ForwardContext.cpp
+++ b/src/gateway/ForwardContext.cpp
@@ -136,6 +136,34 @@
       {{"endpoint", Endpoint->m_Entry.m_Id}, {"other_request", OtherId}});
 }
 
+void ForwardedRequest::noteLimit(const FleetTable::Handle &Endpoint,
+                                 const ResponseHead &Head, Time SentAt) {
+  const HeaderNames &Names = m_Context.protocol().headers();
+  // An answer with 421 comes from another endpoint, which uses the address now.
+  bool IsRejection = provesNotRun(Head, Names, m_Job.m_Id);
+  bool IsSealed =
+      Head.has(Names.m_Seal) && Head.field(Names.m_RequestId) == m_Job.m_Id;
+  if (Head.m_Status == 421 || (!IsRejection && !IsSealed))
+    return;
+  Time Now = m_Context.now();
+  const std::string &Id = Endpoint->m_Entry.m_Id;
+  if (!Head.has(Names.m_RateLimit)) {
+    if (IsSealed && Endpoint->m_Limit.noteNotStated(SentAt))
+      m_Context.log().write(Now, "endpoint-limit-ended", m_Job.m_Id,
+                            {{"endpoint", Id}});
+    return;
+  }
+  std::string Text = Head.field(Names.m_RateLimit);
+  std::optional<double> Rate = EndpointLimit::parseRate(Text);
+  if (!Rate)
+    m_Context.log().write(
+        Now, "endpoint-limit-rejected", m_Job.m_Id,
+        {{"endpoint", Id}, {"value", std::string_view(Text).substr(0, 40)}});
+  else if (Endpoint->m_Limit.noteStated(*Rate, Now))
+    m_Context.log().write(Now, "endpoint-limit", m_Job.m_Id,
+                          {{"endpoint", Id}, {"requests_per_s", *Rate}});
+}
+
 void ForwardedRequest::answerNotRun(double RetryAfterSeconds) {
   const HeaderNames &Names = m_Context.protocol().headers();
   char Seconds[16];
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -92,6 +92,9 @@
   void logForeignAnswer(const FleetTable::Handle &Endpoint,
                         const std::string &OtherId);
   void answerNotRun(double RetryAfterSeconds);
+  /// Records the limit that an answer of Endpoint states, or its absence.
+  void noteLimit(const FleetTable::Handle &Endpoint, const ResponseHead &Head,
+                 Time SentAt);
   /// Answers with a status that leaves open whether the request has run.
   void answerFailed(unsigned Status);
   /// Counts and logs the end of the request; Details are added to the line.
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -100,6 +100,7 @@
     Sent->m_Head = Head;
     Sent->m_IsSealed = Head.has(Names.m_Seal) &&
                        Head.field(Names.m_RequestId) == Self->m_Job.m_Id;
+    Self->noteLimit(Sent->m_Endpoint, Head, Sent->m_SentAt);
   };
   Handlers.m_OnBody = [Sent](std::string_view Bytes) {
     Sent->m_Body.append(Bytes);
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -274,6 +274,7 @@
   m_IsStreaming = Head.m_Status == 200 && Head.has(Names.m_Seal) &&
                   Head.field(Names.m_RequestId) == m_Job.m_Id &&
                   !Head.has("Content-Encoding");
+  noteLimit(m_PathLoad.path().front().m_Endpoint, Head, m_SentAt);
 }
 
 void StreamForward::handleBody(std::string_view Bytes) {
