Divide the limits that endpoints state among the VMs

Callers noticed nothing, but endpoints in need got twice the requests per second that they had stated, or twenty times as many under a low limit.

Cause: no VM used the limit. Class of fault: a bound on what all VMs do together that no VM enforces, as with the retry budget before it was shared out.

Change: an endpoint's limit is divided in proportion to the requests that each VM would send without it. The limit, its age and this demand go with the load digests, which need neither the store nor a leader; the newest statement counts, and only what a VM got itself is reported. Each send takes one credit of the share, be it first, a retry, a hedged request or a resumption, so credit of less than one request in four seconds adds up. Before reports arrive, the others are assumed to need as much; in the first three seconds, the excess of the second before is repaid. A path may not begin, and a plain request not go, where there is no credit: others come first, and if nothing is left the caller is refused at once, with the time of its turn.

--- a/src/admission/AdmissionQueue.h
+++ b/src/admission/AdmissionQueue.h
@@ -34,6 +34,7 @@
   /// passed.
   void tick(Time Now);
   bool empty() const { return m_Waiting.empty(); }
+  std::size_t size() const { return m_Waiting.size(); }
 
   /// About the number of requests that one VM can send within the wait.
   static constexpr std::size_t MaxLength = 12;
--- a/src/fleet/FleetTable.cpp
+++ b/src/fleet/FleetTable.cpp
@@ -22,6 +22,18 @@
          std::exp2(-std::max(0.0, Seconds) / FailureHalfLifeSeconds);
 }
 
+bool FleetEndpoint::isWithinLimit(LimitUsers Users, double Random, Time Now) {
+  std::optional<double> Limit = m_Limit.rate();
+  if (!Limit) {
+    m_LimitShare.stop();
+    return true;
+  }
+  Users.m_ReportedDemand = m_PeerDemand;
+  Users.m_LimitAge = Now - m_Limit.knownSince();
+  m_LimitShare.update(*Limit, Users, Random, Now);
+  return m_LimitShare.hasCredit();
+}
+
 void FleetEndpoint::noteResult(bool IsSuccess, Duration Latency, Time Now) {
   m_FailureRate = failureRate(Now) * (1 - NewestResultWeight) +
                   (IsSuccess ? 0 : NewestResultWeight);
@@ -131,6 +143,13 @@
   return Silent >= MinSilentEndpoints;
 }
 
+std::size_t FleetTable::limitedEndpoints() const {
+  return std::count_if(m_Endpoints.begin(), m_Endpoints.end(),
+                       [](const auto &Listed) {
+                         return Listed.second->m_Limit.rate().has_value();
+                       });
+}
+
 std::vector<FleetTable::Handle>
 FleetTable::endpointsOfService(std::string_view Service) const {
   std::vector<Handle> Result;
--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -2,6 +2,7 @@
 #define PARSLEYRING_FLEET_FLEETTABLE_H
 
 #include "fleet/EndpointLimit.h"
+#include "fleet/LimitShare.h"
 #include "parsleyring/Types.h"
 
 #include <map>
@@ -54,6 +55,10 @@
   double m_FailureRate = 0; ///< Moving average at m_FailureRateUpdatedAt.
   Time m_FailureRateUpdatedAt{};
   EndpointLimit m_Limit;
+  LimitShare m_LimitShare;
+  /// Requests per second that other VMs would send if there were no limit; only
+  /// reported while there is one.
+  double m_PeerDemand = 0;
   int m_ConsecutiveRejections = 0;
   Time m_RejectingSince{}; ///< First of the consecutive rejections.
 
@@ -61,6 +66,9 @@
     return !m_IsRemoved && m_Entry.m_State == EndpointState::Ready &&
            m_SuspectUntil <= Now;
   }
+  /// True if the limit of the endpoint, if any, allows this VM to send a
+  /// request now. Users needs only the load factor and the number of VMs.
+  bool isWithinLimit(LimitUsers Users, double Random, Time Now);
   /// Records that the endpoint rejected a request without running it. The
   /// endpoint gets no new requests for a time, which doubles with each
   /// consecutive rejection if the endpoint is in another failure domain, and is
@@ -140,6 +148,8 @@
   Handle findByAddress(std::string_view Address) const;
   const std::map<std::string, Handle> &endpoints() const { return m_Endpoints; }
   std::vector<Handle> endpointsOfService(std::string_view Service) const;
+  /// Number of endpoints that state a limit.
+  std::size_t limitedEndpoints() const;
   /// Incremented with each change of the list.
   std::uint64_t generation() const { return m_Generation; }
   /// True if so many endpoints of the failure domain recently did not answer
--- /dev/null
+++ b/src/fleet/LimitShare.cpp
@@ -0,0 +1,74 @@
+#include "fleet/LimitShare.h"
+
+namespace parsleyring {
+
+// Part of the limit that is used. The rest covers that the VMs learn of each
+// other's demand with a delay.
+static constexpr double UsableFraction = 0.9;
+// Requests per second that all VMs together send at least, since only an answer
+// shows that an endpoint accepts more again.
+static constexpr double MinLimit = 0.2;
+// Part of the limit that is divided equally, so that a VM without recent
+// requests has a share, and requests per second of all VMs that it covers at
+// least.
+static constexpr double BaseFraction = 0.05;
+static constexpr double MinBaseDemand = 0.01;
+// Credit that a VM without requests saves, in seconds of its share.
+static constexpr double MaxCreditSeconds = 1;
+// With a smaller maximum, part of the credit for a request would be lost when
+// the next one is sent.
+static constexpr double MinMaxCredit = 2;
+// Reports of the demand at a newly limited endpoint take up to this long to
+// arrive, also from other failure domains.
+static constexpr Duration ReportDelay = std::chrono::milliseconds(1000);
+// The endpoint has got too many requests shortly before the limit was known.
+// For RepaymentSeconds it gets fewer by those of about CountedSeconds.
+static constexpr double CountedSeconds = 1;
+static constexpr double RepaymentSeconds = 3;
+// Longest time without requests after too many of them, in seconds.
+static constexpr double MaxDebtSeconds = 3;
+
+void LimitShare::divide(double Limit, const LimitUsers &Users, Time Now) {
+  double VMs = static_cast<double>(std::max<std::size_t>(1, Users.m_VMs));
+  double Demand = demand(Now);
+  double Total = (Demand + Users.m_ReportedDemand) * Users.m_LoadFactor;
+  // Until they report, the other VMs are assumed to need as much as this one,
+  // with the request that is about to be sent.
+  bool HaveReported = Users.m_LimitAge >= ReportDelay;
+  if (!HaveReported)
+    Total = std::max(Total, (Demand + RateEstimate::RatePerEvent) * VMs);
+  m_IsDemandBelowLimit = HaveReported && Total <= UsableFraction * Limit;
+  if (std::chrono::duration<double>(Users.m_LimitAge).count() <
+      RepaymentSeconds)
+    Limit -= std::max(0.0, Total - Limit) * CountedSeconds / RepaymentSeconds;
+  m_BaseDemand = std::max(Total * BaseFraction, MinBaseDemand) / VMs;
+  m_CreditPerRequest =
+      UsableFraction * std::max(Limit, MinLimit) / (Total + m_BaseDemand * VMs);
+  m_Rate = m_CreditPerRequest * (Demand + m_BaseDemand);
+}
+
+void LimitShare::start(double Random, Time Now) {
+  m_IsStarted = true;
+  m_Credit = Random + m_CreditPerRequest;
+  // The request that is about to be sent has been counted in full.
+  m_CountedDemand = m_Demand.smoothedCount(Now) + 1;
+}
+
+void LimitShare::update(double Limit, const LimitUsers &Users, double Random,
+                        Time Now) {
+  divide(Limit, Users, Now);
+  double Count = m_Demand.smoothedCount(Now);
+  double Seconds = std::chrono::duration<double>(Now - m_UpdatedAt).count();
+  m_UpdatedAt = Now;
+  if (m_IsStarted) {
+    m_Credit += m_CreditPerRequest * (Count - m_CountedDemand +
+                                      m_BaseDemand * std::max(0.0, Seconds));
+    m_CountedDemand = Count;
+  } else {
+    start(Random, Now);
+  }
+  m_Credit = std::clamp(m_Credit, -m_Rate * MaxDebtSeconds,
+                        std::max(MinMaxCredit, m_Rate * MaxCreditSeconds));
+}
+
+} // namespace parsleyring
--- a/src/gateway/DigestExchange.cpp
+++ b/src/gateway/DigestExchange.cpp
@@ -15,10 +15,9 @@
                                const std::string &Address, const ListedVM &Self,
                                const VMDirectory &VMs, FleetTable &Fleet,
                                StoreWatcher &Watcher, std::function<Time()> Now,
-                               SuspicionHandler OnSuspicion)
+                               ChangeHandler OnChanges)
     : m_Self(Self), m_VMs(VMs), m_Fleet(Fleet), m_StoreWatcher(Watcher),
-      m_Now(std::move(Now)), m_OnSuspicion(std::move(OnSuspicion)),
-      m_Socket(Loop) {
+      m_Now(std::move(Now)), m_OnChanges(std::move(OnChanges)), m_Socket(Loop) {
   if (Address.empty())
     return;
   std::optional<SocketAddress> Parsed = parseSocketAddress(Address);
@@ -49,8 +48,7 @@
   if (!Digest || Digest->m_Sender == m_Self.m_Name ||
       Digest->m_Sender == m_Self.m_FailureDomain)
     return;
-  for (const auto &Endpoint : m_DigestTable.apply(*Digest, m_Fleet, m_Now()))
-    m_OnSuspicion(Endpoint, Digest->m_Sender);
+  m_OnChanges(m_DigestTable.apply(*Digest, m_Fleet, m_Now()), Digest->m_Sender);
   if (Digest->m_StoreRevision > 0)
     m_StoreWatcher.noteReport(
         Digest->m_StoreRevision, Digest->m_StoreAnswerAge,
--- a/src/gateway/DigestExchange.h
+++ b/src/gateway/DigestExchange.h
@@ -20,16 +20,16 @@
 /// they receive within their own domain.
 class DigestExchange {
 public:
-  /// Called for an endpoint that another VM newly reports as suspect.
-  using SuspicionHandler =
-      std::function<void(const FleetTable::Handle &, const std::string &By)>;
+  /// Called with what a digest of another VM, or failure domain, has changed.
+  using ChangeHandler =
+      std::function<void(const DigestChanges &, const std::string &By)>;
 
   /// Address is IP:port (UDP), or empty to disable the exchange; all VMs use
   /// the same port. Throws std::exception if the address cannot be bound.
   DigestExchange(boost::asio::io_context &Loop, const std::string &Address,
                  const ListedVM &Self, const VMDirectory &VMs,
                  FleetTable &Fleet, StoreWatcher &Watcher,
-                 std::function<Time()> Now, SuspicionHandler OnSuspicion);
+                 std::function<Time()> Now, ChangeHandler OnChanges);
 
   /// Drops the digests of silent senders and updates the endpoints' loads.
   void refresh() { m_DigestTable.refresh(m_Fleet, m_Now()); }
@@ -51,7 +51,7 @@
   FleetTable &m_Fleet;
   StoreWatcher &m_StoreWatcher;
   std::function<Time()> m_Now;
-  SuspicionHandler m_OnSuspicion;
+  ChangeHandler m_OnChanges;
   LoadDigestTable m_DigestTable;
   boost::asio::ip::udp::socket m_Socket;
   boost::asio::ip::udp::endpoint m_Sender;
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -2,6 +2,7 @@
 #define PARSLEYRING_GATEWAY_FORWARDCONTEXT_H
 
 #include "admission/AdmissionQueue.h"
+#include "admission/ReturnSchedule.h"
 #include "fleet/FleetTable.h"
 #include "fleet/RouteTable.h"
 #include "gateway/CallerConnection.h"
@@ -33,6 +34,7 @@
   virtual const EndpointProtocol &protocol() const = 0;
   virtual RetryShare &retryShare(const std::string &Service) = 0;
   virtual AdmissionQueue &admissionQueue(const std::string &Service) = 0;
+  virtual ReturnSchedule &returnSchedule(const std::string &Service) = 0;
   virtual PromptGuard &promptGuard() = 0;
   virtual DecisionLog &log() = 0;
   virtual NodeMetrics &metrics() = 0;
@@ -40,6 +42,8 @@
   /// Number by which a load known to this VM is multiplied, to account for VMs
   /// of the failure domain that sent no recent digest; at least 1.
   virtual double loadFactor() const = 0;
+  /// The VMs among which the limits of endpoints are divided.
+  virtual LimitUsers limitUsers() const = 0;
   virtual double random() = 0;
   /// Requests an engine's report; OnReport gets nullopt if there is none.
   virtual void requestReport(const FleetTable::Handle &Endpoint,
@@ -73,6 +77,12 @@
 enum class ForwardOutcome { Completed, Refused, Failed, Broken, CallerLeft };
 std::string_view name(ForwardOutcome Value);
 
+/// What endpoints accept while all of them state limits.
+struct LimitedCapacity {
+  Duration m_Delay{}; ///< Until the next request can be sent.
+  double m_RequestsPerSecond = 0;
+};
+
 /// A caller's request while it is being forwarded.
 class ForwardedRequest {
 public:
@@ -87,14 +97,27 @@
   bool isDone() const { return m_IsDone; }
 
 protected:
-  /// Answers 503: the request has not run and may be sent again after a delay.
   /// Logs that Endpoint sent the copy of an answer to another request.
   void logForeignAnswer(const FleetTable::Handle &Endpoint,
                         const std::string &OtherId);
+  /// Answers 503: the request has not run and may be sent again after a delay.
   void answerNotRun(double RetryAfterSeconds);
   /// Records the limit that an answer of Endpoint states, or its absence.
   void noteLimit(const FleetTable::Handle &Endpoint, const ResponseHead &Head,
                  Time SentAt);
+  /// True if the limit that Endpoint states allows to send the request there.
+  bool isWithinLimit(FleetEndpoint &Endpoint) const {
+    return Endpoint.isWithinLimit(m_Context.limitUsers(), m_Context.random(),
+                                  m_Context.now());
+  }
+  /// Time until the limits of Endpoints allow another request after Waiting
+  /// earlier ones, and the requests per second that they then allow.
+  LimitedCapacity
+  limitedCapacity(const std::vector<FleetTable::Handle> &Endpoints,
+                  std::size_t Waiting) const;
+  /// Answers 503 to a request that only limits of endpoints keep from being
+  /// sent.
+  void answerLimited(const LimitedCapacity &Capacity);
   /// Answers with a status that leaves open whether the request has run.
   void answerFailed(unsigned Status);
   /// Counts and logs the end of the request; Details are added to the line.
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -174,8 +174,8 @@
       m_Digests(
           m_Loop, m_Settings.m_DigestAddress, m_Self, m_VMs, m_Fleet,
           m_StoreWatcher, [this] { return now(); },
-          [this](const FleetTable::Handle &Endpoint, const std::string &By) {
-            handlePeerSuspicion(Endpoint, By);
+          [this](const DigestChanges &Changes, const std::string &By) {
+            handleDigestChanges(Changes, By);
           }),
       m_TickTimer(m_Loop), m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
   auto Listen = [this](const std::string &Address, RequestHandler &Handler) {
@@ -326,6 +326,13 @@
   return std::max(1.0, static_cast<double>(m_VMs.sizeOfOwnDomain()) / Known);
 }
 
+LimitUsers GatewayNode::limitUsers() const {
+  LimitUsers Users;
+  Users.m_LoadFactor = loadFactor();
+  Users.m_VMs = m_VMs.size();
+  return Users;
+}
+
 double GatewayNode::random() {
   return std::uniform_real_distribution<double>(0, 1)(m_Random);
 }
@@ -417,14 +424,24 @@
     notifySuspicion(Endpoint);
 }
 
-// Handles an endpoint that another VM reports as suspect. It gets no new
-// requests, but those in progress stay: the other VM may be the one that is cut
-// off or slow.
-void GatewayNode::handlePeerSuspicion(const FleetTable::Handle &Endpoint,
+// Endpoints that another VM suspects get no new requests, but those in progress
+// stay: the other VM may be the one that is cut off or slow.
+void GatewayNode::handleDigestChanges(const DigestChanges &Changes,
                                       const std::string &By) {
-  m_Log.write(
-      now(), "endpoint-suspect", "",
-      {{"endpoint", Endpoint->m_Entry.m_Id}, {"reason", "told"}, {"by", By}});
+  Time Now = now();
+  for (const FleetTable::Handle &Endpoint : Changes.m_NewSuspects)
+    m_Log.write(
+        Now, "endpoint-suspect", "",
+        {{"endpoint", Endpoint->m_Entry.m_Id}, {"reason", "told"}, {"by", By}});
+  for (const FleetTable::Handle &Endpoint : Changes.m_NewLimits) {
+    const std::string &Id = Endpoint->m_Entry.m_Id;
+    if (std::optional<double> Limit = Endpoint->m_Limit.rate())
+      m_Log.write(Now, "endpoint-limit", "",
+                  {{"endpoint", Id}, {"requests_per_s", *Limit}, {"by", By}});
+    else
+      m_Log.write(Now, "endpoint-limit-ended", "",
+                  {{"endpoint", Id}, {"by", By}});
+  }
 }
 
 void GatewayNode::notifySuspicion(const FleetTable::Handle &Endpoint) {
@@ -594,6 +611,7 @@
     m_ConnectionPool.expire(Now);
     m_Fleet.expire(Now);
     m_PromptGuard.tick(m_WasLeader);
+    m_Metrics.setLimitedEndpoints(m_Fleet.limitedEndpoints());
     m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
     m_Metrics.setConfirmationAge(m_StoreWatcher.confirmationAge());
     m_Metrics.countDroppedLogLines(m_Log.droppedLines() -
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -60,6 +60,10 @@
     return m_Settings.m_FailureDomain;
   }
   double loadFactor() const override;
+  LimitUsers limitUsers() const override;
+  ReturnSchedule &returnSchedule(const std::string &Service) override {
+    return m_ReturnSchedules[Service];
+  }
   double random() override;
   void requestReport(const FleetTable::Handle &Endpoint,
                      ReportHandler OnReport) override;
@@ -112,8 +116,7 @@
   void tickPlacement();
   void sendOrder(const std::string &Service, const PlacementOrder &Order);
   void suspectDomain(const std::string &Domain);
-  void handlePeerSuspicion(const FleetTable::Handle &Endpoint,
-                           const std::string &By);
+  void handleDigestChanges(const DigestChanges &Changes, const std::string &By);
   void notifySuspicion(const FleetTable::Handle &Endpoint);
   void handleSignal(int Signal);
   void tickShutdown();
@@ -145,6 +148,7 @@
   bool m_WasLeader = false;
   std::uint64_t m_PlacedGeneration = 0; ///< Of the list at the last placement.
   std::map<std::string, AdmissionQueue> m_AdmissionQueues; ///< By service.
+  std::map<std::string, ReturnSchedule> m_ReturnSchedules; ///< By service.
   std::map<std::string, RetryShare> m_RetryShares;
   std::set<std::shared_ptr<ForwardedRequest>> m_Requests;
 
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -66,6 +66,9 @@
   Gauge &m_QuarantinedParts =
       gauge(m_Registry, "parsleyring_quarantined_prompt_parts",
             "Parts of prompts that are not sent since they crash engines.");
+  Gauge &m_LimitedEndpoints =
+      gauge(m_Registry, "parsleyring_limited_endpoints",
+            "Endpoints that state how many requests per second they accept.");
   Gauge &m_Running = gauge(m_Registry, "parsleyring_requests_running",
                            "Requests in progress.");
   Gauge &m_Connections = gauge(m_Registry, "parsleyring_caller_connections",
@@ -124,6 +127,10 @@
   m_Families->m_QuarantinedParts.Set(static_cast<double>(Parts));
 }
 
+void NodeMetrics::setLimitedEndpoints(std::size_t Endpoints) {
+  m_Families->m_LimitedEndpoints.Set(static_cast<double>(Endpoints));
+}
+
 void NodeMetrics::setRunning(std::size_t Requests, std::size_t Connections) {
   m_Families->m_Running.Set(static_cast<double>(Requests));
   m_Families->m_Connections.Set(static_cast<double>(Connections));
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -27,6 +27,7 @@
   void setConfirmationAge(Duration Age);
   void countEngineCrash();
   void setQuarantinedPromptParts(std::size_t Parts);
+  void setLimitedEndpoints(std::size_t Endpoints);
   void setRunning(std::size_t Requests, std::size_t Connections);
   void countDroppedLogLines(std::uint64_t Lines);
   std::string text() const;
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -30,38 +30,53 @@
       [Self] { Self->finish(ForwardOutcome::CallerLeft, "caller-left", 0); });
   m_Context.retryShare(m_Job.m_Service->m_Name).noteRequest(m_Context.now());
   if (!trySend("first"))
-    finishWithoutAnswer("no-endpoint");
+    finishWithoutAnswer(m_IsLimited ? "endpoint-limit" : "no-endpoint");
 }
 
-// Chooses the endpoint of the lowest expected time: requests in progress times
-// mean latency, with a penalty for recent failures.
-FleetTable::Handle PlainForward::chooseEndpoint() const {
+// Expected time with penalties: requests in progress times mean latency.
+double PlainForward::cost(const FleetEndpoint &Endpoint) const {
+  double QueueLength = 1 + Endpoint.m_Running * m_Context.loadFactor();
+  if (Endpoint.m_Entry.m_FailureDomain != m_Context.failureDomain())
+    QueueLength += RemotePenaltyRequests;
+  double FailureRate = Endpoint.failureRate(m_Context.now());
+  return QueueLength * std::max(1.0, Endpoint.m_LatencyMs) *
+         (1 + 20 * FailureRate * FailureRate) * (1 + 0.05 * m_Context.random());
+}
+
+bool PlainForward::wasTried(const FleetTable::Handle &Endpoint) const {
+  return std::any_of(m_Attempts.begin(), m_Attempts.end(),
+                     [&](const AttemptHandle &Earlier) {
+                       return Earlier->m_Endpoint == Endpoint;
+                     });
+}
+
+// Chooses the endpoint of the lowest cost whose limit allows the request.
+FleetTable::Handle PlainForward::chooseEndpoint() {
   Time Now = m_Context.now();
   FleetTable::Handle Best;
+  FleetTable::Handle BestAllowed;
   double BestCost = 0;
+  double BestAllowedCost = 0;
   for (const FleetTable::Handle &Candidate :
        m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name)) {
-    if (!Candidate->canServe(Now))
-      continue;
-    bool WasTried = std::any_of(m_Attempts.begin(), m_Attempts.end(),
-                                [&](const AttemptHandle &Earlier) {
-                                  return Earlier->m_Endpoint == Candidate;
-                                });
-    if (WasTried)
+    if (!Candidate->canServe(Now) || wasTried(Candidate))
       continue;
-    double QueueLength = 1 + Candidate->m_Running * m_Context.loadFactor();
-    if (Candidate->m_Entry.m_FailureDomain != m_Context.failureDomain())
-      QueueLength += RemotePenaltyRequests;
-    double FailureRate = Candidate->failureRate(Now);
-    double Cost = QueueLength * std::max(1.0, Candidate->m_LatencyMs) *
-                  (1 + 20 * FailureRate * FailureRate) *
-                  (1 + 0.05 * m_Context.random());
+    double Cost = cost(*Candidate);
     if (!Best || Cost < BestCost) {
       Best = Candidate;
       BestCost = Cost;
     }
+    if ((!BestAllowed || Cost < BestAllowedCost) && isWithinLimit(*Candidate)) {
+      BestAllowed = Candidate;
+      BestAllowedCost = Cost;
+    }
   }
-  return Best;
+  m_IsLimited = Best && !BestAllowed;
+  if (Best)
+    Best->m_LimitShare.noteDemand(Now);
+  if (BestAllowed && BestAllowed != Best)
+    BestAllowed->m_LimitShare.noteDemand(Now);
+  return BestAllowed;
 }
 
 bool PlainForward::trySend(std::string_view Reason) {
@@ -85,6 +100,7 @@
       isRepeatable() ? MaxIdleRepeatable : MaxIdleNonRepeatable, Now);
   Sent->m_IsReused = Sent->m_Connection->isConnected();
   ++Endpoint->m_Running;
+  Endpoint->m_LimitShare.noteSent();
   m_Attempts.push_back(Sent);
   std::string Text =
       serializeRequest(m_Job, m_Context.protocol(), Endpoint->m_Entry, Now, {});
@@ -245,7 +261,11 @@
 // 503 states that the request has not run; 502 and 504 leave that open.
 void PlainForward::finishWithoutAnswer(std::string_view Reason) {
   if (!m_MayHaveRun) {
-    answerNotRun(RetryAfterSeconds);
+    if (m_IsLimited)
+      answerLimited(limitedCapacity(
+          m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name), 0));
+    else
+      answerNotRun(RetryAfterSeconds);
     finish(ForwardOutcome::Refused, Reason, 503);
     return;
   }
--- a/src/gateway/PlainForward.h
+++ b/src/gateway/PlainForward.h
@@ -33,7 +33,9 @@
   using AttemptHandle = std::shared_ptr<Attempt>;
 
   bool isRepeatable() const { return m_Job.m_Route->isRepeatable(); }
-  FleetTable::Handle chooseEndpoint() const;
+  double cost(const FleetEndpoint &Endpoint) const;
+  bool wasTried(const FleetTable::Handle &Endpoint) const;
+  FleetTable::Handle chooseEndpoint();
   /// False if no endpoint, attempt or retry budget is left.
   bool trySend(std::string_view Reason);
   ExchangeHandlers handlers(const AttemptHandle &Sent);
@@ -54,6 +56,7 @@
   int m_Sends = 0;             ///< Attempts, without failed connects.
   bool m_MayHaveRun = false;
   bool m_IsHedged = false;
+  bool m_IsLimited = false; ///< Only limits kept the last send from happening.
 };
 
 } // namespace parsleyring
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -30,6 +30,8 @@
 static constexpr int MaxSends = 3;
 // Callers leave a stream after a pause of two seconds.
 static constexpr Duration MaxPauseForCapacity = std::chrono::milliseconds(1500);
+// How much later than its engine accepts it a waiting request may be sent.
+static constexpr Duration MaxQueueDelay = std::chrono::milliseconds(80);
 static constexpr double RetryAfterSeconds = 0.5;
 // An engine that crashes on a prompt does so when it begins to answer.
 static constexpr Duration HarmlessAnswerTime = std::chrono::milliseconds(300);
@@ -118,8 +120,14 @@
   m_Context.retryShare(m_Job.m_Service->m_Name).noteRequest(m_Context.now());
   if (endIfQuarantined() || trySend("first"))
     return;
-  if (!waitForCapacity("no-path"))
-    refuse("no-path", RetryAfterSeconds);
+  std::string_view Reason = m_IsLimited ? "endpoint-limit" : "no-path";
+  if (!waitForCapacity(Reason))
+    endUnanswered(Reason);
+}
+
+LimitedCapacity StreamForward::limitedCapacity() const {
+  return ForwardedRequest::limitedCapacity(
+      firstEngines(), m_Context.admissionQueue(m_Job.m_Service->m_Name).size());
 }
 
 // A full engine has capacity again as soon as one of its requests ends.
@@ -131,6 +139,9 @@
   WaitUntil = std::min(WaitUntil, m_Job.m_Deadline);
   if (WaitUntil <= Now || !canSendAgain())
     return false;
+  if (m_IsLimited &&
+      Now + limitedCapacity().m_Delay + MaxQueueDelay > WaitUntil)
+    return false;
   auto Self = shared_from_this();
   std::string QueueReason(Reason);
   AdmissionQueue::WaitingRequest QueuedRequest;
@@ -167,6 +178,7 @@
 
 void StreamForward::recordWait() {
   m_QueuedTime += m_Context.now() - m_WaitingSince;
+  m_WaitingSince = Time{};
 }
 
 bool StreamForward::canSendAgain() const {
@@ -190,13 +202,56 @@
   return Query;
 }
 
-LayerPath StreamForward::planPath() const {
+// The engines at which a path can begin: only these get a request.
+std::vector<FleetTable::Handle> StreamForward::firstEngines() const {
+  Time Now = m_Context.now();
+  std::vector<FleetTable::Handle> Result;
+  for (const FleetTable::Handle &Engine :
+       m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name))
+    if (Engine->canServe(Now) && Engine->m_Entry.m_Layers.m_First == 0 &&
+        Engine->m_Entry.m_Layers.m_End > 0)
+      Result.push_back(Engine);
+  return Result;
+}
+
+void StreamForward::noteDemand(const LayerPath &Path) {
+  if (!Path.empty() && !m_IsDemandCounted)
+    Path.front().m_Endpoint->m_LimitShare.noteDemand(m_Context.now());
+}
+
+// Engines that state a limit are left to the requests that already wait.
+bool StreamForward::mayBegin(FleetEndpoint &Engine) const {
+  bool IsWaiting = m_WaitingSince != Time{};
+  bool IsOvertaking =
+      !IsWaiting && Engine.m_Limit.rate() &&
+      !m_Context.admissionQueue(m_Job.m_Service->m_Name).empty();
+  return isWithinLimit(Engine) && !IsOvertaking;
+}
+
+LayerPath StreamForward::planPath() {
   PathQuery Query = pathQuery();
   const EngineModel &Model = *m_Job.m_Service->m_Engine;
   Query.m_Layers = {0, Model.m_Layers};
-  return LayerPathPlanner::plan(
-      Model, m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name),
-      Query, m_Context.now());
+  auto Plan = [&] {
+    return LayerPathPlanner::plan(
+        Model, m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name),
+        Query, m_Context.now());
+  };
+  LayerPath Path = Plan();
+  bool IsAllowed = Path.empty() || mayBegin(*Path.front().m_Endpoint);
+  noteDemand(Path);
+  m_IsLimited = false;
+  if (!IsAllowed) {
+    for (const FleetTable::Handle &Engine : firstEngines())
+      if (!mayBegin(*Engine))
+        Query.m_NotFirst.push_back(Engine);
+    Path = Plan();
+    noteDemand(Path);
+    m_IsLimited = Path.empty();
+  }
+  // A waiting request is planned again and again.
+  m_IsDemandCounted = true;
+  return Path;
 }
 
 bool StreamForward::trySend(std::string_view Reason) {
@@ -213,6 +268,7 @@
   ++m_Sends;
   ++m_CountedAttempts;
   ++m_AttemptNumber;
+  m_IsDemandCounted = false;
   const HeaderNames &Names = m_Context.protocol().headers();
   const FleetTable::Handle First = Path.front().m_Endpoint;
   AnswerFields Extra{{Names.m_Path, m_Context.protocol().pathText(Path)}};
@@ -228,6 +284,7 @@
                                      *Part.m_Endpoint, m_Context.loadFactor(),
                                      m_PromptTokens + answerTokensLeft()));
   m_PathLoad.set(Path, m_PromptTokens + answerTokensLeft());
+  First->m_LimitShare.noteSent();
   m_SentAt = m_LastProgressAt = Now;
   m_IsHeadSeen = m_IsStreaming = m_IsReportRequested = m_IsRepathing = false;
   m_Repaths = 0;
@@ -523,7 +580,10 @@
 
 void StreamForward::endUnanswered(std::string_view Reason) {
   if (!hasAnswerBegun() && !m_MayHaveRun) {
-    refuse(Reason, RetryAfterSeconds);
+    if (m_IsLimited)
+      refuseLimited(Reason);
+    else
+      refuse(Reason, RetryAfterSeconds);
     return;
   }
   failRequest(Reason);
@@ -729,6 +789,11 @@
   finish(ForwardOutcome::Refused, Reason, 503);
 }
 
+void StreamForward::refuseLimited(std::string_view Reason) {
+  answerLimited(limitedCapacity());
+  finish(ForwardOutcome::Refused, Reason, 503);
+}
+
 // If the answer has begun, closing the connection shows the caller that it is
 // incomplete.
 void StreamForward::failRequest(std::string_view Reason) {
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -27,13 +27,17 @@
   bool hasAnswerBegun() const { return m_HasAnswerBegun; }
   double answerTokensLeft() const;
   PathQuery pathQuery() const;
-  LayerPath planPath() const;
+  std::vector<FleetTable::Handle> firstEngines() const;
+  bool mayBegin(FleetEndpoint &Engine) const;
+  LayerPath planPath();
+  void noteDemand(const LayerPath &Path);
   bool trySend(std::string_view Reason);
   /// Of the current attempt.
   ExchangeHandlers handlers();
   /// Queues the request until an engine has capacity; false if it cannot wait.
   bool waitForCapacity(std::string_view Reason);
   void recordWait();
+  LimitedCapacity limitedCapacity() const;
   void handleHead(const ResponseHead &Head);
   void handleBody(std::string_view Bytes);
   void handleEnd(ExchangeEnd End);
@@ -61,6 +65,7 @@
   void abandonAttempt();
 
   void refuse(std::string_view Reason, double RetryAfter);
+  void refuseLimited(std::string_view Reason);
   void failRequest(std::string_view Reason);
   void finish(ForwardOutcome Outcome, std::string_view Reason, unsigned Status);
 
@@ -90,9 +95,14 @@
   int m_Repaths = 0;
   Time m_NextCheck{};
 
+  /// Only limits of engines kept the last attempt from being sent.
+  bool m_IsLimited = false;
+  /// The next attempt is counted in the demand for the engine that it needs.
+  bool m_IsDemandCounted = false;
+
   // While the request is in the admission queue.
   RequestNumber m_QueueNumber = 0; ///< 0 if it is not in the queue.
-  Time m_WaitingSince{};
+  Time m_WaitingSince{};           ///< Zero if it is not in the queue.
 
   // Over all attempts.
   /// Endpoints that failed or were suspect; not used in new paths.
--- a/src/membership/LoadDigest.cpp
+++ b/src/membership/LoadDigest.cpp
@@ -9,19 +9,75 @@
 
 using nlohmann::json;
 
+// A smaller demand (requests per second) at a limited endpoint is not reported.
+static constexpr double MinReportedDemand = 0.001;
 // Digests are sent several times per second, and some are lost.
 static constexpr Duration DigestLifetime = std::chrono::milliseconds(1500);
 // Caps the suspicion taken from a digest, since the delay of the digest extends
 // the suspicion beyond that of the sender.
 static constexpr std::int64_t MaxSuspectMs = 5000;
 
+// Limits of the fields of a load that are about the limit of its endpoint.
+static constexpr double MaxEncodedRate = 1e9;
+static constexpr double MaxLimitAgeMs = 24 * 3600 * 1000;
+
+namespace {
+
+/// How a digest encodes whether the sender got a limit from the endpoint.
+enum class LimitState : std::uint8_t { Unknown, InForce, Ended };
+
+} // namespace
+
+// Appends the state of the limit, its rate in thousandths, its age in
+// milliseconds and the demand in thousandths.
+static void appendLimit(json &Fields, const LoadDigest::Load &Entry) {
+  auto Thousandths = [](double Rate) {
+    return std::llround(std::min(Rate, MaxEncodedRate) * 1000);
+  };
+  LimitState State = LimitState::Unknown;
+  double Rate = 0;
+  std::int64_t AgeMs = 0;
+  if (Entry.m_Limit) {
+    State = Entry.m_Limit->m_Rate ? LimitState::InForce : LimitState::Ended;
+    Rate = Entry.m_Limit->m_Rate.value_or(0);
+    AgeMs = Entry.m_Limit->m_Age / std::chrono::milliseconds(1);
+  }
+  Fields.push_back(static_cast<std::uint8_t>(State));
+  Fields.push_back(Thousandths(Rate));
+  Fields.push_back(AgeMs);
+  Fields.push_back(Thousandths(Entry.m_Demand));
+}
+
+// Digests of earlier versions have no limits.
+static void readLimit(const json &Fields, LoadDigest::Load &Entry) {
+  static constexpr std::size_t Offset = 6;
+  if (Fields.size() < Offset + 4)
+    return;
+  auto Number = [&](std::size_t Index) {
+    return Fields[Offset + Index].get<double>();
+  };
+  auto State = static_cast<LimitState>(Fields[Offset].get<std::uint8_t>());
+  // Bounded, since the time at which the limit was stated is computed from it.
+  Duration Age = std::chrono::milliseconds(
+      std::llround(std::min(Number(2), MaxLimitAgeMs)));
+  if (State == LimitState::InForce)
+    Entry.m_Limit = LimitReport{Number(1) / 1000, Age};
+  else if (State == LimitState::Ended)
+    Entry.m_Limit = LimitReport{std::nullopt, Age};
+  Entry.m_Demand = std::min(Number(3) / 1000, MaxEncodedRate);
+}
+
 std::string LoadDigest::encode() const {
   json Loads = json::array();
   // Integers take fewer bytes than floating-point numbers in CBOR.
-  for (const Load &Entry : m_Loads)
-    Loads.push_back({Entry.m_Endpoint, std::llround(Entry.m_Tokens),
-                     Entry.m_Running, std::llround(Entry.m_Pace * 100),
-                     Entry.m_SuspectMs, Entry.m_RunningAsFirst});
+  for (const Load &Entry : m_Loads) {
+    json Fields = {Entry.m_Endpoint,  std::llround(Entry.m_Tokens),
+                   Entry.m_Running,   std::llround(Entry.m_Pace * 100),
+                   Entry.m_SuspectMs, Entry.m_RunningAsFirst};
+    if (Entry.m_Limit || Entry.m_Demand > 0)
+      appendLimit(Fields, Entry);
+    Loads.push_back(std::move(Fields));
+  }
   std::int64_t AgeMs = m_StoreAnswerAge / std::chrono::milliseconds(1);
   std::vector<std::uint8_t> Bytes = json::to_cbor(json{{"from", m_Sender},
                                                        {"sum", m_IsDomainSum},
@@ -63,6 +119,7 @@
          Entry[2].get<std::uint32_t>(), Entry[3].get<double>() / 100,
          Entry[4].get<std::int64_t>(),
          Entry.size() > 5 ? Entry[5].get<std::uint32_t>() : 0});
+    readLimit(Entry, Digest.m_Loads.back());
   }
   return Digest;
 }
@@ -82,11 +139,12 @@
     Endpoint->m_PeerTokens += Sign * Load.m_Tokens;
     Endpoint->m_PeerRunning += Sign * Load.m_Running;
     Endpoint->m_PeerRunningAsFirst += Sign * Load.m_RunningAsFirst;
+    Endpoint->m_PeerDemand += Sign * Load.m_Demand;
   }
 }
 
-std::vector<FleetTable::Handle>
-LoadDigestTable::apply(const LoadDigest &Digest, FleetTable &Fleet, Time Now) {
+DigestChanges LoadDigestTable::apply(const LoadDigest &Digest,
+                                     FleetTable &Fleet, Time Now) {
   Entry &Known = m_Entries[Digest.m_Sender];
   // The sums of a failure domain come from several VMs, so their numbers are
   // not ordered.
@@ -100,7 +158,7 @@
   Known.m_ReceivedAt = Now;
   resolve(Known, Fleet);
   count(Known, 1);
-  std::vector<FleetTable::Handle> NewSuspects;
+  DigestChanges Changes;
   for (std::size_t Index = 0; Index < Digest.m_Loads.size(); ++Index) {
     const LoadDigest::Load &Load = Digest.m_Loads[Index];
     const FleetTable::Handle &Endpoint = Known.m_Endpoints[Index];
@@ -109,15 +167,17 @@
     if (Load.m_Pace > 0 &&
         !(Endpoint->m_IsOwnPace && Endpoint->isPaceRecent(Now)))
       Endpoint->notePace(Load.m_Pace, false, Now);
+    if (Load.m_Limit && Endpoint->m_Limit.apply(*Load.m_Limit, Now))
+      Changes.m_NewLimits.push_back(Endpoint);
     if (Load.m_SuspectMs <= 0)
       continue;
     if (Endpoint->m_SuspectUntil <= Now)
-      NewSuspects.push_back(Endpoint);
+      Changes.m_NewSuspects.push_back(Endpoint);
     Time Until = Now + std::chrono::milliseconds(
                            std::min(Load.m_SuspectMs, MaxSuspectMs));
     Endpoint->m_SuspectUntil = std::max(Endpoint->m_SuspectUntil, Until);
   }
-  return NewSuspects;
+  return Changes;
 }
 
 void LoadDigestTable::refresh(FleetTable &Fleet, Time Now) {
@@ -135,6 +195,7 @@
     Endpoint->m_PeerTokens = 0;
     Endpoint->m_PeerRunning = 0;
     Endpoint->m_PeerRunningAsFirst = 0;
+    Endpoint->m_PeerDemand = 0;
   }
   for (auto &[VM, Known] : m_Entries) {
     resolve(Known, Fleet);
@@ -161,14 +222,24 @@
       SuspectMs = (Endpoint->m_OwnSuspectUntil - Now).count() / 1000;
     bool IsOwnPaceRecent = Endpoint->m_IsOwnPace && Endpoint->isPaceRecent(Now);
     double Pace = IsOwnPaceRecent ? Endpoint->m_Pace : 0;
-    if (Endpoint->m_Running == 0 && SuspectMs == 0 && Pace == 0)
+    std::optional<LimitReport> Limit = Endpoint->m_Limit.ownReport(Now);
+    double Demand =
+        Endpoint->m_Limit.rate() ? Endpoint->m_LimitShare.demand(Now) : 0;
+    if (Endpoint->m_Running == 0 && SuspectMs == 0 && Pace == 0 && !Limit &&
+        Demand < MinReportedDemand)
       continue;
     Digest.m_Loads.push_back({Id, Endpoint->m_Tokens, Endpoint->m_Running, Pace,
-                              SuspectMs, Endpoint->m_RunningAsFirst});
+                              SuspectMs, Endpoint->m_RunningAsFirst, Limit,
+                              Demand});
   }
   return Digest;
 }
 
+static bool isNewer(const std::optional<LimitReport> &Left,
+                    const std::optional<LimitReport> &Right) {
+  return Left && (!Right || Left->m_Age < Right->m_Age);
+}
+
 LoadDigest LoadDigestTable::digestOfDomain(const std::string &Domain,
                                            const FleetTable &Fleet, Time Now) {
   LoadDigest Sum = digestOfVM(Domain, Fleet, Now);
@@ -179,7 +250,9 @@
   for (const auto &[Sender, Known] : m_Entries) {
     if (Known.m_Digest.m_IsDomainSum)
       continue;
-    for (const LoadDigest::Load &Load : Known.m_Digest.m_Loads) {
+    for (LoadDigest::Load Load : Known.m_Digest.m_Loads) {
+      if (Load.m_Limit)
+        Load.m_Limit->m_Age += Now - Known.m_ReceivedAt;
       auto [Position, IsNew] =
           IndexByEndpoint.emplace(Load.m_Endpoint, Sum.m_Loads.size());
       if (IsNew) {
@@ -191,6 +264,9 @@
       Target.m_Running += Load.m_Running;
       Target.m_RunningAsFirst += Load.m_RunningAsFirst;
       Target.m_Pace = std::max(Target.m_Pace, Load.m_Pace);
+      Target.m_Demand += Load.m_Demand;
+      if (isNewer(Load.m_Limit, Target.m_Limit))
+        Target.m_Limit = Load.m_Limit;
     }
   }
   return Sum;
--- a/src/membership/LoadDigest.h
+++ b/src/membership/LoadDigest.h
@@ -21,6 +21,12 @@
     double m_Pace = 0;
     std::int64_t m_SuspectMs = 0;       ///< Time left without new requests.
     std::uint32_t m_RunningAsFirst = 0; ///< Requests that take up a slot.
+    /// What the sender itself got from the endpoint, if it is known to state a
+    /// limit or to have stated one recently.
+    std::optional<LimitReport> m_Limit = std::nullopt;
+    /// Requests per second that the sender would send if there were no limit; 0
+    /// if it knows of none.
+    double m_Demand = 0;
   };
 
   std::string m_Sender;       ///< A VM, or a failure domain.
@@ -37,6 +43,14 @@
   static std::optional<LoadDigest> decode(const std::string &Bytes);
 };
 
+/// What a digest has changed in the observations of the endpoints.
+struct DigestChanges {
+  /// Endpoints that the sender suspects and this VM did not suspect yet.
+  std::vector<FleetTable::Handle> m_NewSuspects;
+  /// Endpoints whose limit is new or has ended.
+  std::vector<FleetTable::Handle> m_NewLimits;
+};
+
 /// The latest digest of each other VM of this failure domain and of each other
 /// failure domain. The sums of their loads at the endpoints are kept by
 /// difference, since their cost would otherwise grow with the square of the
@@ -44,10 +58,7 @@
 class LoadDigestTable {
 public:
   /// Applies a digest to the endpoints of Fleet. Outdated digests are dropped.
-  /// Returns the endpoints that the sender suspects and this VM did not suspect
-  /// yet.
-  std::vector<FleetTable::Handle> apply(const LoadDigest &Digest,
-                                        FleetTable &Fleet, Time Now);
+  DigestChanges apply(const LoadDigest &Digest, FleetTable &Fleet, Time Now);
   /// Removes the digests of silent senders, and sums the loads again if the
   /// list of endpoints has changed.
   void refresh(FleetTable &Fleet, Time Now);
--- a/src/routing/LayerPathPlanner.cpp
+++ b/src/routing/LayerPathPlanner.cpp
@@ -74,6 +74,7 @@
   FleetTable::Handle m_Endpoint;
   std::size_t m_Domain = 0;
   double m_MillisecondsPerLayer = 0;
+  bool m_MayBeFirst = true;
 };
 
 /// The cheapest path to a layer boundary whose last endpoint is in one failure
@@ -114,6 +115,12 @@
 
 } // namespace
 
+static bool contains(const std::vector<FleetTable::Handle> &Endpoints,
+                     const FleetTable::Handle &Endpoint) {
+  return std::find(Endpoints.begin(), Endpoints.end(), Endpoint) !=
+         Endpoints.end();
+}
+
 PathSearch::PathSearch(const EngineModel &Model,
                        const std::vector<FleetTable::Handle> &Endpoints,
                        const PathQuery &Query, Time Now)
@@ -128,14 +135,13 @@
   for (const FleetTable::Handle &Endpoint : Endpoints) {
     const EndpointEntry &Entry = Endpoint->m_Entry;
     const CardKind *Card = Model.cardKind(Entry.m_CardKind);
-    bool IsExcluded =
-        std::find(Query.m_Excluded.begin(), Query.m_Excluded.end(), Endpoint) !=
-        Query.m_Excluded.end();
+    bool IsExcluded = contains(Query.m_Excluded, Endpoint);
     if (!Card || IsExcluded || !Endpoint->canServe(Now) ||
         Entry.m_Layers.m_End <= Entry.m_Layers.m_First)
       continue;
     m_Candidates.push_back({Endpoint, domainIndex(Entry.m_FailureDomain),
-                            costPerLayer(*Endpoint, *Card)});
+                            costPerLayer(*Endpoint, *Card),
+                            !contains(Query.m_NotFirst, Endpoint)});
     AddBoundary(Entry.m_Layers.m_First);
     AddBoundary(Entry.m_Layers.m_End);
   }
@@ -189,7 +195,8 @@
   const std::uint32_t First = m_Boundaries[Boundary];
   for (const Candidate &Next : m_Candidates) {
     const LayerRange &HeldLayers = Next.m_Endpoint->m_Entry.m_Layers;
-    if (HeldLayers.m_First > First || HeldLayers.m_End <= First)
+    if (HeldLayers.m_First > First || HeldLayers.m_End <= First ||
+        (First == 0 && !Next.m_MayBeFirst))
       continue;
     double Cost = CostSoFar + StageMilliseconds;
     // A section of a path joins a request that already has its slot.
--- a/src/routing/LayerPathPlanner.h
+++ b/src/routing/LayerPathPlanner.h
@@ -31,6 +31,8 @@
   /// Number of VMs assumed to load the endpoints as much as this VM does.
   double m_LoadFactor = 1;
   std::vector<FleetTable::Handle> m_Excluded;
+  /// Endpoints at which the path must not begin.
+  std::vector<FleetTable::Handle> m_NotFirst;
 };
 
 /// Finds the path with the least cost, an expected time with penalties, by
--- a/tests/fleet/EndpointLimitTest.cpp
+++ b/tests/fleet/EndpointLimitTest.cpp
@@ -37,4 +37,36 @@
   CHECK(!m_Limit.rate());
 }
 
+// Guards against an older report of another VM that replaces a newer answer, in
+// either direction.
+TEST(EndpointLimit, NewestStatementCounts) {
+  CHECK(m_Limit.apply({5, 100ms}, m_Now));
+  CHECK(!m_Limit.apply({7, 200ms}, m_Now));
+  CHECK(m_Limit.noteStated(7, m_Now + 1s));
+  CHECK(!m_Limit.apply({std::nullopt, 1s}, m_Now + 1500ms));
+  CHECK(m_Limit.apply({std::nullopt, 100ms}, m_Now + 1500ms));
+  CHECK(!m_Limit.rate());
+}
+
+// Guards against reports that are passed on from VM to VM and never get old.
+TEST(EndpointLimit, OnlyOwnAnswersAreReported) {
+  m_Limit.apply({5, 100ms}, m_Now);
+  CHECK(!m_Limit.ownReport(m_Now));
+  m_Limit.noteStated(5, m_Now + 1s);
+  auto Report = m_Limit.ownReport(m_Now + 3s);
+  CHECK(Report && Report->m_Rate == 5.0 && Report->m_Age == 2s);
+  m_Limit.noteNotStated(m_Now + 4s);
+  Report = m_Limit.ownReport(m_Now + 5s);
+  CHECK(Report && !Report->m_Rate && Report->m_Age == 1s);
+  CHECK(!m_Limit.ownReport(m_Now + 1h));
+}
+
+// Guards against a VM that still reports a limit which has ended according to
+// another one.
+TEST(EndpointLimit, SupersededAnswerIsNotReported) {
+  m_Limit.noteStated(5, m_Now);
+  m_Limit.apply({std::nullopt, 100ms}, m_Now + 1s);
+  CHECK(!m_Limit.ownReport(m_Now + 1s));
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/fleet/FleetTableTest.cpp
+++ b/tests/fleet/FleetTableTest.cpp
@@ -142,4 +142,18 @@
   CHECK(Endpoint.failureRate(m_Now + 30s) < 0.01);
 }
 
+// Guards against the limit of an endpoint that is inherited by its next
+// incarnation, or by another endpoint at the same address.
+TEST(FleetTable, LimitIsDroppedWithTheIncarnation) {
+  m_Fleet.list(entry("a"), m_Now);
+  m_Fleet.find("a")->m_Limit.noteStated(3, m_Now);
+  m_Fleet.list(entry("a"), m_Now);
+  CHECK(m_Fleet.find("a")->m_Limit.rate().has_value());
+  LONGS_EQUAL(1, m_Fleet.limitedEndpoints());
+  m_Fleet.list(entry("b"), m_Now);
+  CHECK(!m_Fleet.find("b")->m_Limit.rate());
+  m_Fleet.list(entry("a", 2), m_Now);
+  CHECK(!m_Fleet.find("a")->m_Limit.rate());
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/membership/LoadDigestTest.cpp
+++ b/tests/membership/LoadDigestTest.cpp
@@ -79,7 +79,8 @@
 
 // Guards against a suspicion that VMs keep alive by passing it to each other.
 TEST(LoadDigest, SuspicionOfOthersIsNotPassedOn) {
-  auto Suspects = m_Table.apply(digest("a", 1, 0, 1000), m_Fleet, m_Now);
+  auto Suspects =
+      m_Table.apply(digest("a", 1, 0, 1000), m_Fleet, m_Now).m_NewSuspects;
   LONGS_EQUAL(1, Suspects.size());
   CHECK(!endpoint().canServe(m_Now));
   CHECK(endpoint().canServe(m_Now + 1s));
@@ -208,4 +209,60 @@
   CHECK(Seconds < 0.014);
 }
 
+// Guards against limits that only the VMs know that got such an answer
+// themselves.
+TEST(LoadDigest, LimitsAndDemandAreReported) {
+  endpoint().m_Limit.noteStated(2.5, m_Now);
+  endpoint().m_LimitShare.noteDemand(m_Now);
+  auto Read =
+      LoadDigest::decode(m_Table.digestOfVM("a", m_Fleet, m_Now + 1s).encode());
+  FleetTable Fleet;
+  Fleet.list(endpoint().m_Entry, m_Now);
+  LoadDigestTable Table;
+  DigestChanges Changes = Table.apply(*Read, Fleet, m_Now + 1s);
+  LONGS_EQUAL(1, Changes.m_NewLimits.size());
+  FleetEndpoint &Peer = *Fleet.find("e");
+  DOUBLES_EQUAL(2.5, Peer.m_Limit.rate().value(), 0.001);
+  DOUBLES_EQUAL(endpoint().m_LimitShare.demand(m_Now + 1s), Peer.m_PeerDemand,
+                0.001);
+  // A lost digest changes nothing; that of an end does.
+  Table.refresh(Fleet, m_Now + 10s);
+  CHECK(Peer.m_Limit.rate().has_value());
+  DOUBLES_EQUAL(0, Peer.m_PeerDemand, 0.001);
+  endpoint().m_Limit.noteNotStated(m_Now + 11s);
+  Read = LoadDigest::decode(
+      m_Table.digestOfVM("a", m_Fleet, m_Now + 12s).encode());
+  Table.apply(*Read, Fleet, m_Now + 12s);
+  CHECK(!Peer.m_Limit.rate());
+}
+
+// Guards against sums of a failure domain without the limits that its VMs know,
+// or with an outdated one.
+TEST(LoadDigest, DomainSumHasTheNewestLimit) {
+  auto Report = [&](const std::string &VM, LimitReport Limit) {
+    LoadDigest Digest = digest(VM, 1, 10);
+    Digest.m_Loads[0].m_Limit = Limit;
+    Digest.m_Loads[0].m_Demand = 2;
+    m_Table.apply(Digest, m_Fleet, m_Now);
+  };
+  Report("a", {4, 500ms});
+  Report("b", {std::nullopt, 100ms});
+  LoadDigest Sum = m_Table.digestOfDomain("d", m_Fleet, m_Now + 1s);
+  LONGS_EQUAL(1, Sum.m_Loads.size());
+  CHECK(Sum.m_Loads[0].m_Limit && !Sum.m_Loads[0].m_Limit->m_Rate);
+  CHECK(Sum.m_Loads[0].m_Limit->m_Age == 1100ms);
+  DOUBLES_EQUAL(4, Sum.m_Loads[0].m_Demand, 0);
+}
+
+// Guards against numbers of a limit that a VM of another release sends.
+TEST(LoadDigest, HugeLimitsAreBounded) {
+  LoadDigest Digest = digest("a", 1, 10);
+  Digest.m_Loads[0].m_Limit = LimitReport{1e300, 1h * 1000};
+  Digest.m_Loads[0].m_Demand = 1e300;
+  auto Read = LoadDigest::decode(Digest.encode());
+  CHECK(Read && Read->m_Loads[0].m_Limit);
+  CHECK(*Read->m_Loads[0].m_Limit->m_Rate <= 1e9);
+  CHECK(Read->m_Loads[0].m_Limit->m_Age <= 24h);
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/routing/LayerPathPlannerTest.cpp
+++ b/tests/routing/LayerPathPlannerTest.cpp
@@ -206,4 +206,19 @@
   }
 }
 
+// Guards against a path that begins at an engine which states that it accepts
+// no more requests; such an engine can still hold later layers of a path.
+TEST(LayerPathPlanner, PathDoesNotBeginAtAGivenEngine) {
+  PathQuery Query = typicalQuery(m_Engines.front()->m_Entry.m_FailureDomain);
+  for (int Step = 0; Step < 3; ++Step) {
+    LayerPath Path = plan(Query);
+    CHECK(isValidPath(Path, Query.m_Layers));
+    for (const FleetTable::Handle &Engine : Query.m_NotFirst)
+      CHECK(Path.front().m_Endpoint != Engine);
+    Query.m_NotFirst.push_back(Path.front().m_Endpoint);
+  }
+  Query.m_NotFirst = m_Engines;
+  CHECK(plan(Query).empty());
+}
+
 PARSLEYRING_TEST_MAIN
