Log when the store has been restored from an older copy

The logs could not tell whether VMs take new changes for old ones, or do not hear of them at all. store-restored names the new era, from the header of the store's answers, with the revision that the store and the VM have.

--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -559,6 +559,15 @@
               {{"outage_ms", std::int64_t(OutageTime.count() / 1000)}});
 }
 
+void GatewayNode::storeRestored(std::uint64_t Era, std::uint64_t Revision) {
+  m_Log.write(
+      now(), "store-restored", "",
+      {{"era", std::int64_t(Era)},
+       {"revision", std::int64_t(Revision)},
+       {"known_revision", std::int64_t(m_StoreWatcher.revision())},
+       {"configuration", std::int64_t(m_Table ? m_Table->m_Version : 0)}});
+}
+
 void GatewayNode::freshnessChanged(bool IsFresh, Duration ConfirmationAge,
                                    std::uint64_t KnownRevision) {
   m_Log.write(
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -79,6 +79,7 @@
   void itemDeleted(const std::string &Key) override;
   void itemsReloaded(const std::map<std::string, StoreItem> &Items) override;
   void availabilityChanged(bool IsAvailable, Duration OutageTime) override;
+  void storeRestored(std::uint64_t Era, std::uint64_t Revision) override;
   void freshnessChanged(bool IsFresh, Duration ConfirmationAge,
                         std::uint64_t KnownRevision) override;
   void revisionChanged() override;
--- a/src/gateway/HttpClient.cpp
+++ b/src/gateway/HttpClient.cpp
@@ -42,6 +42,7 @@
   ExchangeHandlers Handlers;
   Handlers.m_OnHead = [Pending](const ResponseHead &Head) {
     Pending->m_Reply.m_Status = Head.m_Status;
+    Pending->m_Reply.m_Head = Head;
   };
   Handlers.m_OnBody = [Pending](std::string_view Bytes) {
     Pending->m_Reply.m_Body.append(Bytes);
--- a/src/store/StoreProtocol.h
+++ b/src/store/StoreProtocol.h
@@ -60,6 +60,8 @@
   virtual StoreCall grantCall(Duration TimeToLive) const = 0;
   virtual StoreCall renewCall(std::uint64_t Lease) const = 0;
   virtual StoreCall revokeCall(std::uint64_t Lease) const = 0;
+  /// Name of the header field with the number of the era, in all answers.
+  virtual const std::string &eraHeader() const = 0;
   virtual std::optional<StorePage> parsePage(const std::string &Body) const = 0;
   virtual std::optional<StorePage>
   parseChanges(const std::string &Body) const = 0;
--- a/src/store/StoreWatcher.cpp
+++ b/src/store/StoreWatcher.cpp
@@ -1,5 +1,7 @@
 #include "store/StoreWatcher.h"
 
+#include <charconv>
+
 namespace parsleyring {
 
 // Longest wait of a poll while the reports of other VMs confirm the items.
@@ -73,6 +75,20 @@
   return true;
 }
 
+// The store begins a new era with each restoration from an older copy.
+void StoreWatcher::noteEra(const CallReply &Reply, std::uint64_t Revision) {
+  std::string Text = Reply.m_Head.field(m_Protocol.eraHeader());
+  std::uint64_t Era = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Era);
+  if (Error != std::errc() || End != Text.data() + Text.size() || Era <= m_Era)
+    return;
+  bool IsFirst = m_Era == 0;
+  m_Era = Era;
+  if (!IsFirst)
+    m_Observer.storeRestored(Era, Revision);
+}
+
 // The failure of an older poll tells nothing about the newest one.
 void StoreWatcher::failPoll(std::uint64_t Poll) {
   if (Poll == m_NewestPoll && m_IsPolling)
@@ -170,6 +186,7 @@
   }
   if (!acceptStoreAnswer(Poll))
     return;
+  noteEra(Reply, Page->m_Revision);
   // The pages are not one snapshot, so the watch starts at the revision of the
   // first page.
   if (Pages->m_Revision == 0)
@@ -218,6 +235,7 @@
   }
   if (!acceptStoreAnswer(Poll))
     return;
+  noteEra(Reply, Changes->m_Revision);
   // Items from a peer may already be newer than this reply.
   bool IsSuperseded = WatchedRevision < m_Revision;
   bool HasChanges =
--- a/src/store/StoreWatcher.h
+++ b/src/store/StoreWatcher.h
@@ -25,6 +25,8 @@
   /// The store has become available, after an outage of OutageTime (0 at
   /// start), or unavailable.
   virtual void availabilityChanged(bool IsAvailable, Duration OutageTime) = 0;
+  /// The store has been restored from an older copy, which has Revision.
+  virtual void storeRestored(std::uint64_t Era, std::uint64_t Revision) = 0;
   /// The items may no longer be the newest ones, or are known to be so again.
   /// KnownRevision is the newest revision that any VM has reported.
   virtual void freshnessChanged(bool IsFresh, Duration ConfirmationAge,
@@ -96,6 +98,7 @@
   std::uint64_t beginPoll(Duration Wait);
   bool endPoll(std::uint64_t Poll);
   bool acceptStoreAnswer(std::uint64_t Poll);
+  void noteEra(const CallReply &Reply, std::uint64_t Revision);
   void failPoll(std::uint64_t Poll);
   Duration pollWait() const;
   void loadPage(const std::shared_ptr<Reload> &Pages, const std::string &After);
@@ -135,6 +138,7 @@
   /// Revision before the oldest of m_Changes.
   std::uint64_t m_ChangesBaseRevision = 0;
   std::uint64_t m_Revision = 0;
+  std::uint64_t m_Era = 0; ///< 0 before the store has told one.
   bool m_MustReload = true;
   bool m_IsAvailable = false;
   bool m_IsPollingPeers = false;
