--- a/tests/support/GatewayTestServers.cpp
+++ b/tests/support/GatewayTestServers.cpp
@@ -135,11 +135,19 @@
     std::uint64_t m_Revision = 0;
   };
 
+  /// What a copy contains.
+  struct State {
+    std::map<std::string, Item> m_Items;
+    std::vector<json> m_Events;
+    std::uint64_t m_Revision = 10;
+  };
+
   std::mutex m_Mutex;
   std::condition_variable m_Changed;
-  std::map<std::string, Item> m_Items;
-  std::vector<json> m_Events;
-  std::uint64_t m_Revision = 10;
+  State m_State;
+  State m_Copy;
+  std::uint64_t m_Era = 1;
+  std::size_t m_Calls = 0;
   bool m_IsDown = false;
   std::unique_ptr<LoopbackServer> m_Server;
 
@@ -153,19 +161,20 @@
 
 void FakeMetadataStore::Implementation::putLocked(const std::string &Key,
                                                   const std::string &Value) {
-  m_Items[Key] = {Value, ++m_Revision};
-  m_Events.push_back(
-      {{"key", Key}, {"value", encodeBase64(Value)}, {"revision", m_Revision}});
+  m_State.m_Items[Key] = {Value, ++m_State.m_Revision};
+  m_State.m_Events.push_back({{"key", Key},
+                              {"value", encodeBase64(Value)},
+                              {"revision", m_State.m_Revision}});
   m_Changed.notify_all();
 }
 
 json FakeMetadataStore::Implementation::range() {
   json Items = json::array();
-  for (const auto &[Key, Entry] : m_Items)
+  for (const auto &[Key, Entry] : m_State.m_Items)
     Items.push_back({{"key", Key},
                      {"value", encodeBase64(Entry.m_Value)},
                      {"revision", Entry.m_Revision}});
-  return {{"items", Items}, {"has_more", false}, {"at", m_Revision}};
+  return {{"items", Items}, {"has_more", false}, {"at", m_State.m_Revision}};
 }
 
 json FakeMetadataStore::Implementation::watch(
@@ -174,26 +183,26 @@
   std::chrono::milliseconds Wait(
       std::stoll(Request.get_param_value("wait_ms")));
   m_Changed.wait_for(Lock, Wait,
-                     [&] { return m_Revision > After || m_IsDown; });
+                     [&] { return m_State.m_Revision > After || m_IsDown; });
   json Events = json::array();
-  for (const json &Event : m_Events)
+  for (const json &Event : m_State.m_Events)
     if (Event["revision"].get<std::uint64_t>() > After)
       Events.push_back(Event);
-  return {{"events", Events}, {"at", m_Revision}};
+  return {{"events", Events}, {"at", m_State.m_Revision}};
 }
 
 void FakeMetadataStore::Implementation::removeLocked(const std::string &Key) {
-  m_Items.erase(Key);
-  m_Events.push_back(
-      {{"key", Key}, {"revision", ++m_Revision}, {"deleted", true}});
+  m_State.m_Items.erase(Key);
+  m_State.m_Events.push_back(
+      {{"key", Key}, {"revision", ++m_State.m_Revision}, {"deleted", true}});
   m_Changed.notify_all();
 }
 
 int FakeMetadataStore::Implementation::transact(const json &Body) {
   for (const json &Expected : Body["expected"]) {
-    auto Found = m_Items.find(Expected["key"].get<std::string>());
+    auto Found = m_State.m_Items.find(Expected["key"].get<std::string>());
     std::uint64_t Revision =
-        Found == m_Items.end() ? 0 : Found->second.m_Revision;
+        Found == m_State.m_Items.end() ? 0 : Found->second.m_Revision;
     if (Revision != Expected["revision"].get<std::uint64_t>())
       return 412;
   }
@@ -209,6 +218,8 @@
                                                httplib::Response &Response) {
   std::unique_lock<std::mutex> Lock(m_Mutex);
   json Answer;
+  ++m_Calls;
+  Response.set_header("Store-Era", std::to_string(m_Era));
   if (m_IsDown) {
     Response.status = 503;
     return;
@@ -216,12 +227,17 @@
   if (Request.path == "/v1/kv-range") {
     Answer = range();
   } else if (Request.path == "/v1/kv-watch") {
+    if (std::stoull(Request.get_param_value("after")) > m_State.m_Revision) {
+      Response.status = 410;
+      return;
+    }
+    std::uint64_t Era = m_Era;
     Answer = watch(Lock, Request);
-    if (m_IsDown)
+    if (m_IsDown || m_Era != Era)
       Response.status = 503;
   } else if (Request.path == "/v1/kv-txn") {
     Response.status = transact(json::parse(Request.body));
-    Answer = {{"revision", m_Revision}};
+    Answer = {{"revision", m_State.m_Revision}};
   } else {
     Answer = {{"lease_id", 77}, {"ttl_ms", 6000}};
   }
@@ -254,7 +270,24 @@
 
 bool FakeMetadataStore::has(const std::string &Key) const {
   std::lock_guard<std::mutex> Lock(m_Implementation->m_Mutex);
-  return m_Implementation->m_Items.count(Key) > 0;
+  return m_Implementation->m_State.m_Items.count(Key) > 0;
+}
+
+void FakeMetadataStore::keepCopy() {
+  std::lock_guard<std::mutex> Lock(m_Implementation->m_Mutex);
+  m_Implementation->m_Copy = m_Implementation->m_State;
+}
+
+void FakeMetadataStore::restoreCopy() {
+  std::lock_guard<std::mutex> Lock(m_Implementation->m_Mutex);
+  m_Implementation->m_State = m_Implementation->m_Copy;
+  ++m_Implementation->m_Era;
+  m_Implementation->m_Changed.notify_all();
+}
+
+std::size_t FakeMetadataStore::calls() const {
+  std::lock_guard<std::mutex> Lock(m_Implementation->m_Mutex);
+  return m_Implementation->m_Calls;
 }
 
 void FakeMetadataStore::setDown(bool IsDown) {
--- a/tests/support/GatewayTestServers.h
+++ b/tests/support/GatewayTestServers.h
@@ -66,6 +66,12 @@
   bool has(const std::string &Key) const;
   /// While the store is down, it answers each call with 503.
   void setDown(bool IsDown);
+  /// Keeps a copy of all items.
+  void keepCopy();
+  /// Restores the copy and begins a new era. Revisions are given out again.
+  void restoreCopy();
+  /// Number of calls so far.
+  std::size_t calls() const;
 
 private:
   struct Implementation;
