--- a/src/fleet/FleetTable.cpp
+++ b/src/fleet/FleetTable.cpp
@@ -14,6 +14,8 @@
 // Half-life of the failure rate, so that a recovered endpoint is tried again
 // without probes.
 static constexpr double FailureHalfLifeSeconds = 3;
+// Longer than a copy from which the list is restored can be old.
+static constexpr Duration LeftMemory = std::chrono::minutes(5);
 
 double FleetEndpoint::failureRate(Time Now) const {
   double Seconds =
@@ -62,7 +64,22 @@
   m_SuspectUntil = std::max(m_SuspectUntil, Now + Pause);
 }
 
+// A copy of the list may be older than the state of an endpoint that is known.
+bool FleetTable::isOutdated(const EndpointEntry &Entry, Time Now) {
+  Handle Current = find(Entry.m_Id);
+  if (Current && Current->m_Entry.m_StartTimeMs == Entry.m_StartTimeMs)
+    return Current->m_Entry.m_State == EndpointState::Draining;
+  auto Left = m_Left.find(Entry.m_Id);
+  if (Left == m_Left.end() || Left->second.m_StartTimeMs != Entry.m_StartTimeMs)
+    return false;
+  m_Deferred[Entry.m_Id] = {Entry, Now + RestorationGracePeriod};
+  return true;
+}
+
 void FleetTable::list(const EndpointEntry &Entry, Time Now) {
+  if (m_IsRestoring && isOutdated(Entry, Now))
+    return;
+  m_Deferred.erase(Entry.m_Id);
   Handle &Current = m_Endpoints[Entry.m_Id];
   ++m_Generation;
   if (Current && Current->m_Entry.m_StartTimeMs == Entry.m_StartTimeMs &&
@@ -78,16 +95,18 @@
   Current->m_ListedAt = Now;
 }
 
-void FleetTable::remove(const std::string &Id) {
+void FleetTable::remove(const std::string &Id, Time Now) {
   auto Found = m_Endpoints.find(Id);
   if (Found == m_Endpoints.end())
     return;
   ++m_Generation;
   Found->second->m_IsRemoved = true;
+  m_Left[Id] = {Found->second->m_Entry.m_StartTimeMs, Now};
   m_Endpoints.erase(Found);
 }
 
 void FleetTable::unlist(const std::string &Id, Time Now) {
+  m_Deferred.erase(Id);
   auto Found = m_Endpoints.find(Id);
   if (Found == m_Endpoints.end())
     return;
@@ -98,7 +117,7 @@
       Endpoint.m_OutageGraceStartedAt = m_OutageEndedAt;
     return;
   }
-  remove(Id);
+  remove(Id, Now);
 }
 
 void FleetTable::unlistAllExcept(const std::vector<std::string> &Ids,
@@ -107,6 +126,9 @@
   for (const auto &[Id, Endpoint] : m_Endpoints)
     if (std::find(Ids.begin(), Ids.end(), Id) == Ids.end())
       Missing.push_back(Id);
+  for (const auto &[Id, Deferred] : m_Deferred)
+    if (std::find(Ids.begin(), Ids.end(), Id) == Ids.end())
+      Missing.push_back(Id);
   for (const std::string &Id : Missing)
     unlist(Id, Now);
 }
@@ -118,7 +140,16 @@
         Now - Endpoint->m_OutageGraceStartedAt >= OutageGracePeriod)
       Expired.push_back(Id);
   for (const std::string &Id : Expired)
-    remove(Id);
+    remove(Id, Now);
+  std::vector<EndpointEntry> Due;
+  for (const auto &[Id, Deferred] : m_Deferred)
+    if (Now >= Deferred.m_DueAt)
+      Due.push_back(Deferred.m_Entry);
+  for (const EndpointEntry &Entry : Due)
+    list(Entry, Now);
+  for (auto Left = m_Left.begin(); Left != m_Left.end();)
+    Left = Now - Left->second.m_At >= LeftMemory ? m_Left.erase(Left)
+                                                 : std::next(Left);
 }
 
 FleetTable::Handle FleetTable::find(const std::string &Id) const {
--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -136,12 +136,18 @@
   /// unavailable until recently, a ready endpoint is kept for
   /// OutageGracePeriod, because entries that expired during the outage return.
   void unlist(const std::string &Id, Time Now);
+  /// Until endRestoration(), entries are listed from a copy that may be older
+  /// than what is known. An incarnation that was leaving is not used again; one
+  /// that had left only if its entry is still there after
+  /// RestorationGracePeriod.
+  void beginRestoration() { m_IsRestoring = true; }
+  void endRestoration() { m_IsRestoring = false; }
   /// Records that an outage of the list ended at Now.
   void noteOutageEnd(Time Now) { m_OutageEndedAt = Now; }
   /// Unlists all endpoints whose ids are not in Ids.
   void unlistAllExcept(const std::vector<std::string> &Ids, Time Now);
   /// Removes the endpoints whose entries did not return within
-  /// OutageGracePeriod.
+  /// OutageGracePeriod, and lists those that stayed for RestorationGracePeriod.
   void expire(Time Now);
 
   Handle find(const std::string &Id) const;
@@ -159,10 +165,28 @@
   /// Expired entries return within about two seconds of the end of an outage.
   static constexpr Duration OutageGracePeriod = std::chrono::milliseconds(1900);
 
+  /// Entries of endpoints that have ended are removed within about this time.
+  static constexpr Duration RestorationGracePeriod = std::chrono::seconds(5);
+
 private:
-  void remove(const std::string &Id);
+  /// An endpoint that has left the list.
+  struct LeftEndpoint {
+    std::int64_t m_StartTimeMs = 0;
+    Time m_At{};
+  };
+  /// An entry of a copy that is not listed before m_DueAt.
+  struct DeferredEntry {
+    EndpointEntry m_Entry;
+    Time m_DueAt{};
+  };
+
+  void remove(const std::string &Id, Time Now);
+  bool isOutdated(const EndpointEntry &Entry, Time Now);
 
   std::map<std::string, Handle> m_Endpoints;
+  std::map<std::string, LeftEndpoint> m_Left;
+  std::map<std::string, DeferredEntry> m_Deferred;
+  bool m_IsRestoring = false;
   Time m_OutageEndedAt{};
   std::uint64_t m_Generation = 0;
 };
--- a/src/gateway/DigestExchange.cpp
+++ b/src/gateway/DigestExchange.cpp
@@ -49,9 +49,9 @@
       Digest->m_Sender == m_Self.m_FailureDomain)
     return;
   m_OnChanges(m_DigestTable.apply(*Digest, m_Fleet, m_Now()), Digest->m_Sender);
-  if (Digest->m_StoreRevision > 0)
+  if (Digest->m_StoreVersion.m_Revision > 0)
     m_StoreWatcher.noteReport(
-        Digest->m_StoreRevision, Digest->m_StoreAnswerAge,
+        Digest->m_StoreVersion, Digest->m_StoreAnswerAge,
         m_VMs.peerAddressAt(m_Sender.address().to_string()));
   if (Digest->m_IsDomainSum)
     forwardDigest(Bytes);
@@ -80,7 +80,7 @@
 // Tells only what the store itself answered to this VM: ages that were passed
 // on and back would hide that the store has stopped answering.
 std::string DigestExchange::encode(LoadDigest Digest) const {
-  Digest.m_StoreRevision = m_StoreWatcher.revision();
+  Digest.m_StoreVersion = m_StoreWatcher.version();
   Digest.m_StoreAnswerAge = m_StoreWatcher.storeAnswerAge();
   return Digest.encode();
 }
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -84,12 +84,12 @@
       Connection->answer(404, {}, "");
       return;
     }
-    if (m_Node.m_StoreWatcher.revision() > Call->m_Revision ||
+    if (m_Node.m_StoreWatcher.hasNewerThan(Call->m_Version) ||
         Call->m_Wait == Duration::zero() || !m_Node.m_StoreWatcher.isFresh())
-      answer(*Connection, Call->m_Revision);
+      answer(*Connection, Call->m_Version);
     else
       m_WaitingCalls.push_back(
-          {Connection, Call->m_Revision, now() + Call->m_Wait});
+          {Connection, Call->m_Version, now() + Call->m_Wait});
   }
   void answerAll() {
     answerIf([](const WaitingCall &) { return true; });
@@ -106,13 +106,13 @@
 private:
   struct WaitingCall {
     std::shared_ptr<CallerConnection> m_Connection;
-    std::uint64_t m_Revision = 0;
+    StoreVersion m_Version;
     Time m_Until{};
   };
 
-  void answer(CallerConnection &Connection, std::uint64_t Revision) {
+  void answer(CallerConnection &Connection, const StoreVersion &Version) {
     Connection.answer(200, {{"Content-Type", "application/cbor"}},
-                      m_Node.m_StoreWatcher.itemsSince(Revision).encode());
+                      m_Node.m_StoreWatcher.itemsSince(Version).encode());
   }
   template <typename Condition> void answerIf(Condition IsDue) {
     std::vector<WaitingCall> Remaining;
@@ -120,7 +120,7 @@
       if (Entry.m_Connection->isClosed())
         continue;
       if (IsDue(Entry))
-        answer(*Entry.m_Connection, Entry.m_Revision);
+        answer(*Entry.m_Connection, Entry.m_Version);
       else
         Remaining.push_back(std::move(Entry));
     }
@@ -466,8 +466,13 @@
         {{"revision", std::int64_t(Item.m_Revision)}, {"finding", Finding}});
     return;
   }
-  if (m_Table && Table->m_Version < m_Table->m_Version)
+  if (m_Table && Table->m_Version < m_Table->m_Version) {
+    m_Log.write(now(), "configuration-outdated", "",
+                {{"version", std::int64_t(Table->m_Version)},
+                 {"revision", std::int64_t(Item.m_Revision)},
+                 {"configuration", std::int64_t(m_Table->m_Version)}});
     return;
+  }
   m_Table = std::move(Table);
   m_Metrics.setConfigurationVersion(m_Table->m_Version);
   m_Log.write(now(), "configuration", "",
@@ -535,10 +540,14 @@
   }
 }
 
-void GatewayNode::itemsReloaded(const std::map<std::string, StoreItem> &Items) {
+void GatewayNode::itemsReloaded(const std::map<std::string, StoreItem> &Items,
+                                bool IsRestored) {
+  if (IsRestored)
+    beginEra();
+  else
+    m_VMs.clear();
   std::vector<std::string> Listed;
   const std::string &Prefix = m_Records.endpointPrefix();
-  m_VMs.clear();
   bool HasLeader = false;
   for (const auto &[Key, Item] : Items) {
     if (hasPrefix(Key, Prefix))
@@ -546,12 +555,25 @@
     HasLeader = HasLeader || Key == VMLease::LeaderKey;
     itemChanged(Item);
   }
-  m_PromptGuard.itemsReloaded(Items);
+  m_Fleet.endRestoration();
+  m_PromptGuard.itemsReloaded(Items, IsRestored);
   m_Fleet.unlistAllExcept(Listed, now());
   if (!HasLeader)
     m_Lease.noteLeader("", 0);
 }
 
+// What the store holds now may be older than what this VM knows. The
+// configuration in force stays until there is a newer one; entries that are
+// missing are kept until their writers have had time to write them again.
+void GatewayNode::beginEra() {
+  Time Now = now();
+  m_TableRevision = 0;
+  m_Fleet.noteOutageEnd(Now);
+  m_Fleet.beginRestoration();
+  m_VMs.noteRestored(Now);
+  m_Lease.noteRestored();
+}
+
 void GatewayNode::availabilityChanged(bool IsAvailable, Duration OutageTime) {
   if (IsAvailable && OutageTime > Duration::zero())
     m_Fleet.noteOutageEnd(now());
@@ -559,22 +581,24 @@
               {{"outage_ms", std::int64_t(OutageTime.count() / 1000)}});
 }
 
-void GatewayNode::storeRestored(std::uint64_t Era, std::uint64_t Revision) {
+void GatewayNode::storeRestored(const StoreVersion &Version) {
   m_Log.write(
       now(), "store-restored", "",
-      {{"era", std::int64_t(Era)},
-       {"revision", std::int64_t(Revision)},
-       {"known_revision", std::int64_t(m_StoreWatcher.revision())},
+      {{"era", std::int64_t(Version.m_Era)},
+       {"revision", std::int64_t(Version.m_Revision)},
+       {"known_revision", std::int64_t(m_StoreWatcher.version().m_Revision)},
        {"configuration", std::int64_t(m_Table ? m_Table->m_Version : 0)}});
 }
 
 void GatewayNode::freshnessChanged(bool IsFresh, Duration ConfirmationAge,
-                                   std::uint64_t KnownRevision) {
+                                   const StoreVersion &Newest) {
   m_Log.write(
       now(), IsFresh ? "store-items-confirmed" : "store-items-unconfirmed", "",
       {{"age_ms", std::int64_t(ConfirmationAge.count() / 1000)},
-       {"revision", std::int64_t(m_StoreWatcher.revision())},
-       {"known_revision", std::int64_t(KnownRevision)},
+       {"era", std::int64_t(m_StoreWatcher.version().m_Era)},
+       {"revision", std::int64_t(m_StoreWatcher.version().m_Revision)},
+       {"known_era", std::int64_t(Newest.m_Era)},
+       {"known_revision", std::int64_t(Newest.m_Revision)},
        {"configuration", std::int64_t(m_Table ? m_Table->m_Version : 0)}});
 }
 
@@ -619,6 +643,7 @@
       Listener->tick(Now);
     m_ConnectionPool.expire(Now);
     m_Fleet.expire(Now);
+    m_VMs.expire(Now);
     m_PromptGuard.tick(m_WasLeader);
     m_Metrics.setLimitedEndpoints(m_Fleet.limitedEndpoints());
     m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
@@ -644,7 +669,8 @@
     m_WasLeader = IsLeader;
     m_Placement.clear();
     m_Log.write(Now, IsLeader ? "duty-taken" : "duty-lost", "",
-                {{"token", std::int64_t(m_Lease.fencingToken())}});
+                {{"era", std::int64_t(m_StoreWatcher.version().m_Era)},
+                 {"token", std::int64_t(m_Lease.fencingToken())}});
   }
   if (!IsLeader || !m_Table || !m_StoreWatcher.isAvailable())
     return;
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -77,11 +77,12 @@
   // StoreObserver
   void itemChanged(const StoreItem &Item) override;
   void itemDeleted(const std::string &Key) override;
-  void itemsReloaded(const std::map<std::string, StoreItem> &Items) override;
+  void itemsReloaded(const std::map<std::string, StoreItem> &Items,
+                     bool IsRestored) override;
   void availabilityChanged(bool IsAvailable, Duration OutageTime) override;
-  void storeRestored(std::uint64_t Era, std::uint64_t Revision) override;
+  void storeRestored(const StoreVersion &Version) override;
   void freshnessChanged(bool IsFresh, Duration ConfirmationAge,
-                        std::uint64_t KnownRevision) override;
+                        const StoreVersion &Newest) override;
   void revisionChanged() override;
   std::vector<std::string> peerAddresses() const override {
     return m_VMs.peerAddresses();
@@ -105,6 +106,7 @@
   void refuse(const CallerRequest &Request, CallerConnection &Caller,
               Refusal Cause);
 
+  void beginEra();
   void applyConfiguration(const StoreItem &Item);
   void applyEndpointEntry(const StoreItem &Item);
   void applyLeader(const StoreItem &Item);
--- a/src/gateway/PromptGuard.cpp
+++ b/src/gateway/PromptGuard.cpp
@@ -46,6 +46,11 @@
   return CrashPrefix + Engine + "/" + m_VM;
 }
 
+void PromptGuard::write(const std::string &Key, const std::string &Value) {
+  m_OwnItems[Key] = {Value, m_Now()};
+  m_Writer.put(Key, Value);
+}
+
 void PromptGuard::handleCrash(const CrashDetector::Crash &Seen) {
   EngineCrash Crash;
   Crash.m_Engine = incarnationOf(Seen.m_Engine->m_Entry);
@@ -63,7 +68,7 @@
                  {"suspect_parts", std::int64_t(Crash.m_Suspects.size())}});
   }
   if (!Crash.m_Suspects.empty()) {
-    m_Writer.put(crashKey(Crash.m_Engine), Crash.encode());
+    write(crashKey(Crash.m_Engine), Crash.encode());
     m_Quarantine.addCrash(m_VM, std::move(Crash));
     update();
   }
@@ -77,8 +82,8 @@
     // Without a request that was already running, no VM would ever learn that
     // the part is harmless.
     if (m_Quarantine.isQuarantined(Part))
-      m_Writer.put(AnswerPrefix + Part,
-                   std::to_string(Now.time_since_epoch().count()));
+      write(AnswerPrefix + Part,
+            std::to_string(Now.time_since_epoch().count()));
     m_Quarantine.noteAnswer(Part, Now);
   }
   update();
@@ -98,9 +103,13 @@
 void PromptGuard::tick(bool IsLeader) {
   m_Detector.expire();
   update();
+  Time Now = m_Now();
+  for (auto Own = m_OwnItems.begin(); Own != m_OwnItems.end();) {
+    bool IsOld = Now - Own->second.second > PromptQuarantine::Memory;
+    Own = IsOld ? m_OwnItems.erase(Own) : std::next(Own);
+  }
   if (!IsLeader)
     return;
-  Time Now = m_Now();
   for (auto Item = m_StoredItems.begin(); Item != m_StoredItems.end();) {
     bool IsOld = Now - Item->second > PromptQuarantine::Memory;
     if (IsOld)
@@ -141,7 +150,15 @@
       Key.substr(CrashPrefix.size(), Slash - CrashPrefix.size()));
 }
 
-void PromptGuard::itemsReloaded(const std::map<std::string, StoreItem> &Items) {
+void PromptGuard::itemsReloaded(const std::map<std::string, StoreItem> &Items,
+                                bool IsRestored) {
+  if (IsRestored) {
+    // Missing items of other VMs stay known, since these write them again.
+    for (const auto &[Key, Own] : m_OwnItems)
+      if (!Items.count(Key))
+        m_Writer.put(Key, Own.first);
+    return;
+  }
   std::vector<std::string> Deleted;
   for (const auto &[Key, At] : m_StoredItems)
     if (!Items.count(Key))
--- a/src/gateway/PromptGuard.h
+++ b/src/gateway/PromptGuard.h
@@ -53,10 +53,13 @@
   // called after them.
   void itemChanged(const StoreItem &Item);
   void itemDeleted(const std::string &Key);
-  /// Items are all that the store holds.
-  void itemsReloaded(const std::map<std::string, StoreItem> &Items);
+  /// Items are all that the store holds. IsRestored: items that the store had
+  /// accepted may be missing; those of this VM are written again.
+  void itemsReloaded(const std::map<std::string, StoreItem> &Items,
+                     bool IsRestored);
 
 private:
+  void write(const std::string &Key, const std::string &Value);
   void handleCrash(const CrashDetector::Crash &Seen);
   std::string crashKey(const std::string &Engine) const;
 
@@ -68,6 +71,8 @@
   CrashDetector m_Detector;
   StoreWriter m_Writer;
   PromptQuarantine m_Quarantine;
+  /// What this VM has written to the store, and when.
+  std::map<std::string, std::pair<std::string, Time>> m_OwnItems;
   /// The store's items that concern the guard, and the times they tell of.
   std::map<std::string, Time> m_StoredItems;
 };
--- a/src/membership/LoadDigest.cpp
+++ b/src/membership/LoadDigest.cpp
@@ -79,12 +79,14 @@
     Loads.push_back(std::move(Fields));
   }
   std::int64_t AgeMs = m_StoreAnswerAge / std::chrono::milliseconds(1);
-  std::vector<std::uint8_t> Bytes = json::to_cbor(json{{"from", m_Sender},
-                                                       {"sum", m_IsDomainSum},
-                                                       {"n", m_Number},
-                                                       {"at", m_StoreRevision},
-                                                       {"age", AgeMs},
-                                                       {"loads", Loads}});
+  std::vector<std::uint8_t> Bytes =
+      json::to_cbor(json{{"from", m_Sender},
+                         {"sum", m_IsDomainSum},
+                         {"n", m_Number},
+                         {"at", m_StoreVersion.m_Revision},
+                         {"era", m_StoreVersion.m_Era},
+                         {"age", AgeMs},
+                         {"loads", Loads}});
   return {Bytes.begin(), Bytes.end()};
 }
 
@@ -101,10 +103,12 @@
   Digest.m_Sender = Root["from"].get<std::string>();
   Digest.m_IsDomainSum = Root["sum"].get<bool>();
   Digest.m_Number = Root["n"].get<std::uint64_t>();
-  // Digests of earlier versions have no revision.
+  // Digests of earlier versions have no revision, or no era.
   if (Has("at", &json::is_number_unsigned) &&
       Has("age", &json::is_number_unsigned)) {
-    Digest.m_StoreRevision = Root["at"].get<std::uint64_t>();
+    Digest.m_StoreVersion.m_Revision = Root["at"].get<std::uint64_t>();
+    if (Has("era", &json::is_number_unsigned))
+      Digest.m_StoreVersion.m_Era = Root["era"].get<std::uint64_t>();
     Digest.m_StoreAnswerAge =
         std::chrono::milliseconds(Root["age"].get<std::int64_t>());
   }
--- a/src/membership/LoadDigest.h
+++ b/src/membership/LoadDigest.h
@@ -2,6 +2,7 @@
 #define PARSLEYRING_MEMBERSHIP_LOADDIGEST_H
 
 #include "fleet/FleetTable.h"
+#include "store/StoreProtocol.h"
 
 #include <map>
 #include <optional>
@@ -33,9 +34,9 @@
   bool m_IsDomainSum = false; ///< Sums over the VMs of a domain.
   std::uint64_t m_Number = 0; ///< Sequence number at the sending VM.
   std::vector<Load> m_Loads;
-  /// Revision of the store's items that the sender knows, and the time since
-  /// the store itself last answered it; 0 if the sender knows none.
-  std::uint64_t m_StoreRevision = 0;
+  /// Version of the store's items that the sender knows, and the time since the
+  /// store itself last answered it; zero if the sender knows none.
+  StoreVersion m_StoreVersion{};
   Duration m_StoreAnswerAge{};
 
   std::string encode() const;
--- a/src/store/PeerItems.cpp
+++ b/src/store/PeerItems.cpp
@@ -17,7 +17,8 @@
         {Item.m_Key, Item.m_Value, Item.m_Revision, Item.m_IsDeleted});
   std::vector<std::uint8_t> Bytes =
       json::to_cbor(json{{"items", Items},
-                         {"at", m_Revision},
+                         {"at", m_Version.m_Revision},
+                         {"era", m_Version.m_Era},
                          {"complete", m_IsComplete},
                          {"age_us", m_Age.count()}});
   return {Bytes.begin(), Bytes.end()};
@@ -34,7 +35,10 @@
       !HasField("age_us", &json::is_number_integer))
     return std::nullopt;
   PeerItems Result;
-  Result.m_Revision = Root["at"].get<std::uint64_t>();
+  Result.m_Version.m_Revision = Root["at"].get<std::uint64_t>();
+  // VMs of earlier versions tell no era.
+  if (HasField("era", &json::is_number_unsigned))
+    Result.m_Version.m_Era = Root["era"].get<std::uint64_t>();
   Result.m_IsComplete = Root["complete"].get<bool>();
   Result.m_Age = Duration(Root["age_us"].get<std::int64_t>());
   for (const json &Entry : Root["items"]) {
@@ -51,25 +55,35 @@
 
 StoreCall PeerItemsCall::call() const {
   return {"GET",
-          PathPrefix + std::to_string(m_Revision) + "/" +
-              std::to_string(m_Wait.count()),
+          PathPrefix + std::to_string(m_Version.m_Revision) + "/" +
+              std::to_string(m_Wait.count()) + "/" +
+              std::to_string(m_Version.m_Era),
           ""};
 }
 
+// The era is missing in calls of VMs of earlier versions.
 std::optional<PeerItemsCall> PeerItemsCall::parse(const std::string &Target) {
   if (Target.compare(0, PathPrefix.size(), PathPrefix) != 0)
     return std::nullopt;
-  PeerItemsCall Call;
+  std::uint64_t Numbers[3] = {};
+  std::size_t Count = 0;
+  const char *At = Target.data() + PathPrefix.size();
   const char *End = Target.data() + Target.size();
-  auto [Slash, Error] =
-      std::from_chars(Target.data() + PathPrefix.size(), End, Call.m_Revision);
-  if (Error != std::errc() || Slash == End || *Slash != '/')
-    return std::nullopt;
-  std::int64_t Wait = 0;
-  auto [Last, WaitError] = std::from_chars(Slash + 1, End, Wait);
-  if (WaitError != std::errc() || Last != End || Wait < 0)
+  while (Count < std::size(Numbers)) {
+    auto [Next, Error] = std::from_chars(At, End, Numbers[Count++]);
+    if (Error != std::errc())
+      return std::nullopt;
+    At = Next;
+    if (At == End || *At != '/')
+      break;
+    ++At;
+  }
+  if (At != End || Count < 2 || Target.back() == '/' ||
+      Numbers[1] > static_cast<std::uint64_t>(Duration::max().count()))
     return std::nullopt;
-  Call.m_Wait = Duration(Wait);
+  PeerItemsCall Call;
+  Call.m_Version = {Numbers[2], Numbers[0]};
+  Call.m_Wait = Duration(static_cast<std::int64_t>(Numbers[1]));
   return Call;
 }
 
--- a/src/store/PeerItems.h
+++ b/src/store/PeerItems.h
@@ -8,8 +8,8 @@
 /// The store items that one VM sends to another one on request.
 struct PeerItems {
   std::vector<StoreItem> m_Items;
-  std::uint64_t m_Revision = 0;
-  /// True: all items of m_Revision. False: only the changes since the revision
+  StoreVersion m_Version;
+  /// True: all items of m_Version. False: only the changes since the version
   /// in the request.
   bool m_IsComplete = false;
   /// Time since the store last answered, as far as the sender knows.
@@ -20,10 +20,10 @@
   static std::optional<PeerItems> decode(const std::string &Bytes);
 };
 
-/// A call that requests from another VM the items after a revision. The other
+/// A call that requests from another VM the items after a version. The other
 /// VM answers after at most m_Wait if there are none (long poll).
 struct PeerItemsCall {
-  std::uint64_t m_Revision = 0;
+  StoreVersion m_Version;
   Duration m_Wait{};
 
   StoreCall call() const;
--- a/src/store/StoreProtocol.h
+++ b/src/store/StoreProtocol.h
@@ -5,6 +5,7 @@
 
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace parsleyring {
@@ -17,6 +18,24 @@
   bool m_IsDeleted = false;
 };
 
+/// A point in the history of the store. The store begins a new era with each
+/// restoration from an older copy, and then gives revisions out again, so that
+/// revisions of different eras cannot be compared.
+struct StoreVersion {
+  std::uint64_t m_Era = 0; ///< 0 if unknown.
+  std::uint64_t m_Revision = 0;
+
+  bool operator==(const StoreVersion &Other) const {
+    return m_Era == Other.m_Era && m_Revision == Other.m_Revision;
+  }
+  bool operator!=(const StoreVersion &Other) const { return !(*this == Other); }
+  bool operator<(const StoreVersion &Other) const {
+    return std::tie(m_Era, m_Revision) <
+           std::tie(Other.m_Era, Other.m_Revision);
+  }
+  bool operator<=(const StoreVersion &Other) const { return !(Other < *this); }
+};
+
 /// True if Key begins with Prefix, as all keys of one kind do.
 inline bool hasPrefix(std::string_view Key, std::string_view Prefix) {
   return Key.substr(0, Prefix.size()) == Prefix;
--- a/src/store/StoreWatcher.cpp
+++ b/src/store/StoreWatcher.cpp
@@ -66,29 +66,33 @@
   return true;
 }
 
-// Ends a poll that the store itself has answered.
-bool StoreWatcher::acceptStoreAnswer(std::uint64_t Poll) {
+// 0 if the answer does not tell.
+std::uint64_t StoreWatcher::eraOf(const CallReply &Reply) const {
+  std::string Text = Reply.m_Head.field(m_Protocol.eraHeader());
+  std::uint64_t Era = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Era);
+  bool IsNumber = Error == std::errc() && End == Text.data() + Text.size();
+  return IsNumber ? Era : 0;
+}
+
+// Ends a poll that the store itself has answered. An answer of an older era,
+// which was sent before the restoration, does not end it.
+bool StoreWatcher::acceptStoreAnswer(std::uint64_t Poll,
+                                     const CallReply &Reply) {
+  std::uint64_t Era = eraOf(Reply);
+  if (Era < m_NewestEra) {
+    failPoll(Poll);
+    return false;
+  }
   if (!endPoll(Poll))
     return false;
+  m_NewestEra = Era;
   m_LastStoreAnswerAt = m_Now();
   markAvailable();
   return true;
 }
 
-// The store begins a new era with each restoration from an older copy.
-void StoreWatcher::noteEra(const CallReply &Reply, std::uint64_t Revision) {
-  std::string Text = Reply.m_Head.field(m_Protocol.eraHeader());
-  std::uint64_t Era = 0;
-  auto [End, Error] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Era);
-  if (Error != std::errc() || End != Text.data() + Text.size() || Era <= m_Era)
-    return;
-  bool IsFirst = m_Era == 0;
-  m_Era = Era;
-  if (!IsFirst)
-    m_Observer.storeRestored(Era, Revision);
-}
-
 // The failure of an older poll tells nothing about the newest one.
 void StoreWatcher::failPoll(std::uint64_t Poll) {
   if (Poll == m_NewestPoll && m_IsPolling)
@@ -184,13 +188,17 @@
     failPoll(Poll);
     return;
   }
-  if (!acceptStoreAnswer(Poll))
+  if (!acceptStoreAnswer(Poll, Reply))
     return;
-  noteEra(Reply, Page->m_Revision);
+  StoreVersion Version{eraOf(Reply), Page->m_Revision};
   // The pages are not one snapshot, so the watch starts at the revision of the
-  // first page.
-  if (Pages->m_Revision == 0)
-    Pages->m_Revision = Page->m_Revision;
+  // first page. Pages of an older era are of no use.
+  if (Pages->m_Version.m_Era != Version.m_Era && !Pages->m_Items.empty()) {
+    pollNext();
+    return;
+  }
+  if (Pages->m_Version == StoreVersion())
+    Pages->m_Version = Version;
   std::string Last;
   for (StoreItem &Item : Page->m_Items) {
     Last = Item.m_Key;
@@ -200,47 +208,53 @@
     loadPage(Pages, Last);
     return;
   }
-  replaceAll(std::move(Pages->m_Items), Pages->m_Revision);
-  confirm(Page->m_Revision, m_Now());
-  pollNext();
+  bool IsSuperseded = Pages->m_Version < m_Version;
+  replaceAll(std::move(Pages->m_Items), Pages->m_Version);
+  confirm(Version, m_Now());
+  // Without the delay, a store that goes back without a new era would be asked
+  // again and again.
+  if (IsSuperseded)
+    schedulePoll(fractionOf(m_MaxApplyDelay, BatchingFraction));
+  else
+    pollNext();
 }
 
 void StoreWatcher::watch() {
   Duration Wait = pollWait();
-  std::uint64_t WatchedRevision = m_Revision;
+  StoreVersion Watched = m_Version;
   std::uint64_t Poll = beginPoll(Wait);
-  m_Client.call(m_StoreAddress, m_Protocol.watchCall("", WatchedRevision, Wait),
-                Wait + LateAnswerTime,
-                [this, WatchedRevision, Poll](const CallReply &Reply) {
-                  handleChanges(Reply, WatchedRevision, Poll);
-                });
+  m_Client.call(
+      m_StoreAddress, m_Protocol.watchCall("", Watched.m_Revision, Wait),
+      Wait + LateAnswerTime, [this, Watched, Poll](const CallReply &Reply) {
+        handleChanges(Reply, Watched, Poll);
+      });
 }
 
 void StoreWatcher::handleChanges(const CallReply &Reply,
-                                 std::uint64_t WatchedRevision,
+                                 const StoreVersion &Watched,
                                  std::uint64_t Poll) {
-  if (Reply.m_Status == 410) {
-    if (!acceptStoreAnswer(Poll))
-      return;
-    m_MustReload = true;
-    pollNext();
-    return;
-  }
   std::optional<StorePage> Changes;
   if (Reply.isOk())
     Changes = m_Protocol.parseChanges(Reply.m_Body);
-  if (!Changes) {
+  if (!Changes && Reply.m_Status != 410) {
     failPoll(Poll);
     return;
   }
-  if (!acceptStoreAnswer(Poll))
+  if (!acceptStoreAnswer(Poll, Reply))
+    return;
+  // In a new era, the changes since the known revision are not those that this
+  // VM lacks.
+  if (!Changes || m_NewestEra != Watched.m_Era) {
+    m_MustReload = true;
+    pollNext();
     return;
-  noteEra(Reply, Changes->m_Revision);
+  }
   // Items from a peer may already be newer than this reply.
-  bool IsSuperseded = WatchedRevision < m_Revision;
+  StoreVersion Version{m_NewestEra, Changes->m_Revision};
+  bool IsSuperseded = Watched < m_Version;
   bool HasChanges =
       !IsSuperseded && applyChanges(Changes->m_Items, Changes->m_Revision);
-  confirm(Changes->m_Revision, m_Now());
+  confirm(Version, m_Now());
   if (HasChanges)
     schedulePoll(fractionOf(m_MaxApplyDelay, BatchingFraction));
   else
@@ -265,40 +279,42 @@
   return confirmationAge() <= fractionOf(m_MaxApplyDelay, MaxAgeFraction);
 }
 
-// Revision was the newest one at the time At. That says nothing about the known
-// items if they are older.
-void StoreWatcher::confirm(std::uint64_t Revision, Time At) {
-  if (Revision <= m_Revision)
+// Version was the newest one at the time At. That says nothing about the known
+// items if they are older, or about a newer era.
+void StoreWatcher::confirm(const StoreVersion &Version, Time At) {
+  if (Version.m_Era == m_NewestEra && Version <= m_Version)
     m_ConfirmedAt = std::max(m_ConfirmedAt, At);
   updateFreshness();
 }
 
 bool StoreWatcher::isBehindPeer() const {
-  return m_ReportedRevision > m_Revision &&
+  return m_Version < m_ReportedVersion &&
          m_Now() - m_BehindSince >= fractionOf(m_MaxApplyDelay, BehindFraction);
 }
 
 void StoreWatcher::updateFreshness() {
   bool IsFresh = isFresh() && !isBehindPeer();
-  if (IsFresh == m_WasFresh || m_Revision == 0)
+  if (IsFresh == m_WasFresh || m_Version == StoreVersion())
     return;
   m_WasFresh = IsFresh;
   m_Observer.freshnessChanged(IsFresh, confirmationAge(),
-                              std::max(m_Revision, m_ReportedRevision));
+                              std::max(m_Version, m_ReportedVersion));
 }
 
-void StoreWatcher::noteReport(std::uint64_t Revision, Duration Age,
+void StoreWatcher::noteReport(const StoreVersion &Version, Duration Age,
                               const std::string &PeerAddress) {
   Time Now = m_Now();
-  if (Revision <= m_Revision) {
+  if (Version.m_Era < m_NewestEra)
+    return;
+  if (Version <= m_Version) {
     Time ConfirmedAt = Now - Age;
     m_LastReportAt = std::max(m_LastReportAt, ConfirmedAt);
-    confirm(Revision, ConfirmedAt);
+    confirm(Version, ConfirmedAt);
     return;
   }
-  if (m_ReportedRevision <= m_Revision)
+  if (m_ReportedVersion <= m_Version)
     m_BehindSince = Now;
-  m_ReportedRevision = std::max(m_ReportedRevision, Revision);
+  m_ReportedVersion = std::max(m_ReportedVersion, Version);
   m_ReportingPeer = PeerAddress;
 }
 
@@ -322,7 +338,7 @@
 void StoreWatcher::pollRelay() {
   std::vector<std::string> Relays = m_Observer.relayAddresses();
   const std::string &Relay = Relays[m_NextRelay % Relays.size()];
-  PeerItemsCall Call{m_Revision, pollWait()};
+  PeerItemsCall Call{m_Version, pollWait()};
   std::uint64_t Poll = beginPoll(Call.m_Wait);
   m_IsPollingRelay = true;
   m_Client.call(
@@ -348,10 +364,10 @@
     return;
   m_RelayFailures = 0;
   markAvailable();
-  std::uint64_t Revision = Items->m_Revision;
+  StoreVersion Version = Items->m_Version;
   Time ConfirmedAt = m_Now() - Items->m_Age;
   bool HasChanges = applyPeerItems(std::move(*Items));
-  confirm(Revision, ConfirmedAt);
+  confirm(Version, ConfirmedAt);
   if (HasChanges)
     schedulePoll(fractionOf(m_MaxApplyDelay, BatchingFraction));
   else
@@ -369,17 +385,17 @@
 }
 
 void StoreWatcher::askPeer(const std::string &Address) {
-  m_Client.call(Address, PeerItemsCall{m_Revision, Duration::zero()}.call(),
+  m_Client.call(Address, PeerItemsCall{m_Version, Duration::zero()}.call(),
                 PeerTimeout, [this](const CallReply &Reply) {
                   std::optional<PeerItems> Items;
                   if (Reply.isOk())
                     Items = PeerItems::decode(Reply.m_Body);
                   if (!Items)
                     return;
-                  std::uint64_t Revision = Items->m_Revision;
+                  StoreVersion Version = Items->m_Version;
                   Time ConfirmedAt = m_Now() - Items->m_Age;
                   applyPeerItems(std::move(*Items));
-                  confirm(Revision, ConfirmedAt);
+                  confirm(Version, ConfirmedAt);
                 });
 }
 
@@ -401,32 +417,38 @@
 
 // Returns true if the items were newer than the known ones.
 bool StoreWatcher::applyPeerItems(PeerItems Items) {
-  if (Items.m_Revision <= m_Revision)
+  const StoreVersion &Version = Items.m_Version;
+  if (Version <= m_Version || Version.m_Era < m_NewestEra)
     return false;
   if (!Items.m_IsComplete)
-    return applyChanges(Items.m_Items, Items.m_Revision);
+    return Version.m_Era == m_Version.m_Era &&
+           applyChanges(Items.m_Items, Version.m_Revision);
+  m_NewestEra = Version.m_Era;
   std::map<std::string, StoreItem> All;
   for (StoreItem &Item : Items.m_Items) {
     std::string Key = Item.m_Key;
     All[Key] = std::move(Item);
   }
-  replaceAll(std::move(All), Items.m_Revision);
+  replaceAll(std::move(All), Version);
   return true;
 }
 
 // Items
 
 void StoreWatcher::replaceAll(std::map<std::string, StoreItem> Items,
-                              std::uint64_t Revision) {
+                              const StoreVersion &Version) {
   m_MustReload = false;
-  // A peer may have sent a later revision while the pages were read.
-  if (Revision < m_Revision)
+  // A peer may have sent a later version while the pages were read.
+  if (Version < m_Version)
     return;
+  bool IsRestored = m_Version.m_Era != 0 && m_Version.m_Era != Version.m_Era;
+  if (IsRestored)
+    m_Observer.storeRestored(Version);
   m_Items = std::move(Items);
-  m_Revision = Revision;
+  m_Version = Version;
   m_Changes.clear();
-  m_ChangesBaseRevision = Revision;
-  m_Observer.itemsReloaded(m_Items);
+  m_ChangesBaseRevision = Version.m_Revision;
+  m_Observer.itemsReloaded(m_Items, IsRestored);
   m_Observer.revisionChanged();
 }
 
@@ -450,26 +472,36 @@
         std::max(m_ChangesBaseRevision, m_Changes.front().m_Revision);
     m_Changes.pop_front();
   }
-  m_Revision = std::max(m_Revision, Revision);
+  m_Version.m_Revision = std::max(m_Version.m_Revision, Revision);
   if (!Changes.empty())
     m_Observer.revisionChanged();
   return !Changes.empty();
 }
 
-PeerItems StoreWatcher::itemsSince(std::uint64_t Revision) const {
+// A VM of an earlier version tells no era. It knows the items of this era
+// unless the store has been restored since.
+StoreVersion StoreWatcher::withEra(StoreVersion Known) const {
+  if (Known.m_Era == 0)
+    Known.m_Era = m_Version.m_Era;
+  return Known;
+}
+
+PeerItems StoreWatcher::itemsSince(const StoreVersion &Version) const {
   PeerItems Result;
-  Result.m_Revision = m_Revision;
+  Result.m_Version = m_Version;
   Result.m_Age = confirmationAge();
-  if (m_Revision <= Revision)
+  if (!hasNewerThan(Version))
     return Result;
-  Result.m_IsComplete = Revision < m_ChangesBaseRevision;
+  StoreVersion Known = withEra(Version);
+  Result.m_IsComplete = Known.m_Era != m_Version.m_Era ||
+                        Known.m_Revision < m_ChangesBaseRevision;
   if (Result.m_IsComplete) {
     for (const auto &[Key, Item] : m_Items)
       Result.m_Items.push_back(Item);
     return Result;
   }
   for (const Change &Entry : m_Changes) {
-    if (Entry.m_Revision <= Revision)
+    if (Entry.m_Revision <= Known.m_Revision)
       continue;
     auto Found = m_Items.find(Entry.m_Key);
     if (Found == m_Items.end())
--- a/src/store/StoreWatcher.h
+++ b/src/store/StoreWatcher.h
@@ -19,18 +19,22 @@
   virtual void itemChanged(const StoreItem &Item) = 0;
   virtual void itemDeleted(const std::string &Key) = 0;
   /// All items have been read again; keys that are not in Items are deleted.
-  virtual void itemsReloaded(const std::map<std::string, StoreItem> &Items) = 0;
+  /// IsRestored: they are the first ones of a new era. Writes that the store
+  /// had accepted shortly before may be missing, and are repeated by their
+  /// writers.
+  virtual void itemsReloaded(const std::map<std::string, StoreItem> &Items,
+                             bool IsRestored) = 0;
   /// The known items have a new revision.
   virtual void revisionChanged() = 0;
   /// The store has become available, after an outage of OutageTime (0 at
   /// start), or unavailable.
   virtual void availabilityChanged(bool IsAvailable, Duration OutageTime) = 0;
-  /// The store has been restored from an older copy, which has Revision.
-  virtual void storeRestored(std::uint64_t Era, std::uint64_t Revision) = 0;
+  /// The store has been restored from an older copy, which has this version.
+  virtual void storeRestored(const StoreVersion &Version) = 0;
   /// The items may no longer be the newest ones, or are known to be so again.
-  /// KnownRevision is the newest revision that any VM has reported.
+  /// Newest is the newest version that any VM has reported.
   virtual void freshnessChanged(bool IsFresh, Duration ConfirmationAge,
-                                std::uint64_t KnownRevision) = 0;
+                                const StoreVersion &Newest) = 0;
   /// Peer addresses of other VMs that may know newer items, preferred ones
   /// first.
   virtual std::vector<std::string> peerAddresses() const = 0;
@@ -47,6 +51,10 @@
 /// relay answers with recent data, the VM asks the store itself; while the
 /// store does not answer either, it asks any other VM.
 ///
+/// The store may be restored from an older copy, which begins a new era. Items
+/// of an older era are kept until all items of the new one have been read, and
+/// no answer of an older era is used any more.
+///
 /// The items count as fresh while the store, a relay or the report of another
 /// VM has confirmed recently that there are no newer ones. A poll that gets no
 /// answer in time is followed by another one on a further connection, and the
@@ -64,9 +72,9 @@
   /// Starts another poll if the current one is overdue or the items are not
   /// fresh. To be called several times per MaxApplyDelay.
   void tick();
-  /// Notes that the VM at PeerAddress knows Revision, and that the store told
-  /// it Age ago that there is no newer one.
-  void noteReport(std::uint64_t Revision, Duration Age,
+  /// Notes that the VM at PeerAddress knows Version, and that the store told it
+  /// Age ago that there is no newer one.
+  void noteReport(const StoreVersion &Version, Duration Age,
                   const std::string &PeerAddress);
   bool isAvailable() const { return m_IsAvailable; }
   /// True if the items were the newest ones recently enough for this VM and
@@ -76,9 +84,14 @@
   Duration confirmationAge() const { return m_Now() - m_ConfirmedAt; }
   /// Time since the last answer of the store to this VM itself.
   Duration storeAnswerAge() const { return m_Now() - m_LastStoreAnswerAt; }
-  std::uint64_t revision() const { return m_Revision; }
-  /// The items to send to a peer that knows those up to Revision.
-  PeerItems itemsSince(std::uint64_t Revision) const;
+  /// Version of the known items.
+  const StoreVersion &version() const { return m_Version; }
+  /// True if the known items are newer than those of a peer that knows Known.
+  bool hasNewerThan(const StoreVersion &Known) const {
+    return withEra(Known) < m_Version;
+  }
+  /// The items to send to a peer that knows those up to Version.
+  PeerItems itemsSince(const StoreVersion &Version) const;
 
 private:
   /// A change of a key.
@@ -90,22 +103,23 @@
   /// The pages read so far by a reload of all items.
   struct Reload {
     std::map<std::string, StoreItem> m_Items;
-    std::uint64_t m_Revision = 0;
+    StoreVersion m_Version;
   };
 
+  StoreVersion withEra(StoreVersion Known) const;
   void pollNext();
   void schedulePoll(Duration Delay);
   std::uint64_t beginPoll(Duration Wait);
   bool endPoll(std::uint64_t Poll);
-  bool acceptStoreAnswer(std::uint64_t Poll);
-  void noteEra(const CallReply &Reply, std::uint64_t Revision);
+  bool acceptStoreAnswer(std::uint64_t Poll, const CallReply &Reply);
+  std::uint64_t eraOf(const CallReply &Reply) const;
   void failPoll(std::uint64_t Poll);
   Duration pollWait() const;
   void loadPage(const std::shared_ptr<Reload> &Pages, const std::string &After);
   void handlePage(const std::shared_ptr<Reload> &Pages, const CallReply &Reply,
                   std::uint64_t Poll);
   void watch();
-  void handleChanges(const CallReply &Reply, std::uint64_t WatchedRevision,
+  void handleChanges(const CallReply &Reply, const StoreVersion &Watched,
                      std::uint64_t Poll);
   void pollRelay();
   void handleRelayReply(const CallReply &Reply, std::uint64_t Poll);
@@ -114,10 +128,10 @@
   bool applyChanges(const std::vector<StoreItem> &Changes,
                     std::uint64_t Revision);
   void replaceAll(std::map<std::string, StoreItem> Items,
-                  std::uint64_t Revision);
+                  const StoreVersion &Version);
   void handleFailure();
   void markAvailable();
-  void confirm(std::uint64_t Revision, Time At);
+  void confirm(const StoreVersion &Version, Time At);
   bool isBehindPeer() const;
   void updateFreshness();
   void askNewerPeer();
@@ -137,8 +151,8 @@
   std::deque<Change> m_Changes; ///< The latest changes, for peers.
   /// Revision before the oldest of m_Changes.
   std::uint64_t m_ChangesBaseRevision = 0;
-  std::uint64_t m_Revision = 0;
-  std::uint64_t m_Era = 0; ///< 0 before the store has told one.
+  StoreVersion m_Version;        ///< Of m_Items; zero before they are read.
+  std::uint64_t m_NewestEra = 0; ///< That the store or a peer has told.
   bool m_MustReload = true;
   bool m_IsAvailable = false;
   bool m_IsPollingPeers = false;
@@ -161,9 +175,9 @@
   Time m_LastStoreAnswerAt{};
   Time m_ConfirmedAt{}; ///< When the items were known to be the newest ones.
   bool m_WasFresh = true;
-  /// Newest revision that another VM has reported, where, and since when this
-  /// VM has not had it.
-  std::uint64_t m_ReportedRevision = 0;
+  /// Newest version that another VM has reported, where, and since when this VM
+  /// has not had it.
+  StoreVersion m_ReportedVersion;
   std::string m_ReportingPeer;
   Time m_BehindSince{};
   Time m_NextQuestionAt{};
--- a/src/store/VMDirectory.cpp
+++ b/src/store/VMDirectory.cpp
@@ -10,6 +10,20 @@
 // itself.
 static constexpr std::size_t MaxDirectWatchers = 4;
 
+void VMDirectory::noteRestored(Time Now) {
+  m_RestoredAt = Now;
+  for (const auto &[Key, VM] : m_VMs)
+    m_Unconfirmed.insert(Key);
+}
+
+void VMDirectory::expire(Time Now) {
+  if (Now - m_RestoredAt < RestorationGracePeriod)
+    return;
+  for (const std::string &Key : m_Unconfirmed)
+    m_VMs.erase(Key);
+  m_Unconfirmed.clear();
+}
+
 std::size_t VMDirectory::sizeOfOwnDomain() const {
   return std::count_if(m_VMs.begin(), m_VMs.end(), [this](const auto &Listed) {
     return Listed.second.m_FailureDomain == m_Self.m_FailureDomain;
--- a/src/store/VMDirectory.h
+++ b/src/store/VMDirectory.h
@@ -18,9 +18,23 @@
   VMDirectory(ListedVM Self, std::vector<std::string> SeedAddresses)
       : m_Self(std::move(Self)), m_SeedAddresses(std::move(SeedAddresses)) {}
 
-  void list(const std::string &Key, const ListedVM &VM) { m_VMs[Key] = VM; }
-  void unlist(const std::string &Key) { m_VMs.erase(Key); }
-  void clear() { m_VMs.clear(); }
+  void list(const std::string &Key, const ListedVM &VM) {
+    m_VMs[Key] = VM;
+    m_Unconfirmed.erase(Key);
+  }
+  void unlist(const std::string &Key) {
+    m_VMs.erase(Key);
+    m_Unconfirmed.erase(Key);
+  }
+  void clear() {
+    m_VMs.clear();
+    m_Unconfirmed.clear();
+  }
+  /// The list has been restored from an older copy. VMs that are not listed in
+  /// it stay for RestorationGracePeriod, in which they list themselves again.
+  void noteRestored(Time Now);
+  /// Removes the VMs that did not.
+  void expire(Time Now);
 
   std::size_t size() const { return m_VMs.size(); }
   std::size_t sizeOfOwnDomain() const;
@@ -45,10 +59,15 @@
   /// True if another VM of this VM's failure domain has this IP address.
   bool isDomainPeer(const std::string &Host) const;
 
+  static constexpr Duration RestorationGracePeriod = std::chrono::seconds(5);
+
 private:
   const ListedVM m_Self;
   const std::vector<std::string> m_SeedAddresses;
   std::map<std::string, ListedVM> m_VMs; ///< By key, and so by name.
+  /// Keys of m_VMs that were listed before a restoration only.
+  std::set<std::string> m_Unconfirmed;
+  Time m_RestoredAt{};
 };
 
 } // namespace parsleyring
--- a/src/store/VMLease.cpp
+++ b/src/store/VMLease.cpp
@@ -14,6 +14,8 @@
 // The leader gives up leadership this long before its lease can expire.
 static constexpr Duration LeaseMargin = std::chrono::seconds(1);
 static constexpr Duration CallTimeout = std::chrono::milliseconds(1500);
+// Spreads the calls of many VMs after the store has been restored.
+static constexpr Duration MaxRestorationDelay = std::chrono::milliseconds(600);
 
 VMLease::VMLease(boost::asio::io_context &Loop, StoreClient &Client,
                  const StoreProtocol &Protocol, std::function<Time()> Now,
@@ -22,7 +24,7 @@
       m_StoreAddress(std::move(StoreAddress)), m_Self(std::move(Self)),
       m_Incarnation(m_Self.m_Name + " " +
                     std::to_string(m_Now().time_since_epoch().count())),
-      m_Timer(Loop) {}
+      m_Timer(Loop), m_Random(std::random_device{}()) {}
 
 std::string VMLease::encodeEntry(const ListedVM &VM) {
   return nlohmann::json{{"name", VM.m_Name},
@@ -60,9 +62,23 @@
     claimLeadership();
 }
 
+void VMLease::noteRestored() {
+  Time Now = m_Now();
+  // The leader of before may not have heard of the restoration yet.
+  if (m_Leader != m_Incarnation)
+    m_MayLeadFrom = Now + TimeToLive;
+  m_IsClaimOutdated = true;
+  m_Lease = 0;
+  m_IsListed = false;
+  if (m_IsStopped)
+    return;
+  // All VMs hear of it at about the same time.
+  scheduleStep(Duration(m_Random() % MaxRestorationDelay.count()));
+}
+
 bool VMLease::isLeader(Time Now) const {
-  return m_IsLeaderKnown && m_Leader == m_Incarnation && m_Lease != 0 &&
-         Now - m_ConfirmedAt < TimeToLive - LeaseMargin;
+  return Now >= m_MayLeadFrom && m_IsLeaderKnown && m_Leader == m_Incarnation &&
+         m_Lease != 0 && Now - m_ConfirmedAt < TimeToLive - LeaseMargin;
 }
 
 void VMLease::scheduleStep(Duration Delay) {
@@ -141,12 +157,17 @@
 // Claims leadership if there is no leader, or if the leader is an earlier
 // process of this VM, which has ended.
 void VMLease::claimLeadership() {
-  if (!m_IsLeaderKnown || m_Leader == m_Incarnation || m_IsStopped)
+  if (!m_IsLeaderKnown || m_IsStopped || m_Lease == 0 ||
+      m_Now() < m_MayLeadFrom)
+    return;
+  bool IsOwn = m_Leader == m_Incarnation;
+  if (IsOwn && !m_IsClaimOutdated)
     return;
   bool IsOwnEarlier =
       m_Leader.compare(0, m_Self.m_Name.size() + 1, m_Self.m_Name + " ") == 0;
   if (!m_Leader.empty() && !IsOwnEarlier)
     return;
+  m_IsClaimOutdated = false;
   StorePut Put;
   Put.m_Key = LeaderKey;
   Put.m_Value = m_Incarnation;
--- a/src/store/VMLease.h
+++ b/src/store/VMLease.h
@@ -3,7 +3,7 @@
 
 #include "store/StoreClient.h"
 
-#include <map>
+#include <random>
 
 namespace parsleyring {
 
@@ -31,8 +31,11 @@
   /// Records the leader key as read from the store; Revision is 0 if it is
   /// absent.
   void noteLeader(const std::string &Leader, std::uint64_t Revision);
+  /// The store has been restored from an older copy, so that the lease may be
+  /// gone, or be that of another VM by now. Takes a new one after a short time.
+  void noteRestored();
   bool isLeader(Time Now) const;
-  /// Grows with each change of the leader.
+  /// Grows with each change of the leader within an era of the store.
   std::uint64_t fencingToken() const { return m_LeaderRevision; }
 
   static const std::string VMPrefix;
@@ -55,11 +58,16 @@
   const ListedVM m_Self;
   std::string m_Incarnation; ///< Value of the leader key for this process.
   boost::asio::steady_timer m_Timer;
+  std::minstd_rand m_Random;
   std::uint64_t m_Lease = 0;
   Time m_ConfirmedAt{}; ///< When the last confirmed renewal was sent.
   bool m_IsListed = false;
   bool m_IsStopped = false;
   bool m_IsLeaderKnown = false;
+  /// The leader key is this VM's, but belongs to a lease of an earlier era.
+  bool m_IsClaimOutdated = false;
+  /// This VM does not become the leader before.
+  Time m_MayLeadFrom{};
   std::string m_Leader;
   std::uint64_t m_LeaderRevision = 0;
 };
--- a/tests/fleet/FleetTableTest.cpp
+++ b/tests/fleet/FleetTableTest.cpp
@@ -156,4 +156,54 @@
   CHECK(!m_Fleet.find("a")->m_Limit.rate());
 }
 
+// Guards against an endpoint that is leaving, or has left, and is used again
+// since the list has been restored from an older copy.
+TEST(FleetTable, RestoredListDoesNotBringBackEndpointsThatLeft) {
+  EndpointEntry Draining = entry("draining");
+  Draining.m_State = EndpointState::Draining;
+  m_Fleet.list(Draining, m_Now);
+  m_Fleet.list(entry("gone"), m_Now);
+  m_Fleet.unlist("gone", m_Now);
+  m_Fleet.list(entry("lapsed"), m_Now);
+  m_Fleet.unlist("lapsed", m_Now);
+  m_Fleet.beginRestoration();
+  for (const char *Id : {"draining", "gone", "lapsed"})
+    m_Fleet.list(entry(Id), m_Now + 1s);
+  m_Fleet.endRestoration();
+  CHECK(!m_Fleet.find("draining")->canServe(m_Now + 1s));
+  CHECK(!m_Fleet.find("gone"));
+  // The store removes the entry of an endpoint that has ended.
+  m_Fleet.unlist("gone", m_Now + 3s);
+  m_Fleet.expire(m_Now + 10s);
+  CHECK(!m_Fleet.find("gone"));
+  CHECK(!m_Fleet.find("draining")->canServe(m_Now + 10s));
+  CHECK(m_Fleet.find("lapsed")->canServe(m_Now + 10s));
+}
+
+// Guards against a live endpoint that stays out after a restoration.
+TEST(FleetTable, EndpointThatIsListedAnewIsUsedAfterARestoration) {
+  m_Fleet.list(entry("a"), m_Now);
+  m_Fleet.unlist("a", m_Now);
+  m_Fleet.beginRestoration();
+  m_Fleet.list(entry("a"), m_Now + 1s);
+  m_Fleet.list(entry("b"), m_Now + 1s);
+  m_Fleet.endRestoration();
+  CHECK(m_Fleet.find("b")->canServe(m_Now + 1s));
+  m_Fleet.list(entry("a", 2), m_Now + 2s);
+  CHECK(m_Fleet.find("a")->canServe(m_Now + 2s));
+}
+
+// Guards against an entry that the next restoration, or a reload of the list,
+// no longer has.
+TEST(FleetTable, DeferredEntryIsDroppedWithTheList) {
+  m_Fleet.list(entry("a"), m_Now);
+  m_Fleet.unlist("a", m_Now);
+  m_Fleet.beginRestoration();
+  m_Fleet.list(entry("a"), m_Now + 1s);
+  m_Fleet.endRestoration();
+  m_Fleet.unlistAllExcept({}, m_Now + 2s);
+  m_Fleet.expire(m_Now + 10s);
+  CHECK(!m_Fleet.find("a"));
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/store/VMDirectoryTest.cpp
+++ b/tests/store/VMDirectoryTest.cpp
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace parsleyring;
+using namespace std::chrono_literals;
 
 static VMDirectory directoryOf(const std::string &Self, int VMsInDomain) {
   VMDirectory Directory({Self, "10.1.0." + Self + ":1", "a"},
@@ -84,4 +85,19 @@
   CHECK(!Directory.isDomainPeer("10.1.0"));
 }
 
+// Guards against VMs that no longer reach each other since the list was
+// restored from a copy that lacks them, and against VMs that stay listed for
+// ever.
+TEST(VMDirectory, VMsStayListedForAShortTimeAfterARestoration) {
+  const Time Now{1000s};
+  VMDirectory Directory = directoryOf("1", 3);
+  Directory.noteRestored(Now);
+  Directory.list("k2", {"2", "10.1.0.2:1", "a"});
+  Directory.expire(Now + 2s);
+  LONGS_EQUAL(2, Directory.domainPeers().size());
+  Directory.expire(Now + VMDirectory::RestorationGracePeriod);
+  LONGS_EQUAL(1, Directory.size());
+  STRCMP_EQUAL("2", Directory.domainPeers().front().m_Name.c_str());
+}
+
 PARSLEYRING_TEST_MAIN
