Show that crash reports outlive a restoration of the store

Crash reports that the copy lacks are written again by the VMs that made them, so that a VM which starts later knows them.

--- a/tests/integration/CrashingPromptTest.cpp
+++ b/tests/integration/CrashingPromptTest.cpp
@@ -49,6 +49,11 @@
     m_Restarter.join();
   }
 
+  /// Writes the entries of all engines again.
+  void listAgain() {
+    for (const auto &Each : m_Engines)
+      list(*Each);
+  }
   int crashes() const { return m_Crashes; }
   /// Requests with CrashingPart that reached an engine.
   int crashingRequests() const { return m_CrashingRequests; }
@@ -258,6 +263,33 @@
   CHECK(Engines.crashingRequests() - RequestsBefore <= MaxLateRequests);
 }
 
+// Guards against crash reports that are lost when the store is restored from an
+// older copy: a VM that starts later would repeat the crashes.
+TEST(CrashingPrompt, CrashesStayKnownAfterARestoration) {
+  CrashingEngines Engines(m_Store, 8);
+  for (int Count = 0; Count < 3; ++Count)
+    startGateway();
+  m_Store.keepCopy();
+  for (std::size_t Gateway = 0; Gateway < m_Gateways.size(); ++Gateway)
+    LONGS_EQUAL(200, sendStream("bbbb0001", Gateway));
+  for (int Count = 0; Count < 8; ++Count) {
+    sendStream(CrashingPart, 0);
+    std::this_thread::sleep_for(100ms);
+  }
+  CHECK(Engines.crashes() > 0 && Engines.crashes() <= MaxCrashes);
+  std::this_thread::sleep_for(1s);
+  m_Store.restoreCopy();
+  Engines.listAgain();
+  std::this_thread::sleep_for(StableTime);
+  startGateway();
+  int RequestsBefore = Engines.crashingRequests();
+  for (std::size_t Gateway = 0; Gateway < m_Gateways.size(); ++Gateway)
+    for (int Count = 0; Count < 4; ++Count)
+      sendStream(CrashingPart, Gateway);
+  LONGS_EQUAL(200, sendStream("bbbb0001", m_Gateways.size() - 1));
+  CHECK(Engines.crashingRequests() - RequestsBefore <= MaxLateRequests);
+}
+
 // Guards against a part that one VM refuses although an answer that another VM
 // has seen shows that it is harmless, and against items that are misread.
 TEST(CrashingPrompt, AnswerSeenByAnotherVMReleasesAPart) {
