Move the configuration in force into a class of its own

GatewayNode held it with its revision; the next change needs more of it. Nothing else is changed: GatewayTest, StoreOutageTest and RestoredStoreTest pass.

--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -66,7 +66,7 @@
   void
   handleRequest(CallerRequest,
                 const std::shared_ptr<CallerConnection> &Connection) override {
-    bool IsReady = m_Node.m_Table && !m_Node.isStopping();
+    bool IsReady = m_Node.m_Configuration.table() && !m_Node.isStopping();
     Connection->answer(IsReady ? 200 : 503, {}, "");
   }
 };
@@ -147,10 +147,10 @@
                          const RecordFormat &Records)
     : m_Settings(std::move(Settings)), m_Protocol(Endpoints),
       m_Records(Records), m_Log(STDOUT_FILENO, m_Settings.m_VM),
-      m_Random(std::random_device{}()), m_Self{m_Settings.m_VM,
-                                               m_Settings.m_PeerAddress,
-                                               m_Settings.m_FailureDomain,
-                                               m_Settings.m_Cores},
+      m_Random(std::random_device{}()),
+      m_Configuration(Records, m_Log, m_Metrics, [this] { return now(); }),
+      m_Self{m_Settings.m_VM, m_Settings.m_PeerAddress,
+             m_Settings.m_FailureDomain, m_Settings.m_Cores},
       m_VMs(m_Self, m_Settings.m_SeedAddresses), m_ConnectionPool(m_Loop),
       m_HttpClient(m_Loop, m_ConnectionPool, [this] { return now(); }),
       m_EndpointClient(m_HttpClient, Endpoints),
@@ -208,39 +208,41 @@
 }
 
 const CallerLimits &GatewayNode::limits() const {
-  return m_Table ? m_Table->m_Limits : m_DefaultLimits;
+  const auto &Table = m_Configuration.table();
+  return Table ? Table->m_Limits : m_DefaultLimits;
 }
 
 // Requests
 
 std::optional<GatewayNode::Refusal> GatewayNode::prepareJob(ForwardJob &Job) {
-  if (!m_Table)
+  const std::shared_ptr<const RouteTable> &Table = m_Configuration.table();
+  if (!Table)
     return Refusal{503, "no-configuration"};
-  Job.m_Table = m_Table;
+  Job.m_Table = Table;
   const CallerRequest &Request = Job.m_Request;
   if (Request.m_Target.empty() || Request.m_Target.front() != '/')
     return Refusal{400, "bad-target"};
   std::string_view Path = Request.m_Target;
   Path = Path.substr(0, Path.find('?'));
-  Job.m_Route = m_Table->find(Request.field("Host"), Path);
+  Job.m_Route = Table->find(Request.field("Host"), Path);
   if (!Job.m_Route)
     return Refusal{404, "no-route"};
   Job.m_Priority = Job.m_Route->m_Priority;
   const HeaderNames &Names = m_Protocol.headers();
   Job.m_Id = Request.field(Names.m_RequestId);
-  if (m_Table->m_HasAccounts && !Job.m_Route->m_IsAnonymous) {
+  if (Table->m_HasAccounts && !Job.m_Route->m_IsAnonymous) {
     std::string Credentials = Request.field("Authorization");
     static const std::string Scheme = "Bearer ";
     if (Credentials.compare(0, Scheme.size(), Scheme) != 0)
       return Refusal{401, "no-key"};
     auto Account =
-        m_Table->m_AccountsByKey.find(Credentials.substr(Scheme.size()));
-    if (Account == m_Table->m_AccountsByKey.end())
+        Table->m_AccountsByKey.find(Credentials.substr(Scheme.size()));
+    if (Account == Table->m_AccountsByKey.end())
       return Refusal{401, "unknown-key"};
     Job.m_Account = Account->second.m_Name;
     Job.m_Priority = Account->second.m_Priority.value_or(Job.m_Priority);
   }
-  Job.m_Service = m_Table->service(Job.m_Route->pickService(random()));
+  Job.m_Service = Table->service(Job.m_Route->pickService(random()));
   if (!Job.m_Service)
     return Refusal{503, "no-service"};
   Duration Timeout = Job.m_Route->m_Timeout;
@@ -294,11 +296,10 @@
   Caller.answer(Cause.m_Status, Fields, std::string(Cause.m_Reason) + "\n");
   m_Metrics.countRequest("refused", Cause.m_Reason,
                          now() - Request.m_ReceivedAt);
-  m_Log.write(
-      now(), "request-refused", Id,
-      {{"status", std::int64_t(Cause.m_Status)},
-       {"reason", Cause.m_Reason},
-       {"configuration", std::int64_t(m_Table ? m_Table->m_Version : 0)}});
+  m_Log.write(now(), "request-refused", Id,
+              {{"status", std::int64_t(Cause.m_Status)},
+               {"reason", Cause.m_Reason},
+               {"configuration", std::int64_t(m_Configuration.version())}});
 }
 
 void GatewayNode::handleMalformed(unsigned Status, const std::string &Reason) {
@@ -454,33 +455,6 @@
 
 // StoreObserver
 
-void GatewayNode::applyConfiguration(const StoreItem &Item) {
-  if (Item.m_Revision <= m_TableRevision)
-    return;
-  std::string Finding;
-  auto Table = m_Records.parseConfiguration(Item.m_Value, Finding);
-  m_TableRevision = Item.m_Revision;
-  if (!Table) {
-    m_Log.write(
-        now(), "configuration-rejected", "",
-        {{"revision", std::int64_t(Item.m_Revision)}, {"finding", Finding}});
-    return;
-  }
-  if (m_Table && Table->m_Version < m_Table->m_Version) {
-    m_Log.write(now(), "configuration-outdated", "",
-                {{"version", std::int64_t(Table->m_Version)},
-                 {"revision", std::int64_t(Item.m_Revision)},
-                 {"configuration", std::int64_t(m_Table->m_Version)}});
-    return;
-  }
-  m_Table = std::move(Table);
-  m_Metrics.setConfigurationVersion(m_Table->m_Version);
-  m_Log.write(now(), "configuration", "",
-              {{"version", std::int64_t(m_Table->m_Version)},
-               {"revision", std::int64_t(Item.m_Revision)},
-               {"routes", std::int64_t(m_Table->routeCount())}});
-}
-
 void GatewayNode::applyEndpointEntry(const StoreItem &Item) {
   std::string Id = Item.m_Key.substr(m_Records.endpointPrefix().size());
   std::string Finding;
@@ -515,7 +489,7 @@
 
 void GatewayNode::itemChanged(const StoreItem &Item) {
   if (Item.m_Key == m_Records.configurationKey())
-    applyConfiguration(Item);
+    m_Configuration.apply(Item);
   else if (hasPrefix(Item.m_Key, m_Records.endpointPrefix()))
     applyEndpointEntry(Item);
   else if (Item.m_Key == VMLease::LeaderKey)
@@ -567,7 +541,7 @@
 // missing are kept until their writers have had time to write them again.
 void GatewayNode::beginEra() {
   Time Now = now();
-  m_TableRevision = 0;
+  m_Configuration.noteRestored();
   m_Fleet.noteOutageEnd(Now);
   m_Fleet.beginRestoration();
   m_VMs.noteRestored(Now);
@@ -587,19 +561,19 @@
       {{"era", std::int64_t(Version.m_Era)},
        {"revision", std::int64_t(Version.m_Revision)},
        {"known_revision", std::int64_t(m_StoreWatcher.version().m_Revision)},
-       {"configuration", std::int64_t(m_Table ? m_Table->m_Version : 0)}});
+       {"configuration", std::int64_t(m_Configuration.version())}});
 }
 
 void GatewayNode::freshnessChanged(bool IsFresh, Duration ConfirmationAge,
                                    const StoreVersion &Newest) {
-  m_Log.write(
-      now(), IsFresh ? "store-items-confirmed" : "store-items-unconfirmed", "",
-      {{"age_ms", std::int64_t(ConfirmationAge.count() / 1000)},
-       {"era", std::int64_t(m_StoreWatcher.version().m_Era)},
-       {"revision", std::int64_t(m_StoreWatcher.version().m_Revision)},
-       {"known_era", std::int64_t(Newest.m_Era)},
-       {"known_revision", std::int64_t(Newest.m_Revision)},
-       {"configuration", std::int64_t(m_Table ? m_Table->m_Version : 0)}});
+  m_Log.write(now(),
+              IsFresh ? "store-items-confirmed" : "store-items-unconfirmed", "",
+              {{"age_ms", std::int64_t(ConfirmationAge.count() / 1000)},
+               {"era", std::int64_t(m_StoreWatcher.version().m_Era)},
+               {"revision", std::int64_t(m_StoreWatcher.version().m_Revision)},
+               {"known_era", std::int64_t(Newest.m_Era)},
+               {"known_revision", std::int64_t(Newest.m_Revision)},
+               {"configuration", std::int64_t(m_Configuration.version())}});
 }
 
 void GatewayNode::revisionChanged() {
@@ -672,9 +646,10 @@
                 {{"era", std::int64_t(m_StoreWatcher.version().m_Era)},
                  {"token", std::int64_t(m_Lease.fencingToken())}});
   }
-  if (!IsLeader || !m_Table || !m_StoreWatcher.isAvailable())
+  const std::shared_ptr<const RouteTable> &Table = m_Configuration.table();
+  if (!IsLeader || !Table || !m_StoreWatcher.isAvailable())
     return;
-  for (const auto &[Name, Service] : m_Table->m_Services) {
+  for (const auto &[Name, Service] : Table->m_Services) {
     if (!Service.isLayered())
       continue;
     for (const PlacementOrder &Order : m_Placement[Name].tick(
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYRING_GATEWAY_GATEWAYNODE_H
 #define PARSLEYRING_GATEWAY_GATEWAYNODE_H
 
+#include "gateway/ActiveConfiguration.h"
 #include "gateway/CallerListener.h"
 #include "gateway/DigestExchange.h"
 #include "gateway/EndpointClient.h"
@@ -107,7 +108,6 @@
               Refusal Cause);
 
   void beginEra();
-  void applyConfiguration(const StoreItem &Item);
   void applyEndpointEntry(const StoreItem &Item);
   void applyLeader(const StoreItem &Item);
   void applyVMEntry(const StoreItem &Item);
@@ -133,8 +133,7 @@
   NodeMetrics m_Metrics;
   std::minstd_rand m_Random;
 
-  std::shared_ptr<const RouteTable> m_Table; ///< Null until one is read.
-  std::uint64_t m_TableRevision = 0;
+  ActiveConfiguration m_Configuration;
   CallerLimits m_DefaultLimits;
   FleetTable m_Fleet;
   const ListedVM m_Self;
