Take newer configurations from other VMs after a restoration

Callers could use a withdrawn key or a removed route again at a VM that had just started: while the store has only an older copy, the VM put the older configuration in force, although all other VMs had the newer one. So did a VM that had been suspended while the last change applied.

Cause: a configuration that is in force was kept by each VM for itself; others could learn of it from the store only, which no longer has it.

Change: digests name the version that a VM has in force. A VM that has an older one, and no older items of the store, asks the sender for the text. A VM that starts asks three others, with a timeout of 0.3 s, before it puts its first one in force. Versions only rise, so the highest one counts. A text that cannot be read, as of another release, is asked for once.

--- a/src/gateway/ActiveConfiguration.cpp
+++ b/src/gateway/ActiveConfiguration.cpp
@@ -1,32 +1,114 @@
 #include "gateway/ActiveConfiguration.h"
 
+#include <algorithm>
+
 namespace parsleyring {
 
+const std::string ActiveConfiguration::PeerTarget = "/peer/configuration";
+
+// A VM that starts is not ready before these questions are answered.
+static constexpr std::size_t QuestionsAtStart = 3;
+static constexpr Duration QuestionTimeout = std::chrono::milliseconds(300);
+static const std::string StoreSource = "store";
+
+ActiveConfiguration::ActiveConfiguration(Dependencies Used,
+                                         std::function<Time()> Now,
+                                         AddressSource PeerAddresses)
+    : m_Used(Used), m_Now(std::move(Now)),
+      m_PeerAddresses(std::move(PeerAddresses)),
+      m_Random(std::random_device{}()) {}
+
 void ActiveConfiguration::apply(const StoreItem &Item) {
   if (Item.m_Revision <= m_Revision)
     return;
   m_Revision = Item.m_Revision;
+  offer(Item.m_Value, StoreSource);
+}
+
+bool ActiveConfiguration::offer(const std::string &Text,
+                                const std::string &Source) {
   std::string Finding;
-  auto Table = m_Records.parseConfiguration(Item.m_Value, Finding);
+  auto Table = m_Used.m_Records.parseConfiguration(Text, Finding);
   if (!Table) {
-    m_Log.write(
-        m_Now(), "configuration-rejected", "",
-        {{"revision", std::int64_t(Item.m_Revision)}, {"finding", Finding}});
-    return;
+    m_Used.m_Log.write(m_Now(), "configuration-rejected", "",
+                       {{"source", Source},
+                        {"revision", std::int64_t(m_Revision)},
+                        {"finding", Finding}});
+    return false;
+  }
+  bool IsStarting = !m_Table;
+  ConfigurationVersion Known = version();
+  if (IsStarting && m_First.m_Table)
+    Known = m_First.m_Table->m_Version;
+  bool IsFromStore = Source == StoreSource;
+  if (Table->m_Version < Known || (Table->m_Version == Known && !IsFromStore)) {
+    if (IsFromStore)
+      m_Used.m_Log.write(m_Now(), "configuration-outdated", "",
+                         {{"version", std::int64_t(Table->m_Version)},
+                          {"revision", std::int64_t(m_Revision)},
+                          {"configuration", std::int64_t(Known)}});
+    return true;
+  }
+  Candidate Newer{std::move(Table), Text, Source};
+  if (!IsStarting) {
+    activate(std::move(Newer));
+    return true;
   }
-  if (Table->m_Version < version()) {
-    m_Log.write(m_Now(), "configuration-outdated", "",
-                {{"version", std::int64_t(Table->m_Version)},
-                 {"revision", std::int64_t(Item.m_Revision)},
-                 {"configuration", std::int64_t(version())}});
+  bool IsFirst = !m_First.m_Table;
+  m_First = std::move(Newer);
+  if (IsFirst)
+    askPeersAtStart();
+  return true;
+}
+
+void ActiveConfiguration::activate(Candidate Newer) {
+  m_Table = std::move(Newer.m_Table);
+  m_Text = std::move(Newer.m_Text);
+  m_Used.m_Metrics.setConfigurationVersion(version());
+  m_Used.m_Log.write(m_Now(), "configuration", "",
+                     {{"version", std::int64_t(version())},
+                      {"source", Newer.m_Source},
+                      {"revision", std::int64_t(m_Revision)},
+                      {"routes", std::int64_t(m_Table->routeCount())}});
+}
+
+void ActiveConfiguration::askPeersAtStart() {
+  std::vector<std::string> Peers = m_PeerAddresses();
+  std::shuffle(Peers.begin(), Peers.end(), m_Random);
+  Peers.resize(std::min(Peers.size(), QuestionsAtStart));
+  if (Peers.empty()) {
+    activate(std::move(m_First));
     return;
   }
-  m_Table = std::move(Table);
-  m_Metrics.setConfigurationVersion(version());
-  m_Log.write(m_Now(), "configuration", "",
-              {{"version", std::int64_t(version())},
-               {"revision", std::int64_t(Item.m_Revision)},
-               {"routes", std::int64_t(m_Table->routeCount())}});
+  auto Remaining = std::make_shared<std::size_t>(Peers.size());
+  for (const std::string &Peer : Peers)
+    ask(Peer, [this, Remaining](bool) {
+      if (--*Remaining == 0)
+        activate(std::move(m_First));
+    });
+}
+
+void ActiveConfiguration::ask(const std::string &PeerAddress,
+                              std::function<void(bool)> OnEnd) {
+  ++m_OpenQuestions;
+  m_Used.m_Client.call(
+      PeerAddress, {"GET", PeerTarget, ""}, QuestionTimeout,
+      [this, PeerAddress, OnEnd = std::move(OnEnd)](const CallReply &Reply) {
+        --m_OpenQuestions;
+        bool IsValid = !Reply.isOk() || offer(Reply.m_Body, PeerAddress);
+        OnEnd(IsValid);
+      });
+}
+
+void ActiveConfiguration::notePeerVersion(ConfigurationVersion Version,
+                                          const std::string &PeerAddress) {
+  if (Version <= version() || Version == m_UnreadableVersion ||
+      m_OpenQuestions > 0 || PeerAddress.empty())
+    return;
+  ask(PeerAddress, [this, Version](bool IsValid) {
+    if (!IsValid)
+      m_UnreadableVersion = Version;
+  });
 }
 
 } // namespace parsleyring
--- a/src/gateway/ActiveConfiguration.h
+++ b/src/gateway/ActiveConfiguration.h
@@ -5,22 +5,38 @@
 #include "gateway/DecisionLog.h"
 #include "gateway/EndpointProtocol.h"
 #include "gateway/NodeMetrics.h"
-#include "store/StoreProtocol.h"
+#include "store/StoreClient.h"
 
 #include <functional>
 #include <memory>
+#include <random>
+#include <string>
+#include <vector>
 
 namespace parsleyring {
 
 /// The routing configuration that this VM has in force. It stays until there is
 /// a valid one of a higher version.
+///
+/// The store may have been restored from a copy that is older than what the VMs
+/// have in force. They therefore tell each other their versions and take newer
+/// ones from each other. A VM that starts asks some others before it puts its
+/// first configuration in force.
 class ActiveConfiguration {
 public:
-  /// Records, Log and Metrics must outlive the object.
-  ActiveConfiguration(const RecordFormat &Records, DecisionLog &Log,
-                      NodeMetrics &Metrics, std::function<Time()> Now)
-      : m_Records(Records), m_Log(Log), m_Metrics(Metrics),
-        m_Now(std::move(Now)) {}
+  using AddressSource = std::function<std::vector<std::string>()>;
+
+  /// What the object works with; all of it must outlive the object.
+  struct Dependencies {
+    const RecordFormat &m_Records;
+    StoreClient &m_Client;
+    DecisionLog &m_Log;
+    NodeMetrics &m_Metrics;
+  };
+
+  /// PeerAddresses returns the peer addresses of the other VMs.
+  ActiveConfiguration(Dependencies Used, std::function<Time()> Now,
+                      AddressSource PeerAddresses);
 
   /// Null until a configuration is in force.
   const std::shared_ptr<const RouteTable> &table() const { return m_Table; }
@@ -28,19 +44,48 @@
   ConfigurationVersion version() const {
     return m_Table ? m_Table->m_Version : 0;
   }
+  /// The text of the configuration in force, for other VMs.
+  const std::string &text() const { return m_Text; }
 
   /// Applies the item of the store.
   void apply(const StoreItem &Item);
   /// The store begins a new era, in which it gives revisions out again.
   void noteRestored() { m_Revision = 0; }
+  /// The VM at PeerAddress, which knows no newer items of the store than this
+  /// one, has Version in force.
+  void notePeerVersion(ConfigurationVersion Version,
+                       const std::string &PeerAddress);
+
+  /// Target of the call with which VMs ask each other for the text. The answer
+  /// is 404 if none is in force.
+  static const std::string PeerTarget;
 
 private:
-  const RecordFormat &m_Records;
-  DecisionLog &m_Log;
-  NodeMetrics &m_Metrics;
+  struct Candidate {
+    std::shared_ptr<const RouteTable> m_Table;
+    std::string m_Text;
+    std::string m_Source; ///< "store", or a peer address.
+  };
+
+  /// Puts the configuration of this text in force if it is newer. Returns false
+  /// if it is not valid.
+  bool offer(const std::string &Text, const std::string &Source);
+  void activate(Candidate Newer);
+  void askPeersAtStart();
+  void ask(const std::string &PeerAddress, std::function<void(bool)> OnEnd);
+
+  const Dependencies m_Used;
   std::function<Time()> m_Now;
+  AddressSource m_PeerAddresses;
+  std::minstd_rand m_Random;
   std::shared_ptr<const RouteTable> m_Table;
+  std::string m_Text;
   std::uint64_t m_Revision = 0; ///< Of the last item, also if it is not valid.
+  /// The newest configuration so far, while other VMs are asked at start.
+  Candidate m_First;
+  std::size_t m_OpenQuestions = 0; ///< To other VMs.
+  /// Version of a peer whose text this VM cannot read.
+  ConfigurationVersion m_UnreadableVersion = 0;
 };
 
 } // namespace parsleyring
--- a/src/gateway/DigestExchange.cpp
+++ b/src/gateway/DigestExchange.cpp
@@ -14,10 +14,13 @@
 DigestExchange::DigestExchange(asio::io_context &Loop,
                                const std::string &Address, const ListedVM &Self,
                                const VMDirectory &VMs, FleetTable &Fleet,
-                               StoreWatcher &Watcher, std::function<Time()> Now,
+                               StoreWatcher &Watcher,
+                               ActiveConfiguration &Configuration,
+                               std::function<Time()> Now,
                                ChangeHandler OnChanges)
     : m_Self(Self), m_VMs(VMs), m_Fleet(Fleet), m_StoreWatcher(Watcher),
-      m_Now(std::move(Now)), m_OnChanges(std::move(OnChanges)), m_Socket(Loop) {
+      m_Configuration(Configuration), m_Now(std::move(Now)),
+      m_OnChanges(std::move(OnChanges)), m_Socket(Loop) {
   if (Address.empty())
     return;
   std::optional<SocketAddress> Parsed = parseSocketAddress(Address);
@@ -49,10 +52,13 @@
       Digest->m_Sender == m_Self.m_FailureDomain)
     return;
   m_OnChanges(m_DigestTable.apply(*Digest, m_Fleet, m_Now()), Digest->m_Sender);
+  std::string PeerAddress = m_VMs.peerAddressAt(m_Sender.address().to_string());
   if (Digest->m_StoreVersion.m_Revision > 0)
-    m_StoreWatcher.noteReport(
-        Digest->m_StoreVersion, Digest->m_StoreAnswerAge,
-        m_VMs.peerAddressAt(m_Sender.address().to_string()));
+    m_StoreWatcher.noteReport(Digest->m_StoreVersion, Digest->m_StoreAnswerAge,
+                              PeerAddress);
+  if (!m_StoreWatcher.isBehind(Digest->m_StoreVersion))
+    m_Configuration.notePeerVersion(Digest->m_ConfigurationVersion,
+                                    PeerAddress);
   if (Digest->m_IsDomainSum)
     forwardDigest(Bytes);
 }
@@ -82,6 +88,7 @@
 std::string DigestExchange::encode(LoadDigest Digest) const {
   Digest.m_StoreVersion = m_StoreWatcher.version();
   Digest.m_StoreAnswerAge = m_StoreWatcher.storeAnswerAge();
+  Digest.m_ConfigurationVersion = m_Configuration.version();
   return Digest.encode();
 }
 
--- a/src/gateway/DigestExchange.h
+++ b/src/gateway/DigestExchange.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYRING_GATEWAY_DIGESTEXCHANGE_H
 #define PARSLEYRING_GATEWAY_DIGESTEXCHANGE_H
 
+#include "gateway/ActiveConfiguration.h"
 #include "membership/LoadDigest.h"
 #include "store/StoreWatcher.h"
 #include "store/VMDirectory.h"
@@ -29,7 +30,8 @@
   DigestExchange(boost::asio::io_context &Loop, const std::string &Address,
                  const ListedVM &Self, const VMDirectory &VMs,
                  FleetTable &Fleet, StoreWatcher &Watcher,
-                 std::function<Time()> Now, ChangeHandler OnChanges);
+                 ActiveConfiguration &Configuration, std::function<Time()> Now,
+                 ChangeHandler OnChanges);
 
   /// Drops the digests of silent senders and updates the endpoints' loads.
   void refresh() { m_DigestTable.refresh(m_Fleet, m_Now()); }
@@ -50,6 +52,7 @@
   const VMDirectory &m_VMs;
   FleetTable &m_Fleet;
   StoreWatcher &m_StoreWatcher;
+  ActiveConfiguration &m_Configuration;
   std::function<Time()> m_Now;
   ChangeHandler m_OnChanges;
   LoadDigestTable m_DigestTable;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -72,13 +72,18 @@
 };
 
 /// Serves the items read from the store to other VMs by long poll: answers when
-/// there are newer items or the wait of the call is over.
+/// there are newer items or the wait of the call is over. Also serves the
+/// configuration in force.
 class GatewayNode::PeerHandler final : public InternalHandler {
 public:
   using InternalHandler::InternalHandler;
   void
   handleRequest(CallerRequest Request,
                 const std::shared_ptr<CallerConnection> &Connection) override {
+    if (Request.m_Target == ActiveConfiguration::PeerTarget) {
+      answerConfiguration(*Connection);
+      return;
+    }
     auto Call = PeerItemsCall::parse(Request.m_Target);
     if (!Call) {
       Connection->answer(404, {}, "");
@@ -110,6 +115,11 @@
     Time m_Until{};
   };
 
+  void answerConfiguration(CallerConnection &Connection) {
+    const ActiveConfiguration &Configuration = m_Node.m_Configuration;
+    Connection.answer(Configuration.table() ? 200 : 404, {},
+                      Configuration.text());
+  }
   void answer(CallerConnection &Connection, const StoreVersion &Version) {
     Connection.answer(200, {{"Content-Type", "application/cbor"}},
                       m_Node.m_StoreWatcher.itemsSince(Version).encode());
@@ -147,14 +157,17 @@
                          const RecordFormat &Records)
     : m_Settings(std::move(Settings)), m_Protocol(Endpoints),
       m_Records(Records), m_Log(STDOUT_FILENO, m_Settings.m_VM),
-      m_Random(std::random_device{}()),
-      m_Configuration(Records, m_Log, m_Metrics, [this] { return now(); }),
-      m_Self{m_Settings.m_VM, m_Settings.m_PeerAddress,
-             m_Settings.m_FailureDomain, m_Settings.m_Cores},
+      m_Random(std::random_device{}()), m_Self{m_Settings.m_VM,
+                                               m_Settings.m_PeerAddress,
+                                               m_Settings.m_FailureDomain,
+                                               m_Settings.m_Cores},
       m_VMs(m_Self, m_Settings.m_SeedAddresses), m_ConnectionPool(m_Loop),
       m_HttpClient(m_Loop, m_ConnectionPool, [this] { return now(); }),
       m_EndpointClient(m_HttpClient, Endpoints),
       m_StoreClient(m_HttpClient, m_Metrics),
+      m_Configuration(
+          {Records, m_StoreClient, m_Log, m_Metrics}, [this] { return now(); },
+          [this] { return peerAddresses(); }),
       m_StoreWatcher(
           m_Loop, m_StoreClient, Store, *this, [this] { return now(); },
           m_Settings.m_StoreAddress, m_Settings.m_MaxApplyDelay),
@@ -173,7 +186,7 @@
       m_MetricsHandler(std::make_unique<MetricsHandler>(*this)),
       m_Digests(
           m_Loop, m_Settings.m_DigestAddress, m_Self, m_VMs, m_Fleet,
-          m_StoreWatcher, [this] { return now(); },
+          m_StoreWatcher, m_Configuration, [this] { return now(); },
           [this](const DigestChanges &Changes, const std::string &By) {
             handleDigestChanges(Changes, By);
           }),
@@ -523,12 +536,19 @@
   std::vector<std::string> Listed;
   const std::string &Prefix = m_Records.endpointPrefix();
   bool HasLeader = false;
+  const StoreItem *Configuration = nullptr;
   for (const auto &[Key, Item] : Items) {
     if (hasPrefix(Key, Prefix))
       Listed.push_back(Key.substr(Prefix.size()));
     HasLeader = HasLeader || Key == VMLease::LeaderKey;
-    itemChanged(Item);
+    if (Key == m_Records.configurationKey())
+      Configuration = &Item;
+    else
+      itemChanged(Item);
   }
+  // Applied when the other VMs are known, since some are asked for theirs.
+  if (Configuration)
+    itemChanged(*Configuration);
   m_Fleet.endRestoration();
   m_PromptGuard.itemsReloaded(Items, IsRestored);
   m_Fleet.unlistAllExcept(Listed, now());
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -133,7 +133,6 @@
   NodeMetrics m_Metrics;
   std::minstd_rand m_Random;
 
-  ActiveConfiguration m_Configuration;
   CallerLimits m_DefaultLimits;
   FleetTable m_Fleet;
   const ListedVM m_Self;
@@ -143,6 +142,7 @@
   HttpClient m_HttpClient;
   EndpointClient m_EndpointClient;
   StoreClient m_StoreClient;
+  ActiveConfiguration m_Configuration;
   StoreWatcher m_StoreWatcher;
   PromptGuard m_PromptGuard;
   VMLease m_Lease;
--- a/src/membership/LoadDigest.cpp
+++ b/src/membership/LoadDigest.cpp
@@ -86,6 +86,7 @@
                          {"at", m_StoreVersion.m_Revision},
                          {"era", m_StoreVersion.m_Era},
                          {"age", AgeMs},
+                         {"configuration", m_ConfigurationVersion},
                          {"loads", Loads}});
   return {Bytes.begin(), Bytes.end()};
 }
@@ -103,7 +104,7 @@
   Digest.m_Sender = Root["from"].get<std::string>();
   Digest.m_IsDomainSum = Root["sum"].get<bool>();
   Digest.m_Number = Root["n"].get<std::uint64_t>();
-  // Digests of earlier versions have no revision, or no era.
+  // Digests of earlier versions have no revision, era or configuration.
   if (Has("at", &json::is_number_unsigned) &&
       Has("age", &json::is_number_unsigned)) {
     Digest.m_StoreVersion.m_Revision = Root["at"].get<std::uint64_t>();
@@ -112,6 +113,9 @@
     Digest.m_StoreAnswerAge =
         std::chrono::milliseconds(Root["age"].get<std::int64_t>());
   }
+  if (Has("configuration", &json::is_number_unsigned))
+    Digest.m_ConfigurationVersion =
+        Root["configuration"].get<ConfigurationVersion>();
   for (const json &Entry : Root["loads"]) {
     if (!Entry.is_array() || Entry.size() < 5 || !Entry[0].is_string())
       return std::nullopt;
--- a/src/membership/LoadDigest.h
+++ b/src/membership/LoadDigest.h
@@ -38,6 +38,8 @@
   /// store itself last answered it; zero if the sender knows none.
   StoreVersion m_StoreVersion{};
   Duration m_StoreAnswerAge{};
+  /// Of the configuration that the sender has in force; 0 if there is none.
+  ConfigurationVersion m_ConfigurationVersion = 0;
 
   std::string encode() const;
   /// Returns nothing if Bytes is no valid digest.
--- a/src/store/StoreWatcher.h
+++ b/src/store/StoreWatcher.h
@@ -90,6 +90,10 @@
   bool hasNewerThan(const StoreVersion &Known) const {
     return withEra(Known) < m_Version;
   }
+  /// True if a peer that knows Version has newer items than the known ones.
+  bool isBehind(const StoreVersion &Version) const {
+    return m_Version < Version;
+  }
   /// The items to send to a peer that knows those up to Version.
   PeerItems itemsSince(const StoreVersion &Version) const;
 
--- a/tests/integration/RestoredStoreTest.cpp
+++ b/tests/integration/RestoredStoreTest.cpp
@@ -37,6 +37,7 @@
 TEST_GROUP(RestoredStore) {
   FakeMetadataStore m_Store;
   FaultProxy m_Proxy{m_Store.address()};
+  FreePort m_DigestPort{"127.0.0.1"};
   std::vector<std::unique_ptr<GatewayProcess>> m_Gateways;
   int m_Requests = 0;
 
@@ -44,16 +45,8 @@
   void teardown() override { m_Gateways.clear(); }
   /// The last VM reaches the store through m_Proxy.
   void startGateways() {
-    GatewayOptions Options;
-    FreePort DigestPort("127.0.0.1");
-    Options.m_DigestPort = parseSocketAddress(DigestPort.address())->m_Port;
-    for (std::size_t Number = 1; Number <= VMCount; ++Number) {
-      Options.m_Name = "vm-" + std::to_string(Number);
-      Options.m_Host = "127.0.0." + std::to_string(Number);
-      Options.m_StoreAddress =
-          Number == VMCount ? m_Proxy.address() : m_Store.address();
-      m_Gateways.push_back(std::make_unique<GatewayProcess>(Options));
-    }
+    for (std::size_t Number = 1; Number <= VMCount; ++Number)
+      startGateway(Number == VMCount ? m_Proxy.address() : m_Store.address());
     for (const auto &Gateway : m_Gateways)
       CHECK(Gateway->waitUntilReady());
     for (std::size_t Number = 1; Number <= VMCount; ++Number)
@@ -62,8 +55,18 @@
       }));
     std::this_thread::sleep_for(500ms);
   }
-  void writeVersion(int Version) {
-    m_Store.put("op/config", gatewayConfiguration(Version));
+  GatewayProcess &startGateway(const std::string &StoreAddress) {
+    GatewayOptions Options;
+    std::string Number = std::to_string(m_Gateways.size() + 1);
+    Options.m_Name = "vm-" + Number;
+    Options.m_Host = "127.0.0." + Number;
+    Options.m_DigestPort = parseSocketAddress(m_DigestPort.address())->m_Port;
+    Options.m_StoreAddress = StoreAddress;
+    m_Gateways.push_back(std::make_unique<GatewayProcess>(Options));
+    return *m_Gateways.back();
+  }
+  void writeVersion(int Version, bool HasRepeatRoute = true) {
+    m_Store.put("op/config", gatewayConfiguration(Version, HasRepeatRoute));
   }
   void restore(std::chrono::milliseconds Outage) {
     m_Store.setDown(true);
@@ -93,10 +96,10 @@
     Message += ", written " + std::to_string(Version);
     CHECK_TEXT(isInForce(Version), Message.c_str());
   }
-  int send(std::size_t Gateway) {
+  int send(std::size_t Gateway, const std::string &Path = "/once/a") {
     HttpRequest Request;
     Request.m_Method = "POST";
-    Request.m_Path = "/once/a";
+    Request.m_Path = Path;
     Request.m_Body = "the body";
     Request.m_Headers = {{"Host", "host"},
                          {"Attempt-Id", "id-" + std::to_string(++m_Requests)},
@@ -168,6 +171,41 @@
   checkInForceInTime(8);
 }
 
+// Guards against a VM that starts after the restoration, and takes an older
+// configuration, with a route that has been removed, than the others have.
+TEST(RestoredStore, VMThatStartsTakesTheConfigurationInForce) {
+  startGateways();
+  m_Store.keepCopy();
+  writeVersion(2, false);
+  checkInForceInTime(2);
+  restore(300ms);
+  std::this_thread::sleep_for(1s);
+  CHECK(startGateway(m_Store.address()).waitUntilReady());
+  LONGS_EQUAL(404, send(VMCount, "/repeat/a"));
+  checkInForceInTime(2);
+  writeVersion(3);
+  checkInForceInTime(3);
+  LONGS_EQUAL(2, versions(*m_Gateways.back()).front());
+}
+
+// Guards against a VM that was suspended while a change applied, and does not
+// hear of it any more since the copy is older.
+TEST(RestoredStore, VMThatMissedAChangeTakesItFromOthers) {
+  startGateways();
+  GatewayProcess &Suspended = *m_Gateways.back();
+  m_Store.keepCopy();
+  Suspended.process().pause();
+  m_Proxy.setFaults(R"({"lose_to_server": true, "lose_to_client": true})");
+  writeVersion(2, false);
+  std::this_thread::sleep_for(MaxApplyDelay);
+  restore(300ms);
+  std::this_thread::sleep_for(500ms);
+  m_Proxy.heal();
+  Suspended.process().resume();
+  checkInForceInTime(2);
+  LONGS_EQUAL(404, send(VMCount - 1, "/repeat/a"));
+}
+
 // Guards against endpoints that are used again since the copy does not tell
 // that they have left, or are leaving.
 TEST(RestoredStore, EndpointsThatLeftAreNotUsedAgain) {
--- a/tests/membership/LoadDigestTest.cpp
+++ b/tests/membership/LoadDigestTest.cpp
@@ -31,8 +31,15 @@
 
 // Guards against an encoder and a decoder that do not match.
 TEST(LoadDigest, EncodedDigestDecodesUnchanged) {
-  auto Read = LoadDigest::decode(digest("vm", 7, 1234, 55).encode());
+  LoadDigest Sent = digest("vm", 7, 1234, 55);
+  Sent.m_StoreVersion = {2, 90};
+  Sent.m_StoreAnswerAge = 120ms;
+  Sent.m_ConfigurationVersion = 11;
+  auto Read = LoadDigest::decode(Sent.encode());
   CHECK(Read.has_value());
+  CHECK(Sent.m_StoreVersion == Read->m_StoreVersion);
+  CHECK(Sent.m_StoreAnswerAge == Read->m_StoreAnswerAge);
+  LONGS_EQUAL(11, Read->m_ConfigurationVersion);
   STRCMP_EQUAL("vm", Read->m_Sender.c_str());
   LONGS_EQUAL(7, Read->m_Number);
   DOUBLES_EQUAL(1234, Read->m_Loads[0].m_Tokens, 0);
