Give credit for all requests of VMs that rarely send to a limited endpoint

In a fleet of many VMs, callers were refused, or sent to busier endpoints, while a limited endpoint got little more than half of what it accepts: 5.0 requests per second of 8, with 80 VMs that need 12.

Cause: the credit of the first request under a limit was given at once, and then left out of what is counted as demand. Later ones were counted when the next one came, so each VM lost the credit of one request. With a request in ten seconds on each VM, that is most of the credit for as long as a limit usually lasts.

Change: the advance for the first request stays an advance, and every request is counted.

fleet/LimitShareTest (ManyVMsUseMostOfTheLimit) failed before (5.0 per second where at least 5.6 can be sent) and passes, as do its other cases and integration/LimitedEndpointTest.

--- a/src/fleet/LimitShare.cpp
+++ b/src/fleet/LimitShare.cpp
@@ -52,8 +52,7 @@
 void LimitShare::start(double Random, Time Now) {
   m_IsStarted = true;
   m_Credit = Random + m_CreditPerRequest;
-  // The request that is about to be sent has been counted in full.
-  m_CountedDemand = m_Demand.smoothedCount(Now) + 1;
+  m_CountedDemand = m_Demand.smoothedCount(Now);
 }
 
 void LimitShare::update(double Limit, const LimitUsers &Users, double Random,
--- a/tests/fleet/LimitShareTest.cpp
+++ b/tests/fleet/LimitShareTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -28,6 +29,10 @@
   std::function<bool(std::size_t)> m_IsConnected = [](std::size_t) {
     return true;
   };
+  /// The limit that the endpoint states later, and the time of that statement
+  /// since the start.
+  double m_LaterLimit = 0;
+  std::optional<Duration> m_LaterStatedAt;
   const Time m_Start{1000s};
   std::mt19937 m_Random{7};
 
@@ -62,6 +67,9 @@
     for (Duration At{}; At < Length; At += Step) {
       Time Now = m_Start + At;
       bool IsLimited = At >= StatedAt + 200ms;
+      if (m_LaterStatedAt && At == *m_LaterStatedAt + 200ms)
+        for (FleetEndpoint &Endpoint : m_VMs)
+          Endpoint.m_Limit.noteStated(m_LaterLimit, Now);
       if (At == StatedAt + 200ms)
         for (FleetEndpoint &Endpoint : m_VMs)
           Endpoint.m_Limit.noteStated(Limit, Now);
@@ -137,6 +145,23 @@
   }
 }
 
+// Guards against VMs that get no credit for some of their requests: with a
+// request in ten seconds, most of the limit would not be used.
+TEST(LimitShare, ManyVMsUseMostOfTheLimit) {
+  for (unsigned Seed = 1; Seed <= 5; ++Seed)
+    for (std::size_t VMs : {80, 300})
+      for (double Limit : {8.0, 15.0}) {
+        m_Random.seed(Seed);
+        m_Sent.clear();
+        m_Need = [Limit, VMs](std::size_t, Duration) {
+          return 1.5 * Limit / static_cast<double>(VMs);
+        };
+        simulate(VMs, Limit, 5s, 60s);
+        checkWindows(Limit, 8s);
+        checkSent(0.7 * Limit, 20s, 60s);
+      }
+}
+
 // Guards against a limit that is divided equally, although the callers of one
 // VM need nearly all of it.
 TEST(LimitShare, VMWithMostOfTheRequestsGetsMostOfTheLimit) {
