Save no credit at an endpoint whose limit is not reached

Endpoints that stated a lower limit than before could get all requests that many VMs had saved credit for: in a simulation of 300 VMs, 18 in four seconds under a limit of one, where 11 are allowed, after a limit of 15 that was not reached. The same came of a sudden rise of the requests: 193 under a limit of 30, where 185 are allowed.

Cause: while all VMs together need less than the limit, each saved credit for up to two requests, although it needs none. Two requests of each of 300 VMs are more than a small limit allows.

Change: credit is not counted while the limit is not reached, and starts with a random part of one request as soon as it is, as after the first statement.

fleet/LimitShareTest (LimitOfManyVMsFalls, SavedCreditOfManyVMsIsBounded): both failed on the commit before, with these figures, and pass.

--- a/src/fleet/LimitShare.cpp
+++ b/src/fleet/LimitShare.cpp
@@ -58,6 +58,12 @@
 void LimitShare::update(double Limit, const LimitUsers &Users, double Random,
                         Time Now) {
   divide(Limit, Users, Now);
+  // Credit that is saved meanwhile would let all VMs send at the same time as
+  // soon as the limit is too low.
+  if (m_IsDemandBelowLimit) {
+    m_IsStarted = false;
+    return;
+  }
   double Count = m_Demand.smoothedCount(Now);
   double Seconds = std::chrono::duration<double>(Now - m_UpdatedAt).count();
   m_UpdatedAt = Now;
--- a/tests/fleet/LimitShareTest.cpp
+++ b/tests/fleet/LimitShareTest.cpp
@@ -188,6 +188,36 @@
   checkWindows(6, 8s);
 }
 
+// Guards against the credit that many VMs save while they need less than the
+// limit, and that they all use when their requests become more.
+TEST(LimitShare, SavedCreditOfManyVMsIsBounded) {
+  for (double Limit : {5.0, 10.0, 30.0}) {
+    m_Sent.clear();
+    m_Need = [Limit](std::size_t, Duration At) {
+      return (At < 30s ? 0.6 : 1.8) * Limit / 300;
+    };
+    simulate(300, Limit, 5s, 50s);
+    checkWindows(Limit, 8s);
+    checkSent(0.6 * Limit, 34s, 50s);
+  }
+}
+
+// Guards against the same when the endpoint accepts less than before.
+TEST(LimitShare, LimitOfManyVMsFalls) {
+  m_Need = [](std::size_t, Duration) { return 10.0 / 300; };
+  m_LaterStatedAt = 30s;
+  for (unsigned Seed = 1; Seed <= 5; ++Seed)
+    for (double LaterLimit : {1.0, 4.0, 8.0}) {
+      m_Random.seed(Seed);
+      m_Sent.clear();
+      m_LaterLimit = LaterLimit;
+      simulate(300, 15, 5s, 60s);
+      // The windows that begin when all VMs know the lower limit.
+      checkWindows(LaterLimit, 34200ms);
+      checkSent(0.5 * LaterLimit, 38s, 60s);
+    }
+}
+
 // Guards against VMs that are cut off from each other and each take the whole
 // limit.
 TEST(LimitShare, VMsCutOffFromEachOtherKeepTheLimit) {
