Read the same configuration of other VMs once

A VM that starts asks three others for the configuration in force, and read each text, although nearly always all are the same as that of the store. A large one takes long to read on a small VM, which is not ready meanwhile. Texts that are equal to the newest one are now skipped, and ActiveConfiguration is split into shorter functions.

integration/RestoredStoreTest passes (seven cases). The time was not measured.

--- a/src/gateway/ActiveConfiguration.cpp
+++ b/src/gateway/ActiveConfiguration.cpp
@@ -27,6 +27,9 @@
 
 bool ActiveConfiguration::offer(const std::string &Text,
                                 const std::string &Source) {
+  // Most peers have the same configuration, and a large one takes long to read.
+  if (Source != StoreSource && Text == newest().m_Text)
+    return true;
   std::string Finding;
   auto Table = m_Used.m_Records.parseConfiguration(Text, Finding);
   if (!Table) {
@@ -36,40 +39,38 @@
                         {"finding", Finding}});
     return false;
   }
-  bool IsStarting = !m_Table;
-  ConfigurationVersion Known = version();
-  if (IsStarting && m_First.m_Table)
-    Known = m_First.m_Table->m_Version;
-  bool IsFromStore = Source == StoreSource;
-  if (Table->m_Version < Known || (Table->m_Version == Known && !IsFromStore)) {
-    if (IsFromStore)
-      m_Used.m_Log.write(m_Now(), "configuration-outdated", "",
-                         {{"version", std::int64_t(Table->m_Version)},
-                          {"revision", std::int64_t(m_Revision)},
-                          {"configuration", std::int64_t(Known)}});
+  ConfigurationVersion Known = newest().version();
+  if (Table->m_Version < Known) {
+    m_Used.m_Log.write(m_Now(), "configuration-outdated", "",
+                       {{"version", std::int64_t(Table->m_Version)},
+                        {"source", Source},
+                        {"revision", std::int64_t(m_Revision)},
+                        {"configuration", std::int64_t(Known)}});
     return true;
   }
-  Candidate Newer{std::move(Table), Text, Source};
-  if (!IsStarting) {
+  take({std::move(Table), Text, Source});
+  return true;
+}
+
+void ActiveConfiguration::take(Configuration Newer) {
+  if (table()) {
     activate(std::move(Newer));
-    return true;
+    return;
   }
   bool IsFirst = !m_First.m_Table;
   m_First = std::move(Newer);
   if (IsFirst)
     askPeersAtStart();
-  return true;
 }
 
-void ActiveConfiguration::activate(Candidate Newer) {
-  m_Table = std::move(Newer.m_Table);
-  m_Text = std::move(Newer.m_Text);
+void ActiveConfiguration::activate(Configuration Newer) {
+  m_InForce = std::move(Newer);
   m_Used.m_Metrics.setConfigurationVersion(version());
   m_Used.m_Log.write(m_Now(), "configuration", "",
                      {{"version", std::int64_t(version())},
-                      {"source", Newer.m_Source},
+                      {"source", m_InForce.m_Source},
                       {"revision", std::int64_t(m_Revision)},
-                      {"routes", std::int64_t(m_Table->routeCount())}});
+                      {"routes", std::int64_t(table()->routeCount())}});
 }
 
 void ActiveConfiguration::askPeersAtStart() {
--- a/src/gateway/ActiveConfiguration.h
+++ b/src/gateway/ActiveConfiguration.h
@@ -39,13 +39,13 @@
                       AddressSource PeerAddresses);
 
   /// Null until a configuration is in force.
-  const std::shared_ptr<const RouteTable> &table() const { return m_Table; }
-  /// 0 if none is in force.
-  ConfigurationVersion version() const {
-    return m_Table ? m_Table->m_Version : 0;
+  const std::shared_ptr<const RouteTable> &table() const {
+    return m_InForce.m_Table;
   }
+  /// 0 if none is in force.
+  ConfigurationVersion version() const { return m_InForce.version(); }
   /// The text of the configuration in force, for other VMs.
-  const std::string &text() const { return m_Text; }
+  const std::string &text() const { return m_InForce.m_Text; }
 
   /// Applies the item of the store.
   void apply(const StoreItem &Item);
@@ -61,16 +61,22 @@
   static const std::string PeerTarget;
 
 private:
-  struct Candidate {
-    std::shared_ptr<const RouteTable> m_Table;
+  struct Configuration {
+    std::shared_ptr<const RouteTable> m_Table; ///< Null if there is none.
     std::string m_Text;
     std::string m_Source; ///< "store", or a peer address.
+
+    ConfigurationVersion version() const {
+      return m_Table ? m_Table->m_Version : 0;
+    }
   };
 
-  /// Puts the configuration of this text in force if it is newer. Returns false
-  /// if it is not valid.
+  const Configuration &newest() const { return table() ? m_InForce : m_First; }
+  /// Takes the configuration of this text unless a newer one is known. Returns
+  /// false if it is not valid.
   bool offer(const std::string &Text, const std::string &Source);
-  void activate(Candidate Newer);
+  void take(Configuration Newer);
+  void activate(Configuration Newer);
   void askPeersAtStart();
   void ask(const std::string &PeerAddress, std::function<void(bool)> OnEnd);
 
@@ -78,11 +84,10 @@
   std::function<Time()> m_Now;
   AddressSource m_PeerAddresses;
   std::minstd_rand m_Random;
-  std::shared_ptr<const RouteTable> m_Table;
-  std::string m_Text;
+  Configuration m_InForce;
   std::uint64_t m_Revision = 0; ///< Of the last item, also if it is not valid.
   /// The newest configuration so far, while other VMs are asked at start.
-  Candidate m_First;
+  Configuration m_First;
   std::size_t m_OpenQuestions = 0; ///< To other VMs.
   /// Version of a peer whose text this VM cannot read.
   ConfigurationVersion m_UnreadableVersion = 0;
