Ask other VMs at start which endpoints have left

A VM that started after the store had been restored sent requests to endpoints that had left, or were leaving, as long as the older entries were there; callers at it waited for tries at addresses that are gone, or were cut off as the endpoint ended.

Cause: as with the configuration, the other VMs knew better, and were not asked.

Change: the answer to a VM that starts also names the incarnations that are leaving, or left within five minutes and have not returned. One of these that is listed as ready is not used unless its entry changes, or is still there after five seconds, as on the VMs that saw it leave. VMs that already have a configuration in force ignore this part, so that the view of another VM does not take endpoints from them.

integration/RestoredStoreTest (VMThatStartsDoesNotUseEndpointsThatLeft) failed before, with 1 and 127 requests to an endpoint that had left, and passes; so do its other cases, fleet/FleetTableTest and gateway/PeerStateTest, which have new ones. requestsInASecond() of the test now sends through all gateways, not the first three.

--- a/src/fleet/FleetTable.cpp
+++ b/src/fleet/FleetTable.cpp
@@ -152,6 +152,30 @@
                                                  : std::next(Left);
 }
 
+std::vector<EndpointIncarnation> FleetTable::leavingIncarnations() const {
+  std::vector<EndpointIncarnation> Result;
+  for (const auto &[Id, Endpoint] : m_Endpoints)
+    if (Endpoint->m_Entry.m_State == EndpointState::Draining)
+      Result.push_back({Id, Endpoint->m_Entry.m_StartTimeMs});
+  for (const auto &[Id, Left] : m_Left)
+    if (m_Endpoints.count(Id) == 0)
+      Result.push_back({Id, Left.m_StartTimeMs});
+  return Result;
+}
+
+void FleetTable::applyLeaving(const std::vector<EndpointIncarnation> &Leaving,
+                              Time Now) {
+  for (const EndpointIncarnation &Left : Leaving) {
+    Handle Listed = find(Left.m_Id);
+    if (!Listed || Listed->m_Entry.m_StartTimeMs != Left.m_StartTimeMs ||
+        Listed->m_Entry.m_State != EndpointState::Ready)
+      continue;
+    EndpointEntry Entry = Listed->m_Entry;
+    remove(Left.m_Id, Now);
+    m_Deferred[Left.m_Id] = {Entry, Now + RestorationGracePeriod};
+  }
+}
+
 FleetTable::Handle FleetTable::find(const std::string &Id) const {
   auto Found = m_Endpoints.find(Id);
   return Found == m_Endpoints.end() ? nullptr : Found->second;
--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -29,6 +29,12 @@
       0; ///< Start time, milliseconds since the Unix epoch.
 };
 
+/// An endpoint between two starts.
+struct EndpointIncarnation {
+  std::string m_Id;
+  std::int64_t m_StartTimeMs = 0;
+};
+
 /// A listed endpoint with this VM's observations of it.
 struct FleetEndpoint {
   EndpointEntry m_Entry;
@@ -142,6 +148,14 @@
   /// RestorationGracePeriod.
   void beginRestoration() { m_IsRestoring = true; }
   void endRestoration() { m_IsRestoring = false; }
+  /// The incarnations that are leaving, or left within the last minutes and
+  /// have not returned.
+  std::vector<EndpointIncarnation> leavingIncarnations() const;
+  /// Applies what another VM knows of incarnations that are leaving or have
+  /// left. One that is listed as ready, from a copy that is older than that, is
+  /// not used unless its entry changes, or is still there after
+  /// RestorationGracePeriod.
+  void applyLeaving(const std::vector<EndpointIncarnation> &Leaving, Time Now);
   /// Records that an outage of the list ended at Now.
   void noteOutageEnd(Time Now) { m_OutageEndedAt = Now; }
   /// Unlists all endpoints whose ids are not in Ids.
--- a/src/gateway/ActiveConfiguration.cpp
+++ b/src/gateway/ActiveConfiguration.cpp
@@ -4,8 +4,6 @@
 
 namespace parsleyring {
 
-const std::string ActiveConfiguration::PeerTarget = "/peer/configuration";
-
 // A VM that starts is not ready before these questions are answered.
 static constexpr std::size_t QuestionsAtStart = 3;
 static constexpr Duration QuestionTimeout = std::chrono::milliseconds(300);
@@ -13,9 +11,11 @@
 
 ActiveConfiguration::ActiveConfiguration(Dependencies Used,
                                          std::function<Time()> Now,
-                                         AddressSource PeerAddresses)
+                                         AddressSource PeerAddresses,
+                                         StateHandler OnStateAtStart)
     : m_Used(Used), m_Now(std::move(Now)),
       m_PeerAddresses(std::move(PeerAddresses)),
+      m_OnStateAtStart(std::move(OnStateAtStart)),
       m_Random(std::random_device{}()) {}
 
 void ActiveConfiguration::apply(const StoreItem &Item) {
@@ -93,11 +93,16 @@
                               std::function<void(bool)> OnEnd) {
   ++m_OpenQuestions;
   m_Used.m_Client.call(
-      PeerAddress, {"GET", PeerTarget, ""}, QuestionTimeout,
+      PeerAddress, {"GET", PeerState::Target, ""}, QuestionTimeout,
       [this, PeerAddress, OnEnd = std::move(OnEnd)](const CallReply &Reply) {
         --m_OpenQuestions;
-        bool IsValid = !Reply.isOk() || offer(Reply.m_Body, PeerAddress);
-        OnEnd(IsValid);
+        std::optional<PeerState> State;
+        if (Reply.isOk())
+          State = PeerState::decode(Reply.m_Body);
+        if (State && !table())
+          m_OnStateAtStart(*State);
+        bool HasConfiguration = State && !State->m_Configuration.empty();
+        OnEnd(!HasConfiguration || offer(State->m_Configuration, PeerAddress));
       });
 }
 
--- a/src/gateway/ActiveConfiguration.h
+++ b/src/gateway/ActiveConfiguration.h
@@ -5,6 +5,7 @@
 #include "gateway/DecisionLog.h"
 #include "gateway/EndpointProtocol.h"
 #include "gateway/NodeMetrics.h"
+#include "gateway/PeerState.h"
 #include "store/StoreClient.h"
 
 #include <functional>
@@ -25,6 +26,7 @@
 class ActiveConfiguration {
 public:
   using AddressSource = std::function<std::vector<std::string>()>;
+  using StateHandler = std::function<void(const PeerState &)>;
 
   /// What the object works with; all of it must outlive the object.
   struct Dependencies {
@@ -35,8 +37,10 @@
   };
 
   /// PeerAddresses returns the peer addresses of the other VMs.
+  /// OnStateAtStart is called with what they answer before a configuration is
+  /// in force.
   ActiveConfiguration(Dependencies Used, std::function<Time()> Now,
-                      AddressSource PeerAddresses);
+                      AddressSource PeerAddresses, StateHandler OnStateAtStart);
 
   /// Null until a configuration is in force.
   const std::shared_ptr<const RouteTable> &table() const {
@@ -56,10 +60,6 @@
   void notePeerVersion(ConfigurationVersion Version,
                        const std::string &PeerAddress);
 
-  /// Target of the call with which VMs ask each other for the text. The answer
-  /// is 404 if none is in force.
-  static const std::string PeerTarget;
-
 private:
   struct Configuration {
     std::shared_ptr<const RouteTable> m_Table; ///< Null if there is none.
@@ -78,11 +78,13 @@
   void take(Configuration Newer);
   void activate(Configuration Newer);
   void askPeersAtStart();
+  /// OnEnd gets false if the configuration of the answer is not valid.
   void ask(const std::string &PeerAddress, std::function<void(bool)> OnEnd);
 
   const Dependencies m_Used;
   std::function<Time()> m_Now;
   AddressSource m_PeerAddresses;
+  StateHandler m_OnStateAtStart;
   std::minstd_rand m_Random;
   Configuration m_InForce;
   std::uint64_t m_Revision = 0; ///< Of the last item, also if it is not valid.
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -73,15 +73,15 @@
 
 /// Serves the items read from the store to other VMs by long poll: answers when
 /// there are newer items or the wait of the call is over. Also serves the
-/// configuration in force.
+/// state that the store may lack.
 class GatewayNode::PeerHandler final : public InternalHandler {
 public:
   using InternalHandler::InternalHandler;
   void
   handleRequest(CallerRequest Request,
                 const std::shared_ptr<CallerConnection> &Connection) override {
-    if (Request.m_Target == ActiveConfiguration::PeerTarget) {
-      answerConfiguration(*Connection);
+    if (Request.m_Target == PeerState::Target) {
+      answerState(*Connection);
       return;
     }
     auto Call = PeerItemsCall::parse(Request.m_Target);
@@ -115,10 +115,11 @@
     Time m_Until{};
   };
 
-  void answerConfiguration(CallerConnection &Connection) {
-    const ActiveConfiguration &Configuration = m_Node.m_Configuration;
-    Connection.answer(Configuration.table() ? 200 : 404, {},
-                      Configuration.text());
+  void answerState(CallerConnection &Connection) {
+    PeerState State{m_Node.m_Configuration.text(),
+                    m_Node.m_Fleet.leavingIncarnations()};
+    Connection.answer(200, {{"Content-Type", "application/cbor"}},
+                      State.encode());
   }
   void answer(CallerConnection &Connection, const StoreVersion &Version) {
     Connection.answer(200, {{"Content-Type", "application/cbor"}},
@@ -167,7 +168,10 @@
       m_StoreClient(m_HttpClient, m_Metrics),
       m_Configuration(
           {Records, m_StoreClient, m_Log, m_Metrics}, [this] { return now(); },
-          [this] { return peerAddresses(); }),
+          [this] { return peerAddresses(); },
+          [this](const PeerState &State) {
+            m_Fleet.applyLeaving(State.m_Leaving, now());
+          }),
       m_StoreWatcher(
           m_Loop, m_StoreClient, Store, *this, [this] { return now(); },
           m_Settings.m_StoreAddress, m_Settings.m_MaxApplyDelay),
--- a/tests/fleet/FleetTableTest.cpp
+++ b/tests/fleet/FleetTableTest.cpp
@@ -193,6 +193,35 @@
   CHECK(m_Fleet.find("a")->canServe(m_Now + 2s));
 }
 
+// Guards against a VM that starts and uses endpoints that have left, since the
+// restored list still has them.
+TEST(FleetTable, StartingVMDoesNotUseEndpointsThatLeft) {
+  FleetTable Peer;
+  EndpointEntry Draining = entry("draining");
+  Draining.m_State = EndpointState::Draining;
+  Peer.list(Draining, m_Now);
+  for (const char *Id : {"gone", "lapsed", "restarted", "returned"}) {
+    Peer.list(entry(Id), m_Now);
+    Peer.unlist(Id, m_Now);
+  }
+  Peer.list(entry("returned"), m_Now);
+  for (const char *Id : {"draining", "gone", "lapsed", "returned", "ready"})
+    m_Fleet.list(entry(Id), m_Now);
+  m_Fleet.list(entry("restarted", 2), m_Now);
+  m_Fleet.applyLeaving(Peer.leavingIncarnations(), m_Now);
+  for (const char *Id : {"draining", "gone", "lapsed"})
+    CHECK(!m_Fleet.find(Id));
+  for (const char *Id : {"restarted", "returned", "ready"})
+    CHECK(m_Fleet.find(Id)->canServe(m_Now));
+  // Its own entry, and the removal of the other one, come later.
+  m_Fleet.list(Draining, m_Now + 1s);
+  m_Fleet.unlist("gone", m_Now + 1s);
+  m_Fleet.expire(m_Now + 10s);
+  CHECK(!m_Fleet.find("draining")->canServe(m_Now + 10s));
+  CHECK(!m_Fleet.find("gone"));
+  CHECK(m_Fleet.find("lapsed")->canServe(m_Now + 10s));
+}
+
 // Guards against an entry that the next restoration, or a reload of the list,
 // no longer has.
 TEST(FleetTable, DeferredEntryIsDroppedWithTheList) {
--- a/tests/integration/RestoredStoreTest.cpp
+++ b/tests/integration/RestoredStoreTest.cpp
@@ -112,7 +112,7 @@
     std::size_t Before = Endpoint.calls().size();
     Clock::time_point Until = Clock::now() + 1s;
     while (Clock::now() < Until)
-      for (std::size_t Gateway = 0; Gateway < VMCount; ++Gateway)
+      for (std::size_t Gateway = 0; Gateway < m_Gateways.size(); ++Gateway)
         LONGS_EQUAL(200, send(Gateway));
     return Endpoint.calls().size() - Before;
   }
@@ -233,6 +233,29 @@
   CHECK(requestsInASecond(Gone) > 0);
 }
 
+// Guards against a VM that starts after the restoration and uses endpoints that
+// had left, or were leaving, before it.
+TEST(RestoredStore, VMThatStartsDoesNotUseEndpointsThatLeft) {
+  auto Respond = [](const ReceivedCall &) { return FakeEndpointAnswer(); };
+  FakeEndpoint Gone(Respond);
+  FakeEndpoint Leaving(Respond);
+  FakeEndpoint Staying(Respond);
+  m_Store.put("servers/gone", serverEntry("plain", Gone.address()));
+  m_Store.put("servers/leaving", serverEntry("plain", Leaving.address()));
+  m_Store.put("servers/staying", serverEntry("plain", Staying.address()));
+  startGateways();
+  m_Store.keepCopy();
+  m_Store.remove("servers/gone");
+  m_Store.put("servers/leaving",
+              serverEntry("plain", Leaving.address(), "draining"));
+  std::this_thread::sleep_for(1s);
+  restore(300ms);
+  CHECK(startGateway(m_Store.address()).waitUntilReady());
+  LONGS_EQUAL(0, requestsInASecond(Gone));
+  LONGS_EQUAL(0, requestsInASecond(Leaving));
+  CHECK(requestsInASecond(Staying) > 0);
+}
+
 // Guards against VMs that stay unlisted since the copy has their lease, but not
 // their entry; and against VMs that call the store again and again meanwhile.
 TEST(RestoredStore, VMsListThemselvesAgain) {
