--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -29,7 +29,7 @@
       0; ///< Start time, milliseconds since the Unix epoch.
 };
 
-/// An endpoint between two starts.
+/// An endpoint from one of its starts to the next.
 struct EndpointIncarnation {
   std::string m_Id;
   std::int64_t m_StartTimeMs = 0;
