--- a/tests/support/GatewayTestServers.cpp
+++ b/tests/support/GatewayTestServers.cpp
@@ -98,8 +98,12 @@
   }
   Response.set_chunked_content_provider(
       "text/event-stream", [Answer](std::size_t, httplib::DataSink &Sink) {
-        for (const std::string &Chunk : Answer.m_Chunks)
+        for (std::size_t Index = 0; Index < Answer.m_Chunks.size(); ++Index) {
+          if (Answer.m_BeforeChunk)
+            Answer.m_BeforeChunk(Index);
+          const std::string &Chunk = Answer.m_Chunks[Index];
           Sink.write(Chunk.data(), Chunk.size());
+        }
         if (Answer.m_IsTruncated)
           return false;
         Sink.done();
--- a/tests/support/GatewayTestServers.h
+++ b/tests/support/GatewayTestServers.h
@@ -34,6 +34,8 @@
   bool m_HasServerSeal = true;     ///< Sends the Server-Seal header.
   /// Sent as separate chunks of an event stream; m_Body is then unused.
   std::vector<std::string> m_Chunks;
+  /// Called before each of m_Chunks with its index; may take its time.
+  std::function<void(std::size_t)> m_BeforeChunk = {};
   /// Closes the connection after m_Chunks, without the final empty chunk.
   bool m_IsTruncated = false;
 };
