Keep a silent attempt of a stream open

Callers saw streams broken off, or 502, while their engine was sound and silent for a second.

Cause: silence was taken for the end of an attempt.

Silence now only lets a stream try another path. The silent attempt stays open until the new one has its first event. It is the current one again if it sends the next event, or if the new one fails and nothing else is left. What ends an answer is the end of the connection, the deadline, or the caller. An engine that keeps sending bytes without events is not silent; such a stream ends as before. Whether a request may have run follows from the attempts that are over, so that one whose silent attempt is rejected in the end is refused with a true 503. Engines that were excluded are used again if no path is left without them. A connection that could not be opened is no send.

--- a/src/audit/GatewayHistory.cpp
+++ b/src/audit/GatewayHistory.cpp
@@ -143,6 +143,18 @@
                 Logged.text("silent_ms") + " ms after " +
                 Logged.text("events") + " events";
        }},
+      {"attempt-silent",
+       [](const Line &Logged) {
+         return "left open, and sent elsewhere as well: " +
+                Logged.text("reason") + ", silent for " +
+                Logged.text("silent_ms") + " ms after " +
+                Logged.text("events") + " events; path " + Logged.text("path");
+       }},
+      {"attempt-resumed",
+       [](const Line &Logged) {
+         return "goes on with an earlier attempt after " +
+                Logged.text("events") + " events; path " + Logged.text("path");
+       }},
       {"foreign-answer",
        [](const Line &Logged) {
          return "skipped the copy of an answer to " +
--- /dev/null
+++ b/src/gateway/StreamAttempt.h
@@ -0,0 +1,75 @@
+#ifndef PARSLEYRING_GATEWAY_STREAMATTEMPT_H
+#define PARSLEYRING_GATEWAY_STREAMATTEMPT_H
+
+#include "gateway/EventScanner.h"
+#include "gateway/HttpConnection.h"
+#include "gateway/PathLoad.h"
+
+#include <memory>
+#include <string>
+
+namespace parsleyring {
+
+/// One sending of a stream request on a path of engines.
+struct StreamAttempt {
+  std::shared_ptr<HttpConnection> m_Connection;
+  PathLoad m_PathLoad;
+  ResponseHead m_Head;
+  EventScanner m_Scanner;
+  std::string m_RejectionBody; ///< Body of an answer that is not a stream.
+  Time m_SentAt{};
+  Time m_LastProgressAt{};
+  Time m_FirstEventAt{};
+  int m_Events = 0;
+  /// Reads since the last event that did not complete another one.
+  int m_UnfinishedReads = 0;
+  Time m_FirstUnfinishedReadAt{};
+  Time m_LastUnfinishedReadAt{};
+  int m_Repaths = 0;
+  Time m_NextReportAt{}; ///< When a silent engine may be asked again.
+  Time m_NextMoveAt{};   ///< When leaving a suspect part is tried again.
+  /// Counts towards the maximum of the route.
+  bool m_IsCounted = true;
+  /// The engine has answered long enough to show that the prompt is harmless.
+  bool m_IsAnswered = false;
+  bool m_IsStreaming = false; ///< A valid event stream is arriving.
+  bool m_IsReportRequested = false;
+  bool m_IsRepathing = false;
+  bool m_HasEnded = false; ///< The exchange is over.
+
+  const LayerPath &path() const { return m_PathLoad.path(); }
+  const FleetTable::Handle &firstEngine() const {
+    return path().front().m_Endpoint;
+  }
+  bool uses(const FleetTable::Handle &Endpoint) const {
+    for (const PathStage &Part : path())
+      if (Part.m_Endpoint == Endpoint)
+        return true;
+    return false;
+  }
+  void noteUnfinishedRead(Time Now) {
+    if (++m_UnfinishedReads == 1)
+      m_FirstUnfinishedReadAt = Now;
+    m_LastUnfinishedReadAt = Now;
+  }
+  /// True if the engine keeps sending bytes that make up no event. Unlike one
+  /// that is silent, it is not sound.
+  bool isTrickling() const {
+    return m_UnfinishedReads >= MinTricklingReads &&
+           m_LastUnfinishedReadAt - m_FirstUnfinishedReadAt >= MinTricklingTime;
+  }
+  /// Ends the exchange; no handler is called afterwards.
+  void close() {
+    m_HasEnded = true;
+    m_Connection->close();
+    m_PathLoad.clear();
+  }
+
+  /// An event that arrives in a few pieces around a silence is no trickle.
+  static constexpr int MinTricklingReads = 4;
+  static constexpr Duration MinTricklingTime = std::chrono::milliseconds(500);
+};
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_GATEWAY_STREAMATTEMPT_H
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -238,6 +238,11 @@
         Query, m_Context.now());
   };
   LayerPath Path = Plan();
+  if (Path.empty() && !m_ExcludedEndpoints.empty()) {
+    // An endpoint that was silent or failed may be sound again.
+    Query.m_Excluded = enginesOfOpenAttempts();
+    Path = Plan();
+  }
   bool IsAllowed = Path.empty() || mayBegin(*Path.front().m_Endpoint);
   noteDemand(Path);
   m_IsLimited = false;
@@ -255,19 +260,19 @@
 }
 
 bool StreamForward::trySend(std::string_view Reason) {
+  if (!canSendAgain())
+    return false;
   Time Now = m_Context.now();
   LayerPath Path = planPath();
   if (Path.empty())
     return false;
   if (m_Sends > 0) {
-    if (!canSendAgain() ||
-        !m_Context.retryShare(m_Job.m_Service->m_Name).tryTake(Now))
+    if (!m_Context.retryShare(m_Job.m_Service->m_Name).tryTake(Now))
       return false;
     m_Context.metrics().countRetry(Reason);
   }
   ++m_Sends;
   ++m_CountedAttempts;
-  ++m_AttemptNumber;
   m_IsDemandCounted = false;
   const HeaderNames &Names = m_Context.protocol().headers();
   const FleetTable::Handle First = Path.front().m_Endpoint;
@@ -283,86 +288,112 @@
         LayerPathPlanner::memoryFill(*m_Job.m_Service->m_Engine,
                                      *Part.m_Endpoint, m_Context.loadFactor(),
                                      m_PromptTokens + answerTokensLeft()));
-  m_PathLoad.set(Path, m_PromptTokens + answerTokensLeft());
   First->m_LimitShare.noteSent();
-  m_SentAt = m_LastProgressAt = Now;
-  m_IsHeadSeen = m_IsStreaming = m_IsReportRequested = m_IsRepathing = false;
-  m_Repaths = 0;
-  m_AttemptEvents = 0;
-  m_IsAnswered = false;
-  m_Scanner.clear();
-  m_RejectionBody.clear();
-  m_Connection = m_Context.connectionPool().acquire(First->m_Entry.m_Address,
-                                                    MaxIdle, Now);
+  auto Sent = std::make_shared<StreamAttempt>();
+  Sent->m_PathLoad.set(Path, m_PromptTokens + answerTokensLeft());
+  Sent->m_SentAt = Sent->m_LastProgressAt = m_LastProgressAt = Now;
+  Sent->m_Connection = m_Context.connectionPool().acquire(
+      First->m_Entry.m_Address, MaxIdle, Now);
+  m_Attempt = Sent;
   if (m_Sends > 1)
     m_Context.log().write(Now, "stream-moved", m_Job.m_Id,
                           {{"reason", Reason},
                            {"path", Extra.front().second},
                            {"after_event", std::int64_t(m_LastEventId)}});
-  m_Connection->send(
+  Sent->m_Connection->send(
       serializeRequest(m_Job, m_Context.protocol(), First->m_Entry, Now, Extra),
-      ConnectTimeout, handlers());
+      ConnectTimeout, handlers(Sent));
   return true;
 }
 
-ExchangeHandlers StreamForward::handlers() {
+bool StreamForward::isOpen(const AttemptHandle &Attempt) const {
+  return Attempt == m_Attempt ||
+         std::find(m_SilentAttempts.begin(), m_SilentAttempts.end(), Attempt) !=
+             m_SilentAttempts.end();
+}
+
+std::vector<FleetTable::Handle> StreamForward::enginesOfOpenAttempts() const {
+  std::vector<FleetTable::Handle> Engines;
+  if (m_Attempt)
+    Engines.push_back(m_Attempt->firstEngine());
+  for (const AttemptHandle &Silent : m_SilentAttempts)
+    Engines.push_back(Silent->firstEngine());
+  return Engines;
+}
+
+ExchangeHandlers StreamForward::handlers(const AttemptHandle &Attempt) {
   auto Self = shared_from_this();
-  std::uint64_t SentAttempt = m_AttemptNumber;
   ExchangeHandlers Handlers;
-  Handlers.m_OnHead = [Self, SentAttempt](const ResponseHead &Head) {
-    if (Self->m_AttemptNumber == SentAttempt)
-      Self->handleHead(Head);
+  Handlers.m_OnHead = [Self, Attempt](const ResponseHead &Head) {
+    if (Self->isOpen(Attempt))
+      Self->handleHead(Attempt, Head);
   };
-  Handlers.m_OnBody = [Self, SentAttempt](std::string_view Bytes) {
-    if (Self->m_AttemptNumber == SentAttempt)
-      Self->handleBody(Bytes);
+  Handlers.m_OnBody = [Self, Attempt](std::string_view Bytes) {
+    if (Self->isOpen(Attempt))
+      Self->handleBody(Attempt, Bytes);
   };
-  Handlers.m_OnEnd = [Self, SentAttempt](ExchangeEnd End) {
-    if (Self->m_AttemptNumber == SentAttempt)
-      Self->handleEnd(End);
+  Handlers.m_OnEnd = [Self, Attempt](ExchangeEnd End) {
+    if (Self->isOpen(Attempt))
+      Self->handleEnd(Attempt, End);
   };
   return Handlers;
 }
 
-void StreamForward::handleHead(const ResponseHead &Head) {
+void StreamForward::handleHead(const AttemptHandle &Attempt,
+                               const ResponseHead &Head) {
   const HeaderNames &Names = m_Context.protocol().headers();
-  m_IsHeadSeen = true;
-  m_Head = Head;
-  m_IsStreaming = Head.m_Status == 200 && Head.has(Names.m_Seal) &&
-                  Head.field(Names.m_RequestId) == m_Job.m_Id &&
-                  !Head.has("Content-Encoding");
-  noteLimit(m_PathLoad.path().front().m_Endpoint, Head, m_SentAt);
+  Attempt->m_Head = Head;
+  Attempt->m_IsStreaming = Head.m_Status == 200 && Head.has(Names.m_Seal) &&
+                           Head.field(Names.m_RequestId) == m_Job.m_Id &&
+                           !Head.has("Content-Encoding");
+  noteLimit(Attempt->firstEngine(), Head, Attempt->m_SentAt);
 }
 
-void StreamForward::handleBody(std::string_view Bytes) {
-  if (!m_IsStreaming) {
-    m_RejectionBody.append(Bytes);
-    if (m_RejectionBody.size() > MaxRejectionBytes)
-      m_Connection->rejectResponse();
+void StreamForward::handleBody(const AttemptHandle &Attempt,
+                               std::string_view Bytes) {
+  if (!Attempt->m_IsStreaming) {
+    Attempt->m_RejectionBody.append(Bytes);
+    if (Attempt->m_RejectionBody.size() > MaxRejectionBytes)
+      Attempt->m_Connection->rejectResponse();
     return;
   }
-  m_Scanner.add(Bytes);
-  forwardEvents();
-  if (m_IsStreaming && m_Connection && m_Scanner.pendingBytes() > MaxEventBytes)
-    m_Connection->rejectResponse();
+  Attempt->m_Scanner.add(Bytes);
+  if (Attempt != m_Attempt && hasNextEvent(*Attempt))
+    resumeAttempt(Attempt);
+  if (Attempt == m_Attempt) {
+    int Events = Attempt->m_Events;
+    forwardEvents();
+    if (Attempt->m_Events == Events)
+      Attempt->noteUnfinishedRead(m_Context.now());
+  }
+  if (isOpen(Attempt) && Attempt->m_Scanner.pendingBytes() > MaxEventBytes)
+    Attempt->m_Connection->rejectResponse();
+}
+
+bool StreamForward::hasNextEvent(const StreamAttempt &Attempt) const {
+  EventScanner Ahead = Attempt.m_Scanner;
+  while (auto Event = Ahead.next())
+    if (Event->m_Id == m_LastEventId + 1)
+      return true;
+  return false;
 }
 
 void StreamForward::beginAnswer() {
   m_HasAnswerBegun = true;
-  m_Job.m_Caller->beginAnswer(m_Head.m_Status, endToEndFields(m_Head));
+  const ResponseHead &Head = m_Attempt->m_Head;
+  m_Job.m_Caller->beginAnswer(Head.m_Status, endToEndFields(Head));
   m_FirstEventTime = m_Context.now() - m_Job.m_Request.m_ReceivedAt;
   m_Context.metrics().observeFirstEvent(m_FirstEventTime);
 }
 
 void StreamForward::forwardEvents() {
-  while (auto Event = m_Scanner.next())
+  AttemptHandle Attempt = m_Attempt;
+  while (auto Event = Attempt->m_Scanner.next())
     if (!forwardEvent(*Event))
       return;
-  if (m_IsDone || !m_Job.m_Caller)
-    return;
   // Reading on while the caller does not read would fill the memory.
   if (m_Job.m_Caller->unsentBytes() > MaxUnsentBytes)
-    m_Connection->pauseReading();
+    Attempt->m_Connection->pauseReading();
 }
 
 // Returns false if the event has ended the attempt or the request.
@@ -387,36 +418,39 @@
 
 void StreamForward::noteProgress() {
   Time Now = m_Context.now();
+  StreamAttempt &Attempt = *m_Attempt;
   if (m_Events > 0) {
-    double Gap =
-        std::chrono::duration<double, std::milli>(Now - m_LastProgressAt)
-            .count();
+    double Gap = std::chrono::duration<double, std::milli>(
+                     Now - Attempt.m_LastProgressAt)
+                     .count();
     m_MeanEventGapMs =
         m_MeanEventGapMs == 0 ? Gap : 0.8 * m_MeanEventGapMs + 0.2 * Gap;
     m_LongestPauseMs = std::max(m_LongestPauseMs, Gap);
   }
   ++m_Events;
-  if (++m_AttemptEvents == 1)
-    m_FirstEventAt = Now;
-  if (Now - m_FirstEventAt >= HarmlessAnswerTime)
+  if (++Attempt.m_Events == 1)
+    Attempt.m_FirstEventAt = Now;
+  closeSilentAttempts();
+  if (Now - Attempt.m_FirstEventAt >= HarmlessAnswerTime)
     noteAnswered();
-  m_LastProgressAt = Now;
+  Attempt.m_LastProgressAt = m_LastProgressAt = Now;
+  Attempt.m_UnfinishedReads = 0;
   if (m_Events == 1)
-    for (const PathStage &Part : m_PathLoad.path())
+    for (const PathStage &Part : Attempt.path())
       Part.m_Endpoint->noteAcceptance();
 }
 
 void StreamForward::noteAnswered() {
-  if (m_IsAnswered)
+  if (m_Attempt->m_IsAnswered)
     return;
-  m_IsAnswered = true;
+  m_Attempt->m_IsAnswered = true;
   m_Context.promptGuard().noteAnswer(m_SharedParts);
 }
 
 // The engine may have crashed, perhaps because of this request.
-void StreamForward::noteCutOff(const FleetTable::Handle &Engine) {
-  if (!m_IsAnswered)
-    m_Context.promptGuard().noteCutOff(Engine, m_SharedParts);
+void StreamForward::noteCutOff(const StreamAttempt &Attempt) {
+  if (!Attempt.m_IsAnswered)
+    m_Context.promptGuard().noteCutOff(Attempt.firstEngine(), m_SharedParts);
 }
 
 // Ends the request if a part of its prompt crashes engines, unless it has been
@@ -429,11 +463,7 @@
   if (!Until)
     return false;
   static constexpr std::string_view Reason = "prompt-quarantined";
-  if (m_Connection) {
-    m_MayHaveRun = true;
-    abandonAttempt();
-  }
-  if (m_MayHaveRun) {
+  if (mayHaveRun()) {
     failRequest(Reason);
     return true;
   }
@@ -442,64 +472,95 @@
   return true;
 }
 
-void StreamForward::handleEnd(ExchangeEnd End) {
+void StreamForward::handleEnd(const AttemptHandle &Attempt, ExchangeEnd End) {
   if (m_IsDone)
     return;
   Time Now = m_Context.now();
-  m_Context.metrics().countAttempt(End == ExchangeEnd::Complete
-                                       ? std::to_string(m_Head.m_Status)
-                                       : std::string(name(End)));
-  FleetTable::Handle First = m_PathLoad.path().front().m_Endpoint;
+  m_Context.metrics().countAttempt(
+      End == ExchangeEnd::Complete ? std::to_string(Attempt->m_Head.m_Status)
+                                   : std::string(name(End)));
+  bool IsComplete = End == ExchangeEnd::Complete;
+  if (IsComplete && !Attempt->m_IsStreaming && receiveOwnAnswer(Attempt))
+    return;
+  Attempt->m_HasEnded = true;
+  if (Attempt != m_Attempt) {
+    if (!IsComplete || !Attempt->m_IsStreaming) {
+      handleEndOfSilent(Attempt, End);
+      return;
+    }
+    resumeAttempt(Attempt);
+  }
+  const FleetTable::Handle First = Attempt->firstEngine();
   if (End == ExchangeEnd::ConnectFailed) {
-    --m_CountedAttempts;
-    m_ExcludedEndpoints.push_back(First);
-    std::uint64_t SentAttempt = m_AttemptNumber;
+    noteUnsent(*Attempt);
+    exclude(First);
     m_Context.suspect(First, "connect-failed", UnresponsiveTime);
-    if (m_AttemptNumber == SentAttempt)
-      retryElsewhere("connect-failed");
+    retryElsewhere("connect-failed");
     return;
   }
-  if (End != ExchangeEnd::Complete) {
+  if (!IsComplete) {
     m_MayHaveRun = true;
-    First->noteResult(false, Now - m_SentAt, Now);
-    m_ExcludedEndpoints.push_back(First);
+    First->noteResult(false, Now - Attempt->m_SentAt, Now);
+    exclude(First);
     if (End == ExchangeEnd::Closed)
-      noteCutOff(First);
+      noteCutOff(*Attempt);
     retryElsewhere(name(End));
     return;
   }
-  if (!m_IsStreaming) {
-    if (!receiveOwnAnswer())
-      handleRejection(m_Head);
+  if (!Attempt->m_IsStreaming) {
+    handleRejection(Attempt->m_Head);
     return;
   }
-  if (m_Scanner.hasPartialEvent()) {
+  if (Attempt->m_Scanner.hasPartialEvent()) {
     m_MayHaveRun = true;
-    noteCutOff(First);
+    noteCutOff(*Attempt);
     retryElsewhere("partial-event");
     return;
   }
-  First->noteResult(true, Now - m_SentAt, Now);
-  if (m_AttemptEvents > 0)
+  First->noteResult(true, Now - Attempt->m_SentAt, Now);
+  if (Attempt->m_Events > 0)
     noteAnswered();
-  m_Context.connectionPool().release(m_Connection, Now);
+  m_Context.connectionPool().release(Attempt->m_Connection, Now);
   if (!hasAnswerBegun())
     beginAnswer();
   m_Job.m_Caller->endAnswer();
-  finish(ForwardOutcome::Completed, "answered", m_Head.m_Status);
+  finish(ForwardOutcome::Completed, "answered", Attempt->m_Head.m_Status);
+}
+
+// The current attempt goes on.
+void StreamForward::handleEndOfSilent(const AttemptHandle &Attempt,
+                                      ExchangeEnd End) {
+  Time Now = m_Context.now();
+  logAttempt("attempt-abandoned", *Attempt, name(End));
+  if (End == ExchangeEnd::ConnectFailed) {
+    noteUnsent(*Attempt);
+  } else if (provesNotRun(Attempt->m_Head, m_Context.protocol().headers(),
+                          m_Job.m_Id)) {
+    uncount(*Attempt);
+    m_Context.connectionPool().release(Attempt->m_Connection, Now);
+  } else {
+    m_MayHaveRun = true;
+    Attempt->firstEngine()->noteResult(false, Now - Attempt->m_SentAt, Now);
+    if (End == ExchangeEnd::Closed)
+      noteCutOff(*Attempt);
+  }
+  Attempt->m_PathLoad.clear();
+  m_SilentAttempts.erase(
+      std::find(m_SilentAttempts.begin(), m_SilentAttempts.end(), Attempt));
 }
 
 // If the answer is the copy of one to an earlier request on this connection,
 // goes on with the next one.
-bool StreamForward::receiveOwnAnswer() {
+bool StreamForward::receiveOwnAnswer(const AttemptHandle &Attempt) {
   const HeaderNames &Names = m_Context.protocol().headers();
-  if (!belongsToOther(m_Head, Names, m_Job.m_Id) || !m_Connection->isReusable())
+  if (!belongsToOther(Attempt->m_Head, Names, m_Job.m_Id) ||
+      !Attempt->m_Connection->isReusable())
     return false;
-  logForeignAnswer(m_PathLoad.path().front().m_Endpoint,
-                   m_Head.field(Names.m_RequestId));
-  m_IsHeadSeen = false;
-  m_RejectionBody.clear();
-  m_Connection->receiveNextResponse(handlers());
+  logForeignAnswer(Attempt->firstEngine(),
+                   Attempt->m_Head.field(Names.m_RequestId));
+  Attempt->m_Head = {};
+  Attempt->m_RejectionBody.clear();
+  Attempt->m_Connection->receiveNextResponse(handlers(Attempt));
   return true;
 }
 
@@ -508,12 +569,12 @@
   const HeaderNames &Names = m_Context.protocol().headers();
   Time Now = m_Context.now();
   if (provesNotRun(Head, Names, m_Job.m_Id)) {
-    m_Context.connectionPool().release(m_Connection, Now);
-    --m_CountedAttempts;
+    m_Context.connectionPool().release(m_Attempt->m_Connection, Now);
+    uncount(*m_Attempt);
     std::string Address = Head.field(Names.m_FaultyEndpoint);
     FleetTable::Handle Faulty = m_Context.fleet().findByAddress(Address);
     if (!Faulty)
-      Faulty = m_PathLoad.path().front().m_Endpoint;
+      Faulty = m_Attempt->firstEngine();
     Faulty->noteRejection(
         Faulty->m_Entry.m_FailureDomain == m_Context.failureDomain(), Now);
     m_Context.log().write(Now, "path-rejected", m_Job.m_Id,
@@ -524,10 +585,11 @@
     return;
   }
   m_MayHaveRun = true;
-  FleetTable::Handle First = m_PathLoad.path().front().m_Endpoint;
-  First->noteResult(false, Now - m_SentAt, Now);
-  if (canResume() && m_CountedAttempts < m_Job.m_Route->m_MaxAttempts) {
-    m_ExcludedEndpoints.push_back(First);
+  FleetTable::Handle First = m_Attempt->firstEngine();
+  First->noteResult(false, Now - m_Attempt->m_SentAt, Now);
+  if (!m_SilentAttempts.empty() ||
+      (canResume() && m_CountedAttempts < m_Job.m_Route->m_MaxAttempts)) {
+    exclude(First);
     retryElsewhere("endpoint-failure");
     return;
   }
@@ -541,39 +603,105 @@
       Head.has(Names.m_Seal) && !belongsToOther(Head, Names, m_Job.m_Id);
   if (IsSealed && Head.m_Status >= 400 && !statesNotRun(Head.m_Status)) {
     m_Job.m_Caller->answer(Head.m_Status, endToEndFields(Head),
-                           m_RejectionBody);
+                           m_Attempt->m_RejectionBody);
     finish(ForwardOutcome::Failed, "endpoint-failure", Head.m_Status);
     return;
   }
   failRequest("unproved");
 }
 
-void StreamForward::abandonAttempt() {
-  ++m_AttemptNumber;
-  if (m_Connection)
-    m_Connection->close();
-  m_Connection.reset();
-  m_PathLoad.clear();
+void StreamForward::exclude(const FleetTable::Handle &Endpoint) {
+  if (std::find(m_ExcludedEndpoints.begin(), m_ExcludedEndpoints.end(),
+                Endpoint) == m_ExcludedEndpoints.end())
+    m_ExcludedEndpoints.push_back(Endpoint);
 }
 
-void StreamForward::retryElsewhere(std::string_view Reason) {
-  if (m_IsDone)
+void StreamForward::uncount(StreamAttempt &Attempt) {
+  if (!Attempt.m_IsCounted)
     return;
+  Attempt.m_IsCounted = false;
+  --m_CountedAttempts;
+}
+
+void StreamForward::noteUnsent(StreamAttempt &Attempt) {
+  uncount(Attempt);
+  --m_Sends;
+}
+
+bool StreamForward::mayHaveRun() const {
+  return m_MayHaveRun || m_Attempt || !m_SilentAttempts.empty();
+}
+
+void StreamForward::close(StreamAttempt &Attempt) {
+  m_MayHaveRun = true;
+  Attempt.close();
+}
+
+void StreamForward::closeSilentAttempts() {
+  for (const AttemptHandle &Silent : m_SilentAttempts)
+    close(*Silent);
+  m_SilentAttempts.clear();
+}
+
+void StreamForward::logAttempt(std::string_view Event,
+                               const StreamAttempt &Attempt,
+                               std::string_view Reason) {
   Time Now = m_Context.now();
   m_Context.log().write(
-      Now, "attempt-abandoned", m_Job.m_Id,
+      Now, Event, m_Job.m_Id,
       {{"reason", Reason},
-       {"path", pathIds(m_PathLoad.path())},
+       {"path", pathIds(Attempt.path())},
        {"prompt_parts", joined(m_SharedParts)},
        {"events", std::int64_t(m_Events)},
-       {"attempt_events", std::int64_t(m_AttemptEvents)},
-       {"silent_ms", std::int64_t((Now - m_LastProgressAt).count() / 1000)}});
-  abandonAttempt();
+       {"attempt_events", std::int64_t(Attempt.m_Events)},
+       {"silent_ms",
+        std::int64_t((Now - Attempt.m_LastProgressAt).count() / 1000)}});
+}
+
+bool StreamForward::moveElsewhere(std::string_view Reason) {
+  if (!canResume() || m_Context.now() >= m_Job.m_Deadline)
+    return false;
+  AttemptHandle Silent = m_Attempt;
+  exclude(Silent->firstEngine());
+  if (!trySend(Reason))
+    return false;
+  logAttempt("attempt-silent", *Silent, Reason);
+  m_SilentAttempts.push_back(std::move(Silent));
+  return true;
+}
+
+void StreamForward::resumeAttempt(const AttemptHandle &Silent) {
+  logAttempt("attempt-resumed", *Silent, "");
+  if (m_Attempt && !m_Attempt->m_HasEnded) {
+    logAttempt("attempt-abandoned", *m_Attempt, "earlier-resumed");
+    close(*m_Attempt);
+  }
+  m_SilentAttempts.erase(
+      std::find(m_SilentAttempts.begin(), m_SilentAttempts.end(), Silent));
+  m_Attempt = Silent;
+}
+
+void StreamForward::retryElsewhere(std::string_view Reason) {
+  if (m_IsDone)
+    return;
+  logAttempt("attempt-abandoned", *m_Attempt, Reason);
+  // A connection that is released is kept open.
+  if (m_Attempt->m_HasEnded)
+    m_Attempt->m_PathLoad.clear();
+  else
+    close(*m_Attempt);
+  m_Attempt.reset();
   if (endIfQuarantined())
     return;
   bool IsAllowed = !m_MayHaveRun || canResume();
-  if (IsAllowed && Now < m_Job.m_Deadline &&
-      (trySend(Reason) || waitForCapacity(Reason)))
+  if (IsAllowed && m_Context.now() < m_Job.m_Deadline && trySend(Reason))
+    return;
+  if (!m_SilentAttempts.empty()) {
+    resumeAttempt(m_SilentAttempts.back());
+    return;
+  }
+  if (IsAllowed && m_Context.now() < m_Job.m_Deadline &&
+      waitForCapacity(Reason))
     return;
   endUnanswered(Reason);
 }
@@ -598,13 +726,15 @@
     failRequest("timeout");
     return;
   }
-  if (m_Connection && m_Job.m_Caller->unsentBytes() < MaxUnsentBytes / 2)
-    m_Connection->resumeReading();
+  if (!m_Attempt)
+    return;
+  if (m_Job.m_Caller->unsentBytes() < MaxUnsentBytes / 2)
+    m_Attempt->m_Connection->resumeReading();
   checkSilence(Now);
 }
 
 Duration StreamForward::silenceLimit() const {
-  if (m_IsRepathing || m_Repaths > 0)
+  if (m_Attempt->m_IsRepathing || m_Attempt->m_Repaths > 0)
     return MaxRepathSilence;
   if (m_Events == 0)
     return std::max<Duration>(MinFirstEventSilence,
@@ -614,7 +744,7 @@
 }
 
 bool StreamForward::hasSuspectPart(Time Now) const {
-  for (const PathStage &Part : m_PathLoad.path())
+  for (const PathStage &Part : m_Attempt->path())
     if (Part.m_Endpoint->m_SuspectUntil > Now + FleetEndpoint::RejectionPause)
       return true;
   return false;
@@ -626,47 +756,49 @@
   Duration Threshold = m_Events == 0 ? SlowFirstEvent : SlowEvent;
   if (Silence < Threshold)
     return;
-  for (const PathStage &Part : m_PathLoad.path())
+  for (const PathStage &Part : m_Attempt->path())
     m_Context.checkPace(Part.m_Endpoint);
 }
 
 void StreamForward::checkSilence(Time Now) {
-  Duration Silence = Now - m_LastProgressAt;
-  if (m_Connection && !m_IsRepathing)
-    checkPaces(Silence);
-  if (m_IsDone || !m_Connection || m_IsRepathing || Silence < silenceLimit())
+  if (m_Attempt->m_IsRepathing)
+    return;
+  Duration Silence = Now - m_Attempt->m_LastProgressAt;
+  checkPaces(Silence);
+  if (m_IsDone || Silence < silenceLimit())
+    return;
+  if (Silence > MaxSilence && m_Attempt->isTrickling()) {
+    exclude(m_Attempt->firstEngine());
+    retryElsewhere("trickling");
     return;
+  }
   if (hasSuspectPart(Now)) {
     replaceParts();
     return;
   }
-  if (Silence > MaxSilence && canResume() &&
-      m_CountedAttempts < m_Job.m_Route->m_MaxAttempts) {
-    m_MayHaveRun = true;
-    m_ExcludedEndpoints.push_back(m_PathLoad.path().front().m_Endpoint);
-    retryElsewhere("silent");
-    return;
+  if (Silence > MaxSilence && Now >= m_Attempt->m_NextMoveAt) {
+    m_Attempt->m_NextMoveAt = Now + CheckInterval;
+    if (moveElsewhere("silent"))
+      return;
   }
-  if (m_IsReportRequested || Now < m_NextCheck)
+  if (m_Attempt->m_IsReportRequested || Now < m_Attempt->m_NextReportAt)
     return;
-  m_IsReportRequested = true;
-  m_NextCheck = Now + CheckInterval;
+  m_Attempt->m_IsReportRequested = true;
+  m_Attempt->m_NextReportAt = Now + CheckInterval;
   auto Self = shared_from_this();
-  std::uint64_t SentAttempt = m_AttemptNumber;
   m_Context.requestReport(
-      m_PathLoad.path().front().m_Endpoint,
-      [Self, SentAttempt](const std::optional<EngineReport> &Report) {
-        if (Self->m_IsDone || Self->m_AttemptNumber != SentAttempt)
-          return;
-        Self->m_IsReportRequested = false;
-        Self->handleReport(Report);
+      m_Attempt->firstEngine(),
+      [Self, Asked = m_Attempt](const std::optional<EngineReport> &Report) {
+        Asked->m_IsReportRequested = false;
+        if (!Self->m_IsDone && Self->m_Attempt == Asked)
+          Self->handleReport(Report);
       });
 }
 
 void StreamForward::handleReport(const std::optional<EngineReport> &Report) {
   if (!Report) {
-    // Copied, since suspect() may move this stream and change m_PathLoad.
-    FleetTable::Handle First = m_PathLoad.path().front().m_Endpoint;
+    // Copied, since suspect() may move this stream to another attempt.
+    FleetTable::Handle First = m_Attempt->firstEngine();
     m_Context.suspect(First, "no-report", UnresponsiveTime);
     return;
   }
@@ -676,7 +808,7 @@
     FleetTable::Handle Part =
         m_Context.fleet().findByAddress(Stalled.m_Address);
     if (!Part) {
-      for (const PathStage &Used : m_PathLoad.path())
+      for (const PathStage &Used : m_Attempt->path())
         if (Used.m_Endpoint->m_Entry.m_Address == Stalled.m_Address)
           Part = Used.m_Endpoint;
     }
@@ -687,38 +819,36 @@
 }
 
 void StreamForward::handleSuspect(const FleetTable::Handle &Endpoint) {
-  if (m_IsDone || !m_Connection || m_IsRepathing)
+  if (m_IsDone || !m_Attempt || m_Attempt->m_HasEnded ||
+      m_Attempt->m_IsRepathing)
     return;
-  const LayerPath &Path = m_PathLoad.path();
-  bool IsUsed =
-      std::any_of(Path.begin(), Path.end(), [&](const PathStage &Part) {
-        return Part.m_Endpoint == Endpoint;
-      });
-  Time Now = m_Context.now();
   // A stream that still gets events need not leave the endpoint.
-  if (IsUsed && Now - m_LastProgressAt > MinSilence / 2)
+  if (m_Attempt->uses(Endpoint) &&
+      m_Context.now() - m_Attempt->m_LastProgressAt > MinSilence / 2)
     replaceParts();
 }
 
 // Replaces the suspect parts of the path; the other parts keep the cached state
-// of the request.
+// of the request. The attempt stays as it is if nothing can be replaced.
 void StreamForward::replaceParts() {
   Time Now = m_Context.now();
-  const LayerPath Path = m_PathLoad.path();
+  if (Now < m_Attempt->m_NextMoveAt)
+    return;
+  m_Attempt->m_NextMoveAt = Now + CheckInterval;
+  const LayerPath Path = m_Attempt->path();
   auto IsSuspect = [&](const PathStage &Part) {
     return Part.m_Endpoint->m_SuspectUntil > Now ||
            Part.m_Endpoint->m_IsRemoved;
   };
   for (const PathStage &Part : Path)
     if (IsSuspect(Part))
-      m_ExcludedEndpoints.push_back(Part.m_Endpoint);
-  m_MayHaveRun = true;
-  if (IsSuspect(Path.front()) || ++m_Repaths > MaxRepaths) {
+      exclude(Part.m_Endpoint);
+  if (IsSuspect(Path.front()) || ++m_Attempt->m_Repaths > MaxRepaths) {
     // The attempt counts towards the maximum unless the first engine was
     // removed from the list: a silent engine may still run the request.
     if (Path.front().m_Endpoint->m_IsRemoved)
-      --m_CountedAttempts;
-    retryElsewhere("part-lost");
+      uncount(*m_Attempt);
+    moveElsewhere("part-lost");
     return;
   }
   LayerPath NewPath;
@@ -742,7 +872,7 @@
         m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name), Query,
         Now);
     if (Replacement.empty()) {
-      retryElsewhere("no-detour");
+      moveElsewhere("no-detour");
       return;
     }
     NewPath.insert(NewPath.end(), Replacement.begin(), Replacement.end());
@@ -750,38 +880,36 @@
   // A new part reads all tokens so far, and their state crosses the connection
   // between the domains twice. The streams of a lost engine together fill it
   // for seconds, while a whole path in one domain reads them without it.
-  if (domainCrossings(NewPath) > domainCrossings(Path) && canResume() &&
-      m_CountedAttempts < m_Job.m_Route->m_MaxAttempts) {
-    retryElsewhere("part-lost");
+  if (domainCrossings(NewPath) > domainCrossings(Path) &&
+      moveElsewhere("part-lost"))
     return;
-  }
-  m_IsRepathing = true;
+  m_Attempt->m_IsRepathing = true;
   auto Self = shared_from_this();
-  std::uint64_t SentAttempt = m_AttemptNumber;
   m_Context.metrics().countOrder("repath");
   m_Context.log().write(
       Now, "repath", m_Job.m_Id,
       {{"path", m_Context.protocol().pathText(NewPath)},
-       {"silent_ms", std::int64_t((Now - m_LastProgressAt).count() / 1000)}});
-  m_Context.callEndpoint(Path.front().m_Endpoint,
-                         m_Context.protocol().repathCall(m_Job.m_Id, NewPath),
-                         [Self, SentAttempt, NewPath](const CallReply &Reply) {
-                           if (!Self->m_IsDone &&
-                               Self->m_AttemptNumber == SentAttempt)
-                             Self->handleRepath(Reply.m_Status, NewPath);
-                         });
+       {"silent_ms",
+        std::int64_t((Now - m_Attempt->m_LastProgressAt).count() / 1000)}});
+  m_Context.callEndpoint(
+      Path.front().m_Endpoint,
+      m_Context.protocol().repathCall(m_Job.m_Id, NewPath),
+      [Self, Ordered = m_Attempt, NewPath](const CallReply &Reply) {
+        Ordered->m_IsRepathing = false;
+        if (!Self->m_IsDone && Self->m_Attempt == Ordered)
+          Self->handleRepath(Reply.m_Status, NewPath);
+      });
 }
 
 void StreamForward::handleRepath(unsigned Status, const LayerPath &Path) {
-  m_IsRepathing = false;
   m_Context.log().write(m_Context.now(), "repath-answer", m_Job.m_Id,
                         {{"status", std::int64_t(Status)}});
   if (Status == 200 || Status == 202) {
-    m_PathLoad.set(Path, m_PromptTokens + answerTokensLeft());
-    m_LastProgressAt = m_Context.now();
+    m_Attempt->m_PathLoad.set(Path, m_PromptTokens + answerTokensLeft());
+    m_Attempt->m_LastProgressAt = m_LastProgressAt = m_Context.now();
     return;
   }
-  retryElsewhere("repath-refused");
+  moveElsewhere("repath-refused");
 }
 
 void StreamForward::refuse(std::string_view Reason, double RetryAfter) {
@@ -817,11 +945,16 @@
     recordWait();
     m_Context.admissionQueue(m_Job.m_Service->m_Name).remove(m_QueueNumber);
   }
-  std::string Path = pathIds(m_PathLoad.path());
-  if (Outcome != ForwardOutcome::Completed && m_Connection)
-    m_Connection->close();
-  m_Connection.reset();
-  m_PathLoad.clear();
+  std::string Path;
+  if (m_Attempt) {
+    Path = pathIds(m_Attempt->path());
+    if (Outcome == ForwardOutcome::Completed)
+      m_Attempt->m_PathLoad.clear();
+    else
+      close(*m_Attempt);
+    m_Attempt.reset();
+  }
+  closeSilentAttempts();
   recordEnd(Outcome, Reason, Status,
             {{"path", Path},
              {"sends", std::int64_t(m_Sends)},
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -1,10 +1,8 @@
 #ifndef PARSLEYRING_GATEWAY_STREAMFORWARD_H
 #define PARSLEYRING_GATEWAY_STREAMFORWARD_H
 
-#include "gateway/EventScanner.h"
 #include "gateway/ForwardContext.h"
-#include "gateway/PathLoad.h"
-#include "routing/LayerPathPlanner.h"
+#include "gateway/StreamAttempt.h"
 
 namespace parsleyring {
 
@@ -12,6 +10,10 @@
 /// which holds a part of the model's layers. Events are forwarded as they
 /// arrive. A failed part of the path is replaced; if that is impossible, the
 /// stream resumes after its last event on a new path, if the route allows it.
+///
+/// A silent engine may be dead or may go on, so silence only lets a stream try
+/// another path. The silent attempt stays open until the new one has its first
+/// event, and is the current one again if nothing else is left.
 class StreamForward final : public ForwardedRequest,
                             public std::enable_shared_from_this<StreamForward> {
 public:
@@ -22,6 +24,8 @@
   void handleSuspect(const FleetTable::Handle &Endpoint) override;
 
 private:
+  using AttemptHandle = std::shared_ptr<StreamAttempt>;
+
   bool canResume() const { return m_Job.m_Route->m_IsResumable; }
   bool canSendAgain() const;
   bool hasAnswerBegun() const { return m_HasAnswerBegun; }
@@ -32,22 +36,26 @@
   LayerPath planPath();
   void noteDemand(const LayerPath &Path);
   bool trySend(std::string_view Reason);
-  /// Of the current attempt.
-  ExchangeHandlers handlers();
+  ExchangeHandlers handlers(const AttemptHandle &Attempt);
   /// Queues the request until an engine has capacity; false if it cannot wait.
   bool waitForCapacity(std::string_view Reason);
   void recordWait();
   LimitedCapacity limitedCapacity() const;
-  void handleHead(const ResponseHead &Head);
-  void handleBody(std::string_view Bytes);
-  void handleEnd(ExchangeEnd End);
-  bool receiveOwnAnswer();
+  bool isOpen(const AttemptHandle &Attempt) const;
+  std::vector<FleetTable::Handle> enginesOfOpenAttempts() const;
+  void handleHead(const AttemptHandle &Attempt, const ResponseHead &Head);
+  void handleBody(const AttemptHandle &Attempt, std::string_view Bytes);
+  void handleEnd(const AttemptHandle &Attempt, ExchangeEnd End);
+  void handleEndOfSilent(const AttemptHandle &Attempt, ExchangeEnd End);
+  bool receiveOwnAnswer(const AttemptHandle &Attempt);
   void handleRejection(const ResponseHead &Head);
+  /// True if the next event of the stream has arrived on Attempt.
+  bool hasNextEvent(const StreamAttempt &Attempt) const;
   void forwardEvents();
   bool forwardEvent(const EventScanner::Event &Event);
   void noteProgress();
   void noteAnswered();
-  void noteCutOff(const FleetTable::Handle &Engine);
+  void noteCutOff(const StreamAttempt &Attempt);
   bool endIfQuarantined();
   void beginAnswer();
 
@@ -58,11 +66,28 @@
   bool hasSuspectPart(Time Now) const;
   void replaceParts();
   void handleRepath(unsigned Status, const LayerPath &Path);
-  /// Sends the request on a new path or queues it; else ends the request.
+  /// Sends the request on a new path and leaves the current attempt open.
+  /// Returns false if that is not possible; the attempt then stays current.
+  bool moveElsewhere(std::string_view Reason);
+  /// Makes a silent attempt the current one; closes the current one, if any.
+  void resumeAttempt(const AttemptHandle &Silent);
+  /// Closes the current attempt and sends the request on a new path, goes on
+  /// with a silent attempt, or queues the request; else ends the request.
   void retryElsewhere(std::string_view Reason);
   /// Ends the request without a complete answer.
   void endUnanswered(std::string_view Reason);
-  void abandonAttempt();
+  void exclude(const FleetTable::Handle &Endpoint);
+  /// The attempt has not run, or its engine is gone.
+  void uncount(StreamAttempt &Attempt);
+  /// Nothing of the attempt was sent.
+  void noteUnsent(StreamAttempt &Attempt);
+  /// True if an engine may have begun to run the request.
+  bool mayHaveRun() const;
+  /// Ends an attempt whose engine may have run the request.
+  void close(StreamAttempt &Attempt);
+  void closeSilentAttempts();
+  void logAttempt(std::string_view Event, const StreamAttempt &Attempt,
+                  std::string_view Reason);
 
   void refuse(std::string_view Reason, double RetryAfter);
   void refuseLimited(std::string_view Reason);
@@ -74,26 +99,9 @@
   /// Ids of the parts of the prompt that other requests may have, too.
   std::vector<std::string> m_SharedParts;
 
-  // The attempt in progress.
-  std::shared_ptr<HttpConnection> m_Connection;
-  /// Number of the attempt; replies to earlier attempts are ignored.
-  std::uint64_t m_AttemptNumber = 0;
-  PathLoad m_PathLoad;
-  ResponseHead m_Head;
-  EventScanner m_Scanner;
-  std::string m_RejectionBody; ///< Body of an answer that is not a stream.
-  Time m_SentAt{};
-  Time m_LastProgressAt{};
-  int m_AttemptEvents = 0;
-  Time m_FirstEventAt{}; ///< Of the attempt.
-  /// The engine has answered long enough to show that the prompt is harmless.
-  bool m_IsAnswered = false;
-  bool m_IsHeadSeen = false;
-  bool m_IsStreaming = false; ///< A valid event stream is arriving.
-  bool m_IsReportRequested = false;
-  bool m_IsRepathing = false;
-  int m_Repaths = 0;
-  Time m_NextCheck{};
+  AttemptHandle m_Attempt; ///< The current attempt; null if there is none.
+  /// Attempts that fell silent before the current one, oldest first.
+  std::vector<AttemptHandle> m_SilentAttempts;
 
   /// Only limits of engines kept the last attempt from being sent.
   bool m_IsLimited = false;
@@ -105,9 +113,11 @@
   Time m_WaitingSince{};           ///< Zero if it is not in the queue.
 
   // Over all attempts.
-  /// Endpoints that failed or were suspect; not used in new paths.
+  /// Endpoints that failed or were suspect; used in new paths only if there is
+  /// no other one.
   std::vector<FleetTable::Handle> m_ExcludedEndpoints;
   std::uint64_t m_LastEventId = 0;
+  Time m_LastProgressAt{};
   double m_MeanEventGapMs = 0; ///< Moving mean.
   double m_LongestPauseMs = 0;
   Duration m_QueuedTime{};  ///< Total time in the admission queue.
@@ -116,7 +126,7 @@
   int m_Events = 0;
   int m_CountedAttempts = 0; ///< Attempts that count towards the maximum.
   int m_Sends = 0;
-  bool m_MayHaveRun = false;
+  bool m_MayHaveRun = false; ///< In an attempt that is over.
   bool m_HasAnswerBegun = false;
 };
 
