Apply a lowered idle timeout from the next answer on

Callers saw a connection that ended without an answer beside a change of the configuration; the request is in no VM's log.

Cause: a lowered idle timeout closed all connections at once that had been idle for longer, also while their callers sent, and callers were told of no time of the VM's own. Raised, it let callers rely on a time that the VM did not know yet.

Each answer now names the timeout in Keep-Alive, a second less than the VM keeps the connection, and a connection is kept for what its caller was told, or for what is in force now if that is longer.

integration/IdleConnectionTest: two of three cases failed before (the request after the change got no answer; no Keep-Alive), all pass.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -24,6 +24,10 @@
 
 static constexpr unsigned UnacknowledgedTimeoutMs = 10000;
 
+// How much less than the idle timeout a caller is told. A request that the
+// caller sends in time must not cross the close of its connection.
+static constexpr Duration IdleMargin = std::chrono::seconds(1);
+
 CallerConnection::CallerConnection(tcp::socket Socket, RequestHandler &Handler)
     : m_Socket(std::move(Socket)), m_Handler(Handler) {}
 
@@ -33,6 +37,7 @@
   setsockopt(m_Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
              &UnacknowledgedTimeoutMs, sizeof(UnacknowledgedTimeoutMs));
   m_StateSince = m_Handler.now();
+  m_AnnouncedIdleTimeout = m_Handler.limits().m_IdleTimeout;
   prepareParser();
   read();
 }
@@ -145,16 +150,27 @@
   return Text;
 }
 
+void CallerConnection::appendHead(unsigned Status, const AnswerFields &Fields) {
+  m_KeepsAlive = m_KeepsAlive && !m_Handler.isStopping();
+  m_Output += headText(Status, Fields);
+  if (!m_KeepsAlive) {
+    m_Output += "Connection: close\r\n";
+    return;
+  }
+  m_AnnouncedIdleTimeout = m_Handler.limits().m_IdleTimeout;
+  auto Seconds = std::chrono::duration_cast<std::chrono::seconds>(
+      m_AnnouncedIdleTimeout - IdleMargin);
+  if (Seconds.count() > 0)
+    m_Output +=
+        "Keep-Alive: timeout=" + std::to_string(Seconds.count()) + "\r\n";
+}
+
 void CallerConnection::answer(unsigned Status, const AnswerFields &Fields,
                               const std::string &Body) {
   if (m_IsClosed)
     return;
-  m_KeepsAlive = m_KeepsAlive && !m_Handler.isStopping();
-  m_Output += headText(Status, Fields);
-  m_Output += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
-  if (!m_KeepsAlive)
-    m_Output += "Connection: close\r\n";
-  m_Output += "\r\n";
+  appendHead(Status, Fields);
+  m_Output += "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n";
   m_Output += Body;
   finishAnswer();
 }
@@ -163,12 +179,8 @@
                                    const AnswerFields &Fields) {
   if (m_IsClosed)
     return;
-  m_KeepsAlive = m_KeepsAlive && !m_Handler.isStopping();
-  m_Output += headText(Status, Fields);
-  m_Output += "Transfer-Encoding: chunked\r\n";
-  if (!m_KeepsAlive)
-    m_Output += "Connection: close\r\n";
-  m_Output += "\r\n";
+  appendHead(Status, Fields);
+  m_Output += "Transfer-Encoding: chunked\r\n\r\n";
   m_IsChunked = true;
   flush();
 }
@@ -285,7 +297,11 @@
     return;
   }
   if (!m_IsReceiving) {
-    if (Now - m_StateSince > Limits.m_IdleTimeout)
+    // A change of the timeout applies from the next answer on, since the caller
+    // relies on what it was told with the last one.
+    Duration IdleTimeout =
+        std::max(m_AnnouncedIdleTimeout, Limits.m_IdleTimeout);
+    if (Now - m_StateSince > IdleTimeout)
       close();
     return;
   }
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -95,6 +95,9 @@
   void dispatch();
   void reject(unsigned Status, const std::string &Reason);
   void flush();
+  /// Begins the head of an answer in m_Output; the caller of this function adds
+  /// the framing fields.
+  void appendHead(unsigned Status, const AnswerFields &Fields);
   void finishAnswer();
   void lingerClose();
   void close();
@@ -108,6 +111,8 @@
   std::string m_BeingWritten; ///< Being written to the socket.
   Time m_StateSince{};        ///< Start of the current state.
   Time m_LastReadAt{};
+  /// The idle timeout that was in force when the caller was told of it.
+  Duration m_AnnouncedIdleTimeout{};
   bool m_IsReading = false;
   bool m_IsReceiving = false; ///< Part of a request has been read.
   bool m_IsAnswering = false;
