Move the wait for credit out of the forwarding of streams

Whether a stream waits for the credit of limited engines, and when it may then be sent, could only be tested with sockets. LimitedCapacity and LimitedWait decide it without. No change of behaviour.

--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -2,6 +2,7 @@
 #define PARSLEYRING_GATEWAY_FORWARDCONTEXT_H
 
 #include "admission/AdmissionQueue.h"
+#include "admission/LimitedCapacity.h"
 #include "admission/ReturnSchedule.h"
 #include "fleet/FleetTable.h"
 #include "fleet/RouteTable.h"
@@ -77,12 +78,6 @@
 enum class ForwardOutcome { Completed, Refused, Failed, Broken, CallerLeft };
 std::string_view name(ForwardOutcome Value);
 
-/// What endpoints accept while all of them state limits.
-struct LimitedCapacity {
-  Duration m_Delay{}; ///< Until the next request can be sent.
-  double m_RequestsPerSecond = 0;
-};
-
 /// A caller's request while it is being forwarded.
 class ForwardedRequest {
 public:
@@ -110,11 +105,6 @@
     return Endpoint.isWithinLimit(m_Context.limitUsers(), m_Context.random(),
                                   m_Context.now());
   }
-  /// Time until the limits of Endpoints allow another request after Waiting
-  /// earlier ones, and the requests per second that they then allow.
-  LimitedCapacity
-  limitedCapacity(const std::vector<FleetTable::Handle> &Endpoints,
-                  std::size_t Waiting) const;
   /// Answers 503 to a request that only limits of endpoints keep from being
   /// sent.
   void answerLimited(const LimitedCapacity &Capacity);
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -262,8 +262,8 @@
 void PlainForward::finishWithoutAnswer(std::string_view Reason) {
   if (!m_MayHaveRun) {
     if (m_IsLimited)
-      answerLimited(limitedCapacity(
-          m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name), 0));
+      answerLimited(LimitedCapacity::after(
+          0, m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name)));
     else
       answerNotRun(RetryAfterSeconds);
     finish(ForwardOutcome::Refused, Reason, 503);
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -30,8 +30,6 @@
 static constexpr int MaxSends = 3;
 // Callers leave a stream after a pause of two seconds.
 static constexpr Duration MaxPauseForCapacity = std::chrono::milliseconds(1500);
-// How much later than its engine accepts it a waiting request may be sent.
-static constexpr Duration MaxQueueDelay = std::chrono::milliseconds(80);
 static constexpr double RetryAfterSeconds = 0.5;
 // An engine that crashes on a prompt does so when it begins to answer.
 static constexpr Duration HarmlessAnswerTime = std::chrono::milliseconds(300);
@@ -126,8 +124,8 @@
 }
 
 LimitedCapacity StreamForward::limitedCapacity() const {
-  return ForwardedRequest::limitedCapacity(
-      firstEngines(), m_Context.admissionQueue(m_Job.m_Service->m_Name).size());
+  return LimitedCapacity::after(
+      m_Context.admissionQueue(m_Job.m_Service->m_Name).size(), firstEngines());
 }
 
 // A full engine has capacity again as soon as one of its requests ends.
@@ -139,8 +137,8 @@
   WaitUntil = std::min(WaitUntil, m_Job.m_Deadline);
   if (WaitUntil <= Now || !canSendAgain())
     return false;
-  if (m_IsLimited &&
-      Now + limitedCapacity().m_Delay + MaxQueueDelay > WaitUntil)
+  m_LimitedWait = LimitedWait();
+  if (m_IsLimited && !m_LimitedWait.begin(limitedCapacity(), WaitUntil, Now))
     return false;
   auto Self = shared_from_this();
   std::string QueueReason(Reason);
@@ -222,8 +220,11 @@
 // Engines that state a limit are left to the requests that already wait.
 bool StreamForward::mayBegin(FleetEndpoint &Engine) const {
   bool IsWaiting = m_WaitingSince != Time{};
+  if (IsWaiting)
+    return m_LimitedWait.allows(Engine, m_Context.limitUsers(),
+                                m_Context.random(), m_Context.now());
   bool IsOvertaking =
-      !IsWaiting && Engine.m_Limit.rate() &&
+      Engine.m_Limit.rate() &&
       !m_Context.admissionQueue(m_Job.m_Service->m_Name).empty();
   return isWithinLimit(Engine) && !IsOvertaking;
 }
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYRING_GATEWAY_STREAMFORWARD_H
 #define PARSLEYRING_GATEWAY_STREAMFORWARD_H
 
+#include "admission/LimitedWait.h"
 #include "gateway/ForwardContext.h"
 #include "gateway/StreamAttempt.h"
 
@@ -111,6 +112,7 @@
   // While the request is in the admission queue.
   RequestNumber m_QueueNumber = 0; ///< 0 if it is not in the queue.
   Time m_WaitingSince{};           ///< Zero if it is not in the queue.
+  LimitedWait m_LimitedWait;
 
   // Over all attempts.
   /// Endpoints that failed or were suspect; used in new paths only if there is
