Send a request that waits for credit when it was promised

Callers were refused after 250 ms instead of at once while all engines were limited (integration/LimitedEndpointTest, CallersAreRefusedAtOnceWhenNothingIsLeft). A request waits if the credit that it needs is expected in time by the present share of the limit. The share can fall meanwhile: in both refusals that were traced, a digest with a higher demand of another VM arrived in the wait, and the share fell from 1.32 to 0.82 and from 1.48 to 0.91 requests a second, so 150 and 151 ms became more than 260. A request of another account that is sent first takes the credit as well.

LimitedWait now keeps the promise: from the expected time on, the engine that was expected to accept the request gets it. The share is charged, so that later requests make up for it, and others are refused at once.

--- a/src/admission/LimitedCapacity.cpp
+++ b/src/admission/LimitedCapacity.cpp
@@ -10,6 +10,7 @@
 LimitedCapacity::after(std::size_t Waiting,
                        const std::vector<FleetTable::Handle> &Endpoints) {
   LimitedCapacity Capacity;
+  std::vector<FleetTable::Handle> Limited;
   std::vector<double> Credits;
   std::vector<double> Rates;
   for (const FleetTable::Handle &Endpoint : Endpoints) {
@@ -17,6 +18,7 @@
     if (!Endpoint->m_Limit.rate() || Share.rate() <= 0)
       continue;
     Capacity.m_RequestsPerSecond += Share.rate();
+    Limited.push_back(Endpoint);
     Credits.push_back(Share.credit());
     Rates.push_back(Share.rate());
   }
@@ -35,6 +37,7 @@
         Earliest = Index;
     Seconds = SecondsUntilCredit(Earliest);
     Credits[Earliest] -= 1;
+    Capacity.m_Endpoint = Limited[Earliest];
   }
   Duration Delay(static_cast<std::int64_t>(std::min(Seconds, 1e6) * 1e6));
   Capacity.m_Delay = std::min(Capacity.m_Delay, Delay);
--- a/src/admission/LimitedCapacity.h
+++ b/src/admission/LimitedCapacity.h
@@ -9,6 +9,8 @@
 struct LimitedCapacity {
   Duration m_Delay{}; ///< Until the next request can be sent.
   double m_RequestsPerSecond = 0;
+  /// Accepts the next request; empty if none is known to do so.
+  FleetTable::Handle m_Endpoint;
 
   /// The capacity that is left by Waiting earlier requests, as far as the
   /// present shares of the limits tell.
--- a/src/admission/LimitedWait.cpp
+++ b/src/admission/LimitedWait.cpp
@@ -6,12 +6,17 @@
 static constexpr Duration MaxQueueDelay = std::chrono::milliseconds(80);
 
 bool LimitedWait::begin(const LimitedCapacity &Capacity, Time Until, Time Now) {
-  return Now + Capacity.m_Delay + MaxQueueDelay <= Until;
+  if (Now + Capacity.m_Delay + MaxQueueDelay > Until)
+    return false;
+  m_Endpoint = Capacity.m_Endpoint;
+  m_PromisedAt = Now + Capacity.m_Delay;
+  return true;
 }
 
 bool LimitedWait::allows(FleetEndpoint &Endpoint, const LimitUsers &Users,
                          double Random, Time Now) const {
-  return Endpoint.isWithinLimit(Users, Random, Now);
+  bool IsPromised = m_Endpoint.get() == &Endpoint && Now >= m_PromisedAt;
+  return Endpoint.isWithinLimit(Users, Random, Now) || IsPromised;
 }
 
 } // namespace parsleyring
--- a/src/admission/LimitedWait.h
+++ b/src/admission/LimitedWait.h
@@ -5,7 +5,10 @@
 
 namespace parsleyring {
 
-/// The wait of a request for credit at endpoints that state limits.
+/// The wait of a request for credit at endpoints that state limits. The request
+/// is promised the credit that it expects: while it waits, the share of this VM
+/// may fall, or a request of another account be sent first. The share is
+/// charged all the same, so that later requests make up for it.
 class LimitedWait {
 public:
   /// Returns false if Capacity comes too late for a request that must be sent
@@ -14,6 +17,10 @@
   /// True if Endpoint may get the waiting request now.
   bool allows(FleetEndpoint &Endpoint, const LimitUsers &Users, double Random,
               Time Now) const;
+
+private:
+  FleetTable::Handle m_Endpoint; ///< Empty if nothing was promised.
+  Time m_PromisedAt{};
 };
 
 } // namespace parsleyring
