Send nothing to an endpoint for the time that its 503 states

An endpoint that rejects a request with 503 and Retry-After wants nothing from this VM for so long. Nothing read the field: rejections led to pauses of 60 to 150 ms.

EndpointRest reads the time and knows its end; FleetEndpoint::availability() names the one reason why an endpoint gets no request (removed, leaving, resting, suspect), which PlainForward, StreamForward and LayerPathPlanner use through canServe(). A rest belongs to an incarnation and to this VM; it is in no digest. At-Server names the engine that is meant. If nothing else is left, callers get 503 at once with the end of the first rest, spread over a second after it; a stream does so only if the rest ends after its time in the queue, and one that has been sent waits as before. Streams in progress go on.

Choices: 421 and answers that name another request state nothing, as they come from another endpoint, or were recorded with their first copy. Of two fields the longer time holds. A rest over ten minutes is tested with two requests at most, since a value that is too large by mistake would exclude the endpoint for hours; the first accepted one ends it. Pace queries are left out; reports for silent streams, after a cut connection, repath and place orders are still sent.

--- a/src/admission/LimitedCapacity.cpp
+++ b/src/admission/LimitedCapacity.cpp
@@ -8,13 +8,20 @@
 
 LimitedCapacity
 LimitedCapacity::after(std::size_t Waiting,
-                       const std::vector<FleetTable::Handle> &Endpoints) {
+                       const std::vector<FleetTable::Handle> &Endpoints,
+                       Time Now) {
   LimitedCapacity Capacity;
+  Capacity.m_Delay = ReturnSchedule::MaxDelay;
   std::vector<FleetTable::Handle> Limited;
   std::vector<double> Credits;
   std::vector<double> Rates;
   for (const FleetTable::Handle &Endpoint : Endpoints) {
     const LimitShare &Share = Endpoint->m_LimitShare;
+    if (Endpoint->availability(Now) == EndpointAvailability::Resting) {
+      Capacity.m_Delay =
+          std::min(Capacity.m_Delay, Duration(Endpoint->availableAt() - Now));
+      continue;
+    }
     if (!Endpoint->m_Limit.rate() || Share.rate() <= 0)
       continue;
     Capacity.m_RequestsPerSecond += Share.rate();
@@ -22,7 +29,6 @@
     Credits.push_back(Share.credit());
     Rates.push_back(Share.rate());
   }
-  Capacity.m_Delay = ReturnSchedule::MaxDelay;
   if (Rates.empty())
     return Capacity;
   // Each request goes to the endpoint that is the first to have a whole credit.
--- a/src/admission/LimitedCapacity.h
+++ b/src/admission/LimitedCapacity.h
@@ -15,7 +15,8 @@
   /// The capacity that is left by Waiting earlier requests, as far as the
   /// present shares of the limits tell.
   static LimitedCapacity after(std::size_t Waiting,
-                               const std::vector<FleetTable::Handle> &);
+                               const std::vector<FleetTable::Handle> &Endpoints,
+                               Time Now);
 };
 
 } // namespace parsleyring
--- a/src/admission/LimitedWait.cpp
+++ b/src/admission/LimitedWait.cpp
@@ -2,9 +2,6 @@
 
 namespace parsleyring {
 
-// How much later than its endpoint accepts it a waiting request may be sent.
-static constexpr Duration MaxQueueDelay = std::chrono::milliseconds(80);
-
 bool LimitedWait::begin(const LimitedCapacity &Capacity, Time Until, Time Now) {
   if (Now + Capacity.m_Delay + MaxQueueDelay > Until)
     return false;
--- a/src/admission/LimitedWait.h
+++ b/src/admission/LimitedWait.h
@@ -18,6 +18,9 @@
   bool allows(FleetEndpoint &Endpoint, const LimitUsers &Users, double Random,
               Time Now) const;
 
+  /// How much later than its endpoint accepts it a waiting request may be sent.
+  static constexpr Duration MaxQueueDelay = std::chrono::milliseconds(80);
+
 private:
   FleetTable::Handle m_Endpoint; ///< Empty if nothing was promised.
   Time m_PromisedAt{};
--- a/src/admission/ReturnSchedule.cpp
+++ b/src/admission/ReturnSchedule.cpp
@@ -16,4 +16,13 @@
   return m_LastReturn - Now;
 }
 
+Duration ReturnSchedule::nextAfterRest(Time RestEnd, Time Now) {
+  Time Return = std::max(RestEnd, m_LastReturnAfterRest + RestReturnInterval);
+  // More callers share the same times. An earlier end has its own times.
+  if (Return >= RestEnd + RestReturnTime)
+    Return = RestEnd;
+  m_LastReturnAfterRest = Return;
+  return Return - Now;
+}
+
 } // namespace parsleyring
--- a/src/audit/GatewayHistory.cpp
+++ b/src/audit/GatewayHistory.cpp
@@ -79,10 +79,12 @@
     Read.m_Fields = std::move(Fields);
     Read.m_VM = Read.text("vm");
     Read.m_Event = Read.text("event");
-    if (!Read.m_Fields.contains("request"))
-      m_Context.push_back(std::move(Read));
-    else if (Read.text("request") == RequestId)
+    if (Read.text("request") == RequestId)
       m_RequestLines.push_back(std::move(Read));
+    // A rest concerns all requests, though one of them tells of it.
+    else if (!Read.m_Fields.contains("request") ||
+             Read.m_Event == "endpoint-rest")
+      m_Context.push_back(std::move(Read));
   }
 }
 
@@ -91,6 +93,8 @@
   static const std::set<std::string> ContextEvents = {"endpoint-suspect",
                                                       "endpoint-slow",
                                                       "endpoint-recovered",
+                                                      "endpoint-rest",
+                                                      "endpoint-rest-ended",
                                                       "failure-domain-suspect",
                                                       "endpoint-unlisted",
                                                       "engine-crashed",
@@ -196,6 +200,22 @@
          return "excluded " + Logged.text("endpoint") +
                 " from new paths: " + Logged.text("reason");
        }},
+      {"endpoint-rest",
+       [](const Line &Logged) {
+         return Logged.text("endpoint") + " asked for no requests for " +
+                Logged.text("rest_ms") + " ms";
+       }},
+      {"endpoint-rest-ended",
+       [](const Line &Logged) {
+         return Logged.text("endpoint") + " gets requests again";
+       }},
+      {"endpoints-resting",
+       [](const Line &Logged) {
+         return "only endpoints of " + Logged.text("service") +
+                " that asked for no requests are left, the first one for " +
+                Logged.text("rest_ms") + " ms; the caller may return after " +
+                Logged.text("retry_after_ms") + " ms";
+       }},
       {"engine-crashed",
        [](const Line &Logged) {
          return Logged.text("endpoint") + " crashed; " +
--- a/src/fleet/FleetTable.cpp
+++ b/src/fleet/FleetTable.cpp
@@ -1,5 +1,7 @@
 #include "fleet/FleetTable.h"
 
+#include "core/NameTable.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -17,6 +19,25 @@
 // Longer than a copy from which the list is restored can be old.
 static constexpr Duration LeftMemory = std::chrono::minutes(5);
 
+static constexpr NameTable<EndpointAvailability, 5> EndpointAvailabilityNames{
+    {"available", "removed", "leaving", "resting", "suspect"}};
+
+std::string_view name(EndpointAvailability Value) {
+  return EndpointAvailabilityNames.name(Value);
+}
+
+EndpointAvailability FleetEndpoint::availability(Time Now) const {
+  if (m_IsRemoved)
+    return EndpointAvailability::Removed;
+  if (m_Entry.m_State != EndpointState::Ready)
+    return EndpointAvailability::Leaving;
+  if (m_Rest.isResting(Now))
+    return EndpointAvailability::Resting;
+  if (m_SuspectUntil > Now)
+    return EndpointAvailability::Suspect;
+  return EndpointAvailability::Available;
+}
+
 double FleetEndpoint::failureRate(Time Now) const {
   double Seconds =
       std::chrono::duration<double>(Now - m_FailureRateUpdatedAt).count();
@@ -93,6 +114,9 @@
   Current = std::make_shared<FleetEndpoint>();
   Current->m_Entry = Entry;
   Current->m_ListedAt = Now;
+  auto Left = m_Left.find(Entry.m_Id);
+  if (Left != m_Left.end() && Left->second.m_StartTimeMs == Entry.m_StartTimeMs)
+    Current->m_Rest = Left->second.m_Rest;
 }
 
 void FleetTable::remove(const std::string &Id, Time Now) {
@@ -101,7 +125,8 @@
     return;
   ++m_Generation;
   Found->second->m_IsRemoved = true;
-  m_Left[Id] = {Found->second->m_Entry.m_StartTimeMs, Now};
+  m_Left[Id] = {Found->second->m_Entry.m_StartTimeMs, Now,
+                Found->second->m_Rest};
   m_Endpoints.erase(Found);
 }
 
@@ -198,6 +223,21 @@
   return Silent >= MinSilentEndpoints;
 }
 
+std::vector<FleetTable::Handle> FleetTable::takeEndedRests(Time Now) {
+  std::vector<Handle> Result;
+  for (const auto &[Id, Endpoint] : m_Endpoints)
+    if (Endpoint->m_Rest.takeEnd(Now))
+      Result.push_back(Endpoint);
+  return Result;
+}
+
+std::size_t FleetTable::restingEndpoints(Time Now) const {
+  return std::count_if(m_Endpoints.begin(), m_Endpoints.end(),
+                       [Now](const auto &Listed) {
+                         return Listed.second->m_Rest.isResting(Now);
+                       });
+}
+
 std::size_t FleetTable::limitedEndpoints() const {
   return std::count_if(m_Endpoints.begin(), m_Endpoints.end(),
                        [](const auto &Listed) {
@@ -214,4 +254,26 @@
   return Result;
 }
 
+std::optional<Time>
+firstRestEnd(const std::vector<FleetTable::Handle> &Endpoints, Time Now) {
+  FleetTable::Handle First;
+  for (const FleetTable::Handle &Endpoint : Endpoints) {
+    switch (Endpoint->availability(Now)) {
+    case EndpointAvailability::Available:
+      return std::nullopt;
+    case EndpointAvailability::Removed:
+    case EndpointAvailability::Leaving:
+      break;
+    case EndpointAvailability::Resting:
+    case EndpointAvailability::Suspect:
+      if (!First || Endpoint->availableAt() < First->availableAt())
+        First = Endpoint;
+      break;
+    }
+  }
+  if (!First || !First->m_Rest.isResting(Now))
+    return std::nullopt;
+  return First->availableAt();
+}
+
 } // namespace parsleyring
--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -2,9 +2,11 @@
 #define PARSLEYRING_FLEET_FLEETTABLE_H
 
 #include "fleet/EndpointLimit.h"
+#include "fleet/EndpointRest.h"
 #include "fleet/LimitShare.h"
 #include "parsleyring/Types.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -35,6 +37,16 @@
   std::int64_t m_StartTimeMs = 0;
 };
 
+/// Whether this VM sends requests to an endpoint and, if not, why.
+enum class EndpointAvailability {
+  Available,
+  Removed, ///< Not in the list any more.
+  Leaving,
+  Resting, ///< Has asked this VM for no requests.
+  Suspect, ///< Did not answer, or rejected a request.
+};
+std::string_view name(EndpointAvailability Value);
+
 /// A listed endpoint with this VM's observations of it.
 struct FleetEndpoint {
   EndpointEntry m_Entry;
@@ -62,16 +74,20 @@
   Time m_FailureRateUpdatedAt{};
   EndpointLimit m_Limit;
   LimitShare m_LimitShare;
+  EndpointRest m_Rest; ///< Holds for this VM alone.
   /// Requests per second that other VMs would send if there were no limit; only
   /// reported while there is one.
   double m_PeerDemand = 0;
   int m_ConsecutiveRejections = 0;
   Time m_RejectingSince{}; ///< First of the consecutive rejections.
 
+  /// The first of several reasons is the one that lasts longest.
+  EndpointAvailability availability(Time Now) const;
   bool canServe(Time Now) const {
-    return !m_IsRemoved && m_Entry.m_State == EndpointState::Ready &&
-           m_SuspectUntil <= Now;
+    return availability(Now) == EndpointAvailability::Available;
   }
+  /// When the endpoint is available again, unless it is removed or leaves.
+  Time availableAt() const { return std::max(m_Rest.until(), m_SuspectUntil); }
   /// True if the limit of the endpoint, if any, allows this VM to send a
   /// request now. Users needs only the load factor and the number of VMs.
   bool isWithinLimit(LimitUsers Users, double Random, Time Now);
@@ -168,6 +184,9 @@
   Handle findByAddress(std::string_view Address) const;
   const std::map<std::string, Handle> &endpoints() const { return m_Endpoints; }
   std::vector<Handle> endpointsOfService(std::string_view Service) const;
+  /// The endpoints whose rests have ended since the last call.
+  std::vector<Handle> takeEndedRests(Time Now);
+  std::size_t restingEndpoints(Time Now) const;
   /// Number of endpoints that state a limit.
   std::size_t limitedEndpoints() const;
   /// Incremented with each change of the list.
@@ -187,6 +206,7 @@
   struct LeftEndpoint {
     std::int64_t m_StartTimeMs = 0;
     Time m_At{};
+    EndpointRest m_Rest; ///< Goes on if the same incarnation returns.
   };
   /// An entry of a copy that is not listed before m_DueAt.
   struct DeferredEntry {
@@ -206,6 +226,11 @@
   std::uint64_t m_Generation = 0;
 };
 
+/// When the first of Endpoints becomes available, if that is one that rests.
+/// Empty if another one is available earlier, or none ever.
+std::optional<Time>
+firstRestEnd(const std::vector<FleetTable::Handle> &Endpoints, Time Now);
+
 } // namespace parsleyring
 
 #endif // PARSLEYRING_FLEET_FLEETTABLE_H
--- a/src/gateway/ForwardContext.cpp
+++ b/src/gateway/ForwardContext.cpp
@@ -5,6 +5,9 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 namespace parsleyring {
 
 namespace beast = boost::beast;
@@ -136,15 +139,75 @@
       {{"endpoint", Endpoint->m_Entry.m_Id}, {"other_request", OtherId}});
 }
 
-void ForwardedRequest::noteLimit(const FleetTable::Handle &Endpoint,
-                                 const ResponseHead &Head, Time SentAt) {
+// An answer with 421 comes from another endpoint, which uses the address now.
+// One that names another request is a copy: the endpoint may have sent it long
+// ago, and its statements were recorded with the first copy.
+void ForwardedRequest::noteStatements(const FleetTable::Handle &Endpoint,
+                                      const ResponseHead &Head, Time SentAt) {
   const HeaderNames &Names = m_Context.protocol().headers();
-  // An answer with 421 comes from another endpoint, which uses the address now.
   bool IsRejection = provesNotRun(Head, Names, m_Job.m_Id);
   bool IsSealed =
       Head.has(Names.m_Seal) && Head.field(Names.m_RequestId) == m_Job.m_Id;
   if (Head.m_Status == 421 || (!IsRejection && !IsSealed))
     return;
+  noteLimit(Endpoint, Head, SentAt, IsSealed);
+  if (Head.m_Status == 503)
+    noteRest(Endpoint, Head, SentAt);
+  else if (!IsRejection)
+    Endpoint->m_Rest.noteAccepted(SentAt, m_Context.now());
+}
+
+// The longest time that the answer states: if the field is there twice, that
+// one covers both.
+std::optional<Duration>
+ForwardedRequest::statedRest(const FleetTable::Handle &Endpoint,
+                             const ResponseHead &Head) {
+  const HeaderNames &Names = m_Context.protocol().headers();
+  Time Now = m_Context.now();
+  Time AnsweredAt =
+      EndpointRest::parseDate(view(Head.m_Fields[http::field::date]))
+          .value_or(Now);
+  std::optional<Duration> Longest;
+  auto Fields = Head.m_Fields.equal_range(Names.m_RetryAfter);
+  for (auto Field = Fields.first; Field != Fields.second; ++Field) {
+    std::string_view Text = view(Field->value());
+    std::optional<Duration> Rest = EndpointRest::parse(Text, AnsweredAt);
+    if (!Rest)
+      m_Context.log().write(Now, "endpoint-rest-rejected", m_Job.m_Id,
+                            {{"endpoint", Endpoint->m_Entry.m_Id},
+                             {"value", Text.substr(0, 40)}});
+    else
+      Longest = std::max(Longest.value_or(Duration::zero()), *Rest);
+  }
+  return Longest;
+}
+
+// Another engine of the path may have passed the rejection on. One that is not
+// listed, or was listed only after the request was sent, is not affected.
+void ForwardedRequest::noteRest(const FleetTable::Handle &Endpoint,
+                                const ResponseHead &Head, Time SentAt) {
+  std::string Address =
+      Head.field(m_Context.protocol().headers().m_FaultyEndpoint);
+  FleetTable::Handle Resting = Endpoint;
+  if (!Address.empty() && Address != Endpoint->m_Entry.m_Address)
+    Resting = m_Context.fleet().findByAddress(Address);
+  if (!Resting || Resting->m_ListedAt > SentAt)
+    return;
+  std::optional<Duration> Rest = statedRest(Resting, Head);
+  Time Now = m_Context.now();
+  if (!Rest || !Resting->m_Rest.noteStated(*Rest, Now))
+    return;
+  m_Context.metrics().countEndpointRest();
+  m_Context.log().write(Now, "endpoint-rest", m_Job.m_Id,
+                        {{"endpoint", Resting->m_Entry.m_Id},
+                         {"started_ms", Resting->m_Entry.m_StartTimeMs},
+                         {"rest_ms", std::int64_t(Rest->count() / 1000)}});
+}
+
+void ForwardedRequest::noteLimit(const FleetTable::Handle &Endpoint,
+                                 const ResponseHead &Head, Time SentAt,
+                                 bool IsSealed) {
+  const HeaderNames &Names = m_Context.protocol().headers();
   Time Now = m_Context.now();
   const std::string &Id = Endpoint->m_Entry.m_Id;
   if (!Head.has(Names.m_RateLimit)) {
@@ -171,6 +234,20 @@
   answerNotRun(std::chrono::duration<double>(Delay).count());
 }
 
+void ForwardedRequest::answerResting(Time RestEnd) {
+  Time Now = m_Context.now();
+  Duration Delay = m_Context.returnSchedule(m_Job.m_Service->m_Name)
+                       .nextAfterRest(RestEnd, Now);
+  m_Context.log().write(
+      Now, "endpoints-resting", m_Job.m_Id,
+      {{"service", m_Job.m_Service->m_Name},
+       {"rest_ms", std::int64_t((RestEnd - Now).count() / 1000)},
+       {"retry_after_ms", std::int64_t(Delay.count() / 1000)}});
+  // Rounded up, since a caller that returns earlier is refused again.
+  double Hundredths = std::ceil(static_cast<double>(Delay.count()) / 1e4);
+  answerNotRun(Hundredths / 100);
+}
+
 void ForwardedRequest::answerNotRun(double RetryAfterSeconds) {
   const HeaderNames &Names = m_Context.protocol().headers();
   char Seconds[16];
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -78,6 +78,9 @@
 enum class ForwardOutcome { Completed, Refused, Failed, Broken, CallerLeft };
 std::string_view name(ForwardOutcome Value);
 
+/// Why a request ended that only endpoints at rest could have got.
+inline constexpr std::string_view EndpointRestReason = "endpoint-rest";
+
 /// A caller's request while it is being forwarded.
 class ForwardedRequest {
 public:
@@ -97,9 +100,9 @@
                         const std::string &OtherId);
   /// Answers 503: the request has not run and may be sent again after a delay.
   void answerNotRun(double RetryAfterSeconds);
-  /// Records the limit that an answer of Endpoint states, or its absence.
-  void noteLimit(const FleetTable::Handle &Endpoint, const ResponseHead &Head,
-                 Time SentAt);
+  /// Records what an answer of Endpoint states about the endpoint itself.
+  void noteStatements(const FleetTable::Handle &Endpoint,
+                      const ResponseHead &Head, Time SentAt);
   /// True if the limit that Endpoint states allows to send the request there.
   bool isWithinLimit(FleetEndpoint &Endpoint) const {
     return Endpoint.isWithinLimit(m_Context.limitUsers(), m_Context.random(),
@@ -108,6 +111,9 @@
   /// Answers 503 to a request that only limits of endpoints keep from being
   /// sent.
   void answerLimited(const LimitedCapacity &Capacity);
+  /// Answers 503 to a request that endpoints which rest until RestEnd keep from
+  /// being sent.
+  void answerResting(Time RestEnd);
   /// Answers with a status that leaves open whether the request has run.
   void answerFailed(unsigned Status);
   /// Counts and logs the end of the request; Details are added to the line.
@@ -118,6 +124,14 @@
   ForwardContext &m_Context;
   ForwardJob m_Job;
   bool m_IsDone = false;
+
+private:
+  void noteLimit(const FleetTable::Handle &Endpoint, const ResponseHead &Head,
+                 Time SentAt, bool IsSealed);
+  void noteRest(const FleetTable::Handle &Endpoint, const ResponseHead &Head,
+                Time SentAt);
+  std::optional<Duration> statedRest(const FleetTable::Handle &Endpoint,
+                                     const ResponseHead &Head);
 };
 
 /// Serializes a request for an endpoint; Extra are further header fields.
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -380,7 +380,9 @@
 
 void GatewayNode::checkPace(const FleetTable::Handle &Endpoint) {
   Time Now = now();
-  if (Endpoint->m_IsRemoved || !Endpoint->isPaceQueryDue(Now))
+  // The pace of an endpoint that rests is not needed, and a query is a request.
+  if (Endpoint->m_IsRemoved || Endpoint->m_Rest.isResting(Now) ||
+      !Endpoint->isPaceQueryDue(Now))
     return;
   Endpoint->m_PaceQueriedAt = Now;
   requestReport(Endpoint, nullptr);
@@ -462,6 +464,14 @@
   }
 }
 
+void GatewayNode::noteEndedRests() {
+  Time Now = now();
+  for (const FleetTable::Handle &Endpoint : m_Fleet.takeEndedRests(Now))
+    m_Log.write(Now, "endpoint-rest-ended", "",
+                {{"endpoint", Endpoint->m_Entry.m_Id},
+                 {"started_ms", Endpoint->m_Entry.m_StartTimeMs}});
+}
+
 void GatewayNode::notifySuspicion(const FleetTable::Handle &Endpoint) {
   // Uses a copy. Handling may end requests; tick() erases these from the set.
   std::vector<std::shared_ptr<ForwardedRequest>> Requests(m_Requests.begin(),
@@ -643,6 +653,8 @@
     m_Fleet.expire(Now);
     m_VMs.expire(Now);
     m_PromptGuard.tick(m_WasLeader);
+    noteEndedRests();
+    m_Metrics.setRestingEndpoints(m_Fleet.restingEndpoints(Now));
     m_Metrics.setLimitedEndpoints(m_Fleet.limitedEndpoints());
     m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
     m_Metrics.setConfirmationAge(m_StoreWatcher.confirmationAge());
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -120,6 +120,7 @@
   void sendOrder(const std::string &Service, const PlacementOrder &Order);
   void suspectDomain(const std::string &Domain);
   void handleDigestChanges(const DigestChanges &Changes, const std::string &By);
+  void noteEndedRests();
   void notifySuspicion(const FleetTable::Handle &Endpoint);
   void handleSignal(int Signal);
   void tickShutdown();
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -46,6 +46,10 @@
       counters(m_Registry, "parsleyring_engine_crashes_total",
                "Crashes of engines that cut off requests of this VM.")
           .Add({});
+  Counter &m_EndpointRests =
+      counters(m_Registry, "parsleyring_endpoint_rests_total",
+               "Times that an endpoint asked this VM for no requests.")
+          .Add({});
   Counter &m_DroppedLines =
       counters(m_Registry, "parsleyring_log_lines_dropped_total",
                "Log lines left out.")
@@ -69,6 +73,9 @@
   Gauge &m_LimitedEndpoints =
       gauge(m_Registry, "parsleyring_limited_endpoints",
             "Endpoints that state how many requests per second they accept.");
+  Gauge &m_RestingEndpoints =
+      gauge(m_Registry, "parsleyring_resting_endpoints",
+            "Endpoints that have asked this VM for no requests for a time.");
   Gauge &m_Running = gauge(m_Registry, "parsleyring_requests_running",
                            "Requests in progress.");
   Gauge &m_Connections = gauge(m_Registry, "parsleyring_caller_connections",
@@ -131,6 +138,14 @@
   m_Families->m_LimitedEndpoints.Set(static_cast<double>(Endpoints));
 }
 
+void NodeMetrics::countEndpointRest() {
+  m_Families->m_EndpointRests.Increment();
+}
+
+void NodeMetrics::setRestingEndpoints(std::size_t Endpoints) {
+  m_Families->m_RestingEndpoints.Set(static_cast<double>(Endpoints));
+}
+
 void NodeMetrics::setRunning(std::size_t Requests, std::size_t Connections) {
   m_Families->m_Running.Set(static_cast<double>(Requests));
   m_Families->m_Connections.Set(static_cast<double>(Connections));
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -28,6 +28,8 @@
   void countEngineCrash();
   void setQuarantinedPromptParts(std::size_t Parts);
   void setLimitedEndpoints(std::size_t Endpoints);
+  void countEndpointRest();
+  void setRestingEndpoints(std::size_t Endpoints);
   void setRunning(std::size_t Requests, std::size_t Connections);
   void countDroppedLogLines(std::uint64_t Lines);
   std::string text() const;
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -101,6 +101,7 @@
   Sent->m_IsReused = Sent->m_Connection->isConnected();
   ++Endpoint->m_Running;
   Endpoint->m_LimitShare.noteSent();
+  Endpoint->m_Rest.noteSent(Now);
   m_Attempts.push_back(Sent);
   std::string Text =
       serializeRequest(m_Job, m_Context.protocol(), Endpoint->m_Entry, Now, {});
@@ -116,7 +117,7 @@
     Sent->m_Head = Head;
     Sent->m_IsSealed = Head.has(Names.m_Seal) &&
                        Head.field(Names.m_RequestId) == Self->m_Job.m_Id;
-    Self->noteLimit(Sent->m_Endpoint, Head, Sent->m_SentAt);
+    Self->noteStatements(Sent->m_Endpoint, Head, Sent->m_SentAt);
   };
   Handlers.m_OnBody = [Sent](std::string_view Bytes) {
     Sent->m_Body.append(Bytes);
@@ -261,11 +262,17 @@
 // 503 states that the request has not run; 502 and 504 leave that open.
 void PlainForward::finishWithoutAnswer(std::string_view Reason) {
   if (!m_MayHaveRun) {
-    if (m_IsLimited)
-      answerLimited(LimitedCapacity::after(
-          0, m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name)));
-    else
+    Time Now = m_Context.now();
+    std::vector<FleetTable::Handle> Endpoints =
+        m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name);
+    if (auto RestEnd = firstRestEnd(Endpoints, Now)) {
+      Reason = EndpointRestReason;
+      answerResting(*RestEnd);
+    } else if (m_IsLimited) {
+      answerLimited(LimitedCapacity::after(0, Endpoints, Now));
+    } else {
       answerNotRun(RetryAfterSeconds);
+    }
     finish(ForwardOutcome::Refused, Reason, 503);
     return;
   }
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -125,7 +125,26 @@
 
 LimitedCapacity StreamForward::limitedCapacity() const {
   return LimitedCapacity::after(
-      m_Context.admissionQueue(m_Job.m_Service->m_Name).size(), firstEngines());
+      m_Context.admissionQueue(m_Job.m_Service->m_Name).size(), firstEngines(),
+      m_Context.now());
+}
+
+std::optional<Time> StreamForward::restEnd() const {
+  const EngineModel &Model = *m_Job.m_Service->m_Engine;
+  PathQuery Query = pathQuery();
+  Query.m_Layers = {0, Model.m_Layers};
+  return LayerPathPlanner::restEnd(
+      Model, m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name),
+      Query, m_Context.now());
+}
+
+// True if the request cannot be sent before WaitUntil. One that has been sent
+// waits all the same: it is lost if no other engine is listed in time.
+bool StreamForward::isRestLongerThan(Time WaitUntil) const {
+  if (hasAnswerBegun() || m_MayHaveRun)
+    return false;
+  std::optional<Time> RestEnd = restEnd();
+  return RestEnd && *RestEnd + LimitedWait::MaxQueueDelay > WaitUntil;
 }
 
 // A full engine has capacity again as soon as one of its requests ends.
@@ -140,6 +159,8 @@
   m_LimitedWait = LimitedWait();
   if (m_IsLimited && !m_LimitedWait.begin(limitedCapacity(), WaitUntil, Now))
     return false;
+  if (isRestLongerThan(WaitUntil))
+    return false;
   auto Self = shared_from_this();
   std::string QueueReason(Reason);
   AdmissionQueue::WaitingRequest QueuedRequest;
@@ -147,13 +168,19 @@
   // A stream that has begun has already used capacity on its whole path.
   QueuedRequest.m_Priority = hasAnswerBegun() ? 1 : -m_Job.m_Priority;
   QueuedRequest.m_Until = WaitUntil;
-  QueuedRequest.m_TrySend = [Self, QueueReason] {
+  QueuedRequest.m_TrySend = [Self, QueueReason, WaitUntil] {
     RequestNumber QueueNumber = Self->m_QueueNumber;
     Self->m_QueueNumber = 0;
     if (Self->trySend(QueueReason)) {
       Self->recordWait();
       return true;
     }
+    // A rest may have begun since the request waits.
+    if (Self->isRestLongerThan(WaitUntil)) {
+      Self->recordWait();
+      Self->endUnanswered(QueueReason);
+      return true;
+    }
     Self->m_QueueNumber = QueueNumber;
     return false;
   };
@@ -290,6 +317,8 @@
                                      *Part.m_Endpoint, m_Context.loadFactor(),
                                      m_PromptTokens + answerTokensLeft()));
   First->m_LimitShare.noteSent();
+  for (const PathStage &Part : Path)
+    Part.m_Endpoint->m_Rest.noteSent(Now);
   auto Sent = std::make_shared<StreamAttempt>();
   Sent->m_PathLoad.set(Path, m_PromptTokens + answerTokensLeft());
   Sent->m_SentAt = Sent->m_LastProgressAt = m_LastProgressAt = Now;
@@ -347,7 +376,7 @@
   Attempt->m_IsStreaming = Head.m_Status == 200 && Head.has(Names.m_Seal) &&
                            Head.field(Names.m_RequestId) == m_Job.m_Id &&
                            !Head.has("Content-Encoding");
-  noteLimit(Attempt->firstEngine(), Head, Attempt->m_SentAt);
+  noteStatements(Attempt->firstEngine(), Head, Attempt->m_SentAt);
 }
 
 void StreamForward::handleBody(const AttemptHandle &Attempt,
@@ -437,8 +466,10 @@
   Attempt.m_LastProgressAt = m_LastProgressAt = Now;
   Attempt.m_UnfinishedReads = 0;
   if (m_Events == 1)
-    for (const PathStage &Part : Attempt.path())
+    for (const PathStage &Part : Attempt.path()) {
       Part.m_Endpoint->noteAcceptance();
+      Part.m_Endpoint->m_Rest.noteAccepted(Attempt.m_SentAt, Now);
+    }
 }
 
 void StreamForward::noteAnswered() {
@@ -709,7 +740,10 @@
 
 void StreamForward::endUnanswered(std::string_view Reason) {
   if (!hasAnswerBegun() && !m_MayHaveRun) {
-    if (m_IsLimited)
+    if (auto RestEnd = restEnd()) {
+      answerResting(*RestEnd);
+      finish(ForwardOutcome::Refused, EndpointRestReason, 503);
+    } else if (m_IsLimited)
       refuseLimited(Reason);
     else
       refuse(Reason, RetryAfterSeconds);
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -42,6 +42,9 @@
   bool waitForCapacity(std::string_view Reason);
   void recordWait();
   LimitedCapacity limitedCapacity() const;
+  /// When there is a path, if engines at rest are all that is missing.
+  std::optional<Time> restEnd() const;
+  bool isRestLongerThan(Time WaitUntil) const;
   bool isOpen(const AttemptHandle &Attempt) const;
   std::vector<FleetTable::Handle> enginesOfOpenAttempts() const;
   void handleHead(const AttemptHandle &Attempt, const ResponseHead &Head);
--- a/src/routing/LayerPathPlanner.cpp
+++ b/src/routing/LayerPathPlanner.cpp
@@ -3,7 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
 #include <set>
+#include <utility>
 
 namespace parsleyring {
 
@@ -281,4 +283,33 @@
   return Path;
 }
 
+std::optional<Time>
+LayerPathPlanner::restEnd(const EngineModel &Model,
+                          const std::vector<FleetTable::Handle> &Endpoints,
+                          const PathQuery &Query, Time Now) {
+  bool HasResting = false;
+  // Times at which an endpoint becomes available, and whether it rests until
+  // then.
+  std::map<Time, bool> Returns;
+  for (const FleetTable::Handle &Endpoint : Endpoints) {
+    EndpointAvailability Availability = Endpoint->availability(Now);
+    bool IsResting = Availability == EndpointAvailability::Resting;
+    HasResting = HasResting || IsResting;
+    if (IsResting || Availability == EndpointAvailability::Suspect)
+      Returns[Endpoint->availableAt()] |= IsResting;
+  }
+  if (!HasResting || !plan(Model, Endpoints, Query, Now).empty())
+    return std::nullopt;
+  // Endpoints only become available with time, so the first time with a path
+  // is found by bisection.
+  std::vector<std::pair<Time, bool>> Sorted(Returns.begin(), Returns.end());
+  auto First = std::partition_point(
+      Sorted.begin(), Sorted.end(), [&](const std::pair<Time, bool> &Return) {
+        return plan(Model, Endpoints, Query, Return.first).empty();
+      });
+  if (First == Sorted.end() || !First->second)
+    return std::nullopt;
+  return First->first;
+}
+
 } // namespace parsleyring
--- a/src/routing/LayerPathPlanner.h
+++ b/src/routing/LayerPathPlanner.h
@@ -4,6 +4,7 @@
 #include "fleet/EngineModel.h"
 #include "fleet/FleetTable.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,13 @@
                         const std::vector<FleetTable::Handle> &Endpoints,
                         const PathQuery &Query, Time Now);
 
+  /// When there will be a path, if endpoints that rest are all that is missing.
+  /// Empty if there may be one sooner, or none at all.
+  static std::optional<Time>
+  restEnd(const EngineModel &Model,
+          const std::vector<FleetTable::Handle> &Endpoints,
+          const PathQuery &Query, Time Now);
+
   /// Expected share of the endpoint's cache memory in use when the requests of
   /// all VMs end, with one more request of Tokens tokens in all layers that the
   /// endpoint holds. 1 if the endpoint has no cache memory.
--- a/tests/admission/LimitedWaitTest.cpp
+++ b/tests/admission/LimitedWaitTest.cpp
@@ -57,7 +57,7 @@
       return true;
     };
     Queued.m_OnDropped = [this] { ++m_RefusedLate; };
-    auto Capacity = LimitedCapacity::after(m_Queue.size(), {m_Engine});
+    auto Capacity = LimitedCapacity::after(m_Queue.size(), {m_Engine}, Now);
     if (!Waiting->begin(Capacity, Queued.m_Until, Now) ||
         m_Queue.add(Now, std::move(Queued)) == 0) {
       ++m_Refused;
--- a/tests/admission/ReturnScheduleTest.cpp
+++ b/tests/admission/ReturnScheduleTest.cpp
@@ -2,6 +2,8 @@
 
 #include "support/TestMain.h"
 
+#include <map>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace parsleyring;
@@ -29,4 +31,19 @@
   CHECK(m_Schedule.next(1h, 0, m_Now) == ReturnSchedule::MaxDelay);
 }
 
+// Guards against callers that all come back when a rest ends, or are told a
+// time at which the endpoint still rests, however long that is.
+TEST(ReturnSchedule, CallersReturnSpreadAfterARest) {
+  std::map<Duration, int> Callers;
+  for (int Caller = 0; Caller < 500; ++Caller)
+    ++Callers[m_Schedule.nextAfterRest(m_Now + 20s, m_Now)];
+  CHECK(Callers.begin()->first == 20s);
+  CHECK(Callers.rbegin()->first < 20s + ReturnSchedule::RestReturnTime);
+  for (const auto &[Delay, Count] : Callers)
+    LONGS_EQUAL(10, Count);
+  // Another endpoint ends its rest earlier.
+  CHECK(m_Schedule.nextAfterRest(m_Now + 2s, m_Now) == 2s);
+  CHECK(m_Schedule.nextAfterRest(m_Now + 2s, m_Now) > 2s);
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/audit/ExplainCommandTest.cpp
+++ b/tests/audit/ExplainCommandTest.cpp
@@ -281,4 +281,25 @@
   CHECK_EQUAL(2, explain("a b", {First}));
 }
 
+// Guards against refusals whose cause is in the lines about another request:
+// the one that the endpoint told that it rests.
+TEST(ExplainCommand, ExplainsRefusalBecauseOfRests) {
+  const std::string Log =
+      "{\"at_us\":3100000,\"vm\":\"vm-a\",\"event\":\"endpoint-rest\","
+      "\"request\":\"other\",\"endpoint\":\"e7\",\"started_ms\":1000,"
+      "\"rest_ms\":2000}\n"
+      "{\"at_us\":4000000,\"vm\":\"vm-a\",\"event\":\"endpoints-resting\","
+      "\"request\":\"ab12\",\"service\":\"plain\",\"rest_ms\":1100,"
+      "\"retry_after_ms\":1120}\n"
+      "{\"at_us\":4000010,\"vm\":\"vm-a\",\"event\":\"request-end\","
+      "\"request\":\"ab12\",\"outcome\":\"refused\","
+      "\"reason\":\"endpoint-rest\",\"status\":503,\"configuration\":7,"
+      "\"taken_ms\":0}\n";
+  CHECK_EQUAL(0, explain("ab12", {Log}));
+  expect("+0 ms vm-a: only endpoints of plain that asked for no requests are "
+         "left, the first one for 1100 ms; the caller may return after 1120");
+  expect("refused, endpoint-rest, status 503 after 0 ms");
+  expect("-900 ms vm-a: e7 asked for no requests for 2000 ms");
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/fleet/FleetTableTest.cpp
+++ b/tests/fleet/FleetTableTest.cpp
@@ -235,4 +235,64 @@
   CHECK(!m_Fleet.find("a"));
 }
 
+// Guards against reasons that hide each other, and against a condition that
+// only some of those who send requests know.
+TEST(FleetTable, AvailabilityNamesTheReason) {
+  m_Fleet.list(entry("a"), m_Now);
+  auto Endpoint = m_Fleet.find("a");
+  auto ExpectReason = [&](std::string_view Reason) {
+    CHECK(name(Endpoint->availability(m_Now)) == Reason);
+    CHECK_EQUAL(Reason == "available", Endpoint->canServe(m_Now));
+  };
+  ExpectReason("available");
+  Endpoint->m_SuspectUntil = m_Now + 1s;
+  ExpectReason("suspect");
+  CHECK(Endpoint->m_Rest.noteStated(500ms, m_Now));
+  ExpectReason("resting");
+  CHECK(Endpoint->availableAt() == m_Now + 1s);
+  Endpoint->m_Entry.m_State = EndpointState::Draining;
+  ExpectReason("leaving");
+  m_Fleet.unlist("a", m_Now);
+  ExpectReason("removed");
+}
+
+// Guards against a rest that ends when the entry of the endpoint expires and
+// returns, and against one that a new process of the endpoint inherits.
+TEST(FleetTable, RestBelongsToTheIncarnation) {
+  m_Fleet.list(entry("a"), m_Now);
+  m_Fleet.find("a")->m_Rest.noteStated(10s, m_Now);
+  m_Fleet.list(entry("a"), m_Now + 1s);
+  CHECK(!m_Fleet.find("a")->canServe(m_Now + 1s));
+  m_Fleet.unlist("a", m_Now + 2s);
+  m_Fleet.list(entry("a"), m_Now + 3s);
+  CHECK(!m_Fleet.find("a")->canServe(m_Now + 3s));
+  LONGS_EQUAL(1, m_Fleet.restingEndpoints(m_Now + 3s));
+  m_Fleet.list(entry("a", 2), m_Now + 4s);
+  CHECK(m_Fleet.find("a")->canServe(m_Now + 4s));
+  LONGS_EQUAL(0, m_Fleet.restingEndpoints(m_Now + 4s));
+}
+
+// Guards against callers that are sent away until a rest ends although another
+// endpoint takes requests earlier.
+TEST(FleetTable, FirstRestEndIsTheFirstTimeOfAnyEndpoint) {
+  for (const char *Id : {"a", "b", "c"})
+    m_Fleet.list(entry(Id), m_Now);
+  auto RestEnd = [&] {
+    return firstRestEnd(m_Fleet.endpointsOfService("s"), m_Now);
+  };
+  m_Fleet.find("a")->m_Rest.noteStated(5s, m_Now);
+  m_Fleet.find("b")->m_Rest.noteStated(3s, m_Now);
+  CHECK(!RestEnd());
+  m_Fleet.find("c")->m_SuspectUntil = m_Now + 60ms;
+  CHECK(!RestEnd());
+  m_Fleet.find("c")->m_SuspectUntil = m_Now + 4s;
+  CHECK(RestEnd() == m_Now + 3s);
+  m_Fleet.find("b")->m_Entry.m_State = EndpointState::Draining;
+  CHECK(!RestEnd());
+  m_Fleet.find("c")->m_Entry.m_State = EndpointState::Draining;
+  CHECK(RestEnd() == m_Now + 5s);
+  m_Fleet.unlistAllExcept({}, m_Now);
+  CHECK(!RestEnd());
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/routing/LayerPathPlannerTest.cpp
+++ b/tests/routing/LayerPathPlannerTest.cpp
@@ -221,4 +221,39 @@
   CHECK(plan(Query).empty());
 }
 
+// Guards against paths through an engine that has asked for no requests, and
+// against callers that are told a time at which there is still no path, or that
+// wait for a rest although a path needs none that rests.
+TEST(LayerPathPlanner, RestEndIsWhenThereIsAPath) {
+  PathQuery Query = typicalQuery("a");
+  auto RestEnd = [&] {
+    return LayerPathPlanner::restEnd(m_Model, m_Engines, Query, m_Now);
+  };
+  CHECK(!RestEnd());
+  std::mt19937 Random(1);
+  std::shuffle(m_Engines.begin(), m_Engines.end(), Random);
+  // Each rest is longer than the one before.
+  Duration Rest = 1s;
+  while (!plan(Query).empty()) {
+    CHECK(!RestEnd());
+    for (const PathStage &Part : plan(Query))
+      Part.m_Endpoint->m_Rest.noteStated(Rest, m_Now);
+    for (const PathStage &Part : plan(Query))
+      CHECK(!Part.m_Endpoint->m_Rest.isResting(m_Now));
+    Rest += 1s;
+  }
+  std::optional<Time> End = RestEnd();
+  CHECK(End && *End > m_Now);
+  CHECK(LayerPathPlanner::plan(m_Model, m_Engines, Query, *End - 1us).empty());
+  CHECK(isValidPath(LayerPathPlanner::plan(m_Model, m_Engines, Query, *End),
+                    {0, 80}));
+  for (const FleetTable::Handle &Engine : m_Engines)
+    if (!Engine->m_Rest.isResting(m_Now))
+      Engine->m_SuspectUntil = m_Now + 60ms;
+  CHECK(RestEnd() == End);
+  for (const FleetTable::Handle &Engine : m_Engines)
+    Engine->m_IsRemoved = true;
+  CHECK(!RestEnd());
+}
+
 PARSLEYRING_TEST_MAIN
