Do not read the fields of a trailer as those of the head

The parser adds trailer fields to the head's, and answers were parsed in one step, so a trailer that arrived in the same packet as the head counted: a 503 whose Not-Executed stands in the trailer told callers that the request had not run. The fields are now taken when the head is complete.

--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -75,7 +75,9 @@
   // Without a limit, this version of Boost.Beast rejects some bodies.
   m_Parser->body_limit(MaxResponseBodyBytes);
   m_Parser->header_limit(MaxResponseHeaderBytes);
-  m_Parser->eager(true);
+  m_HeadFields.clear();
+  // The header section by itself, see keepHeadFields().
+  m_Parser->eager(false);
 }
 
 void HttpConnection::connect(Duration Timeout) {
@@ -155,6 +157,15 @@
   return true;
 }
 
+// The parser adds the fields of a trailer to those of the head. They are no
+// part of it: whether they arrive with it depends on the packets.
+void HttpConnection::keepHeadFields() {
+  if (!m_Parser->is_header_done() || m_Parser->eager())
+    return;
+  m_HeadFields = m_Parser->get().base();
+  m_Parser->eager(true);
+}
+
 void HttpConnection::rejectResponse() {
   m_IsReusable = false;
   finish(ExchangeEnd::Malformed);
@@ -168,6 +179,7 @@
     m_Buffer.consume(Used);
     if (!Error && skipInterimResponse())
       continue;
+    keepHeadFields();
     if (Error || Used == 0)
       break;
   }
@@ -209,7 +221,7 @@
     m_IsHeadDelivered = true;
     ResponseHead Head;
     Head.m_Status = m_Parser->get().result_int();
-    Head.m_Fields = m_Parser->get().base();
+    Head.m_Fields = std::move(m_HeadFields);
     if (m_Handlers.m_OnHead)
       m_Handlers.m_OnHead(Head);
     if (!m_IsRunning)
--- a/src/gateway/HttpConnection.h
+++ b/src/gateway/HttpConnection.h
@@ -94,6 +94,7 @@
   void parse(boost::beast::error_code ReadError);
   bool skipInterimResponse();
   void resetParser();
+  void keepHeadFields();
   void deliverReceived();
   void finish(ExchangeEnd End);
   void updateReuse();
@@ -113,6 +114,7 @@
   bool m_IsRunning = false;
   bool m_HasWritten = false;
   bool m_IsWriting = false;
+  boost::beast::http::fields m_HeadFields; ///< Until they are delivered.
   bool m_IsHeadDelivered = false;
   bool m_IsPaused = false;
   bool m_IsReading = false;
--- a/tests/integration/FaultyEndpointTest.cpp
+++ b/tests/integration/FaultyEndpointTest.cpp
@@ -97,6 +97,21 @@
   }
 }
 
+// Guards against a refusal, or the proof of an answer, that only the trailer
+// states: whether it arrives with the head depends on the packets.
+TEST(FaultyEndpoint, TrailersProveNothing) {
+  const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+  const std::string Refusal =
+      "HTTP/1.1 503 Busy\r\n" + Chunked + "Not-Executed: 1\r\n\r\n";
+  const std::string Answer = "HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\n" +
+                             Chunked + "Server-Seal: s\r\n\r\n";
+  for (const std::string &Bytes : {Refusal, Answer}) {
+    ScriptedServer Server(Bytes, ScriptedServer::End::KeepOpen);
+    start("plain", Server.address());
+    LONGS_EQUAL(502, send("/once/a").m_Status);
+  }
+}
+
 // Guards against a late second copy that makes the answer which follows it
 // fail, or that is passed on in its place.
 TEST(FaultyEndpoint, OwnAnswerFollowsTheCopyOfAnEarlierOne) {
