Note the rests that endpoints state to calls of the VM's own

A 503 with Retry-After that answers a report or an order begins a rest as well, if it has Not-Executed or a seal. EndpointClient shows each answer to one observer. RestingEndpointTest gets two cases: a rest that is stated to a report, and the forms of the field: twice, in lower case, a date, 0, negative, malformed, in a trailer, in an answer that proves nothing or names another request.

--- a/src/gateway/EndpointClient.cpp
+++ b/src/gateway/EndpointClient.cpp
@@ -13,13 +13,19 @@
                           const EndpointCall &Call, Duration Timeout,
                           HttpClient::Handler OnReply) {
   const EndpointEntry &Entry = Endpoint->m_Entry;
+  Time SentAt = m_HttpClient.now();
   m_HttpClient.call({Entry.m_Address,
                      Call.m_Method,
                      Call.m_Target,
                      Call.m_Body,
                      {{m_Protocol.headers().m_ExpectedEndpoint, Entry.m_Id}},
                      Timeout},
-                    std::move(OnReply));
+                    [this, Endpoint, SentAt,
+                     OnReply = std::move(OnReply)](const CallReply &Reply) {
+                      if (Reply.m_Status != 0)
+                        m_OnAnswer(Endpoint, Reply.m_Head, SentAt);
+                      OnReply(Reply);
+                    });
 }
 
 void EndpointClient::evictOldReports() {
--- a/src/gateway/EndpointClient.h
+++ b/src/gateway/EndpointClient.h
@@ -12,8 +12,14 @@
 /// for the report of the same engine share one call.
 class EndpointClient {
 public:
-  EndpointClient(HttpClient &Client, const EndpointProtocol &Protocol)
-      : m_HttpClient(Client), m_Protocol(Protocol) {}
+  /// Is called with each answer, before the handler of the call.
+  using AnswerObserver = std::function<void(const FleetTable::Handle &,
+                                            const ResponseHead &, Time SentAt)>;
+
+  EndpointClient(HttpClient &Client, const EndpointProtocol &Protocol,
+                 AnswerObserver OnAnswer)
+      : m_HttpClient(Client), m_Protocol(Protocol),
+        m_OnAnswer(std::move(OnAnswer)) {}
 
   void call(const FleetTable::Handle &Endpoint, const EndpointCall &Call,
             Duration Timeout, HttpClient::Handler OnReply);
@@ -30,6 +36,7 @@
 
   HttpClient &m_HttpClient;
   const EndpointProtocol &m_Protocol;
+  const AnswerObserver m_OnAnswer;
   std::map<const FleetEndpoint *, std::vector<ForwardContext::ReportHandler>>
       m_PendingHandlers;
   std::map<const FleetEndpoint *, CachedReport> m_CachedReports;
--- a/src/gateway/ForwardContext.cpp
+++ b/src/gateway/ForwardContext.cpp
@@ -152,30 +152,31 @@
     return;
   noteLimit(Endpoint, Head, SentAt, IsSealed);
   if (Head.m_Status == 503)
-    noteRest(Endpoint, Head, SentAt);
+    noteRest(m_Context, Endpoint, Head, m_Job.m_Id, SentAt);
   else if (!IsRejection)
     Endpoint->m_Rest.noteAccepted(SentAt, m_Context.now());
 }
 
 // The longest time that the answer states: if the field is there twice, that
 // one covers both.
-std::optional<Duration>
-ForwardedRequest::statedRest(const FleetTable::Handle &Endpoint,
-                             const ResponseHead &Head) {
-  const HeaderNames &Names = m_Context.protocol().headers();
-  Time Now = m_Context.now();
+static std::optional<Duration> statedRest(ForwardContext &Context,
+                                          const FleetEndpoint &Endpoint,
+                                          const ResponseHead &Head,
+                                          const std::string &RequestId) {
+  Time Now = Context.now();
   Time AnsweredAt =
       EndpointRest::parseDate(view(Head.m_Fields[http::field::date]))
           .value_or(Now);
   std::optional<Duration> Longest;
-  auto Fields = Head.m_Fields.equal_range(Names.m_RetryAfter);
+  auto Fields =
+      Head.m_Fields.equal_range(Context.protocol().headers().m_RetryAfter);
   for (auto Field = Fields.first; Field != Fields.second; ++Field) {
     std::string_view Text = view(Field->value());
     std::optional<Duration> Rest = EndpointRest::parse(Text, AnsweredAt);
     if (!Rest)
-      m_Context.log().write(Now, "endpoint-rest-rejected", m_Job.m_Id,
-                            {{"endpoint", Endpoint->m_Entry.m_Id},
-                             {"value", Text.substr(0, 40)}});
+      Context.log().write(
+          Now, "endpoint-rest-rejected", RequestId,
+          {{"endpoint", Endpoint.m_Entry.m_Id}, {"value", Text.substr(0, 40)}});
     else
       Longest = std::max(Longest.value_or(Duration::zero()), *Rest);
   }
@@ -184,24 +185,25 @@
 
 // Another engine of the path may have passed the rejection on. One that is not
 // listed, or was listed only after the request was sent, is not affected.
-void ForwardedRequest::noteRest(const FleetTable::Handle &Endpoint,
-                                const ResponseHead &Head, Time SentAt) {
+void noteRest(ForwardContext &Context, const FleetTable::Handle &Endpoint,
+              const ResponseHead &Head, const std::string &RequestId,
+              Time SentAt) {
   std::string Address =
-      Head.field(m_Context.protocol().headers().m_FaultyEndpoint);
+      Head.field(Context.protocol().headers().m_FaultyEndpoint);
   FleetTable::Handle Resting = Endpoint;
   if (!Address.empty() && Address != Endpoint->m_Entry.m_Address)
-    Resting = m_Context.fleet().findByAddress(Address);
+    Resting = Context.fleet().findByAddress(Address);
   if (!Resting || Resting->m_ListedAt > SentAt)
     return;
-  std::optional<Duration> Rest = statedRest(Resting, Head);
-  Time Now = m_Context.now();
+  std::optional<Duration> Rest = statedRest(Context, *Resting, Head, RequestId);
+  Time Now = Context.now();
   if (!Rest || !Resting->m_Rest.noteStated(*Rest, Now))
     return;
-  m_Context.metrics().countEndpointRest();
-  m_Context.log().write(Now, "endpoint-rest", m_Job.m_Id,
-                        {{"endpoint", Resting->m_Entry.m_Id},
-                         {"started_ms", Resting->m_Entry.m_StartTimeMs},
-                         {"rest_ms", std::int64_t(Rest->count() / 1000)}});
+  Context.metrics().countEndpointRest();
+  Context.log().write(Now, "endpoint-rest", RequestId,
+                      {{"endpoint", Resting->m_Entry.m_Id},
+                       {"started_ms", Resting->m_Entry.m_StartTimeMs},
+                       {"rest_ms", std::int64_t(Rest->count() / 1000)}});
 }
 
 void ForwardedRequest::noteLimit(const FleetTable::Handle &Endpoint,
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -128,10 +128,6 @@
 private:
   void noteLimit(const FleetTable::Handle &Endpoint, const ResponseHead &Head,
                  Time SentAt, bool IsSealed);
-  void noteRest(const FleetTable::Handle &Endpoint, const ResponseHead &Head,
-                Time SentAt);
-  std::optional<Duration> statedRest(const FleetTable::Handle &Endpoint,
-                                     const ResponseHead &Head);
 };
 
 /// Serializes a request for an endpoint; Extra are further header fields.
@@ -141,6 +137,11 @@
                              const AnswerFields &Extra);
 /// The header fields of an endpoint's answer that the caller gets.
 AnswerFields endToEndFields(const ResponseHead &Head);
+/// Records the rest that a 503 of Endpoint states, if any. RequestId is empty
+/// for a call of this VM's own.
+void noteRest(ForwardContext &Context, const FleetTable::Handle &Endpoint,
+              const ResponseHead &Head, const std::string &RequestId,
+              Time SentAt);
 /// True if the endpoint states that the request has not run and will not.
 bool provesNotRun(const ResponseHead &Head, const HeaderNames &Names,
                   const std::string &RequestId);
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -164,7 +164,10 @@
                                                m_Settings.m_Cores},
       m_VMs(m_Self, m_Settings.m_SeedAddresses), m_ConnectionPool(m_Loop),
       m_HttpClient(m_Loop, m_ConnectionPool, [this] { return now(); }),
-      m_EndpointClient(m_HttpClient, Endpoints),
+      m_EndpointClient(
+          m_HttpClient, Endpoints,
+          [this](const FleetTable::Handle &Endpoint, const ResponseHead &Head,
+                 Time SentAt) { noteCallAnswer(Endpoint, Head, SentAt); }),
       m_StoreClient(m_HttpClient, m_Metrics),
       m_Configuration(
           {Records, m_StoreClient, m_Log, m_Metrics}, [this] { return now(); },
@@ -403,6 +406,14 @@
   m_EndpointClient.call(Endpoint, Call, OrderTimeout, std::move(OnReply));
 }
 
+void GatewayNode::noteCallAnswer(const FleetTable::Handle &Endpoint,
+                                 const ResponseHead &Head, Time SentAt) {
+  bool IsProved = Head.has(m_Protocol.headers().m_NotExecuted) ||
+                  Head.has(m_Protocol.headers().m_Seal);
+  if (Head.m_Status == 503 && IsProved)
+    noteRest(*this, Endpoint, Head, "", SentAt);
+}
+
 void GatewayNode::suspect(const FleetTable::Handle &Endpoint,
                           std::string_view Reason, Duration Period) {
   Time Now = now();
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -120,6 +120,9 @@
   void sendOrder(const std::string &Service, const PlacementOrder &Order);
   void suspectDomain(const std::string &Domain);
   void handleDigestChanges(const DigestChanges &Changes, const std::string &By);
+  /// Records what an answer to a call of this VM's own states.
+  void noteCallAnswer(const FleetTable::Handle &Endpoint,
+                      const ResponseHead &Head, Time SentAt);
   void noteEndedRests();
   void notifySuspicion(const FleetTable::Handle &Endpoint);
   void handleSignal(int Signal);
--- a/tests/integration/RestingEndpointTest.cpp
+++ b/tests/integration/RestingEndpointTest.cpp
@@ -1,6 +1,7 @@
 #include "support/Eventually.h"
 #include "support/GatewayTestServers.h"
 #include "support/HttpCalls.h"
+#include "support/ScriptedServer.h"
 #include "support/TestMain.h"
 
 #include <nlohmann/json.hpp>
@@ -125,13 +126,15 @@
     stopCallers();
     m_Gateway.reset();
   }
-  HttpAnswer send(const std::string &Path) {
+  HttpAnswer send(const std::string &Path, std::string Id = {}) {
+    if (Id.empty())
+      Id = "id-" + std::to_string(++m_Requests);
     HttpRequest Request;
     Request.m_Method = "POST";
     Request.m_Path = Path;
     Request.m_Body = "the body";
     Request.m_Headers = {{"Host", "host"},
-                         {"Attempt-Id", "id-" + std::to_string(++m_Requests)},
+                         {"Attempt-Id", Id},
                          {"Authorization", "Bearer key-1"},
                          {"Token-Count", "100,20"},
                          {"Deadline-Ms", "2500"}};
@@ -251,4 +254,80 @@
                      Engine.lateRequests());
 }
 
+// Guards against rests that are read from bytes which do not show that this
+// endpoint has rejected this request, or that are missed because of the form of
+// the field.
+TEST(RestingEndpoint, OnlyProvedRejectionsStateARest) {
+  struct Form {
+    const char *m_Fields;
+    bool m_IsRest;
+    const char *m_Body = "Content-Length: 0\r\n\r\n";
+  };
+  const std::string Date = "Date: Sun, 06 Nov 1994 08:49:37 GMT\r\n";
+  const std::string Dated =
+      Date +
+      "Not-Executed: 1\r\nRetry-After: Sun, 06 Nov 1994 08:49:40 GMT\r\n";
+  const std::string Past =
+      Date +
+      "Not-Executed: 1\r\nRetry-After: Sun, 06 Nov 1994 08:49:30 GMT\r\n";
+  const Form Forms[] = {
+      {"Not-Executed: 1\r\nRetry-After: 3\r\n", true},
+      {"Not-Executed: 1\r\nretry-after: 2.5\r\n", true},
+      {"Not-Executed: 1\r\nRetry-After: 0.1\r\nRetry-After: 3\r\n", true},
+      {"Not-Executed: 1\r\nRetry-After: soon\r\nRetry-After: 3\r\n", true},
+      {"Server-Seal: s\r\nAttempt-Id: same\r\nRetry-After: 3\r\n", true},
+      {Dated.c_str(), true},
+      {Past.c_str(), false},
+      {"Not-Executed: 1\r\nRetry-After: 0\r\n", false},
+      {"Not-Executed: 1\r\nRetry-After: -3\r\n", false},
+      {"Not-Executed: 1\r\nRetry-After: 3 s\r\n", false},
+      {"Not-Executed: 1\r\n", false},
+      {"Retry-After: 3\r\n", false},
+      {"Not-Executed: 1\r\nAttempt-Id: other\r\nRetry-After: 3\r\n", false},
+      {"Not-Executed: 1\r\nTrailer: Retry-After\r\n", false,
+       "Transfer-Encoding: chunked\r\n\r\n0\r\nRetry-After: 3\r\n\r\n"},
+  };
+  for (const Form &Tried : Forms) {
+    ScriptedServer Server(std::string("HTTP/1.1 503 Busy\r\nConnection: close"
+                                      "\r\n") +
+                              Tried.m_Fields + Tried.m_Body,
+                          ScriptedServer::End::Close);
+    m_Store.put("servers/e", serverEntry("plain", Server.address()));
+    CHECK(eventually([&] {
+      send("/once/a", "same");
+      return Server.hasRequest();
+    }));
+    HttpAnswer Reply = send("/once/a", "same");
+    double Seconds =
+        Reply.m_Status == 503 ? std::stod(Reply.header("Retry-After")) : 0;
+    CHECK_EQUAL_TEXT(Tried.m_IsRest, Seconds > 2, Tried.m_Fields);
+  }
+}
+
+// Guards against a rest that is missed since the endpoint states it to a call
+// of the VM's own: the report that it is asked for when a stream falls silent.
+TEST(RestingEndpoint, AnswersToReportsStateARest) {
+  std::atomic<bool> HasRejected{false};
+  FakeEndpoint Engine([&](const ReceivedCall &Call) {
+    FakeEndpointAnswer Answer;
+    if (!Call.header("Attempt-Id").empty()) {
+      std::this_thread::sleep_for(800ms);
+      Answer.m_Chunks = {"id: 1\ndata: only\n\n"};
+      return Answer;
+    }
+    HasRejected = true;
+    Answer.m_Status = 503;
+    Answer.m_Headers = {{"Not-Executed", "1"}, {"Retry-After", "3"}};
+    return Answer;
+  });
+  m_Store.put("servers/e", serverEntry("model", Engine.address()));
+  CHECK(eventually([&] {
+    send("/stream/a");
+    return HasRejected.load();
+  }));
+  HttpAnswer Reply = send("/stream/a");
+  LONGS_EQUAL(503, Reply.m_Status);
+  CHECK(std::stod(Reply.header("Retry-After")) > 1);
+}
+
 PARSLEYRING_TEST_MAIN
