Do not take an event in pieces around a silence for a trickle

A stream was ended although its engine was sound: four reads of one event around a pause of 1.4 s counted as an engine that keeps sending bytes without events. The count now begins anew after a gap, and such bytes must have come for 1.2 s.

CallerConnectionTest was IdleConnectionTest.

--- a/src/gateway/StreamAttempt.h
+++ b/src/gateway/StreamAttempt.h
@@ -48,6 +48,8 @@
     return false;
   }
   void noteUnfinishedRead(Time Now) {
+    if (Now - m_LastUnfinishedReadAt > MaxTricklingGap)
+      m_UnfinishedReads = 0;
     if (++m_UnfinishedReads == 1)
       m_FirstUnfinishedReadAt = Now;
     m_LastUnfinishedReadAt = Now;
@@ -65,9 +67,11 @@
     m_PathLoad.clear();
   }
 
-  /// An event that arrives in a few pieces around a silence is no trickle.
+  /// An event that arrives in pieces before and after a silence is no trickle.
   static constexpr int MinTricklingReads = 4;
-  static constexpr Duration MinTricklingTime = std::chrono::milliseconds(500);
+  static constexpr Duration MaxTricklingGap = std::chrono::milliseconds(260);
+  /// Callers leave a stream after a pause of two seconds.
+  static constexpr Duration MinTricklingTime = std::chrono::milliseconds(1200);
 };
 
 } // namespace parsleyring
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -702,7 +702,7 @@
   return true;
 }
 
-void StreamForward::resumeAttempt(const AttemptHandle &Silent) {
+void StreamForward::resumeAttempt(AttemptHandle Silent) {
   logAttempt("attempt-resumed", *Silent, "");
   if (m_Attempt && !m_Attempt->m_HasEnded) {
     logAttempt("attempt-abandoned", *m_Attempt, "earlier-resumed");
@@ -710,7 +710,7 @@
   }
   m_SilentAttempts.erase(
       std::find(m_SilentAttempts.begin(), m_SilentAttempts.end(), Silent));
-  m_Attempt = Silent;
+  m_Attempt = std::move(Silent);
 }
 
 void StreamForward::retryElsewhere(std::string_view Reason) {
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -74,7 +74,7 @@
   /// Returns false if that is not possible; the attempt then stays current.
   bool moveElsewhere(std::string_view Reason);
   /// Makes a silent attempt the current one; closes the current one, if any.
-  void resumeAttempt(const AttemptHandle &Silent);
+  void resumeAttempt(AttemptHandle Silent);
   /// Closes the current attempt and sends the request on a new path, goes on
   /// with a silent attempt, or queues the request; else ends the request.
   void retryElsewhere(std::string_view Reason);
--- a/tests/integration/IdleConnectionTest.cpp
+++ b/tests/integration/CallerConnectionTest.cpp
@@ -30,8 +30,8 @@
     m_Socket.connect({asio::ip::make_address(Target->m_Host), Target->m_Port});
   }
 
-  /// Returns the head of the answer, whose body must be empty; an empty text if
-  /// the connection ended without one.
+  /// Returns the answer to a request that is refused since it has no route; an
+  /// empty text if the connection ended without one.
   std::string send() {
     static int Requests = 0;
     std::string Text =
@@ -46,6 +46,19 @@
         Answer += Byte;
     return Error ? "" : Answer;
   }
+  /// Returns the status of the answer to a request with a body that is refused
+  /// since its client account is unknown, or too large.
+  std::string postStatus(std::size_t BodyBytes) {
+    std::string Text = "POST /once/a HTTP/1.1\r\nHost: host\r\n"
+                       "Content-Length: " +
+                       std::to_string(BodyBytes) + "\r\n\r\n" +
+                       std::string(BodyBytes, 'x');
+    boost::system::error_code Error;
+    asio::write(m_Socket, asio::buffer(Text), Error);
+    std::string Answer(1024, ' ');
+    std::size_t Size = m_Socket.read_some(asio::buffer(Answer), Error);
+    return Answer.substr(0, Size).substr(0, 12);
+  }
   /// Waits until the gateway has closed the connection.
   void waitForClose() {
     boost::system::error_code Error;
@@ -61,21 +74,24 @@
 
 } // namespace
 
-TEST_GROUP(IdleConnection) {
+TEST_GROUP(CallerConnection) {
   FakeMetadataStore m_Store;
   std::unique_ptr<GatewayProcess> m_Gateway;
 
   /// A configuration that is in force when its route "/repeat/" is, or is not.
   static std::string configuration(int Version, int IdleTimeoutMs,
-                                   bool HasRepeatRoute) {
+                                   bool HasRepeatRoute,
+                                   int MaxBodyBytes = 10000) {
     auto Root =
         nlohmann::json::parse(gatewayConfiguration(Version, HasRepeatRoute));
     Root["limits"]["idle_timeout_ms"] = IdleTimeoutMs;
+    Root["limits"]["max_body_bytes"] = MaxBodyBytes;
     return Root.dump();
   }
 
-  void start(int IdleTimeoutMs) {
-    m_Store.put("op/config", configuration(1, IdleTimeoutMs, true));
+  void start(int IdleTimeoutMs, int MaxBodyBytes = 10000) {
+    m_Store.put("op/config",
+                configuration(1, IdleTimeoutMs, true, MaxBodyBytes));
     m_Gateway = std::make_unique<GatewayProcess>("vm-0", m_Store.address());
     CHECK(m_Gateway->waitUntilReady());
   }
@@ -92,7 +108,7 @@
 
 // Guards against a request without an answer: its connection became idle under
 // a longer timeout than the one in force, and is closed as the request arrives.
-TEST(IdleConnection, LoweredTimeoutDoesNotCloseEarlierConnections) {
+TEST(CallerConnection, LoweredTimeoutDoesNotCloseEarlierConnections) {
   start(15000);
   KeptConnection Caller(m_Gateway->callerAddress());
   CHECK(!Caller.send().empty());
@@ -108,7 +124,7 @@
 
 // Guards against callers that use a connection for longer than the gateway
 // keeps it, since the configuration that they know of allows more.
-TEST(IdleConnection, CallersAreToldOfTheTimeout) {
+TEST(CallerConnection, CallersAreToldOfTheTimeout) {
   start(15000);
   KeptConnection Caller(m_Gateway->callerAddress());
   STRCMP_CONTAINS("Keep-Alive: timeout=14\r\n", Caller.send().c_str());
@@ -118,7 +134,7 @@
 
 // Guards against a time that callers are told of and that is longer than the
 // timeout.
-TEST(IdleConnection, ShortTimeoutIsNotAnnounced) {
+TEST(CallerConnection, ShortTimeoutIsNotAnnounced) {
   start(900);
   KeptConnection Caller(m_Gateway->callerAddress());
   std::string Answer = Caller.send();
@@ -126,4 +142,14 @@
   CHECK(Answer.find("Keep-Alive") == std::string::npos);
 }
 
+// Guards against a request on a kept connection that is judged by the limits
+// that were in force when the previous answer ended.
+TEST(CallerConnection, KeptConnectionHasTheLimitsInForce) {
+  start(15000, 100);
+  KeptConnection Caller(m_Gateway->callerAddress());
+  STRCMP_EQUAL("HTTP/1.1 401", Caller.postStatus(10).c_str());
+  changeTimeout(15000);
+  STRCMP_EQUAL("HTTP/1.1 401", Caller.postStatus(1000).c_str());
+}
+
 PARSLEYRING_TEST_MAIN
