Do not take a pause of the gateway's own for the engine's silence

While a caller reads slowly, the gateway stops reading from the engine. It then took the engine to be silent, moved the stream, and did not read on from the first engine. The time since the last event now begins anew while reading is paused. integration/PausedStreamTest (SlowCallerIsNoSilenceOfTheEngine) failed before and passes.

--- a/src/gateway/HttpConnection.h
+++ b/src/gateway/HttpConnection.h
@@ -64,6 +64,7 @@
   /// Ends the exchange, whose response is not usable, and closes.
   void rejectResponse();
   void pauseReading() { m_IsPaused = true; }
+  bool isPaused() const { return m_IsPaused; }
   void resumeReading();
 
   const std::string &address() const { return m_Address; }
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -763,8 +763,13 @@
   }
   if (!m_Attempt)
     return;
-  if (m_Job.m_Caller->unsentBytes() < MaxUnsentBytes / 2)
-    m_Attempt->m_Connection->resumeReading();
+  if (m_Attempt->m_Connection->isPaused()) {
+    // It is this VM that does not read.
+    m_Attempt->m_LastProgressAt = Now;
+    if (m_Job.m_Caller->unsentBytes() < MaxUnsentBytes / 2)
+      m_Attempt->m_Connection->resumeReading();
+    return;
+  }
   checkSilence(Now);
 }
 
