Count only the repaths that were ordered

A stalled part that cannot be replaced at once used up the three repaths of its stream within a second, so that one that was listed later was not used. integration/PausedStreamTest (StalledPartIsReplacedWhenAnotherOneIsListed) failed before (the stream ended at its deadline) and passes.

--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -883,7 +883,7 @@
   for (const PathStage &Part : Path)
     if (IsSuspect(Part))
       exclude(Part.m_Endpoint);
-  if (IsSuspect(Path.front()) || ++m_Attempt->m_Repaths > MaxRepaths) {
+  if (IsSuspect(Path.front()) || m_Attempt->m_Repaths >= MaxRepaths) {
     // The attempt counts towards the maximum unless the first engine was
     // removed from the list: a silent engine may still run the request.
     if (Path.front().m_Endpoint->m_IsRemoved)
@@ -923,6 +923,7 @@
   if (domainCrossings(NewPath) > domainCrossings(Path) &&
       moveElsewhere("part-lost"))
     return;
+  ++m_Attempt->m_Repaths;
   m_Attempt->m_IsRepathing = true;
   auto Self = shared_from_this();
   m_Context.metrics().countOrder("repath");
