Judge a request on a kept connection by the limits in force

The parser of the next request was made when the previous answer ended, with the limits of that time: after max_body_bytes was raised, a kept connection still answered 413. It is made at the first byte of a request now. integration/CallerConnectionTest (KeptConnectionHasTheLimitsInForce) failed before (413) and passes.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -82,6 +82,8 @@
     if (!m_IsReceiving) {
       m_IsReceiving = true;
       m_StateSince = m_Handler.now();
+      // The limits may have changed since the previous answer.
+      prepareParser();
     }
     m_LastReadAt = m_Handler.now();
     beast::error_code Error;
