End the suspicion of an engine that sends events again

A VM sent nothing new for four seconds to an engine that had not answered a report within 220 ms, also when it had gone on after one second: with no other engine left, callers got 503. An event of a stream now ends the VM's own suspicion of the engines of its path. What other VMs were told stays until it is over.

integration/PausedStreamTest (EngineIsUsedAgainSoonAfterItsSilence) failed before (503) and passes.

--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -96,6 +96,14 @@
   /// consecutive rejection if the endpoint is in another failure domain, and is
   /// longer after MaxFullTime if it is in this one.
   void noteRejection(bool IsInOwnDomain, Time Now);
+  /// Records that the endpoint has answered this VM, which ends this VM's own
+  /// suspicion: it was only silent.
+  void noteAlive(Time Now) {
+    if (m_OwnSuspectUntil <= Now)
+      return;
+    m_OwnSuspectUntil = Now;
+    m_SuspectUntil = Now;
+  }
   void noteAcceptance() {
     m_ConsecutiveRejections = 0;
     m_RejectingSince = Time{};
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -465,6 +465,8 @@
     noteAnswered();
   Attempt.m_LastProgressAt = m_LastProgressAt = Now;
   Attempt.m_UnfinishedReads = 0;
+  for (const PathStage &Part : Attempt.path())
+    Part.m_Endpoint->noteAlive(Now);
   if (m_Events == 1)
     for (const PathStage &Part : Attempt.path()) {
       Part.m_Endpoint->noteAcceptance();
