Answer requests that are still in progress when the process ends

A gateway that stops ended its loop with requests in progress: a caller whose engine was silent got a connection that ended without an answer, 7.7 s after SIGTERM. Such a request now gets 502, or 503 if it was not sent; a stream that has begun is broken off as before.

--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -92,6 +92,8 @@
   virtual void tick(Time Now) = 0;
   /// An endpoint was marked as suspect; a stream may have to leave it.
   virtual void handleSuspect(const FleetTable::Handle &) {}
+  /// The process ends: ends the request, which may have run, with a failure.
+  virtual void handleStop() = 0;
   bool isDone() const { return m_IsDone; }
 
 protected:
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -758,6 +758,11 @@
   // certainly has not run.
   m_CallerListener->closeIdle();
   bool IsOver = Stopped > m_Settings.m_ShutdownTimeout - StopMargin;
+  // A caller whose request is still in progress gets a failure rather than a
+  // connection that ends without an answer.
+  if (IsOver)
+    for (const auto &Request : m_Requests)
+      Request->handleStop();
   if (IsOver || (m_Requests.empty() && m_CallerListener->size() == 0))
     m_Loop.stop();
 }
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -252,6 +252,13 @@
   }
 }
 
+void PlainForward::handleStop() {
+  if (m_IsDone)
+    return;
+  m_MayHaveRun = m_MayHaveRun || hasRunning();
+  finishWithoutAnswer("stopping");
+}
+
 void PlainForward::markEnded(Attempt &Ended) {
   if (!Ended.m_IsRunning)
     return;
--- a/src/gateway/PlainForward.h
+++ b/src/gateway/PlainForward.h
@@ -17,6 +17,7 @@
 
   void start() override;
   void tick(Time Now) override;
+  void handleStop() override;
 
 private:
   /// One sending of the request to an endpoint.
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -775,6 +775,15 @@
   checkSilence(Now);
 }
 
+void StreamForward::handleStop() {
+  if (m_IsDone)
+    return;
+  if (mayHaveRun())
+    failRequest("stopping");
+  else
+    endUnanswered("stopping");
+}
+
 Duration StreamForward::silenceLimit() const {
   if (m_Attempt->m_IsRepathing || m_Attempt->m_Repaths > 0)
     return MaxRepathSilence;
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -22,6 +22,7 @@
 
   void start() override;
   void tick(Time Now) override;
+  void handleStop() override;
   void handleSuspect(const FleetTable::Handle &Endpoint) override;
 
 private:
