--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -1,5 +1,7 @@
 #include "gateway/PlainForward.h"
 
+#include "gateway/RequestFingerprint.h"
+
 #include <algorithm>
 
 namespace parsleyring {
@@ -148,9 +150,22 @@
     retryOrFinish("connect-failed");
     return;
   }
+  bool IsCutOff = End == ExchangeEnd::Closed && Ended->m_Head.m_Status == 0;
+  if (IsCutOff)
+    noteCutOff(*Ended);
   handleUnknownOutcome(Ended, name(End));
 }
 
+void PlainForward::noteCutOff(const Attempt &Ended) {
+  Time Now = m_Context.now();
+  m_Context.log().write(
+      Now, "attempt-cut-off", m_Job.m_Id,
+      {{"endpoint", Ended.m_Endpoint->m_Entry.m_Id},
+       {"fingerprint", requestFingerprint(m_Job.m_Request, m_Job.m_Account)},
+       {"taken_ms", std::int64_t((Now - Ended.m_SentAt).count() / 1000)},
+       {"reused_connection", std::int64_t(Ended.m_IsReused)}});
+}
+
 void PlainForward::handleAnswer(const AttemptHandle &Ended) {
   const HeaderNames &Names = m_Context.protocol().headers();
   const ResponseHead &Head = Ended->m_Head;
--- a/src/gateway/PlainForward.h
+++ b/src/gateway/PlainForward.h
@@ -41,6 +41,8 @@
   bool trySend(std::string_view Reason);
   ExchangeHandlers handlers(const AttemptHandle &Sent);
   void handleEnd(const AttemptHandle &Ended, ExchangeEnd End);
+  /// The endpoint has closed the connection without any answer.
+  void noteCutOff(const Attempt &Ended);
   void handleAnswer(const AttemptHandle &Ended);
   void handleNotRun(const AttemptHandle &Ended, std::string_view Reason);
   void handleUnknownOutcome(const AttemptHandle &Ended,
--- /dev/null
+++ b/src/gateway/RequestFingerprint.h
@@ -0,0 +1,17 @@
+#ifndef PARSLEYRING_GATEWAY_REQUESTFINGERPRINT_H
+#define PARSLEYRING_GATEWAY_REQUESTFINGERPRINT_H
+
+#include "gateway/CallerConnection.h"
+
+#include <string>
+
+namespace parsleyring {
+
+/// Identifies repetitions of a request: equal on all VMs if the client account,
+/// the method, the host, the target and the body are.
+std::string requestFingerprint(const CallerRequest &Request,
+                               const std::string &Account);
+
+} // namespace parsleyring
+
+#endif // PARSLEYRING_GATEWAY_REQUESTFINGERPRINT_H
