Name the crash quarantine for what it covers

PromptQuarantine, PromptGuard and EngineCrash are to cover requests of plain services too: CrashQuarantine, CrashGuard, EndpointCrash. What they hold is a suspect, the part of a prompt so far. The log lines and metrics are renamed with them (endpoint-crashed, suspect-quarantined, suspect-released, parsleyring_endpoint_crashes_total, parsleyring_quarantined_suspects). The items of the store keep their keys and fields, for VMs of the release before.

--- a/src/admission/PromptQuarantine.cpp
+++ b/src/admission/CrashQuarantine.cpp
@@ -1,4 +1,4 @@
-#include "admission/PromptQuarantine.h"
+#include "admission/CrashQuarantine.h"
 
 #include <algorithm>
 #include <tuple>
@@ -7,21 +7,21 @@
 
 // Few requests are sent to more than two engines, so three crashes are hardly
 // the bad luck of a single harmless one.
-const PromptQuarantine::Requirement PromptQuarantine::NeverAnswered{
+const CrashQuarantine::Requirement CrashQuarantine::NeverAnswered{
     3, std::chrono::milliseconds(250), Memory};
 // When a whole failure domain fails, parts that many prompts have lose requests
 // on many engines at once.
-const PromptQuarantine::Requirement PromptQuarantine::AnsweredBefore{
+const CrashQuarantine::Requirement CrashQuarantine::AnsweredBefore{
     5, std::chrono::seconds(1), std::chrono::minutes(1)};
 
-static constexpr std::size_t MaxEngines = 512;
-static constexpr std::size_t MaxAnsweredParts = 20000;
+static constexpr std::size_t MaxCrashes = 512;
+static constexpr std::size_t MaxAnsweredSuspects = 20000;
 // How often old evidence is dropped.
 static constexpr Duration UpdateInterval = std::chrono::seconds(5);
 
-void PromptQuarantine::addCrash(const std::string &Reporter,
-                                EngineCrash Crash) {
-  if (m_Crashes.size() >= MaxEngines && !m_Crashes.count(Crash.m_Engine)) {
+void CrashQuarantine::addCrash(const std::string &Reporter,
+                               EndpointCrash Crash) {
+  if (m_Crashes.size() >= MaxCrashes && !m_Crashes.count(Crash.m_Endpoint)) {
     auto IsOlder = [](const auto &Left, const auto &Right) {
       return Left.second.begin()->second.m_At <
              Right.second.begin()->second.m_At;
@@ -29,13 +29,13 @@
     m_Crashes.erase(
         std::min_element(m_Crashes.begin(), m_Crashes.end(), IsOlder));
   }
-  m_Crashes[Crash.m_Engine][Reporter] = std::move(Crash);
+  m_Crashes[Crash.m_Endpoint][Reporter] = std::move(Crash);
   m_HasNewEvidence = true;
 }
 
-void PromptQuarantine::removeCrash(const std::string &Reporter,
-                                   const std::string &Engine) {
-  auto Reports = m_Crashes.find(Engine);
+void CrashQuarantine::removeCrash(const std::string &Reporter,
+                                  const std::string &Endpoint) {
+  auto Reports = m_Crashes.find(Endpoint);
   if (Reports == m_Crashes.end())
     return;
   Reports->second.erase(Reporter);
@@ -44,31 +44,31 @@
   m_HasNewEvidence = true;
 }
 
-void PromptQuarantine::noteAnswer(const std::string &Part, Time At) {
-  auto Known = m_AnsweredAt.find(Part);
+void CrashQuarantine::noteAnswer(const std::string &Suspect, Time At) {
+  auto Known = m_AnsweredAt.find(Suspect);
   if (Known != m_AnsweredAt.end())
     Known->second = std::max(Known->second, At);
-  else if (m_AnsweredAt.size() < MaxAnsweredParts)
-    m_AnsweredAt[Part] = At;
+  else if (m_AnsweredAt.size() < MaxAnsweredSuspects)
+    m_AnsweredAt[Suspect] = At;
   // An answer can only end a quarantine.
-  if (isQuarantined(Part))
+  if (isQuarantined(Suspect))
     m_HasNewEvidence = true;
 }
 
-std::optional<Time> PromptQuarantine::quarantinedUntil(
-    const std::vector<std::string> &Parts) const {
+std::optional<Time> CrashQuarantine::quarantinedUntil(
+    const std::vector<std::string> &Suspects) const {
   std::optional<Time> Until;
   if (m_Quarantined.empty())
     return Until;
-  for (const std::string &Part : Parts) {
-    auto Found = m_Quarantined.find(Part);
+  for (const std::string &Suspect : Suspects) {
+    auto Found = m_Quarantined.find(Suspect);
     if (Found != m_Quarantined.end())
       Until = std::max(Until.value_or(Time{}), Found->second.m_Until);
   }
   return Until;
 }
 
-std::vector<PromptQuarantine::Change> PromptQuarantine::update(Time Now) {
+std::vector<CrashQuarantine::Change> CrashQuarantine::update(Time Now) {
   if (!m_HasNewEvidence && Now < m_NextUpdateAt)
     return {};
   m_HasNewEvidence = false;
@@ -76,17 +76,17 @@
   forgetOld(Now);
   std::map<std::string, Quarantine> Causes = findCauses(Now);
   std::vector<Change> Changes;
-  for (const auto &[Part, Found] : Causes)
-    if (!m_Quarantined.count(Part))
-      Changes.push_back({Part, true, Found.m_Crashes});
-  for (const auto &[Part, Former] : m_Quarantined)
-    if (!Causes.count(Part))
-      Changes.push_back({Part, false, 0});
+  for (const auto &[Suspect, Found] : Causes)
+    if (!m_Quarantined.count(Suspect))
+      Changes.push_back({Suspect, true, Found.m_Crashes});
+  for (const auto &[Suspect, Former] : m_Quarantined)
+    if (!Causes.count(Suspect))
+      Changes.push_back({Suspect, false, 0});
   m_Quarantined = std::move(Causes);
   return Changes;
 }
 
-void PromptQuarantine::forgetOld(Time Now) {
+void CrashQuarantine::forgetOld(Time Now) {
   for (auto Entry = m_AnsweredAt.begin(); Entry != m_AnsweredAt.end();)
     Entry = Now - Entry->second > Memory ? m_AnsweredAt.erase(Entry)
                                          : std::next(Entry);
@@ -97,53 +97,54 @@
       Entry = Now - Entry->second.m_At > Memory ? ByReporter.erase(Entry)
                                                 : std::next(Entry);
     for (const auto &[Reporter, Crash] : ByReporter)
-      for (const EngineCrash::Suspect &Suspect : Crash.m_Suspects)
+      for (const EndpointCrash::Suspect &Suspect : Crash.m_Suspects)
         if (Suspect.m_WasAnswered)
-          m_ReportedAsAnswered.insert(Suspect.m_Part);
+          m_ReportedAsAnswered.insert(Suspect.m_Id);
     Reports =
         ByReporter.empty() ? m_Crashes.erase(Reports) : std::next(Reports);
   }
 }
 
-const PromptQuarantine::Requirement &
-PromptQuarantine::requirement(const std::string &Part) const {
-  return wasAnswered(Part) || m_ReportedAsAnswered.count(Part) ? AnsweredBefore
-                                                               : NeverAnswered;
+const CrashQuarantine::Requirement &
+CrashQuarantine::requirement(const std::string &Suspect) const {
+  return wasAnswered(Suspect) || m_ReportedAsAnswered.count(Suspect)
+             ? AnsweredBefore
+             : NeverAnswered;
 }
 
-std::vector<PromptQuarantine::MergedCrash>
-PromptQuarantine::mergedCrashes() const {
+std::vector<CrashQuarantine::MergedCrash>
+CrashQuarantine::mergedCrashes() const {
   std::vector<MergedCrash> Merged;
-  for (const auto &[Engine, ByReporter] : m_Crashes) {
+  for (const auto &[Endpoint, ByReporter] : m_Crashes) {
     MergedCrash Crash;
     Crash.m_At = Time::max();
     for (const auto &[Reporter, Report] : ByReporter) {
       Crash.m_At = std::min(Crash.m_At, Report.m_At);
-      for (const EngineCrash::Suspect &Suspect : Report.m_Suspects)
-        Crash.m_Requests[Suspect.m_Part] += Suspect.m_Requests;
+      for (const EndpointCrash::Suspect &Suspect : Report.m_Suspects)
+        Crash.m_Requests[Suspect.m_Id] += Suspect.m_Requests;
     }
     Merged.push_back(std::move(Crash));
   }
   return Merged;
 }
 
-bool PromptQuarantine::counts(const MergedCrash &Crash, const std::string &Part,
-                              Time Now) const {
-  if (Crash.m_IsExplained || Now - Crash.m_At > requirement(Part).m_Period)
+bool CrashQuarantine::counts(const MergedCrash &Crash,
+                             const std::string &Suspect, Time Now) const {
+  if (Crash.m_IsExplained || Now - Crash.m_At > requirement(Suspect).m_Period)
     return false;
-  auto Answered = m_AnsweredAt.find(Part);
+  auto Answered = m_AnsweredAt.find(Suspect);
   return Answered == m_AnsweredAt.end() || Crash.m_At > Answered->second;
 }
 
-std::map<std::string, PromptQuarantine::Evidence>
-PromptQuarantine::evidence(const std::vector<MergedCrash> &Crashes,
-                           Time Now) const {
-  std::map<std::string, Evidence> ByPart;
+std::map<std::string, CrashQuarantine::Evidence>
+CrashQuarantine::evidence(const std::vector<MergedCrash> &Crashes,
+                          Time Now) const {
+  std::map<std::string, Evidence> BySuspect;
   for (const MergedCrash &Crash : Crashes)
-    for (const auto &[Part, Requests] : Crash.m_Requests) {
-      if (!counts(Crash, Part, Now))
+    for (const auto &[Suspect, Requests] : Crash.m_Requests) {
+      if (!counts(Crash, Suspect, Now))
         continue;
-      Evidence &Facts = ByPart[Part];
+      Evidence &Facts = BySuspect[Suspect];
       Facts.m_FirstAt = Facts.m_Crashes == 0
                             ? Crash.m_At
                             : std::min(Facts.m_FirstAt, Crash.m_At);
@@ -151,18 +152,18 @@
       ++Facts.m_Crashes;
       Facts.m_Requests += Requests;
     }
-  return ByPart;
+  return BySuspect;
 }
 
 // Of two parts that were cut off by the same crashes, the one with fewer
 // requests is the cause: a harmless part that is as frequent in crashes is that
 // because it is frequent in general.
-bool PromptQuarantine::isBetterCause(const std::string &Part,
-                                     const Evidence &Facts,
-                                     const std::string &OtherPart,
-                                     const Evidence &OtherFacts) const {
-  bool IsNew = &requirement(Part) == &NeverAnswered;
-  bool IsOtherNew = &requirement(OtherPart) == &NeverAnswered;
+bool CrashQuarantine::isBetterCause(const std::string &Suspect,
+                                    const Evidence &Facts,
+                                    const std::string &OtherSuspect,
+                                    const Evidence &OtherFacts) const {
+  bool IsNew = &requirement(Suspect) == &NeverAnswered;
+  bool IsOtherNew = &requirement(OtherSuspect) == &NeverAnswered;
   return std::make_tuple(!IsNew, -Facts.m_Crashes, Facts.m_Requests) <
          std::make_tuple(!IsOtherNew, -OtherFacts.m_Crashes,
                          OtherFacts.m_Requests);
@@ -170,30 +171,30 @@
 
 // Takes the best cause, leaves out the crashes that it explains, and goes on
 // with the others.
-std::map<std::string, PromptQuarantine::Quarantine>
-PromptQuarantine::findCauses(Time Now) const {
+std::map<std::string, CrashQuarantine::Quarantine>
+CrashQuarantine::findCauses(Time Now) const {
   std::map<std::string, Quarantine> Causes;
   std::vector<MergedCrash> Crashes = mergedCrashes();
   while (true) {
-    std::map<std::string, Evidence> ByPart = evidence(Crashes, Now);
-    auto Best = ByPart.end();
-    for (auto Entry = ByPart.begin(); Entry != ByPart.end(); ++Entry) {
-      const auto &[Part, Facts] = *Entry;
-      const Requirement &Needed = requirement(Part);
+    std::map<std::string, Evidence> BySuspect = evidence(Crashes, Now);
+    auto Best = BySuspect.end();
+    for (auto Entry = BySuspect.begin(); Entry != BySuspect.end(); ++Entry) {
+      const auto &[Suspect, Facts] = *Entry;
+      const Requirement &Needed = requirement(Suspect);
       if (Facts.m_Crashes < Needed.m_MinCrashes ||
           Facts.m_LastAt - Facts.m_FirstAt < Needed.m_MinSpan)
         continue;
-      if (Best == ByPart.end() ||
-          isBetterCause(Part, Facts, Best->first, Best->second))
+      if (Best == BySuspect.end() ||
+          isBetterCause(Suspect, Facts, Best->first, Best->second))
         Best = Entry;
     }
-    if (Best == ByPart.end())
+    if (Best == BySuspect.end())
       return Causes;
-    const auto &[Part, Facts] = *Best;
-    Causes[Part] = {Facts.m_Crashes,
-                    Facts.m_LastAt + requirement(Part).m_Period};
+    const auto &[Suspect, Facts] = *Best;
+    Causes[Suspect] = {Facts.m_Crashes,
+                       Facts.m_LastAt + requirement(Suspect).m_Period};
     for (MergedCrash &Crash : Crashes)
-      if (Crash.m_Requests.count(Part) && counts(Crash, Part, Now))
+      if (Crash.m_Requests.count(Suspect) && counts(Crash, Suspect, Now))
         Crash.m_IsExplained = true;
   }
 }
--- a/src/admission/PromptQuarantine.h
+++ b/src/admission/CrashQuarantine.h
@@ -1,7 +1,7 @@
-#ifndef PARSLEYRING_ADMISSION_PROMPTQUARANTINE_H
-#define PARSLEYRING_ADMISSION_PROMPTQUARANTINE_H
+#ifndef PARSLEYRING_ADMISSION_CRASHQUARANTINE_H
+#define PARSLEYRING_ADMISSION_CRASHQUARANTINE_H
 
-#include "fleet/EngineCrash.h"
+#include "fleet/EndpointCrash.h"
 
 #include <map>
 #include <set>
@@ -20,36 +20,36 @@
 /// were answered before needs more evidence, and is released sooner.
 ///
 /// VMs that have the same crashes come to the same result.
-class PromptQuarantine {
+class CrashQuarantine {
 public:
   struct Change {
-    std::string m_Part;
+    std::string m_Suspect;
     bool m_IsQuarantined = false;
     int m_Crashes = 0; ///< That the part explains; 0 if it was released.
   };
 
   /// Adds a crash as reported by a VM, or replaces that VM's earlier report of
   /// it.
-  void addCrash(const std::string &Reporter, EngineCrash Crash);
-  void removeCrash(const std::string &Reporter, const std::string &Engine);
+  void addCrash(const std::string &Reporter, EndpointCrash Crash);
+  void removeCrash(const std::string &Reporter, const std::string &Endpoint);
   /// Records that a prompt with this part was answered at the time At, by an
   /// engine that did not crash.
-  void noteAnswer(const std::string &Part, Time At);
-  bool wasAnswered(const std::string &Part) const {
-    return m_AnsweredAt.count(Part) > 0;
+  void noteAnswer(const std::string &Suspect, Time At);
+  bool wasAnswered(const std::string &Suspect) const {
+    return m_AnsweredAt.count(Suspect) > 0;
   }
   /// Applies new evidence and drops what is too old. Returns the parts that
   /// have entered or left the quarantine.
   std::vector<Change> update(Time Now);
 
   std::size_t size() const { return m_Quarantined.size(); }
-  bool isQuarantined(const std::string &Part) const {
-    return m_Quarantined.count(Part) > 0;
+  bool isQuarantined(const std::string &Suspect) const {
+    return m_Quarantined.count(Suspect) > 0;
   }
   /// When the last quarantine of any of these parts ends if there is no further
   /// crash; empty if none of them is quarantined.
   std::optional<Time>
-  quarantinedUntil(const std::vector<std::string> &Parts) const;
+  quarantinedUntil(const std::vector<std::string> &Suspects) const;
 
   /// Crashes and answers are forgotten after this time.
   static constexpr Duration Memory = std::chrono::minutes(10);
@@ -82,20 +82,20 @@
   static const Requirement NeverAnswered;
   static const Requirement AnsweredBefore;
 
-  const Requirement &requirement(const std::string &Part) const;
+  const Requirement &requirement(const std::string &Suspect) const;
   void forgetOld(Time Now);
   std::vector<MergedCrash> mergedCrashes() const;
-  bool counts(const MergedCrash &Crash, const std::string &Part,
+  bool counts(const MergedCrash &Crash, const std::string &Suspect,
               Time Now) const;
   std::map<std::string, Evidence>
   evidence(const std::vector<MergedCrash> &Crashes, Time Now) const;
-  bool isBetterCause(const std::string &Part, const Evidence &Facts,
-                     const std::string &OtherPart,
+  bool isBetterCause(const std::string &Suspect, const Evidence &Facts,
+                     const std::string &OtherSuspect,
                      const Evidence &OtherFacts) const;
   std::map<std::string, Quarantine> findCauses(Time Now) const;
 
   /// Reports by engine, then by VM.
-  std::map<std::string, std::map<std::string, EngineCrash>> m_Crashes;
+  std::map<std::string, std::map<std::string, EndpointCrash>> m_Crashes;
   std::map<std::string, Time> m_AnsweredAt; ///< The last answer, by part.
   /// Suspect parts that some VM has seen answers for.
   std::set<std::string> m_ReportedAsAnswered;
@@ -106,4 +106,4 @@
 
 } // namespace parsleyring
 
-#endif // PARSLEYRING_ADMISSION_PROMPTQUARANTINE_H
+#endif // PARSLEYRING_ADMISSION_CRASHQUARANTINE_H
--- a/src/audit/GatewayHistory.cpp
+++ b/src/audit/GatewayHistory.cpp
@@ -97,9 +97,9 @@
                                                       "endpoint-rest-ended",
                                                       "failure-domain-suspect",
                                                       "endpoint-unlisted",
-                                                      "engine-crashed",
-                                                      "prompt-part-quarantined",
-                                                      "prompt-part-released",
+                                                      "endpoint-crashed",
+                                                      "suspect-quarantined",
+                                                      "suspect-released",
                                                       "store-lost",
                                                       "store-available",
                                                       "store-items-unconfirmed",
@@ -216,21 +216,20 @@
                 Logged.text("rest_ms") + " ms; the caller may return after " +
                 Logged.text("retry_after_ms") + " ms";
        }},
-      {"engine-crashed",
+      {"endpoint-crashed",
        [](const Line &Logged) {
          return Logged.text("endpoint") + " crashed; " +
-                Logged.text("suspect_parts") +
-                " prompt parts may have caused it";
+                Logged.text("suspects") +
+                " prompt parts or requests may have caused it";
        }},
-      {"prompt-part-quarantined",
+      {"suspect-quarantined",
        [](const Line &Logged) {
-         return "refuses prompts with part " + Logged.text("part") +
-                ", which explains " + Logged.text("crashes") +
-                " crashes of engines";
+         return "refuses requests with " + Logged.text("suspect") +
+                ", which explains " + Logged.text("crashes") + " crashes";
        }},
-      {"prompt-part-released",
+      {"suspect-released",
        [](const Line &Logged) {
-         return "sends prompts with part " + Logged.text("part") + " again";
+         return "sends requests with " + Logged.text("suspect") + " again";
        }},
       {"endpoint-slow",
        [](const Line &Logged) {
--- a/src/fleet/EngineCrash.cpp
+++ b/src/fleet/EndpointCrash.cpp
@@ -1,4 +1,4 @@
-#include "fleet/EngineCrash.h"
+#include "fleet/EndpointCrash.h"
 
 #include <nlohmann/json.hpp>
 
@@ -6,13 +6,13 @@
 
 using nlohmann::json;
 
-std::string EngineCrash::encode() const {
+std::string EndpointCrash::encode() const {
   json Suspects = json::array();
   for (const Suspect &Each : m_Suspects)
-    Suspects.push_back({{"part", Each.m_Part},
+    Suspects.push_back({{"part", Each.m_Id},
                         {"requests", Each.m_Requests},
                         {"was_answered", Each.m_WasAnswered}});
-  return json{{"engine", m_Engine},
+  return json{{"engine", m_Endpoint},
               {"at_us", m_At.time_since_epoch().count()},
               {"suspects", Suspects}}
       .dump();
@@ -25,15 +25,15 @@
          Entry.contains("was_answered") && Entry["was_answered"].is_boolean();
 }
 
-std::optional<EngineCrash> EngineCrash::parse(const std::string &Text) {
+std::optional<EndpointCrash> EndpointCrash::parse(const std::string &Text) {
   json Root = json::parse(Text, nullptr, false);
   if (!Root.is_object() || !Root.contains("engine") ||
       !Root["engine"].is_string() || !Root.contains("at_us") ||
       !Root["at_us"].is_number_integer() || !Root.contains("suspects") ||
       !Root["suspects"].is_array())
     return std::nullopt;
-  EngineCrash Crash;
-  Crash.m_Engine = Root["engine"].get<std::string>();
+  EndpointCrash Crash;
+  Crash.m_Endpoint = Root["engine"].get<std::string>();
   Crash.m_At = Time(Duration(Root["at_us"].get<std::int64_t>()));
   for (const json &Entry : Root["suspects"]) {
     if (!isSuspect(Entry))
--- a/src/gateway/CrashDetector.cpp
+++ b/src/gateway/CrashDetector.cpp
@@ -14,8 +14,8 @@
 static constexpr unsigned OtherIncarnationStatus = 421;
 
 struct CrashDetector::Check {
-  Check(boost::asio::io_context &Loop, FleetTable::Handle Engine, Time Now)
-      : m_Crash{std::move(Engine), Now, {}}, m_Timer(Loop) {}
+  Check(boost::asio::io_context &Loop, FleetTable::Handle Endpoint, Time Now)
+      : m_Crash{std::move(Endpoint), Now, {}}, m_Timer(Loop) {}
 
   Crash m_Crash; ///< As it is reported if the engine has crashed.
   boost::asio::steady_timer m_Timer;
@@ -32,20 +32,20 @@
 
 CrashDetector::~CrashDetector() = default;
 
-void CrashDetector::noteCutOff(const FleetTable::Handle &Engine,
-                               const std::vector<std::string> &PromptParts) {
-  bool IsLeaving =
-      Engine->m_IsRemoved || Engine->m_Entry.m_State != EndpointState::Ready;
+void CrashDetector::noteCutOff(const FleetTable::Handle &Endpoint,
+                               const std::vector<std::string> &Suspects) {
+  bool IsLeaving = Endpoint->m_IsRemoved ||
+                   Endpoint->m_Entry.m_State != EndpointState::Ready;
   if (IsLeaving)
     return;
-  std::shared_ptr<Check> &Known = m_Checks[Engine.get()];
+  std::shared_ptr<Check> &Known = m_Checks[Endpoint.get()];
   bool IsNew = !Known;
   if (IsNew)
-    Known = std::make_shared<Check>(m_Loop, Engine, m_Now());
+    Known = std::make_shared<Check>(m_Loop, Endpoint, m_Now());
   // A copy, since the handler may change the map.
   std::shared_ptr<Check> Current = Known;
-  for (const std::string &Part : PromptParts)
-    ++Current->m_Crash.m_RequestsByPart[Part];
+  for (const std::string &Suspect : Suspects)
+    ++Current->m_Crash.m_RequestsBySuspect[Suspect];
   if (IsNew)
     ask(Current);
   else if (Current->m_HasCrashed)
@@ -55,7 +55,7 @@
 void CrashDetector::ask(const std::shared_ptr<Check> &Asked) {
   ++Asked->m_Calls;
   m_Client.call(
-      Asked->m_Crash.m_Engine, m_Protocol.reportCall(), ReportTimeout,
+      Asked->m_Crash.m_Endpoint, m_Protocol.reportCall(), ReportTimeout,
       [this, Asked](const CallReply &Reply) { handleReply(Asked, Reply); });
 }
 
@@ -65,7 +65,7 @@
   bool IsGone = Reply.m_Status == OtherIncarnationStatus ||
                 (Reply.m_Status == 0 && Reply.m_End != ExchangeEnd::TimedOut);
   if (!IsGone) {
-    m_Checks.erase(Asked->m_Crash.m_Engine.get());
+    m_Checks.erase(Asked->m_Crash.m_Endpoint.get());
     return;
   }
   if (Asked->m_Calls < MaxCalls) {
--- a/src/gateway/CrashDetector.h
+++ b/src/gateway/CrashDetector.h
@@ -19,11 +19,11 @@
 class CrashDetector {
 public:
   struct Crash {
-    FleetTable::Handle m_Engine;
+    FleetTable::Handle m_Endpoint;
     Time m_At{}; ///< When the first connection was closed.
     /// Requests that were cut off before they were answered, by the parts of
     /// their prompts.
-    std::map<std::string, std::uint32_t> m_RequestsByPart;
+    std::map<std::string, std::uint32_t> m_RequestsBySuspect;
     /// False if the crash was reported before, with fewer requests.
     bool m_IsNew = true;
   };
@@ -34,9 +34,9 @@
                 CrashHandler OnCrash);
   ~CrashDetector();
 
-  /// Engine has closed the connection of a request before it was answered.
-  void noteCutOff(const FleetTable::Handle &Engine,
-                  const std::vector<std::string> &PromptParts);
+  /// Endpoint has closed the connection of a request before it was answered.
+  void noteCutOff(const FleetTable::Handle &Endpoint,
+                  const std::vector<std::string> &Suspects);
   /// Forgets crashes that are too old for further requests to be cut off.
   void expire();
 
--- a/src/gateway/PromptGuard.cpp
+++ b/src/gateway/CrashGuard.cpp
@@ -1,4 +1,4 @@
-#include "gateway/PromptGuard.h"
+#include "gateway/CrashGuard.h"
 
 #include <charconv>
 
@@ -27,9 +27,9 @@
   return Time(Duration(Microseconds));
 }
 
-PromptGuard::PromptGuard(Dependencies Used, std::string VM,
-                         std::string StoreAddress, std::function<Time()> Now,
-                         CrashHandler OnCrash)
+CrashGuard::CrashGuard(Dependencies Used, std::string VM,
+                       std::string StoreAddress, std::function<Time()> Now,
+                       CrashHandler OnCrash)
     : m_Log(Used.m_Log), m_Metrics(Used.m_Metrics), m_VM(std::move(VM)),
       m_Now(std::move(Now)), m_OnCrash(std::move(OnCrash)),
       m_Detector(
@@ -42,88 +42,89 @@
                              {{"key", Key}, {"status", std::int64_t(Status)}});
                }) {}
 
-std::string PromptGuard::crashKey(const std::string &Engine) const {
-  return CrashPrefix + Engine + "/" + m_VM;
+std::string CrashGuard::crashKey(const std::string &Endpoint) const {
+  return CrashPrefix + Endpoint + "/" + m_VM;
 }
 
-void PromptGuard::write(const std::string &Key, const std::string &Value) {
+void CrashGuard::write(const std::string &Key, const std::string &Value) {
   m_OwnItems[Key] = {Value, m_Now()};
   m_Writer.put(Key, Value);
 }
 
-void PromptGuard::handleCrash(const CrashDetector::Crash &Seen) {
-  EngineCrash Crash;
-  Crash.m_Engine = incarnationOf(Seen.m_Engine->m_Entry);
+void CrashGuard::handleCrash(const CrashDetector::Crash &Seen) {
+  EndpointCrash Crash;
+  Crash.m_Endpoint = incarnationOf(Seen.m_Endpoint->m_Entry);
   Crash.m_At = Seen.m_At;
   // Those that were never answered first, since they are the likelier causes.
   for (bool WereAnswered : {false, true})
-    for (const auto &[Part, Requests] : Seen.m_RequestsByPart)
-      if (m_Quarantine.wasAnswered(Part) == WereAnswered &&
+    for (const auto &[Suspect, Requests] : Seen.m_RequestsBySuspect)
+      if (m_Quarantine.wasAnswered(Suspect) == WereAnswered &&
           Crash.m_Suspects.size() < MaxSuspects)
-        Crash.m_Suspects.push_back({Part, Requests, WereAnswered});
+        Crash.m_Suspects.push_back({Suspect, Requests, WereAnswered});
   if (Seen.m_IsNew) {
-    m_Metrics.countEngineCrash();
-    m_Log.write(m_Now(), "engine-crashed", "",
-                {{"endpoint", Seen.m_Engine->m_Entry.m_Id},
-                 {"suspect_parts", std::int64_t(Crash.m_Suspects.size())}});
+    m_Metrics.countEndpointCrash();
+    m_Log.write(m_Now(), "endpoint-crashed", "",
+                {{"endpoint", Seen.m_Endpoint->m_Entry.m_Id},
+                 {"suspects", std::int64_t(Crash.m_Suspects.size())}});
   }
   if (!Crash.m_Suspects.empty()) {
-    write(crashKey(Crash.m_Engine), Crash.encode());
+    write(crashKey(Crash.m_Endpoint), Crash.encode());
     m_Quarantine.addCrash(m_VM, std::move(Crash));
     update();
   }
   if (Seen.m_IsNew)
-    m_OnCrash(Seen.m_Engine);
+    m_OnCrash(Seen.m_Endpoint);
 }
 
-void PromptGuard::noteAnswer(const std::vector<std::string> &PromptParts) {
+void CrashGuard::noteAnswer(const std::vector<std::string> &Suspects) {
   Time Now = m_Now();
-  for (const std::string &Part : PromptParts) {
+  for (const std::string &Suspect : Suspects) {
     // Without a request that was already running, no VM would ever learn that
     // the part is harmless.
-    if (m_Quarantine.isQuarantined(Part))
-      write(AnswerPrefix + Part,
+    if (m_Quarantine.isQuarantined(Suspect))
+      write(AnswerPrefix + Suspect,
             std::to_string(Now.time_since_epoch().count()));
-    m_Quarantine.noteAnswer(Part, Now);
+    m_Quarantine.noteAnswer(Suspect, Now);
   }
   update();
 }
 
-void PromptGuard::update() {
+void CrashGuard::update() {
   Time Now = m_Now();
-  for (const PromptQuarantine::Change &Each : m_Quarantine.update(Now))
+  for (const CrashQuarantine::Change &Each : m_Quarantine.update(Now))
     m_Log.write(
-        Now,
-        Each.m_IsQuarantined ? "prompt-part-quarantined"
-                             : "prompt-part-released",
-        "", {{"part", Each.m_Part}, {"crashes", std::int64_t(Each.m_Crashes)}});
-  m_Metrics.setQuarantinedPromptParts(m_Quarantine.size());
+        Now, Each.m_IsQuarantined ? "suspect-quarantined" : "suspect-released",
+        "",
+        {{"suspect", Each.m_Suspect},
+         {"crashes", std::int64_t(Each.m_Crashes)}});
+  m_Metrics.setQuarantinedSuspects(m_Quarantine.size());
 }
 
-void PromptGuard::tick(bool IsLeader) {
+void CrashGuard::tick(bool IsLeader) {
   m_Detector.expire();
   update();
   Time Now = m_Now();
   for (auto Own = m_OwnItems.begin(); Own != m_OwnItems.end();) {
-    bool IsOld = Now - Own->second.second > PromptQuarantine::Memory;
+    bool IsOld = Now - Own->second.second > CrashQuarantine::Memory;
     Own = IsOld ? m_OwnItems.erase(Own) : std::next(Own);
   }
   if (!IsLeader)
     return;
   for (auto Item = m_StoredItems.begin(); Item != m_StoredItems.end();) {
-    bool IsOld = Now - Item->second > PromptQuarantine::Memory;
+    bool IsOld = Now - Item->second > CrashQuarantine::Memory;
     if (IsOld)
       m_Writer.remove(Item->first);
     Item = IsOld ? m_StoredItems.erase(Item) : std::next(Item);
   }
 }
 
-void PromptGuard::itemChanged(const StoreItem &Item) {
+void CrashGuard::itemChanged(const StoreItem &Item) {
   if (hasPrefix(Item.m_Key, CrashPrefix)) {
-    std::optional<EngineCrash> Crash = EngineCrash::parse(Item.m_Value);
+    std::optional<EndpointCrash> Crash = EndpointCrash::parse(Item.m_Value);
     std::size_t Slash = Item.m_Key.rfind('/');
     if (!Crash) {
-      m_Log.write(m_Now(), "engine-crash-rejected", "", {{"key", Item.m_Key}});
+      m_Log.write(m_Now(), "endpoint-crash-rejected", "",
+                  {{"key", Item.m_Key}});
       return;
     }
     m_StoredItems[Item.m_Key] = Crash->m_At;
@@ -131,7 +132,8 @@
   } else if (hasPrefix(Item.m_Key, AnswerPrefix)) {
     std::optional<Time> AnsweredAt = parseTime(Item.m_Value);
     if (!AnsweredAt) {
-      m_Log.write(m_Now(), "engine-crash-rejected", "", {{"key", Item.m_Key}});
+      m_Log.write(m_Now(), "endpoint-crash-rejected", "",
+                  {{"key", Item.m_Key}});
       return;
     }
     m_StoredItems[Item.m_Key] = *AnsweredAt;
@@ -140,7 +142,7 @@
   }
 }
 
-void PromptGuard::itemDeleted(const std::string &Key) {
+void CrashGuard::itemDeleted(const std::string &Key) {
   m_StoredItems.erase(Key);
   if (!hasPrefix(Key, CrashPrefix))
     return;
@@ -150,8 +152,8 @@
       Key.substr(CrashPrefix.size(), Slash - CrashPrefix.size()));
 }
 
-void PromptGuard::itemsReloaded(const std::map<std::string, StoreItem> &Items,
-                                bool IsRestored) {
+void CrashGuard::itemsReloaded(const std::map<std::string, StoreItem> &Items,
+                               bool IsRestored) {
   if (IsRestored) {
     // Missing items of other VMs stay known, since these write them again.
     for (const auto &[Key, Own] : m_OwnItems)
--- a/src/gateway/PromptGuard.h
+++ b/src/gateway/CrashGuard.h
@@ -1,7 +1,7 @@
-#ifndef PARSLEYRING_GATEWAY_PROMPTGUARD_H
-#define PARSLEYRING_GATEWAY_PROMPTGUARD_H
+#ifndef PARSLEYRING_GATEWAY_CRASHGUARD_H
+#define PARSLEYRING_GATEWAY_CRASHGUARD_H
 
-#include "admission/PromptQuarantine.h"
+#include "admission/CrashQuarantine.h"
 #include "gateway/CrashDetector.h"
 #include "gateway/DecisionLog.h"
 #include "store/StoreWriter.h"
@@ -12,7 +12,7 @@
 /// collects what this VM sees of crashes, shares it with the other VMs through
 /// the store, where it also survives the end of all VMs, and keeps the
 /// quarantine.
-class PromptGuard {
+class CrashGuard {
 public:
   using CrashHandler = std::function<void(const FleetTable::Handle &)>;
 
@@ -27,21 +27,21 @@
     NodeMetrics &m_Metrics;
   };
 
-  PromptGuard(Dependencies Used, std::string VM, std::string StoreAddress,
-              std::function<Time()> Now, CrashHandler OnCrash);
+  CrashGuard(Dependencies Used, std::string VM, std::string StoreAddress,
+             std::function<Time()> Now, CrashHandler OnCrash);
 
   /// When the quarantine of these prompt parts ends; empty if there is none.
   std::optional<Time>
-  quarantinedUntil(const std::vector<std::string> &PromptParts) const {
-    return m_Quarantine.quarantinedUntil(PromptParts);
+  quarantinedUntil(const std::vector<std::string> &Suspects) const {
+    return m_Quarantine.quarantinedUntil(Suspects);
   }
   /// An engine has answered a prompt with these parts, and still runs.
-  void noteAnswer(const std::vector<std::string> &PromptParts);
-  /// Engine has closed the connection of a request whose prompt has these
+  void noteAnswer(const std::vector<std::string> &Suspects);
+  /// Endpoint has closed the connection of a request whose prompt has these
   /// parts, before it was answered.
-  void noteCutOff(const FleetTable::Handle &Engine,
-                  const std::vector<std::string> &PromptParts) {
-    m_Detector.noteCutOff(Engine, PromptParts);
+  void noteCutOff(const FleetTable::Handle &Endpoint,
+                  const std::vector<std::string> &Suspects) {
+    m_Detector.noteCutOff(Endpoint, Suspects);
   }
   /// Applies the items that have changed.
   void update();
@@ -61,7 +61,7 @@
 private:
   void write(const std::string &Key, const std::string &Value);
   void handleCrash(const CrashDetector::Crash &Seen);
-  std::string crashKey(const std::string &Engine) const;
+  std::string crashKey(const std::string &Endpoint) const;
 
   DecisionLog &m_Log;
   NodeMetrics &m_Metrics;
@@ -70,7 +70,7 @@
   CrashHandler m_OnCrash;
   CrashDetector m_Detector;
   StoreWriter m_Writer;
-  PromptQuarantine m_Quarantine;
+  CrashQuarantine m_Quarantine;
   /// What this VM has written to the store, and when.
   std::map<std::string, std::pair<std::string, Time>> m_OwnItems;
   /// The store's items that concern the guard, and the times they tell of.
@@ -79,4 +79,4 @@
 
 } // namespace parsleyring
 
-#endif // PARSLEYRING_GATEWAY_PROMPTGUARD_H
+#endif // PARSLEYRING_GATEWAY_CRASHGUARD_H
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -20,7 +20,7 @@
 
 namespace parsleyring {
 
-class PromptGuard;
+class CrashGuard;
 
 /// The parts of the gateway node that forwarded requests use.
 class ForwardContext {
@@ -36,7 +36,7 @@
   virtual RetryShare &retryShare(const std::string &Service) = 0;
   virtual AdmissionQueue &admissionQueue(const std::string &Service) = 0;
   virtual ReturnSchedule &returnSchedule(const std::string &Service) = 0;
-  virtual PromptGuard &promptGuard() = 0;
+  virtual CrashGuard &crashGuard() = 0;
   virtual DecisionLog &log() = 0;
   virtual NodeMetrics &metrics() = 0;
   virtual const std::string &failureDomain() const = 0;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -178,7 +178,7 @@
       m_StoreWatcher(
           m_Loop, m_StoreClient, Store, *this, [this] { return now(); },
           m_Settings.m_StoreAddress, m_Settings.m_MaxApplyDelay),
-      m_PromptGuard(
+      m_CrashGuard(
           {m_Loop, m_EndpointClient, Endpoints, m_StoreClient, Store, m_Log,
            m_Metrics},
           m_Settings.m_VM, m_Settings.m_StoreAddress, [this] { return now(); },
@@ -535,7 +535,7 @@
   else if (hasPrefix(Item.m_Key, VMLease::VMPrefix))
     applyVMEntry(Item);
   else
-    m_PromptGuard.itemChanged(Item);
+    m_CrashGuard.itemChanged(Item);
 }
 
 void GatewayNode::itemDeleted(const std::string &Key) {
@@ -548,7 +548,7 @@
   } else if (hasPrefix(Key, VMLease::VMPrefix)) {
     m_VMs.unlist(Key);
   } else {
-    m_PromptGuard.itemDeleted(Key);
+    m_CrashGuard.itemDeleted(Key);
   }
 }
 
@@ -575,7 +575,7 @@
   if (Configuration)
     itemChanged(*Configuration);
   m_Fleet.endRestoration();
-  m_PromptGuard.itemsReloaded(Items, IsRestored);
+  m_CrashGuard.itemsReloaded(Items, IsRestored);
   m_Fleet.unlistAllExcept(Listed, now());
   if (!HasLeader)
     m_Lease.noteLeader("", 0);
@@ -622,7 +622,7 @@
 }
 
 void GatewayNode::revisionChanged() {
-  m_PromptGuard.update();
+  m_CrashGuard.update();
   m_PeerHandler->answerAll();
 }
 
@@ -663,7 +663,7 @@
     m_ConnectionPool.expire(Now);
     m_Fleet.expire(Now);
     m_VMs.expire(Now);
-    m_PromptGuard.tick(m_WasLeader);
+    m_CrashGuard.tick(m_WasLeader);
     noteEndedRests();
     m_Metrics.setRestingEndpoints(m_Fleet.restingEndpoints(Now));
     m_Metrics.setLimitedEndpoints(m_Fleet.limitedEndpoints());
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -3,11 +3,11 @@
 
 #include "gateway/ActiveConfiguration.h"
 #include "gateway/CallerListener.h"
+#include "gateway/CrashGuard.h"
 #include "gateway/DigestExchange.h"
 #include "gateway/EndpointClient.h"
 #include "gateway/ForwardContext.h"
 #include "gateway/GatewaySettings.h"
-#include "gateway/PromptGuard.h"
 #include "node/NodeClock.h"
 #include "placement/PlacementController.h"
 #include "store/StoreWatcher.h"
@@ -54,7 +54,7 @@
   AdmissionQueue &admissionQueue(const std::string &Service) override {
     return m_AdmissionQueues[Service];
   }
-  PromptGuard &promptGuard() override { return m_PromptGuard; }
+  CrashGuard &crashGuard() override { return m_CrashGuard; }
   DecisionLog &log() override { return m_Log; }
   NodeMetrics &metrics() override { return m_Metrics; }
   const std::string &failureDomain() const override {
@@ -148,7 +148,7 @@
   StoreClient m_StoreClient;
   ActiveConfiguration m_Configuration;
   StoreWatcher m_StoreWatcher;
-  PromptGuard m_PromptGuard;
+  CrashGuard m_CrashGuard;
   VMLease m_Lease;
   std::map<std::string, PlacementController> m_Placement; ///< By service.
   bool m_WasLeader = false;
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -42,8 +42,8 @@
       m_Registry, "parsleyring_store_calls_total", "Calls, by status.");
   Family<Counter> &m_Orders = counters(m_Registry, "parsleyring_orders_total",
                                        "Orders to endpoints, by kind.");
-  Counter &m_EngineCrashes =
-      counters(m_Registry, "parsleyring_engine_crashes_total",
+  Counter &m_EndpointCrashes =
+      counters(m_Registry, "parsleyring_endpoint_crashes_total",
                "Crashes of engines that cut off requests of this VM.")
           .Add({});
   Counter &m_EndpointRests =
@@ -67,8 +67,8 @@
   Gauge &m_ConfirmationAge =
       gauge(m_Registry, "parsleyring_configuration_confirmation_age_seconds",
             "Time since the configuration was known to be the newest one.");
-  Gauge &m_QuarantinedParts =
-      gauge(m_Registry, "parsleyring_quarantined_prompt_parts",
+  Gauge &m_QuarantinedSuspects =
+      gauge(m_Registry, "parsleyring_quarantined_suspects",
             "Parts of prompts that are not sent since they crash engines.");
   Gauge &m_LimitedEndpoints =
       gauge(m_Registry, "parsleyring_limited_endpoints",
@@ -126,12 +126,12 @@
   m_Families->m_ConfirmationAge.Set(seconds(Age));
 }
 
-void NodeMetrics::countEngineCrash() {
-  m_Families->m_EngineCrashes.Increment();
+void NodeMetrics::countEndpointCrash() {
+  m_Families->m_EndpointCrashes.Increment();
 }
 
-void NodeMetrics::setQuarantinedPromptParts(std::size_t Parts) {
-  m_Families->m_QuarantinedParts.Set(static_cast<double>(Parts));
+void NodeMetrics::setQuarantinedSuspects(std::size_t Parts) {
+  m_Families->m_QuarantinedSuspects.Set(static_cast<double>(Parts));
 }
 
 void NodeMetrics::setLimitedEndpoints(std::size_t Endpoints) {
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -25,8 +25,8 @@
   void setConfigurationVersion(ConfigurationVersion Version);
   /// Age of the last confirmation that the store's items are the newest ones.
   void setConfirmationAge(Duration Age);
-  void countEngineCrash();
-  void setQuarantinedPromptParts(std::size_t Parts);
+  void countEndpointCrash();
+  void setQuarantinedSuspects(std::size_t Parts);
   void setLimitedEndpoints(std::size_t Endpoints);
   void countEndpointRest();
   void setRestingEndpoints(std::size_t Endpoints);
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -1,6 +1,6 @@
 #include "gateway/StreamForward.h"
 
-#include "gateway/PromptGuard.h"
+#include "gateway/CrashGuard.h"
 
 #include <algorithm>
 #include <cctype>
@@ -478,13 +478,13 @@
   if (m_Attempt->m_IsAnswered)
     return;
   m_Attempt->m_IsAnswered = true;
-  m_Context.promptGuard().noteAnswer(m_SharedParts);
+  m_Context.crashGuard().noteAnswer(m_SharedParts);
 }
 
 // The engine may have crashed, perhaps because of this request.
 void StreamForward::noteCutOff(const StreamAttempt &Attempt) {
   if (!Attempt.m_IsAnswered)
-    m_Context.promptGuard().noteCutOff(Attempt.firstEngine(), m_SharedParts);
+    m_Context.crashGuard().noteCutOff(Attempt.firstEngine(), m_SharedParts);
 }
 
 // Ends the request if a part of its prompt crashes engines, unless it has been
@@ -493,7 +493,7 @@
   if (m_Events > 0)
     return false;
   std::optional<Time> Until =
-      m_Context.promptGuard().quarantinedUntil(m_SharedParts);
+      m_Context.crashGuard().quarantinedUntil(m_SharedParts);
   if (!Until)
     return false;
   static constexpr std::string_view Reason = "prompt-quarantined";
--- a/tests/admission/PromptQuarantineTest.cpp
+++ b/tests/admission/CrashQuarantineTest.cpp
@@ -1,4 +1,4 @@
-#include "admission/PromptQuarantine.h"
+#include "admission/CrashQuarantine.h"
 
 #include "support/SeedRange.h"
 #include "support/TestMain.h"
@@ -46,7 +46,7 @@
   /// hear of the fifth crash.
   int lateCrashingRequests() const { return m_LateCrashingRequests; }
   int refusedSoundRequests() const { return m_RefusedSoundRequests; }
-  const PromptQuarantine &quarantine() const { return m_Quarantine; }
+  const CrashQuarantine &quarantine() const { return m_Quarantine; }
   std::size_t quarantinedSoundParts() const {
     return m_Quarantine.size() - m_Quarantine.isQuarantined(CrashingPart);
   }
@@ -68,7 +68,7 @@
   struct PendingReport {
     Time m_ReceivedAt{};
     std::string m_Reporter;
-    EngineCrash m_Crash;
+    EndpointCrash m_Crash;
   };
 
   static constexpr Duration Step = 10ms;
@@ -147,7 +147,7 @@
     std::string Name = std::to_string(&Crashed - m_Engines.data()) + "@" +
                        std::to_string(Crashed.m_Incarnation);
     for (const auto &[VM, Suspects] : SuspectsByVM) {
-      EngineCrash Report{Name, m_Now, {}};
+      EndpointCrash Report{Name, m_Now, {}};
       for (const auto &[Part, Requests] : Suspects)
         Report.m_Suspects.push_back(
             {Part, Requests, m_Answered[VM].count(Part) > 0});
@@ -177,7 +177,7 @@
 
   std::minstd_rand m_Random;
   Time m_Now = Start;
-  PromptQuarantine m_Quarantine;
+  CrashQuarantine m_Quarantine;
   std::vector<Engine> m_Engines;
   std::deque<PendingReport> m_PendingReports;
   std::map<int, std::set<std::string>> m_Answered; ///< Parts, by VM.
@@ -189,13 +189,13 @@
 
 } // namespace
 
-TEST_GROUP(PromptQuarantine) {
-  PromptQuarantine m_Quarantine;
+TEST_GROUP(CrashQuarantine) {
+  CrashQuarantine m_Quarantine;
 
   void addCrash(const std::string &Engine, Time At,
                 const std::vector<std::string> &Parts,
                 bool WereAnswered = false) {
-    EngineCrash Crash{Engine, At, {}};
+    EndpointCrash Crash{Engine, At, {}};
     for (const std::string &Part : Parts)
       Crash.m_Suspects.push_back({Part, 1, WereAnswered});
     m_Quarantine.addCrash("vm-0", std::move(Crash));
@@ -204,7 +204,7 @@
 };
 
 // Guards against a part that crashes engine after engine.
-TEST(PromptQuarantine, PartThatCrashesSeveralEnginesIsQuarantined) {
+TEST(CrashQuarantine, PartThatCrashesSeveralEnginesIsQuarantined) {
   addCrash("e1", Start, {"bad", "x"});
   addCrash("e2", Start + 200ms, {"bad", "y"});
   CHECK_FALSE(m_Quarantine.isQuarantined("bad"));
@@ -216,7 +216,7 @@
 }
 
 // Guards against one crash that is counted for each VM that reports it.
-TEST(PromptQuarantine, ReportsOfOneCrashCountOnce) {
+TEST(CrashQuarantine, ReportsOfOneCrashCountOnce) {
   for (const char *VM : {"vm-0", "vm-1", "vm-2", "vm-3"})
     m_Quarantine.addCrash(VM, {"e1", Start, {{"part", 1, false}}});
   m_Quarantine.update(Start + 1s);
@@ -225,7 +225,7 @@
 
 // Guards against parts that are taken for the cause when a failure domain ends
 // and many engines with it.
-TEST(PromptQuarantine, EnginesThatEndTogetherProveNothing) {
+TEST(CrashQuarantine, EnginesThatEndTogetherProveNothing) {
   for (int Engine = 0; Engine < 20; ++Engine)
     addCrash("e" + std::to_string(Engine), Start + Engine * 10ms,
              {"frequent", "other"}, Engine % 2 == 0);
@@ -234,7 +234,7 @@
 
 // Guards against sound requests that are refused since they share a part with
 // those that crash engines.
-TEST(PromptQuarantine, PartThatExplainsFewerCrashesStaysAllowed) {
+TEST(CrashQuarantine, PartThatExplainsFewerCrashesStaysAllowed) {
   for (int Engine = 0; Engine < 10; ++Engine) {
     std::vector<std::string> Parts{"bad"};
     if (Engine != 3)
@@ -246,7 +246,7 @@
 }
 
 // Guards against two harmful parts of which only the first one is found.
-TEST(PromptQuarantine, TwoCausesAreFound) {
+TEST(CrashQuarantine, TwoCausesAreFound) {
   for (int Engine = 0; Engine < 8; ++Engine)
     addCrash("e" + std::to_string(Engine), Start + Engine * 200ms,
              {"shared", Engine % 2 ? "bad-1" : "bad-2"}, false);
@@ -261,7 +261,7 @@
 
 // Guards against a harmless part that stays refused although a prompt with it
 // was answered.
-TEST(PromptQuarantine, AnswerReleasesAPart) {
+TEST(CrashQuarantine, AnswerReleasesAPart) {
   for (int Engine = 0; Engine < 3; ++Engine)
     addCrash("e" + std::to_string(Engine), Start + Engine * 200ms, {"part"});
   CHECK(m_Quarantine.isQuarantined("part"));
@@ -275,7 +275,7 @@
 // Guards against a frequent part that is refused for long after a series of
 // crashes with another cause, and against one that has become harmful and is
 // never found.
-TEST(PromptQuarantine, PartThatWasAnsweredBeforeNeedsMoreEvidence) {
+TEST(CrashQuarantine, PartThatWasAnsweredBeforeNeedsMoreEvidence) {
   m_Quarantine.noteAnswer("part", Start - 1s);
   for (int Engine = 0; Engine < 4; ++Engine)
     addCrash("e" + std::to_string(Engine), Start + Engine * 400ms, {"part"});
@@ -287,19 +287,19 @@
 }
 
 // Guards against a quarantine without end.
-TEST(PromptQuarantine, CrashesAreForgotten) {
+TEST(CrashQuarantine, CrashesAreForgotten) {
   for (int Engine = 0; Engine < 3; ++Engine)
     addCrash("e" + std::to_string(Engine), Start + Engine * 200ms, {"part"});
-  m_Quarantine.update(Start + PromptQuarantine::Memory - 1s);
+  m_Quarantine.update(Start + CrashQuarantine::Memory - 1s);
   CHECK(m_Quarantine.isQuarantined("part"));
-  m_Quarantine.update(Start + PromptQuarantine::Memory + 10s);
+  m_Quarantine.update(Start + CrashQuarantine::Memory + 10s);
   CHECK_FALSE(m_Quarantine.isQuarantined("part"));
 }
 
 // Guards against a harmful part that is not found in time among the requests
 // that its crashes cut off, and against sound parts that are taken for
 // it: in a running fleet, and in one whose VMs have all just started.
-TEST(PromptQuarantine, HarmfulPartIsFoundAmongSoundOnes) {
+TEST(CrashQuarantine, HarmfulPartIsFoundAmongSoundOnes) {
   for (unsigned Seed : SeedRange(200)) {
     SimulatedFleet Fleet(Seed, 6 + Seed % 20);
     if (Seed % 2)
--- a/tests/fleet/EngineCrashTest.cpp
+++ b/tests/fleet/EndpointCrashTest.cpp
@@ -1,4 +1,4 @@
-#include "fleet/EngineCrash.h"
+#include "fleet/EndpointCrash.h"
 
 #include "support/TestMain.h"
 
@@ -6,25 +6,25 @@
 
 using namespace parsleyring;
 
-TEST_GROUP(EngineCrash){};
+TEST_GROUP(EndpointCrash){};
 
 // Guards against reports that another VM reads as something else.
-TEST(EngineCrash, IsReadAsWritten) {
-  EngineCrash Crash{"e1@5", Time(Duration(123456789)), {{"a", 2, true}}};
+TEST(EndpointCrash, IsReadAsWritten) {
+  EndpointCrash Crash{"e1@5", Time(Duration(123456789)), {{"a", 2, true}}};
   Crash.m_Suspects.push_back({"b", 1, false});
-  auto Read = EngineCrash::parse(Crash.encode());
+  auto Read = EndpointCrash::parse(Crash.encode());
   CHECK(Read.has_value());
-  STRCMP_EQUAL("e1@5", Read->m_Engine.c_str());
+  STRCMP_EQUAL("e1@5", Read->m_Endpoint.c_str());
   CHECK(Read->m_At == Crash.m_At);
   LONGS_EQUAL(2, Read->m_Suspects.size());
-  STRCMP_EQUAL("a", Read->m_Suspects[0].m_Part.c_str());
+  STRCMP_EQUAL("a", Read->m_Suspects[0].m_Id.c_str());
   LONGS_EQUAL(2, Read->m_Suspects[0].m_Requests);
   CHECK(Read->m_Suspects[0].m_WasAnswered);
   CHECK_FALSE(Read->m_Suspects[1].m_WasAnswered);
 }
 
 // Guards against items of another writer that end the process.
-TEST(EngineCrash, RejectsOtherTexts) {
+TEST(EndpointCrash, RejectsOtherTexts) {
   for (const char *Text :
        {"", "{", "[]", "{\"engine\":\"e\"}",
         "{\"engine\":1,\"at_us\":1,\"suspects\":[]}",
@@ -32,7 +32,7 @@
         "{\"engine\":\"e\",\"at_us\":1,\"suspects\":[\"a\"]}",
         "{\"engine\":\"e\",\"at_us\":1,\"suspects\":[{\"part\":\"a\","
         "\"requests\":-1,\"was_answered\":true}]}"})
-    CHECK_FALSE(EngineCrash::parse(Text).has_value());
+    CHECK_FALSE(EndpointCrash::parse(Text).has_value());
 }
 
 PARSLEYRING_TEST_MAIN
--- a/tests/integration/CrashingPromptTest.cpp
+++ b/tests/integration/CrashingPromptTest.cpp
@@ -1,4 +1,4 @@
-#include "fleet/EngineCrash.h"
+#include "fleet/EndpointCrash.h"
 #include "support/Eventually.h"
 #include "support/GatewayTestServers.h"
 #include "support/HttpCalls.h"
@@ -297,10 +297,10 @@
   Time Now =
       std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now());
   for (int Number = 0; Number < 3; ++Number) {
-    EngineCrash Crash{"engine-" + std::to_string(Number),
-                      Now + Number * 300ms - 2s,
-                      {{"bbbb0001", 1, false}}};
-    m_Store.put("parsleyring/engine-crashes/" + Crash.m_Engine + "/vm-9",
+    EndpointCrash Crash{"engine-" + std::to_string(Number),
+                        Now + Number * 300ms - 2s,
+                        {{"bbbb0001", 1, false}}};
+    m_Store.put("parsleyring/engine-crashes/" + Crash.m_Endpoint + "/vm-9",
                 Crash.encode());
   }
   m_Store.put("parsleyring/engine-crashes/other/vm-9", "not a crash");
@@ -339,7 +339,7 @@
   }
   LONGS_EQUAL(12, Streams);
   std::string Output = m_Gateways[0]->process().output();
-  CHECK(Output.find("engine-crashed") == std::string::npos);
+  CHECK(Output.find("endpoint-crashed") == std::string::npos);
 }
 
 PARSLEYRING_TEST_MAIN
