Send nothing new to endpoints that say they are leaving in answers

Cause: an endpoint that is leaving says so in each of its answers (Server-Leaving: 1), but no answer was read for it; only its entry in the list counted. While the entry says ready, or the store cannot be reached, all VMs went on using the endpoint until it had ended.

Change: LeavingRecorder gets the head of each answer: plain answers and streams of any status (ForwardedRequest::noteStatements), and answers to reports and orders (EndpointClient). PlatformEndpointProtocol decodes the field. FleetTable keeps the statement for the incarnation: entries that are listed later, older copies of the list or the loss of the entry do not undo it, a later start is not affected. FleetEndpoint::canServe() stays the one place that decides, so first sends, retries, hedges, resumptions, further stages of a path and waiting requests are covered; streams that run go on. For the placement, crash detection and the end of an outage the endpoint is leaving, as if its entry said so. VMs tell each other in digests (at most the 100 newest, so that a digest stays one datagram) and in the state that a VM asks for when it starts; both are understood with and without the new field. If all endpoints of a service are leaving, requests end at once with 503 and the reason endpoints-leaving, also those that wait already.

Choices: an answer with 421 comes from another endpoint. The copy of an answer to another request counts, as the same process sent it. A single `1` among several values counts; other values are logged and ignored. The statement is taken to be the sender's own, also if At-Server names another engine.

--- a/src/audit/GatewayHistory.cpp
+++ b/src/audit/GatewayHistory.cpp
@@ -21,6 +21,9 @@
 static constexpr std::int64_t ContextMicros = 4'000'000;
 static constexpr std::size_t MaxContextLines = 40;
 
+// Names the request whose answer told it, but concerns all later ones.
+static constexpr const char *LeavingEvent = "endpoint-leaving";
+
 struct GatewayHistory::Line {
   std::int64_t m_AtMicros = 0;
   std::string m_VM;
@@ -79,11 +82,12 @@
     Read.m_Fields = std::move(Fields);
     Read.m_VM = Read.text("vm");
     Read.m_Event = Read.text("event");
-    if (Read.text("request") == RequestId)
+    bool HasRequest = Read.m_Fields.contains("request");
+    if (HasRequest && Read.text("request") == RequestId)
       m_RequestLines.push_back(std::move(Read));
-    // A rest concerns all requests, though one of them tells of it.
-    else if (!Read.m_Fields.contains("request") ||
-             Read.m_Event == "endpoint-rest")
+    // These concern all requests, though one of them tells of them.
+    else if (!HasRequest || Read.m_Event == "endpoint-rest" ||
+             Read.m_Event == LeavingEvent)
       m_Context.push_back(std::move(Read));
   }
 }
@@ -97,6 +101,7 @@
                                                       "endpoint-rest-ended",
                                                       "failure-domain-suspect",
                                                       "endpoint-unlisted",
+                                                      LeavingEvent,
                                                       "endpoint-crashed",
                                                       "suspect-quarantined",
                                                       "suspect-released",
@@ -216,6 +221,14 @@
                 Logged.text("rest_ms") + " ms; the caller may return after " +
                 Logged.text("retry_after_ms") + " ms";
        }},
+      {LeavingEvent,
+       [](const Line &Logged) {
+         std::string Source = Logged.m_Fields.contains("by")
+                                  ? "told by " + Logged.text("by")
+                                  : "stated in an answer";
+         return Logged.text("endpoint") + " is leaving, " + Source +
+                "; it gets no new requests";
+       }},
       {"endpoint-crashed",
        [](const Line &Logged) {
          return Logged.text("endpoint") + " crashed; " +
--- a/src/fleet/FleetTable.cpp
+++ b/src/fleet/FleetTable.cpp
@@ -29,7 +29,7 @@
 EndpointAvailability FleetEndpoint::availability(Time Now) const {
   if (m_IsRemoved)
     return EndpointAvailability::Removed;
-  if (m_Entry.m_State != EndpointState::Ready)
+  if (isLeaving())
     return EndpointAvailability::Leaving;
   if (m_Rest.isResting(Now))
     return EndpointAvailability::Resting;
@@ -117,6 +117,7 @@
   auto Left = m_Left.find(Entry.m_Id);
   if (Left != m_Left.end() && Left->second.m_StartTimeMs == Entry.m_StartTimeMs)
     Current->m_Rest = Left->second.m_Rest;
+  Current->m_HasStatedLeaving = hasStatedLeaving(Entry);
 }
 
 void FleetTable::remove(const std::string &Id, Time Now) {
@@ -127,6 +128,8 @@
   Found->second->m_IsRemoved = true;
   m_Left[Id] = {Found->second->m_Entry.m_StartTimeMs, Now,
                 Found->second->m_Rest};
+  if (Found->second->m_HasStatedLeaving)
+    m_StatedLeaving[Id].m_At = Now;
   m_Endpoints.erase(Found);
 }
 
@@ -137,7 +140,7 @@
     return;
   FleetEndpoint &Endpoint = *Found->second;
   bool IsAfterOutage = Now - m_OutageEndedAt < OutageGracePeriod;
-  if (IsAfterOutage && Endpoint.m_Entry.m_State == EndpointState::Ready) {
+  if (IsAfterOutage && !Endpoint.isLeaving()) {
     if (Endpoint.m_OutageGraceStartedAt == Time{})
       Endpoint.m_OutageGraceStartedAt = m_OutageEndedAt;
     return;
@@ -175,12 +178,71 @@
   for (auto Left = m_Left.begin(); Left != m_Left.end();)
     Left = Now - Left->second.m_At >= LeftMemory ? m_Left.erase(Left)
                                                  : std::next(Left);
+  for (auto Stated = m_StatedLeaving.begin();
+       Stated != m_StatedLeaving.end();) {
+    Handle Listed = find(Stated->first);
+    bool IsOver = !(Listed && Listed->m_HasStatedLeaving) &&
+                  Now - Stated->second.m_At >= LeftMemory;
+    Stated = IsOver ? m_StatedLeaving.erase(Stated) : std::next(Stated);
+  }
+}
+
+bool FleetTable::hasStatedLeaving(const EndpointEntry &Entry) const {
+  auto Stated = m_StatedLeaving.find(Entry.m_Id);
+  return Stated != m_StatedLeaving.end() &&
+         Stated->second.covers(Entry.m_StartTimeMs);
+}
+
+bool FleetTable::noteLeaving(const EndpointIncarnation &Endpoint, bool IsOwn,
+                             Time Now) {
+  auto [Position, IsNew] = m_StatedLeaving.try_emplace(Endpoint.m_Id);
+  StatedLeaving &Known = Position->second;
+  if (!IsNew && Endpoint.m_StartTimeMs < Known.m_StartTimeMs)
+    return false;
+  IsNew = IsNew || Endpoint.m_StartTimeMs > Known.m_StartTimeMs;
+  if (IsNew)
+    Known = {Endpoint.m_StartTimeMs, false, Now};
+  Known.m_IsOwn = Known.m_IsOwn || IsOwn;
+  Handle Listed = find(Endpoint.m_Id);
+  if (!IsNew || !Listed || !Known.covers(Listed->m_Entry.m_StartTimeMs))
+    return IsNew;
+  bool WasLeaving = Listed->isLeaving();
+  Listed->m_HasStatedLeaving = true;
+  // Its layers have to be placed elsewhere.
+  ++m_Generation;
+  return !WasLeaving;
+}
+
+std::vector<EndpointIncarnation> FleetTable::statedLeaving() const {
+  std::vector<EndpointIncarnation> Result;
+  for (const auto &[Id, Stated] : m_StatedLeaving)
+    Result.push_back({Id, Stated.m_StartTimeMs});
+  return Result;
+}
+
+std::vector<EndpointIncarnation>
+FleetTable::listedLeaving(bool IsOwnOnly, std::size_t MaxCount) const {
+  std::vector<std::pair<Time, EndpointIncarnation>> Found;
+  for (const auto &[Id, Stated] : m_StatedLeaving) {
+    Handle Listed = find(Id);
+    if (Listed && Listed->m_HasStatedLeaving && (Stated.m_IsOwn || !IsOwnOnly))
+      Found.push_back({Stated.m_At, {Id, Stated.m_StartTimeMs}});
+  }
+  std::stable_sort(Found.begin(), Found.end(),
+                   [](const auto &Left, const auto &Right) {
+                     return Left.first > Right.first;
+                   });
+  Found.resize(std::min(Found.size(), MaxCount));
+  std::vector<EndpointIncarnation> Result;
+  for (auto &[StatedAt, Endpoint] : Found)
+    Result.push_back(std::move(Endpoint));
+  return Result;
 }
 
 std::vector<EndpointIncarnation> FleetTable::leavingIncarnations() const {
   std::vector<EndpointIncarnation> Result;
   for (const auto &[Id, Endpoint] : m_Endpoints)
-    if (Endpoint->m_Entry.m_State == EndpointState::Draining)
+    if (Endpoint->isLeaving())
       Result.push_back({Id, Endpoint->m_Entry.m_StartTimeMs});
   for (const auto &[Id, Left] : m_Left)
     if (m_Endpoints.count(Id) == 0)
@@ -193,7 +255,7 @@
   for (const EndpointIncarnation &Left : Leaving) {
     Handle Listed = find(Left.m_Id);
     if (!Listed || Listed->m_Entry.m_StartTimeMs != Left.m_StartTimeMs ||
-        Listed->m_Entry.m_State != EndpointState::Ready)
+        Listed->isLeaving())
       continue;
     EndpointEntry Entry = Listed->m_Entry;
     remove(Left.m_Id, Now);
@@ -245,6 +307,12 @@
                        });
 }
 
+std::size_t FleetTable::leavingEndpoints() const {
+  return std::count_if(
+      m_Endpoints.begin(), m_Endpoints.end(),
+      [](const auto &Listed) { return Listed.second->isLeaving(); });
+}
+
 std::vector<FleetTable::Handle>
 FleetTable::endpointsOfService(std::string_view Service) const {
   std::vector<Handle> Result;
--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -51,6 +51,8 @@
 struct FleetEndpoint {
   EndpointEntry m_Entry;
   bool m_IsRemoved = false; ///< Not in the table; requests may still run.
+  /// It said in an answer to this VM or another one that it is leaving.
+  bool m_HasStatedLeaving = false;
   /// End of the list outage after which the endpoint was missing from the list;
   /// OutageGracePeriod counts from then. Zero while the endpoint is listed.
   Time m_OutageGraceStartedAt{};
@@ -81,6 +83,10 @@
   int m_ConsecutiveRejections = 0;
   Time m_RejectingSince{}; ///< First of the consecutive rejections.
 
+  /// Ends its requests and takes no new ones, by its entry or its answers.
+  bool isLeaving() const {
+    return m_HasStatedLeaving || m_Entry.m_State == EndpointState::Draining;
+  }
   /// The first of several reasons is the one that lasts longest.
   EndpointAvailability availability(Time Now) const;
   bool canServe(Time Now) const {
@@ -180,6 +186,17 @@
   /// not used unless its entry changes, or is still there after
   /// RestorationGracePeriod.
   void applyLeaving(const std::vector<EndpointIncarnation> &Leaving, Time Now);
+  /// Records that an incarnation stated in an answer that it is leaving, to
+  /// this VM (IsOwn) or to another one. Nothing that is listed later undoes it.
+  /// Returns true if this VM did not know that it is leaving.
+  bool noteLeaving(const EndpointIncarnation &Endpoint, bool IsOwn, Time Now);
+  /// The incarnations that stated that they are leaving, until some minutes
+  /// after they have left the list.
+  std::vector<EndpointIncarnation> statedLeaving() const;
+  /// Of these, at most MaxCount that are listed, the newest statement first;
+  /// with IsOwnOnly, those that stated it to this VM.
+  std::vector<EndpointIncarnation> listedLeaving(bool IsOwnOnly,
+                                                 std::size_t MaxCount) const;
   /// Records that an outage of the list ended at Now.
   void noteOutageEnd(Time Now) { m_OutageEndedAt = Now; }
   /// Unlists all endpoints whose ids are not in Ids.
@@ -197,6 +214,8 @@
   std::size_t restingEndpoints(Time Now) const;
   /// Number of endpoints that state a limit.
   std::size_t limitedEndpoints() const;
+  /// Number of endpoints that are leaving.
+  std::size_t leavingEndpoints() const;
   /// Incremented with each change of the list.
   std::uint64_t generation() const { return m_Generation; }
   /// True if so many endpoints of the failure domain recently did not answer
@@ -216,6 +235,18 @@
     Time m_At{};
     EndpointRest m_Rest; ///< Goes on if the same incarnation returns.
   };
+  /// The newest incarnation of an endpoint that stated that it is leaving.
+  struct StatedLeaving {
+    std::int64_t m_StartTimeMs = 0;
+    bool m_IsOwn = false; ///< It stated it to this VM.
+    Time m_At{};          ///< When this VM knew it, or when it left the list.
+
+    /// Incarnations that started earlier have ended: one can only be listed
+    /// from an outdated copy.
+    bool covers(std::int64_t StartTimeMs) const {
+      return StartTimeMs <= m_StartTimeMs;
+    }
+  };
   /// An entry of a copy that is not listed before m_DueAt.
   struct DeferredEntry {
     EndpointEntry m_Entry;
@@ -223,11 +254,13 @@
   };
 
   void remove(const std::string &Id, Time Now);
+  bool hasStatedLeaving(const EndpointEntry &Entry) const;
   /// Returns true if an entry of a copy must not be listed now.
   bool deferOutdated(const EndpointEntry &Entry, Time Now);
 
   std::map<std::string, Handle> m_Endpoints;
   std::map<std::string, LeftEndpoint> m_Left;
+  std::map<std::string, StatedLeaving> m_StatedLeaving;
   std::map<std::string, DeferredEntry> m_Deferred;
   bool m_IsRestoring = false;
   Time m_OutageEndedAt{};
--- a/src/gateway/ActiveConfiguration.cpp
+++ b/src/gateway/ActiveConfiguration.cpp
@@ -100,7 +100,7 @@
         if (Reply.isOk())
           State = PeerState::decode(Reply.m_Body);
         if (State && !table())
-          m_OnStateAtStart(*State);
+          m_OnStateAtStart(*State, PeerAddress);
         bool HasConfiguration = State && !State->m_Configuration.empty();
         OnEnd(!HasConfiguration || offer(State->m_Configuration, PeerAddress));
       });
--- a/src/gateway/ActiveConfiguration.h
+++ b/src/gateway/ActiveConfiguration.h
@@ -26,7 +26,8 @@
 class ActiveConfiguration {
 public:
   using AddressSource = std::function<std::vector<std::string>()>;
-  using StateHandler = std::function<void(const PeerState &)>;
+  using StateHandler =
+      std::function<void(const PeerState &, const std::string &PeerAddress)>;
 
   /// What the object works with; all of it must outlive the object.
   struct Dependencies {
--- a/src/gateway/CrashDetector.cpp
+++ b/src/gateway/CrashDetector.cpp
@@ -41,9 +41,7 @@
 void CrashDetector::noteCutOff(const FleetTable::Handle &Endpoint,
                                const std::vector<std::string> &Suspects,
                                Time SentAt, Method Used) {
-  bool IsLeaving = Endpoint->m_IsRemoved ||
-                   Endpoint->m_Entry.m_State != EndpointState::Ready;
-  if (IsLeaving)
+  if (Endpoint->m_IsRemoved || Endpoint->isLeaving())
     return;
   std::shared_ptr<Check> &Known = m_Checks[Endpoint.get()];
   bool IsNew = !Known;
--- a/src/gateway/EndpointClient.cpp
+++ b/src/gateway/EndpointClient.cpp
@@ -22,7 +22,8 @@
                      Timeout},
                     [this, Endpoint, SentAt,
                      OnReply = std::move(OnReply)](const CallReply &Reply) {
-                      if (Reply.m_Status != 0)
+                      // Also of an answer that was not complete.
+                      if (Reply.m_Head.m_Status != 0)
                         m_OnAnswer(Endpoint, Reply.m_Head, SentAt);
                       OnReply(Reply);
                     });
--- a/src/gateway/EndpointProtocol.h
+++ b/src/gateway/EndpointProtocol.h
@@ -11,6 +11,11 @@
 
 namespace parsleyring {
 
+struct ResponseHead;
+
+/// What an answer says of whether its endpoint is leaving.
+enum class LeavingStatement { None, Leaving, Invalid };
+
 /// Names of the HTTP header fields that callers and endpoints use.
 struct HeaderNames {
   std::string m_RequestId;
@@ -55,6 +60,7 @@
 public:
   virtual ~EndpointProtocol() = default;
   virtual const HeaderNames &headers() const = 0;
+  virtual LeavingStatement leavingStatement(const ResponseHead &Head) const = 0;
   virtual std::string pathText(const LayerPath &Path) const = 0;
   virtual EndpointCall reportCall() const = 0;
   virtual std::optional<EngineReport>
--- a/src/gateway/ForwardContext.cpp
+++ b/src/gateway/ForwardContext.cpp
@@ -139,11 +139,27 @@
       {{"endpoint", Endpoint->m_Entry.m_Id}, {"other_request", OtherId}});
 }
 
+bool ForwardedRequest::areAllLeaving() const {
+  bool HasLeaving = false;
+  for (const FleetTable::Handle &Endpoint :
+       m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name)) {
+    const LayerRange &Layers = Endpoint->m_Entry.m_Layers;
+    // An engine without layers serves nothing before it has loaded some.
+    if (m_Job.m_Service->isLayered() && Layers.m_End <= Layers.m_First)
+      continue;
+    if (!Endpoint->isLeaving())
+      return false;
+    HasLeaving = true;
+  }
+  return HasLeaving;
+}
+
 // An answer with 421 comes from another endpoint, which uses the address now.
 // One that names another request is a copy: the endpoint may have sent it long
-// ago, and its statements were recorded with the first copy.
+// ago, and its limit and rest were recorded with the first copy.
 void ForwardedRequest::noteStatements(const FleetTable::Handle &Endpoint,
                                       const ResponseHead &Head, Time SentAt) {
+  m_Context.leavingRecorder().noteAnswer(*Endpoint, Head, m_Job.m_Id);
   const HeaderNames &Names = m_Context.protocol().headers();
   bool IsRejection = provesNotRun(Head, Names, m_Job.m_Id);
   bool IsSealed =
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -11,6 +11,7 @@
 #include "gateway/DecisionLog.h"
 #include "gateway/EndpointProtocol.h"
 #include "gateway/HttpClient.h"
+#include "gateway/LeavingRecorder.h"
 #include "gateway/NodeMetrics.h"
 #include "retries/RetryShare.h"
 
@@ -37,6 +38,7 @@
   virtual AdmissionQueue &admissionQueue(const std::string &Service) = 0;
   virtual ReturnSchedule &returnSchedule(const std::string &Service) = 0;
   virtual CrashGuard &crashGuard() = 0;
+  virtual LeavingRecorder &leavingRecorder() = 0;
   virtual DecisionLog &log() = 0;
   virtual NodeMetrics &metrics() = 0;
   virtual const std::string &failureDomain() const = 0;
@@ -110,6 +112,9 @@
     return Endpoint.isWithinLimit(m_Context.limitUsers(), m_Context.random(),
                                   m_Context.now());
   }
+  /// True if the service has endpoints that could serve it, and all of them are
+  /// leaving: the request will not be sent before there are others.
+  bool areAllLeaving() const;
   /// Answers 503 to a request that only limits of endpoints keep from being
   /// sent.
   void answerLimited(const LimitedCapacity &Capacity);
@@ -123,6 +128,8 @@
                  unsigned Status,
                  std::initializer_list<DecisionLog::Field> Details);
 
+  static constexpr std::string_view AllLeavingReason = "endpoints-leaving";
+
   ForwardContext &m_Context;
   ForwardJob m_Job;
   bool m_IsDone = false;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -117,7 +117,8 @@
 
   void answerState(CallerConnection &Connection) {
     PeerState State{m_Node.m_Configuration.text(),
-                    m_Node.m_Fleet.leavingIncarnations()};
+                    m_Node.m_Fleet.leavingIncarnations(),
+                    m_Node.m_Fleet.statedLeaving()};
     Connection.answer(200, {{"Content-Type", "application/cbor"}},
                       State.encode());
   }
@@ -164,6 +165,8 @@
                                                m_Settings.m_Cores},
       m_VMs(m_Self, m_Settings.m_SeedAddresses), m_ConnectionPool(m_Loop),
       m_HttpClient(m_Loop, m_ConnectionPool, [this] { return now(); }),
+      m_LeavingRecorder({Endpoints, m_Fleet, m_Log, m_Metrics},
+                        [this] { return now(); }),
       m_EndpointClient(
           m_HttpClient, Endpoints,
           [this](const FleetTable::Handle &Endpoint, const ResponseHead &Head,
@@ -172,7 +175,9 @@
       m_Configuration(
           {Records, m_StoreClient, m_Log, m_Metrics}, [this] { return now(); },
           [this] { return peerAddresses(); },
-          [this](const PeerState &State) {
+          [this](const PeerState &State, const std::string &By) {
+            for (const EndpointIncarnation &Endpoint : State.m_StatedLeaving)
+              m_LeavingRecorder.noteTold(Endpoint, By);
             m_Fleet.applyLeaving(State.m_Leaving, now());
           }),
       m_StoreWatcher(
@@ -408,6 +413,7 @@
 
 void GatewayNode::noteCallAnswer(const FleetTable::Handle &Endpoint,
                                  const ResponseHead &Head, Time SentAt) {
+  m_LeavingRecorder.noteAnswer(*Endpoint, Head, "");
   bool IsProved = Head.has(m_Protocol.headers().m_NotExecuted) ||
                   Head.has(m_Protocol.headers().m_Seal);
   if (Head.m_Status == 503 && IsProved)
@@ -464,6 +470,8 @@
     m_Log.write(
         Now, "endpoint-suspect", "",
         {{"endpoint", Endpoint->m_Entry.m_Id}, {"reason", "told"}, {"by", By}});
+  for (const EndpointIncarnation &Endpoint : Changes.m_NewLeaving)
+    m_LeavingRecorder.logTold(Endpoint, By);
   for (const FleetTable::Handle &Endpoint : Changes.m_NewLimits) {
     const std::string &Id = Endpoint->m_Entry.m_Id;
     if (std::optional<double> Limit = Endpoint->m_Limit.rate())
@@ -667,6 +675,7 @@
     noteEndedRests();
     m_Metrics.setRestingEndpoints(m_Fleet.restingEndpoints(Now));
     m_Metrics.setLimitedEndpoints(m_Fleet.limitedEndpoints());
+    m_Metrics.setLeavingEndpoints(m_Fleet.leavingEndpoints());
     m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
     m_Metrics.setConfirmationAge(m_StoreWatcher.confirmationAge());
     m_Metrics.countDroppedLogLines(m_Log.droppedLines() -
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -55,6 +55,7 @@
     return m_AdmissionQueues[Service];
   }
   CrashGuard &crashGuard() override { return m_CrashGuard; }
+  LeavingRecorder &leavingRecorder() override { return m_LeavingRecorder; }
   DecisionLog &log() override { return m_Log; }
   NodeMetrics &metrics() override { return m_Metrics; }
   const std::string &failureDomain() const override {
@@ -144,6 +145,7 @@
 
   ConnectionPool m_ConnectionPool;
   HttpClient m_HttpClient;
+  LeavingRecorder m_LeavingRecorder;
   EndpointClient m_EndpointClient;
   StoreClient m_StoreClient;
   ActiveConfiguration m_Configuration;
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -42,6 +42,9 @@
       m_Registry, "parsleyring_store_calls_total", "Calls, by status.");
   Family<Counter> &m_Orders = counters(m_Registry, "parsleyring_orders_total",
                                        "Orders to endpoints, by kind.");
+  Family<Counter> &m_StatedLeaving = counters(
+      m_Registry, "parsleyring_endpoints_stated_leaving_total",
+      "Endpoints known to be leaving from what they state, by source.");
   Counter &m_EndpointCrashes =
       counters(m_Registry, "parsleyring_endpoint_crashes_total",
                "Crashes of engines that cut off requests of this VM.")
@@ -76,6 +79,9 @@
   Gauge &m_RestingEndpoints =
       gauge(m_Registry, "parsleyring_resting_endpoints",
             "Endpoints that have asked this VM for no requests for a time.");
+  Gauge &m_LeavingEndpoints =
+      gauge(m_Registry, "parsleyring_leaving_endpoints",
+            "Listed endpoints that get no new requests since they leave.");
   Gauge &m_Running = gauge(m_Registry, "parsleyring_requests_running",
                            "Requests in progress.");
   Gauge &m_Connections = gauge(m_Registry, "parsleyring_caller_connections",
@@ -146,6 +152,15 @@
   m_Families->m_RestingEndpoints.Set(static_cast<double>(Endpoints));
 }
 
+void NodeMetrics::countLeaving(std::string_view Source) {
+  m_Families->m_StatedLeaving.Add({{"source", std::string(Source)}})
+      .Increment();
+}
+
+void NodeMetrics::setLeavingEndpoints(std::size_t Endpoints) {
+  m_Families->m_LeavingEndpoints.Set(static_cast<double>(Endpoints));
+}
+
 void NodeMetrics::setRunning(std::size_t Requests, std::size_t Connections) {
   m_Families->m_Running.Set(static_cast<double>(Requests));
   m_Families->m_Connections.Set(static_cast<double>(Connections));
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -30,6 +30,9 @@
   void setLimitedEndpoints(std::size_t Endpoints);
   void countEndpointRest();
   void setRestingEndpoints(std::size_t Endpoints);
+  /// Counts an endpoint that stated that it is leaving, by how it was learnt.
+  void countLeaving(std::string_view Source);
+  void setLeavingEndpoints(std::size_t Endpoints);
   void setRunning(std::size_t Requests, std::size_t Connections);
   void countDroppedLogLines(std::uint64_t Lines);
   std::string text() const;
--- a/src/gateway/PeerState.h
+++ b/src/gateway/PeerState.h
@@ -14,6 +14,8 @@
 struct PeerState {
   std::string m_Configuration; ///< Text of the one in force; empty if none is.
   std::vector<EndpointIncarnation> m_Leaving; ///< Leaving or left.
+  /// Stated that they are leaving, so that they will not be ready again.
+  std::vector<EndpointIncarnation> m_StatedLeaving{};
 
   std::string encode() const;
   /// Returns nothing if Bytes is no valid state.
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -37,7 +37,9 @@
       [Self] { Self->finish(ForwardOutcome::CallerLeft, "caller-left", 0); });
   m_Context.retryShare(m_Job.m_Service->m_Name).noteRequest(m_Context.now());
   if (!trySend("first"))
-    finishWithoutAnswer(m_IsLimited ? "endpoint-limit" : "no-endpoint");
+    finishWithoutAnswer(m_IsLimited       ? "endpoint-limit"
+                        : areAllLeaving() ? AllLeavingReason
+                                          : "no-endpoint");
 }
 
 // Expected time with penalties: requests in progress times mean latency.
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -118,7 +118,9 @@
   m_Context.retryShare(m_Job.m_Service->m_Name).noteRequest(m_Context.now());
   if (endIfQuarantined() || trySend("first"))
     return;
-  std::string_view Reason = m_IsLimited ? "endpoint-limit" : "no-path";
+  std::string_view Reason = m_IsLimited       ? "endpoint-limit"
+                            : areAllLeaving() ? AllLeavingReason
+                                              : "no-path";
   if (!waitForCapacity(Reason))
     endUnanswered(Reason);
 }
@@ -154,7 +156,8 @@
                                     : m_Job.m_Request.m_ReceivedAt +
                                           m_Job.m_Route->m_LatencyGoal / 2;
   WaitUntil = std::min(WaitUntil, m_Job.m_Deadline);
-  if (WaitUntil <= Now || !canSendAgain())
+  if (WaitUntil <= Now || !canSendAgain() ||
+      (!hasAnswerBegun() && areAllLeaving()))
     return false;
   m_LimitedWait = LimitedWait();
   if (m_IsLimited && !m_LimitedWait.begin(limitedCapacity(), WaitUntil, Now))
@@ -756,8 +759,13 @@
 
 void StreamForward::tick(Time Now) {
   // The admission queue ends a waiting request by its deadline.
-  if (m_IsDone || endIfQuarantined() || m_QueueNumber != 0)
+  if (m_IsDone || endIfQuarantined())
     return;
+  if (m_QueueNumber != 0) {
+    if (!hasAnswerBegun() && areAllLeaving())
+      endUnanswered(AllLeavingReason);
+    return;
+  }
   if (Now >= m_Job.m_Deadline) {
     m_MayHaveRun = true;
     failRequest("timeout");
--- a/src/membership/LoadDigest.cpp
+++ b/src/membership/LoadDigest.cpp
@@ -1,5 +1,7 @@
 #include "membership/LoadDigest.h"
 
+#include "membership/IncarnationList.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -87,6 +89,7 @@
                          {"era", m_StoreVersion.m_Era},
                          {"age", AgeMs},
                          {"configuration", m_ConfigurationVersion},
+                         {"leaving", encodeIncarnations(m_Leaving)},
                          {"loads", Loads}});
   return {Bytes.begin(), Bytes.end()};
 }
@@ -116,6 +119,13 @@
   if (Has("configuration", &json::is_number_unsigned))
     Digest.m_ConfigurationVersion =
         Root["configuration"].get<ConfigurationVersion>();
+  // Digests of earlier versions do not tell which endpoints are leaving.
+  if (Root.contains("leaving")) {
+    auto Leaving = decodeIncarnations(Root["leaving"]);
+    if (!Leaving)
+      return std::nullopt;
+    Digest.m_Leaving = std::move(*Leaving);
+  }
   for (const json &Entry : Root["loads"]) {
     if (!Entry.is_array() || Entry.size() < 5 || !Entry[0].is_string())
       return std::nullopt;
@@ -167,6 +177,9 @@
   resolve(Known, Fleet);
   count(Known, 1);
   DigestChanges Changes;
+  for (const EndpointIncarnation &Leaving : Digest.m_Leaving)
+    if (Fleet.noteLeaving(Leaving, false, Now))
+      Changes.m_NewLeaving.push_back(Leaving);
   for (std::size_t Index = 0; Index < Digest.m_Loads.size(); ++Index) {
     const LoadDigest::Load &Load = Digest.m_Loads[Index];
     const FleetTable::Handle &Endpoint = Known.m_Endpoints[Index];
@@ -222,6 +235,7 @@
   LoadDigest Digest;
   Digest.m_Sender = VM;
   Digest.m_Number = ++m_LastSentNumber;
+  Digest.m_Leaving = Fleet.listedLeaving(true, LoadDigest::MaxLeaving);
   for (const auto &[Id, Endpoint] : Fleet.endpoints()) {
     std::int64_t SuspectMs = 0;
     // Only suspicions of this VM are sent; passing on those of other VMs would
@@ -252,6 +266,7 @@
                                            const FleetTable &Fleet, Time Now) {
   LoadDigest Sum = digestOfVM(Domain, Fleet, Now);
   Sum.m_IsDomainSum = true;
+  Sum.m_Leaving = Fleet.listedLeaving(false, LoadDigest::MaxLeaving);
   std::map<std::string, std::size_t> IndexByEndpoint;
   for (std::size_t Index = 0; Index < Sum.m_Loads.size(); ++Index)
     IndexByEndpoint[Sum.m_Loads[Index].m_Endpoint] = Index;
--- a/src/membership/LoadDigest.h
+++ b/src/membership/LoadDigest.h
@@ -34,6 +34,9 @@
   bool m_IsDomainSum = false; ///< Sums over the VMs of a domain.
   std::uint64_t m_Number = 0; ///< Sequence number at the sending VM.
   std::vector<Load> m_Loads;
+  /// Endpoints that stated to the sender, or to any VM that told the failure
+  /// domain, that they are leaving; the MaxLeaving newest ones.
+  std::vector<EndpointIncarnation> m_Leaving{};
   /// Version of the store's items that the sender knows, and the time since the
   /// store itself last answered it; zero if the sender knows none.
   StoreVersion m_StoreVersion{};
@@ -41,6 +44,9 @@
   /// Of the configuration that the sender has in force; 0 if there is none.
   ConfigurationVersion m_ConfigurationVersion = 0;
 
+  /// Keeps a digest within one datagram.
+  static constexpr std::size_t MaxLeaving = 100;
+
   std::string encode() const;
   /// Returns nothing if Bytes is no valid digest.
   static std::optional<LoadDigest> decode(const std::string &Bytes);
@@ -52,6 +58,8 @@
   std::vector<FleetTable::Handle> m_NewSuspects;
   /// Endpoints whose limit is new or has ended.
   std::vector<FleetTable::Handle> m_NewLimits;
+  /// Endpoints of which this VM did not know that they are leaving.
+  std::vector<EndpointIncarnation> m_NewLeaving;
 };
 
 /// The latest digest of each other VM of this failure domain and of each other
--- a/src/placement/PlacementController.cpp
+++ b/src/placement/PlacementController.cpp
@@ -66,7 +66,7 @@
   for (const FleetTable::Handle &Endpoint : Endpoints) {
     const EndpointEntry &Entry = Endpoint->m_Entry;
     const CardKind *Kind = Model.cardKind(Entry.m_CardKind);
-    if (!Kind || Entry.m_State != EndpointState::Ready || Endpoint->m_IsRemoved)
+    if (!Kind || Endpoint->isLeaving() || Endpoint->m_IsRemoved)
       continue;
     PlacementCard Card{Entry.m_Id, Entry.m_FailureDomain,
                        Kind->m_MemoryMegabytes, Kind->m_StepFactor,
--- a/tests/audit/ExplainCommandTest.cpp
+++ b/tests/audit/ExplainCommandTest.cpp
@@ -265,6 +265,10 @@
   const std::string Second =
       "{\"at_us\":3900000,\"vm\":\"vm-b\",\"event\":\"endpoint-suspect\","
       "\"endpoint\":\"e1\",\"reason\":\"told\"}\n"
+      "{\"at_us\":3950000,\"vm\":\"vm-a\",\"event\":\"endpoint-leaving\","
+      "\"request\":\"other\",\"endpoint\":\"e5\",\"started_at_ms\":1}\n"
+      "{\"at_us\":3960000,\"vm\":\"vm-a\",\"event\":\"endpoint-leaving\","
+      "\"endpoint\":\"e6\",\"started_at_ms\":1,\"by\":\"vm-b\"}\n"
       "{\"at_us\":4000000,\"vm\":\"vm-b\",\"event\":\"request-end\","
       "\"request\":\"other\"}\n";
   CHECK_EQUAL(0, explain("ab12", {Second, First}));
@@ -274,6 +278,8 @@
   expect("planned_fill 1.1");
   expect("-900 ms vm-a: excluded e7 from new paths: no-report");
   expect("+100 ms vm-a: e8 reported 12.0 times its usual pace");
+  expect("-50 ms vm-a: e5 is leaving, stated in an answer");
+  expect("-40 ms vm-a: e6 is leaving, told by vm-b");
   expect("3 log lines were dropped");
   CHECK(m_Output.str().find("e1 ") == std::string::npos);
   CHECK_EQUAL(1, explain("ffff", {First}));
--- a/tests/fleet/FleetTableTest.cpp
+++ b/tests/fleet/FleetTableTest.cpp
@@ -295,4 +295,111 @@
   CHECK(!RestEnd());
 }
 
+// Guards against an endpoint that has stated that it is leaving and is used
+// again: by an entry that is read later, after the loss of its entry, or from
+// an older copy of the list; and against its next incarnation, or another
+// endpoint at its address, being left out as well.
+TEST(FleetTable, StatedLeavingHoldsForTheIncarnation) {
+  m_Fleet.list(entry("a", 5), m_Now);
+  m_Fleet.list(entry("b", 5), m_Now);
+  std::uint64_t Generation = m_Fleet.generation();
+  CHECK(m_Fleet.noteLeaving({"a", 5}, true, m_Now));
+  CHECK(m_Fleet.generation() != Generation);
+  CHECK(!m_Fleet.noteLeaving({"a", 5}, false, m_Now));
+  CHECK(!m_Fleet.find("a")->canServe(m_Now));
+  CHECK(m_Fleet.find("b")->canServe(m_Now));
+  LONGS_EQUAL(1, m_Fleet.leavingEndpoints());
+  EndpointEntry Moved = entry("a", 5);
+  Moved.m_Address = "10.0.0.2:80";
+  for (const EndpointEntry &Entry : {entry("a", 5), Moved, entry("a", 5)}) {
+    m_Fleet.list(Entry, m_Now + 1s);
+    CHECK(!m_Fleet.find("a")->canServe(m_Now + 1s));
+  }
+  m_Fleet.unlist("a", m_Now + 2s);
+  m_Fleet.list(entry("a", 5), m_Now + 3s);
+  CHECK(!m_Fleet.find("a")->canServe(m_Now + 3s));
+  m_Fleet.expire(m_Now + 1h);
+  m_Fleet.list(entry("a", 5), m_Now + 1h);
+  CHECK(!m_Fleet.find("a")->canServe(m_Now + 1h));
+  m_Fleet.list(entry("a", 6), m_Now + 1h);
+  CHECK(m_Fleet.find("a")->canServe(m_Now + 1h));
+  m_Fleet.list(entry("a", 4), m_Now + 1h);
+  CHECK(!m_Fleet.find("a")->canServe(m_Now + 1h));
+}
+
+// Guards against a statement that is lost since it comes before the entry, and
+// against one of an earlier incarnation that comes late.
+TEST(FleetTable, StatementsAndEntriesComeInAnyOrder) {
+  CHECK(m_Fleet.noteLeaving({"a", 5}, false, m_Now));
+  m_Fleet.list(entry("a", 5), m_Now);
+  CHECK(!m_Fleet.find("a")->canServe(m_Now));
+  m_Fleet.list(entry("a", 6), m_Now);
+  CHECK(!m_Fleet.noteLeaving({"a", 5}, true, m_Now));
+  CHECK(m_Fleet.find("a")->canServe(m_Now));
+  CHECK(m_Fleet.noteLeaving({"a", 6}, true, m_Now));
+  CHECK(!m_Fleet.noteLeaving({"a", 5}, true, m_Now));
+  CHECK(!m_Fleet.find("a")->canServe(m_Now));
+}
+
+// Guards against memory that grows with each endpoint that has left.
+TEST(FleetTable, StatementsAreForgottenAfterTheEndpointHasLeft) {
+  m_Fleet.list(entry("a", 5), m_Now);
+  m_Fleet.noteLeaving({"a", 5}, true, m_Now);
+  m_Fleet.noteLeaving({"never-listed", 5}, false, m_Now);
+  m_Fleet.expire(m_Now + 1h);
+  LONGS_EQUAL(1, m_Fleet.statedLeaving().size());
+  m_Fleet.unlist("a", m_Now + 1h);
+  m_Fleet.expire(m_Now + 1h + 1min);
+  LONGS_EQUAL(1, m_Fleet.statedLeaving().size());
+  m_Fleet.expire(m_Now + 2h);
+  LONGS_EQUAL(0, m_Fleet.statedLeaving().size());
+}
+
+// Guards against an endpoint that has left during an outage of the list and is
+// kept as if its entry would return.
+TEST(FleetTable, EndpointThatStatedLeavingIsRemovedAfterAnOutage) {
+  m_Fleet.list(entry("a"), m_Now);
+  m_Fleet.noteLeaving({"a", 1}, true, m_Now);
+  m_Fleet.noteOutageEnd(m_Now);
+  m_Fleet.unlist("a", m_Now + 10ms);
+  CHECK(!m_Fleet.find("a"));
+}
+
+// Guards against an endpoint that is told to other VMs as leaving and not told
+// any more while it is listed, and against one that VMs tell each other for
+// ever.
+TEST(FleetTable, ListedEndpointsAreToldAsLeaving) {
+  for (const char *Id : {"own", "told", "newest", "gone"})
+    m_Fleet.list(entry(Id), m_Now);
+  m_Fleet.noteLeaving({"own", 1}, true, m_Now);
+  m_Fleet.noteLeaving({"told", 1}, false, m_Now + 1s);
+  m_Fleet.noteLeaving({"newest", 1}, false, m_Now + 2s);
+  m_Fleet.noteLeaving({"newest", 1}, true, m_Now + 2s);
+  m_Fleet.noteLeaving({"gone", 1}, true, m_Now + 3s);
+  m_Fleet.unlist("gone", m_Now + 4s);
+  auto Own = m_Fleet.listedLeaving(true, 10);
+  LONGS_EQUAL(2, Own.size());
+  STRCMP_EQUAL("newest", Own[0].m_Id.c_str());
+  STRCMP_EQUAL("own", Own[1].m_Id.c_str());
+  auto All = m_Fleet.listedLeaving(false, 2);
+  LONGS_EQUAL(2, All.size());
+  STRCMP_EQUAL("newest", All[0].m_Id.c_str());
+  STRCMP_EQUAL("told", All[1].m_Id.c_str());
+}
+
+// Guards against a VM that starts and, after the time for entries to return,
+// uses an endpoint that has stated that it is leaving.
+TEST(FleetTable, StartingVMDoesNotUseEndpointsThatStatedLeaving) {
+  FleetTable Peer;
+  Peer.list(entry("a"), m_Now);
+  Peer.noteLeaving({"a", 1}, true, m_Now);
+  m_Fleet.list(entry("a"), m_Now);
+  for (const EndpointIncarnation &Stated : Peer.statedLeaving())
+    m_Fleet.noteLeaving(Stated, false, m_Now);
+  m_Fleet.applyLeaving(Peer.leavingIncarnations(), m_Now);
+  m_Fleet.expire(m_Now + 10s);
+  m_Fleet.list(entry("a"), m_Now + 10s);
+  CHECK(!m_Fleet.find("a")->canServe(m_Now + 10s));
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/membership/LoadDigestTest.cpp
+++ b/tests/membership/LoadDigestTest.cpp
@@ -272,4 +272,41 @@
   CHECK(Read->m_Loads[0].m_Limit->m_Age <= 24h);
 }
 
+// Guards against a leaving endpoint of which only the VM knows that got the
+// answer, and against an older digest that undoes it.
+TEST(LoadDigest, LeavingEndpointsAreTold) {
+  m_Fleet.noteLeaving({"e", 0}, true, m_Now);
+  std::string Bytes = m_Table.digestOfVM("a", m_Fleet, m_Now).encode();
+  FleetTable Fleet;
+  Fleet.list(endpoint().m_Entry, m_Now);
+  LoadDigestTable Table;
+  DigestChanges Changes = Table.apply(*LoadDigest::decode(Bytes), Fleet, m_Now);
+  LONGS_EQUAL(1, Changes.m_NewLeaving.size());
+  CHECK(!Fleet.find("e")->canServe(m_Now));
+  LoadDigest Other = digest("b", 1, 10);
+  LONGS_EQUAL(0, Table.apply(Other, Fleet, m_Now).m_NewLeaving.size());
+  Other = digest("a", 2, 10);
+  LONGS_EQUAL(0, Table.apply(Other, Fleet, m_Now).m_NewLeaving.size());
+  CHECK(!Fleet.find("e")->canServe(m_Now + 10s));
+  // Within the failure domain the VMs that got the answer tell it, to other
+  // ones the representative.
+  LONGS_EQUAL(0, Table.digestOfVM("b", Fleet, m_Now).m_Leaving.size());
+  LONGS_EQUAL(1, Table.digestOfDomain("d", Fleet, m_Now).m_Leaving.size());
+}
+
+// Guards against digests that do not fit into the buffer of a receiver when
+// many endpoints leave at once.
+TEST(LoadDigest, DigestOfManyLeavingEndpointsStaysSmall) {
+  for (int Index = 0; Index < 1000; ++Index) {
+    EndpointEntry Entry;
+    Entry.m_Id = "i-0123456789abcdef-" + std::to_string(Index);
+    Entry.m_StartTimeMs = 1778079888405;
+    m_Fleet.list(Entry, m_Now);
+    m_Fleet.noteLeaving({Entry.m_Id, Entry.m_StartTimeMs}, true, m_Now);
+  }
+  LoadDigest Digest = m_Table.digestOfVM("a", m_Fleet, m_Now);
+  LONGS_EQUAL(LoadDigest::MaxLeaving, Digest.m_Leaving.size());
+  CHECK(Digest.encode().size() < 5000);
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/placement/PlacementControllerTest.cpp
+++ b/tests/placement/PlacementControllerTest.cpp
@@ -136,4 +136,25 @@
   LONGS_EQUAL(0, Moves.size());
 }
 
+// Guards against layers that have no holder from when a leaving engine has
+// ended, since its entry does not tell that it is leaving.
+TEST(PlacementController, LayersOfAnEngineThatStatedLeavingAreReplaced) {
+  tick();
+  m_Now += 5s;
+  completeOrders(tick());
+  m_Now += 60s;
+  LONGS_EQUAL(0, tick().size());
+  FleetTable::Handle Leaving = m_Engines.front();
+  auto Replacement = std::make_shared<FleetEndpoint>(*Leaving);
+  Replacement->m_Entry.m_Id = "replacement";
+  Replacement->m_Entry.m_Layers = {};
+  Replacement->m_ListedAt = m_Now;
+  m_Engines.push_back(Replacement);
+  Leaving->m_HasStatedLeaving = true;
+  auto Orders = tick();
+  LONGS_EQUAL(1, Orders.size());
+  STRCMP_EQUAL("replacement", Orders[0].m_Endpoint.c_str());
+  CHECK(Orders[0].m_Layers == Leaving->m_Entry.m_Layers);
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/platform/PlatformRecordFormatTest.cpp
+++ b/tests/platform/PlatformRecordFormatTest.cpp
@@ -1,6 +1,7 @@
 #include "PlatformEndpointProtocol.h"
 #include "PlatformStoreProtocol.h"
 
+#include "gateway/HttpConnection.h"
 #include "support/GatewayTestServers.h"
 #include "support/TestMain.h"
 
@@ -90,4 +91,28 @@
   DOUBLES_EQUAL(3.5, Report->m_Pace, 0);
 }
 
+// Guards against a statement that is missed since the field's name is written
+// in other letters' case, or the field comes several times, and against other
+// values taken for it.
+TEST(PlatformRecordFormat, ReadsWhetherAnEndpointIsLeaving) {
+  auto Read = [&](const std::vector<const char *> &Values,
+                  const char *Name = "Server-Leaving") {
+    ResponseHead Head;
+    Head.m_Status = 200;
+    for (const char *Value : Values)
+      Head.m_Fields.insert(Name, Value);
+    return m_Endpoints.leavingStatement(Head);
+  };
+  CHECK(Read({}) == LeavingStatement::None);
+  CHECK(Read({"1"}, "Server-Leave") == LeavingStatement::None);
+  CHECK(Read({"1"}) == LeavingStatement::Leaving);
+  CHECK(Read({"1"}, "server-LEAVING") == LeavingStatement::Leaving);
+  CHECK(Read({" 1 "}) == LeavingStatement::Leaving);
+  CHECK(Read({"0", "1"}) == LeavingStatement::Leaving);
+  CHECK(Read({"1", "0"}) == LeavingStatement::Leaving);
+  CHECK(Read({"0, 1"}) == LeavingStatement::Leaving);
+  for (const char *Value : {"", "0", "2", "11", "1.0", "-1", "true", "1;x"})
+    CHECK(Read({Value}) == LeavingStatement::Invalid);
+}
+
 PARSLEYRING_TEST_MAIN
