--- a/tests/integration/FaultyEndpointTest.cpp
+++ b/tests/integration/FaultyEndpointTest.cpp
@@ -190,4 +190,33 @@
   }
 }
 
+// Guards against fields of a trailer that are taken for fields of the head if
+// all of the answer arrives at once: the seal would prove an answer that has
+// none, and the caller would get them as its fields.
+TEST(FaultyEndpoint, TrailerIsNoPartOfTheHead) {
+  static const std::string Body =
+      "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+  ScriptedServer Unsealed("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\n" + Body +
+                              "Server-Seal: s\r\n\r\n",
+                          ScriptedServer::End::Close);
+  start("plain", Unsealed.address());
+  LONGS_EQUAL(502, send("/once/a").m_Status);
+  ScriptedServer Sealed(SealedHead + Body +
+                            "Server-Leaving: 1\r\nServer-Limit: 1\r\n\r\n",
+                        ScriptedServer::End::Close);
+  m_Gateway.reset();
+  start("plain", Sealed.address());
+  HttpAnswer Answer = send("/once/a");
+  LONGS_EQUAL(200, Answer.m_Status);
+  STRCMP_EQUAL("body", Answer.m_Body.c_str());
+  STRCMP_EQUAL("", Answer.header("Server-Leaving").c_str());
+  std::string Log;
+  CHECK(eventually([&] {
+    Log = m_Gateway->process().output();
+    return Log.find("\"request-end\"") != std::string::npos;
+  }));
+  CHECK(Log.find("endpoint-leaving") == std::string::npos);
+  CHECK(Log.find("endpoint-limit") == std::string::npos);
+}
+
 PARSLEYRING_TEST_MAIN
