Recognize repetitions of a request by its path alone

It now takes the path, as the users state it.

integration/CrashingRequestTest (RepetitionsMayDifferInTheirQuery) and gateway/RequestFingerprintTest failed before (502 instead of 503; another fingerprint) and pass.

--- a/src/gateway/RequestFingerprint.cpp
+++ b/src/gateway/RequestFingerprint.cpp
@@ -25,7 +25,8 @@
   Add(Account);
   Add(Request.m_Method);
   Add(Request.field("Host"));
-  Add(Request.m_Target);
+  // Repetitions may differ in their query.
+  Add(Request.m_Target.substr(0, Request.m_Target.find('?')));
   Add(Request.m_Body);
   unsigned char Digest[EVP_MAX_MD_SIZE];
   EVP_DigestFinal_ex(Context.get(), Digest, nullptr);
--- a/src/gateway/RequestFingerprint.h
+++ b/src/gateway/RequestFingerprint.h
@@ -8,7 +8,7 @@
 namespace parsleyring {
 
 /// Identifies repetitions of a request: equal on all VMs if the client account,
-/// the method, the host, the target and the body are.
+/// the method, the host, the path and the body are.
 std::string requestFingerprint(const CallerRequest &Request,
                                const std::string &Account);
 
--- a/tests/gateway/RequestFingerprintTest.cpp
+++ b/tests/gateway/RequestFingerprintTest.cpp
@@ -29,6 +29,8 @@
   Repeated.m_Fields.set("Attempt-Id", "2");
   Repeated.m_Fields.set("Deadline-Ms", "50");
   STRCMP_EQUAL(fingerprint(m_Request).c_str(), fingerprint(Repeated).c_str());
+  Repeated.m_Target += "?page=2";
+  STRCMP_EQUAL(fingerprint(m_Request).c_str(), fingerprint(Repeated).c_str());
 }
 
 // Guards against a request that is taken for another one.
--- a/tests/integration/CrashingRequestTest.cpp
+++ b/tests/integration/CrashingRequestTest.cpp
@@ -108,6 +108,25 @@
   CHECK_TEXT(Sent >= 20 && Answered >= 0.9 * Sent, Message.c_str());
 }
 
+// Guards against repetitions that are not recognized since the query of their
+// target differs each time.
+TEST(CrashingRequest, RepetitionsMayDifferInTheirQuery) {
+  for (int Count = 0; Count < MaxCrashes; ++Count) {
+    send("/once/a?page=" + std::to_string(Count),
+         CrashingEndpoints::CrashingBody, 0);
+    std::this_thread::sleep_for(100ms);
+  }
+  LONGS_EQUAL(MaxCrashes, m_Endpoints->crashes());
+  CHECK(eventually([&] { return send("/once/a", "sound", 0).m_Status == 200; },
+                   StableTime));
+  int SendsBefore = m_Endpoints->crashingRequests();
+  for (std::size_t Gateway = 0; Gateway < m_Gateways.size(); ++Gateway)
+    LONGS_EQUAL(503,
+                send("/once/a?page=9", CrashingEndpoints::CrashingBody, Gateway)
+                    .m_Status);
+  LONGS_EQUAL(SendsBefore, m_Endpoints->crashingRequests());
+}
+
 // Guards against crashes that only one VM knows of, since the store was not
 // available then: another VM, or one that has just started, would repeat them.
 TEST(CrashingRequest, AllVMsKnowOfCrashesAfterAnOutageOfTheStore) {
