Use what is valid of a spoiled engine report

Cause: parseReport() read "id" and "address" of stalled requests with json::value(), which throws if the field has another type. A stream that pauses for 130 ms makes each VM ask for the report, so that one engine ends them all.

All fields are now read with their types checked, like those of the other records. What is valid is used, the first finding is logged and counted. An engine that answers with bytes that are no report has answered, so it is not taken to be silent any more, and a report without a valid pace leaves the known pace as it is. A pace of 0, below it or above 1e6 is not used: a negative one went into the VM's digests, which other VMs then reject whole.

--- a/src/audit/GatewayHistory.cpp
+++ b/src/audit/GatewayHistory.cpp
@@ -97,6 +97,7 @@
   static const std::set<std::string> ContextEvents = {"endpoint-suspect",
                                                       "endpoint-slow",
                                                       "endpoint-recovered",
+                                                      "engine-report-invalid",
                                                       "endpoint-rest",
                                                       "endpoint-rest-ended",
                                                       "failure-domain-suspect",
@@ -249,6 +250,11 @@
          return Logged.text("endpoint") + " reported " + Logged.text("pace") +
                 " times its usual pace";
        }},
+      {"engine-report-invalid",
+       [](const Line &Logged) {
+         return Logged.text("endpoint") +
+                " sent an invalid report: " + Logged.text("finding");
+       }},
       {"request-end",
        [](const Line &Logged) {
          std::string Text = Logged.text("outcome") + ", " +
--- a/src/gateway/EndpointClient.cpp
+++ b/src/gateway/EndpointClient.cpp
@@ -29,6 +29,23 @@
                     });
 }
 
+// An engine whose answer cannot be read is not silent.
+std::optional<EngineReport>
+EndpointClient::readReport(const FleetTable::Handle &Endpoint,
+                           const CallReply &Reply) {
+  if (Reply.m_End == ExchangeEnd::Malformed) {
+    m_OnInvalidReport(Endpoint, "the answer is not an HTTP response");
+    return EngineReport();
+  }
+  if (!Reply.isOk())
+    return std::nullopt;
+  std::string Finding;
+  EngineReport Report = m_Protocol.parseReport(Reply.m_Body, Finding);
+  if (!Finding.empty())
+    m_OnInvalidReport(Endpoint, Finding);
+  return Report;
+}
+
 void EndpointClient::evictOldReports() {
   Time Now = m_HttpClient.now();
   for (auto Entry = m_CachedReports.begin(); Entry != m_CachedReports.end();) {
@@ -51,9 +68,7 @@
     return;
   call(Endpoint, m_Protocol.reportCall(), ReportTimeout,
        [this, Endpoint](const CallReply &Reply) {
-         std::optional<EngineReport> Report;
-         if (Reply.isOk())
-           Report = m_Protocol.parseReport(Reply.m_Body);
+         std::optional<EngineReport> Report = readReport(Endpoint, Reply);
          evictOldReports();
          m_CachedReports[Endpoint.get()] = {m_HttpClient.now(), Report};
          auto Handlers = std::move(m_PendingHandlers[Endpoint.get()]);
--- a/src/gateway/EndpointProtocol.h
+++ b/src/gateway/EndpointProtocol.h
@@ -45,7 +45,8 @@
     std::string m_Address; ///< Of the endpoint that blocks the request.
   };
   std::vector<Stalled> m_Stalled;
-  double m_Pace = 1; ///< Over 1 if the engine is slow.
+  /// Over 1 if the engine is slow; empty if the report does not tell.
+  std::optional<double> m_Pace;
 };
 
 /// A gateway's own call to an endpoint, not on behalf of a caller.
@@ -63,8 +64,9 @@
   virtual LeavingStatement leavingStatement(const ResponseHead &Head) const = 0;
   virtual std::string pathText(const LayerPath &Path) const = 0;
   virtual EndpointCall reportCall() const = 0;
-  virtual std::optional<EngineReport>
-  parseReport(const std::string &Body) const = 0;
+  /// Reads what is valid of a report. Finding is set if any part is not.
+  virtual EngineReport parseReport(const std::string &Body,
+                                   std::string &Finding) const = 0;
   /// Orders the engine to hold exactly Layers.
   virtual EndpointCall placeCall(LayerRange Layers) const = 0;
   virtual EndpointCall repathCall(const std::string &RequestId,
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -170,7 +170,11 @@
       m_EndpointClient(
           m_HttpClient, Endpoints,
           [this](const FleetTable::Handle &Endpoint, const ResponseHead &Head,
-                 Time SentAt) { noteCallAnswer(Endpoint, Head, SentAt); }),
+                 Time SentAt) { noteCallAnswer(Endpoint, Head, SentAt); },
+          [this](const FleetTable::Handle &Endpoint,
+                 const std::string &Finding) {
+            noteInvalidReport(*Endpoint, Finding);
+          }),
       m_StoreClient(m_HttpClient, m_Metrics),
       m_Configuration(
           {Records, m_StoreClient, m_Log, m_Metrics}, [this] { return now(); },
@@ -369,8 +373,8 @@
   m_EndpointClient.requestReport(
       Endpoint, [this, Endpoint, OnReport = std::move(OnReport)](
                     const std::optional<EngineReport> &Report) {
-        if (Report)
-          recordPace(*Endpoint, Report->m_Pace);
+        if (Report && Report->m_Pace)
+          recordPace(*Endpoint, *Report->m_Pace);
         if (OnReport)
           OnReport(Report);
       });
@@ -420,6 +424,13 @@
     noteRest(*this, Endpoint, Head, "", SentAt);
 }
 
+void GatewayNode::noteInvalidReport(const FleetEndpoint &Endpoint,
+                                    const std::string &Finding) {
+  m_Metrics.countInvalidReport();
+  m_Log.write(now(), "engine-report-invalid", "",
+              {{"endpoint", Endpoint.m_Entry.m_Id}, {"finding", Finding}});
+}
+
 void GatewayNode::suspect(const FleetTable::Handle &Endpoint,
                           std::string_view Reason, Duration Period) {
   Time Now = now();
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -124,6 +124,8 @@
   /// Records what an answer to a call of this VM's own states.
   void noteCallAnswer(const FleetTable::Handle &Endpoint,
                       const ResponseHead &Head, Time SentAt);
+  void noteInvalidReport(const FleetEndpoint &Endpoint,
+                         const std::string &Finding);
   void noteEndedRests();
   void notifySuspicion(const FleetTable::Handle &Endpoint);
   void handleSignal(int Signal);
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -49,6 +49,10 @@
       counters(m_Registry, "parsleyring_endpoint_crashes_total",
                "Crashes of engines that cut off requests of this VM.")
           .Add({});
+  Counter &m_InvalidReports =
+      counters(m_Registry, "parsleyring_invalid_engine_reports_total",
+               "Reports of engines of which a part could not be read.")
+          .Add({});
   Counter &m_EndpointRests =
       counters(m_Registry, "parsleyring_endpoint_rests_total",
                "Times that an endpoint asked this VM for no requests.")
@@ -144,6 +148,10 @@
   m_Families->m_LimitedEndpoints.Set(static_cast<double>(Endpoints));
 }
 
+void NodeMetrics::countInvalidReport() {
+  m_Families->m_InvalidReports.Increment();
+}
+
 void NodeMetrics::countEndpointRest() {
   m_Families->m_EndpointRests.Increment();
 }
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -28,6 +28,7 @@
   void countEndpointCrash();
   void setQuarantinedSuspects(std::size_t Parts);
   void setLimitedEndpoints(std::size_t Endpoints);
+  void countInvalidReport();
   void countEndpointRest();
   void setRestingEndpoints(std::size_t Endpoints);
   /// Counts an endpoint that stated that it is leaving, by how it was learnt.
--- a/tests/integration/FaultyEndpointTest.cpp
+++ b/tests/integration/FaultyEndpointTest.cpp
@@ -190,6 +190,46 @@
   }
 }
 
+// Guards against a spoiled report of one engine that ends all requests of the
+// VM, or that makes a sound engine count as silent.
+TEST(FaultyEndpoint, SpoiledReportEndsNoRequest) {
+  for (const char *Report : {R"({"stalled":[{"id":null,"address":null}]})",
+                             R"({"stalled":[{"id":7,"address":[]}]})",
+                             R"({"pace":-1})", "[]", "{"}) {
+    FakeEndpoint Engine([Report](const ReceivedCall &Call) {
+      FakeEndpointAnswer Answer;
+      if (Call.m_Path == "/v1/report")
+        Answer.m_Body = Report;
+      else
+        Answer.m_Chunks = {"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"};
+      // Longer than the pause after which an engine is asked for its report.
+      Answer.m_BeforeChunk = [](std::size_t) {
+        std::this_thread::sleep_for(600ms);
+      };
+      return Answer;
+    });
+    FakeEndpoint Plain([](const ReceivedCall &) {
+      std::this_thread::sleep_for(900ms);
+      FakeEndpointAnswer Answer;
+      Answer.m_Body = "done";
+      return Answer;
+    });
+    m_Store.put("servers/e2", serverEntry("plain", Plain.address()));
+    start("model", Engine.address());
+    HttpAnswer Stream;
+    std::thread Caller([&] { Stream = send("/stream/a"); });
+    HttpAnswer Answer = send("/once/a");
+    Caller.join();
+    LONGS_EQUAL(200, Answer.m_Status);
+    LONGS_EQUAL(200, Stream.m_Status);
+    STRCMP_EQUAL("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", Stream.m_Body.c_str());
+    std::string Log = m_Gateway->process().output();
+    CHECK(Log.find("engine-report-invalid") != std::string::npos);
+    CHECK(Log.find("endpoint-suspect") == std::string::npos);
+    m_Store.remove("servers/e2");
+  }
+}
+
 // Guards against fields of a trailer that are taken for fields of the head if
 // all of the answer arrives at once: the seal would prove an answer that has
 // none, and the caller would get them as its fields.
