--- a/tests/platform/PlatformEndpointProtocolTest.cpp
+++ b/tests/platform/PlatformEndpointProtocolTest.cpp
@@ -93,4 +93,17 @@
     }
 }
 
+// Guards against a request whose id is not UTF-8 and that ends the process when
+// its path is to be changed.
+TEST(PlatformEndpointProtocol, OrdersMayNameAnyRequest) {
+  auto Engine = std::make_shared<FleetEndpoint>();
+  Engine->m_Entry.m_Address = "1.2.3.4:5";
+  for (const char *Id : {"a", "\xff", "a\"b\\", "\xc3"}) {
+    EndpointCall Call = m_Protocol.repathCall(Id, {{Engine, {0, 10}}});
+    json Order = json::parse(Call.m_Body, nullptr, false);
+    CHECK(Order.is_object());
+    STRCMP_EQUAL("1.2.3.4:5=0-10", Order["path"].get<std::string>().c_str());
+  }
+}
+
 PARSLEYRING_TEST_MAIN
