Reject messages between VMs that no parser should read

A datagram of nine bytes on the port of the digests ended the process, and so did an answer of another VM: json::from_cbor() throws on a stated number of entries that no container can hold, even if it is told not to throw, and calls itself for each level, so that nested values exhaust the stack.

parseCbor() checks the stated numbers and the depth before the value is built; digests, items and the state of other VMs are read with it.

--- a/src/gateway/PeerState.cpp
+++ b/src/gateway/PeerState.cpp
@@ -1,9 +1,8 @@
 #include "gateway/PeerState.h"
 
+#include "core/Cbor.h"
 #include "membership/IncarnationList.h"
 
-#include <nlohmann/json.hpp>
-
 namespace parsleyring {
 
 using nlohmann::json;
@@ -19,7 +18,7 @@
 }
 
 std::optional<PeerState> PeerState::decode(const std::string &Bytes) {
-  json Root = json::from_cbor(Bytes, true, false);
+  json Root = parseCbor(Bytes);
   if (!Root.is_object() || !Root.contains("configuration") ||
       !Root["configuration"].is_string() || !Root.contains("leaving"))
     return std::nullopt;
--- a/src/membership/LoadDigest.cpp
+++ b/src/membership/LoadDigest.cpp
@@ -1,9 +1,8 @@
 #include "membership/LoadDigest.h"
 
+#include "core/Cbor.h"
 #include "membership/IncarnationList.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <cmath>
 
@@ -95,7 +94,7 @@
 }
 
 std::optional<LoadDigest> LoadDigest::decode(const std::string &Bytes) {
-  json Root = json::from_cbor(Bytes, true, false);
+  json Root = parseCbor(Bytes);
   auto Has = [&](const char *Name, bool (json::*IsType)() const) {
     return Root.contains(Name) && (Root[Name].*IsType)();
   };
--- a/src/store/PeerItems.cpp
+++ b/src/store/PeerItems.cpp
@@ -1,6 +1,6 @@
 #include "store/PeerItems.h"
 
-#include <nlohmann/json.hpp>
+#include "core/Cbor.h"
 
 #include <charconv>
 
@@ -25,7 +25,7 @@
 }
 
 std::optional<PeerItems> PeerItems::decode(const std::string &Bytes) {
-  json Root = json::from_cbor(Bytes, true, false);
+  json Root = parseCbor(Bytes);
   auto HasField = [&](const char *Name, bool (json::*IsType)() const) {
     return Root.contains(Name) && (Root[Name].*IsType)();
   };
