Plan layouts without layers that the model does not have

The entry of an endpoint that states layers beyond those of its model ended the process of the placement leader, and then that of each next leader: the planners use the stated layers as indexes of lists that have one element per layer of the model. The same happens when a configuration shrinks the model while orders are pending.

The controller now plans with the part of a range that the model has.

--- a/src/placement/PlacementController.cpp
+++ b/src/placement/PlacementController.cpp
@@ -47,6 +47,13 @@
   }
 }
 
+// An entry may state any layers, and an order may be older than the model. The
+// planners index lists of the model's layers with them.
+static LayerRange layersOfModel(const EngineModel &Model, LayerRange Layers) {
+  return {std::min(Layers.m_First, Model.m_Layers),
+          std::min(Layers.m_End, Model.m_Layers)};
+}
+
 std::vector<PlacementOrder>
 PlacementController::tick(const EngineModel &Model,
                           const std::vector<FleetTable::Handle> &Endpoints,
@@ -70,10 +77,10 @@
       continue;
     PlacementCard Card{Entry.m_Id, Entry.m_FailureDomain,
                        Kind->m_MemoryMegabytes, Kind->m_StepFactor,
-                       Entry.m_Layers};
+                       layersOfModel(Model, Entry.m_Layers)};
     auto Pending = m_Pending.find(Entry.m_Id);
     if (Pending != m_Pending.end())
-      Card.m_Layers = Pending->second.m_Layers;
+      Card.m_Layers = layersOfModel(Model, Pending->second.m_Layers);
     auto Refused = m_BusyUntil.find(Entry.m_Id);
     Card.m_IsBusy = Pending != m_Pending.end() ||
                     (Refused != m_BusyUntil.end() && Now < Refused->second);
--- a/tests/placement/PlacementControllerTest.cpp
+++ b/tests/placement/PlacementControllerTest.cpp
@@ -157,4 +157,23 @@
   CHECK(Orders[0].m_Layers == Leaving->m_Entry.m_Layers);
 }
 
+// Guards against entries with layers that the model does not have: the layout
+// was planned with numbers of holders beyond the end of their list.
+TEST(PlacementController, LayersBeyondTheModelAreLeftOut) {
+  tick();
+  m_Now += 5s;
+  completeOrders(tick());
+  for (std::uint32_t First : {0U, m_Model.m_Layers - 1, m_Model.m_Layers + 1}) {
+    for (std::size_t Index = 0; Index < 3; ++Index)
+      m_Engines[Index]->m_Entry.m_Layers = {First, ~0U - 1};
+    for (int Round = 0; Round < 20; ++Round) {
+      m_Now += 10s;
+      auto Orders = tick();
+      for (const PlacementOrder &Order : Orders)
+        CHECK(Order.m_Layers.m_End <= m_Model.m_Layers);
+      completeOrders(Orders);
+    }
+  }
+}
+
 PARSLEYRING_TEST_MAIN
