Let a failed event handler end only what it was about

GatewayNode::guard() now stands around the event loop, each item of the store, each request's tick and each part of the periodic work. Accepting, digests and ticks are started again in any case. Every failure is logged (handler-failed) and counted (parsleyring_handler_failures_total), so that a fault is not hidden.

--- a/src/audit/GatewayHistory.cpp
+++ b/src/audit/GatewayHistory.cpp
@@ -98,6 +98,7 @@
                                                       "endpoint-slow",
                                                       "endpoint-recovered",
                                                       "engine-report-invalid",
+                                                      "handler-failed",
                                                       "endpoint-rest",
                                                       "endpoint-rest-ended",
                                                       "failure-domain-suspect",
@@ -250,6 +251,11 @@
          return Logged.text("endpoint") + " reported " + Logged.text("pace") +
                 " times its usual pace";
        }},
+      {"handler-failed",
+       [](const Line &Logged) {
+         return "failed to handle an event (" + Logged.text("handler") +
+                "): " + Logged.text("error");
+       }},
       {"engine-report-invalid",
        [](const Line &Logged) {
          return Logged.text("endpoint") +
--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -126,7 +126,24 @@
   Request.m_ReceivedAt = m_Handler.now();
   m_IsReceiving = false;
   m_IsAnswering = true;
-  m_Handler.handleRequest(std::move(Request), shared_from_this());
+  try {
+    m_Handler.handleRequest(std::move(Request), shared_from_this());
+  } catch (...) {
+    failRequest();
+    throw;
+  }
+}
+
+void CallerConnection::failRequest() {
+  auto OnDisconnect = std::move(m_OnDisconnect);
+  m_OnDisconnect = nullptr;
+  m_KeepsAlive = false;
+  if (m_IsAnswering && !m_IsChunked)
+    answer(500, {}, "");
+  else
+    close();
+  if (OnDisconnect)
+    OnDisconnect();
 }
 
 void CallerConnection::reject(unsigned Status, const std::string &Reason) {
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -94,6 +94,8 @@
   void parse();
   void dispatch();
   void reject(unsigned Status, const std::string &Reason);
+  /// Ends the request in progress, which may have run, with a failure.
+  void failRequest();
   void flush();
   /// Begins the head of an answer in m_Output; the caller of this function adds
   /// the framing fields.
--- a/src/gateway/CallerListener.cpp
+++ b/src/gateway/CallerListener.cpp
@@ -1,5 +1,6 @@
 #include "gateway/CallerListener.h"
 
+#include "core/ScopeGuard.h"
 #include "core/SocketAddress.h"
 
 #include <stdexcept>
@@ -48,11 +49,11 @@
           });
           return;
         }
+        ScopeGuard AcceptNext([this] { accept(); });
         auto Connection =
             std::make_shared<CallerConnection>(std::move(Socket), m_Handler);
         m_Connections.push_back(Connection);
         Connection->start();
-        accept();
       });
 }
 
--- a/src/gateway/DigestExchange.cpp
+++ b/src/gateway/DigestExchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/DigestExchange.h"
 
+#include "core/ScopeGuard.h"
 #include "core/SocketAddress.h"
 
 #include <boost/asio/buffer.hpp>
@@ -40,9 +41,9 @@
       [this](boost::system::error_code Error, std::size_t Size) {
         if (Error == asio::error::operation_aborted)
           return;
+        ScopeGuard ReceiveNext([this] { receive(); });
         if (!Error)
           handleDigest({m_Buffer.data(), Size});
-        receive();
       });
 }
 
--- a/src/gateway/EndpointClient.cpp
+++ b/src/gateway/EndpointClient.cpp
@@ -68,11 +68,11 @@
     return;
   call(Endpoint, m_Protocol.reportCall(), ReportTimeout,
        [this, Endpoint](const CallReply &Reply) {
+         auto Handlers = std::move(m_PendingHandlers[Endpoint.get()]);
+         m_PendingHandlers.erase(Endpoint.get());
          std::optional<EngineReport> Report = readReport(Endpoint, Reply);
          evictOldReports();
          m_CachedReports[Endpoint.get()] = {m_HttpClient.now(), Report};
-         auto Handlers = std::move(m_PendingHandlers[Endpoint.get()]);
-         m_PendingHandlers.erase(Endpoint.get());
          for (const auto &Handler : Handlers)
            Handler(Report);
        });
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -94,8 +94,8 @@
   virtual void tick(Time Now) = 0;
   /// An endpoint was marked as suspect; a stream may have to leave it.
   virtual void handleSuspect(const FleetTable::Handle &) {}
-  /// The process ends: ends the request, which may have run, with a failure.
-  virtual void handleStop() = 0;
+  /// Ends the request with a failure, or as refused if it has not run.
+  virtual void end(std::string_view Reason) = 0;
   bool isDone() const { return m_IsDone; }
 
 protected:
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -1,5 +1,6 @@
 #include "gateway/GatewayNode.h"
 
+#include "core/ScopeGuard.h"
 #include "gateway/PlainForward.h"
 #include "gateway/StreamForward.h"
 
@@ -232,10 +233,25 @@
   m_StoreWatcher.start();
   m_Lease.start();
   scheduleTick();
-  m_Loop.run();
+  while (!guard("event", [this] { m_Loop.run(); })) {
+    // run() may be called again after a handler has thrown.
+  }
   m_Log.write(now(), "end", "", {});
 }
 
+bool GatewayNode::guard(std::string_view Handler,
+                        const std::function<void()> &Action) {
+  try {
+    Action();
+    return true;
+  } catch (const std::exception &Error) {
+    m_Metrics.countFailedHandler(Handler);
+    m_Log.write(now(), "handler-failed", "",
+                {{"handler", Handler}, {"error", Error.what()}});
+    return false;
+  }
+}
+
 const CallerLimits &GatewayNode::limits() const {
   const auto &Table = m_Configuration.table();
   return Table ? Table->m_Limits : m_DefaultLimits;
@@ -544,7 +560,15 @@
     m_VMs.list(Item.m_Key, *VM);
 }
 
+// One item that cannot be handled does not hold up the others.
 void GatewayNode::itemChanged(const StoreItem &Item) {
+  if (!guard("store-item", [&] { applyItem(Item); }))
+    m_Log.write(
+        now(), "store-item-failed", "",
+        {{"key", Item.m_Key}, {"revision", std::int64_t(Item.m_Revision)}});
+}
+
+void GatewayNode::applyItem(const StoreItem &Item) {
   if (Item.m_Key == m_Records.configurationKey())
     m_Configuration.apply(Item);
   else if (hasPrefix(Item.m_Key, m_Records.endpointPrefix()))
@@ -652,57 +676,75 @@
   m_TickTimer.async_wait([this](boost::system::error_code Error) {
     if (Error)
       return;
+    ScopeGuard ScheduleNext([this] { scheduleTick(); });
     tick();
-    scheduleTick();
   });
 }
 
 void GatewayNode::tick() {
-  Time Now = now();
   ++m_Ticks;
-  std::vector<std::shared_ptr<ForwardedRequest>> Requests(m_Requests.begin(),
-                                                          m_Requests.end());
-  for (const auto &Request : Requests) {
-    Request->tick(Now);
-    if (Request->isDone())
-      m_Requests.erase(Request);
-  }
-  for (auto &[Service, Queue] : m_AdmissionQueues)
-    Queue.tick(Now);
-  m_StoreWatcher.tick();
-  m_PeerHandler->answerDue(Now);
-  if (m_Ticks % MaintenanceTicks == 0) {
-    pollSlowEngines();
-    m_Digests.refresh();
-    m_Digests.sendToDomainPeers();
-    if (m_Ticks % (2 * MaintenanceTicks) == 0)
-      m_Digests.sendToOtherDomains();
-    for (const auto &Listener : m_Listeners)
-      Listener->tick(Now);
-    m_ConnectionPool.expire(Now);
-    m_Fleet.expire(Now);
-    m_VMs.expire(Now);
-    m_CrashGuard.tick(m_WasLeader);
-    noteEndedRests();
-    m_Metrics.setRestingEndpoints(m_Fleet.restingEndpoints(Now));
-    m_Metrics.setLimitedEndpoints(m_Fleet.limitedEndpoints());
-    m_Metrics.setLeavingEndpoints(m_Fleet.leavingEndpoints());
-    m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
-    m_Metrics.setConfirmationAge(m_StoreWatcher.confirmationAge());
-    m_Metrics.countDroppedLogLines(m_Log.droppedLines() -
-                                   m_CountedDroppedLines);
-    m_CountedDroppedLines = m_Log.droppedLines();
-  }
+  tickRequests();
+  guard("admission", [this] {
+    for (auto &[Service, Queue] : m_AdmissionQueues)
+      Queue.tick(now());
+  });
+  guard("store", [this] {
+    m_StoreWatcher.tick();
+    m_PeerHandler->answerDue(now());
+  });
+  if (m_Ticks % MaintenanceTicks == 0)
+    guard("maintenance", [this] { tickMaintenance(); });
   // A change of the list may leave layers without a holder.
   bool HasNewList = m_PlacedGeneration != m_Fleet.generation();
   if (m_Ticks % (HasNewList ? ChangedPlacementTicks : PlacementTicks) == 0) {
     m_PlacedGeneration = m_Fleet.generation();
-    tickPlacement();
+    guard("placement", [this] { tickPlacement(); });
   }
   if (isStopping())
     tickShutdown();
 }
 
+void GatewayNode::tickRequests() {
+  Time Now = now();
+  std::vector<std::shared_ptr<ForwardedRequest>> Requests(m_Requests.begin(),
+                                                          m_Requests.end());
+  for (const auto &Request : Requests) {
+    static constexpr std::string_view Handler = "request";
+    bool IsHandled = guard(Handler, [&] { Request->tick(Now); }) ||
+                     guard(Handler, [&] { Request->end("handler-failed"); });
+    if (!IsHandled || Request->isDone())
+      m_Requests.erase(Request);
+  }
+}
+
+void GatewayNode::tickMaintenance() {
+  Time Now = now();
+  pollSlowEngines();
+  m_Digests.refresh();
+  m_Digests.sendToDomainPeers();
+  if (m_Ticks % (2 * MaintenanceTicks) == 0)
+    m_Digests.sendToOtherDomains();
+  for (const auto &Listener : m_Listeners)
+    Listener->tick(Now);
+  m_ConnectionPool.expire(Now);
+  m_Fleet.expire(Now);
+  m_VMs.expire(Now);
+  m_CrashGuard.tick(m_WasLeader);
+  noteEndedRests();
+  updateGauges();
+}
+
+void GatewayNode::updateGauges() {
+  Time Now = now();
+  m_Metrics.setRestingEndpoints(m_Fleet.restingEndpoints(Now));
+  m_Metrics.setLimitedEndpoints(m_Fleet.limitedEndpoints());
+  m_Metrics.setLeavingEndpoints(m_Fleet.leavingEndpoints());
+  m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
+  m_Metrics.setConfirmationAge(m_StoreWatcher.confirmationAge());
+  m_Metrics.countDroppedLogLines(m_Log.droppedLines() - m_CountedDroppedLines);
+  m_CountedDroppedLines = m_Log.droppedLines();
+}
+
 void GatewayNode::tickPlacement() {
   Time Now = now();
   bool IsLeader = m_Lease.isLeader(Now) && !isStopping();
@@ -782,7 +824,7 @@
   // connection that ends without an answer.
   if (IsOver)
     for (const auto &Request : m_Requests)
-      Request->handleStop();
+      Request->end("stopping");
   if (IsOver || (m_Requests.empty() && m_CallerListener->size() == 0))
     m_Loop.stop();
 }
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -108,6 +108,11 @@
   void refuse(const CallerRequest &Request, CallerConnection &Caller,
               Refusal Cause);
 
+  /// Runs Action; an exception is logged and counted. Returns false if there
+  /// was one. It ends what the event was about, but not the other requests.
+  bool guard(std::string_view Handler, const std::function<void()> &Action);
+
+  void applyItem(const StoreItem &Item);
   void beginEra();
   void applyEndpointEntry(const StoreItem &Item);
   void applyLeader(const StoreItem &Item);
@@ -115,6 +120,9 @@
 
   void scheduleTick();
   void tick();
+  void tickRequests();
+  void tickMaintenance();
+  void updateGauges();
   void recordPace(FleetEndpoint &Endpoint, double Pace);
   void pollSlowEngines();
   void tickPlacement();
--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -131,14 +131,24 @@
   auto Self = shared_from_this();
   m_Socket.async_read_some(m_Buffer.prepare(ReadBytes),
                            [Self](beast::error_code Error, std::size_t Size) {
-                             Self->m_IsReading = false;
-                             if (!Self->m_IsRunning)
-                               return;
-                             Self->m_Buffer.commit(Size);
-                             Self->parse(Error);
+                             Self->handleRead(Error, Size);
                            });
 }
 
+void HttpConnection::handleRead(beast::error_code Error, std::size_t Size) {
+  m_IsReading = false;
+  if (!m_IsRunning)
+    return;
+  m_Buffer.commit(Size);
+  try {
+    parse(Error);
+  } catch (...) {
+    rejectResponse();
+    close();
+    throw;
+  }
+}
+
 void HttpConnection::resumeReading() {
   if (!m_IsPaused)
     return;
--- a/src/gateway/HttpConnection.h
+++ b/src/gateway/HttpConnection.h
@@ -41,7 +41,8 @@
 };
 
 /// Callbacks of one exchange. OnEnd is called once, as the last one; after
-/// close() none is called.
+/// close() none is called. If one throws, the exchange ends as Malformed, and
+/// the exception leaves the event loop.
 struct ExchangeHandlers {
   std::function<void(const ResponseHead &)> m_OnHead;
   std::function<void(std::string_view)> m_OnBody;
@@ -92,6 +93,7 @@
   void connect(Duration Timeout);
   void write();
   void read();
+  void handleRead(boost::beast::error_code Error, std::size_t Size);
   void parse(boost::beast::error_code ReadError);
   bool skipInterimResponse();
   void resetParser();
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -49,6 +49,9 @@
       counters(m_Registry, "parsleyring_endpoint_crashes_total",
                "Crashes of engines that cut off requests of this VM.")
           .Add({});
+  Family<Counter> &m_FailedHandlers =
+      counters(m_Registry, "parsleyring_handler_failures_total",
+               "Exceptions that left the handler of an event, by handler.");
   Counter &m_InvalidReports =
       counters(m_Registry, "parsleyring_invalid_engine_reports_total",
                "Reports of engines of which a part could not be read.")
@@ -148,6 +151,11 @@
   m_Families->m_LimitedEndpoints.Set(static_cast<double>(Endpoints));
 }
 
+void NodeMetrics::countFailedHandler(std::string_view Handler) {
+  m_Families->m_FailedHandlers.Add({{"handler", std::string(Handler)}})
+      .Increment();
+}
+
 void NodeMetrics::countInvalidReport() {
   m_Families->m_InvalidReports.Increment();
 }
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -28,6 +28,8 @@
   void countEndpointCrash();
   void setQuarantinedSuspects(std::size_t Parts);
   void setLimitedEndpoints(std::size_t Endpoints);
+  /// Counts an exception that left the handler of an event.
+  void countFailedHandler(std::string_view Handler);
   void countInvalidReport();
   void countEndpointRest();
   void setRestingEndpoints(std::size_t Endpoints);
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -312,11 +312,11 @@
   }
 }
 
-void PlainForward::handleStop() {
+void PlainForward::end(std::string_view Reason) {
   if (m_IsDone)
     return;
   m_MayHaveRun = m_MayHaveRun || hasRunning();
-  finishWithoutAnswer("stopping");
+  finishWithoutAnswer(Reason);
 }
 
 void PlainForward::markEnded(Attempt &Ended) {
--- a/src/gateway/PlainForward.h
+++ b/src/gateway/PlainForward.h
@@ -17,7 +17,7 @@
 
   void start() override;
   void tick(Time Now) override;
-  void handleStop() override;
+  void end(std::string_view Reason) override;
 
 private:
   /// One sending of the request to an endpoint.
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -783,13 +783,13 @@
   checkSilence(Now);
 }
 
-void StreamForward::handleStop() {
+void StreamForward::end(std::string_view Reason) {
   if (m_IsDone)
     return;
   if (mayHaveRun())
-    failRequest("stopping");
+    failRequest(Reason);
   else
-    endUnanswered("stopping");
+    endUnanswered(Reason);
 }
 
 Duration StreamForward::silenceLimit() const {
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -22,7 +22,7 @@
 
   void start() override;
   void tick(Time Now) override;
-  void handleStop() override;
+  void end(std::string_view Reason) override;
   void handleSuspect(const FleetTable::Handle &Endpoint) override;
 
 private:
