Never send a request again on a connection that has carried it

Cause: an engine that rejects a stream may send a second copy of the rejection, late. The gateway kept the connection, sent the same request on it again and took the copy for the answer, since the id in an answer tells requests apart, not sendings of one request. It then sent the request a third time while the second run went on.

ForwardedRequest::connectionTo() now leaves out the connections that the request has used, for streams and plain requests. The id of an answer thus proves which sending it belongs to. Connections of rejections are still kept for other requests.

--- a/src/gateway/ConnectionPool.cpp
+++ b/src/gateway/ConnectionPool.cpp
@@ -9,15 +9,25 @@
 // Further idle connections to the same address are closed.
 static constexpr std::size_t MaxIdlePerAddress = 16;
 
+static bool contains(const ConnectionPool::ConnectionList &List,
+                     const std::shared_ptr<HttpConnection> &Connection) {
+  return std::any_of(List.begin(), List.end(),
+                     [&](const std::weak_ptr<HttpConnection> &Entry) {
+                       return Entry.lock() == Connection;
+                     });
+}
+
 std::shared_ptr<HttpConnection>
-ConnectionPool::acquire(const std::string &Address, Duration MaxIdle,
-                        Time Now) {
+ConnectionPool::acquire(const std::string &Address, Duration MaxIdle, Time Now,
+                        const ConnectionList &Excluded) {
   std::vector<IdleConnection> &Connections = m_Idle[Address];
-  while (!Connections.empty()) {
-    IdleConnection Newest = Connections.back();
+  for (std::size_t Index = Connections.size(); Index-- > 0;) {
+    IdleConnection Newest = Connections[Index];
     if (Now - Newest.m_IdleSince > MaxIdle)
       break;
-    Connections.pop_back();
+    if (contains(Excluded, Newest.m_Connection))
+      continue;
+    Connections.erase(Connections.begin() + Index);
     if (Now < Newest.m_ExpiresAt && Newest.m_Connection->tryReuse())
       return Newest.m_Connection;
     Newest.m_Connection->close();
--- a/src/gateway/ConnectionPool.h
+++ b/src/gateway/ConnectionPool.h
@@ -13,10 +13,13 @@
 public:
   explicit ConnectionPool(boost::asio::io_context &Loop) : m_Loop(Loop) {}
 
-  /// The most recently used connection if it has been idle for at most MaxIdle,
-  /// or a new one that is not connected yet.
+  using ConnectionList = std::vector<std::weak_ptr<HttpConnection>>;
+
+  /// The most recently used connection that has been idle for at most MaxIdle
+  /// and is not in Excluded, or a new one that is not connected yet.
   std::shared_ptr<HttpConnection> acquire(const std::string &Address,
-                                          Duration MaxIdle, Time Now);
+                                          Duration MaxIdle, Time Now,
+                                          const ConnectionList &Excluded = {});
   /// Keeps the connection if its last exchange left it reusable.
   void release(const std::shared_ptr<HttpConnection> &Connection, Time Now);
   /// Closes the connections whose idle timeout has passed.
--- a/src/gateway/ForwardContext.cpp
+++ b/src/gateway/ForwardContext.cpp
@@ -131,6 +131,16 @@
           (Head.has(Names.m_NotExecuted) && Head.m_Status >= 400));
 }
 
+std::shared_ptr<HttpConnection>
+ForwardedRequest::connectionTo(const FleetEndpoint &Endpoint,
+                               Duration MaxIdle) {
+  std::shared_ptr<HttpConnection> Connection =
+      m_Context.connectionPool().acquire(Endpoint.m_Entry.m_Address, MaxIdle,
+                                         m_Context.now(), m_UsedConnections);
+  m_UsedConnections.push_back(Connection);
+  return Connection;
+}
+
 void ForwardedRequest::logForeignAnswer(const FleetTable::Handle &Endpoint,
                                         const std::string &OtherId) {
   m_Context.metrics().countAttempt("foreign-answer");
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -99,6 +99,11 @@
   bool isDone() const { return m_IsDone; }
 
 protected:
+  /// A connection to Endpoint that has not carried this request yet. An
+  /// endpoint may send a second copy of its answer, late; on such a connection
+  /// the id in it tells it from the answer to this sending.
+  std::shared_ptr<HttpConnection> connectionTo(const FleetEndpoint &Endpoint,
+                                               Duration MaxIdle);
   /// Logs that Endpoint sent the copy of an answer to another request.
   void logForeignAnswer(const FleetTable::Handle &Endpoint,
                         const std::string &OtherId);
@@ -137,6 +142,8 @@
 private:
   void noteLimit(const FleetTable::Handle &Endpoint, const ResponseHead &Head,
                  Time SentAt, bool IsSealed);
+
+  ConnectionPool::ConnectionList m_UsedConnections; ///< Over all sendings.
 };
 
 /// Serializes a request for an endpoint; Extra are further header fields.
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -136,9 +136,8 @@
   auto Sent = std::make_shared<Attempt>();
   Sent->m_Endpoint = Endpoint;
   Sent->m_SentAt = Now;
-  Sent->m_Connection = m_Context.connectionPool().acquire(
-      Endpoint->m_Entry.m_Address,
-      isRepeatable() ? MaxIdleRepeatable : MaxIdleNonRepeatable, Now);
+  Sent->m_Connection = connectionTo(
+      *Endpoint, isRepeatable() ? MaxIdleRepeatable : MaxIdleNonRepeatable);
   Sent->m_IsReused = Sent->m_Connection->isConnected();
   ++Endpoint->m_Running;
   Endpoint->m_LimitShare.noteSent();
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -325,8 +325,7 @@
   auto Sent = std::make_shared<StreamAttempt>();
   Sent->m_PathLoad.set(Path, m_PromptTokens + answerTokensLeft());
   Sent->m_SentAt = Sent->m_LastProgressAt = m_LastProgressAt = Now;
-  Sent->m_Connection = m_Context.connectionPool().acquire(
-      First->m_Entry.m_Address, MaxIdle, Now);
+  Sent->m_Connection = connectionTo(*First, MaxIdle);
   m_Attempt = Sent;
   if (m_Sends > 1)
     m_Context.log().write(Now, "stream-moved", m_Job.m_Id,
--- a/tests/support/ScriptedServer.cpp
+++ b/tests/support/ScriptedServer.cpp
@@ -1,36 +1,17 @@
 #include "support/ScriptedServer.h"
 
-#include <netinet/in.h>
-#include <poll.h>
+#include "support/LoopbackSocket.h"
+
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
-#include <stdexcept>
 
 namespace parsleyring {
 
-static constexpr int PollMillis = 10;
-
-static int boundSocket() {
-  int Descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in Any{};
-  Any.sin_family = AF_INET;
-  Any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  if (::bind(Descriptor, reinterpret_cast<sockaddr *>(&Any), sizeof(Any)) != 0)
-    throw std::runtime_error("cannot bind a loopback port");
-  return Descriptor;
-}
-
-static std::string addressOf(int Descriptor) {
-  sockaddr_in Own{};
-  socklen_t Length = sizeof(Own);
-  ::getsockname(Descriptor, reinterpret_cast<sockaddr *>(&Own), &Length);
-  return "127.0.0.1:" + std::to_string(ntohs(Own.sin_port));
-}
-
 ScriptedServer::ScriptedServer(std::string Answer, End After)
-    : m_Answer(std::move(Answer)), m_End(After), m_Listener(boundSocket()) {
+    : m_Answer(std::move(Answer)), m_End(After),
+      m_Listener(boundLoopbackSocket()) {
   ::listen(m_Listener, SOMAXCONN);
   m_Thread = std::thread([this] { serve(); });
 }
@@ -41,11 +22,8 @@
   ::close(m_Listener);
 }
 
-std::string ScriptedServer::address() const { return addressOf(m_Listener); }
-
-static bool isReadable(int Descriptor) {
-  pollfd Entry{Descriptor, POLLIN, 0};
-  return ::poll(&Entry, 1, PollMillis) > 0;
+std::string ScriptedServer::address() const {
+  return loopbackAddress(m_Listener);
 }
 
 void ScriptedServer::serve() {
@@ -82,8 +60,8 @@
 std::string refusingAddress() {
   // The bound socket reserves the port; connections are refused because the
   // socket does not listen.
-  static const int Descriptor = boundSocket();
-  return addressOf(Descriptor);
+  static const int Descriptor = boundLoopbackSocket();
+  return loopbackAddress(Descriptor);
 }
 
 } // namespace parsleyring
