Keep no connection on which an answer has named no request

Cause: an endpoint that is full rejects without naming the request, and may send a second copy of that, late. The connection was kept, and the copy was taken for the rejection of the next request on it. The same held for copies of answers to the gateway's own calls (reports, orders), which name no request and shared the connections of requests.

ForwardedRequest::keepConnection() closes a connection after such an answer, and the gateway's own calls have a pool of connections of their own. On a connection that carries requests, every late copy now names the one that it belongs to.

--- a/src/gateway/ForwardContext.cpp
+++ b/src/gateway/ForwardContext.cpp
@@ -141,6 +141,15 @@
   return Connection;
 }
 
+void ForwardedRequest::keepConnection(
+    const std::shared_ptr<HttpConnection> &Connection,
+    const ResponseHead &Head) {
+  if (Head.field(m_Context.protocol().headers().m_RequestId).empty())
+    Connection->close();
+  else
+    m_Context.connectionPool().release(Connection, m_Context.now());
+}
+
 void ForwardedRequest::logForeignAnswer(const FleetTable::Handle &Endpoint,
                                         const std::string &OtherId) {
   m_Context.metrics().countAttempt("foreign-answer");
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -104,6 +104,10 @@
   /// the id in it tells it from the answer to this sending.
   std::shared_ptr<HttpConnection> connectionTo(const FleetEndpoint &Endpoint,
                                                Duration MaxIdle);
+  /// Keeps the connection of an answer for other requests, unless the answer
+  /// names no request: a late copy of it could be taken for one to the next.
+  void keepConnection(const std::shared_ptr<HttpConnection> &Connection,
+                      const ResponseHead &Head);
   /// Logs that Endpoint sent the copy of an answer to another request.
   void logForeignAnswer(const FleetTable::Handle &Endpoint,
                         const std::string &OtherId);
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -165,7 +165,8 @@
                                                m_Settings.m_FailureDomain,
                                                m_Settings.m_Cores},
       m_VMs(m_Self, m_Settings.m_SeedAddresses), m_ConnectionPool(m_Loop),
-      m_HttpClient(m_Loop, m_ConnectionPool, [this] { return now(); }),
+      m_CallConnections(m_Loop),
+      m_HttpClient(m_Loop, m_CallConnections, [this] { return now(); }),
       m_LeavingRecorder({Endpoints, m_Fleet, m_Log, m_Metrics},
                         [this] { return now(); }),
       m_EndpointClient(
@@ -727,6 +728,7 @@
   for (const auto &Listener : m_Listeners)
     Listener->tick(Now);
   m_ConnectionPool.expire(Now);
+  m_CallConnections.expire(Now);
   m_Fleet.expire(Now);
   m_VMs.expire(Now);
   m_CrashGuard.tick(m_WasLeader);
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -153,7 +153,9 @@
   const ListedVM m_Self;
   VMDirectory m_VMs;
 
-  ConnectionPool m_ConnectionPool;
+  ConnectionPool m_ConnectionPool; ///< For requests of callers.
+  /// For calls of the gateway's own, whose answers name no request.
+  ConnectionPool m_CallConnections;
   HttpClient m_HttpClient;
   LeavingRecorder m_LeavingRecorder;
   EndpointClient m_EndpointClient;
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -228,14 +228,14 @@
   markEnded(*Ended);
   if (provesNotRun(Head, Names, m_Job.m_Id)) {
     // Not recorded as a failure, since a full endpoint is not faulty.
-    m_Context.connectionPool().release(Ended->m_Connection, Now);
+    keepConnection(Ended->m_Connection, Head);
     handleNotRun(Ended, Head.m_Status == 421 ? "other-endpoint" : "refused");
     return;
   }
   bool IsFailure = Head.m_Status >= 500 || !IsSealed;
   Ended->m_Endpoint->noteResult(!IsFailure, Taken, Now);
   if (IsSealed) {
-    m_Context.connectionPool().release(Ended->m_Connection, Now);
+    keepConnection(Ended->m_Connection, Head);
     bool IsLarge = m_Job.m_Request.m_Body.size() > MaxEagerHashBytes;
     if (!IsLarge || m_Context.crashGuard().hasRequestSuspects())
       m_Context.crashGuard().noteAnswer({suspect()});
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -556,7 +556,7 @@
   First->noteResult(true, Now - Attempt->m_SentAt, Now);
   if (Attempt->m_Events > 0)
     noteAnswered();
-  m_Context.connectionPool().release(Attempt->m_Connection, Now);
+  keepConnection(Attempt->m_Connection, Attempt->m_Head);
   if (!hasAnswerBegun())
     beginAnswer();
   m_Job.m_Caller->endAnswer();
@@ -573,7 +573,7 @@
   } else if (provesNotRun(Attempt->m_Head, m_Context.protocol().headers(),
                           m_Job.m_Id)) {
     uncount(*Attempt);
-    m_Context.connectionPool().release(Attempt->m_Connection, Now);
+    keepConnection(Attempt->m_Connection, Attempt->m_Head);
   } else {
     m_MayHaveRun = true;
     Attempt->firstEngine()->noteResult(false, Now - Attempt->m_SentAt, Now);
@@ -605,7 +605,7 @@
   const HeaderNames &Names = m_Context.protocol().headers();
   Time Now = m_Context.now();
   if (provesNotRun(Head, Names, m_Job.m_Id)) {
-    m_Context.connectionPool().release(m_Attempt->m_Connection, Now);
+    keepConnection(m_Attempt->m_Connection, Head);
     uncount(*m_Attempt);
     std::string Address = Head.field(Names.m_FaultyEndpoint);
     FleetTable::Handle Faulty = m_Context.fleet().findByAddress(Address);
