Take deadlines far in the future as such

A Deadline-Ms that exceeds the range of a time in microseconds wrapped around: the request was sent with one millisecond left. The number is now compared with the route's timeout in milliseconds, and a negative one counts as 0.

integration/GatewayTest (DeadlinesMayBeAnyNumber) failed before the change.

--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -296,9 +296,11 @@
   std::int64_t Milliseconds = 0;
   auto [End, Error] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
-  if (!Text.empty() && Error == std::errc())
+  // Compared in milliseconds, since any number of them may be stated.
+  if (!Text.empty() && Error == std::errc() &&
+      Milliseconds < Timeout / std::chrono::milliseconds(1))
     Timeout =
-        std::min<Duration>(Timeout, std::chrono::milliseconds(Milliseconds));
+        std::chrono::milliseconds(std::max<std::int64_t>(0, Milliseconds));
   Job.m_Deadline = Request.m_ReceivedAt + Timeout;
   return std::nullopt;
 }
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -106,6 +106,23 @@
   CHECK(Left > 1500 && Left <= 2500);
 }
 
+// Guards against a deadline far in the future that overflows and counts as
+// past.
+TEST(Gateway, DeadlinesMayBeAnyNumber) {
+  FakeEndpoint Endpoint(answerOk);
+  listEndpoint("e1", "plain", Endpoint.address());
+  start();
+  for (const char *Deadline : {"9223372036854775807", "9223372036854775",
+                               "99999999999999999999999", "3000000000"}) {
+    HttpRequest Request = makeRequest("/once/a");
+    Request.m_Headers["Deadline-Ms"] = Deadline;
+    LONGS_EQUAL(200, send(Request).m_Status);
+    int Left = std::stoi(Endpoint.calls().back().header("Deadline-Ms"));
+    // The timeout of the route.
+    CHECK(Left > 2000 && Left <= 3000);
+  }
+}
+
 // Guards against refused or malformed requests that reach an endpoint.
 TEST(Gateway, RefusesInvalidRequests) {
   FakeEndpoint Endpoint(answerOk);
