--- a/tests/platform/PlatformRecordFormatTest.cpp
+++ b/tests/platform/PlatformRecordFormatTest.cpp
@@ -86,9 +86,11 @@
                   m_Endpoints.placeCall({20, 31}).m_Body.c_str());
   auto Report = m_Endpoints.parseReport(
       R"({"layers":{"from":1,"target":2,"version":1},"pace":3.5,)"
-      R"("stalled":[{"id":"r","address":"a"}]})");
-  LONGS_EQUAL(1, Report->m_Stalled.size());
-  DOUBLES_EQUAL(3.5, Report->m_Pace, 0);
+      R"("stalled":[{"id":"r","address":"a"}]})",
+      m_Finding);
+  STRCMP_EQUAL("", m_Finding.c_str());
+  LONGS_EQUAL(1, Report.m_Stalled.size());
+  DOUBLES_EQUAL(3.5, Report.m_Pace.value(), 0);
 }
 
 // Guards against a statement that is missed since the field's name is written
