Reject numbers that do not fit their field

Numbers of the configuration and of the entries of endpoints were converted to narrower types unchecked. Out of range the result is undefined and differs between x86-64 and arm64; a layer of 2^32 + 10 was read as layer 10, which the endpoint does not hold.

Layers out of range count as none. A priority is brought into its range, since only its order matters. The number of layers that fit a card is bounded before it is converted.

Two cases of platform/PlatformRecordFormatTest failed before the change (NumbersOutOfRangeAreRejected, EntriesWithNumbersOutOfRange).

--- a/src/placement/HoleFiller.cpp
+++ b/src/placement/HoleFiller.cpp
@@ -52,9 +52,11 @@
 }
 
 std::uint32_t HoleFiller::mostLayers(const PlacementCard &Card) const {
-  return static_cast<std::uint32_t>(Card.m_MemoryMegabytes *
-                                    (1 - MinRequestMemoryFraction) /
-                                    m_Model.m_LayerMegabytes);
+  double Most = Card.m_MemoryMegabytes * (1 - MinRequestMemoryFraction) /
+                m_Model.m_LayerMegabytes;
+  // Not finite if the model does not state the size of a layer.
+  return static_cast<std::uint32_t>(
+      std::max(0.0, std::min<double>(m_Model.m_Layers, Most)));
 }
 
 // Number of layers that the card can add, including those that it can give up
--- a/src/placement/LayerMemory.cpp
+++ b/src/placement/LayerMemory.cpp
@@ -32,7 +32,9 @@
                                      const PlacementCard &Card) {
   double Layers =
       Card.m_MemoryMegabytes * MaxLayerMemoryFraction / Model.m_LayerMegabytes;
-  return std::min(Model.m_Layers, static_cast<std::uint32_t>(Layers));
+  // Not finite if the model does not state the size of a layer.
+  return static_cast<std::uint32_t>(
+      std::max(0.0, std::min<double>(Model.m_Layers, Layers)));
 }
 
 void LayerMemory::adjust(const PlacementCard &Card, LayerRange Layers,
--- a/tests/platform/PlatformRecordFormatTest.cpp
+++ b/tests/platform/PlatformRecordFormatTest.cpp
@@ -5,9 +5,12 @@
 #include "support/GatewayTestServers.h"
 #include "support/TestMain.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace parsleyring;
+using nlohmann::json;
 
 TEST_GROUP(PlatformRecordFormat) {
   PlatformRecordFormat m_Records;
@@ -56,6 +59,58 @@
   }
 }
 
+// Guards against numbers that do not fit the type of their field: the result of
+// the conversion differs between kinds of machines.
+TEST(PlatformRecordFormat, NumbersOutOfRangeAreRejected) {
+  const char *const Fields[] = {"/version",
+                                "/routes/0/timeout_ms",
+                                "/routes/0/latency_goal_ms",
+                                "/routes/0/max_attempts",
+                                "/services/1/engine/layers",
+                                "/services/1/engine/loads_at_once",
+                                "/limits/max_header_bytes",
+                                "/limits/max_body_bytes",
+                                "/limits/header_timeout_ms",
+                                "/limits/idle_timeout_ms"};
+  for (const char *Field : Fields)
+    for (double Number : {-1.0, 1e16, 1e300, -1e300}) {
+      json Root = json::parse(gatewayConfiguration(7));
+      Root[json::json_pointer(Field)] = Number;
+      m_Finding.clear();
+      CHECK(!m_Records.parseConfiguration(Root.dump(), m_Finding));
+      std::string Name =
+          std::string(Field).substr(std::string(Field).rfind('/') + 1);
+      STRCMP_CONTAINS(Name.c_str(), m_Finding.c_str());
+    }
+  for (double Priority : {-1.0, 1e300, -1e300}) {
+    json Root = json::parse(gatewayConfiguration(7));
+    Root["routes"][0]["priority"] = Priority;
+    m_Finding.clear();
+    auto Table = m_Records.parseConfiguration(Root.dump(), m_Finding);
+    CHECK(Table != nullptr);
+    int Read = Table->find("host", "/once/a")->m_Priority;
+    CHECK((Priority < 0) == (Read < 0));
+  }
+}
+
+// Guards against the entry of an endpoint with numbers that do not fit: such
+// layers would be taken for others, which the endpoint does not hold.
+TEST(PlatformRecordFormat, EntriesWithNumbersOutOfRange) {
+  json Entry = json::parse(serverEntry("s", "1.2.3.4:5"));
+  for (double Slots : {-1.0, 1e300}) {
+    json Spoiled = Entry;
+    Spoiled["slots"] = Slots;
+    m_Finding.clear();
+    CHECK(!m_Records.parseEndpoint("e", Spoiled.dump(), m_Finding));
+    STRCMP_CONTAINS("slots", m_Finding.c_str());
+  }
+  m_Finding.clear();
+  Entry["layers"]["target"] = (1ULL << 32) + 10;
+  auto Read = m_Records.parseEndpoint("e", Entry.dump(), m_Finding);
+  CHECK(Read.has_value());
+  LONGS_EQUAL(0, Read->m_Layers.m_End);
+}
+
 // Guards against accepting store answers that are truncated or malformed.
 TEST(PlatformRecordFormat, ParsesStoreAnswers) {
   auto Read = m_Store.parsePage(
