--- a/src/gateway/GatewaySettings.h
+++ b/src/gateway/GatewaySettings.h
@@ -23,8 +23,17 @@
   Duration m_ShutdownTimeout = std::chrono::seconds(8);
   /// Longest time from a change in the store until it is in force here.
   Duration m_MaxApplyDelay = std::chrono::seconds(2);
-  double m_Cores = 0;      ///< Processor capacity of the VM; 0 if unknown.
-  RetryBound m_RetryBound; ///< Applies to each service.
+  double m_Cores = 0; ///< Processor capacity of the VM; 0 if unknown.
+  std::size_t m_MemoryBytes = 0;    ///< Of the VM; 0 if unknown.
+  std::size_t m_MaxDescriptors = 0; ///< Of the process; 0 if unknown.
+  /// Part of m_MemoryBytes that the MemoryBudget may give out.
+  double m_RequestMemoryShare = 0.5;
+  /// Within which a request must be received whole.
+  Duration m_ReceiveTimeout = std::chrono::seconds(60);
+  /// After which a caller that takes no output is disconnected.
+  Duration m_SendStallTimeout = std::chrono::seconds(30);
+  std::size_t m_MaxCallerConnections = 0; ///< 0: from m_MaxDescriptors.
+  RetryBound m_RetryBound;                ///< Applies to each service.
 };
 
 } // namespace parsleyring
