--- /dev/null
+++ b/src/admission/MemoryBudget.cpp
@@ -0,0 +1,149 @@
+#include "admission/MemoryBudget.h"
+
+#include "core/NameTable.h"
+
+#include <algorithm>
+
+namespace parsleyring {
+
+static constexpr NameTable<MemoryUse, MemoryUseCount> MemoryUseNames{
+    {"connection", "request-head", "request-body", "answer", "output"}};
+
+std::string_view name(MemoryUse Value) { return MemoryUseNames.name(Value); }
+
+// Returning memory walks the whole heap, which is not worth it for less.
+static constexpr std::size_t MinTrimBytes = 8 << 20;
+static constexpr Duration MinTrimInterval = std::chrono::seconds(5);
+
+MemoryBudget::MemoryBudget(std::size_t LimitBytes) : m_Limit(LimitBytes) {}
+
+std::size_t MemoryBudget::requestLimit() const {
+  return static_cast<std::size_t>(static_cast<double>(m_Limit) * RequestShare);
+}
+
+std::size_t MemoryBudget::used(MemoryUse Use) const {
+  return m_UsedByUse[static_cast<std::size_t>(Use)];
+}
+
+bool MemoryBudget::isRequestUse(MemoryUse Use) {
+  return Use == MemoryUse::RequestHead || Use == MemoryUse::RequestBody;
+}
+
+bool MemoryBudget::mayGrow(const MemoryReservation &Reservation,
+                           std::size_t Bytes) const {
+  std::size_t Growth = Bytes - Reservation.m_Bytes;
+  if (m_Used + Growth > m_Limit)
+    return false;
+  if (!isRequestUse(Reservation.m_Use))
+    return true;
+  std::size_t Available = requestLimit();
+  if (Bytes > SmallRequestBytes)
+    Available -= static_cast<std::size_t>(static_cast<double>(Available) *
+                                          SmallRequestShare);
+  std::size_t RequestBytes =
+      used(MemoryUse::RequestHead) + used(MemoryUse::RequestBody);
+  if (RequestBytes + Growth > Available)
+    return false;
+  auto Found = m_RequestBytesByClient.find(Reservation.m_Client);
+  std::size_t ClientBytes =
+      Found == m_RequestBytesByClient.end() ? 0 : Found->second;
+  bool IsAlone = ClientBytes == RequestBytes;
+  return IsAlone || ClientBytes + Growth <= Available - RequestBytes - Growth;
+}
+
+void MemoryBudget::change(const MemoryReservation &Reservation,
+                          std::size_t Bytes) {
+  auto Apply = [&](std::size_t &Sum) {
+    Sum = Sum - Reservation.m_Bytes + Bytes;
+  };
+  Apply(m_Used);
+  Apply(m_UsedByUse[static_cast<std::size_t>(Reservation.m_Use)]);
+  m_PeakSinceTrim = std::max(m_PeakSinceTrim, m_Used);
+  if (!isRequestUse(Reservation.m_Use))
+    return;
+  auto Client = m_RequestBytesByClient.try_emplace(Reservation.m_Client).first;
+  Apply(Client->second);
+  if (Client->second == 0)
+    m_RequestBytesByClient.erase(Client);
+}
+
+MemoryReservation *MemoryBudget::stalledRequest(Time Now) {
+  MemoryReservation *First = nullptr;
+  for (MemoryReservation *Entry : m_Receiving)
+    if (Now - Entry->m_ProgressAt >= StallTime &&
+        (!First || Entry->m_ProgressAt < First->m_ProgressAt))
+      First = Entry;
+  return First;
+}
+
+bool MemoryBudget::takeTrimRequest(Time Now) {
+  if (m_PeakSinceTrim < MinTrimBytes || m_Used > m_PeakSinceTrim / 2 ||
+      Now - m_TrimmedAt < MinTrimInterval)
+    return false;
+  m_PeakSinceTrim = m_Used;
+  m_TrimmedAt = Now;
+  return true;
+}
+
+MemoryReservation::MemoryReservation(MemoryBudget &Budget, MemoryUse Use,
+                                     std::string Client)
+    : m_Budget(Budget), m_Use(Use), m_Client(std::move(Client)) {}
+
+MemoryReservation::~MemoryReservation() {
+  endReceipt();
+  resize(0);
+}
+
+bool MemoryReservation::tryResize(std::size_t Bytes) {
+  if (Bytes > m_Bytes && !m_Budget.mayGrow(*this, Bytes))
+    return false;
+  resize(Bytes);
+  return true;
+}
+
+void MemoryReservation::resize(std::size_t Bytes) {
+  if (Bytes == m_Bytes)
+    return;
+  m_Budget.change(*this, Bytes);
+  m_Bytes = Bytes;
+}
+
+void MemoryReservation::setClient(const std::string &Client) {
+  std::size_t Bytes = m_Bytes;
+  resize(0);
+  m_Client = Client;
+  resize(Bytes);
+}
+
+void MemoryReservation::beginReceipt(Time Now,
+                                     std::function<void()> OnRefused) {
+  endReceipt();
+  m_OnRefused = std::move(OnRefused);
+  m_ReceivingEntry =
+      m_Budget.m_Receiving.insert(m_Budget.m_Receiving.end(), this);
+  m_ProgressAt = Now;
+}
+
+void MemoryReservation::noteReceived(std::size_t Total, Time Now) {
+  if (Total < m_ProgressMark + MemoryBudget::ProgressBytes)
+    return;
+  m_ProgressMark = Total;
+  m_ProgressAt = Now;
+}
+
+void MemoryReservation::endReceipt() {
+  if (!m_OnRefused)
+    return;
+  m_Budget.m_Receiving.erase(m_ReceivingEntry);
+  m_OnRefused = nullptr;
+}
+
+void MemoryReservation::refuse() {
+  // Copied, since the handler may destroy this object.
+  auto Handler = m_OnRefused;
+  endReceipt();
+  if (Handler)
+    Handler();
+}
+
+} // namespace parsleyring
