Forget a slow answer of a plain endpoint with time

Callers' requests went to the other endpoints for good once an endpoint of a plain service had answered slowly: its mean latency changed with answers only, and it got none while another endpoint was free.

The mean now moves towards the lowest one of the service's endpoints, with a half-life of two seconds, and an old mean weighs less against a new answer. One that was 80 times slower is tried again after 13 s.

fleet/FleetTableTest SlowAnswerIsForgotten fails with the mean as it was (line 151) and passes now.

--- a/src/fleet/FleetTable.cpp
+++ b/src/fleet/FleetTable.cpp
@@ -16,6 +16,9 @@
 // Half-life of the failure rate, so that a recovered endpoint is tried again
 // without probes.
 static constexpr double FailureHalfLifeSeconds = 3;
+// An endpoint that was 80 times slower than the others is tried again after 13
+// seconds.
+static constexpr double LatencyHalfLifeSeconds = 2;
 // Longer than a copy from which the list is restored can be old.
 static constexpr Duration LeftMemory = std::chrono::minutes(5);
 
@@ -63,9 +66,22 @@
   m_FailureRateUpdatedAt = Now;
   double Milliseconds =
       std::chrono::duration<double, std::milli>(Latency).count();
-  m_LatencyMs = m_LatencyMs == 0 ? Milliseconds
-                                 : m_LatencyMs * (1 - NewestResultWeight) +
-                                       Milliseconds * NewestResultWeight;
+  double OldWeight =
+      m_LatencyMs == 0 ? 0 : (1 - NewestResultWeight) * latencyWeight(Now);
+  m_LatencyMs = m_LatencyMs * OldWeight + Milliseconds * (1 - OldWeight);
+  m_LatencyNotedAt = Now;
+}
+
+double FleetEndpoint::latencyWeight(Time Now) const {
+  double Seconds =
+      std::chrono::duration<double>(Now - m_LatencyNotedAt).count();
+  return std::exp2(-std::max(0.0, Seconds) / LatencyHalfLifeSeconds);
+}
+
+double FleetEndpoint::expectedLatencyMs(double UsualMs, Time Now) const {
+  if (m_LatencyMs <= UsualMs)
+    return m_LatencyMs;
+  return UsualMs + (m_LatencyMs - UsualMs) * latencyWeight(Now);
 }
 
 // A full endpoint has capacity again soon. An endpoint that is cut off or lacks
--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -71,7 +71,8 @@
   double m_PeerTokens = 0; ///< Tokens times layers, other VMs' requests.
   std::uint32_t m_PeerRunning = 0;
   std::uint32_t m_PeerRunningAsFirst = 0;
-  double m_LatencyMs = 0;   ///< Moving average; 0 if unknown.
+  double m_LatencyMs = 0; ///< Moving average at m_LatencyNotedAt; 0 if unknown.
+  Time m_LatencyNotedAt{};
   double m_FailureRate = 0; ///< Moving average at m_FailureRateUpdatedAt.
   Time m_FailureRateUpdatedAt{};
   EndpointLimit m_Limit;
@@ -116,6 +117,10 @@
   }
   void noteResult(bool IsSuccess, Duration Latency, Time Now);
   double failureRate(Time Now) const;
+  /// The latency to expect of a request that is sent now; 0 if unknown. An
+  /// average without new results moves towards UsualMs, the lowest one of the
+  /// service, since only requests can show that an endpoint is fast again.
+  double expectedLatencyMs(double UsualMs, Time Now) const;
   /// Records the pace that the endpoint reported to this VM (IsOwn) or to
   /// another VM.
   void notePace(double Pace, bool IsOwn, Time Now) {
@@ -156,6 +161,10 @@
   bool isPaceQueryDue(Time Now) const {
     return !isPaceRecent(Now) && Now - m_PaceQueriedAt >= PaceQueryInterval;
   }
+
+private:
+  /// Weight that the average latency still has, at most 1.
+  double latencyWeight(Time Now) const;
 };
 
 /// The endpoints that the platform lists, with this VM's observations of them.
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -4,6 +4,7 @@
 #include "gateway/RequestFingerprint.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace parsleyring {
 
@@ -43,12 +44,15 @@
 }
 
 // Expected time with penalties: requests in progress times mean latency.
-double PlainForward::cost(const FleetEndpoint &Endpoint) const {
+double PlainForward::cost(const FleetEndpoint &Endpoint,
+                          double UsualLatencyMs) const {
   double QueueLength = 1 + Endpoint.m_Running * m_Context.loadFactor();
   if (Endpoint.m_Entry.m_FailureDomain != m_Context.failureDomain())
     QueueLength += RemotePenaltyRequests;
   double FailureRate = Endpoint.failureRate(m_Context.now());
-  return QueueLength * std::max(1.0, Endpoint.m_LatencyMs) *
+  double LatencyMs =
+      Endpoint.expectedLatencyMs(UsualLatencyMs, m_Context.now());
+  return QueueLength * std::max(1.0, LatencyMs) *
          (1 + 20 * FailureRate * FailureRate) * (1 + 0.05 * m_Context.random());
 }
 
@@ -66,11 +70,18 @@
   FleetTable::Handle BestAllowed;
   double BestCost = 0;
   double BestAllowedCost = 0;
+  std::vector<FleetTable::Handle> Candidates;
+  double UsualLatencyMs = std::numeric_limits<double>::max();
   for (const FleetTable::Handle &Candidate :
        m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name)) {
     if (!Candidate->canServe(Now) || wasTried(Candidate))
       continue;
-    double Cost = cost(*Candidate);
+    Candidates.push_back(Candidate);
+    if (Candidate->m_LatencyMs > 0)
+      UsualLatencyMs = std::min(UsualLatencyMs, Candidate->m_LatencyMs);
+  }
+  for (const FleetTable::Handle &Candidate : Candidates) {
+    double Cost = cost(*Candidate, UsualLatencyMs);
     if (!Best || Cost < BestCost) {
       Best = Candidate;
       BestCost = Cost;
--- a/src/gateway/PlainForward.h
+++ b/src/gateway/PlainForward.h
@@ -35,7 +35,8 @@
   using AttemptHandle = std::shared_ptr<Attempt>;
 
   bool isRepeatable() const { return m_Job.m_Route->isRepeatable(); }
-  double cost(const FleetEndpoint &Endpoint) const;
+  /// UsualLatencyMs is the lowest latency of the service's endpoints.
+  double cost(const FleetEndpoint &Endpoint, double UsualLatencyMs) const;
   bool wasTried(const FleetTable::Handle &Endpoint) const;
   FleetTable::Handle chooseEndpoint();
   /// By which the crash guard knows the request and its repetitions.
--- a/tests/fleet/FleetTableTest.cpp
+++ b/tests/fleet/FleetTableTest.cpp
@@ -142,6 +142,21 @@
   CHECK(Endpoint.failureRate(m_Now + 30s) < 0.01);
 }
 
+// Guards against an endpoint that answered slowly once, and then gets no
+// request that could show that it is fast again.
+TEST(FleetTable, SlowAnswerIsForgotten) {
+  FleetEndpoint Endpoint;
+  Endpoint.noteResult(true, 400ms, m_Now);
+  CHECK(Endpoint.expectedLatencyMs(5, m_Now) > 399);
+  CHECK(Endpoint.expectedLatencyMs(5, m_Now + 14s) < 10);
+  // The old average does not outweigh a newer answer.
+  Endpoint.noteResult(true, 5ms, m_Now + 14s);
+  CHECK(Endpoint.expectedLatencyMs(5, m_Now + 14s) < 10);
+  // Without a pause it does.
+  Endpoint.noteResult(true, 400ms, m_Now + 14s);
+  CHECK(Endpoint.expectedLatencyMs(5, m_Now + 14s) < 100);
+}
+
 // Guards against the limit of an endpoint that is inherited by its next
 // incarnation, or by another endpoint at the same address.
 TEST(FleetTable, LimitIsDroppedWithTheIncarnation) {
