--- a/tests/support/GatewayTestServers.cpp
+++ b/tests/support/GatewayTestServers.cpp
@@ -319,11 +319,16 @@
                 {"seeds", Options.m_Seeds},
                 {"platform", {{"address", Options.m_StoreAddress}}},
                 {"bounds",
-                 {{"grace_s", 8},
+                 {{"grace_s", ShutdownTimeout.count()},
                   {"config_apply_ms", 2000},
                   {"retry_ratio", 0.2},
                   {"retry_slack", 200},
                   {"retry_window_s", 10}}}};
+  if (Options.m_Limits)
+    Settings["limits"] = {{"cpu_share", 1},
+                          {"cores", 1},
+                          {"memory_mb", Options.m_Limits->m_MemoryMb},
+                          {"max_fds", Options.m_Limits->m_MaxDescriptors}};
   m_Settings = std::make_unique<TemporaryFile>(Settings.dump());
   m_Process = std::make_unique<ProcessRunner>(
       "parsleyring-gateway",
--- a/tests/support/GatewayTestServers.h
+++ b/tests/support/GatewayTestServers.h
@@ -5,10 +5,12 @@
 #include "support/ProcessRunner.h"
 #include "support/TemporaryFile.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -80,6 +82,12 @@
   std::unique_ptr<Implementation> m_Implementation;
 };
 
+/// The limits in the settings file of a gateway process.
+struct GatewayLimits {
+  int m_MemoryMb = 0;
+  int m_MaxDescriptors = 0;
+};
+
 /// What differs between the gateway processes of a test.
 struct GatewayOptions {
   std::string m_Name; ///< Of the VM.
@@ -89,11 +97,15 @@
   /// their digest ports do not.
   std::string m_Host = "127.0.0.1";
   int m_DigestPort = 0; ///< 0: a free one.
+  std::optional<GatewayLimits> m_Limits = {};
 };
 
 /// A gateway process with a settings file in the platform's format.
 class GatewayProcess {
 public:
+  /// From SIGTERM until the platform kills the process.
+  static constexpr std::chrono::seconds ShutdownTimeout{8};
+
   explicit GatewayProcess(const GatewayOptions &Options);
   GatewayProcess(const std::string &Name, const std::string &StoreAddress,
                  const std::vector<std::string> &Seeds = {})
