Take memory for callers' requests only within a budget

Callers outside the limits made the process exceed its memory: bodies were collected before anything decided. A connection now reads the head by itself, reserves the memory of the body as it arrives, waits unread for up to 500 ms and refuses with 503. Requests that stall make room for those that wait. The number of connections is limited, and a caller that takes no output is disconnected. Built and checked for syntax only.

--- a/src/admission/MemoryBudget.cpp
+++ b/src/admission/MemoryBudget.cpp
@@ -14,6 +14,8 @@
 // Returning memory walks the whole heap, which is not worth it for less.
 static constexpr std::size_t MinTrimBytes = 8 << 20;
 static constexpr Duration MinTrimInterval = std::chrono::seconds(5);
+// Less than this part of the limit is little.
+static constexpr std::size_t TightPart = 4;
 
 MemoryBudget::MemoryBudget(std::size_t LimitBytes) : m_Limit(LimitBytes) {}
 
@@ -29,6 +31,15 @@
   return Use == MemoryUse::RequestHead || Use == MemoryUse::RequestBody;
 }
 
+std::size_t MemoryBudget::requestBytes(const std::string &Client) const {
+  auto Found = m_RequestBytesByClient.find(Client);
+  return Found == m_RequestBytesByClient.end() ? 0 : Found->second;
+}
+
+bool MemoryBudget::isTight() const {
+  return m_Used > m_Limit - m_Limit / TightPart;
+}
+
 bool MemoryBudget::mayGrow(const MemoryReservation &Reservation,
                            std::size_t Bytes) const {
   std::size_t Growth = Bytes - Reservation.m_Bytes;
@@ -44,9 +55,7 @@
       used(MemoryUse::RequestHead) + used(MemoryUse::RequestBody);
   if (RequestBytes + Growth > Available)
     return false;
-  auto Found = m_RequestBytesByClient.find(Reservation.m_Client);
-  std::size_t ClientBytes =
-      Found == m_RequestBytesByClient.end() ? 0 : Found->second;
+  std::size_t ClientBytes = requestBytes(Reservation.m_Client);
   bool IsAlone = ClientBytes == RequestBytes;
   return IsAlone || ClientBytes + Growth <= Available - RequestBytes - Growth;
 }
@@ -67,12 +76,17 @@
     m_RequestBytesByClient.erase(Client);
 }
 
-MemoryReservation *MemoryBudget::stalledRequest(Time Now) {
+MemoryReservation *MemoryBudget::stalledRequest(const std::string &Client,
+                                                Time Now) {
+  std::size_t OwnBytes = requestBytes(Client);
   MemoryReservation *First = nullptr;
-  for (MemoryReservation *Entry : m_Receiving)
-    if (Now - Entry->m_ProgressAt >= StallTime &&
+  for (MemoryReservation *Entry : m_Receiving) {
+    bool MayGoFirst =
+        Entry->m_Client == Client || requestBytes(Entry->m_Client) > OwnBytes;
+    if (MayGoFirst && Now - Entry->m_ProgressAt >= StallTime &&
         (!First || Entry->m_ProgressAt < First->m_ProgressAt))
       First = Entry;
+  }
   return First;
 }
 
--- a/src/admission/MemoryBudget.h
+++ b/src/admission/MemoryBudget.h
@@ -47,9 +47,13 @@
   /// Number of clients that hold memory for requests.
   std::size_t clients() const { return m_RequestBytesByClient.size(); }
 
-  /// The reservation of the request in receipt that stalled first; null if none
-  /// has stalled. That request may be refused for one that has no room.
-  MemoryReservation *stalledRequest(Time Now);
+  /// The reservation of the request in receipt that stalled first and may be
+  /// refused for one of Client that has no room: it belongs to Client too, or
+  /// to a client that holds more. Null if there is none.
+  MemoryReservation *stalledRequest(const std::string &Client, Time Now);
+  /// True if little is left, so that output that callers do not read is not to
+  /// grow.
+  bool isTight() const;
   /// True if much memory has been freed since the last call that returned true,
   /// so that the allocator should return it to the system.
   bool takeTrimRequest(Time Now);
@@ -68,6 +72,7 @@
   friend class MemoryReservation;
 
   static bool isRequestUse(MemoryUse Use);
+  std::size_t requestBytes(const std::string &Client) const;
   bool mayGrow(const MemoryReservation &Reservation, std::size_t Bytes) const;
   void change(const MemoryReservation &Reservation, std::size_t Bytes);
 
--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/CallerConnection.h"
 
-#include <boost/asio/write.hpp>
+#include "core/NameTable.h"
+
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
 
@@ -14,9 +15,38 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-static constexpr std::size_t ReadBytes = 16 << 10;
+static constexpr NameTable<ReceiptRefusal, 5> ReceiptRefusalNames{
+    {"memory-wait", "stalled", "receive-timeout", "chunk-line", "stopping"}};
+
+std::string_view name(ReceiptRefusal Value) {
+  return ReceiptRefusalNames.name(Value);
+}
+
+static constexpr NameTable<ConnectionClose, 2> ConnectionCloseNames{
+    {"connection-limit", "send-stalled"}};
+
+std::string_view name(ConnectionClose Value) {
+  return ConnectionCloseNames.name(Value);
+}
+
+// Idle connections keep a buffer of this size, which most heads fit in.
+static constexpr std::size_t HeadReadBytes = 1 << 10;
+static constexpr std::size_t BodyReadBytes = 16 << 10;
 // Pipelined requests wait in the buffer up to this size.
-static constexpr std::size_t MaxPipelinedBytes = 64 << 10;
+static constexpr std::size_t MaxPipelinedBytes = 8 << 10;
+// Input of all connections that only wait for their caller to close. What it
+// holds is never read.
+static char DiscardedInput[16 << 10];
+// Far above the length of a chunk in digits, with some extensions.
+static constexpr std::size_t MaxChunkLineBytes = 16 << 10;
+// Bodies up to this length get their memory at once, others as they arrive.
+static constexpr std::size_t MaxEagerBodyBytes = 64 << 10;
+static constexpr std::size_t MinBodyBytes = 4 << 10;
+// What a parsed field takes besides its text, and what a connection takes.
+static constexpr std::size_t FieldOverheadBytes = 160;
+static constexpr std::size_t ConnectionBytes = 4 << 10;
+// Output buffers above this size are freed after use.
+static constexpr std::size_t MaxKeptOutputBytes = 4 << 10;
 // After the last answer of a connection, such as an early rejection, further
 // input is read and discarded for this long; closing at once would reset the
 // connection and lose the answer.
@@ -28,8 +58,14 @@
 // caller sends in time must not cross the close of its connection.
 static constexpr Duration IdleMargin = std::chrono::seconds(1);
 
-CallerConnection::CallerConnection(tcp::socket Socket, RequestHandler &Handler)
-    : m_Socket(std::move(Socket)), m_Handler(Handler) {}
+CallerConnection::CallerConnection(tcp::socket Socket, std::string Address,
+                                   RequestHandler &Handler)
+    : m_Socket(std::move(Socket)), m_Address(std::move(Address)),
+      m_Handler(Handler),
+      m_ConnectionMemory(Handler.memoryBudget(), MemoryUse::Connection, ""),
+      m_OutputMemory(Handler.memoryBudget(), MemoryUse::Output, "") {
+  m_ConnectionMemory.resize(ConnectionBytes);
+}
 
 void CallerConnection::start() {
   beast::error_code Ignored;
@@ -47,67 +83,232 @@
   m_Parser.emplace();
   m_Parser->header_limit(Limits.m_MaxHeaderBytes);
   m_Parser->body_limit(Limits.m_MaxBodyBytes);
-  m_Parser->eager(true);
+  // The head by itself, since it tells whose memory the body takes.
+  m_Parser->eager(false);
+}
+
+ConnectionLimit::Activity CallerConnection::activity() const {
+  if (m_IsLingering)
+    return ConnectionLimit::Activity::Idle;
+  if (m_IsAnswering || unsentBytes() > 0)
+    return ConnectionLimit::Activity::Serving;
+  return m_IsReceiving ? ConnectionLimit::Activity::Receiving
+                       : ConnectionLimit::Activity::Idle;
+}
+
+std::size_t CallerConnection::readBytes() const {
+  bool IsBody = m_IsReceiving && m_Parser->is_header_done();
+  return IsBody ? BodyReadBytes : HeadReadBytes;
 }
 
 void CallerConnection::read() {
-  if (m_IsReading || m_IsClosed || m_Buffer.size() >= MaxPipelinedBytes)
+  bool IsFull = m_IsAnswering && m_Buffer.size() >= MaxPipelinedBytes;
+  if (m_IsReading || m_IsClosed || m_IsAwaitingMemory ||
+      (IsFull && !m_IsLingering))
     return;
   m_IsReading = true;
+  if (m_Buffer.size() == 0 && m_Buffer.capacity() > readBytes())
+    m_Buffer = {};
+  bool IsDiscarded = m_IsLingering;
+  auto Target = IsDiscarded ? asio::buffer(DiscardedInput)
+                            : m_Buffer.prepare(readBytes());
   auto Self = shared_from_this();
-  m_Socket.async_read_some(m_Buffer.prepare(ReadBytes),
-                           [Self](beast::error_code Error, std::size_t Size) {
-                             Self->m_IsReading = false;
-                             if (Self->m_IsClosed)
-                               return;
-                             if (Error) {
-                               // A caller that shut down only its sending
-                               // side cannot be told apart from one that
-                               // closed, so it counts as disconnected.
-                               Self->close();
-                               return;
-                             }
-                             Self->m_Buffer.commit(Size);
-                             if (Self->m_IsLingering) {
-                               Self->m_Buffer.consume(Self->m_Buffer.size());
-                             } else if (!Self->m_IsAnswering) {
-                               Self->parse();
-                             }
-                             Self->read();
-                           });
+  m_Socket.async_read_some(
+      Target, [Self, IsDiscarded](beast::error_code Error, std::size_t Size) {
+        Self->m_IsReading = false;
+        if (Self->m_IsClosed)
+          return;
+        if (Error) {
+          // A caller that shut down only its sending side cannot be told apart
+          // from one that closed, so it counts as disconnected.
+          Self->close();
+          return;
+        }
+        if (!IsDiscarded)
+          Self->m_Buffer.commit(Size);
+        Self->handleRead();
+      });
+}
+
+void CallerConnection::handleRead() {
+  if (m_IsLingering)
+    m_Buffer.consume(m_Buffer.size());
+  else if (m_IsAnswering)
+    m_ConnectionMemory.resize(ConnectionBytes + m_Buffer.capacity());
+  else
+    parse();
+  read();
+}
+
+void CallerConnection::beginReceipt() {
+  m_IsReceiving = true;
+  m_IsClientKnown = false;
+  m_HeadBytes = m_ReceivedBytes = 0;
+  m_StateSince = m_Handler.now();
+  m_ConnectionMemory.resize(ConnectionBytes);
+  // The limits may have changed since the previous answer.
+  prepareParser();
+  m_HeadMemory = std::make_shared<MemoryReservation>(
+      m_Handler.memoryBudget(), MemoryUse::RequestHead, m_Address);
+  m_HeadMemory->beginReceipt(
+      m_StateSince, [this] { refuseReceipt(ReceiptRefusal::Stalled); });
+}
+
+void CallerConnection::noteReceived(std::size_t Bytes) {
+  m_ReceivedBytes += Bytes;
+  m_HeadMemory->noteReceived(m_ReceivedBytes, m_LastReadAt);
 }
 
 void CallerConnection::parse() {
+  if (m_IsAwaitingMemory || (!m_IsReceiving && m_Buffer.size() == 0))
+    return;
+  if (!m_IsReceiving)
+    beginReceipt();
+  m_LastReadAt = m_Handler.now();
   while (m_Buffer.size() > 0 && !m_Parser->is_done()) {
-    if (!m_IsReceiving) {
-      m_IsReceiving = true;
-      m_StateSince = m_Handler.now();
-      // The limits may have changed since the previous answer.
-      prepareParser();
-    }
-    m_LastReadAt = m_Handler.now();
-    beast::error_code Error;
-    std::size_t Used = m_Parser->put(m_Buffer.data(), Error);
-    m_Buffer.consume(Used);
-    if (Error == http::error::need_more)
-      return;
-    if (Error == http::error::header_limit) {
-      reject(431, "the header is larger than the limit");
-      return;
-    }
-    if (Error == http::error::body_limit) {
-      reject(413, "the body is larger than the limit");
-      return;
-    }
-    if (Error) {
-      reject(400, Error.message());
+    if (!reserveMemory()) {
+      awaitMemory();
       return;
     }
-    if (Used == 0)
+    std::size_t Before = m_Buffer.size();
+    if (!parseBuffered())
       return;
+    if (m_Buffer.size() == Before)
+      break;
   }
-  if (m_Parser->is_done())
+  if (!m_Parser->is_done())
+    return;
+  if (reserveMemory())
     dispatch();
+  else
+    awaitMemory();
+}
+
+bool CallerConnection::parseBuffered() {
+  bool IsHead = !m_Parser->is_header_done();
+  beast::error_code Error;
+  std::size_t Used = m_Parser->put(m_Buffer.data(), Error);
+  m_Buffer.consume(Used);
+  noteReceived(Used);
+  if (IsHead && m_Parser->is_header_done()) {
+    m_HeadBytes = Used;
+    m_Parser->eager(true);
+  }
+  if (Error == http::error::need_more) {
+    if (IsHead || m_Buffer.size() <= MaxChunkLineBytes)
+      return true;
+    refuseReceipt(ReceiptRefusal::ChunkLine);
+  } else if (Error == http::error::header_limit) {
+    reject(431, "the header is larger than the limit");
+  } else if (Error == http::error::body_limit) {
+    reject(413, "the body is larger than the limit");
+  } else if (Error) {
+    reject(400, Error.message());
+  } else {
+    return true;
+  }
+  return false;
+}
+
+bool CallerConnection::reserveMemory() {
+  if (!m_Parser->is_header_done())
+    return m_HeadMemory->tryResize(m_Buffer.capacity());
+  const auto &Message = m_Parser->get();
+  if (!m_IsClientKnown) {
+    m_IsClientKnown = true;
+    m_HeadMemory->setClient(m_Handler.clientOf(Message.base(), m_Address));
+    auto Fields = std::distance(Message.begin(), Message.end());
+    m_HeadBytes += static_cast<std::size_t>(Fields) * FieldOverheadBytes;
+  }
+  std::size_t Buffered = m_Parser->is_done() ? 0 : BodyReadBytes;
+  return m_HeadMemory->tryResize(m_HeadBytes + Buffered) &&
+         (m_Parser->is_done() || reserveBody());
+}
+
+// Reserves by capacity, which is what the string takes.
+bool CallerConnection::reserveBody() {
+  std::string &Body = m_Parser->get().body();
+  std::uint64_t Left = m_Buffer.size();
+  if (auto Announced = m_Parser->content_length_remaining())
+    Left = std::min<std::uint64_t>(Left, *Announced);
+  std::size_t Needed = Body.size() + Left;
+  if (Needed <= Body.capacity())
+    return true;
+  std::size_t Capacity = std::max({Needed, 2 * Body.size(), MinBodyBytes});
+  if (auto Announced = m_Parser->content_length_remaining()) {
+    std::uint64_t Length = Body.size() + *Announced;
+    Capacity = Length <= MaxEagerBodyBytes
+                   ? Length
+                   : std::min<std::uint64_t>(Capacity, Length);
+  }
+  if (!m_BodyMemory)
+    m_BodyMemory = std::make_shared<MemoryReservation>(m_Handler.memoryBudget(),
+                                                       MemoryUse::RequestBody,
+                                                       m_HeadMemory->client());
+  if (!m_BodyMemory->tryResize(Capacity) && !m_BodyMemory->tryResize(Needed))
+    return false;
+  Body.reserve(m_BodyMemory->bytes());
+  return true;
+}
+
+void CallerConnection::awaitMemory() {
+  m_IsAwaitingMemory = true;
+  m_WaitingSince = m_Handler.now();
+  // It is this VM that does not read.
+  m_HeadMemory->endReceipt();
+  m_Handler.awaitMemory(shared_from_this());
+}
+
+bool CallerConnection::retryReceipt(Time Now) {
+  if (m_IsClosed || !m_IsAwaitingMemory)
+    return true;
+  if (!reserveMemory()) {
+    if (Now - m_WaitingSince < MaxMemoryWait)
+      return false;
+    refuseReceipt(ReceiptRefusal::MemoryWait);
+    return true;
+  }
+  m_IsAwaitingMemory = false;
+  m_HeadMemory->beginReceipt(
+      Now, [this] { refuseReceipt(ReceiptRefusal::Stalled); });
+  parse();
+  read();
+  return true;
+}
+
+void CallerConnection::refuseReceipt(ReceiptRefusal Cause) {
+  if (m_IsClosed || !m_IsReceiving)
+    return;
+  static const http::fields NoFields;
+  const http::fields &Head =
+      m_Parser->is_header_done() ? m_Parser->get().base() : NoFields;
+  AnswerFields Fields = m_Handler.refuseReceipt(Cause, Head, *m_HeadMemory);
+  m_IsAnswering = true;
+  m_IsReceiving = false;
+  m_KeepsAlive = false;
+  m_IsLingering = true;
+  releaseRequest();
+  switch (Cause) {
+  case ReceiptRefusal::ChunkLine:
+    answer(400, Fields, "the line of a chunk's length is too long\n");
+    break;
+  case ReceiptRefusal::ReceiveTimeout:
+    answer(408, Fields, "the request was not received in time\n");
+    break;
+  default:
+    answer(503, Fields, std::string(name(Cause)) + "\n");
+  }
+  read();
+}
+
+// Frees the memory of a request that is not handed on.
+void CallerConnection::releaseRequest() {
+  m_IsAwaitingMemory = false;
+  if (m_HeadMemory)
+    m_HeadMemory->endReceipt();
+  m_HeadMemory.reset();
+  m_BodyMemory.reset();
+  prepareParser();
 }
 
 void CallerConnection::dispatch() {
@@ -124,6 +325,9 @@
   m_KeepsAlive = m_Parser->keep_alive();
   Request.m_Fields = std::move(Message.base());
   Request.m_ReceivedAt = m_Handler.now();
+  m_HeadMemory->endReceipt();
+  Request.m_HeadMemory = std::move(m_HeadMemory);
+  Request.m_BodyMemory = std::move(m_BodyMemory);
   m_IsReceiving = false;
   m_IsAnswering = true;
   try {
@@ -152,6 +356,7 @@
   m_IsReceiving = false;
   m_KeepsAlive = false;
   m_IsLingering = true;
+  releaseRequest();
   answer(Status, {{"Content-Type", "text/plain"}}, Reason + "\n");
 }
 
@@ -243,35 +448,63 @@
 }
 
 void CallerConnection::flush() {
-  if (m_IsClosed || !m_BeingWritten.empty())
+  if (m_IsClosed)
     return;
+  if (!m_BeingWritten.empty()) {
+    noteOutput();
+    return;
+  }
   if (m_Output.empty()) {
     if (m_ClosesAfterWrite)
       lingerClose();
     return;
   }
   m_BeingWritten.swap(m_Output);
+  m_WrittenBytes = 0;
   // Usually the socket accepts everything, so no asynchronous write is needed.
   beast::error_code Error;
   m_Socket.non_blocking(true, Error);
-  std::size_t Sent = m_Socket.write_some(asio::buffer(m_BeingWritten), Error);
-  if (!Error && Sent == m_BeingWritten.size()) {
-    m_BeingWritten.clear();
+  m_WrittenBytes = m_Socket.write_some(asio::buffer(m_BeingWritten), Error);
+  if (!Error && m_WrittenBytes == m_BeingWritten.size()) {
+    noteOutput();
     if (m_ClosesAfterWrite)
       lingerClose();
     return;
   }
-  m_BeingWritten.erase(0, Sent);
+  m_WriteProgressAt = m_Handler.now();
+  noteOutput();
+  writeOutput();
+}
+
+// Frees what has been written, and counts the rest.
+void CallerConnection::noteOutput() {
+  if (m_WrittenBytes == m_BeingWritten.size()) {
+    m_WrittenBytes = 0;
+    m_BeingWritten.clear();
+    if (m_BeingWritten.capacity() > MaxKeptOutputBytes)
+      std::string().swap(m_BeingWritten);
+  }
+  bool IsHeld = !m_BeingWritten.empty();
+  m_OutputMemory.resize(IsHeld ? m_BeingWritten.capacity() + m_Output.capacity()
+                               : 0);
+}
+
+void CallerConnection::writeOutput() {
   auto Self = shared_from_this();
-  asio::async_write(m_Socket, asio::buffer(m_BeingWritten),
-                    [Self](beast::error_code WriteError, std::size_t) {
-                      Self->m_BeingWritten.clear();
-                      if (WriteError) {
-                        Self->close();
-                        return;
-                      }
-                      Self->flush();
-                    });
+  m_Socket.async_write_some(asio::buffer(m_BeingWritten) + m_WrittenBytes,
+                            [Self](beast::error_code Error, std::size_t Size) {
+                              if (Error) {
+                                Self->close();
+                                return;
+                              }
+                              Self->m_WriteProgressAt = Self->m_Handler.now();
+                              Self->m_WrittenBytes += Size;
+                              Self->noteOutput();
+                              if (Self->m_BeingWritten.empty())
+                                Self->flush();
+                              else
+                                Self->writeOutput();
+                            });
 }
 
 void CallerConnection::lingerClose() {
@@ -294,6 +527,9 @@
   m_IsClosed = true;
   beast::error_code Ignored;
   m_Socket.close(Ignored);
+  releaseRequest();
+  m_ConnectionMemory.resize(0);
+  m_OutputMemory.resize(0);
   if (!m_OnDisconnect)
     return;
   auto Handler = std::move(m_OnDisconnect);
@@ -306,8 +542,21 @@
     close();
 }
 
+void CallerConnection::closeForLimit() {
+  m_Handler.handleClosed(ConnectionClose::ConnectionLimit, m_Address);
+  close();
+}
+
 void CallerConnection::tick(Time Now) {
-  if (m_IsClosed || m_IsAnswering)
+  if (m_IsClosed)
+    return;
+  if (!m_BeingWritten.empty() &&
+      Now - m_WriteProgressAt > m_Handler.transferTimeouts().m_SendStall) {
+    m_Handler.handleClosed(ConnectionClose::SendStalled, m_Address);
+    close();
+    return;
+  }
+  if (m_IsAnswering)
     return;
   const CallerLimits &Limits = m_Handler.limits();
   if (m_IsLingering) {
@@ -324,6 +573,12 @@
       close();
     return;
   }
+  if (m_IsAwaitingMemory)
+    return;
+  if (Now - m_StateSince > m_Handler.transferTimeouts().m_Receive) {
+    refuseReceipt(ReceiptRefusal::ReceiveTimeout);
+    return;
+  }
   bool IsHeaderLate = !m_Parser->is_header_done() &&
                       Now - m_StateSince > Limits.m_HeaderTimeout;
   bool IsBodyLate = Now - m_LastReadAt > Limits.m_IdleTimeout;
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -1,13 +1,15 @@
 #ifndef PARSLEYRING_GATEWAY_CALLERCONNECTION_H
 #define PARSLEYRING_GATEWAY_CALLERCONNECTION_H
 
+#include "admission/ConnectionLimit.h"
+#include "admission/MemoryBudget.h"
 #include "fleet/RouteTable.h"
+#include "gateway/ReceivedBody.h"
 #include "parsleyring/Types.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <functional>
 #include <memory>
@@ -23,6 +25,9 @@
   boost::beast::http::fields m_Fields;
   std::string m_Body;
   Time m_ReceivedAt{};
+  /// Of the head and the body, until the request has ended.
+  std::shared_ptr<MemoryReservation> m_HeadMemory;
+  std::shared_ptr<MemoryReservation> m_BodyMemory;
 
   std::string field(const std::string &Name) const {
     auto Value = m_Fields[Name];
@@ -35,12 +40,49 @@
 
 class CallerConnection;
 
+/// Why a request is refused before it has been received whole.
+enum class ReceiptRefusal {
+  MemoryWait,     ///< No room became free in time.
+  Stalled,        ///< It stood still while others needed its room.
+  ReceiveTimeout, ///< It took too long in all.
+  ChunkLine,      ///< The line of a chunk's length is too long.
+  Stopping,       ///< The process ends.
+};
+std::string_view name(ReceiptRefusal Value);
+
+/// Why this VM closes a caller's connection.
+enum class ConnectionClose { ConnectionLimit, SendStalled };
+std::string_view name(ConnectionClose Value);
+
+/// Bounds on the time that a caller may take, besides the CallerLimits of the
+/// configuration.
+struct TransferTimeouts {
+  Duration m_Receive = std::chrono::seconds(60); ///< For a whole request.
+  /// After which a caller that takes no output is disconnected.
+  Duration m_SendStall = std::chrono::seconds(30);
+};
+
 /// Answers the requests that a CallerConnection receives.
 class RequestHandler {
 public:
   virtual ~RequestHandler() = default;
   virtual Time now() const = 0;
   virtual const CallerLimits &limits() const = 0;
+  virtual const TransferTimeouts &transferTimeouts() const = 0;
+  virtual MemoryBudget &memoryBudget() = 0;
+  /// The client whose share of the memory a request with these fields takes.
+  virtual std::string clientOf(const boost::beast::http::fields &Fields,
+                               const std::string &Address) const = 0;
+  /// Calls retryReceipt() on the connection when there may be room.
+  virtual void
+  awaitMemory(const std::shared_ptr<CallerConnection> &Connection) = 0;
+  /// Records a request that is refused and returns the fields of its answer.
+  /// Head is empty if it has not been received.
+  virtual AnswerFields refuseReceipt(ReceiptRefusal Cause,
+                                     const boost::beast::http::fields &Head,
+                                     const MemoryReservation &Memory) = 0;
+  virtual void handleClosed(ConnectionClose Cause,
+                            const std::string &Address) = 0;
   /// True if connections close after the answer in progress.
   virtual bool isStopping() const = 0;
   /// Must eventually answer on the connection exactly once, or abort() it.
@@ -55,7 +97,8 @@
 /// answer; detects a caller that disconnects during a request.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-  CallerConnection(boost::asio::ip::tcp::socket Socket,
+  /// Address is the IP address of the caller.
+  CallerConnection(boost::asio::ip::tcp::socket Socket, std::string Address,
                    RequestHandler &Handler);
 
   void start();
@@ -79,24 +122,50 @@
   }
   bool isClosed() const { return m_IsClosed; }
   bool isIdle() const { return !m_IsAnswering && !m_IsReceiving; }
+  ConnectionLimit::Activity activity() const;
+  /// Last time that the caller sent something, or the start of the state.
+  Time activeAt() const { return std::max(m_StateSince, m_LastReadAt); }
   std::size_t unsentBytes() const {
-    return m_Output.size() + m_BeingWritten.size();
+    return m_Output.size() + m_BeingWritten.size() - m_WrittenBytes;
   }
   /// Closes the connection if no request is in progress.
   void closeIfIdle();
+  /// Closes the connection, which serves no request, in favour of another one.
+  void closeForLimit();
+  /// Goes on with a request that waits for memory, or refuses it if it has
+  /// waited for MaxMemoryWait. Returns false if it still waits.
+  bool retryReceipt(Time Now);
+  /// The client of the request that is being received.
+  const std::string &memoryClient() const { return m_HeadMemory->client(); }
+  /// Refuses the request that is being received, if any.
+  void refuseReceipt(ReceiptRefusal Cause);
+
+  static constexpr Duration MaxMemoryWait = std::chrono::milliseconds(500);
 
 private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<ReceivedBody>;
 
   void prepareParser();
+  void beginReceipt();
+  std::size_t readBytes() const;
   void read();
+  void handleRead();
   void parse();
+  /// Returns false if the request has been rejected.
+  bool parseBuffered();
+  /// Reserves the memory that parsing the buffered bytes takes.
+  bool reserveMemory();
+  bool reserveBody();
+  void awaitMemory();
+  void noteReceived(std::size_t Bytes);
+  void releaseRequest();
   void dispatch();
   void reject(unsigned Status, const std::string &Reason);
   /// Ends the request in progress, which may have run, with a failure.
   void failRequest();
   void flush();
+  void writeOutput();
+  void noteOutput();
   /// Begins the head of an answer in m_Output; the caller of this function adds
   /// the framing fields.
   void appendHead(unsigned Status, const AnswerFields &Fields);
@@ -105,18 +174,31 @@
   void close();
 
   boost::asio::ip::tcp::socket m_Socket;
+  const std::string m_Address;
   RequestHandler &m_Handler;
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
   std::function<void()> m_OnDisconnect;
-  std::string m_Output;       ///< Waits until m_BeingWritten has been sent.
-  std::string m_BeingWritten; ///< Being written to the socket.
-  Time m_StateSince{};        ///< Start of the current state.
+  std::string m_Output;           ///< Waits until m_BeingWritten has been sent.
+  std::string m_BeingWritten;     ///< Being written to the socket.
+  std::size_t m_WrittenBytes = 0; ///< Of m_BeingWritten.
+  Time m_WriteProgressAt{};
+  MemoryReservation m_ConnectionMemory;
+  MemoryReservation m_OutputMemory;
+  /// Of the request that is being received.
+  std::shared_ptr<MemoryReservation> m_HeadMemory;
+  std::shared_ptr<MemoryReservation> m_BodyMemory;
+  std::size_t m_HeadBytes = 0;     ///< Of the parsed head.
+  std::size_t m_ReceivedBytes = 0; ///< Of the request so far.
+  Time m_WaitingSince{};
+  Time m_StateSince{}; ///< Start of the current state.
   Time m_LastReadAt{};
   /// The idle timeout that was in force when the caller was told of it.
   Duration m_AnnouncedIdleTimeout{};
   bool m_IsReading = false;
-  bool m_IsReceiving = false; ///< Part of a request has been read.
+  bool m_IsAwaitingMemory = false;
+  bool m_IsReceiving = false;   ///< Part of a request has been read.
+  bool m_IsClientKnown = false; ///< The reservations name the client.
   bool m_IsAnswering = false;
   bool m_IsChunked = false;
   bool m_KeepsAlive = true;
--- a/src/gateway/CallerListener.cpp
+++ b/src/gateway/CallerListener.cpp
@@ -15,8 +15,10 @@
 
 CallerListener::CallerListener(asio::io_context &Loop,
                                const std::string &Address,
-                               RequestHandler &Handler)
-    : m_Acceptor(Loop), m_RetryTimer(Loop), m_Handler(Handler) {
+                               RequestHandler &Handler,
+                               std::size_t MaxConnections)
+    : m_Acceptor(Loop), m_RetryTimer(Loop), m_Handler(Handler),
+      m_Limit(MaxConnections) {
   std::optional<SocketAddress> Parsed = parseSocketAddress(Address);
   if (!Parsed)
     throw std::runtime_error("cannot listen on \"" + Address +
@@ -36,7 +38,7 @@
 
 void CallerListener::accept() {
   m_Acceptor.async_accept(
-      [this](boost::system::error_code Error, tcp::socket Socket) {
+      m_Peer, [this](boost::system::error_code Error, tcp::socket Socket) {
         if (Error == asio::error::operation_aborted)
           return;
         if (Error) {
@@ -50,33 +52,69 @@
           return;
         }
         ScopeGuard AcceptNext([this] { accept(); });
-        auto Connection =
-            std::make_shared<CallerConnection>(std::move(Socket), m_Handler);
-        m_Connections.push_back(Connection);
-        Connection->start();
+        add(std::move(Socket));
       });
 }
 
+void CallerListener::add(tcp::socket Socket) {
+  std::string Address = m_Peer.address().to_string();
+  auto Connection =
+      std::make_shared<CallerConnection>(std::move(Socket), Address, m_Handler);
+  m_Connections[m_Limit.add(Address, m_Handler.now())] = Connection;
+  Connection->start();
+  closeExcess();
+}
+
+void CallerListener::remove(ConnectionNumber Number) {
+  m_Limit.remove(Number);
+  m_Connections.erase(Number);
+}
+
+// What the connections do is only asked for when one of them has to go.
+void CallerListener::closeExcess() {
+  if (m_Limit.size() <= m_Limit.limit())
+    return;
+  std::vector<ConnectionNumber> Closed;
+  for (const auto &[Number, Connection] : m_Connections) {
+    m_Limit.setActivity(Number, Connection->activity(), Connection->activeAt());
+    if (Connection->isClosed())
+      Closed.push_back(Number);
+  }
+  for (ConnectionNumber Number : Closed)
+    remove(Number);
+  while (auto Excess = m_Limit.excess()) {
+    m_Connections.at(*Excess)->closeForLimit();
+    remove(*Excess);
+  }
+}
+
 void CallerListener::tick(Time Now) {
   for (auto Entry = m_Connections.begin(); Entry != m_Connections.end();) {
-    (*Entry)->tick(Now);
-    Entry =
-        (*Entry)->isClosed() ? m_Connections.erase(Entry) : std::next(Entry);
+    ConnectionNumber Number = Entry->first;
+    auto Connection = (Entry++)->second;
+    Connection->tick(Now);
+    if (Connection->isClosed())
+      remove(Number);
   }
 }
 
 void CallerListener::closeIdle() {
-  for (const auto &Connection : m_Connections)
+  for (const auto &[Number, Connection] : m_Connections)
     Connection->closeIfIdle();
 }
 
+void CallerListener::refuseReceipts(ReceiptRefusal Cause) {
+  for (const auto &[Number, Connection] : m_Connections)
+    Connection->refuseReceipt(Cause);
+}
+
 void CallerListener::close() {
   boost::system::error_code Ignored;
   m_Acceptor.close(Ignored);
 }
 
 bool CallerListener::hasRequests() const {
-  for (const auto &Connection : m_Connections)
+  for (const auto &[Number, Connection] : m_Connections)
     if (!Connection->isClosed() && !Connection->isIdle())
       return true;
   return false;
--- a/src/gateway/CallerListener.h
+++ b/src/gateway/CallerListener.h
@@ -5,7 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include <list>
+#include <map>
 
 namespace parsleyring {
 
@@ -14,21 +14,28 @@
 public:
   /// Throws std::runtime_error if the address cannot be listened on.
   CallerListener(boost::asio::io_context &Loop, const std::string &Address,
-                 RequestHandler &Handler);
+                 RequestHandler &Handler, std::size_t MaxConnections);
 
   void tick(Time Now);
   void closeIdle();
+  /// Refuses the requests that are being received.
+  void refuseReceipts(ReceiptRefusal Cause);
   void close();
   std::size_t size() const { return m_Connections.size(); }
   bool hasRequests() const;
 
 private:
   void accept();
+  void add(boost::asio::ip::tcp::socket Socket);
+  void closeExcess();
+  void remove(ConnectionNumber Number);
 
   boost::asio::ip::tcp::acceptor m_Acceptor;
+  boost::asio::ip::tcp::endpoint m_Peer; ///< Of the next connection.
   boost::asio::steady_timer m_RetryTimer;
   RequestHandler &m_Handler;
-  std::list<std::shared_ptr<CallerConnection>> m_Connections;
+  ConnectionLimit m_Limit;
+  std::map<ConnectionNumber, std::shared_ptr<CallerConnection>> m_Connections;
 };
 
 } // namespace parsleyring
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -39,6 +39,7 @@
   virtual ReturnSchedule &returnSchedule(const std::string &Service) = 0;
   virtual CrashGuard &crashGuard() = 0;
   virtual LeavingRecorder &leavingRecorder() = 0;
+  virtual MemoryBudget &memoryBudget() = 0;
   virtual DecisionLog &log() = 0;
   virtual NodeMetrics &metrics() = 0;
   virtual const std::string &failureDomain() const = 0;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -5,6 +5,8 @@
 #include "gateway/StreamForward.h"
 
 #include <csignal>
+#include <malloc.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -38,14 +40,77 @@
 // process.
 static constexpr Duration StopMargin = std::chrono::milliseconds(350);
 
+// The memory of a VM whose settings do not name it.
+static constexpr std::size_t DefaultMemoryBytes = 256 << 20;
+// Descriptors that the platform keeps for files.
+static constexpr std::size_t FileDescriptors = 200;
+static constexpr std::size_t MinConnections = 16;
+// The part of the sockets that callers may hold, and that each of the other
+// listeners may hold.
+static constexpr std::size_t CallerSocketPart = 2;
+static constexpr std::size_t InternalSocketPart = 8;
+// Callers that found no memory return at this rate; the largest body of the
+// slowest VM takes about as long.
+static constexpr double MemoryReturnsPerSecond = 20;
+static constexpr Duration FirstMemoryReturn = std::chrono::milliseconds(300);
+// Internal requests have no bodies.
+static constexpr std::uint64_t MaxInternalBodyBytes = 4 << 10;
+
+static std::size_t socketLimit(const GatewaySettings &Settings) {
+  std::size_t Descriptors = Settings.m_MaxDescriptors;
+  if (Descriptors == 0) {
+    rlimit Limit{};
+    getrlimit(RLIMIT_NOFILE, &Limit);
+    Descriptors = Limit.rlim_cur;
+  }
+  return Descriptors > FileDescriptors ? Descriptors - FileDescriptors
+                                       : MinConnections;
+}
+
+static std::size_t callerConnectionLimit(const GatewaySettings &Settings) {
+  if (Settings.m_MaxCallerConnections > 0)
+    return Settings.m_MaxCallerConnections;
+  return std::max(MinConnections, socketLimit(Settings) / CallerSocketPart);
+}
+
+static std::size_t memoryLimit(const GatewaySettings &Settings) {
+  std::size_t Memory =
+      Settings.m_MemoryBytes > 0 ? Settings.m_MemoryBytes : DefaultMemoryBytes;
+  return static_cast<std::size_t>(static_cast<double>(Memory) *
+                                  Settings.m_RequestMemoryShare);
+}
+
 namespace {
 
 /// Base of the handlers of internal requests. Uses the default limits and never
 /// reports that it is stopping.
 class InternalHandler : public RequestHandler {
 public:
-  explicit InternalHandler(GatewayNode &Node) : m_Node(Node) {}
+  explicit InternalHandler(GatewayNode &Node) : m_Node(Node) {
+    m_Limits.m_MaxBodyBytes = MaxInternalBodyBytes;
+  }
   Time now() const override { return m_Node.now(); }
+  const TransferTimeouts &transferTimeouts() const override {
+    return m_Node.transferTimeouts();
+  }
+  MemoryBudget &memoryBudget() override { return m_Node.memoryBudget(); }
+  std::string clientOf(const boost::beast::http::fields &,
+                       const std::string &Address) const override {
+    return Address;
+  }
+  void
+  awaitMemory(const std::shared_ptr<CallerConnection> &Connection) override {
+    m_Node.awaitMemory(Connection);
+  }
+  AnswerFields refuseReceipt(ReceiptRefusal Cause,
+                             const boost::beast::http::fields &Head,
+                             const MemoryReservation &Memory) override {
+    return m_Node.refuseReceipt(Cause, Head, Memory);
+  }
+  void handleClosed(ConnectionClose Cause,
+                    const std::string &Address) override {
+    m_Node.handleClosed(Cause, Address);
+  }
   const CallerLimits &limits() const override { return m_Limits; }
   bool isStopping() const override { return false; }
   void handleMalformed(unsigned, const std::string &) override {}
@@ -159,7 +224,10 @@
                          const EndpointProtocol &Endpoints,
                          const RecordFormat &Records)
     : m_Settings(std::move(Settings)), m_Protocol(Endpoints),
-      m_Records(Records), m_Log(STDOUT_FILENO, m_Settings.m_VM),
+      m_Records(Records), m_TransferTimeouts{m_Settings.m_ReceiveTimeout,
+                                             m_Settings.m_SendStallTimeout},
+      m_MemoryBudget(memoryLimit(m_Settings)),
+      m_Log(STDOUT_FILENO, m_Settings.m_VM),
       m_Random(std::random_device{}()), m_Self{m_Settings.m_VM,
                                                m_Settings.m_PeerAddress,
                                                m_Settings.m_FailureDomain,
@@ -209,16 +277,21 @@
             handleDigestChanges(Changes, By);
           }),
       m_TickTimer(m_Loop), m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
-  auto Listen = [this](const std::string &Address, RequestHandler &Handler) {
-    m_Listeners.push_back(
-        std::make_unique<CallerListener>(m_Loop, Address, Handler));
+  auto Listen = [this](const std::string &Address, RequestHandler &Handler,
+                       std::size_t MaxConnections) {
+    m_Listeners.push_back(std::make_unique<CallerListener>(
+        m_Loop, Address, Handler, MaxConnections));
     return m_Listeners.back().get();
   };
-  m_CallerListener = Listen(m_Settings.m_CallerAddress, *this);
-  Listen(m_Settings.m_ReadyAddress, *m_ReadyHandler);
-  Listen(m_Settings.m_PeerAddress, *m_PeerHandler);
+  m_CallerListener = Listen(m_Settings.m_CallerAddress, *this,
+                            callerConnectionLimit(m_Settings));
+  std::size_t MaxInternal =
+      std::max(MinConnections, socketLimit(m_Settings) / InternalSocketPart);
+  Listen(m_Settings.m_ReadyAddress, *m_ReadyHandler, MaxInternal);
+  Listen(m_Settings.m_PeerAddress, *m_PeerHandler, MaxInternal);
   if (!m_Settings.m_MetricsAddress.empty())
-    Listen(m_Settings.m_MetricsAddress, *m_MetricsHandler);
+    Listen(m_Settings.m_MetricsAddress, *m_MetricsHandler, MaxInternal);
+  m_Metrics.setMemoryLimit(m_MemoryBudget.limit());
 }
 
 GatewayNode::~GatewayNode() = default;
@@ -226,7 +299,10 @@
 void GatewayNode::run() {
   m_Log.write(now(), "start", "",
               {{"failure_domain", m_Settings.m_FailureDomain},
-               {"callers", m_Settings.m_CallerAddress}});
+               {"callers", m_Settings.m_CallerAddress},
+               {"request_memory_bytes", std::int64_t(m_MemoryBudget.limit())},
+               {"caller_connections",
+                std::int64_t(callerConnectionLimit(m_Settings))}});
   m_Signals.async_wait([this](boost::system::error_code Error, int Signal) {
     if (!Error)
       handleSignal(Signal);
@@ -260,6 +336,64 @@
 
 // Requests
 
+static constexpr std::string_view BearerScheme = "Bearer ";
+
+static bool hasBearerScheme(std::string_view Credentials) {
+  return Credentials.substr(0, BearerScheme.size()) == BearerScheme;
+}
+
+const AccountRule *
+GatewayNode::accountOf(const boost::beast::http::fields &Fields) const {
+  const std::shared_ptr<const RouteTable> &Table = m_Configuration.table();
+  auto Value = Fields[boost::beast::http::field::authorization];
+  std::string_view Credentials(Value.data(), Value.size());
+  if (!Table || !hasBearerScheme(Credentials))
+    return nullptr;
+  auto Found = Table->m_AccountsByKey.find(
+      std::string(Credentials.substr(BearerScheme.size())));
+  return Found == Table->m_AccountsByKey.end() ? nullptr : &Found->second;
+}
+
+std::string GatewayNode::clientOf(const boost::beast::http::fields &Fields,
+                                  const std::string &Address) const {
+  const AccountRule *Account = accountOf(Fields);
+  return Account ? "account " + Account->m_Name : Address;
+}
+
+AnswerFields GatewayNode::refuseReceipt(ReceiptRefusal Cause,
+                                        const boost::beast::http::fields &Head,
+                                        const MemoryReservation &Memory) {
+  const HeaderNames &Names = m_Protocol.headers();
+  AnswerFields Fields{{"Content-Type", "text/plain"}};
+  auto Id = Head[Names.m_RequestId];
+  std::string_view RequestId(Id.data(), Id.size());
+  if (!RequestId.empty())
+    Fields.emplace_back(Names.m_RequestId, RequestId);
+  Duration Delay =
+      m_MemoryReturns.next(FirstMemoryReturn, MemoryReturnsPerSecond, now());
+  char Seconds[16];
+  std::snprintf(Seconds, sizeof(Seconds), "%.2f",
+                std::chrono::duration<double>(Delay).count());
+  Fields.emplace_back(Names.m_RetryAfter, Seconds);
+  m_Metrics.countOverloadRefusal(name(Cause));
+  m_Log.write(now(), "request-refused-memory", RequestId,
+              {{"cause", name(Cause)},
+               {"client", Memory.client()},
+               {"held_bytes", std::int64_t(Memory.bytes())},
+               {"used_bytes", std::int64_t(m_MemoryBudget.used())},
+               {"limit_bytes", std::int64_t(m_MemoryBudget.limit())}});
+  return Fields;
+}
+
+void GatewayNode::handleClosed(ConnectionClose Cause,
+                               const std::string &Address) {
+  m_Metrics.countClosedConnection(name(Cause));
+  m_Log.write(now(), "connection-closed", "",
+              {{"cause", name(Cause)},
+               {"address", Address},
+               {"connections", std::int64_t(m_CallerListener->size())}});
+}
+
 std::optional<GatewayNode::Refusal> GatewayNode::prepareJob(ForwardJob &Job) {
   const std::shared_ptr<const RouteTable> &Table = m_Configuration.table();
   if (!Table)
@@ -277,16 +411,13 @@
   const HeaderNames &Names = m_Protocol.headers();
   Job.m_Id = Request.field(Names.m_RequestId);
   if (Table->m_HasAccounts && !Job.m_Route->m_IsAnonymous) {
-    std::string Credentials = Request.field("Authorization");
-    static const std::string Scheme = "Bearer ";
-    if (Credentials.compare(0, Scheme.size(), Scheme) != 0)
+    if (!hasBearerScheme(Request.field("Authorization")))
       return Refusal{401, "no-key"};
-    auto Account =
-        Table->m_AccountsByKey.find(Credentials.substr(Scheme.size()));
-    if (Account == Table->m_AccountsByKey.end())
+    const AccountRule *Account = accountOf(Request.m_Fields);
+    if (!Account)
       return Refusal{401, "unknown-key"};
-    Job.m_Account = Account->second.m_Name;
-    Job.m_Priority = Account->second.m_Priority.value_or(Job.m_Priority);
+    Job.m_Account = Account->m_Name;
+    Job.m_Priority = Account->m_Priority.value_or(Job.m_Priority);
   }
   Job.m_Service = Table->service(Job.m_Route->pickService(random()));
   if (!Job.m_Service)
@@ -687,6 +818,7 @@
 void GatewayNode::tick() {
   ++m_Ticks;
   tickRequests();
+  guard("memory", [this] { tickMemory(); });
   guard("admission", [this] {
     for (auto &[Service, Queue] : m_AdmissionQueues)
       Queue.tick(now());
@@ -720,6 +852,29 @@
   }
 }
 
+// Requests that have stalled make room for those that wait.
+void GatewayNode::tickMemory() {
+  Time Now = now();
+  std::vector<std::weak_ptr<CallerConnection>> Waiting;
+  Waiting.swap(m_AwaitingMemory);
+  for (const auto &Entry : Waiting) {
+    std::shared_ptr<CallerConnection> Connection = Entry.lock();
+    bool IsWaiting = Connection && !Connection->retryReceipt(Now);
+    while (IsWaiting) {
+      MemoryReservation *Stalled =
+          m_MemoryBudget.stalledRequest(Connection->memoryClient(), Now);
+      if (!Stalled)
+        break;
+      Stalled->refuse();
+      IsWaiting = !Connection->retryReceipt(Now);
+    }
+    if (IsWaiting)
+      m_AwaitingMemory.push_back(Connection);
+  }
+  if (m_MemoryBudget.takeTrimRequest(Now))
+    malloc_trim(0);
+}
+
 void GatewayNode::tickMaintenance() {
   Time Now = now();
   pollSlowEngines();
@@ -744,6 +899,9 @@
   m_Metrics.setLimitedEndpoints(m_Fleet.limitedEndpoints());
   m_Metrics.setLeavingEndpoints(m_Fleet.leavingEndpoints());
   m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
+  for (std::size_t Use = 0; Use < MemoryUseCount; ++Use)
+    m_Metrics.setMemory(static_cast<MemoryUse>(Use),
+                        m_MemoryBudget.used(static_cast<MemoryUse>(Use)));
   m_Metrics.setConfirmationAge(m_StoreWatcher.confirmationAge());
   m_Metrics.countDroppedLogLines(m_Log.droppedLines() - m_CountedDroppedLines);
   m_CountedDroppedLines = m_Log.droppedLines();
@@ -823,6 +981,9 @@
   // A request that arrives as its connection closes is not forwarded, so it
   // certainly has not run.
   m_CallerListener->closeIdle();
+  // They would be refused once they were received.
+  if (Stopped > PlainRequestCutoff)
+    m_CallerListener->refuseReceipts(ReceiptRefusal::Stopping);
   bool IsOver = Stopped > m_Settings.m_ShutdownTimeout - StopMargin;
   // A caller whose request is still in progress gets a failure rather than a
   // connection that ends without an answer.
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -45,6 +45,22 @@
   handleRequest(CallerRequest Request,
                 const std::shared_ptr<CallerConnection> &Connection) override;
   void handleMalformed(unsigned Status, const std::string &Reason) override;
+  const TransferTimeouts &transferTimeouts() const override {
+    return m_TransferTimeouts;
+  }
+  std::string clientOf(const boost::beast::http::fields &Fields,
+                       const std::string &Address) const override;
+  void
+  awaitMemory(const std::shared_ptr<CallerConnection> &Connection) override {
+    m_AwaitingMemory.push_back(Connection);
+  }
+  AnswerFields refuseReceipt(ReceiptRefusal Cause,
+                             const boost::beast::http::fields &Head,
+                             const MemoryReservation &Memory) override;
+  void handleClosed(ConnectionClose Cause, const std::string &Address) override;
+
+  // RequestHandler and ForwardContext
+  MemoryBudget &memoryBudget() override { return m_MemoryBudget; }
 
   // ForwardContext
   ConnectionPool &connectionPool() override { return m_ConnectionPool; }
@@ -108,6 +124,10 @@
   void refuse(const CallerRequest &Request, CallerConnection &Caller,
               Refusal Cause);
 
+  /// The account that the credentials in Fields belong to; null if there is
+  /// none.
+  const AccountRule *accountOf(const boost::beast::http::fields &Fields) const;
+
   /// Runs Action; an exception is logged and counted. Returns false if there
   /// was one. It ends what the event was about, but not the other requests.
   bool guard(std::string_view Handler, const std::function<void()> &Action);
@@ -121,6 +141,7 @@
   void scheduleTick();
   void tick();
   void tickRequests();
+  void tickMemory();
   void tickMaintenance();
   void updateGauges();
   void recordPace(FleetEndpoint &Endpoint, double Pace);
@@ -142,6 +163,9 @@
   const GatewaySettings m_Settings;
   const EndpointProtocol &m_Protocol;
   const RecordFormat &m_Records;
+  const TransferTimeouts m_TransferTimeouts;
+  /// Outlives the handlers of the loop, which hold connections.
+  MemoryBudget m_MemoryBudget;
   boost::asio::io_context m_Loop{1};
   NodeClock m_Clock;
   DecisionLog m_Log;
@@ -171,6 +195,9 @@
   std::map<std::string, ReturnSchedule> m_ReturnSchedules; ///< By service.
   std::map<std::string, RetryShare> m_RetryShares;
   std::set<std::shared_ptr<ForwardedRequest>> m_Requests;
+  /// Connections with a request that waits for memory.
+  std::vector<std::weak_ptr<CallerConnection>> m_AwaitingMemory;
+  ReturnSchedule m_MemoryReturns;
 
   std::unique_ptr<ReadyHandler> m_ReadyHandler;
   std::unique_ptr<PeerHandler> m_PeerHandler;
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -91,6 +91,20 @@
             "Listed endpoints that get no new requests since they leave.");
   Gauge &m_Running = gauge(m_Registry, "parsleyring_requests_running",
                            "Requests in progress.");
+  Family<Gauge> &m_Memory =
+      BuildGauge()
+          .Name("parsleyring_reserved_memory_bytes")
+          .Help("Memory that requests and answers hold, by use.")
+          .Register(m_Registry);
+  Gauge &m_MemoryLimit =
+      gauge(m_Registry, "parsleyring_reserved_memory_limit_bytes",
+            "Memory that requests and answers may hold.");
+  Family<Counter> &m_OverloadRefusals =
+      counters(m_Registry, "parsleyring_receipt_refusals_total",
+               "Requests refused before they were received, by cause.");
+  Family<Counter> &m_ClosedConnections =
+      counters(m_Registry, "parsleyring_caller_connections_closed_total",
+               "Connections of callers that this VM closed, by cause.");
   Gauge &m_Connections = gauge(m_Registry, "parsleyring_caller_connections",
                                "Open connections of callers.");
 };
@@ -186,6 +200,25 @@
   m_Families->m_DroppedLines.Increment(static_cast<double>(Lines));
 }
 
+void NodeMetrics::setMemory(MemoryUse Use, std::size_t Bytes) {
+  m_Families->m_Memory.Add({{"use", std::string(name(Use))}})
+      .Set(static_cast<double>(Bytes));
+}
+
+void NodeMetrics::setMemoryLimit(std::size_t Bytes) {
+  m_Families->m_MemoryLimit.Set(static_cast<double>(Bytes));
+}
+
+void NodeMetrics::countOverloadRefusal(std::string_view Cause) {
+  m_Families->m_OverloadRefusals.Add({{"cause", std::string(Cause)}})
+      .Increment();
+}
+
+void NodeMetrics::countClosedConnection(std::string_view Cause) {
+  m_Families->m_ClosedConnections.Add({{"cause", std::string(Cause)}})
+      .Increment();
+}
+
 std::string NodeMetrics::text() const {
   return TextSerializer().Serialize(m_Families->m_Registry.Collect());
 }
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYRING_GATEWAY_NODEMETRICS_H
 #define PARSLEYRING_GATEWAY_NODEMETRICS_H
 
+#include "admission/MemoryBudget.h"
 #include "parsleyring/Types.h"
 
 #include <memory>
@@ -38,6 +39,13 @@
   void setLeavingEndpoints(std::size_t Endpoints);
   void setRunning(std::size_t Requests, std::size_t Connections);
   void countDroppedLogLines(std::uint64_t Lines);
+  void setMemory(MemoryUse Use, std::size_t Bytes);
+  void setMemoryLimit(std::size_t Bytes);
+  /// Counts a request that was refused before it was received whole; Cause must
+  /// be one of a fixed set of labels.
+  void countOverloadRefusal(std::string_view Cause);
+  /// Counts a caller's connection that this VM closed.
+  void countClosedConnection(std::string_view Cause);
   std::string text() const;
 
 private:
