Share request bodies with connections and count answers

Bodies were copied for each sending, connections kept the copy and a read buffer while idle, and answers of plain endpoints were collected without a common limit. Bodies are now written from where they are, idle connections hold no buffers, and an answer takes memory of the budget; its reading pauses while there is none. Checked for syntax only.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -45,6 +45,8 @@
 // What a parsed field takes besides its text, and what a connection takes.
 static constexpr std::size_t FieldOverheadBytes = 160;
 static constexpr std::size_t ConnectionBytes = 4 << 10;
+// The field that ends the head of an answer with a body, with its blank line.
+static constexpr std::size_t LengthFieldBytes = 48;
 // Output buffers above this size are freed after use.
 static constexpr std::size_t MaxKeptOutputBytes = 4 << 10;
 // After the last answer of a connection, such as an early rejection, further
@@ -394,6 +396,7 @@
   if (m_IsClosed)
     return;
   appendHead(Status, Fields);
+  m_Output.reserve(m_Output.size() + Body.size() + LengthFieldBytes);
   m_Output += "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n";
   m_Output += Body;
   finishAnswer();
--- a/src/gateway/ConnectionPool.cpp
+++ b/src/gateway/ConnectionPool.cpp
@@ -57,6 +57,21 @@
       [this, WatchedConnection, Address = Connection->address()] {
         removeIdle(WatchedConnection, Address);
       });
+  closeExcess();
+}
+
+void ConnectionPool::closeExcess() {
+  if (size() <= m_MaxIdle)
+    return;
+  // Those of an address are in the order in which they became idle.
+  std::vector<IdleConnection> *Oldest = nullptr;
+  for (auto &[Address, Connections] : m_Idle)
+    if (!Connections.empty() && (!Oldest || Connections.front().m_IdleSince <
+                                                Oldest->front().m_IdleSince))
+      Oldest = &Connections;
+  std::shared_ptr<HttpConnection> Closed = Oldest->front().m_Connection;
+  Oldest->erase(Oldest->begin());
+  Closed->close();
 }
 
 void ConnectionPool::removeIdle(const HttpConnection *Connection,
--- a/src/gateway/ConnectionPool.h
+++ b/src/gateway/ConnectionPool.h
@@ -3,6 +3,7 @@
 
 #include "gateway/HttpConnection.h"
 
+#include <limits>
 #include <unordered_map>
 #include <vector>
 
@@ -25,6 +26,8 @@
   /// Closes the connections whose idle timeout has passed.
   void expire(Time Now);
   std::size_t size() const;
+  /// Further idle connections take the place of those idle for longest.
+  void setMaxIdle(std::size_t Connections) { m_MaxIdle = Connections; }
 
 private:
   struct IdleConnection {
@@ -35,7 +38,10 @@
 
   void removeIdle(const HttpConnection *Connection, const std::string &Address);
 
+  void closeExcess();
+
   boost::asio::io_context &m_Loop;
+  std::size_t m_MaxIdle = std::numeric_limits<std::size_t>::max();
   std::unordered_map<std::string, std::vector<IdleConnection>> m_Idle;
 };
 
--- a/src/gateway/ForwardContext.cpp
+++ b/src/gateway/ForwardContext.cpp
@@ -58,10 +58,10 @@
   Text += "\r\n";
 }
 
-std::string serializeRequest(const ForwardJob &Job,
-                             const EndpointProtocol &Protocol,
-                             const EndpointEntry &Target, Time Now,
-                             const AnswerFields &Extra) {
+std::string serializeHead(const ForwardJob &Job,
+                          const EndpointProtocol &Protocol,
+                          const EndpointEntry &Target, Time Now,
+                          const AnswerFields &Extra) {
   const HeaderNames &Names = Protocol.headers();
   const CallerRequest &Request = Job.m_Request;
   auto IsReplaced = [&](beast::string_view Name) {
@@ -97,9 +97,7 @@
   if (!Request.m_Body.empty() || Request.m_Method == "POST" ||
       Request.m_Method == "PUT" || Request.m_Method == "PATCH")
     appendField(Text, "Content-Length", std::to_string(Request.m_Body.size()));
-  Text += "\r\n";
-  Text += Request.m_Body;
-  return Text;
+  return Text + "\r\n";
 }
 
 AnswerFields endToEndFields(const ResponseHead &Head) {
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -112,6 +112,11 @@
   /// Logs that Endpoint sent the copy of an answer to another request.
   void logForeignAnswer(const FleetTable::Handle &Endpoint,
                         const std::string &OtherId);
+  /// The body of the request, which keeps Self, this object, until it is sent.
+  std::shared_ptr<const std::string>
+  sharedBody(const std::shared_ptr<ForwardedRequest> &Self) const {
+    return {Self, &m_Job.m_Request.m_Body};
+  }
   /// Answers 503: the request has not run and may be sent again after a delay.
   void answerNotRun(double RetryAfterSeconds);
   /// Records what an answer of Endpoint states about the endpoint itself.
@@ -151,11 +156,12 @@
   ConnectionPool::ConnectionList m_UsedConnections; ///< Over all sendings.
 };
 
-/// Serializes a request for an endpoint; Extra are further header fields.
-std::string serializeRequest(const ForwardJob &Job,
-                             const EndpointProtocol &Protocol,
-                             const EndpointEntry &Target, Time Now,
-                             const AnswerFields &Extra);
+/// Serializes the head of a request for an endpoint; Extra are further header
+/// fields.
+std::string serializeHead(const ForwardJob &Job,
+                          const EndpointProtocol &Protocol,
+                          const EndpointEntry &Target, Time Now,
+                          const AnswerFields &Extra);
 /// The header fields of an endpoint's answer that the caller gets.
 AnswerFields endToEndFields(const ResponseHead &Head);
 /// Records the rest that a 503 of Endpoint states, if any. RequestId is empty
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -49,6 +49,8 @@
 // listeners may hold.
 static constexpr std::size_t CallerSocketPart = 2;
 static constexpr std::size_t InternalSocketPart = 8;
+// The part of the sockets that idle connections to endpoints may hold.
+static constexpr std::size_t IdleSocketPart = 4;
 // Callers that found no memory return at this rate; the largest body of the
 // slowest VM takes about as long.
 static constexpr double MemoryReturnsPerSecond = 20;
@@ -291,6 +293,8 @@
   Listen(m_Settings.m_PeerAddress, *m_PeerHandler, MaxInternal);
   if (!m_Settings.m_MetricsAddress.empty())
     Listen(m_Settings.m_MetricsAddress, *m_MetricsHandler, MaxInternal);
+  m_ConnectionPool.setMaxIdle(socketLimit(m_Settings) / IdleSocketPart);
+  m_CallConnections.setMaxIdle(MaxInternal);
   m_Metrics.setMemoryLimit(m_MemoryBudget.limit());
 }
 
--- a/src/gateway/HttpClient.cpp
+++ b/src/gateway/HttpClient.cpp
@@ -52,7 +52,7 @@
   Handlers.m_OnEnd = [this, Pending](ExchangeEnd End) {
     finish(*Pending, End);
   };
-  Pending->m_Connection->send(serializeCall(Call),
+  Pending->m_Connection->send(serializeCall(Call), nullptr,
                               std::min(Call.m_Timeout, ConnectTimeout),
                               std::move(Handlers));
 }
--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -7,6 +7,7 @@
 
 #include <netinet/tcp.h>
 
+#include <array>
 #include <charconv>
 
 namespace parsleyring {
@@ -24,6 +25,8 @@
 }
 
 static constexpr std::size_t ReadBytes = 16 << 10;
+// Output buffers above this size are freed after use.
+static constexpr std::size_t MaxKeptOutputBytes = 4 << 10;
 // Far above the headers that endpoints and the store send.
 static constexpr std::uint32_t MaxResponseHeaderBytes = 64 << 10;
 // A response may be a long stream; who collects its body limits the memory.
@@ -44,9 +47,11 @@
     : m_Loop(Loop), m_Address(std::move(Address)), m_Socket(Loop),
       m_ConnectTimer(Loop) {}
 
-void HttpConnection::send(std::string Bytes, Duration ConnectTimeout,
-                          ExchangeHandlers Handlers) {
-  m_Output = std::move(Bytes);
+void HttpConnection::send(std::string Head,
+                          std::shared_ptr<const std::string> Body,
+                          Duration ConnectTimeout, ExchangeHandlers Handlers) {
+  m_Output = std::move(Head);
+  m_OutputBody = std::move(Body);
   m_HasWritten = false;
   beginExchange(std::move(Handlers));
   if (m_IsConnected)
@@ -116,12 +121,23 @@
   m_IsWriting = true;
   // Reading starts before writing has ended, as the response may arrive before
   // the whole request is written.
-  asio::async_write(
-      m_Socket, asio::buffer(m_Output),
-      [Self](beast::error_code, std::size_t) { Self->m_IsWriting = false; });
+  std::array<asio::const_buffer, 2> Buffers{asio::buffer(m_Output)};
+  if (m_OutputBody)
+    Buffers[1] = asio::buffer(*m_OutputBody);
+  asio::async_write(m_Socket, Buffers, [Self](beast::error_code, std::size_t) {
+    Self->m_IsWriting = false;
+    Self->releaseOutput();
+  });
   read();
 }
 
+void HttpConnection::releaseOutput() {
+  m_OutputBody.reset();
+  m_Output.clear();
+  if (m_Output.capacity() > MaxKeptOutputBytes)
+    std::string().swap(m_Output);
+}
+
 // Feeds the parser directly: Boost.Beast's read operations would not return
 // before a chunked message is complete.
 void HttpConnection::read() {
@@ -285,6 +301,8 @@
   m_ConnectTimer.cancel();
   beast::error_code Ignored;
   m_Socket.close(Ignored);
+  if (!m_IsWriting)
+    releaseOutput();
   // Handlers may keep the owner of this connection alive, and one of them may
   // be running now, so they are destroyed after it has returned.
   asio::post(m_Loop, [Self = shared_from_this()] {
@@ -295,6 +313,8 @@
 
 void HttpConnection::watchIdle(std::function<void()> OnEnded) {
   m_OnIdleEnded = std::move(OnEnded);
+  m_Parser.reset();
+  m_Buffer = {};
   std::uint64_t Watch = ++m_IdleWatch;
   auto Self = shared_from_this();
   m_Socket.async_wait(tcp::socket::wait_read, [Self, Watch](beast::error_code) {
--- a/src/gateway/HttpConnection.h
+++ b/src/gateway/HttpConnection.h
@@ -56,9 +56,10 @@
   HttpConnection(boost::asio::io_context &Loop, std::string Address);
 
   /// Sends the bytes of a request, connecting first if needed. The exchange
-  /// keeps the connection object alive until it has ended.
-  void send(std::string Bytes, Duration ConnectTimeout,
-            ExchangeHandlers Handlers);
+  /// keeps the connection object alive until it has ended, and Body, which may
+  /// be null, until it is written.
+  void send(std::string Head, std::shared_ptr<const std::string> Body,
+            Duration ConnectTimeout, ExchangeHandlers Handlers);
   /// Reads the next response, after one that did not belong to the request.
   void receiveNextResponse(ExchangeHandlers Handlers);
   void close();
@@ -80,7 +81,7 @@
   /// the server did not say.
   std::optional<Duration> idleTimeout() const { return m_IdleTimeout; }
   /// Calls OnEnded, after closing, when the server closes the idle connection
-  /// or sends bytes that belong to no request.
+  /// or sends bytes that belong to no request. Frees the buffers meanwhile.
   void watchIdle(std::function<void()> OnEnded);
   /// Ends watchIdle(); false if the connection is no longer usable.
   bool tryReuse();
@@ -101,6 +102,7 @@
   void deliverReceived();
   void finish(ExchangeEnd End);
   void updateReuse();
+  void releaseOutput();
 
   boost::asio::io_context &m_Loop;
   const std::string m_Address;
@@ -109,6 +111,7 @@
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
   std::string m_Output;
+  std::shared_ptr<const std::string> m_OutputBody; ///< Follows m_Output.
   ExchangeHandlers m_Handlers;
   std::function<void()> m_OnIdleEnded;
   std::optional<Duration> m_IdleTimeout;
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -21,6 +21,9 @@
 // sealed, and of bytes that may be no answer and have no end.
 static constexpr std::size_t MaxAnswerBytes = 16 << 20;
 static constexpr std::size_t MaxUnprovedBytes = 64 << 10;
+static constexpr std::size_t MinAnswerCapacity = 1 << 10;
+// Answers whose reading has paused go on when there is room for so much.
+static constexpr std::size_t ResumeBytes = 16 << 10;
 static constexpr int MaxCutOffs = 2;
 // Larger bodies are hashed only while there are requests that may have crashed
 // endpoints, since that holds up the event loop.
@@ -144,8 +147,9 @@
   Endpoint->m_Rest.noteSent(Now);
   m_Attempts.push_back(Sent);
   std::string Text =
-      serializeRequest(m_Job, m_Context.protocol(), Endpoint->m_Entry, Now, {});
-  Sent->m_Connection->send(std::move(Text), ConnectTimeout, handlers(Sent));
+      serializeHead(m_Job, m_Context.protocol(), Endpoint->m_Entry, Now, {});
+  Sent->m_Connection->send(std::move(Text), sharedBody(shared_from_this()),
+                           ConnectTimeout, handlers(Sent));
   return true;
 }
 
@@ -159,8 +163,8 @@
                        Head.field(Names.m_RequestId) == Self->m_Job.m_Id;
     Self->noteStatements(Sent->m_Endpoint, Head, Sent->m_SentAt);
   };
-  Handlers.m_OnBody = [Sent](std::string_view Bytes) {
-    Sent->m_Body.append(Bytes);
+  Handlers.m_OnBody = [Self, Sent](std::string_view Bytes) {
+    Self->appendBody(*Sent, Bytes);
     if (Sent->m_Body.size() >
         (Sent->m_IsSealed ? MaxAnswerBytes : MaxUnprovedBytes))
       Sent->m_Connection->rejectResponse();
@@ -171,6 +175,41 @@
   return Handlers;
 }
 
+void PlainForward::appendBody(Attempt &Sent, std::string_view Bytes) {
+  std::string &Body = Sent.m_Body;
+  std::size_t Needed = Body.size() + Bytes.size();
+  if (Needed > Body.capacity()) {
+    if (!Sent.m_Memory)
+      Sent.m_Memory = std::make_shared<MemoryReservation>(
+          m_Context.memoryBudget(), MemoryUse::Answer, m_Job.m_Account);
+    std::size_t Capacity =
+        std::max({Needed, 2 * Body.size(), MinAnswerCapacity});
+    if (!Sent.m_Memory->tryResize(Capacity) &&
+        !Sent.m_Memory->tryResize(Needed)) {
+      // These bytes have been received already.
+      Sent.m_Memory->resize(Needed);
+      Sent.m_Connection->pauseReading();
+    }
+    Body.reserve(Sent.m_Memory->bytes());
+  }
+  Body.append(Bytes);
+}
+
+void PlainForward::resumeReading(Attempt &Sent) {
+  if (!Sent.m_IsRunning || !Sent.m_Connection->isPaused())
+    return;
+  std::size_t Held = Sent.m_Memory->bytes();
+  if (!Sent.m_Memory->tryResize(Held + ResumeBytes))
+    return;
+  Sent.m_Body.reserve(Sent.m_Memory->bytes());
+  Sent.m_Connection->resumeReading();
+}
+
+void PlainForward::releaseBody(Attempt &Ended) {
+  std::string().swap(Ended.m_Body);
+  Ended.m_Memory.reset();
+}
+
 void PlainForward::handleEnd(const AttemptHandle &Ended, ExchangeEnd End) {
   if (m_IsDone)
     return;
@@ -216,7 +255,7 @@
   if (belongsToOther(Head, Names, m_Job.m_Id) &&
       Ended->m_Connection->isReusable()) {
     logForeignAnswer(Ended->m_Endpoint, Echo);
-    Ended->m_Body.clear();
+    releaseBody(*Ended);
     Ended->m_Connection->receiveNextResponse(handlers(Ended));
     return;
   }
@@ -304,6 +343,8 @@
     finishWithoutAnswer("timeout");
     return;
   }
+  for (const AttemptHandle &Sent : m_Attempts)
+    resumeReading(*Sent);
   // Hedged request: sent to a second endpoint early enough to meet the latency
   // goal.
   Duration Waited = Now - m_Job.m_Request.m_ReceivedAt;
@@ -356,9 +397,10 @@
   finish(ForwardOutcome::Failed, Reason, Status);
 }
 
-void PlainForward::forwardAnswer(const Attempt &Ended) {
+void PlainForward::forwardAnswer(Attempt &Ended) {
   m_Job.m_Caller->answer(Ended.m_Head.m_Status, endToEndFields(Ended.m_Head),
                          Ended.m_Body);
+  releaseBody(Ended);
   bool IsSuccess = Ended.m_Head.m_Status < 500;
   finish(IsSuccess ? ForwardOutcome::Completed : ForwardOutcome::Failed,
          "answered", Ended.m_Head.m_Status);
--- a/src/gateway/PlainForward.h
+++ b/src/gateway/PlainForward.h
@@ -26,6 +26,7 @@
     std::shared_ptr<HttpConnection> m_Connection;
     ResponseHead m_Head;
     std::string m_Body;
+    std::shared_ptr<MemoryReservation> m_Memory; ///< Of m_Body.
     Time m_SentAt{};
     bool m_IsRunning = true;
     bool m_IsSealed = false; ///< The head proves an answer to the request.
@@ -47,6 +48,10 @@
   /// crashes endpoints.
   bool trySend(std::string_view Reason);
   ExchangeHandlers handlers(const AttemptHandle &Sent);
+  /// Adds bytes to the answer. If there is no room for them, no more are read.
+  void appendBody(Attempt &Sent, std::string_view Bytes);
+  void resumeReading(Attempt &Sent);
+  static void releaseBody(Attempt &Ended);
   void handleEnd(const AttemptHandle &Ended, ExchangeEnd End);
   /// The endpoint has closed the connection without any answer.
   void noteCutOff(Attempt &Ended);
@@ -58,7 +63,7 @@
   bool hasRunning() const;
   void markEnded(Attempt &Ended);
   void finishWithoutAnswer(std::string_view Reason);
-  void forwardAnswer(const Attempt &Ended);
+  void forwardAnswer(Attempt &Ended);
   void finish(ForwardOutcome Outcome, std::string_view Reason, unsigned Status);
 
   std::string m_Suspect; ///< Empty until it is needed.
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -38,8 +38,10 @@
 // event stream and in a single event.
 static constexpr std::size_t MaxRejectionBytes = 64 << 10;
 static constexpr std::size_t MaxEventBytes = 128 << 10;
-// Reading from the endpoint pauses if more than this is unsent to the caller.
+// Reading from the endpoint pauses if more than this is unsent to the caller,
+// and if more than the second is while memory is tight.
 static constexpr std::size_t MaxUnsentBytes = 256 << 10;
+static constexpr std::size_t MaxUnsentTightBytes = 8 << 10;
 
 static double leadingNumber(std::string_view Text, double Default) {
   long long Number = 0;
@@ -333,8 +335,8 @@
                            {"path", Extra.front().second},
                            {"after_event", std::int64_t(m_LastEventId)}});
   Sent->m_Connection->send(
-      serializeRequest(m_Job, m_Context.protocol(), First->m_Entry, Now, Extra),
-      ConnectTimeout, handlers(Sent));
+      serializeHead(m_Job, m_Context.protocol(), First->m_Entry, Now, Extra),
+      sharedBody(shared_from_this()), ConnectTimeout, handlers(Sent));
   return true;
 }
 
@@ -424,10 +426,15 @@
     if (!forwardEvent(*Event))
       return;
   // Reading on while the caller does not read would fill the memory.
-  if (m_Job.m_Caller->unsentBytes() > MaxUnsentBytes)
+  if (m_Job.m_Caller->unsentBytes() > maxUnsentBytes())
     Attempt->m_Connection->pauseReading();
 }
 
+std::size_t StreamForward::maxUnsentBytes() const {
+  return m_Context.memoryBudget().isTight() ? MaxUnsentTightBytes
+                                            : MaxUnsentBytes;
+}
+
 // Returns false if the event has ended the attempt or the request.
 bool StreamForward::forwardEvent(const EventScanner::Event &Event) {
   if (Event.m_Id) {
@@ -775,7 +782,7 @@
   if (m_Attempt->m_Connection->isPaused()) {
     // It is this VM that does not read.
     m_Attempt->m_LastProgressAt = Now;
-    if (m_Job.m_Caller->unsentBytes() < MaxUnsentBytes / 2)
+    if (m_Job.m_Caller->unsentBytes() < maxUnsentBytes() / 2)
       m_Attempt->m_Connection->resumeReading();
     return;
   }
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -57,6 +57,7 @@
   /// True if the next event of the stream has arrived on Attempt.
   bool hasNextEvent(const StreamAttempt &Attempt) const;
   void forwardEvents();
+  std::size_t maxUnsentBytes() const;
   bool forwardEvent(const EventScanner::Event &Event);
   void noteProgress();
   void noteAnswered();
