Keep room for a later client and for running requests

- A client that was alone could fill the last eighth of the requests' memory with requests of at most 64 KiB, so that a client that arrived later found no room.
A client that is alone now leaves it as well.
- A receipt without a handler stayed in the list after its reservation.
- The search for a stalled request visited all receipts.
They are now kept in the order of their progress, and the search ends at the first one that has not stalled.
- A size near the largest number made the sum of the check overflow.
- The new connection, which is idle, could be closed instead of another one of its address that receives a request, or instead of an idle one of another address if all others of its own serve requests.

--- a/src/admission/ConnectionLimit.cpp
+++ b/src/admission/ConnectionLimit.cpp
@@ -40,8 +40,11 @@
   using Preference = std::tuple<std::size_t, bool, Duration>;
   std::optional<ConnectionNumber> Chosen;
   Preference Best;
+  ConnectionNumber Newest = m_Connections.rbegin()->first;
   for (const auto &[Number, Connection] : m_Connections) {
-    if (Connection.m_Activity == Activity::Serving)
+    // The newest one has had no time to send anything. It counts as idle, so
+    // it would go before one of its address that has stalled in a request.
+    if (Number == Newest || Connection.m_Activity == Activity::Serving)
       continue;
     Preference Own{m_CountByAddress.at(Connection.m_Address),
                    Connection.m_Activity == Activity::Idle,
@@ -51,7 +54,7 @@
       Best = Own;
     }
   }
-  return Chosen ? Chosen : m_Connections.rbegin()->first;
+  return Chosen ? Chosen : Newest;
 }
 
 } // namespace parsleyring
--- a/src/admission/MemoryBudget.cpp
+++ b/src/admission/MemoryBudget.cpp
@@ -3,6 +3,7 @@
 #include "core/NameTable.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace parsleyring {
 
@@ -43,20 +44,24 @@
 bool MemoryBudget::mayGrow(const MemoryReservation &Reservation,
                            std::size_t Bytes) const {
   std::size_t Growth = Bytes - Reservation.m_Bytes;
-  if (m_Used + Growth > m_Limit)
+  // Compared without a sum, which a huge size would make overflow. Forced
+  // growth can have taken m_Used over the limit.
+  if (m_Used > m_Limit || Growth > m_Limit - m_Used)
     return false;
   if (!isRequestUse(Reservation.m_Use))
     return true;
+  std::size_t RequestBytes =
+      used(MemoryUse::RequestHead) + used(MemoryUse::RequestBody);
+  std::size_t ClientBytes = requestBytes(Reservation.m_Client);
+  bool IsAlone = ClientBytes == RequestBytes;
   std::size_t Available = requestLimit();
-  if (Bytes > SmallRequestBytes)
+  // A client that is alone leaves the last part as well, also with many small
+  // requests. Otherwise a client that arrives later would find no room.
+  if (IsAlone || Bytes > SmallRequestBytes)
     Available -= static_cast<std::size_t>(static_cast<double>(Available) *
                                           SmallRequestShare);
-  std::size_t RequestBytes =
-      used(MemoryUse::RequestHead) + used(MemoryUse::RequestBody);
   if (RequestBytes + Growth > Available)
     return false;
-  std::size_t ClientBytes = requestBytes(Reservation.m_Client);
-  bool IsAlone = ClientBytes == RequestBytes;
   return IsAlone || ClientBytes + Growth <= Available - RequestBytes - Growth;
 }
 
@@ -79,19 +84,17 @@
 MemoryReservation *MemoryBudget::stalledRequest(const std::string &Client,
                                                 Time Now) {
   std::size_t OwnBytes = requestBytes(Client);
-  MemoryReservation *First = nullptr;
   for (MemoryReservation *Entry : m_Receiving) {
-    bool MayGoFirst =
-        Entry->m_Client == Client || requestBytes(Entry->m_Client) > OwnBytes;
-    if (MayGoFirst && Now - Entry->m_ProgressAt >= StallTime &&
-        (!First || Entry->m_ProgressAt < First->m_ProgressAt))
-      First = Entry;
+    if (Now - Entry->m_ProgressAt < StallTime)
+      return nullptr;
+    if (Entry->m_Client == Client || requestBytes(Entry->m_Client) > OwnBytes)
+      return Entry;
   }
-  return First;
+  return nullptr;
 }
 
 bool MemoryBudget::takeTrimRequest(Time Now) {
-  if (m_PeakSinceTrim < MinTrimBytes || m_Used > m_PeakSinceTrim / 2 ||
+  if (m_PeakSinceTrim <= MinTrimBytes || m_Used >= m_PeakSinceTrim / 2 ||
       Now - m_TrimmedAt < MinTrimInterval)
     return false;
   m_PeakSinceTrim = m_Used;
@@ -135,20 +138,35 @@
   m_OnRefused = std::move(OnRefused);
   m_ReceivingEntry =
       m_Budget.m_Receiving.insert(m_Budget.m_Receiving.end(), this);
-  m_ProgressAt = Now;
+  setProgress(Now);
 }
 
 void MemoryReservation::noteReceived(std::size_t Total, Time Now) {
   if (Total < m_ProgressMark + MemoryBudget::ProgressBytes)
     return;
   m_ProgressMark = Total;
+  setProgress(Now);
+}
+
+void MemoryReservation::setProgress(Time Now) {
   m_ProgressAt = Now;
+  if (!m_ReceivingEntry)
+    return;
+  auto &Entries = m_Budget.m_Receiving;
+  // Nearly always the end, since times rarely lie in the past.
+  auto Position = Entries.end();
+  while (Position != Entries.begin() &&
+         (*std::prev(Position) == this ||
+          (*std::prev(Position))->m_ProgressAt > Now))
+    --Position;
+  Entries.splice(Position, Entries, *m_ReceivingEntry);
 }
 
 void MemoryReservation::endReceipt() {
-  if (!m_OnRefused)
+  if (!m_ReceivingEntry)
     return;
-  m_Budget.m_Receiving.erase(m_ReceivingEntry);
+  m_Budget.m_Receiving.erase(*m_ReceivingEntry);
+  m_ReceivingEntry.reset();
   m_OnRefused = nullptr;
 }
 
--- a/src/admission/MemoryBudget.h
+++ b/src/admission/MemoryBudget.h
@@ -82,6 +82,8 @@
   Time m_TrimmedAt{};
   std::array<std::size_t, MemoryUseCount> m_UsedByUse{};
   std::map<std::string, std::size_t> m_RequestBytesByClient;
+  /// In the order of their last progress, so that a search for stalled ones
+  /// ends at the first one that has not stalled.
   std::list<MemoryReservation *> m_Receiving;
 };
 
@@ -115,12 +117,16 @@
 private:
   friend class MemoryBudget;
 
+  /// Keeps the entries of the budget in the order of their progress.
+  void setProgress(Time Now);
+
   MemoryBudget &m_Budget;
   const MemoryUse m_Use;
   std::string m_Client;
   std::size_t m_Bytes = 0;
-  std::function<void()> m_OnRefused; ///< Set while the request is received.
-  std::list<MemoryReservation *>::iterator m_ReceivingEntry;
+  std::function<void()> m_OnRefused;
+  /// Set while the request is received.
+  std::optional<std::list<MemoryReservation *>::iterator> m_ReceivingEntry;
   std::size_t m_ProgressMark = 0; ///< Bytes received at m_ProgressAt.
   Time m_ProgressAt{};
 };
