--- a/tests/platform/PlatformSettingsTest.cpp
+++ b/tests/platform/PlatformSettingsTest.cpp
@@ -60,6 +60,41 @@
   LONGS_EQUAL(1, m_Findings.size());
 }
 
+// Guards against VMs whose memory or descriptors run out since their limits are
+// not read, and against settings without them that are refused.
+TEST(PlatformSettings, ReadsTheMemoryAndDescriptorsOfTheVM) {
+  json Settings = goodSettings();
+  Settings["limits"] = {{"cpu_share", 0.25}, {"cores", 1}};
+  LONGS_EQUAL(0, read(Settings).m_MemoryBytes);
+  LONGS_EQUAL(0, read(Settings).m_MaxDescriptors);
+  Settings["limits"]["memory_mb"] = 112;
+  LONGS_EQUAL(112 << 20, read(Settings).m_MemoryBytes);
+  LONGS_EQUAL(0, read(Settings).m_MaxDescriptors);
+  Settings["limits"]["memory_mb"] = 260.0;
+  Settings["limits"]["max_fds"] = 4200;
+  LONGS_EQUAL(260 << 20, read(Settings).m_MemoryBytes);
+  LONGS_EQUAL(4200, read(Settings).m_MaxDescriptors);
+  LONGS_EQUAL(0, m_Findings.size());
+}
+
+// Guards against a process without a limit, or with one that no conversion
+// defines, since a value is wrong.
+TEST(PlatformSettings, RejectsWrongMemoryAndDescriptors) {
+  for (const char *Name : {"memory_mb", "max_fds"})
+    for (const json &Wrong :
+         {json(0), json(-1), json(0.5), json(1e300), json("112"), json(true),
+          json(json::array({112}))}) {
+      json Settings = goodSettings();
+      Settings["limits"] = {{"cpu_share", 0.25}, {"cores", 1}};
+      Settings["limits"][Name] = Wrong;
+      m_Findings.clear();
+      read(Settings);
+      LONGS_EQUAL(1, m_Findings.size());
+      STRCMP_EQUAL(("limits." + std::string(Name)).c_str(),
+                   m_Findings[0].m_Key.c_str());
+    }
+}
+
 // Guards against reporting only the first finding.
 TEST(PlatformSettings, ReportsAllFindings) {
   json Settings = goodSettings();
