--- a/src/admission/MemoryBudget.h
+++ b/src/admission/MemoryBudget.h
@@ -47,9 +47,13 @@
   /// Number of clients that hold memory for requests.
   std::size_t clients() const { return m_RequestBytesByClient.size(); }
 
-  /// The reservation of the request in receipt that stalled first; null if none
-  /// has stalled. That request may be refused for one that has no room.
-  MemoryReservation *stalledRequest(Time Now);
+  /// The reservation of the request in receipt that stalled first and may be
+  /// refused for one of Client that has no room: it belongs to Client too, or
+  /// to a client that holds more. Null if there is none.
+  MemoryReservation *stalledRequest(const std::string &Client, Time Now);
+  /// True if little is left, so that output that callers do not read is not to
+  /// grow.
+  bool isTight() const;
   /// True if much memory has been freed since the last call that returned true,
   /// so that the allocator should return it to the system.
   bool takeTrimRequest(Time Now);
@@ -68,6 +72,7 @@
   friend class MemoryReservation;
 
   static bool isRequestUse(MemoryUse Use);
+  std::size_t requestBytes(const std::string &Client) const;
   bool mayGrow(const MemoryReservation &Reservation, std::size_t Bytes) const;
   void change(const MemoryReservation &Reservation, std::size_t Bytes);
 
@@ -77,6 +82,8 @@
   Time m_TrimmedAt{};
   std::array<std::size_t, MemoryUseCount> m_UsedByUse{};
   std::map<std::string, std::size_t> m_RequestBytesByClient;
+  /// In the order of their last progress, so that a search for stalled ones
+  /// ends at the first one that has not stalled.
   std::list<MemoryReservation *> m_Receiving;
 };
 
@@ -110,12 +117,16 @@
 private:
   friend class MemoryBudget;
 
+  /// Keeps the entries of the budget in the order of their progress.
+  void setProgress(Time Now);
+
   MemoryBudget &m_Budget;
   const MemoryUse m_Use;
   std::string m_Client;
   std::size_t m_Bytes = 0;
-  std::function<void()> m_OnRefused; ///< Set while the request is received.
-  std::list<MemoryReservation *>::iterator m_ReceivingEntry;
+  std::function<void()> m_OnRefused;
+  /// Set while the request is received.
+  std::optional<std::list<MemoryReservation *>::iterator> m_ReceivingEntry;
   std::size_t m_ProgressMark = 0; ///< Bytes received at m_ProgressAt.
   Time m_ProgressAt{};
 };
