Keep pipelined input apart from a read in progress

While a request is in progress, the connection reads ahead into the end of its buffer. When a pipelined request before that place was consumed, the buffer began at its start again and the bytes read were committed there, so that earlier bytes were taken for the next request: the request before it, of a route that runs requests at most once, ran a second time. The bytes are now moved to where the buffer ends.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -8,6 +8,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <cstring>
+
 namespace parsleyring {
 
 namespace asio = boost::asio;
@@ -116,7 +119,8 @@
                             : m_Buffer.prepare(readBytes());
   auto Self = shared_from_this();
   m_Socket.async_read_some(
-      Target, [Self, IsDiscarded](beast::error_code Error, std::size_t Size) {
+      Target,
+      [Self, IsDiscarded, Target](beast::error_code Error, std::size_t Size) {
         Self->m_IsReading = false;
         if (Self->m_IsClosed)
           return;
@@ -127,11 +131,20 @@
           return;
         }
         if (!IsDiscarded)
-          Self->m_Buffer.commit(Size);
+          Self->commitRead(Target.data(), Size);
         Self->handleRead();
       });
 }
 
+void CallerConnection::commitRead(const void *Bytes, std::size_t Size) {
+  // A buffer that has been emptied during the read starts at its beginning
+  // again, before the place that was read into.
+  auto Target = m_Buffer.prepare(Size);
+  if (Target.data() != Bytes)
+    std::memmove(Target.data(), Bytes, Size);
+  m_Buffer.commit(Size);
+}
+
 void CallerConnection::handleRead() {
   if (m_IsLingering)
     m_Buffer.consume(m_Buffer.size());
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -149,6 +149,8 @@
   void beginReceipt();
   std::size_t readBytes() const;
   void read();
+  /// Appends what has been read at Bytes, a place in the storage of m_Buffer.
+  void commitRead(const void *Bytes, std::size_t Size);
   void handleRead();
   void parse();
   /// Returns false if the request has been rejected.
--- a/tests/support/GatewayTestServers.cpp
+++ b/tests/support/GatewayTestServers.cpp
@@ -324,6 +324,14 @@
                   {"retry_ratio", 0.2},
                   {"retry_slack", 200},
                   {"retry_window_s", 10}}}};
+  if (Options.m_MemoryMegabytes > 0)
+    Settings["limits"]["memory_mb"] = Options.m_MemoryMegabytes;
+  if (Options.m_MaxDescriptors > 0)
+    Settings["limits"]["max_fds"] = Options.m_MaxDescriptors;
+  if (Settings.contains("limits")) {
+    Settings["limits"]["cpu_share"] = 1;
+    Settings["limits"]["cores"] = 1;
+  }
   m_Settings = std::make_unique<TemporaryFile>(Settings.dump());
   m_Process = std::make_unique<ProcessRunner>(
       "parsleyring-gateway",
--- a/tests/support/GatewayTestServers.h
+++ b/tests/support/GatewayTestServers.h
@@ -89,6 +89,9 @@
   /// their digest ports do not.
   std::string m_Host = "127.0.0.1";
   int m_DigestPort = 0; ///< 0: a free one.
+  // The "limits" of the settings; 0: left out.
+  int m_MemoryMegabytes = 0;
+  int m_MaxDescriptors = 0;
 };
 
 /// A gateway process with a settings file in the platform's format.
