Reserve the memory of a parsed head before it is parsed

A head with many short fields takes about 20 times its size once it is parsed. It was parsed with only its buffer reserved, and the rest was asked for when the next bytes came, or never if none came: a caller that stopped after its head held more than was counted, for its address rather than its account. The lines of the buffer are now counted ahead, the client is named as soon as the head is known, and the buffer of a long chunk line is counted by its capacity.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -191,8 +191,12 @@
     if (m_Buffer.size() == Before)
       break;
   }
-  if (!m_Parser->is_done())
+  if (!m_Parser->is_done()) {
+    // A head is its client's at once, also if no body follows.
+    if (m_Parser->is_header_done() && !m_IsClientKnown && !reserveMemory())
+      awaitMemory();
     return;
+  }
   if (reserveMemory())
     dispatch();
   else
@@ -226,8 +230,15 @@
 }
 
 bool CallerConnection::reserveMemory() {
-  if (!m_Parser->is_header_done())
-    return m_HeadMemory->tryResize(m_Buffer.capacity());
+  if (!m_Parser->is_header_done()) {
+    // Parsing copies the text and takes much more for many short fields, so it
+    // is reserved before. The buffer may hold a part of the body as well.
+    const char *Begin = static_cast<const char *>(m_Buffer.data().data());
+    auto Lines = std::count(Begin, Begin + m_Buffer.size(), '\n');
+    return m_HeadMemory->tryResize(m_Buffer.capacity() + m_Buffer.size() +
+                                   static_cast<std::size_t>(Lines) *
+                                       FieldOverheadBytes);
+  }
   const auto &Message = m_Parser->get();
   if (!m_IsClientKnown) {
     m_IsClientKnown = true;
@@ -235,7 +246,8 @@
     auto Fields = std::distance(Message.begin(), Message.end());
     m_HeadBytes += static_cast<std::size_t>(Fields) * FieldOverheadBytes;
   }
-  std::size_t Buffered = m_Parser->is_done() ? 0 : BodyReadBytes;
+  std::size_t Buffered =
+      m_Parser->is_done() ? 0 : std::max(BodyReadBytes, m_Buffer.capacity());
   return m_HeadMemory->tryResize(m_HeadBytes + Buffered) &&
          (m_Parser->is_done() || reserveBody());
 }
