Count the capacity that a growing body takes

reserve() of std::string takes at least twice the old capacity when it grows, also if less is asked for. An announced body could so take more than was counted (found by reading). The body now moves to a string of exactly the reserved capacity.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -274,7 +274,12 @@
                                                        m_HeadMemory->client());
   if (!m_BodyMemory->tryResize(Capacity) && !m_BodyMemory->tryResize(Needed))
     return false;
-  Body.reserve(m_BodyMemory->bytes());
+  // reserve() on the body itself may take up to twice its old capacity, which
+  // would not be counted.
+  std::string Grown;
+  Grown.reserve(m_BodyMemory->bytes());
+  Grown.append(Body);
+  Body.swap(Grown);
   return true;
 }
 
