Keep the other waiting requests after an exception

An exception in the handling of one request that had waited for memory lost the list of all that still waited. Their connections do not read and have no other timeout, so the requests had no answer. Each retry is now guarded by itself.

--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -822,7 +822,7 @@
 void GatewayNode::tick() {
   ++m_Ticks;
   tickRequests();
-  guard("memory", [this] { tickMemory(); });
+  tickMemory();
   guard("admission", [this] {
     for (auto &[Service, Queue] : m_AdmissionQueues)
       Queue.tick(now());
@@ -861,9 +861,8 @@
   Time Now = now();
   std::vector<std::weak_ptr<CallerConnection>> Waiting;
   Waiting.swap(m_AwaitingMemory);
-  for (const auto &Entry : Waiting) {
-    std::shared_ptr<CallerConnection> Connection = Entry.lock();
-    bool IsWaiting = Connection && !Connection->retryReceipt(Now);
+  auto Retry = [&](const std::shared_ptr<CallerConnection> &Connection) {
+    bool IsWaiting = !Connection->retryReceipt(Now);
     while (IsWaiting) {
       MemoryReservation *Stalled =
           m_MemoryBudget.stalledRequest(Connection->memoryClient(), Now);
@@ -874,7 +873,12 @@
     }
     if (IsWaiting)
       m_AwaitingMemory.push_back(Connection);
-  }
+  };
+  // Nothing but this wakes the connections, so an exception in the request of
+  // one must not lose the others.
+  for (const auto &Entry : Waiting)
+    if (std::shared_ptr<CallerConnection> Connection = Entry.lock())
+      guard("memory", [&] { Retry(Connection); });
   if (m_MemoryBudget.takeTrimRequest(Now))
     malloc_trim(0);
 }
