Take a pipelined request only when the answer before is sent

A caller that pipelined requests and hardly read made answers gather in the output without bound, as each one that was handed over let the next request in. A request that followed an answer with Connection: close was still handed on while that answer was being written, and input was buffered without limit in that state. The next request is now parsed when the output is empty, and input after the last answer is discarded. The idle timeout starts when the caller has taken the answer; before, it ended slow but steady readers.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -95,7 +95,7 @@
 ConnectionLimit::Activity CallerConnection::activity() const {
   if (m_IsLingering)
     return ConnectionLimit::Activity::Idle;
-  if (m_IsAnswering || unsentBytes() > 0)
+  if (isBusy())
     return ConnectionLimit::Activity::Serving;
   return m_IsReceiving ? ConnectionLimit::Activity::Receiving
                        : ConnectionLimit::Activity::Idle;
@@ -107,14 +107,14 @@
 }
 
 void CallerConnection::read() {
-  bool IsFull = m_IsAnswering && m_Buffer.size() >= MaxPipelinedBytes;
+  bool IsDiscarded = m_IsLingering || m_ClosesAfterWrite;
+  bool IsFull = isBusy() && m_Buffer.size() >= MaxPipelinedBytes;
   if (m_IsReading || m_IsClosed || m_IsAwaitingMemory ||
-      (IsFull && !m_IsLingering))
+      (IsFull && !IsDiscarded))
     return;
   m_IsReading = true;
   if (m_Buffer.size() == 0 && m_Buffer.capacity() > readBytes())
     m_Buffer = {};
-  bool IsDiscarded = m_IsLingering;
   auto Target = IsDiscarded ? asio::buffer(DiscardedInput)
                             : m_Buffer.prepare(readBytes());
   auto Self = shared_from_this();
@@ -146,9 +146,9 @@
 }
 
 void CallerConnection::handleRead() {
-  if (m_IsLingering)
+  if (m_IsLingering || m_ClosesAfterWrite)
     m_Buffer.consume(m_Buffer.size());
-  else if (m_IsAnswering)
+  else if (isBusy())
     m_ConnectionMemory.resize(ConnectionBytes + m_Buffer.capacity());
   else
     parse();
@@ -175,7 +175,10 @@
 }
 
 void CallerConnection::parse() {
-  if (m_IsAwaitingMemory || (!m_IsReceiving && m_Buffer.size() == 0))
+  // The next request waits until the caller has taken the answer, since the
+  // answers of pipelined requests would gather without bound.
+  if (m_IsAwaitingMemory || m_IsLingering || m_ClosesAfterWrite || isBusy() ||
+      (!m_IsReceiving && m_Buffer.size() == 0))
     return;
   if (!m_IsReceiving)
     beginReceipt();
@@ -470,14 +473,19 @@
   if (m_ClosesAfterWrite || m_IsClosed)
     return;
   prepareParser();
-  // The caller may have pipelined its next request. Posted, since parsing here
-  // would recurse through a series of short answers.
-  if (m_Buffer.size() > 0)
-    asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
-      if (!Self->m_IsClosed && !Self->m_IsAnswering)
-        Self->parse();
-      Self->read();
-    });
+  parseLater();
+}
+
+// The caller may have pipelined its next request. Posted, since parsing at once
+// would recurse through a series of short answers.
+void CallerConnection::parseLater() {
+  if (m_Buffer.size() == 0)
+    return;
+  asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
+    if (!Self->m_IsClosed)
+      Self->parse();
+    Self->read();
+  });
 }
 
 void CallerConnection::flush() {
@@ -534,12 +542,20 @@
                               Self->m_WrittenBytes += Size;
                               Self->noteOutput();
                               if (Self->m_BeingWritten.empty())
-                                Self->flush();
+                                Self->handleWritten();
                               else
                                 Self->writeOutput();
                             });
 }
 
+void CallerConnection::handleWritten() {
+  flush();
+  if (m_IsClosed || isBusy() || m_ClosesAfterWrite || m_IsLingering)
+    return;
+  m_StateSince = m_Handler.now();
+  parseLater();
+}
+
 void CallerConnection::lingerClose() {
   beast::error_code Ignored;
   m_Socket.shutdown(tcp::socket::shutdown_send, Ignored);
@@ -598,6 +614,9 @@
     return;
   }
   if (!m_IsReceiving) {
+    // The caller may still be reading a long answer.
+    if (unsentBytes() > 0)
+      return;
     // A change of the timeout applies from the next answer on, since the caller
     // relies on what it was told with the last one.
     Duration IdleTimeout =
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -152,6 +152,8 @@
   /// Appends what has been read at Bytes, a place in the storage of m_Buffer.
   void commitRead(const void *Bytes, std::size_t Size);
   void handleRead();
+  /// True if a request is in progress or its answer has not been taken.
+  bool isBusy() const { return m_IsAnswering || unsentBytes() > 0; }
   void parse();
   /// Returns false if the request has been rejected.
   bool parseBuffered();
@@ -167,6 +169,8 @@
   void failRequest();
   void flush();
   void writeOutput();
+  void handleWritten();
+  void parseLater();
   void noteOutput();
   /// Begins the head of an answer in m_Output; the caller of this function adds
   /// the framing fields.
