Let requests in receipt not hold up a stop

A request that was still being received kept the process for more than 5.5 s after SIGTERM, and its refusal was lost if the connection was closed as idle on the next tick, with input unread. Such requests are now refused as soon as no other request runs, and a connection that waits for its caller to take the last answer is left to its own timeout. The whole of RequestInReceiptDoesNotHoldUpTheStop, start included, took 5.8 s and failed before; it takes 4.4 s now.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -587,7 +587,9 @@
 }
 
 void CallerConnection::closeIfIdle() {
-  if (isIdle() && m_Output.empty() && m_BeingWritten.empty())
+  // A lingering connection closes by itself; to close it now could lose its
+  // last answer.
+  if (isIdle() && !m_IsLingering && m_Output.empty() && m_BeingWritten.empty())
     close();
 }
 
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -989,8 +989,9 @@
   // A request that arrives as its connection closes is not forwarded, so it
   // certainly has not run.
   m_CallerListener->closeIdle();
-  // They would be refused once they were received.
-  if (Stopped > PlainRequestCutoff)
+  // Those in receipt must not be all that the process waits for, and later they
+  // would be refused once they were received.
+  if (m_Requests.empty() || Stopped > PlainRequestCutoff)
     m_CallerListener->refuseReceipts(ReceiptRefusal::Stopping);
   bool IsOver = Stopped > m_Settings.m_ShutdownTimeout - StopMargin;
   // A caller whose request is still in progress gets a failure rather than a
