--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -8,6 +8,9 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <cstring>
+
 namespace parsleyring {
 
 namespace asio = boost::asio;
@@ -92,7 +95,7 @@
 ConnectionLimit::Activity CallerConnection::activity() const {
   if (m_IsLingering)
     return ConnectionLimit::Activity::Idle;
-  if (m_IsAnswering || unsentBytes() > 0)
+  if (isBusy())
     return ConnectionLimit::Activity::Serving;
   return m_IsReceiving ? ConnectionLimit::Activity::Receiving
                        : ConnectionLimit::Activity::Idle;
@@ -104,19 +107,20 @@
 }
 
 void CallerConnection::read() {
-  bool IsFull = m_IsAnswering && m_Buffer.size() >= MaxPipelinedBytes;
+  bool IsDiscarded = m_IsLingering || m_ClosesAfterWrite;
+  bool IsFull = isBusy() && m_Buffer.size() >= MaxPipelinedBytes;
   if (m_IsReading || m_IsClosed || m_IsAwaitingMemory ||
-      (IsFull && !m_IsLingering))
+      (IsFull && !IsDiscarded))
     return;
   m_IsReading = true;
   if (m_Buffer.size() == 0 && m_Buffer.capacity() > readBytes())
     m_Buffer = {};
-  bool IsDiscarded = m_IsLingering;
   auto Target = IsDiscarded ? asio::buffer(DiscardedInput)
                             : m_Buffer.prepare(readBytes());
   auto Self = shared_from_this();
   m_Socket.async_read_some(
-      Target, [Self, IsDiscarded](beast::error_code Error, std::size_t Size) {
+      Target,
+      [Self, IsDiscarded, Target](beast::error_code Error, std::size_t Size) {
         Self->m_IsReading = false;
         if (Self->m_IsClosed)
           return;
@@ -127,15 +131,24 @@
           return;
         }
         if (!IsDiscarded)
-          Self->m_Buffer.commit(Size);
+          Self->commitRead(Target.data(), Size);
         Self->handleRead();
       });
 }
 
+void CallerConnection::commitRead(const void *Bytes, std::size_t Size) {
+  // A buffer that has been emptied during the read starts at its beginning
+  // again, before the place that was read into.
+  auto Target = m_Buffer.prepare(Size);
+  if (Target.data() != Bytes)
+    std::memmove(Target.data(), Bytes, Size);
+  m_Buffer.commit(Size);
+}
+
 void CallerConnection::handleRead() {
-  if (m_IsLingering)
+  if (m_IsLingering || m_ClosesAfterWrite)
     m_Buffer.consume(m_Buffer.size());
-  else if (m_IsAnswering)
+  else if (isBusy())
     m_ConnectionMemory.resize(ConnectionBytes + m_Buffer.capacity());
   else
     parse();
@@ -162,7 +175,10 @@
 }
 
 void CallerConnection::parse() {
-  if (m_IsAwaitingMemory || (!m_IsReceiving && m_Buffer.size() == 0))
+  // The next request waits until the caller has taken the answer, since the
+  // answers of pipelined requests would gather without bound.
+  if (m_IsAwaitingMemory || m_IsLingering || m_ClosesAfterWrite || isBusy() ||
+      (!m_IsReceiving && m_Buffer.size() == 0))
     return;
   if (!m_IsReceiving)
     beginReceipt();
@@ -178,8 +194,12 @@
     if (m_Buffer.size() == Before)
       break;
   }
-  if (!m_Parser->is_done())
+  if (!m_Parser->is_done()) {
+    // A head is its client's at once, also if no body follows.
+    if (m_Parser->is_header_done() && !m_IsClientKnown && !reserveMemory())
+      awaitMemory();
     return;
+  }
   if (reserveMemory())
     dispatch();
   else
@@ -213,8 +233,15 @@
 }
 
 bool CallerConnection::reserveMemory() {
-  if (!m_Parser->is_header_done())
-    return m_HeadMemory->tryResize(m_Buffer.capacity());
+  if (!m_Parser->is_header_done()) {
+    // Parsing copies the text and takes much more for many short fields, so it
+    // is reserved before. The buffer may hold a part of the body as well.
+    const char *Begin = static_cast<const char *>(m_Buffer.data().data());
+    auto Lines = std::count(Begin, Begin + m_Buffer.size(), '\n');
+    return m_HeadMemory->tryResize(m_Buffer.capacity() + m_Buffer.size() +
+                                   static_cast<std::size_t>(Lines) *
+                                       FieldOverheadBytes);
+  }
   const auto &Message = m_Parser->get();
   if (!m_IsClientKnown) {
     m_IsClientKnown = true;
@@ -222,7 +249,8 @@
     auto Fields = std::distance(Message.begin(), Message.end());
     m_HeadBytes += static_cast<std::size_t>(Fields) * FieldOverheadBytes;
   }
-  std::size_t Buffered = m_Parser->is_done() ? 0 : BodyReadBytes;
+  std::size_t Buffered =
+      m_Parser->is_done() ? 0 : std::max(BodyReadBytes, m_Buffer.capacity());
   return m_HeadMemory->tryResize(m_HeadBytes + Buffered) &&
          (m_Parser->is_done() || reserveBody());
 }
@@ -249,7 +277,12 @@
                                                        m_HeadMemory->client());
   if (!m_BodyMemory->tryResize(Capacity) && !m_BodyMemory->tryResize(Needed))
     return false;
-  Body.reserve(m_BodyMemory->bytes());
+  // reserve() on the body itself may take up to twice its old capacity, which
+  // would not be counted.
+  std::string Grown;
+  Grown.reserve(m_BodyMemory->bytes());
+  Grown.append(Body);
+  Body.swap(Grown);
   return true;
 }
 
@@ -440,14 +473,19 @@
   if (m_ClosesAfterWrite || m_IsClosed)
     return;
   prepareParser();
-  // The caller may have pipelined its next request. Posted, since parsing here
-  // would recurse through a series of short answers.
-  if (m_Buffer.size() > 0)
-    asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
-      if (!Self->m_IsClosed && !Self->m_IsAnswering)
-        Self->parse();
-      Self->read();
-    });
+  parseLater();
+}
+
+// The caller may have pipelined its next request. Posted, since parsing at once
+// would recurse through a series of short answers.
+void CallerConnection::parseLater() {
+  if (m_Buffer.size() == 0)
+    return;
+  asio::post(m_Socket.get_executor(), [Self = shared_from_this()] {
+    if (!Self->m_IsClosed)
+      Self->parse();
+    Self->read();
+  });
 }
 
 void CallerConnection::flush() {
@@ -504,12 +542,20 @@
                               Self->m_WrittenBytes += Size;
                               Self->noteOutput();
                               if (Self->m_BeingWritten.empty())
-                                Self->flush();
+                                Self->handleWritten();
                               else
                                 Self->writeOutput();
                             });
 }
 
+void CallerConnection::handleWritten() {
+  flush();
+  if (m_IsClosed || isBusy() || m_ClosesAfterWrite || m_IsLingering)
+    return;
+  m_StateSince = m_Handler.now();
+  parseLater();
+}
+
 void CallerConnection::lingerClose() {
   beast::error_code Ignored;
   m_Socket.shutdown(tcp::socket::shutdown_send, Ignored);
@@ -541,7 +587,9 @@
 }
 
 void CallerConnection::closeIfIdle() {
-  if (isIdle() && m_Output.empty() && m_BeingWritten.empty())
+  // A lingering connection closes by itself; to close it now could lose its
+  // last answer.
+  if (isIdle() && !m_IsLingering && m_Output.empty() && m_BeingWritten.empty())
     close();
 }
 
@@ -568,6 +616,9 @@
     return;
   }
   if (!m_IsReceiving) {
+    // The caller may still be reading a long answer.
+    if (unsentBytes() > 0)
+      return;
     // A change of the timeout applies from the next answer on, since the caller
     // relies on what it was told with the last one.
     Duration IdleTimeout =
--- a/tests/support/CrowdTrial.cpp
+++ b/tests/support/CrowdTrial.cpp
@@ -55,7 +55,8 @@
   m_Store.put("op/config", configuration());
   m_Store.put("servers/e1", serverEntry("plain", m_Endpoint.address()));
   GatewayOptions Options{"vm-0", m_Store.address(), {}};
-  Options.m_Limits = GatewayLimits{MemoryMb, MaxDescriptors};
+  Options.m_MemoryMegabytes = MemoryMb;
+  Options.m_MaxDescriptors = MaxDescriptors;
   m_Gateway = std::make_unique<GatewayProcess>(Options);
   CHECK(m_Gateway->waitUntilReady());
   CHECK(eventually([this] { return isOrdinaryRequestAnswered(); }));
--- a/tests/support/GatewayTestServers.h
+++ b/tests/support/GatewayTestServers.h
@@ -82,12 +82,6 @@
   std::unique_ptr<Implementation> m_Implementation;
 };
 
-/// The limits in the settings file of a gateway process.
-struct GatewayLimits {
-  int m_MemoryMb = 0;
-  int m_MaxDescriptors = 0;
-};
-
 /// What differs between the gateway processes of a test.
 struct GatewayOptions {
   std::string m_Name; ///< Of the VM.
@@ -97,7 +91,9 @@
   /// their digest ports do not.
   std::string m_Host = "127.0.0.1";
   int m_DigestPort = 0; ///< 0: a free one.
-  std::optional<GatewayLimits> m_Limits = {};
+  // The "limits" of the settings; 0: left out.
+  int m_MemoryMegabytes = 0;
+  int m_MaxDescriptors = 0;
 };
 
 /// A gateway process with a settings file in the platform's format.
