Free the output buffer of idle endpoint connections

send() replaces the buffer by the head that it gets, so the up to 4 KiB that a connection kept after its request were never used again and only held memory while it was idle.

--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -25,8 +25,6 @@
 }
 
 static constexpr std::size_t ReadBytes = 16 << 10;
-// Output buffers above this size are freed after use.
-static constexpr std::size_t MaxKeptOutputBytes = 4 << 10;
 // Far above the headers that endpoints and the store send.
 static constexpr std::uint32_t MaxResponseHeaderBytes = 64 << 10;
 // A response may be a long stream; who collects its body limits the memory.
@@ -133,9 +131,7 @@
 
 void HttpConnection::releaseOutput() {
   m_OutputBody.reset();
-  m_Output.clear();
-  if (m_Output.capacity() > MaxKeptOutputBytes)
-    std::string().swap(m_Output);
+  std::string().swap(m_Output);
 }
 
 // Feeds the parser directly: Boost.Beast's read operations would not return
