Send no hedged request while this VM pauses the answer

An answer that waits for memory counted as slow, so a second endpoint was asked for the same answer, which needs as much memory again while there is none.

--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -346,10 +346,19 @@
   for (const AttemptHandle &Sent : m_Attempts)
     resumeReading(*Sent);
   // Hedged request: sent to a second endpoint early enough to meet the latency
-  // goal.
+  // goal. If this VM has paused the answer, a second one would need more memory
+  // and come no earlier.
+bool PlainForward::hasPaused() const {
+  return std::any_of(
+      m_Attempts.begin(), m_Attempts.end(), [](const AttemptHandle &Entry) {
+        return Entry->m_IsRunning && Entry->m_Connection->isPaused();
+      });
+}
+
   Duration Waited = Now - m_Job.m_Request.m_ReceivedAt;
   if (isRepeatable() && !m_IsHedged &&
-      Waited >= m_Job.m_Route->m_LatencyGoal / 2 && hasRunning()) {
+      Waited >= m_Job.m_Route->m_LatencyGoal / 2 && hasRunning() &&
+      !hasPaused()) {
     m_IsHedged = true;
     trySend("slow");
   }
--- a/src/gateway/PlainForward.h
+++ b/src/gateway/PlainForward.h
@@ -63,6 +63,8 @@
   bool hasRunning() const;
   void markEnded(Attempt &Ended);
   void finishWithoutAnswer(std::string_view Reason);
+  /// True if the answer to a running attempt is not being read.
+  bool hasPaused() const;
   void forwardAnswer(Attempt &Ended);
   void finish(ForwardOutcome Outcome, std::string_view Reason, unsigned Status);
 
