Move large answers to the output of the caller's connection

Bodies above 32 KiB are now moved and written after their head, which takes one more system call; smaller ones are still written with it.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -47,6 +47,9 @@
 static constexpr std::size_t ConnectionBytes = 4 << 10;
 // The field that ends the head of an answer with a body, with its blank line.
 static constexpr std::size_t LengthFieldBytes = 48;
+// Larger bodies are moved to the output instead of copied. They are written
+// apart from their head, which takes a system call more.
+static constexpr std::size_t MaxCopiedBodyBytes = 32 << 10;
 // Output buffers above this size are freed after use.
 static constexpr std::size_t MaxKeptOutputBytes = 4 << 10;
 // After the last answer of a connection, such as an early rejection, further
@@ -392,13 +395,20 @@
 }
 
 void CallerConnection::answer(unsigned Status, const AnswerFields &Fields,
-                              const std::string &Body) {
+                              std::string Body) {
   if (m_IsClosed)
     return;
+  bool IsMoved = Body.size() > MaxCopiedBodyBytes && m_BeingWritten.empty();
   appendHead(Status, Fields);
-  m_Output.reserve(m_Output.size() + Body.size() + LengthFieldBytes);
+  if (!IsMoved)
+    m_Output.reserve(m_Output.size() + Body.size() + LengthFieldBytes);
   m_Output += "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n";
-  m_Output += Body;
+  if (IsMoved) {
+    m_BeingWritten.swap(m_Output);
+    m_Output = std::move(Body);
+  } else {
+    m_Output += Body;
+  }
   finishAnswer();
 }
 
@@ -453,16 +463,17 @@
 void CallerConnection::flush() {
   if (m_IsClosed)
     return;
-  if (!m_BeingWritten.empty()) {
+  if (m_IsWriting) {
     noteOutput();
     return;
   }
-  if (m_Output.empty()) {
+  if (m_BeingWritten.empty())
+    m_BeingWritten.swap(m_Output);
+  if (m_BeingWritten.empty()) {
     if (m_ClosesAfterWrite)
       lingerClose();
     return;
   }
-  m_BeingWritten.swap(m_Output);
   m_WrittenBytes = 0;
   // Usually the socket accepts everything, so no asynchronous write is needed.
   beast::error_code Error;
@@ -470,7 +481,9 @@
   m_WrittenBytes = m_Socket.write_some(asio::buffer(m_BeingWritten), Error);
   if (!Error && m_WrittenBytes == m_BeingWritten.size()) {
     noteOutput();
-    if (m_ClosesAfterWrite)
+    if (!m_Output.empty())
+      flush();
+    else if (m_ClosesAfterWrite)
       lingerClose();
     return;
   }
@@ -494,8 +507,10 @@
 
 void CallerConnection::writeOutput() {
   auto Self = shared_from_this();
+  m_IsWriting = true;
   m_Socket.async_write_some(asio::buffer(m_BeingWritten) + m_WrittenBytes,
                             [Self](beast::error_code Error, std::size_t Size) {
+                              Self->m_IsWriting = false;
                               if (Error) {
                                 Self->close();
                                 return;
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -107,8 +107,7 @@
   void tick(Time Now);
 
   // Answers the request in progress: at once, or in parts (chunked).
-  void answer(unsigned Status, const AnswerFields &Fields,
-              const std::string &Body);
+  void answer(unsigned Status, const AnswerFields &Fields, std::string Body);
   void beginAnswer(unsigned Status, const AnswerFields &Fields);
   void appendAnswer(std::string_view Bytes);
   void endAnswer();
@@ -179,6 +178,7 @@
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
   std::function<void()> m_OnDisconnect;
+  bool m_IsWriting = false;       ///< An asynchronous write is in progress.
   std::string m_Output;           ///< Waits until m_BeingWritten has been sent.
   std::string m_BeingWritten;     ///< Being written to the socket.
   std::size_t m_WrittenBytes = 0; ///< Of m_BeingWritten.
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -408,8 +408,7 @@
 
 void PlainForward::forwardAnswer(Attempt &Ended) {
   m_Job.m_Caller->answer(Ended.m_Head.m_Status, endToEndFields(Ended.m_Head),
-                         Ended.m_Body);
-  releaseBody(Ended);
+                         std::move(Ended.m_Body));
   bool IsSuccess = Ended.m_Head.m_Status < 500;
   finish(IsSuccess ? ForwardOutcome::Completed : ForwardOutcome::Failed,
          "answered", Ended.m_Head.m_Status);
