Keep the capacity of answers within what is reserved

std::string::reserve() at least doubles the capacity, so an answer that got no room for twice its size took it all the same, and was then read on without being counted. Strings now get exactly the reserved capacity, which does not exceed the announced length. Growth under pressure is by at least a sixteenth, as each 16 KiB read would otherwise copy the whole answer. Bodies of attempts whose answers are not used are freed at once. The reservation is a part of the attempt, which saves an allocation per request.

--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -4,6 +4,7 @@
 #include "gateway/RequestFingerprint.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace parsleyring {
 
@@ -22,7 +23,10 @@
 static constexpr std::size_t MaxAnswerBytes = 16 << 20;
 static constexpr std::size_t MaxUnprovedBytes = 64 << 10;
 static constexpr std::size_t MinAnswerCapacity = 1 << 10;
-// Answers whose reading has paused go on when there is room for so much.
+// Answers grow by at least this part of what has been received, since each
+// growth copies it all.
+static constexpr std::size_t GrowthPart = 16;
+// Answers whose reading has paused go on when there is room for so much more.
 static constexpr std::size_t ResumeBytes = 16 << 10;
 static constexpr int MaxCutOffs = 2;
 // Larger bodies are hashed only while there are requests that may have crashed
@@ -175,22 +179,40 @@
   return Handlers;
 }
 
+// std::string::reserve() at least doubles the capacity, which may be more than
+// has been reserved.
+static void growTo(std::string &Text, std::size_t Capacity) {
+  std::string Larger;
+  Larger.reserve(Capacity);
+  Larger.append(Text);
+  Text.swap(Larger);
+}
+
+std::size_t PlainForward::usefulCapacity(const Attempt &Sent,
+                                         std::size_t Wanted) {
+  std::string Text = Sent.m_Head.field("Content-Length");
+  std::size_t Length = 0;
+  auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  return Error == std::errc() ? std::min(Wanted, Length) : Wanted;
+}
+
 void PlainForward::appendBody(Attempt &Sent, std::string_view Bytes) {
   std::string &Body = Sent.m_Body;
   std::size_t Needed = Body.size() + Bytes.size();
-  if (Needed > Body.capacity()) {
-    if (!Sent.m_Memory)
-      Sent.m_Memory = std::make_shared<MemoryReservation>(
-          m_Context.memoryBudget(), MemoryUse::Answer, m_Job.m_Account);
-    std::size_t Capacity =
-        std::max({Needed, 2 * Body.size(), MinAnswerCapacity});
+  if (!Sent.m_Memory)
+    Sent.m_Memory.emplace(m_Context.memoryBudget(), MemoryUse::Answer,
+                          m_Job.m_Account);
+  if (Needed > Sent.m_Memory->bytes()) {
+    std::size_t Doubled = std::max(2 * Body.size(), MinAnswerCapacity);
+    std::size_t Capacity = std::max(Needed, usefulCapacity(Sent, Doubled));
     if (!Sent.m_Memory->tryResize(Capacity) &&
-        !Sent.m_Memory->tryResize(Needed)) {
+        !Sent.m_Memory->tryResize(Needed + Body.size() / GrowthPart)) {
       // These bytes have been received already.
       Sent.m_Memory->resize(Needed);
       Sent.m_Connection->pauseReading();
     }
-    Body.reserve(Sent.m_Memory->bytes());
+    growTo(Body, Sent.m_Memory->bytes());
   }
   Body.append(Bytes);
 }
@@ -199,9 +221,11 @@
   if (!Sent.m_IsRunning || !Sent.m_Connection->isPaused())
     return;
   std::size_t Held = Sent.m_Memory->bytes();
-  if (!Sent.m_Memory->tryResize(Held + ResumeBytes))
+  std::size_t Growth = std::max(ResumeBytes, Held / GrowthPart);
+  std::size_t Capacity = std::max(Held, usefulCapacity(Sent, Held + Growth));
+  if (!Sent.m_Memory->tryResize(Capacity))
     return;
-  Sent.m_Body.reserve(Sent.m_Memory->bytes());
+  growTo(Sent.m_Body, Capacity);
   Sent.m_Connection->resumeReading();
 }
 
@@ -301,12 +325,14 @@
   Time Now = m_Context.now();
   Ended->m_Endpoint->m_SuspectUntil =
       std::max(Ended->m_Endpoint->m_SuspectUntil, Now + FullEndpointTime);
+  releaseBody(*Ended);
   retryOrFinish(Reason);
 }
 
 void PlainForward::handleUnknownOutcome(const AttemptHandle &Ended,
                                         std::string_view Reason) {
   m_MayHaveRun = true;
+  releaseBody(*Ended);
   Ended->m_Connection->close();
   if (isRepeatable()) {
     retryOrFinish(Reason);
@@ -321,6 +347,13 @@
       [](const AttemptHandle &Entry) { return Entry->m_IsRunning; });
 }
 
+bool PlainForward::hasPaused() const {
+  return std::any_of(
+      m_Attempts.begin(), m_Attempts.end(), [](const AttemptHandle &Entry) {
+        return Entry->m_IsRunning && Entry->m_Connection->isPaused();
+      });
+}
+
 void PlainForward::retryOrFinish(std::string_view Reason) {
   if (m_Context.now() < m_Job.m_Deadline && !m_MayHaveRun && trySend(Reason))
     return;
@@ -348,13 +381,6 @@
   // Hedged request: sent to a second endpoint early enough to meet the latency
   // goal. If this VM has paused the answer, a second one would need more memory
   // and come no earlier.
-bool PlainForward::hasPaused() const {
-  return std::any_of(
-      m_Attempts.begin(), m_Attempts.end(), [](const AttemptHandle &Entry) {
-        return Entry->m_IsRunning && Entry->m_Connection->isPaused();
-      });
-}
-
   Duration Waited = Now - m_Job.m_Request.m_ReceivedAt;
   if (isRepeatable() && !m_IsHedged &&
       Waited >= m_Job.m_Route->m_LatencyGoal / 2 && hasRunning() &&
@@ -407,6 +433,8 @@
 }
 
 void PlainForward::forwardAnswer(Attempt &Ended) {
+  // From now on the bytes are counted as output of the caller's connection.
+  Ended.m_Memory.reset();
   m_Job.m_Caller->answer(Ended.m_Head.m_Status, endToEndFields(Ended.m_Head),
                          std::move(Ended.m_Body));
   bool IsSuccess = Ended.m_Head.m_Status < 500;
--- a/src/gateway/PlainForward.h
+++ b/src/gateway/PlainForward.h
@@ -26,7 +26,7 @@
     std::shared_ptr<HttpConnection> m_Connection;
     ResponseHead m_Head;
     std::string m_Body;
-    std::shared_ptr<MemoryReservation> m_Memory; ///< Of m_Body.
+    std::optional<MemoryReservation> m_Memory; ///< Of m_Body.
     Time m_SentAt{};
     bool m_IsRunning = true;
     bool m_IsSealed = false; ///< The head proves an answer to the request.
@@ -50,6 +50,8 @@
   ExchangeHandlers handlers(const AttemptHandle &Sent);
   /// Adds bytes to the answer. If there is no room for them, no more are read.
   void appendBody(Attempt &Sent, std::string_view Bytes);
+  /// The largest capacity up to Wanted that the body may need.
+  static std::size_t usefulCapacity(const Attempt &Sent, std::size_t Wanted);
   void resumeReading(Attempt &Sent);
   static void releaseBody(Attempt &Ended);
   void handleEnd(const AttemptHandle &Ended, ExchangeEnd End);
@@ -61,10 +63,10 @@
                             std::string_view Reason);
   void retryOrFinish(std::string_view Reason);
   bool hasRunning() const;
-  void markEnded(Attempt &Ended);
-  void finishWithoutAnswer(std::string_view Reason);
   /// True if the answer to a running attempt is not being read.
   bool hasPaused() const;
+  void markEnded(Attempt &Ended);
+  void finishWithoutAnswer(std::string_view Reason);
   void forwardAnswer(Attempt &Ended);
   void finish(ForwardOutcome Outcome, std::string_view Reason, unsigned Status);
 
