Leave a part of the memory to one answer at a time

Several large answers could fill the memory with their first parts. Then all of them were paused, and each held its part until its deadline. The last quarter of the limit is now for small answers and for the first large one that needs it; new requests get none of it meanwhile.

--- a/src/admission/MemoryBudget.cpp
+++ b/src/admission/MemoryBudget.cpp
@@ -23,6 +23,11 @@
   return static_cast<std::size_t>(static_cast<double>(m_Limit) * RequestShare);
 }
 
+std::size_t MemoryBudget::limitOfOthers() const {
+  return m_Limit - static_cast<std::size_t>(static_cast<double>(m_Limit) *
+                                            FirstAnswerShare);
+}
+
 std::size_t MemoryBudget::used(MemoryUse Use) const {
   return m_UsedByUse[static_cast<std::size_t>(Use)];
 }
@@ -40,13 +45,28 @@
   return m_Used > m_Limit - m_Limit / TightPart;
 }
 
+bool MemoryBudget::mayAnswerGrow(const MemoryReservation &Reservation,
+                                 std::size_t Bytes) {
+  if (Bytes <= SmallRequestBytes || m_FirstAnswer == &Reservation ||
+      m_Used + Bytes - Reservation.m_Bytes <= limitOfOthers())
+    return true;
+  if (m_FirstAnswer)
+    return false;
+  m_FirstAnswer = &Reservation;
+  return true;
+}
+
 bool MemoryBudget::mayGrow(const MemoryReservation &Reservation,
-                           std::size_t Bytes) const {
+                           std::size_t Bytes) {
   std::size_t Growth = Bytes - Reservation.m_Bytes;
   if (m_Used + Growth > m_Limit)
     return false;
+  if (Reservation.m_Use == MemoryUse::Answer)
+    return mayAnswerGrow(Reservation, Bytes);
   if (!isRequestUse(Reservation.m_Use))
     return true;
+  if (m_FirstAnswer && m_Used + Growth > limitOfOthers())
+    return false;
   std::size_t Available = requestLimit();
   if (Bytes > SmallRequestBytes)
     Available -= static_cast<std::size_t>(static_cast<double>(Available) *
@@ -68,6 +88,8 @@
   Apply(m_Used);
   Apply(m_UsedByUse[static_cast<std::size_t>(Reservation.m_Use)]);
   m_PeakSinceTrim = std::max(m_PeakSinceTrim, m_Used);
+  if (m_FirstAnswer == &Reservation && Bytes == 0)
+    m_FirstAnswer = nullptr;
   if (!isRequestUse(Reservation.m_Use))
     return;
   auto Client = m_RequestBytesByClient.try_emplace(Reservation.m_Client).first;
--- a/src/admission/MemoryBudget.h
+++ b/src/admission/MemoryBudget.h
@@ -63,6 +63,10 @@
   /// Part of the requests' memory that only small requests may take.
   static constexpr double SmallRequestShare = 0.125;
   static constexpr std::size_t SmallRequestBytes = 64 << 10;
+  /// Part of the limit that is left to one answer at a time, the first that
+  /// needs it, and to small ones: answers that all wait for room would
+  /// otherwise hold it until their deadlines.
+  static constexpr double FirstAnswerShare = 0.25;
   /// A request in receipt has stalled if fewer than ProgressBytes arrive within
   /// StallTime.
   static constexpr Duration StallTime = std::chrono::seconds(1);
@@ -72,8 +76,11 @@
   friend class MemoryReservation;
 
   static bool isRequestUse(MemoryUse Use);
+  /// What all may use while an answer needs the part of FirstAnswerShare.
+  std::size_t limitOfOthers() const;
   std::size_t requestBytes(const std::string &Client) const;
-  bool mayGrow(const MemoryReservation &Reservation, std::size_t Bytes) const;
+  bool mayGrow(const MemoryReservation &Reservation, std::size_t Bytes);
+  bool mayAnswerGrow(const MemoryReservation &Reservation, std::size_t Bytes);
   void change(const MemoryReservation &Reservation, std::size_t Bytes);
 
   const std::size_t m_Limit;
@@ -83,6 +90,8 @@
   std::array<std::size_t, MemoryUseCount> m_UsedByUse{};
   std::map<std::string, std::size_t> m_RequestBytesByClient;
   std::list<MemoryReservation *> m_Receiving;
+  /// Uses the part of FirstAnswerShare; null if no answer does.
+  const MemoryReservation *m_FirstAnswer = nullptr;
 };
 
 /// Memory that one request, answer or connection holds. Freed with the object.
