Limit the open connections to endpoints, not the idle ones

Idle connections could hold a quarter of the sockets beside any number of connections in use, so callers and endpoints together exceeded the descriptors. The pool now counts its open connections. While they are more than callers leave, it closes those that have been idle for longest.

--- a/src/gateway/ConnectionPool.cpp
+++ b/src/gateway/ConnectionPool.cpp
@@ -32,7 +32,10 @@
       return Newest.m_Connection;
     Newest.m_Connection->close();
   }
-  return std::make_shared<HttpConnection>(m_Loop, Address);
+  auto Connection =
+      std::make_shared<HttpConnection>(m_Loop, Address, m_OpenToken);
+  closeExcess();
+  return Connection;
 }
 
 void ConnectionPool::release(const std::shared_ptr<HttpConnection> &Connection,
@@ -60,18 +63,25 @@
   closeExcess();
 }
 
-void ConnectionPool::closeExcess() {
-  if (size() <= m_MaxIdle)
-    return;
+// Closes the connection that has been idle for longest; false if none is idle.
+bool ConnectionPool::closeOldest() {
   // Those of an address are in the order in which they became idle.
   std::vector<IdleConnection> *Oldest = nullptr;
   for (auto &[Address, Connections] : m_Idle)
     if (!Connections.empty() && (!Oldest || Connections.front().m_IdleSince <
                                                 Oldest->front().m_IdleSince))
       Oldest = &Connections;
+  if (!Oldest)
+    return false;
   std::shared_ptr<HttpConnection> Closed = Oldest->front().m_Connection;
   Oldest->erase(Oldest->begin());
   Closed->close();
+  return true;
+}
+
+void ConnectionPool::closeExcess() {
+  while (open() > m_MaxOpen && closeOldest())
+    continue;
 }
 
 void ConnectionPool::removeIdle(const HttpConnection *Connection,
--- a/src/gateway/ConnectionPool.h
+++ b/src/gateway/ConnectionPool.h
@@ -26,8 +26,11 @@
   /// Closes the connections whose idle timeout has passed.
   void expire(Time Now);
   std::size_t size() const;
-  /// Further idle connections take the place of those idle for longest.
-  void setMaxIdle(std::size_t Connections) { m_MaxIdle = Connections; }
+  /// Number of open connections from this pool, idle or in use.
+  std::size_t open() const { return m_OpenToken.use_count() - 1; }
+  /// While more than this are open, idle ones are closed, beginning with the
+  /// one that has been idle for longest.
+  void setMaxOpen(std::size_t Connections) { m_MaxOpen = Connections; }
 
 private:
   struct IdleConnection {
@@ -37,11 +40,13 @@
   };
 
   void removeIdle(const HttpConnection *Connection, const std::string &Address);
-
+  bool closeOldest();
   void closeExcess();
 
   boost::asio::io_context &m_Loop;
-  std::size_t m_MaxIdle = std::numeric_limits<std::size_t>::max();
+  /// Shared by the open connections.
+  std::shared_ptr<const void> m_OpenToken = std::make_shared<char>();
+  std::size_t m_MaxOpen = std::numeric_limits<std::size_t>::max();
   std::unordered_map<std::string, std::vector<IdleConnection>> m_Idle;
 };
 
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -49,8 +49,6 @@
 // listeners may hold.
 static constexpr std::size_t CallerSocketPart = 2;
 static constexpr std::size_t InternalSocketPart = 8;
-// The part of the sockets that idle connections to endpoints may hold.
-static constexpr std::size_t IdleSocketPart = 4;
 // Callers that found no memory return at this rate; the largest body of the
 // slowest VM takes about as long.
 static constexpr double MemoryReturnsPerSecond = 20;
@@ -75,6 +73,14 @@
   return std::max(MinConnections, socketLimit(Settings) / CallerSocketPart);
 }
 
+// What callers, and the calls and internal requests of VMs, leave.
+static std::size_t endpointConnectionLimit(const GatewaySettings &Settings) {
+  std::size_t Sockets = socketLimit(Settings);
+  std::size_t Others =
+      callerConnectionLimit(Settings) + Sockets / InternalSocketPart;
+  return std::max(MinConnections, Sockets - std::min(Sockets, Others));
+}
+
 static std::size_t memoryLimit(const GatewaySettings &Settings) {
   std::size_t Memory =
       Settings.m_MemoryBytes > 0 ? Settings.m_MemoryBytes : DefaultMemoryBytes;
@@ -293,8 +299,8 @@
   Listen(m_Settings.m_PeerAddress, *m_PeerHandler, MaxInternal);
   if (!m_Settings.m_MetricsAddress.empty())
     Listen(m_Settings.m_MetricsAddress, *m_MetricsHandler, MaxInternal);
-  m_ConnectionPool.setMaxIdle(socketLimit(m_Settings) / IdleSocketPart);
-  m_CallConnections.setMaxIdle(MaxInternal);
+  m_ConnectionPool.setMaxOpen(endpointConnectionLimit(m_Settings));
+  m_CallConnections.setMaxOpen(MaxInternal);
   m_Metrics.setMemoryLimit(m_MemoryBudget.limit());
 }
 
--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -41,9 +41,10 @@
 // server's side.
 static constexpr Duration IdleMargin = std::chrono::milliseconds(500);
 
-HttpConnection::HttpConnection(asio::io_context &Loop, std::string Address)
-    : m_Loop(Loop), m_Address(std::move(Address)), m_Socket(Loop),
-      m_ConnectTimer(Loop) {}
+HttpConnection::HttpConnection(asio::io_context &Loop, std::string Address,
+                               std::shared_ptr<const void> OpenToken)
+    : m_Loop(Loop), m_Address(std::move(Address)),
+      m_OpenToken(std::move(OpenToken)), m_Socket(Loop), m_ConnectTimer(Loop) {}
 
 void HttpConnection::send(std::string Head,
                           std::shared_ptr<const std::string> Body,
@@ -297,6 +298,7 @@
   m_ConnectTimer.cancel();
   beast::error_code Ignored;
   m_Socket.close(Ignored);
+  m_OpenToken.reset();
   if (!m_IsWriting)
     releaseOutput();
   // Handlers may keep the owner of this connection alive, and one of them may
--- a/src/gateway/HttpConnection.h
+++ b/src/gateway/HttpConnection.h
@@ -53,7 +53,10 @@
 /// the event loop.
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
-  HttpConnection(boost::asio::io_context &Loop, std::string Address);
+  /// OpenToken, which may be null, is held until the connection is closed, so
+  /// that its owner can count the open ones.
+  HttpConnection(boost::asio::io_context &Loop, std::string Address,
+                 std::shared_ptr<const void> OpenToken = nullptr);
 
   /// Sends the bytes of a request, connecting first if needed. The exchange
   /// keeps the connection object alive until it has ended, and Body, which may
@@ -106,6 +109,7 @@
 
   boost::asio::io_context &m_Loop;
   const std::string m_Address;
+  std::shared_ptr<const void> m_OpenToken;
   boost::asio::ip::tcp::socket m_Socket;
   boost::asio::steady_timer m_ConnectTimer;
   boost::beast::flat_buffer m_Buffer;
