--- a/tests/support/GatewayTestServers.cpp
+++ b/tests/support/GatewayTestServers.cpp
@@ -304,7 +304,8 @@
 
 GatewayProcess::GatewayProcess(const GatewayOptions &Options)
     : m_CallerPort(Options.m_Host), m_ReadyPort(Options.m_Host),
-      m_PeerPort(Options.m_Host), m_InternalPort(Options.m_Host) {
+      m_PeerPort(Options.m_Host), m_InternalPort(Options.m_Host),
+      m_MetricsPort(Options.m_Host) {
   int InternalPort = Options.m_DigestPort;
   if (InternalPort == 0)
     InternalPort = parseSocketAddress(m_InternalPort.address())->m_Port;
@@ -324,10 +325,21 @@
                   {"retry_ratio", 0.2},
                   {"retry_slack", 200},
                   {"retry_window_s", 10}}}};
+  json Limits = json::object();
+  if (Options.m_MemoryMegabytes > 0)
+    Limits["memory_mb"] = Options.m_MemoryMegabytes;
+  if (Options.m_MaxDescriptors > 0)
+    Limits["max_fds"] = Options.m_MaxDescriptors;
+  if (!Limits.empty()) {
+    Limits["cpu_share"] = 1;
+    Limits["cores"] = 1;
+    Settings["limits"] = Limits;
+  }
   m_Settings = std::make_unique<TemporaryFile>(Settings.dump());
   m_Process = std::make_unique<ProcessRunner>(
       "parsleyring-gateway",
-      std::vector<std::string>{"--settings", m_Settings->path()});
+      std::vector<std::string>{"--settings", m_Settings->path(), "--metrics",
+                               metricsAddress()});
 }
 
 bool GatewayProcess::waitUntilReady() const {
--- a/tests/support/GatewayTestServers.h
+++ b/tests/support/GatewayTestServers.h
@@ -88,7 +88,9 @@
   /// A loopback address. Processes exchange digests if their hosts differ and
   /// their digest ports do not.
   std::string m_Host = "127.0.0.1";
-  int m_DigestPort = 0; ///< 0: a free one.
+  int m_DigestPort = 0;      ///< 0: a free one.
+  int m_MemoryMegabytes = 0; ///< Of limits.memory_mb; 0: left out.
+  int m_MaxDescriptors = 0;  ///< Of limits.max_fds; 0: left out.
 };
 
 /// A gateway process with a settings file in the platform's format.
@@ -102,6 +104,7 @@
   const std::string &callerAddress() const { return m_CallerPort.address(); }
   const std::string &readyAddress() const { return m_ReadyPort.address(); }
   const std::string &peerAddress() const { return m_PeerPort.address(); }
+  const std::string &metricsAddress() const { return m_MetricsPort.address(); }
   ProcessRunner &process() { return *m_Process; }
   /// Waits until /v1/readyz answers 200; false after the limit of eventually().
   bool waitUntilReady() const;
@@ -111,6 +114,7 @@
   FreePort m_ReadyPort;
   FreePort m_PeerPort;
   FreePort m_InternalPort;
+  FreePort m_MetricsPort;
   std::unique_ptr<TemporaryFile> m_Settings;
   std::unique_ptr<ProcessRunner> m_Process;
 };
