--- a/src/admission/MemoryBudget.cpp
+++ b/src/admission/MemoryBudget.cpp
@@ -24,6 +24,11 @@
   return static_cast<std::size_t>(static_cast<double>(m_Limit) * RequestShare);
 }
 
+std::size_t MemoryBudget::limitOfOthers() const {
+  return m_Limit - static_cast<std::size_t>(static_cast<double>(m_Limit) *
+                                            FirstAnswerShare);
+}
+
 std::size_t MemoryBudget::used(MemoryUse Use) const {
   return m_UsedByUse[static_cast<std::size_t>(Use)];
 }
@@ -41,15 +46,30 @@
   return m_Used > m_Limit - m_Limit / TightPart;
 }
 
+bool MemoryBudget::mayAnswerGrow(const MemoryReservation &Reservation,
+                                 std::size_t Bytes) {
+  if (Bytes <= SmallRequestBytes || m_FirstAnswer == &Reservation ||
+      m_Used + Bytes - Reservation.m_Bytes <= limitOfOthers())
+    return true;
+  if (m_FirstAnswer)
+    return false;
+  m_FirstAnswer = &Reservation;
+  return true;
+}
+
 bool MemoryBudget::mayGrow(const MemoryReservation &Reservation,
-                           std::size_t Bytes) const {
+                           std::size_t Bytes) {
   std::size_t Growth = Bytes - Reservation.m_Bytes;
   // Compared without a sum, which a huge size would make overflow. Forced
   // growth can have taken m_Used over the limit.
   if (m_Used > m_Limit || Growth > m_Limit - m_Used)
     return false;
+  if (Reservation.m_Use == MemoryUse::Answer)
+    return mayAnswerGrow(Reservation, Bytes);
   if (!isRequestUse(Reservation.m_Use))
     return true;
+  if (m_FirstAnswer && m_Used + Growth > limitOfOthers())
+    return false;
   std::size_t RequestBytes =
       used(MemoryUse::RequestHead) + used(MemoryUse::RequestBody);
   std::size_t ClientBytes = requestBytes(Reservation.m_Client);
@@ -73,6 +93,8 @@
   Apply(m_Used);
   Apply(m_UsedByUse[static_cast<std::size_t>(Reservation.m_Use)]);
   m_PeakSinceTrim = std::max(m_PeakSinceTrim, m_Used);
+  if (m_FirstAnswer == &Reservation && Bytes == 0)
+    m_FirstAnswer = nullptr;
   if (!isRequestUse(Reservation.m_Use))
     return;
   auto Client = m_RequestBytesByClient.try_emplace(Reservation.m_Client).first;
--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -25,8 +25,6 @@
 }
 
 static constexpr std::size_t ReadBytes = 16 << 10;
-// Output buffers above this size are freed after use.
-static constexpr std::size_t MaxKeptOutputBytes = 4 << 10;
 // Far above the headers that endpoints and the store send.
 static constexpr std::uint32_t MaxResponseHeaderBytes = 64 << 10;
 // A response may be a long stream; who collects its body limits the memory.
@@ -43,9 +41,10 @@
 // server's side.
 static constexpr Duration IdleMargin = std::chrono::milliseconds(500);
 
-HttpConnection::HttpConnection(asio::io_context &Loop, std::string Address)
-    : m_Loop(Loop), m_Address(std::move(Address)), m_Socket(Loop),
-      m_ConnectTimer(Loop) {}
+HttpConnection::HttpConnection(asio::io_context &Loop, std::string Address,
+                               std::shared_ptr<const void> OpenToken)
+    : m_Loop(Loop), m_Address(std::move(Address)),
+      m_OpenToken(std::move(OpenToken)), m_Socket(Loop), m_ConnectTimer(Loop) {}
 
 void HttpConnection::send(std::string Head,
                           std::shared_ptr<const std::string> Body,
@@ -133,9 +132,7 @@
 
 void HttpConnection::releaseOutput() {
   m_OutputBody.reset();
-  m_Output.clear();
-  if (m_Output.capacity() > MaxKeptOutputBytes)
-    std::string().swap(m_Output);
+  std::string().swap(m_Output);
 }
 
 // Feeds the parser directly: Boost.Beast's read operations would not return
@@ -301,6 +298,7 @@
   m_ConnectTimer.cancel();
   beast::error_code Ignored;
   m_Socket.close(Ignored);
+  m_OpenToken.reset();
   if (!m_IsWriting)
     releaseOutput();
   // Handlers may keep the owner of this connection alive, and one of them may
