Answer the load balancer while requests hold all memory

The log line of a refused request counts the body too, only overload is answered with Retry-After, a body that grows under pressure grows by a sixteenth at least, and an unlimited number of descriptors counts as 65536.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -278,7 +278,9 @@
     m_BodyMemory = std::make_shared<MemoryReservation>(m_Handler.memoryBudget(),
                                                        MemoryUse::RequestBody,
                                                        m_HeadMemory->client());
-  if (!m_BodyMemory->tryResize(Capacity) && !m_BodyMemory->tryResize(Needed))
+  // Little growth at a time would copy a large body too often.
+  std::size_t Least = std::max(Needed, Body.size() + Body.size() / 16);
+  if (!m_BodyMemory->tryResize(Capacity) && !m_BodyMemory->tryResize(Least))
     return false;
   // reserve() on the body itself may take up to twice its old capacity, which
   // would not be counted.
@@ -320,7 +322,10 @@
   static const http::fields NoFields;
   const http::fields &Head =
       m_Parser->is_header_done() ? m_Parser->get().base() : NoFields;
-  AnswerFields Fields = m_Handler.refuseReceipt(Cause, Head, *m_HeadMemory);
+  std::size_t HeldBytes =
+      m_HeadMemory->bytes() + (m_BodyMemory ? m_BodyMemory->bytes() : 0);
+  AnswerFields Fields =
+      m_Handler.refuseReceipt(Cause, Head, m_HeadMemory->client(), HeldBytes);
   m_IsAnswering = true;
   m_IsReceiving = false;
   m_KeepsAlive = false;
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -80,7 +80,8 @@
   /// Head is empty if it has not been received.
   virtual AnswerFields refuseReceipt(ReceiptRefusal Cause,
                                      const boost::beast::http::fields &Head,
-                                     const MemoryReservation &Memory) = 0;
+                                     const std::string &Client,
+                                     std::size_t HeldBytes) = 0;
   virtual void handleClosed(ConnectionClose Cause,
                             const std::string &Address) = 0;
   /// True if connections close after the answer in progress.
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -42,9 +42,12 @@
 
 // The memory of a VM whose settings do not name it.
 static constexpr std::size_t DefaultMemoryBytes = 256 << 20;
+static constexpr std::size_t InternalMemoryBytes = 8 << 20;
 // Descriptors that the platform keeps for files.
 static constexpr std::size_t FileDescriptors = 200;
 static constexpr std::size_t MinConnections = 16;
+// Of a process without a limit.
+static constexpr std::size_t MaxDescriptors = 65536;
 // The part of the sockets that callers may hold, and that each of the other
 // listeners may hold.
 static constexpr std::size_t CallerSocketPart = 2;
@@ -61,7 +64,7 @@
   if (Descriptors == 0) {
     rlimit Limit{};
     getrlimit(RLIMIT_NOFILE, &Limit);
-    Descriptors = Limit.rlim_cur;
+    Descriptors = std::min<std::size_t>(Limit.rlim_cur, MaxDescriptors);
   }
   return Descriptors > FileDescriptors ? Descriptors - FileDescriptors
                                        : MinConnections;
@@ -101,7 +104,9 @@
   const TransferTimeouts &transferTimeouts() const override {
     return m_Node.transferTimeouts();
   }
-  MemoryBudget &memoryBudget() override { return m_Node.memoryBudget(); }
+  MemoryBudget &memoryBudget() override {
+    return m_Node.internalMemoryBudget();
+  }
   std::string clientOf(const boost::beast::http::fields &,
                        const std::string &Address) const override {
     return Address;
@@ -112,8 +117,9 @@
   }
   AnswerFields refuseReceipt(ReceiptRefusal Cause,
                              const boost::beast::http::fields &Head,
-                             const MemoryReservation &Memory) override {
-    return m_Node.refuseReceipt(Cause, Head, Memory);
+                             const std::string &Client,
+                             std::size_t HeldBytes) override {
+    return m_Node.refuseReceipt(Cause, Head, Client, HeldBytes);
   }
   void handleClosed(ConnectionClose Cause,
                     const std::string &Address) override {
@@ -235,6 +241,7 @@
       m_Records(Records), m_TransferTimeouts{m_Settings.m_ReceiveTimeout,
                                              m_Settings.m_SendStallTimeout},
       m_MemoryBudget(memoryLimit(m_Settings)),
+      m_InternalMemoryBudget(InternalMemoryBytes),
       m_Log(STDOUT_FILENO, m_Settings.m_VM),
       m_Random(std::random_device{}()), m_Self{m_Settings.m_VM,
                                                m_Settings.m_PeerAddress,
@@ -372,24 +379,29 @@
 
 AnswerFields GatewayNode::refuseReceipt(ReceiptRefusal Cause,
                                         const boost::beast::http::fields &Head,
-                                        const MemoryReservation &Memory) {
+                                        const std::string &Client,
+                                        std::size_t HeldBytes) {
   const HeaderNames &Names = m_Protocol.headers();
   AnswerFields Fields{{"Content-Type", "text/plain"}};
   auto Id = Head[Names.m_RequestId];
   std::string_view RequestId(Id.data(), Id.size());
   if (!RequestId.empty())
     Fields.emplace_back(Names.m_RequestId, RequestId);
-  Duration Delay =
-      m_MemoryReturns.next(FirstMemoryReturn, MemoryReturnsPerSecond, now());
-  char Seconds[16];
-  std::snprintf(Seconds, sizeof(Seconds), "%.2f",
-                std::chrono::duration<double>(Delay).count());
-  Fields.emplace_back(Names.m_RetryAfter, Seconds);
+  bool IsOverload = Cause != ReceiptRefusal::ChunkLine &&
+                    Cause != ReceiptRefusal::ReceiveTimeout;
+  if (IsOverload) {
+    Duration Delay =
+        m_MemoryReturns.next(FirstMemoryReturn, MemoryReturnsPerSecond, now());
+    char Seconds[16];
+    std::snprintf(Seconds, sizeof(Seconds), "%.2f",
+                  std::chrono::duration<double>(Delay).count());
+    Fields.emplace_back(Names.m_RetryAfter, Seconds);
+  }
   m_Metrics.countOverloadRefusal(name(Cause));
   m_Log.write(now(), "request-refused-memory", RequestId,
               {{"cause", name(Cause)},
-               {"client", Memory.client()},
-               {"held_bytes", std::int64_t(Memory.bytes())},
+               {"client", Client},
+               {"held_bytes", std::int64_t(HeldBytes)},
                {"used_bytes", std::int64_t(m_MemoryBudget.used())},
                {"limit_bytes", std::int64_t(m_MemoryBudget.limit())}});
   return Fields;
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -56,11 +56,13 @@
   }
   AnswerFields refuseReceipt(ReceiptRefusal Cause,
                              const boost::beast::http::fields &Head,
-                             const MemoryReservation &Memory) override;
+                             const std::string &Client,
+                             std::size_t HeldBytes) override;
   void handleClosed(ConnectionClose Cause, const std::string &Address) override;
 
   // RequestHandler and ForwardContext
   MemoryBudget &memoryBudget() override { return m_MemoryBudget; }
+  MemoryBudget &internalMemoryBudget() { return m_InternalMemoryBudget; }
 
   // ForwardContext
   ConnectionPool &connectionPool() override { return m_ConnectionPool; }
@@ -166,6 +168,9 @@
   const TransferTimeouts m_TransferTimeouts;
   /// Outlives the handlers of the loop, which hold connections.
   MemoryBudget m_MemoryBudget;
+  /// For the checks of the load balancer, metrics and other VMs, which must be
+  /// answered also while callers' requests have taken all memory.
+  MemoryBudget m_InternalMemoryBudget;
   boost::asio::io_context m_Loop{1};
   NodeClock m_Clock;
   DecisionLog m_Log;
