--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -56,9 +56,10 @@
 // Output buffers above this size are freed after use.
 static constexpr std::size_t MaxKeptOutputBytes = 4 << 10;
 // After the last answer of a connection, such as an early rejection, further
-// input is read and discarded for this long; closing at once would reset the
-// connection and lose the answer.
+// input is read and discarded for this long, and for longer while more arrives;
+// closing at once would reset the connection and lose the answer.
 static constexpr Duration LingerTime = std::chrono::seconds(1);
+static constexpr Duration MaxLingerTime = std::chrono::seconds(5);
 
 static constexpr unsigned UnacknowledgedTimeoutMs = 10000;
 
@@ -149,12 +150,14 @@
 }
 
 void CallerConnection::handleRead() {
-  if (m_IsLingering || m_ClosesAfterWrite)
+  if (m_IsLingering || m_ClosesAfterWrite) {
     m_Buffer.consume(m_Buffer.size());
-  else if (isBusy())
+    m_LastReadAt = m_Handler.now();
+  } else if (isBusy()) {
     m_ConnectionMemory.resize(ConnectionBytes + m_Buffer.capacity());
-  else
+  } else {
     parse();
+  }
   read();
 }
 
@@ -631,7 +634,9 @@
     return;
   const CallerLimits &Limits = m_Handler.limits();
   if (m_IsLingering) {
-    if (Now - m_StateSince > LingerTime)
+    // A caller reads the answer after it has sent its whole request.
+    bool IsSending = Now - m_LastReadAt < LingerTime && !m_Handler.isStopping();
+    if (Now - m_StateSince > (IsSending ? MaxLingerTime : LingerTime))
       close();
     return;
   }
