--- a/src/admission/ConnectionLimit.h
+++ b/src/admission/ConnectionLimit.h
@@ -13,7 +13,7 @@
 
 using ConnectionNumber = std::uint64_t;
 
-/// Decides which connection of a caller is closed when there are as many as the
+/// Decides which connection of a caller is closed when there are more than the
 /// limit allows: one that serves no request, of the address that holds most
 /// connections, and of these the one that has been inactive for longest.
 class ConnectionLimit {
--- a/src/admission/MemoryBudget.h
+++ b/src/admission/MemoryBudget.h
@@ -28,10 +28,10 @@
 
 class MemoryReservation;
 
-/// Decides which requests may take memory. Requests that are being received
-/// share a part of the limit, so that answers to requests that run always have
-/// room. Within that part, a client may hold as much as is still free (dynamic
-/// threshold), and the last bytes are left to small requests.
+/// Decides which requests may take memory. Requests, received or in progress,
+/// share a part of the limit, so that they leave room for the answers. Within
+/// that part, a client may hold as much as is still free (dynamic threshold),
+/// and the last bytes are left to small requests.
 class MemoryBudget {
 public:
   /// LimitBytes is the memory for all uses together.
