Move the handlers of internal requests out of GatewayNode

GatewayNode.cpp holds several jobs in one file, which makes it hard to add to. The handlers of ready checks, other VMs and metrics become classes of their own that name what they use instead of reaching into the node. No change of behavior.

--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -57,8 +57,6 @@
 // not all meet the same lack of memory again.
 static constexpr double MemoryReturnsPerSecond = 20;
 static constexpr Duration FirstMemoryReturn = std::chrono::milliseconds(300);
-// Internal requests have no bodies that are used; a short one is not an error.
-static constexpr std::uint64_t MaxInternalBodyBytes = 4 << 10;
 
 static std::size_t socketLimit(const GatewaySettings &Settings) {
   std::size_t Descriptors = Settings.m_MaxDescriptors;
@@ -92,149 +90,6 @@
                                   Settings.m_RequestMemoryShare);
 }
 
-namespace {
-
-/// Base of the handlers of internal requests. Uses the default limits and never
-/// reports that it is stopping.
-class InternalHandler : public RequestHandler {
-public:
-  explicit InternalHandler(GatewayNode &Node) : m_Node(Node) {
-    m_Limits.m_MaxBodyBytes = MaxInternalBodyBytes;
-  }
-  Time now() const override { return m_Node.now(); }
-  const TransferTimeouts &transferTimeouts() const override {
-    return m_Node.transferTimeouts();
-  }
-  MemoryBudget &memoryBudget() override {
-    return m_Node.internalMemoryBudget();
-  }
-  std::string clientOf(const boost::beast::http::fields &,
-                       const std::string &Address) const override {
-    return Address;
-  }
-  void
-  awaitMemory(const std::shared_ptr<CallerConnection> &Connection) override {
-    m_Node.awaitMemory(Connection);
-  }
-  AnswerFields refuseReceipt(ReceiptRefusal Cause,
-                             const boost::beast::http::fields &Head,
-                             const std::string &Client,
-                             std::size_t HeldBytes) override {
-    return m_Node.refuseReceipt(Cause, Head, Client, HeldBytes);
-  }
-  void handleClosed(ConnectionClose Cause,
-                    const std::string &Address) override {
-    m_Node.handleClosed(Cause, Address);
-  }
-  const CallerLimits &limits() const override { return m_Limits; }
-  bool isStopping() const override { return false; }
-  void handleMalformed(unsigned, const std::string &) override {}
-
-protected:
-  GatewayNode &m_Node;
-
-private:
-  CallerLimits m_Limits;
-};
-
-} // namespace
-
-/// Answers the load balancer's ready check: 503 before the first configuration
-/// and during shutdown.
-class GatewayNode::ReadyHandler final : public InternalHandler {
-public:
-  using InternalHandler::InternalHandler;
-  void
-  handleRequest(CallerRequest,
-                const std::shared_ptr<CallerConnection> &Connection) override {
-    bool IsReady = m_Node.m_Configuration.table() && !m_Node.isStopping();
-    Connection->answer(IsReady ? 200 : 503, {}, "");
-  }
-};
-
-/// Serves the items read from the store to other VMs by long poll: answers when
-/// there are newer items or the wait of the call is over. Also serves the
-/// state that the store may lack.
-class GatewayNode::PeerHandler final : public InternalHandler {
-public:
-  using InternalHandler::InternalHandler;
-  void
-  handleRequest(CallerRequest Request,
-                const std::shared_ptr<CallerConnection> &Connection) override {
-    if (Request.m_Target == PeerState::Target) {
-      answerState(*Connection);
-      return;
-    }
-    auto Call = PeerItemsCall::parse(Request.m_Target);
-    if (!Call) {
-      Connection->answer(404, {}, "");
-      return;
-    }
-    if (m_Node.m_StoreWatcher.hasNewerThan(Call->m_Version) ||
-        Call->m_Wait == Duration::zero() || !m_Node.m_StoreWatcher.isFresh())
-      answer(*Connection, Call->m_Version);
-    else
-      m_WaitingCalls.push_back(
-          {Connection, Call->m_Version, now() + Call->m_Wait});
-  }
-  void answerAll() {
-    answerIf([](const WaitingCall &) { return true; });
-  }
-  void answerDue(Time Now) {
-    // Without recent contact to the store, all waiting calls end at once, so
-    // that the other VMs can use another source.
-    bool IsFresh = m_Node.m_StoreWatcher.isFresh();
-    answerIf([Now, IsFresh](const WaitingCall &Entry) {
-      return Now >= Entry.m_Until || !IsFresh;
-    });
-  }
-
-private:
-  struct WaitingCall {
-    std::shared_ptr<CallerConnection> m_Connection;
-    StoreVersion m_Version;
-    Time m_Until{};
-  };
-
-  void answerState(CallerConnection &Connection) {
-    PeerState State{m_Node.m_Configuration.text(),
-                    m_Node.m_Fleet.leavingIncarnations(),
-                    m_Node.m_Fleet.statedLeaving()};
-    Connection.answer(200, {{"Content-Type", "application/cbor"}},
-                      State.encode());
-  }
-  void answer(CallerConnection &Connection, const StoreVersion &Version) {
-    Connection.answer(200, {{"Content-Type", "application/cbor"}},
-                      m_Node.m_StoreWatcher.itemsSince(Version).encode());
-  }
-  template <typename Condition> void answerIf(Condition IsDue) {
-    std::vector<WaitingCall> Remaining;
-    for (WaitingCall &Entry : m_WaitingCalls) {
-      if (Entry.m_Connection->isClosed())
-        continue;
-      if (IsDue(Entry))
-        answer(*Entry.m_Connection, Entry.m_Version);
-      else
-        Remaining.push_back(std::move(Entry));
-    }
-    m_WaitingCalls = std::move(Remaining);
-  }
-
-  std::vector<WaitingCall> m_WaitingCalls;
-};
-
-/// Serves the metrics page.
-class GatewayNode::MetricsHandler final : public InternalHandler {
-public:
-  using InternalHandler::InternalHandler;
-  void
-  handleRequest(CallerRequest,
-                const std::shared_ptr<CallerConnection> &Connection) override {
-    Connection->answer(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                       m_Node.m_Metrics.text());
-  }
-};
-
 GatewayNode::GatewayNode(GatewaySettings Settings, const StoreProtocol &Store,
                          const EndpointProtocol &Endpoints,
                          const RecordFormat &Records)
@@ -283,9 +138,10 @@
       m_Lease(
           m_Loop, m_StoreClient, Store, [this] { return now(); },
           m_Settings.m_StoreAddress, m_Self),
-      m_ReadyHandler(std::make_unique<ReadyHandler>(*this)),
-      m_PeerHandler(std::make_unique<PeerHandler>(*this)),
-      m_MetricsHandler(std::make_unique<MetricsHandler>(*this)),
+      m_ReadyHandler(*this, m_InternalMemoryBudget, m_Configuration),
+      m_PeerHandler(*this, m_InternalMemoryBudget,
+                    {m_Configuration, m_Fleet, m_StoreWatcher}),
+      m_MetricsHandler(*this, m_InternalMemoryBudget, m_Metrics),
       m_Digests(
           m_Loop, m_Settings.m_DigestAddress, m_Self, m_VMs, m_Fleet,
           m_StoreWatcher, m_Configuration, [this] { return now(); },
@@ -303,10 +159,10 @@
                             callerConnectionLimit(m_Settings));
   std::size_t MaxInternal =
       std::max(MinConnections, socketLimit(m_Settings) / InternalSocketPart);
-  Listen(m_Settings.m_ReadyAddress, *m_ReadyHandler, MaxInternal);
-  Listen(m_Settings.m_PeerAddress, *m_PeerHandler, MaxInternal);
+  Listen(m_Settings.m_ReadyAddress, m_ReadyHandler, MaxInternal);
+  Listen(m_Settings.m_PeerAddress, m_PeerHandler, MaxInternal);
   if (!m_Settings.m_MetricsAddress.empty())
-    Listen(m_Settings.m_MetricsAddress, *m_MetricsHandler, MaxInternal);
+    Listen(m_Settings.m_MetricsAddress, m_MetricsHandler, MaxInternal);
   m_ConnectionPool.setMaxOpen(endpointConnectionLimit(m_Settings));
   m_CallConnections.setMaxOpen(MaxInternal);
   m_Metrics.setMemoryLimit(m_MemoryBudget.limit());
@@ -823,7 +679,7 @@
 
 void GatewayNode::revisionChanged() {
   m_CrashGuard.update();
-  m_PeerHandler->answerAll();
+  m_PeerHandler.answerAll();
 }
 
 // Ticks
@@ -848,7 +704,7 @@
   });
   guard("store", [this] {
     m_StoreWatcher.tick();
-    m_PeerHandler->answerDue(now());
+    m_PeerHandler.answerDue(now());
   });
   if (m_Ticks % MaintenanceTicks == 0)
     guard("maintenance", [this] { tickMaintenance(); });
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -8,6 +8,9 @@
 #include "gateway/EndpointClient.h"
 #include "gateway/ForwardContext.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/MetricsHandler.h"
+#include "gateway/PeerHandler.h"
+#include "gateway/ReadyHandler.h"
 #include "node/NodeClock.h"
 #include "placement/PlacementController.h"
 #include "store/StoreWatcher.h"
@@ -62,7 +65,6 @@
 
   // RequestHandler and ForwardContext
   MemoryBudget &memoryBudget() override { return m_MemoryBudget; }
-  MemoryBudget &internalMemoryBudget() { return m_InternalMemoryBudget; }
 
   // ForwardContext
   ConnectionPool &connectionPool() override { return m_ConnectionPool; }
@@ -113,10 +115,6 @@
   bool isPrimaryWatcher() const override { return m_VMs.isPrimaryWatcher(); }
 
 private:
-  class ReadyHandler;
-  class PeerHandler;
-  class MetricsHandler;
-
   /// Status and reason with which a request is refused instead of forwarded.
   struct Refusal {
     unsigned m_Status = 0;
@@ -204,9 +202,9 @@
   std::vector<std::weak_ptr<CallerConnection>> m_AwaitingMemory;
   ReturnSchedule m_MemoryReturns;
 
-  std::unique_ptr<ReadyHandler> m_ReadyHandler;
-  std::unique_ptr<PeerHandler> m_PeerHandler;
-  std::unique_ptr<MetricsHandler> m_MetricsHandler;
+  ReadyHandler m_ReadyHandler;
+  PeerHandler m_PeerHandler;
+  MetricsHandler m_MetricsHandler;
   std::vector<std::unique_ptr<CallerListener>> m_Listeners;
   CallerListener *m_CallerListener = nullptr;
   DigestExchange m_Digests;
