--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -6,7 +6,6 @@
 
 #include <csignal>
 #include <malloc.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -40,63 +39,21 @@
 // process.
 static constexpr Duration StopMargin = std::chrono::milliseconds(350);
 
-// The memory of a VM whose settings do not name it.
-static constexpr std::size_t DefaultMemoryBytes = 256 << 20;
 // For all requests of the load balancer, metrics and other VMs together.
 static constexpr std::size_t InternalMemoryBytes = 8 << 20;
-// Descriptors that the platform keeps for files.
-static constexpr std::size_t FileDescriptors = 200;
-static constexpr std::size_t MinConnections = 16;
-// Of a process without a limit.
-static constexpr std::size_t MaxDescriptors = 65536;
-// The part of the sockets that callers may hold, and that each of the other
-// listeners may hold.
-static constexpr std::size_t CallerSocketPart = 2;
-static constexpr std::size_t InternalSocketPart = 8;
 // Callers that found no memory are told to return at this rate, so that they do
 // not all meet the same lack of memory again.
 static constexpr double MemoryReturnsPerSecond = 20;
 static constexpr Duration FirstMemoryReturn = std::chrono::milliseconds(300);
 
-static std::size_t socketLimit(const GatewaySettings &Settings) {
-  std::size_t Descriptors = Settings.m_MaxDescriptors;
-  if (Descriptors == 0) {
-    rlimit Limit{};
-    getrlimit(RLIMIT_NOFILE, &Limit);
-    Descriptors = std::min<std::size_t>(Limit.rlim_cur, MaxDescriptors);
-  }
-  return Descriptors > FileDescriptors ? Descriptors - FileDescriptors
-                                       : MinConnections;
-}
-
-static std::size_t callerConnectionLimit(const GatewaySettings &Settings) {
-  if (Settings.m_MaxCallerConnections > 0)
-    return Settings.m_MaxCallerConnections;
-  return std::max(MinConnections, socketLimit(Settings) / CallerSocketPart);
-}
-
-// What callers, and the calls and internal requests of VMs, leave.
-static std::size_t endpointConnectionLimit(const GatewaySettings &Settings) {
-  std::size_t Sockets = socketLimit(Settings);
-  std::size_t Others =
-      callerConnectionLimit(Settings) + Sockets / InternalSocketPart;
-  return std::max(MinConnections, Sockets - std::min(Sockets, Others));
-}
-
-static std::size_t memoryLimit(const GatewaySettings &Settings) {
-  std::size_t Memory =
-      Settings.m_MemoryBytes > 0 ? Settings.m_MemoryBytes : DefaultMemoryBytes;
-  return static_cast<std::size_t>(static_cast<double>(Memory) *
-                                  Settings.m_RequestMemoryShare);
-}
-
 GatewayNode::GatewayNode(GatewaySettings Settings, const StoreProtocol &Store,
                          const EndpointProtocol &Endpoints,
                          const RecordFormat &Records)
-    : m_Settings(std::move(Settings)), m_Protocol(Endpoints),
+    : m_Settings(std::move(Settings)), m_ResourceLimits(m_Settings),
+      m_Protocol(Endpoints),
       m_Records(Records), m_TransferTimeouts{m_Settings.m_ReceiveTimeout,
                                              m_Settings.m_SendStallTimeout},
-      m_MemoryBudget(memoryLimit(m_Settings)),
+      m_MemoryBudget(m_ResourceLimits.requestMemory()),
       m_InternalMemoryBudget(InternalMemoryBytes),
       m_Log(STDOUT_FILENO, m_Settings.m_VM),
       m_Random(std::random_device{}()), m_Self{m_Settings.m_VM,
@@ -156,14 +113,13 @@
     return m_Listeners.back().get();
   };
   m_CallerListener = Listen(m_Settings.m_CallerAddress, *this,
-                            callerConnectionLimit(m_Settings));
-  std::size_t MaxInternal =
-      std::max(MinConnections, socketLimit(m_Settings) / InternalSocketPart);
+                            m_ResourceLimits.callerConnections());
+  std::size_t MaxInternal = m_ResourceLimits.internalConnections();
   Listen(m_Settings.m_ReadyAddress, m_ReadyHandler, MaxInternal);
   Listen(m_Settings.m_PeerAddress, m_PeerHandler, MaxInternal);
   if (!m_Settings.m_MetricsAddress.empty())
     Listen(m_Settings.m_MetricsAddress, m_MetricsHandler, MaxInternal);
-  m_ConnectionPool.setMaxOpen(endpointConnectionLimit(m_Settings));
+  m_ConnectionPool.setMaxOpen(m_ResourceLimits.endpointConnections());
   m_CallConnections.setMaxOpen(MaxInternal);
   m_Metrics.setMemoryLimit(m_MemoryBudget.limit());
 }
@@ -176,7 +132,7 @@
                {"callers", m_Settings.m_CallerAddress},
                {"request_memory_bytes", std::int64_t(m_MemoryBudget.limit())},
                {"caller_connections",
-                std::int64_t(callerConnectionLimit(m_Settings))}});
+                std::int64_t(m_ResourceLimits.callerConnections())}});
   m_Signals.async_wait([this](boost::system::error_code Error, int Signal) {
     if (!Error)
       handleSignal(Signal);
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -11,6 +11,7 @@
 #include "gateway/MetricsHandler.h"
 #include "gateway/PeerHandler.h"
 #include "gateway/ReadyHandler.h"
+#include "gateway/ResourceLimits.h"
 #include "node/NodeClock.h"
 #include "placement/PlacementController.h"
 #include "store/StoreWatcher.h"
@@ -161,6 +162,7 @@
   void tickShutdown();
 
   const GatewaySettings m_Settings;
+  const ResourceLimits m_ResourceLimits;
   const EndpointProtocol &m_Protocol;
   const RecordFormat &m_Records;
   const TransferTimeouts m_TransferTimeouts;
