Move placement by the leader out of GatewayNode

PlacementDuty owns the placement of each service, whether this VM was the leader at the last tick, and the generation of the list that was placed last. The time limit of orders moves to EndpointClient, since both classes send them. No change of behavior.

--- a/src/gateway/EndpointClient.h
+++ b/src/gateway/EndpointClient.h
@@ -25,6 +25,9 @@
         m_OnAnswer(std::move(OnAnswer)),
         m_OnInvalidReport(std::move(OnInvalidReport)) {}
 
+  /// For calls that order an endpoint to do something.
+  static constexpr Duration OrderTimeout = std::chrono::milliseconds(600);
+
   void call(const FleetTable::Handle &Endpoint, const EndpointCall &Call,
             Duration Timeout, HttpClient::Handler OnReply);
   /// OnReport gets an empty report if the engine answers with bytes that are
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -18,14 +18,11 @@
 static constexpr Duration TickInterval = std::chrono::milliseconds(40);
 // Ticks between the maintenance of digests, connections and listed endpoints.
 static constexpr std::uint64_t MaintenanceTicks = 6;
-static constexpr std::uint64_t PlacementTicks = 10;
-static constexpr std::uint64_t ChangedPlacementTicks = 2;
 // How long all endpoints of a silent failure domain get no new requests.
 static constexpr Duration DomainSuspectTime = std::chrono::milliseconds(1500);
 // How long a crashed engine gets no new requests. Its entry expires after about
 // the same time.
 static constexpr Duration CrashedTime = std::chrono::seconds(4);
-static constexpr Duration OrderTimeout = std::chrono::milliseconds(600);
 // Within about this time a starting gateway has its configuration, and callers
 // have left a stopping one.
 static constexpr const char *RetryAfterSeconds = "0.3";
@@ -95,6 +92,9 @@
       m_Lease(
           m_Loop, m_StoreClient, Store, [this] { return now(); },
           m_Settings.m_StoreAddress, m_Self),
+      m_PlacementDuty({m_Lease, m_Configuration, m_StoreWatcher, m_Fleet,
+                       Endpoints, m_EndpointClient, m_Log, m_Metrics},
+                      [this] { return now(); }),
       m_ReadyHandler(*this, m_InternalMemoryBudget, m_Configuration),
       m_PeerHandler(*this, m_InternalMemoryBudget,
                     {m_Configuration, m_Fleet, m_StoreWatcher}),
@@ -397,7 +397,8 @@
 void GatewayNode::callEndpoint(const FleetTable::Handle &Endpoint,
                                const EndpointCall &Call,
                                HttpClient::Handler OnReply) {
-  m_EndpointClient.call(Endpoint, Call, OrderTimeout, std::move(OnReply));
+  m_EndpointClient.call(Endpoint, Call, EndpointClient::OrderTimeout,
+                        std::move(OnReply));
 }
 
 void GatewayNode::noteCallAnswer(const FleetTable::Handle &Endpoint,
@@ -664,12 +665,8 @@
   });
   if (m_Ticks % MaintenanceTicks == 0)
     guard("maintenance", [this] { tickMaintenance(); });
-  // A change of the list may leave layers without a holder.
-  bool HasNewList = m_PlacedGeneration != m_Fleet.generation();
-  if (m_Ticks % (HasNewList ? ChangedPlacementTicks : PlacementTicks) == 0) {
-    m_PlacedGeneration = m_Fleet.generation();
-    guard("placement", [this] { tickPlacement(); });
-  }
+  if (m_PlacementDuty.isDue(m_Ticks))
+    guard("placement", [this] { m_PlacementDuty.tick(isStopping()); });
   if (isStopping())
     tickShutdown();
 }
@@ -724,7 +721,7 @@
   m_CallConnections.expire(Now);
   m_Fleet.expire(Now);
   m_VMs.expire(Now);
-  m_CrashGuard.tick(m_WasLeader);
+  m_CrashGuard.tick(m_PlacementDuty.wasLeader());
   noteEndedRests();
   updateGauges();
 }
@@ -743,53 +740,6 @@
   m_CountedDroppedLines = m_Log.droppedLines();
 }
 
-void GatewayNode::tickPlacement() {
-  Time Now = now();
-  bool IsLeader = m_Lease.isLeader(Now) && !isStopping();
-  if (IsLeader != m_WasLeader) {
-    m_WasLeader = IsLeader;
-    m_Placement.clear();
-    m_Log.write(Now, IsLeader ? "duty-taken" : "duty-lost", "",
-                {{"era", std::int64_t(m_StoreWatcher.version().m_Era)},
-                 {"token", std::int64_t(m_Lease.fencingToken())}});
-  }
-  const std::shared_ptr<const RouteTable> &Table = m_Configuration.table();
-  if (!IsLeader || !Table || !m_StoreWatcher.isAvailable())
-    return;
-  for (const auto &[Name, Service] : Table->m_Services) {
-    if (!Service.isLayered())
-      continue;
-    for (const PlacementOrder &Order : m_Placement[Name].tick(
-             *Service.m_Engine, m_Fleet.endpointsOfService(Name), Now))
-      sendOrder(Name, Order);
-  }
-}
-
-void GatewayNode::sendOrder(const std::string &Service,
-                            const PlacementOrder &Order) {
-  FleetTable::Handle Endpoint = m_Fleet.find(Order.m_Endpoint);
-  if (!Endpoint)
-    return;
-  m_Metrics.countOrder("place");
-  m_Log.write(now(), "order", "",
-              {{"endpoint", Order.m_Endpoint},
-               {"first_layer", std::int64_t(Order.m_Layers.m_First)},
-               {"end_layer", std::int64_t(Order.m_Layers.m_End)},
-               {"token", std::int64_t(m_Lease.fencingToken())}});
-  m_EndpointClient.call(
-      Endpoint, m_Protocol.placeCall(Order.m_Layers), OrderTimeout,
-      [this, Service, Order](const CallReply &Reply) {
-        m_Log.write(now(), "order-answer", "",
-                    {{"endpoint", Order.m_Endpoint},
-                     {"status", std::int64_t(Reply.m_Status)},
-                     {"body", std::string_view(Reply.m_Body).substr(0, 200)}});
-        if (Reply.m_Status == 0)
-          m_Placement[Service].noteUnanswered(Order.m_Endpoint, now());
-        else if (Reply.m_Status >= 300)
-          m_Placement[Service].noteRefused(Order.m_Endpoint, now());
-      });
-}
-
 // Shutdown
 
 void GatewayNode::handleSignal(int Signal) {
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -10,10 +10,10 @@
 #include "gateway/GatewaySettings.h"
 #include "gateway/MetricsHandler.h"
 #include "gateway/PeerHandler.h"
+#include "gateway/PlacementDuty.h"
 #include "gateway/ReadyHandler.h"
 #include "gateway/ResourceLimits.h"
 #include "node/NodeClock.h"
-#include "placement/PlacementController.h"
 #include "store/StoreWatcher.h"
 #include "store/VMDirectory.h"
 #include "store/VMLease.h"
@@ -147,8 +147,6 @@
   void updateGauges();
   void recordPace(FleetEndpoint &Endpoint, double Pace);
   void pollSlowEngines();
-  void tickPlacement();
-  void sendOrder(const std::string &Service, const PlacementOrder &Order);
   void suspectDomain(const std::string &Domain);
   void handleDigestChanges(const DigestChanges &Changes, const std::string &By);
   /// Records what an answer to a call of this VM's own states.
@@ -193,9 +191,7 @@
   StoreWatcher m_StoreWatcher;
   CrashGuard m_CrashGuard;
   VMLease m_Lease;
-  std::map<std::string, PlacementController> m_Placement; ///< By service.
-  bool m_WasLeader = false;
-  std::uint64_t m_PlacedGeneration = 0; ///< Of the list at the last placement.
+  PlacementDuty m_PlacementDuty;
   std::map<std::string, AdmissionQueue> m_AdmissionQueues; ///< By service.
   std::map<std::string, ReturnSchedule> m_ReturnSchedules; ///< By service.
   std::map<std::string, RetryShare> m_RetryShares;
