Move the suspicion of endpoints and domains out of GatewayNode

SuspicionRecorder marks endpoints and failure domains, logs it and informs the other VMs; the node notifies the running requests, which it owns. No change of behavior.

--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -18,8 +18,6 @@
 static constexpr Duration TickInterval = std::chrono::milliseconds(40);
 // Ticks between the maintenance of digests, connections and listed endpoints.
 static constexpr std::uint64_t MaintenanceTicks = 6;
-// How long all endpoints of a silent failure domain get no new requests.
-static constexpr Duration DomainSuspectTime = std::chrono::milliseconds(1500);
 // How long a crashed engine gets no new requests. Its entry expires after about
 // the same time.
 static constexpr Duration CrashedTime = std::chrono::seconds(4);
@@ -105,6 +103,12 @@
           [this](const DigestChanges &Changes, const std::string &By) {
             handleDigestChanges(Changes, By);
           }),
+      m_SuspicionRecorder(
+          {m_Fleet, m_Digests, m_Log}, m_Settings.m_FailureDomain,
+          [this] { return now(); },
+          [this](const FleetTable::Handle &Endpoint) {
+            notifySuspicion(Endpoint);
+          }),
       m_TickTimer(m_Loop), m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
   auto Listen = [this](const std::string &Address, RequestHandler &Handler,
                        std::size_t MaxConnections) {
@@ -419,43 +423,7 @@
 
 void GatewayNode::suspect(const FleetTable::Handle &Endpoint,
                           std::string_view Reason, Duration Period) {
-  Time Now = now();
-  bool IsNew = Endpoint->m_SuspectUntil <= Now;
-  Endpoint->m_SuspectUntil = std::max(Endpoint->m_SuspectUntil, Now + Period);
-  Endpoint->m_OwnSuspectUntil =
-      std::max(Endpoint->m_OwnSuspectUntil, Now + Period);
-  if (IsNew)
-    m_Log.write(Now, "endpoint-suspect", "",
-                {{"endpoint", Endpoint->m_Entry.m_Id},
-                 {"reason", Reason},
-                 {"running", std::int64_t(Endpoint->m_Running)}});
-  // A new suspicion is sent to the other VMs at once.
-  if (IsNew)
-    m_Digests.sendToDomainPeers();
-  notifySuspicion(Endpoint);
-  Endpoint->m_SilentAt = Now;
-  const std::string &Domain = Endpoint->m_Entry.m_FailureDomain;
-  if (IsNew && Domain != m_Settings.m_FailureDomain &&
-      m_Fleet.isDomainSilent(Domain, Now))
-    suspectDomain(Domain);
-}
-
-// Marks all endpoints of a failure domain that is cut off. Otherwise requests
-// would have to fail at each endpoint before it is marked.
-void GatewayNode::suspectDomain(const std::string &Domain) {
-  Time Now = now();
-  m_Log.write(Now, "failure-domain-suspect", "", {{"failure_domain", Domain}});
-  std::vector<FleetTable::Handle> Marked;
-  for (const auto &[Id, Endpoint] : m_Fleet.endpoints()) {
-    if (Endpoint->m_Entry.m_FailureDomain != Domain)
-      continue;
-    Endpoint->m_SuspectUntil =
-        std::max(Endpoint->m_SuspectUntil, Now + DomainSuspectTime);
-    if (Endpoint->m_Running > 0)
-      Marked.push_back(Endpoint);
-  }
-  for (const FleetTable::Handle &Endpoint : Marked)
-    notifySuspicion(Endpoint);
+  m_SuspicionRecorder.suspect(Endpoint, Reason, Period);
 }
 
 // Endpoints that another VM suspects get no new requests, but those in progress
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -13,6 +13,7 @@
 #include "gateway/PlacementDuty.h"
 #include "gateway/ReadyHandler.h"
 #include "gateway/ResourceLimits.h"
+#include "gateway/SuspicionRecorder.h"
 #include "node/NodeClock.h"
 #include "store/StoreWatcher.h"
 #include "store/VMDirectory.h"
@@ -147,7 +148,6 @@
   void updateGauges();
   void recordPace(FleetEndpoint &Endpoint, double Pace);
   void pollSlowEngines();
-  void suspectDomain(const std::string &Domain);
   void handleDigestChanges(const DigestChanges &Changes, const std::string &By);
   /// Records what an answer to a call of this VM's own states.
   void noteCallAnswer(const FleetTable::Handle &Endpoint,
@@ -206,6 +206,7 @@
   std::vector<std::unique_ptr<CallerListener>> m_Listeners;
   CallerListener *m_CallerListener = nullptr;
   DigestExchange m_Digests;
+  SuspicionRecorder m_SuspicionRecorder;
   boost::asio::steady_timer m_TickTimer;
   boost::asio::signal_set m_Signals;
   std::uint64_t m_Ticks = 0;
