Split StreamForward into planning, waiting and recovery

StreamRequestFields reads the request's size and prompt parts. StreamPlanner plans paths and owns the excluded endpoints and what limits tell. StreamWait owns the wait in the admission queue. StreamRecovery checks silent streams and replaces parts of their paths, through the interface RecoverableStream. StreamProgress holds the events so far, which all of them read. StreamForward keeps the attempts and the answer. Behavior does not change.

Measured: integration/StreamFaultsTest (4 tests), SilentEndpointTest (7), PausedStreamTest (5) and GatewayTest (21) pass.

--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -1,9 +1,13 @@
 #ifndef PARSLEYRING_GATEWAY_STREAMFORWARD_H
 #define PARSLEYRING_GATEWAY_STREAMFORWARD_H
 
-#include "admission/LimitedWait.h"
 #include "gateway/ForwardContext.h"
 #include "gateway/StreamAttempt.h"
+#include "gateway/StreamPlanner.h"
+#include "gateway/StreamProgress.h"
+#include "gateway/StreamRecovery.h"
+#include "gateway/StreamRequestFields.h"
+#include "gateway/StreamWait.h"
 
 namespace parsleyring {
 
@@ -16,7 +20,8 @@
 /// another path. The silent attempt stays open until the new one has its first
 /// event, and is the current one again if nothing else is left.
 class StreamForward final : public ForwardedRequest,
-                            public std::enable_shared_from_this<StreamForward> {
+                            public std::enable_shared_from_this<StreamForward>,
+                            public RecoverableStream {
 public:
   StreamForward(ForwardContext &Context, ForwardJob Job);
 
@@ -31,21 +36,10 @@
   bool canResume() const { return m_Job.m_Route->m_IsResumable; }
   bool canSendAgain() const;
   bool hasAnswerBegun() const { return m_HasAnswerBegun; }
-  double answerTokensLeft() const;
-  PathQuery pathQuery() const;
-  std::vector<FleetTable::Handle> firstEngines() const;
-  bool mayBegin(FleetEndpoint &Engine) const;
-  LayerPath planPath();
-  void noteDemand(const LayerPath &Path);
   bool trySend(std::string_view Reason);
   ExchangeHandlers handlers(const AttemptHandle &Attempt);
   /// Queues the request until an engine has capacity; false if it cannot wait.
   bool waitForCapacity(std::string_view Reason);
-  void recordWait();
-  LimitedCapacity limitedCapacity() const;
-  /// When there is a path, if engines at rest are all that is missing.
-  std::optional<Time> restEnd() const;
-  bool isRestLongerThan(Time WaitUntil) const;
   bool isOpen(const AttemptHandle &Attempt) const;
   std::vector<FleetTable::Handle> enginesOfOpenAttempts() const;
   void handleHead(const AttemptHandle &Attempt, const ResponseHead &Head);
@@ -65,26 +59,20 @@
   bool endIfQuarantined();
   void beginAnswer();
 
-  void checkPaces(Duration Silence);
-  void checkSilence(Time Now);
-  Duration silenceLimit() const;
-  void handleReport(const std::optional<EngineReport> &Report);
-  bool hasSuspectPart(Time Now) const;
-  void replaceParts();
-  void handleRepath(unsigned Status, const LayerPath &Path);
-  /// Sends the request on a new path and leaves the current attempt open.
-  /// Returns false if that is not possible; the attempt then stays current.
-  bool moveElsewhere(std::string_view Reason);
+  // RecoverableStream
+  bool hasEnded() const override { return m_IsDone; }
+  const AttemptHandle &attempt() const override { return m_Attempt; }
+  bool moveElsewhere(std::string_view Reason) override;
+  void retryElsewhere(std::string_view Reason) override;
+  void uncount(StreamAttempt &Attempt) override;
+  std::shared_ptr<RecoverableStream> self() override {
+    return shared_from_this();
+  }
+
   /// Makes a silent attempt the current one; closes the current one, if any.
   void resumeAttempt(AttemptHandle Silent);
-  /// Closes the current attempt and sends the request on a new path, goes on
-  /// with a silent attempt, or queues the request; else ends the request.
-  void retryElsewhere(std::string_view Reason);
   /// Ends the request without a complete answer.
   void endUnanswered(std::string_view Reason);
-  void exclude(const FleetTable::Handle &Endpoint);
-  /// The attempt has not run, or its engine is gone.
-  void uncount(StreamAttempt &Attempt);
   /// Nothing of the attempt was sent.
   void noteUnsent(StreamAttempt &Attempt);
   /// True if an engine may have begun to run the request.
@@ -100,37 +88,18 @@
   void failRequest(std::string_view Reason);
   void finish(ForwardOutcome Outcome, std::string_view Reason, unsigned Status);
 
-  double m_PromptTokens = 0;
-  double m_AnswerTokens = 0;
-  /// Ids of the parts of the prompt that other requests may have, too.
-  std::vector<std::string> m_SharedParts;
+  StreamRequestFields m_Fields;
+  StreamProgress m_Progress;
+  StreamPlanner m_Planner;
+  StreamWait m_Wait;
+  StreamRecovery m_Recovery;
 
   AttemptHandle m_Attempt; ///< The current attempt; null if there is none.
   /// Attempts that fell silent before the current one, oldest first.
   std::vector<AttemptHandle> m_SilentAttempts;
 
-  /// Only limits of engines kept the last attempt from being sent.
-  bool m_IsLimited = false;
-  /// The next attempt is counted in the demand for the engine that it needs.
-  bool m_IsDemandCounted = false;
-
-  // While the request is in the admission queue.
-  RequestNumber m_QueueNumber = 0; ///< 0 if it is not in the queue.
-  Time m_WaitingSince{};           ///< Zero if it is not in the queue.
-  LimitedWait m_LimitedWait;
-
   // Over all attempts.
-  /// Endpoints that failed or were suspect; used in new paths only if there is
-  /// no other one.
-  std::vector<FleetTable::Handle> m_ExcludedEndpoints;
-  std::uint64_t m_LastEventId = 0;
-  Time m_LastProgressAt{};
-  double m_MeanEventGapMs = 0; ///< Moving mean.
-  double m_LongestPauseMs = 0;
-  Duration m_QueuedTime{};  ///< Total time in the admission queue.
-  double m_PlannedFill = 0; ///< Largest fill of engine memory on the path.
-  Duration m_FirstEventTime{};
-  int m_Events = 0;
+  double m_PlannedFill = 0;  ///< Largest fill of engine memory on the path.
   int m_CountedAttempts = 0; ///< Attempts that count towards the maximum.
   int m_Sends = 0;
   bool m_MayHaveRun = false; ///< In an attempt that is over.
