Let requests wait for the first configuration of a starting VM

Cause: a VM that had just started refused each request until it had read its configuration, with a Retry-After of 0.3 s. When all VMs start at once, as after a loss of power, callers use up their retries before that.

--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -262,22 +262,51 @@
   if (!Job.m_Service)
     return Refusal{503, "no-service"};
   Duration Timeout = Job.m_Route->m_Timeout;
-  std::string Text = Request.field(Names.m_Deadline);
+  if (auto Stated = callerTimeout(Request))
+    Timeout = std::min(Timeout, *Stated);
+  Job.m_Deadline = Request.m_ReceivedAt + Timeout;
+  return std::nullopt;
+}
+
+std::optional<Duration>
+GatewayNode::callerTimeout(const CallerRequest &Request) const {
+  // Longer times than any route's are cut off, since any number may be stated.
+  static constexpr std::int64_t MaxMilliseconds = 24 * 3600 * 1000;
+  std::string Text = Request.field(m_Protocol.headers().m_Deadline);
   std::int64_t Milliseconds = 0;
   auto [End, Error] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
-  // Compared in milliseconds, since any number of them may be stated.
-  if (!Text.empty() && Error == std::errc() &&
-      Milliseconds < Timeout / std::chrono::milliseconds(1))
-    Timeout =
-        std::chrono::milliseconds(std::max<std::int64_t>(0, Milliseconds));
-  Job.m_Deadline = Request.m_ReceivedAt + Timeout;
-  return std::nullopt;
+  if (Text.empty() || Error != std::errc())
+    return std::nullopt;
+  return std::chrono::milliseconds(
+      std::clamp<std::int64_t>(Milliseconds, 0, MaxMilliseconds));
+}
+
+// Requests that have waited for the first configuration. Those of callers that
+// have left meanwhile are dropped.
+void GatewayNode::tickStartup() {
+  if (m_StartupQueue.empty())
+    return;
+  bool IsReady = m_Configuration.table() || isStopping();
+  for (StartupQueue::WaitingRequest &Entry :
+       IsReady ? m_StartupQueue.takeAll() : m_StartupQueue.takeDue(now())) {
+    if (Entry.m_Caller->isClosed())
+      continue;
+    guard("request", [&] {
+      if (m_Configuration.table())
+        handleRequest(std::move(Entry.m_Request), Entry.m_Caller);
+      else
+        refuse(Entry.m_Request, *Entry.m_Caller, {503, "no-configuration"});
+    });
+  }
 }
 
 void GatewayNode::handleRequest(
     CallerRequest Request,
     const std::shared_ptr<CallerConnection> &Connection) {
+  if (!m_Configuration.table() && !isStopping() &&
+      m_StartupQueue.add(Request, Connection, callerTimeout(Request)))
+    return;
   ForwardJob Job;
   Job.m_Request = std::move(Request);
   Job.m_Caller = Connection;
@@ -621,6 +650,7 @@
 
 void GatewayNode::tick() {
   ++m_Ticks;
+  tickStartup();
   tickRequests();
   tickMemory();
   guard("admission", [this] {
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -13,6 +13,7 @@
 #include "gateway/PlacementDuty.h"
 #include "gateway/ReadyHandler.h"
 #include "gateway/ResourceLimits.h"
+#include "gateway/StartupQueue.h"
 #include "gateway/SuspicionRecorder.h"
 #include "node/NodeClock.h"
 #include "store/StoreWatcher.h"
@@ -123,6 +124,8 @@
     std::string_view m_Reason;
   };
   std::optional<Refusal> prepareJob(ForwardJob &Job);
+  /// How long the caller waits for the answer, if it states that.
+  std::optional<Duration> callerTimeout(const CallerRequest &Request) const;
   void refuse(const CallerRequest &Request, CallerConnection &Caller,
               Refusal Cause);
 
@@ -142,6 +145,7 @@
 
   void scheduleTick();
   void tick();
+  void tickStartup();
   void tickRequests();
   void tickMemory();
   void tickMaintenance();
@@ -196,6 +200,7 @@
   std::map<std::string, ReturnSchedule> m_ReturnSchedules; ///< By service.
   std::map<std::string, RetryShare> m_RetryShares;
   std::set<std::shared_ptr<ForwardedRequest>> m_Requests;
+  StartupQueue m_StartupQueue;
   /// Connections with a request that waits for memory.
   std::vector<std::weak_ptr<CallerConnection>> m_AwaitingMemory;
   ReturnSchedule m_MemoryReturns;
--- a/tests/integration/GatewayTest.cpp
+++ b/tests/integration/GatewayTest.cpp
@@ -106,6 +106,32 @@
   CHECK(Left > 1500 && Left <= 2500);
 }
 
+// Guards against callers that are refused by a VM that has just started, and
+// that have used up their retries when it has its configuration.
+TEST(Gateway, RequestsWaitForTheFirstConfiguration) {
+  FakeEndpoint Endpoint(answerOk);
+  listEndpoint("e1", "plain", Endpoint.address());
+  m_Store.remove("op/config");
+  m_Gateway = std::make_unique<GatewayProcess>("vm-0", m_Store.address());
+  CHECK(eventually([&] {
+    return sendHttp(m_Gateway->readyAddress(), {"GET", "/v1/readyz"})
+               .m_Status == 503;
+  }));
+  // Without a configuration, the wait ends with a refusal.
+  HttpAnswer Refused = send(makeRequest("/once/a"));
+  LONGS_EQUAL(503, Refused.m_Status);
+  CHECK(!Refused.header("Retry-After").empty());
+  HttpAnswer Answer;
+  HttpRequest Request = makeRequest("/once/b");
+  Request.m_Headers["Deadline-Ms"] = "20000";
+  std::thread Caller([&] { Answer = send(Request); });
+  std::this_thread::sleep_for(100ms);
+  m_Store.put("op/config", gatewayConfiguration(1));
+  Caller.join();
+  LONGS_EQUAL(200, Answer.m_Status);
+  LONGS_EQUAL(1, Endpoint.calls().size());
+}
+
 // Guards against a deadline far in the future that overflows and counts as
 // past.
 TEST(Gateway, DeadlinesMayBeAnyNumber) {
