Give a chain as many first engines as its slots require

Only the first engine of a path counts the request in its slots, and each chain had one engine with the first layers. So the slots ran out while the memory of the chain was partly filled.

PlacementCard has the slots of the engine's entry. planChain() assigns the same first layers to two or three of the slowest cards of a chain, if paths can serve more requests then; the end of these layers makes the memory per layer even. An empty card goes to the first layers if that lets paths serve more requests than its memory does elsewhere. Moves leave two engines with the first layers, and three or more where slots are scarcer than memory. Layouts without slots or without the usual size of requests, of short chains and with enough slots stay the same.

--- a/src/placement/LayoutMoveFinder.cpp
+++ b/src/placement/LayoutMoveFinder.cpp
@@ -69,6 +69,20 @@
   return Ranges;
 }
 
+// True if the move would lower the number of requests that paths can serve, as
+// a card offers its slots to paths only while it holds the first layer.
+bool LayoutMoveFinder::takesNeededSlots(PlacementCard &Card,
+                                        LayerRange Layers) {
+  if (!Card.holdsFirstLayer() || Layers.m_First == 0 || Card.m_Slots == 0)
+    return false;
+  const LayerRange CurrentRange = Card.m_Layers;
+  const double Before = LayoutQuality::servableRequests(m_Model, m_Cards);
+  Card.m_Layers = Layers;
+  const double After = LayoutQuality::servableRequests(m_Model, m_Cards);
+  Card.m_Layers = CurrentRange;
+  return After < Before;
+}
+
 std::vector<LayoutMoveFinder::Move> LayoutMoveFinder::candidateMoves() {
   std::vector<Move> Moves;
   const double Utility = m_Memory.utility();
@@ -79,7 +93,10 @@
       LayerMemory Changed = m_Memory;
       Changed.remove(Card, Card.m_Layers);
       Changed.add(Card, Range);
-      if (Changed.utility() > Utility)
+      bool KeepsFirstLayers =
+          Range.m_First == 0 ||
+          !LayoutQuality::needsFirstLayers(m_Model, m_Cards, Card);
+      if (KeepsFirstLayers && Changed.utility() > Utility)
         Moves.push_back({Changed.utility(), &Card, Range});
     }
   }
@@ -101,6 +118,8 @@
   double BestUsable = m_UsableMegabytes;
   for (const Move &Candidate : Moves) {
     const LayerRange &CurrentRange = Candidate.m_Card->m_Layers;
+    if (takesNeededSlots(*Candidate.m_Card, Candidate.m_Layers))
+      continue;
     double Usable = usableMemoryWith(*Candidate.m_Card, Candidate.m_Layers);
     bool IsResize = Candidate.m_Layers.m_First < CurrentRange.m_End &&
                     CurrentRange.m_First < Candidate.m_Layers.m_End;
--- a/src/placement/LayoutMoveFinder.h
+++ b/src/placement/LayoutMoveFinder.h
@@ -26,6 +26,7 @@
   };
 
   double usableMemoryWith(PlacementCard &Card, LayerRange Layers);
+  bool takesNeededSlots(PlacementCard &Card, LayerRange Layers);
   std::vector<LayerRange> candidateRanges(PlacementCard &Card);
   std::vector<Move> candidateMoves();
 
--- a/src/placement/LayoutPlanner.cpp
+++ b/src/placement/LayoutPlanner.cpp
@@ -2,6 +2,7 @@
 
 #include "placement/HoleFiller.h"
 #include "placement/LayoutMoveFinder.h"
+#include "placement/LayoutQuality.h"
 
 #include <algorithm>
 #include <cmath>
@@ -22,8 +23,20 @@
 // second one, which covers the layers and a little memory for requests.
 static constexpr double PreferredChainMemoryFactor = 1.3;
 static constexpr double MinChainMemoryFactor = 1.06;
+// Cards of a chain that hold its first layers, if its slots require several.
+// More than three were not needed for the slots of known engines.
+static constexpr std::uint32_t MaxFirstCards = 3;
+// Each of the cards with the first layers takes memory for a further copy of
+// these, which is too much for a chain with fewer other cards.
+static constexpr std::size_t MinOtherCards = 4;
 namespace {
 
+/// Several cards of a chain that hold the same first layers.
+struct FirstLayers {
+  std::uint32_t m_CardCount = 1; ///< With 1, the chain has no such cards.
+  std::uint32_t m_End = 0;
+};
+
 /// Plans the layers of the cards of a group of failure domains that together
 /// hold whole copies.
 class DomainGroupPlanner {
@@ -40,6 +53,9 @@
   std::uint32_t copyCount() const;
   void planChains();
   void planChain(std::vector<PlacementCard *> &Chain);
+  FirstLayers planFirstLayers(const std::vector<PlacementCard *> &Chain) const;
+  LayerRange rangeForEmptyCard(const PlacementCard &Card);
+  LayerRange firstRangeFor(const PlacementCard &Card) const;
   bool extendNeighbours();
   void coverAllLayers();
   void addOrder(PlacementCard &Card, LayerRange Layers);
@@ -115,13 +131,76 @@
   }
 }
 
+// The last cards of a chain are the slowest and smallest. They hold the first
+// layers, because each of them takes memory for a copy of its own, and since
+// requests are divided between them, so is the time that they take.
+FirstLayers DomainGroupPlanner::planFirstLayers(
+    const std::vector<PlacementCard *> &Chain) const {
+  FirstLayers Best;
+  double OtherMegabytes = 0;
+  for (const PlacementCard *Card : Chain)
+    OtherMegabytes += Card->m_MemoryMegabytes;
+  const double Requests = LayoutQuality::requestsInMemory(
+      m_Model, OtherMegabytes - m_Model.m_LayerMegabytes * m_Model.m_Layers);
+  // Without several first cards, the first card of the chain has the slots.
+  double BestRequests = std::min<double>(Requests, Chain.front()->m_Slots);
+  double Slots = 0;
+  double FirstMegabytes = 0;
+  std::uint32_t MaxEnd = m_Model.m_Layers - 1;
+  for (std::uint32_t Count = 1;
+       Count <= MaxFirstCards && Count + MinOtherCards <= Chain.size() &&
+       Slots < Requests;
+       ++Count) {
+    const PlacementCard &Card = *Chain[Chain.size() - Count];
+    if (Card.m_Slots == 0 || Chain.front()->m_Slots == 0)
+      return {};
+    Slots += Card.m_Slots;
+    FirstMegabytes += Card.m_MemoryMegabytes;
+    OtherMegabytes -= Card.m_MemoryMegabytes;
+    MaxEnd = std::min(MaxEnd, LayerMemory::maxLayers(m_Model, Card));
+    if (Count == 1)
+      continue;
+    // The end at which the first cards have as much memory for each layer as
+    // the others.
+    std::uint32_t EvenEnd = 0;
+    double EvenMegabytes = 0;
+    for (std::uint32_t End = 1; End <= MaxEnd; ++End) {
+      double Megabytes = std::min(
+          FirstMegabytes / End - Count * m_Model.m_LayerMegabytes,
+          OtherMegabytes / (m_Model.m_Layers - End) - m_Model.m_LayerMegabytes);
+      if (Megabytes <= EvenMegabytes)
+        continue;
+      EvenMegabytes = Megabytes;
+      EvenEnd = End;
+    }
+    double Servable =
+        std::min(Slots, LayoutQuality::requestsInMemory(
+                            m_Model, EvenMegabytes * m_Model.m_Layers));
+    if (Servable > BestRequests) {
+      BestRequests = Servable;
+      Best = {Count, EvenEnd};
+    }
+  }
+  return Best;
+}
+
 // Splits the layers in proportion to the memory of the cards, so that all cards
 // run out of request memory at the same time.
 void DomainGroupPlanner::planChain(std::vector<PlacementCard *> &Chain) {
+  if (Chain.empty())
+    return;
+  std::uint32_t First = 0;
+  const FirstLayers Shared = planFirstLayers(Chain);
+  if (Shared.m_CardCount > 1) {
+    for (std::uint32_t Count = 0; Count < Shared.m_CardCount; ++Count) {
+      addOrder(*Chain.back(), {0, Shared.m_End});
+      Chain.pop_back();
+    }
+    First = Shared.m_End;
+  }
   double Left = 0;
   for (const PlacementCard *Card : Chain)
     Left += Card->m_MemoryMegabytes;
-  std::uint32_t First = 0;
   for (PlacementCard *Card : Chain) {
     std::uint32_t Remaining = m_Model.m_Layers - First;
     double Share = Remaining * Card->m_MemoryMegabytes / Left;
@@ -136,6 +215,51 @@
   }
 }
 
+// The first layers that the fewest cards hold, or as many of these as leave
+// half of the memory of the Card for requests. Empty if the group is too small
+// for several cards with the same first layers.
+LayerRange DomainGroupPlanner::firstRangeFor(const PlacementCard &Card) const {
+  std::map<std::uint32_t, int> HoldersByEnd;
+  std::size_t OtherCards = 0;
+  for (const PlacementCard &Holder : m_Cards) {
+    if (Holder.holdsFirstLayer())
+      ++HoldersByEnd[Holder.m_Layers.m_End];
+    else if (!Holder.isEmpty())
+      ++OtherCards;
+  }
+  if (HoldersByEnd.empty() || OtherCards < MinOtherCards)
+    return {};
+  auto Fewest = std::min_element(HoldersByEnd.begin(), HoldersByEnd.end(),
+                                 [](const auto &Left, const auto &Right) {
+                                   return Left.second < Right.second;
+                                 });
+  std::uint32_t MaxLayers = LayerMemory::maxLayers(m_Model, Card);
+  if (Fewest->first <= MaxLayers)
+    return {0, Fewest->first};
+  return {0, static_cast<std::uint32_t>(Card.m_MemoryMegabytes / 2 /
+                                        m_Model.m_LayerMegabytes)};
+}
+
+// Where the memory of the Card is most useful, unless paths can serve more
+// requests with its slots.
+LayerRange DomainGroupPlanner::rangeForEmptyCard(const PlacementCard &Card) {
+  const LayerMemory Memory(m_Model, m_Cards);
+  const LayerRange Useful = Memory.mostUsefulRange(Card);
+  if (Card.m_Slots == 0 || Memory.hasUncoveredLayer())
+    return Useful;
+  const LayerRange First = firstRangeFor(Card);
+  if (First.m_End == 0)
+    return Useful;
+  auto ServableWith = [&](LayerRange Layers) {
+    std::vector<PlacementCard> Cards = m_Cards;
+    for (PlacementCard &Other : Cards)
+      if (Other.m_Endpoint == Card.m_Endpoint)
+        Other.m_Layers = Layers;
+    return LayoutQuality::servableRequests(m_Model, Cards);
+  };
+  return ServableWith(First) > ServableWith(Useful) ? First : Useful;
+}
+
 // Returns true if cards next to each hole are changing, so that it may be
 // covered soon.
 bool DomainGroupPlanner::extendNeighbours() {
@@ -157,16 +281,26 @@
 }
 
 // Assigns layers without a holder to the smallest card all of whose layers have
-// another holder.
+// another holder. One of two cards with the first layers is taken last: with
+// the loss of the other one, no path could begin in the failure domain.
 void DomainGroupPlanner::coverAllLayers() {
   for (std::size_t Round = 0; Round < m_Cards.size(); ++Round) {
     LayerMemory Memory(m_Model, m_Cards);
     if (!Memory.hasUncoveredLayer())
       return;
     PlacementCard *SpareCard = nullptr;
+    auto IsBetter = [&](const PlacementCard &Card) {
+      if (!SpareCard)
+        return true;
+      bool IsNeeded = LayoutQuality::needsFirstLayers(m_Model, m_Cards, Card);
+      bool IsSpareNeeded =
+          LayoutQuality::needsFirstLayers(m_Model, m_Cards, *SpareCard);
+      if (IsNeeded != IsSpareNeeded)
+        return IsSpareNeeded;
+      return Card.m_MemoryMegabytes < SpareCard->m_MemoryMegabytes;
+    };
     for (PlacementCard &Card : m_Cards)
-      if (!Card.m_IsBusy && Memory.isRedundant(Card.m_Layers) &&
-          (!SpareCard || Card.m_MemoryMegabytes < SpareCard->m_MemoryMegabytes))
+      if (!Card.m_IsBusy && Memory.isRedundant(Card.m_Layers) && IsBetter(Card))
         SpareCard = &Card;
     if (!SpareCard)
       return;
@@ -187,7 +321,7 @@
       continue;
     LayerMemory Memory(m_Model, m_Cards);
     if (!Card.m_IsReserved || Memory.hasUncoveredLayer())
-      addOrder(Card, Memory.mostUsefulRange(Card));
+      addOrder(Card, rangeForEmptyCard(Card));
   }
   if (!extendNeighbours())
     coverAllLayers();
--- a/src/placement/LayoutPlanner.h
+++ b/src/placement/LayoutPlanner.h
@@ -19,8 +19,12 @@
   bool m_IsBusy = false;   ///< Would refuse an order now.
   /// Empty and needed soon; gets only layers that nobody else holds.
   bool m_IsReserved = false;
+  /// Requests that may run at the same time on paths that begin at the engine;
+  /// 0 if unknown.
+  std::uint32_t m_Slots = 0;
 
   bool isEmpty() const { return m_Layers.m_End <= m_Layers.m_First; }
+  bool holdsFirstLayer() const { return !isEmpty() && m_Layers.m_First == 0; }
 };
 
 /// An order to an engine to hold a range of layers.
@@ -33,8 +37,11 @@
 /// inside each failure domain, so that requests need not cross between domains.
 /// Each copy is a chain of cards of similar speed. The cards of a chain get
 /// layers in proportion to their memory, so that no card runs out of memory for
-/// requests before the others. Layers that lose their only holder go to the
-/// neighbours in their chain, which keep serving meanwhile.
+/// requests before the others. Only the first engine of a path counts a request
+/// in its slots, so several cards of a chain hold its first layers if the slots
+/// of one do not suffice for the requests that fit into the memory. Layers that
+/// lose their only holder go to the neighbours in their chain, which keep
+/// serving meanwhile.
 class LayoutPlanner {
 public:
   /// Returns orders for cards that hold nothing. If a layer in a group of
--- a/src/placement/LayoutQuality.cpp
+++ b/src/placement/LayoutQuality.cpp
@@ -1,6 +1,7 @@
 #include "placement/LayoutQuality.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 
 namespace parsleyring {
@@ -90,4 +91,40 @@
   return Low;
 }
 
+double LayoutQuality::requestsInMemory(const EngineModel &Model,
+                                       double Megabytes) {
+  double RequestBytes = Model.m_CacheBytesPerToken *
+                        (Model.m_UsualPromptTokens + Model.m_UsualAnswerTokens);
+  return RequestBytes > 0 ? std::max(0.0, Megabytes * 1e6 / RequestBytes) : 0;
+}
+
+double LayoutQuality::requestsInSlots(const std::vector<PlacementCard> &Cards) {
+  double Slots = 0;
+  for (const PlacementCard &Card : Cards)
+    if (Card.holdsFirstLayer())
+      Slots += Card.m_Slots > 0 ? Card.m_Slots
+                                : std::numeric_limits<double>::infinity();
+  return Slots;
+}
+
+double
+LayoutQuality::servableRequests(const EngineModel &Model,
+                                const std::vector<PlacementCard> &Cards) {
+  return std::min(
+      requestsInSlots(Cards),
+      requestsInMemory(Model, usableMemory(Model, Cards) * Model.m_Layers));
+}
+
+bool LayoutQuality::needsFirstLayers(const EngineModel &Model,
+                                     const std::vector<PlacementCard> &Cards,
+                                     const PlacementCard &Card) {
+  if (!Card.holdsFirstLayer() || Card.m_Slots == 0 ||
+      requestsInMemory(Model, 1) == 0)
+    return false;
+  return std::count_if(Cards.begin(), Cards.end(),
+                       [](const PlacementCard &Other) {
+                         return Other.holdsFirstLayer();
+                       }) <= 2;
+}
+
 } // namespace parsleyring
--- a/src/placement/PlacementController.cpp
+++ b/src/placement/PlacementController.cpp
@@ -78,6 +78,7 @@
     PlacementCard Card{Entry.m_Id, Entry.m_FailureDomain,
                        Kind->m_MemoryMegabytes, Kind->m_StepFactor,
                        layersOfModel(Model, Entry.m_Layers)};
+    Card.m_Slots = Entry.m_Slots;
     auto Pending = m_Pending.find(Entry.m_Id);
     if (Pending != m_Pending.end())
       Card.m_Layers = layersOfModel(Model, Pending->second.m_Layers);
