Cover holes in the layout by the cards that load them soonest

A hole stayed open for these reasons: only the largest neighbour was considered, also while it was busy; only cards that border the hole could extend into it, and only cards that border each other could make room, while cards with overlapping ranges could not; and a card that would have less than 15 in 100 of its memory left was not used, although without the layers no path in the failure domain can use any memory.

HoleFiller considers the eight nearest settled cards on each side, also at a distance, and compares covering the hole at once with making room first by the number of layers that have to be loaded one after the other. If nothing else covers a hole, 10 in 100 of the memory suffice. Room is made only if the neighbours can hold all layers of the hole then.

--- a/src/placement/HoleFiller.h
+++ b/src/placement/HoleFiller.h
@@ -3,13 +3,16 @@
 
 #include "placement/LayoutPlanner.h"
 
+#include <optional>
+
 namespace parsleyring {
 
 /// Covers layers without a holder by the cards that hold the layers before and
 /// after them. These extend into the hole and keep serving meanwhile, while a
 /// card that moves there serves nothing until its requests have ended. If they
 /// have no memory for that, cards further along the chain first take over
-/// layers of theirs.
+/// layers of theirs. Of several ways, the one is chosen that loads fewest
+/// layers, since no path inside the failure domain exists until then.
 class HoleFiller {
 public:
   /// Sets m_Layers of the Cards that are ordered to change.
@@ -20,8 +23,21 @@
 
 private:
   enum class Side { Before, After };
-
-  PlacementCard *neighbour(std::uint32_t Boundary, Side Where) const;
+  /// A card that can cover layers of a hole; without one, it covers none.
+  struct Candidate {
+    PlacementCard *m_Card = nullptr;
+    std::uint32_t m_Distance = 0;   ///< Number of layers up to the hole.
+    std::uint32_t m_FreeLayers = 0; ///< Beyond these.
+    std::uint32_t m_MostLayers = 0; ///< Of its whole range.
+  };
+
+  std::vector<PlacementCard *> neighbours(std::uint32_t Boundary,
+                                          Side Where) const;
+  std::vector<Candidate> candidates(std::uint32_t Boundary, Side Where) const;
+  PlacementCard *nextCard(const PlacementCard &Card, Side FarSide) const;
+  bool extendNeighbours(LayerRange Hole);
+  void makeRoomFor(LayerRange Hole);
+  std::optional<std::uint32_t> layersUntilCovered(LayerRange Hole);
   std::uint32_t redundantLayers(const PlacementCard &Card, Side Where) const;
   /// Number of layers that leaves the card memory for requests.
   std::uint32_t mostLayers(const PlacementCard &Card) const;
@@ -35,6 +51,7 @@
   const EngineModel &m_Model;
   std::vector<PlacementCard> &m_Cards;
   std::vector<PlacementOrder> m_Orders;
+  double m_RequestMemoryFraction = 0;
 };
 
 } // namespace parsleyring
--- a/tests/support/SimulatedFleet.h
+++ b/tests/support/SimulatedFleet.h
@@ -33,6 +33,9 @@
   void crash(const FleetTable::Handle &Crashed, bool IsDetected);
   /// Lists a crashed engine again, without layers.
   void restart(const FleetTable::Handle &Crashed);
+  /// Sets how long an engine that moves waits for its requests to end before it
+  /// loads the new layers.
+  void setDrainTime(Duration Length) { m_DrainTime = Length; }
   void run(Duration Length);
 
   /// Ranges held in a failure domain, in order.
@@ -75,6 +78,7 @@
   std::set<std::string> m_Domains;
   std::map<std::string, Time> m_HadPathAt; ///< By failure domain.
   Time m_Now{std::chrono::seconds(1000)};
+  Duration m_DrainTime{};
   Duration m_LongestGap{};
   Duration m_LongestTimeWithoutPath{};
   int m_RefusedOrders = 0;
