Replace the layers of crashed engines before their entries expire

The layout counted a crashed engine as holder of its layers until its entry expired, some 3 s after the crash. An order to an engine that gives up all of its layers counted as failed after its load time and 4 s, but such an engine first waits for its requests to end. Further orders for the same layers followed, and these could alternate without end.

PlacementController leaves out engines that have been suspected for 1 s, if the suspicion was longer than any pause after a rejection, and at most three of a failure domain are suspected. SuccessionPlanner and moves still count them. Orders that give up all held layers expire 8 s later.

--- a/src/placement/PlacementController.cpp
+++ b/src/placement/PlacementController.cpp
@@ -13,6 +13,10 @@
 static constexpr Duration UnansweredOrderTimeout = std::chrono::seconds(13);
 // Added to the load time: delay until the engine's entry shows the layers.
 static constexpr Duration ListingDelay = std::chrono::seconds(4);
+// Added if the engine gives up all layers that it holds: it loads the new ones
+// only when its requests have ended. A traced move took 7.6 s in all. An order
+// that counts as failed too early is followed by others for the same layers.
+static constexpr Duration DrainTime = std::chrono::seconds(8);
 // An engine refuses orders while it carries out an earlier one.
 static constexpr Duration RefusedOrderPause = std::chrono::seconds(2);
 // Engines that are being replaced or are briefly cut off leave the list and
@@ -22,6 +26,14 @@
 // milliseconds.
 static constexpr Duration MoveInterval = std::chrono::seconds(2);
 
+// An engine that does not answer for this long is taken to have crashed, so
+// that layers without another holder are loaded elsewhere before its entry
+// expires, some 3 s after the crash. Shorter silences often end.
+static constexpr Duration CrashSuspicionTime = std::chrono::seconds(1);
+// More suspected engines of one failure domain at once are cut off rather than
+// crashed.
+static constexpr std::ptrdiff_t MaxCrashedInDomain = 3;
+
 bool PlacementController::isSettled(
     const std::vector<FleetTable::Handle> &Endpoints, Time Now) const {
   if (Now - m_FirstSeenAt > MaxSettleTime)
@@ -88,6 +100,7 @@
     Cards.push_back(std::move(Card));
   }
   trackLayout(Cards, Now);
+  trackSuspicions(Endpoints, Now);
   std::vector<PlacementOrder> Orders;
   bool IsFirstLayout =
       std::all_of(Cards.begin(), Cards.end(),
@@ -98,7 +111,8 @@
     for (PlacementCard &Card : Cards)
       if (Card.m_Endpoint == Order.m_Endpoint)
         Card.m_IsBusy = true;
-  for (PlacementOrder &Order : LayoutPlanner::plan(Model, Cards))
+  for (PlacementOrder &Order :
+       LayoutPlanner::plan(Model, withoutCrashed(Cards, Now)))
     Orders.push_back(std::move(Order));
   bool IsStable = Orders.empty() && m_Pending.empty() &&
                   Now - m_LayoutChangedAt >= MoveSettleTime;
@@ -110,6 +124,46 @@
   return Orders;
 }
 
+// An endpoint that rejects requests is avoided for shorter times than one that
+// does not answer.
+void PlacementController::trackSuspicions(
+    const std::vector<FleetTable::Handle> &Endpoints, Time Now) {
+  constexpr Duration MaxRejectionPause =
+      FleetEndpoint::RejectionPause *
+      (1 << FleetEndpoint::MaxRejectionDoublings);
+  std::map<std::string, Time> SuspectedSince;
+  for (const FleetTable::Handle &Endpoint : Endpoints) {
+    const std::string &Id = Endpoint->m_Entry.m_Id;
+    auto Known = m_SuspectedSince.find(Id);
+    if (Endpoint->m_SuspectUntil <= Now)
+      continue;
+    if (Known != m_SuspectedSince.end())
+      SuspectedSince.insert(*Known);
+    else if (Endpoint->m_SuspectUntil - Now > MaxRejectionPause)
+      SuspectedSince[Id] = Now;
+  }
+  m_SuspectedSince = std::move(SuspectedSince);
+}
+
+std::vector<PlacementCard>
+PlacementController::withoutCrashed(const std::vector<PlacementCard> &Cards,
+                                    Time Now) const {
+  auto IsSuspected = [&](const PlacementCard &Card) {
+    auto Known = m_SuspectedSince.find(Card.m_Endpoint);
+    return Known != m_SuspectedSince.end() &&
+           Now - Known->second >= CrashSuspicionTime;
+  };
+  std::map<std::string, std::ptrdiff_t> SuspectedByDomain;
+  for (const PlacementCard &Card : Cards)
+    SuspectedByDomain[Card.m_FailureDomain] += IsSuspected(Card);
+  std::vector<PlacementCard> Result;
+  for (const PlacementCard &Card : Cards)
+    if (!IsSuspected(Card) ||
+        SuspectedByDomain[Card.m_FailureDomain] > MaxCrashedInDomain)
+      Result.push_back(Card);
+  return Result;
+}
+
 void PlacementController::trackLayout(const std::vector<PlacementCard> &Cards,
                                       Time Now) {
   std::vector<PlacementOrder> Layout;
@@ -144,9 +198,13 @@
                      [&](const FleetTable::Handle &Candidate) {
                        return Candidate->m_Entry.m_Id == Order.m_Endpoint;
                      });
-    m_Pending[Order.m_Endpoint] = {Order.m_Layers,
-                                   (*Endpoint)->m_Entry.m_StartTimeMs,
-                                   Now + Load + ListingDelay};
+    const LayerRange &Held = (*Endpoint)->m_Entry.m_Layers;
+    bool IsMove =
+        Held.m_First < Held.m_End && (Order.m_Layers.m_First >= Held.m_End ||
+                                      Held.m_First >= Order.m_Layers.m_End);
+    m_Pending[Order.m_Endpoint] = {
+        Order.m_Layers, (*Endpoint)->m_Entry.m_StartTimeMs,
+        Now + Load + ListingDelay + (IsMove ? DrainTime : Duration{})};
   }
 }
 
@@ -158,6 +216,7 @@
 void PlacementController::clear() {
   m_Pending.clear();
   m_BusyUntil.clear();
+  m_SuspectedSince.clear();
   m_Succession.clear();
 }
 
--- a/src/placement/PlacementController.h
+++ b/src/placement/PlacementController.h
@@ -37,6 +37,10 @@
   void removeEndedOrders(const std::vector<FleetTable::Handle> &Endpoints,
                          Time Now);
 
+  void trackSuspicions(const std::vector<FleetTable::Handle> &Endpoints,
+                       Time Now);
+  std::vector<PlacementCard>
+  withoutCrashed(const std::vector<PlacementCard> &Cards, Time Now) const;
   void trackLayout(const std::vector<PlacementCard> &Cards, Time Now);
   void addPendingOrders(const EngineModel &Model,
                         const std::vector<FleetTable::Handle> &Endpoints,
@@ -45,6 +49,8 @@
   std::map<std::string, PendingOrder> m_Pending;
   /// Engines that refused an order, and until when they get no other one.
   std::map<std::string, Time> m_BusyUntil;
+  /// Engines that probably have crashed, and since when.
+  std::map<std::string, Time> m_SuspectedSince;
   SuccessionPlanner m_Succession;
   std::vector<PlacementOrder> m_LastLayout; ///< At the last tick.
   Time m_LayoutChangedAt{};
