Divide any limited rate among VMs by their demand

Cause: the division of an endpoint's limit by reported demand counts requests only; the links between failure domains need the same for megabits. Change: DemandShare has the division and the credit that demand earns; events of RateEstimate have an amount. LimitShare uses both and is otherwise as before.

--- a/src/fleet/LimitShare.cpp
+++ b/src/fleet/LimitShare.cpp
@@ -8,19 +8,13 @@
 // Requests per second that all VMs together send at least, since only an answer
 // shows that an endpoint accepts more again.
 static constexpr double MinLimit = 0.2;
-// Part of the limit that is divided equally, so that a VM without recent
-// requests has a share. It is computed as an additional demand of all VMs, of
-// at least MinBaseDemand requests per second.
-static constexpr double BaseFraction = 0.05;
+// The least demand that is divided equally, in requests per second.
 static constexpr double MinBaseDemand = 0.01;
 // Credit that a VM without requests saves, in seconds of its share.
 static constexpr double MaxCreditSeconds = 1;
 // With a smaller maximum, part of the credit for a request would be lost when
 // the next one is sent.
 static constexpr double MinMaxCredit = 2;
-// Reports of the demand at a newly limited endpoint take up to this long to
-// arrive, also from other failure domains.
-static constexpr Duration ReportDelay = std::chrono::milliseconds(1000);
 // Too many requests reached the endpoint shortly before the limit was known.
 // For RepaymentSeconds it gets fewer by this part of the excess, if need be
 // none.
@@ -35,7 +29,7 @@
   double Total = (Demand + Users.m_ReportedDemand) * Users.m_LoadFactor;
   // Until they report, the other VMs are assumed to need as much as this one,
   // with the request that is about to be sent.
-  bool HaveReported = Users.m_LimitAge >= ReportDelay;
+  bool HaveReported = Users.m_LimitAge >= DemandShare::ReportDelay;
   if (!HaveReported)
     Total = std::max(Total, (Demand + RateEstimate::RatePerEvent) * VMs);
   m_IsDemandBelowLimit = HaveReported && Total <= UsableFraction * Limit;
@@ -43,16 +37,14 @@
   if (std::chrono::duration<double>(Users.m_LimitAge).count() <
       RepaymentSeconds)
     Limit -= std::max(0.0, Total - Limit) * RepaidFraction;
-  m_BaseDemand = std::max(Total * BaseFraction, MinBaseDemand) / VMs;
-  m_CreditPerRequest =
-      UsableFraction * std::max(0.0, Limit) / (Total + m_BaseDemand * VMs);
-  m_Rate = m_CreditPerRequest * (Demand + m_BaseDemand);
+  m_Share.divide(UsableFraction * std::max(0.0, Limit), Total, MinBaseDemand,
+                 VMs, Now);
 }
 
 void LimitShare::start(double Random, Time Now) {
   m_IsStarted = true;
-  m_Credit = Random + m_CreditPerRequest;
-  m_CountedDemand = m_Demand.smoothedCount(Now);
+  m_Credit = Random + m_Share.creditPerDemand();
+  m_Share.startEarning(Now);
 }
 
 void LimitShare::update(double Limit, const LimitUsers &Users, double Random,
@@ -64,18 +56,12 @@
     m_IsStarted = false;
     return;
   }
-  double Count = m_Demand.smoothedCount(Now);
-  double Seconds = std::chrono::duration<double>(Now - m_UpdatedAt).count();
-  m_UpdatedAt = Now;
-  if (m_IsStarted) {
-    m_Credit += m_CreditPerRequest * (Count - m_CountedDemand +
-                                      m_BaseDemand * std::max(0.0, Seconds));
-    m_CountedDemand = Count;
-  } else {
+  if (m_IsStarted)
+    m_Credit += m_Share.takeEarned(Now);
+  else
     start(Random, Now);
-  }
-  m_Credit = std::clamp(m_Credit, -m_Rate * MaxDebtSeconds,
-                        std::max(MinMaxCredit, m_Rate * MaxCreditSeconds));
+  m_Credit = std::clamp(m_Credit, -rate() * MaxDebtSeconds,
+                        std::max(MinMaxCredit, rate() * MaxCreditSeconds));
 }
 
 } // namespace parsleyring
--- a/src/fleet/LimitShare.h
+++ b/src/fleet/LimitShare.h
@@ -1,7 +1,7 @@
 #ifndef PARSLEYRING_FLEET_LIMITSHARE_H
 #define PARSLEYRING_FLEET_LIMITSHARE_H
 
-#include "fleet/RateEstimate.h"
+#include "fleet/DemandShare.h"
 
 namespace parsleyring {
 
@@ -24,9 +24,9 @@
 public:
   /// Records a request that this VM sends to the endpoint, or would send if the
   /// limit allowed it; to be called after update().
-  void noteDemand(Time Now) { m_Demand.note(Now); }
+  void noteDemand(Time Now) { m_Share.note(1, Now); }
   /// Requests per second.
-  double demand(Time Now) const { return m_Demand.rate(Now); }
+  double demand(Time Now) const { return m_Share.demand(Now); }
 
   /// Updates the credit under Limit; to be called before the following
   /// functions. Random (0 to 1) keeps VMs with small shares from sending at the
@@ -39,21 +39,14 @@
   void noteSent() { m_Credit -= 1; }
   double credit() const { return m_Credit; }
   /// Requests per second.
-  double rate() const { return m_Rate; }
+  double rate() const { return m_Share.rate(); }
 
 private:
   void start(double Random, Time Now);
   void divide(double Limit, const LimitUsers &Users, Time Now);
 
-  RateEstimate m_Demand;
+  DemandShare m_Share;
   double m_Credit = 0; ///< Requests; negative if too many have been sent.
-  /// Credit for each request of demand.
-  double m_CreditPerRequest = 0;
-  /// Requests per second that are added to the demand of each VM.
-  double m_BaseDemand = 0;
-  double m_Rate = 0;
-  double m_CountedDemand = 0; ///< Smoothed count of demand at m_UpdatedAt.
-  Time m_UpdatedAt{};
   bool m_IsStarted = false;
   bool m_IsDemandBelowLimit = false;
 };
--- a/src/fleet/RateEstimate.h
+++ b/src/fleet/RateEstimate.h
@@ -11,10 +11,11 @@
 /// Events per second, over about the last two seconds.
 class RateEstimate {
 public:
-  void note(Time Now) {
-    m_Rate = rate(Now) + RatePerEvent;
+  /// An event counts as Amount events.
+  void note(Time Now, double Amount = 1) {
+    m_Rate = rate(Now) + Amount * RatePerEvent;
     m_UpdatedAt = Now;
-    ++m_Events;
+    m_Events += Amount;
   }
   double rate(Time Now) const {
     double Seconds = std::chrono::duration<double>(Now - m_UpdatedAt).count();
