Plan paths around closed links between failure domains

Cause: the planner cannot avoid a link whose capacity is used up. Change: PathQuery::m_ClosedLinks names links that no stage crosses. The connection from the VM to the first engine is not a crossing; that to the engine after a section is one. linkCrossings() lists the crossings of a path.

--- a/src/routing/LayerPathPlanner.cpp
+++ b/src/routing/LayerPathPlanner.cpp
@@ -102,6 +102,7 @@
   double costPerLayer(const FleetEndpoint &Endpoint,
                       const CardKind &Card) const;
   double domainCrossingCost() const;
+  bool isClosed(std::size_t From, std::size_t To) const;
   void extend(std::size_t Boundary, std::size_t Domain, bool UsesWholeRanges);
   LayerPath trace(std::size_t Domain) const;
 
@@ -191,6 +192,12 @@
   return DomainCrossingMilliseconds + Transfer;
 }
 
+bool PathSearch::isClosed(std::size_t From, std::size_t To) const {
+  return std::find(m_Query.m_ClosedLinks.begin(), m_Query.m_ClosedLinks.end(),
+                   DomainLink(m_Domains[From], m_Domains[To])) !=
+         m_Query.m_ClosedLinks.end();
+}
+
 void PathSearch::extend(std::size_t Boundary, std::size_t Domain,
                         bool UsesWholeRanges) {
   const double CostSoFar = m_PartialPaths[Boundary][Domain].m_Cost;
@@ -205,6 +212,8 @@
     if (First == 0)
       Cost += fillPenalty(
           LayerPathPlanner::slotFill(*Next.m_Endpoint, m_Query.m_LoadFactor));
+    if (First > 0 && Next.m_Domain != Domain && isClosed(Domain, Next.m_Domain))
+      continue;
     if (Next.m_Domain != Domain)
       Cost += First == 0 ? DomainEntryMilliseconds : domainCrossingCost();
     for (std::size_t End = Boundary + 1;
@@ -252,7 +261,11 @@
     double Cost = m_PartialPaths.back()[Domain].m_Cost;
     if (m_Query.m_NextEndpoint &&
         m_Query.m_NextEndpoint->m_Entry.m_FailureDomain != m_Domains[Domain])
-      Cost += domainCrossingCost();
+      Cost +=
+          isClosed(Domain,
+                   domainIndex(m_Query.m_NextEndpoint->m_Entry.m_FailureDomain))
+              ? UnreachableCost
+              : domainCrossingCost();
     if (Cost < BestCost) {
       BestCost = Cost;
       Best = Domain;
@@ -261,6 +274,23 @@
   return BestCost < UnreachableCost ? trace(Best) : LayerPath();
 }
 
+std::vector<DomainLink> linkCrossings(const LayerPath &Path,
+                                      const std::string &FromDomain,
+                                      const FleetTable::Handle &NextEndpoint) {
+  std::vector<DomainLink> Crossings;
+  std::string Last = FromDomain;
+  auto Enter = [&](const std::string &Domain) {
+    if (!Last.empty() && Last != Domain)
+      Crossings.emplace_back(Last, Domain);
+    Last = Domain;
+  };
+  for (const PathStage &Part : Path)
+    Enter(Part.m_Endpoint->m_Entry.m_FailureDomain);
+  if (NextEndpoint)
+    Enter(NextEndpoint->m_Entry.m_FailureDomain);
+  return Crossings;
+}
+
 static bool hasRepeatedEndpoint(const LayerPath &Path) {
   std::set<const FleetEndpoint *> Seen;
   for (const PathStage &Part : Path)
--- a/src/routing/LayerPathPlanner.h
+++ b/src/routing/LayerPathPlanner.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYRING_ROUTING_LAYERPATHPLANNER_H
 #define PARSLEYRING_ROUTING_LAYERPATHPLANNER_H
 
+#include "fleet/DomainLink.h"
 #include "fleet/EngineModel.h"
 #include "fleet/FleetTable.h"
 
@@ -34,8 +35,18 @@
   std::vector<FleetTable::Handle> m_Excluded;
   /// Endpoints at which the path must not begin.
   std::vector<FleetTable::Handle> m_NotFirst;
+  /// Links that no stage of the path may cross. The connection to the first
+  /// engine of a request is not such a crossing.
+  std::vector<DomainLink> m_ClosedLinks;
 };
 
+/// The links that a path crosses, one for each crossing. FromDomain is the
+/// failure domain of the engine before Path, if it is a section of a longer
+/// one; empty otherwise. NextEndpoint follows Path; null if it is whole.
+std::vector<DomainLink>
+linkCrossings(const LayerPath &Path, const std::string &FromDomain = "",
+              const FleetTable::Handle &NextEndpoint = nullptr);
+
 /// Finds the path with the least cost, an expected time with penalties, by
 /// dynamic programming over the limits of the endpoints' layer ranges.
 class LayerPathPlanner {
--- a/tests/routing/LayerPathPlannerTest.cpp
+++ b/tests/routing/LayerPathPlannerTest.cpp
@@ -256,4 +256,73 @@
   CHECK(!RestEnd());
 }
 
+// Load: chains of all domains are lost, and more requests than the links take
+// cross between them. Guards against paths over a link without capacity while
+// the layers can be reached over another one.
+TEST(LayerPathPlanner, ClosedLinksAreNotCrossed) {
+  // Only "b" holds the first layers and "c" the last ones; "a" holds all.
+  for (const auto &Engine : m_Engines) {
+    const EndpointEntry &Entry = Engine->m_Entry;
+    bool IsKept = Entry.m_FailureDomain == "b"   ? Entry.m_Layers.m_First < 40
+                  : Entry.m_FailureDomain == "c" ? Entry.m_Layers.m_End > 40
+                                                 : Entry.m_Layers.m_End < 80;
+    if (!IsKept)
+      Engine->m_SuspectUntil = m_Now + 1s;
+  }
+  PathQuery Query = typicalQuery("b");
+  LayerPath Open = plan(Query);
+  CHECK(isValidPath(Open, {0, 80}));
+  auto Uses = [](const LayerPath &Path, const DomainLink &Link) {
+    std::vector<DomainLink> Crossings = linkCrossings(Path);
+    return std::count(Crossings.begin(), Crossings.end(), Link) > 0;
+  };
+  for (DomainLink Link :
+       {DomainLink("a", "b"), DomainLink("b", "c"), DomainLink("a", "c")}) {
+    Query.m_ClosedLinks = {Link};
+    LayerPath Path = plan(Query);
+    CHECK(isValidPath(Path, {0, 80}));
+    CHECK(!Uses(Path, Link));
+  }
+  Query.m_ClosedLinks = {{"b", "c"}, {"a", "c"}};
+  CHECK(plan(Query).empty());
+}
+
+// Guards against requests that are refused for a closed link although the path
+// lies in another domain as a whole: only the request and its events cross.
+TEST(LayerPathPlanner, ConnectionToTheFirstEngineIsNotClosed) {
+  for (const auto &Engine : m_Engines)
+    if (Engine->m_Entry.m_FailureDomain != "b")
+      Engine->m_SuspectUntil = m_Now + 1s;
+  PathQuery Query = typicalQuery("a");
+  Query.m_ClosedLinks = {{"a", "b"}, {"a", "c"}, {"b", "c"}};
+  LayerPath Path = plan(Query);
+  CHECK(isValidPath(Path, {0, 80}));
+  CHECK(linkCrossings(Path).empty());
+}
+
+// Pattern: a part of a running stream's path is lost, and only other domains
+// hold its layers. Guards against a replacement whose connection from the part
+// before it, or to the part after it, is closed.
+TEST(LayerPathPlanner, SectionDoesNotCrossClosedLinks) {
+  LayerPath Whole = plan(typicalQuery("a"));
+  CHECK(Whole.size() >= 3);
+  for (const auto &Engine : m_Engines)
+    if (Engine->m_Entry.m_FailureDomain != "b")
+      Engine->m_SuspectUntil = m_Now + 1s;
+  PathQuery Query = typicalQuery("a");
+  Query.m_Layers = Whole[1].m_Layers;
+  Query.m_NextEndpoint = Whole[2].m_Endpoint;
+  LayerPath Section = plan(Query);
+  CHECK(!Section.empty());
+  LONGS_EQUAL(2, linkCrossings(Section, "a", Whole[2].m_Endpoint).size());
+  LONGS_EQUAL(1, linkCrossings(Section, "a").size());
+  Query.m_ClosedLinks = {{"a", "b"}};
+  CHECK(plan(Query).empty());
+  // The same if only the link to the next part is closed.
+  Query.m_FailureDomain = "b";
+  CHECK(plan(Query).empty());
+  Query.m_ClosedLinks = {{"a", "c"}};
+  CHECK(!plan(Query).empty());
+}
+
 PARSLEYRING_TEST_MAIN
