Report the demand for links in load digests

Cause: VMs can only divide a link by demand if they know each other's demand. Change: the optional digest field links has rows of two failure domains and the demand in kbit/s, at most 50; a malformed row rejects the digest. Digests of failure domains have the sums. Older digests have no links.

--- a/src/membership/LoadDigest.cpp
+++ b/src/membership/LoadDigest.cpp
@@ -12,6 +12,8 @@
 
 // A smaller demand (requests per second) at a limited endpoint is not reported.
 static constexpr double MinReportedDemand = 0.001;
+// A smaller demand (kbit/s) for a link is not reported.
+static constexpr std::int64_t MinReportedKilobits = 10;
 // Digests are sent several times per second, and some are lost.
 static constexpr Duration DigestLifetime = std::chrono::milliseconds(1500);
 // Caps the suspicion taken from a digest, since the delay of the digest extends
@@ -68,6 +70,47 @@
   Entry.m_Demand = std::min(Number(3) / 1000, MaxEncodedRate);
 }
 
+static json encodeLinks(const std::vector<LoadDigest::LinkDemand> &Links) {
+  json Rows = json::array();
+  for (const LoadDigest::LinkDemand &Row : Links)
+    Rows.push_back(
+        {Row.m_Link.m_First, Row.m_Link.m_Second, Row.m_KilobitsPerSecond});
+  return Rows;
+}
+
+// Returns nothing if a row is malformed.
+static std::optional<std::vector<LoadDigest::LinkDemand>>
+decodeLinks(const json &Rows) {
+  if (!Rows.is_array() || Rows.size() > LoadDigest::MaxLinks)
+    return std::nullopt;
+  std::vector<LoadDigest::LinkDemand> Links;
+  for (const json &Row : Rows) {
+    if (!Row.is_array() || Row.size() < 3 || !Row[0].is_string() ||
+        !Row[1].is_string() || !Row[2].is_number_unsigned() || Row[0] == Row[1])
+      return std::nullopt;
+    double Demand = std::min(Row[2].get<double>(), MaxEncodedRate);
+    Links.push_back(
+        {DomainLink(Row[0].get<std::string>(), Row[1].get<std::string>()),
+         static_cast<std::int64_t>(Demand)});
+  }
+  return Links;
+}
+
+// The largest demand first, at most MaxLinks rows.
+static std::vector<LoadDigest::LinkDemand>
+linkRows(const std::map<DomainLink, std::int64_t> &Demand) {
+  std::vector<LoadDigest::LinkDemand> Rows;
+  for (const auto &[Link, KilobitsPerSecond] : Demand)
+    if (KilobitsPerSecond >= MinReportedKilobits)
+      Rows.push_back({Link, KilobitsPerSecond});
+  std::stable_sort(
+      Rows.begin(), Rows.end(), [](const auto &Left, const auto &Right) {
+        return Left.m_KilobitsPerSecond > Right.m_KilobitsPerSecond;
+      });
+  Rows.resize(std::min(Rows.size(), LoadDigest::MaxLinks));
+  return Rows;
+}
+
 std::string LoadDigest::encode() const {
   json Loads = json::array();
   // Integers take fewer bytes than floating-point numbers in CBOR.
@@ -80,16 +123,18 @@
     Loads.push_back(std::move(Fields));
   }
   std::int64_t AgeMs = m_StoreAnswerAge / std::chrono::milliseconds(1);
-  std::vector<std::uint8_t> Bytes =
-      json::to_cbor(json{{"from", m_Sender},
-                         {"sum", m_IsDomainSum},
-                         {"n", m_Number},
-                         {"at", m_StoreVersion.m_Revision},
-                         {"era", m_StoreVersion.m_Era},
-                         {"age", AgeMs},
-                         {"configuration", m_ConfigurationVersion},
-                         {"leaving", encodeIncarnations(m_Leaving)},
-                         {"loads", Loads}});
+  json Root = json{{"from", m_Sender},
+                   {"sum", m_IsDomainSum},
+                   {"n", m_Number},
+                   {"at", m_StoreVersion.m_Revision},
+                   {"era", m_StoreVersion.m_Era},
+                   {"age", AgeMs},
+                   {"configuration", m_ConfigurationVersion},
+                   {"leaving", encodeIncarnations(m_Leaving)},
+                   {"loads", Loads}};
+  if (!m_Links.empty())
+    Root["links"] = encodeLinks(m_Links);
+  std::vector<std::uint8_t> Bytes = json::to_cbor(Root);
   return {Bytes.begin(), Bytes.end()};
 }
 
@@ -125,6 +170,13 @@
       return std::nullopt;
     Digest.m_Leaving = std::move(*Leaving);
   }
+  // Digests of earlier versions, and of VMs that use no link, have no links.
+  if (Root.contains("links")) {
+    auto Links = decodeLinks(Root["links"]);
+    if (!Links)
+      return std::nullopt;
+    Digest.m_Links = std::move(*Links);
+  }
   for (const json &Entry : Root["loads"]) {
     if (!Entry.is_array() || Entry.size() < 5 || !Entry[0].is_string())
       return std::nullopt;
@@ -160,6 +212,30 @@
   }
 }
 
+void LoadDigestTable::countLinks(const Entry &Known, int Sign) {
+  for (const LoadDigest::LinkDemand &Row : Known.m_Digest.m_Links) {
+    std::int64_t &Sum = m_PeerLinks[Row.m_Link];
+    Sum += Sign * Row.m_KilobitsPerSecond;
+    if (Sum == 0)
+      m_PeerLinks.erase(Row.m_Link);
+  }
+}
+
+void LoadDigestTable::setLinkDemand(
+    const std::map<DomainLink, double> &Demand) {
+  std::map<DomainLink, std::int64_t> Kilobits;
+  for (const auto &[Link, MegabitsPerSecond] : Demand)
+    Kilobits[Link] =
+        std::llround(std::min(MegabitsPerSecond * 1000, MaxEncodedRate));
+  m_OwnLinks = linkRows(Kilobits);
+}
+
+double LoadDigestTable::peerLinkDemand(const DomainLink &Link) const {
+  auto Found = m_PeerLinks.find(Link);
+  return Found == m_PeerLinks.end() ? 0
+                                    : static_cast<double>(Found->second) / 1000;
+}
+
 DigestChanges LoadDigestTable::apply(const LoadDigest &Digest,
                                      FleetTable &Fleet, Time Now) {
   Entry &Known = m_Entries[Digest.m_Sender];
@@ -171,10 +247,12 @@
   if (IsOutdated)
     return {};
   count(Known, -1);
+  countLinks(Known, -1);
   Known.m_Digest = Digest;
   Known.m_ReceivedAt = Now;
   resolve(Known, Fleet);
   count(Known, 1);
+  countLinks(Known, 1);
   DigestChanges Changes;
   for (const EndpointIncarnation &Leaving : Digest.m_Leaving)
     if (Fleet.noteLeaving(Leaving, false, Now))
@@ -203,8 +281,10 @@
 void LoadDigestTable::refresh(FleetTable &Fleet, Time Now) {
   for (auto Known = m_Entries.begin(); Known != m_Entries.end();) {
     bool IsSilent = Now - Known->second.m_ReceivedAt >= DigestLifetime;
-    if (IsSilent)
+    if (IsSilent) {
       count(Known->second, -1);
+      countLinks(Known->second, -1);
+    }
     Known = IsSilent ? m_Entries.erase(Known) : std::next(Known);
   }
   // An endpoint that is listed anew has another object, without the loads.
@@ -234,6 +314,7 @@
   LoadDigest Digest;
   Digest.m_Sender = VM;
   Digest.m_Number = ++m_LastSentNumber;
+  Digest.m_Links = m_OwnLinks;
   Digest.m_Leaving = Fleet.listedLeaving(true, LoadDigest::MaxLeaving);
   for (const auto &[Id, Endpoint] : Fleet.endpoints()) {
     std::int64_t SuspectMs = 0;
@@ -269,9 +350,14 @@
   std::map<std::string, std::size_t> IndexByEndpoint;
   for (std::size_t Index = 0; Index < Sum.m_Loads.size(); ++Index)
     IndexByEndpoint[Sum.m_Loads[Index].m_Endpoint] = Index;
+  std::map<DomainLink, std::int64_t> LinkSums;
+  for (const LoadDigest::LinkDemand &Row : Sum.m_Links)
+    LinkSums[Row.m_Link] += Row.m_KilobitsPerSecond;
   for (const auto &[Sender, Known] : m_Entries) {
     if (Known.m_Digest.m_IsDomainSum)
       continue;
+    for (const LoadDigest::LinkDemand &Row : Known.m_Digest.m_Links)
+      LinkSums[Row.m_Link] += Row.m_KilobitsPerSecond;
     for (LoadDigest::Load Load : Known.m_Digest.m_Loads) {
       if (Load.m_Limit)
         Load.m_Limit->m_Age += Now - Known.m_ReceivedAt;
@@ -291,6 +377,7 @@
         Target.m_Limit = Load.m_Limit;
     }
   }
+  Sum.m_Links = linkRows(LinkSums);
   return Sum;
 }
 
--- a/src/membership/LoadDigest.h
+++ b/src/membership/LoadDigest.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYRING_MEMBERSHIP_LOADDIGEST_H
 #define PARSLEYRING_MEMBERSHIP_LOADDIGEST_H
 
+#include "fleet/DomainLink.h"
 #include "fleet/FleetTable.h"
 #include "store/StoreProtocol.h"
 
@@ -30,6 +31,12 @@
     double m_Demand = 0;
   };
 
+  /// Demand for the link between two failure domains.
+  struct LinkDemand {
+    DomainLink m_Link;
+    std::int64_t m_KilobitsPerSecond = 0;
+  };
+
   std::string m_Sender;       ///< A VM, or a failure domain.
   bool m_IsDomainSum = false; ///< Sums over the VMs of a domain.
   std::uint64_t m_Number = 0; ///< Sequence number at the sending VM.
@@ -43,9 +50,13 @@
   Duration m_StoreAnswerAge{};
   /// Of the configuration that the sender has in force; 0 if there is none.
   ConfigurationVersion m_ConfigurationVersion = 0;
+  /// What the sender's requests would send over links if there were no limit;
+  /// the MaxLinks largest ones.
+  std::vector<LinkDemand> m_Links{};
 
-  /// Keeps a digest within one datagram.
+  /// Keep a digest within one datagram.
   static constexpr std::size_t MaxLeaving = 100;
+  static constexpr std::size_t MaxLinks = 50;
 
   std::string encode() const;
   /// Returns nothing if Bytes is no valid digest.
@@ -75,6 +86,13 @@
   void refresh(FleetTable &Fleet, Time Now);
   /// Number of other VMs of the failure domain that were heard from recently.
   std::size_t recentVMCount() const;
+  /// True if any other VM or failure domain was heard from recently.
+  bool hasReports() const { return !m_Entries.empty(); }
+
+  /// Sets the demand of this VM for links, in Mbit/s, that its digests report.
+  void setLinkDemand(const std::map<DomainLink, double> &Demand);
+  /// Mbit/s that other VMs would send over Link, as far as they report it.
+  double peerLinkDemand(const DomainLink &Link) const;
 
   /// Creates the digest of this VM, with the next sequence number.
   LoadDigest digestOfVM(const std::string &VM, const FleetTable &Fleet,
@@ -95,8 +113,12 @@
   static void resolve(Entry &Known, const FleetTable &Fleet);
   /// Adds the loads to the sums at the endpoints, or subtracts them.
   static void count(const Entry &Known, int Sign);
+  /// The same for the demand for links.
+  void countLinks(const Entry &Known, int Sign);
 
   std::map<std::string, Entry> m_Entries;
+  std::vector<LoadDigest::LinkDemand> m_OwnLinks;
+  std::map<DomainLink, std::int64_t> m_PeerLinks; ///< Kilobits per second.
   std::uint64_t m_LastSentNumber = 0;
   std::uint64_t m_CountedGeneration = 0; ///< Of the list, when last summed.
 };
--- a/tests/membership/LoadDigestTest.cpp
+++ b/tests/membership/LoadDigestTest.cpp
@@ -2,6 +2,8 @@
 
 #include "support/TestMain.h"
 
+#include <nlohmann/json.hpp>
+
 #include <ctime>
 #include <map>
 #include <random>
@@ -309,4 +311,88 @@
   CHECK(Digest.encode().size() < 5000);
 }
 
+// Guards against VMs that divide a link without the demand of the others, and
+// against demand that is counted after its VM has fallen silent.
+TEST(LoadDigest, DemandForLinksIsReported) {
+  LoadDigestTable Sender;
+  Sender.setLinkDemand({{{"b", "a"}, 120.5}, {{"a", "c"}, 0.001}});
+  LoadDigest Sent = Sender.digestOfVM("vm", m_Fleet, m_Now);
+  LONGS_EQUAL(1, Sent.m_Links.size());
+  auto Read = LoadDigest::decode(Sent.encode());
+  CHECK(Read.has_value());
+  m_Table.apply(*Read, m_Fleet, m_Now);
+  DOUBLES_EQUAL(120.5, m_Table.peerLinkDemand({"a", "b"}), 0.001);
+  Sender.setLinkDemand({{{"a", "b"}, 20}, {{"a", "c"}, 3}});
+  m_Table.apply(Sender.digestOfVM("vm", m_Fleet, m_Now), m_Fleet, m_Now);
+  DOUBLES_EQUAL(20, m_Table.peerLinkDemand({"a", "b"}), 0.001);
+  DOUBLES_EQUAL(3, m_Table.peerLinkDemand({"c", "a"}), 0.001);
+  CHECK(m_Table.hasReports());
+  m_Table.refresh(m_Fleet, m_Now + 2s);
+  DOUBLES_EQUAL(0, m_Table.peerLinkDemand({"a", "b"}), 0);
+  CHECK(!m_Table.hasReports());
+}
+
+// Guards against sums of a failure domain that omit VMs or include the demand
+// of other domains.
+TEST(LoadDigest, DomainSumHasTheDemandForLinks) {
+  auto Report = [&](const std::string &Name, bool IsSum, std::int64_t Demand) {
+    LoadDigest Digest = digest(Name, 1, 10);
+    Digest.m_IsDomainSum = IsSum;
+    Digest.m_Links = {{{"a", "b"}, Demand}};
+    m_Table.apply(Digest, m_Fleet, m_Now);
+  };
+  m_Table.setLinkDemand({{{"a", "b"}, 1}, {{"b", "c"}, 2}});
+  Report("vm1", false, 3000);
+  Report("vm2", false, 4000);
+  Report("z", true, 50000);
+  DOUBLES_EQUAL(57, m_Table.peerLinkDemand({"a", "b"}), 0.001);
+  LoadDigest Sum = m_Table.digestOfDomain("x", m_Fleet, m_Now);
+  LONGS_EQUAL(2, Sum.m_Links.size());
+  LONGS_EQUAL(8000, Sum.m_Links[0].m_KilobitsPerSecond);
+  LONGS_EQUAL(2000, Sum.m_Links[1].m_KilobitsPerSecond);
+}
+
+// Guards against digests of an older release, which have no links, that are
+// rejected, and against malformed rows that are used in part.
+TEST(LoadDigest, MalformedLinksAreRejected) {
+  using nlohmann::json;
+  auto Decode = [&](const json &Links) {
+    std::string Bytes = digest("vm", 7, 1234).encode();
+    json Root = json::from_cbor(Bytes);
+    CHECK(!Root.contains("links"));
+    Root["links"] = Links;
+    std::vector<std::uint8_t> Changed = json::to_cbor(Root);
+    return LoadDigest::decode({Changed.begin(), Changed.end()});
+  };
+  CHECK(LoadDigest::decode(digest("vm", 7, 1234).encode())->m_Links.empty());
+  json Row{"a", "b", 5};
+  CHECK(Decode(json::array({Row})).has_value());
+  // A later release may add fields.
+  CHECK(Decode(json::array({{"a", "b", 5, "more"}})).has_value());
+  for (const json &Links :
+       {json("a"), json::object(), json::array({Row, 7}),
+        json::array({{"a", "b"}}), json::array({{"a", "b", -5}}),
+        json::array({{"a", "b", 1.5}}), json::array({{"a", 4, 5}}),
+        json::array({{"a", "a", 5}}),
+        json(std::vector<json>(LoadDigest::MaxLinks + 1, Row))})
+    CHECK_TEXT(!Decode(Links), Links.dump().c_str());
+}
+
+// Guards against digests that do not fit into the buffer of a receiver: at 300
+// VMs in three failure domains, each digest has up to three rows.
+TEST(LoadDigest, DemandForLinksTakesFewBytes) {
+  LoadDigest Digest = digest("edge-maan-a-3", 1, 10);
+  std::size_t Before = Digest.encode().size();
+  std::map<DomainLink, double> Demand;
+  for (const char *Left : {"maan-a", "aqaba-b", "tafilah-c"})
+    for (const char *Right : {"maan-a", "aqaba-b", "tafilah-c"})
+      if (std::string(Left) < Right)
+        Demand[{Left, Right}] = 3920;
+  LONGS_EQUAL(3, Demand.size());
+  m_Table.setLinkDemand(Demand);
+  Digest.m_Links = m_Table.digestOfVM("x", m_Fleet, m_Now).m_Links;
+  std::size_t Added = Digest.encode().size() - Before;
+  CHECK_TEXT(Added <= 90, std::to_string(Added).c_str());
+}
+
 PARSLEYRING_TEST_MAIN
