Share the links between failure domains among the requests of a VM

Cause: LinkRoom needs the demand of other VMs, and streams need one place that asks it while they plan. Change: GatewayNode has a LinkRoom per service, reports the demand in digests and logs link-limited. Not used by streams yet.

--- a/src/gateway/DigestExchange.h
+++ b/src/gateway/DigestExchange.h
@@ -40,6 +40,11 @@
   void sendToOtherDomains();
   /// Number of other VMs of the failure domain that sent a digest recently.
   std::size_t recentVMCount() const { return m_DigestTable.recentVMCount(); }
+  /// Tells what the digests say about the demand for links.
+  const LoadDigestTable &table() const { return m_DigestTable; }
+  void setLinkDemand(const std::map<DomainLink, double> &Demand) {
+    m_DigestTable.setLinkDemand(Demand);
+  }
 
 private:
   void receive();
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -3,6 +3,7 @@
 
 #include "admission/AdmissionQueue.h"
 #include "admission/LimitedCapacity.h"
+#include "admission/LinkRoom.h"
 #include "admission/ReturnSchedule.h"
 #include "fleet/FleetTable.h"
 #include "fleet/RouteTable.h"
@@ -48,6 +49,10 @@
   virtual double loadFactor() const = 0;
   /// The VMs among which the limits of endpoints are divided.
   virtual LimitUsers limitUsers() const = 0;
+  virtual LinkRoom &linkRoom(const std::string &Service) = 0;
+  /// The VMs among which Link is divided, for the requests of Service.
+  virtual LinkUsers linkUsers(const DomainLink &Link,
+                              const std::string &Service) const = 0;
   virtual double random() = 0;
   /// Requests an engine's report; OnReport gets nullopt if there is none.
   virtual void requestReport(const FleetTable::Handle &Endpoint,
@@ -84,6 +89,10 @@
 /// Why a request ended that only endpoints at rest could have got.
 inline constexpr std::string_view EndpointRestReason = "endpoint-rest";
 
+/// Why a request ended that only links between failure domains without credit
+/// kept from being sent.
+inline constexpr std::string_view LinkLimitReason = "link-limit";
+
 /// A caller's request while it is being forwarded.
 class ForwardedRequest {
 public:
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -536,6 +536,20 @@
   return Users;
 }
 
+// All services use the same links.
+LinkUsers GatewayNode::linkUsers(const DomainLink &Link,
+                                 const std::string &Service) const {
+  LinkUsers Users;
+  Users.m_VMs = std::max<std::size_t>(1, m_VMs.size());
+  Users.m_LoadFactor = loadFactor();
+  Users.m_HasReports = Users.m_VMs == 1 || m_Digests.table().hasReports();
+  Users.m_ReportedDemand = m_Digests.table().peerLinkDemand(Link);
+  for (const auto &[Name, Room] : m_LinkRooms)
+    if (Name != Service)
+      Users.m_ReportedDemand += Room.demand(Link, now());
+  return Users;
+}
+
 double GatewayNode::random() {
   return std::uniform_real_distribution<double>(0, 1)(m_Random);
 }
@@ -903,6 +917,7 @@
   Time Now = now();
   pollSlowEngines();
   m_Digests.refresh();
+  tickLinks();
   m_Digests.sendToDomainPeers();
   if (m_Ticks % (2 * MaintenanceTicks) == 0)
     m_Digests.sendToOtherDomains();
@@ -917,6 +932,26 @@
   updateGauges();
 }
 
+// Reports the demand for links and logs from which ones requests are kept.
+void GatewayNode::tickLinks() {
+  Time Now = now();
+  std::map<DomainLink, double> Demand;
+  for (auto &[Service, Room] : m_LinkRooms) {
+    for (const auto &[Link, MegabitsPerSecond] : Room.demands(Now))
+      Demand[Link] += MegabitsPerSecond;
+    for (const LinkChange &Change : Room.takeChanges(Now))
+      m_Log.write(
+          Now, "link-limited", "",
+          {{"service", Service},
+           {"domains", Change.m_Link.m_First + " " + Change.m_Link.m_Second},
+           {"limited", std::int64_t(Change.m_IsLimited)},
+           {"demand_mbps", Room.demand(Change.m_Link, Now)},
+           {"peer_demand_mbps",
+            m_Digests.table().peerLinkDemand(Change.m_Link)}});
+  }
+  m_Digests.setLinkDemand(Demand);
+}
+
 void GatewayNode::updateGauges() {
   Time Now = now();
   m_Metrics.setRestingEndpoints(m_Fleet.restingEndpoints(Now));
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -81,6 +81,11 @@
   }
   double loadFactor() const override;
   LimitUsers limitUsers() const override;
+  LinkRoom &linkRoom(const std::string &Service) override {
+    return m_LinkRooms[Service];
+  }
+  LinkUsers linkUsers(const DomainLink &Link,
+                      const std::string &Service) const override;
   ReturnSchedule &returnSchedule(const std::string &Service) override {
     return m_ReturnSchedules[Service];
   }
@@ -145,6 +150,7 @@
   void tickRequests();
   void tickMemory();
   void tickMaintenance();
+  void tickLinks();
   void updateGauges();
   void recordPace(FleetEndpoint &Endpoint, double Pace);
   void pollSlowEngines();
@@ -198,6 +204,7 @@
   std::uint64_t m_PlacedGeneration = 0; ///< Of the list at the last placement.
   std::map<std::string, AdmissionQueue> m_AdmissionQueues; ///< By service.
   std::map<std::string, ReturnSchedule> m_ReturnSchedules; ///< By service.
+  std::map<std::string, LinkRoom> m_LinkRooms;             ///< By service.
   std::map<std::string, RetryShare> m_RetryShares;
   std::set<std::shared_ptr<ForwardedRequest>> m_Requests;
   /// Connections with a request that waits for memory.
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -60,6 +60,10 @@
       counters(m_Registry, "parsleyring_endpoint_rests_total",
                "Times that an endpoint asked this VM for no requests.")
           .Add({});
+  Counter &m_LinkCrossings =
+      counters(m_Registry, "parsleyring_link_crossings_total",
+               "Crossings of links between failure domains by requests.")
+          .Add({});
   Counter &m_DroppedLines =
       counters(m_Registry, "parsleyring_log_lines_dropped_total",
                "Log lines left out.")
@@ -141,6 +145,10 @@
   m_Families->m_Orders.Add({{"kind", std::string(Kind)}}).Increment();
 }
 
+void NodeMetrics::countLinkCrossing() {
+  m_Families->m_LinkCrossings.Increment();
+}
+
 void NodeMetrics::observeFirstEvent(Duration Taken) {
   m_Families->m_FirstEventSeconds.Observe(seconds(Taken));
 }
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -22,6 +22,8 @@
   void countRetry(std::string_view Reason);
   void countStoreCall(unsigned Status);
   void countOrder(std::string_view Kind);
+  /// Counts a crossing of a link between failure domains by a request.
+  void countLinkCrossing();
   void observeFirstEvent(Duration Taken);
   void setConfigurationVersion(ConfigurationVersion Version);
   /// Age of the last confirmation that the store's items are the newest ones.
