--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -8,8 +8,13 @@
 #include "gateway/EndpointClient.h"
 #include "gateway/ForwardContext.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/MetricsHandler.h"
+#include "gateway/PeerHandler.h"
+#include "gateway/PlacementDuty.h"
+#include "gateway/ReadyHandler.h"
+#include "gateway/ResourceLimits.h"
+#include "gateway/SuspicionRecorder.h"
 #include "node/NodeClock.h"
-#include "placement/PlacementController.h"
 #include "store/StoreWatcher.h"
 #include "store/VMDirectory.h"
 #include "store/VMLease.h"
@@ -62,7 +67,6 @@
 
   // RequestHandler and ForwardContext
   MemoryBudget &memoryBudget() override { return m_MemoryBudget; }
-  MemoryBudget &internalMemoryBudget() { return m_InternalMemoryBudget; }
 
   // ForwardContext
   ConnectionPool &connectionPool() override { return m_ConnectionPool; }
@@ -118,10 +122,6 @@
   bool isPrimaryWatcher() const override { return m_VMs.isPrimaryWatcher(); }
 
 private:
-  class ReadyHandler;
-  class PeerHandler;
-  class MetricsHandler;
-
   /// Status and reason with which a request is refused instead of forwarded.
   struct Refusal {
     unsigned m_Status = 0;
@@ -154,9 +154,6 @@
   void updateGauges();
   void recordPace(FleetEndpoint &Endpoint, double Pace);
   void pollSlowEngines();
-  void tickPlacement();
-  void sendOrder(const std::string &Service, const PlacementOrder &Order);
-  void suspectDomain(const std::string &Domain);
   void handleDigestChanges(const DigestChanges &Changes, const std::string &By);
   /// Records what an answer to a call of this VM's own states.
   void noteCallAnswer(const FleetTable::Handle &Endpoint,
@@ -169,6 +166,7 @@
   void tickShutdown();
 
   const GatewaySettings m_Settings;
+  const ResourceLimits m_ResourceLimits;
   const EndpointProtocol &m_Protocol;
   const RecordFormat &m_Records;
   const TransferTimeouts m_TransferTimeouts;
@@ -199,9 +197,7 @@
   StoreWatcher m_StoreWatcher;
   CrashGuard m_CrashGuard;
   VMLease m_Lease;
-  std::map<std::string, PlacementController> m_Placement; ///< By service.
-  bool m_WasLeader = false;
-  std::uint64_t m_PlacedGeneration = 0; ///< Of the list at the last placement.
+  PlacementDuty m_PlacementDuty;
   std::map<std::string, AdmissionQueue> m_AdmissionQueues; ///< By service.
   std::map<std::string, ReturnSchedule> m_ReturnSchedules; ///< By service.
   std::map<std::string, LinkRoom> m_LinkRooms;             ///< By service.
@@ -211,12 +207,13 @@
   std::vector<std::weak_ptr<CallerConnection>> m_AwaitingMemory;
   ReturnSchedule m_MemoryReturns;
 
-  std::unique_ptr<ReadyHandler> m_ReadyHandler;
-  std::unique_ptr<PeerHandler> m_PeerHandler;
-  std::unique_ptr<MetricsHandler> m_MetricsHandler;
+  ReadyHandler m_ReadyHandler;
+  PeerHandler m_PeerHandler;
+  MetricsHandler m_MetricsHandler;
   std::vector<std::unique_ptr<CallerListener>> m_Listeners;
   CallerListener *m_CallerListener = nullptr;
   DigestExchange m_Digests;
+  SuspicionRecorder m_SuspicionRecorder;
   boost::asio::steady_timer m_TickTimer;
   boost::asio::signal_set m_Signals;
   std::uint64_t m_Ticks = 0;
