Send streams only over links between failure domains with credit

Cause: requests whose paths cross domains fill the links; a backlog of seconds then delays all of them until their callers leave. Change: new, retried, moved and resumed streams and repath orders are planned without links that have no credit. A request that only such links keep from being sent waits if its credit is due within its wait, which is reserved for it; else it gets 503 at once with reason link-limit. A stream that was sent waits in either case. Credit of attempts that provably have not run is returned.

--- a/src/gateway/StreamAttempt.h
+++ b/src/gateway/StreamAttempt.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYRING_GATEWAY_STREAMATTEMPT_H
 #define PARSLEYRING_GATEWAY_STREAMATTEMPT_H
 
+#include "admission/LinkRoom.h"
 #include "gateway/EventScanner.h"
 #include "gateway/HttpConnection.h"
 #include "gateway/PathLoad.h"
@@ -14,6 +15,8 @@
 struct StreamAttempt {
   std::shared_ptr<HttpConnection> m_Connection;
   PathLoad m_PathLoad;
+  /// Crossings for which the attempt has taken credit.
+  std::vector<LinkCrossing> m_LinkCrossings;
   ResponseHead m_Head;
   EventScanner m_Scanner;
   std::string m_RejectionBody; ///< Body of an answer that is not a stream.
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -55,9 +55,10 @@
   m_Context.retryShare(m_Job.m_Service->m_Name).noteRequest(m_Context.now());
   if (endIfQuarantined() || trySend("first"))
     return;
-  std::string_view Reason = m_Planner.isLimited() ? "endpoint-limit"
-                            : areAllLeaving()     ? AllLeavingReason
-                                                  : "no-path";
+  std::string_view Reason = m_Planner.isLimited()           ? "endpoint-limit"
+                            : m_Planner.links().isLimited() ? LinkLimitReason
+                            : areAllLeaving()               ? AllLeavingReason
+                                                            : "no-path";
   if (!waitForCapacity(Reason))
     endUnanswered(Reason);
 }
@@ -125,6 +126,8 @@
     Part.m_Endpoint->m_Rest.noteSent(Now);
   auto Sent = std::make_shared<StreamAttempt>();
   Sent->m_PathLoad.set(Path, m_Planner.tokens());
+  Sent->m_LinkCrossings = m_Planner.links().crossings();
+  m_Planner.links().take(Sent->m_LinkCrossings);
   Sent->m_SentAt = Sent->m_LastProgressAt = m_Progress.m_LastProgressAt = Now;
   Sent->m_Connection = connectionTo(*First, MaxIdle);
   m_Attempt = Sent;
@@ -384,6 +387,7 @@
   } else if (provesNotRun(Attempt->m_Head, m_Context.protocol().headers(),
                           m_Job.m_Id)) {
     uncount(*Attempt);
+    m_Planner.links().giveBack(Attempt->m_LinkCrossings);
     keepConnection(Attempt->m_Connection, Attempt->m_Head);
   } else {
     m_MayHaveRun = true;
@@ -418,6 +422,7 @@
   if (provesNotRun(Head, Names, m_Job.m_Id)) {
     keepConnection(m_Attempt->m_Connection, Head);
     uncount(*m_Attempt);
+    m_Planner.links().giveBack(m_Attempt->m_LinkCrossings);
     std::string Address = Head.field(Names.m_FaultyEndpoint);
     FleetTable::Handle Faulty = m_Context.fleet().findByAddress(Address);
     if (!Faulty)
@@ -466,6 +471,7 @@
 
 void StreamForward::noteUnsent(StreamAttempt &Attempt) {
   uncount(Attempt);
+  m_Planner.links().giveBack(Attempt.m_LinkCrossings);
   --m_Sends;
 }
 
@@ -554,6 +560,8 @@
       finish(ForwardOutcome::Refused, EndpointRestReason, 503);
     } else if (m_Planner.isLimited())
       refuseLimited(Reason);
+    else if (m_Planner.links().isLimited())
+      refuseForLinks();
     else
       refuse(Reason, RetryAfterSeconds);
     return;
@@ -611,6 +619,11 @@
   finish(ForwardOutcome::Refused, Reason, 503);
 }
 
+void StreamForward::refuseForLinks() {
+  answerLimited(m_Planner.links().capacity());
+  finish(ForwardOutcome::Refused, LinkLimitReason, 503);
+}
+
 // If the answer has begun, closing the connection shows the caller that it is
 // incomplete.
 void StreamForward::failRequest(std::string_view Reason) {
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -85,6 +85,7 @@
 
   void refuse(std::string_view Reason, double RetryAfter);
   void refuseLimited(std::string_view Reason);
+  void refuseForLinks();
   void failRequest(std::string_view Reason);
   void finish(ForwardOutcome Outcome, std::string_view Reason, unsigned Status);
 
--- a/src/gateway/StreamPlanner.cpp
+++ b/src/gateway/StreamPlanner.cpp
@@ -73,17 +73,24 @@
          !IsOvertaking;
 }
 
+// A new path, or a new part of one, reads all tokens so far.
+LayerPath StreamPlanner::planWithinLinks(const PathQuery &Query) {
+  LinkUse Use = m_Progress.m_Events > 0 ? LinkUse::Begun
+                : m_Job.m_Priority <= 0 ? LinkUse::Urgent
+                                        : LinkUse::Ordinary;
+  double TokensSoFar =
+      m_Fields.m_PromptTokens +
+      m_Progress.m_Events * m_Job.m_Service->m_Engine->m_TokensPerEvent;
+  return m_Links.plan(Query, Use, TokensSoFar + answerTokensLeft());
+}
+
 LayerPath
 StreamPlanner::planPath(const std::vector<FleetTable::Handle> &OpenEngines,
                         const LimitedWait *Wait) {
   PathQuery Query = pathQuery();
   const EngineModel &Model = *m_Job.m_Service->m_Engine;
   Query.m_Layers = {0, Model.m_Layers};
-  auto Plan = [&] {
-    return LayerPathPlanner::plan(
-        Model, m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name),
-        Query, m_Context.now());
-  };
+  auto Plan = [&] { return planWithinLinks(Query); };
   LayerPath Path = Plan();
   if (Path.empty() && !m_ExcludedEndpoints.empty()) {
     // An endpoint that was silent or failed may be sound again.
@@ -108,7 +115,7 @@
 
 LayerPath StreamPlanner::planReplacement(const LayerPath &Path,
                                          std::size_t Index,
-                                         const LayerPath &NewPath) const {
+                                         const LayerPath &NewPath) {
   PathQuery Query = pathQuery();
   Query.m_PromptTokens += m_Progress.m_Events;
   Query.m_Layers = Path[Index].m_Layers;
@@ -119,10 +126,7 @@
     Query.m_Excluded.push_back(Part.m_Endpoint);
   if (Index + 1 < Path.size())
     Query.m_NextEndpoint = Path[Index + 1].m_Endpoint;
-  return LayerPathPlanner::plan(
-      *m_Job.m_Service->m_Engine,
-      m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name), Query,
-      m_Context.now());
+  return planWithinLinks(Query);
 }
 
 } // namespace parsleyring
--- a/src/gateway/StreamRecovery.cpp
+++ b/src/gateway/StreamRecovery.cpp
@@ -145,6 +145,7 @@
     return;
   }
   LayerPath NewPath;
+  std::vector<LinkCrossing> NewCrossings;
   for (std::size_t Index = 0; Index < Path.size(); ++Index) {
     if (!IsSuspect(Path[Index])) {
       NewPath.push_back(Path[Index]);
@@ -156,6 +157,8 @@
       return;
     }
     NewPath.insert(NewPath.end(), Replacement.begin(), Replacement.end());
+    const std::vector<LinkCrossing> &Crossings = m_Planner.links().crossings();
+    NewCrossings.insert(NewCrossings.end(), Crossings.begin(), Crossings.end());
   }
   // A new part reads all tokens so far, and their state crosses the connection
   // between the domains twice. The streams of a lost engine together fill it
@@ -163,6 +166,7 @@
   if (domainCrossings(NewPath) > domainCrossings(Path) &&
       m_Stream.moveElsewhere("part-lost"))
     return;
+  m_Planner.links().take(NewCrossings);
   ++attempt().m_Repaths;
   attempt().m_IsRepathing = true;
   auto Self = m_Stream.self();
--- a/src/gateway/StreamWait.cpp
+++ b/src/gateway/StreamWait.cpp
@@ -11,6 +11,13 @@
   return RestEnd && *RestEnd + LimitedWait::MaxQueueDelay > WaitUntil;
 }
 
+// A request that has been sent waits also if its credit is due too late: a
+// chain inside one domain may become whole in time.
+bool StreamWait::mayWaitForLinks(Time WaitUntil, bool HasRun) {
+  return !m_Planner.links().isLimited() ||
+         m_Planner.links().beginWait(WaitUntil) || HasRun;
+}
+
 // A full engine has capacity again as soon as one of its requests ends.
 bool StreamWait::begin(std::string_view Reason, Conditions Wait) {
   Time Now = m_Context.now();
@@ -19,7 +26,8 @@
   if (m_Planner.isLimited() &&
       !m_LimitedWait.begin(m_Planner.limitedCapacity(), WaitUntil, Now))
     return false;
-  if (isRestLongerThan(WaitUntil, Wait.m_HasRun))
+  if (isRestLongerThan(WaitUntil, Wait.m_HasRun) ||
+      !mayWaitForLinks(WaitUntil, Wait.m_HasRun))
     return false;
   AdmissionQueue::WaitingRequest QueuedRequest;
   QueuedRequest.m_Account = m_Job.m_Account;
@@ -49,8 +57,10 @@
   m_WaitingSince = Now;
   m_QueueNumber = m_Context.admissionQueue(m_Job.m_Service->m_Name)
                       .add(Now, std::move(QueuedRequest));
-  if (m_QueueNumber == 0)
+  if (m_QueueNumber == 0) {
+    m_Planner.links().endWait();
     return false;
+  }
   m_Context.log().write(
       Now, "request-waits", m_Job.m_Id,
       {{"reason", Reason},
@@ -68,6 +78,7 @@
 void StreamWait::recordWait() {
   m_QueuedTime += m_Context.now() - m_WaitingSince;
   m_WaitingSince = Time{};
+  m_Planner.links().endWait();
 }
 
 } // namespace parsleyring
--- a/src/gateway/StreamWait.h
+++ b/src/gateway/StreamWait.h
@@ -25,7 +25,7 @@
   /// The arguments must outlive this object, and the handlers of the conditions
   /// must keep this object until they are called or dropped.
   StreamWait(ForwardContext &Context, const ForwardJob &Job,
-             const StreamPlanner &Planner)
+             StreamPlanner &Planner)
       : m_Context(Context), m_Job(Job), m_Planner(Planner) {}
 
   /// Queues the request until an engine has capacity; false if it cannot wait.
@@ -42,10 +42,11 @@
 private:
   void recordWait();
   bool isRestLongerThan(Time WaitUntil, bool HasRun) const;
+  bool mayWaitForLinks(Time WaitUntil, bool HasRun);
 
   ForwardContext &m_Context;
   const ForwardJob &m_Job;
-  const StreamPlanner &m_Planner;
+  StreamPlanner &m_Planner;
 
   // While the request is in the admission queue.
   RequestNumber m_QueueNumber = 0; ///< 0 if it is not in the queue.
