Return the credit of refused repath orders

Cause: an engine that refuses a repath order sends nothing over the link, but the order's credit was kept. Change: the credit is returned if the answer's status is 300 or more. Without an answer the order may have been carried out, so the credit stays taken.

--- a/src/gateway/StreamRecovery.cpp
+++ b/src/gateway/StreamRecovery.cpp
@@ -178,9 +178,11 @@
         std::int64_t((Now - attempt().m_LastProgressAt).count() / 1000)}});
   m_Context.callEndpoint(Path.front().m_Endpoint,
                          m_Context.protocol().repathCall(m_Job.m_Id, NewPath),
-                         [this, Self, Ordered = m_Stream.attempt(),
-                          NewPath](const CallReply &Reply) {
+                         [this, Self, Ordered = m_Stream.attempt(), NewPath,
+                          NewCrossings](const CallReply &Reply) mutable {
                            Ordered->m_IsRepathing = false;
+                           if (Reply.m_Status >= 300)
+                             m_Planner.links().giveBack(NewCrossings);
                            if (!Self->hasEnded() && Self->attempt() == Ordered)
                              handleRepath(Reply.m_Status, NewPath);
                          });
