--- a/src/admission/LinkRoom.cpp
+++ b/src/admission/LinkRoom.cpp
@@ -14,7 +14,7 @@
 // soon as no chain is whole.
 static constexpr double IdleCreditSeconds = 0.5;
 // A link is idle after this many times the usual interval between the requests
-// for which a VM gets credit, but not within MinIdleTime.
+// for which a VM gets credit, but not within MinIdleSeconds.
 static constexpr double IdleIntervals = 2;
 static constexpr double MinIdleSeconds = 3;
 // By how many usual requests a stream that has begun may overdraw the share: a
