--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -86,6 +86,11 @@
   }
   double loadFactor() const override;
   LimitUsers limitUsers() const override;
+  LinkRoom &linkRoom(const std::string &Service) override {
+    return m_LinkRooms[Service];
+  }
+  LinkUsers linkUsers(const DomainLink &Link,
+                      const std::string &Service) const override;
   ReturnSchedule &returnSchedule(const std::string &Service) override {
     return m_ReturnSchedules[Service];
   }
@@ -149,6 +154,7 @@
   void tickRequests();
   void tickMemory();
   void tickMaintenance();
+  void tickLinks();
   void updateGauges();
   void recordPace(FleetEndpoint &Endpoint, double Pace);
   void pollSlowEngines();
@@ -198,6 +204,7 @@
   PlacementDuty m_PlacementDuty;
   std::map<std::string, AdmissionQueue> m_AdmissionQueues; ///< By service.
   std::map<std::string, ReturnSchedule> m_ReturnSchedules; ///< By service.
+  std::map<std::string, LinkRoom> m_LinkRooms;             ///< By service.
   std::map<std::string, RetryShare> m_RetryShares;
   std::set<std::shared_ptr<ForwardedRequest>> m_Requests;
   StartupQueue m_StartupQueue;
--- a/src/gateway/StreamRecovery.cpp
+++ b/src/gateway/StreamRecovery.cpp
@@ -145,6 +145,7 @@
     return;
   }
   LayerPath NewPath;
+  std::vector<LinkCrossing> NewCrossings;
   for (std::size_t Index = 0; Index < Path.size(); ++Index) {
     if (!IsSuspect(Path[Index])) {
       NewPath.push_back(Path[Index]);
@@ -156,6 +157,8 @@
       return;
     }
     NewPath.insert(NewPath.end(), Replacement.begin(), Replacement.end());
+    const std::vector<LinkCrossing> &Crossings = m_Planner.links().crossings();
+    NewCrossings.insert(NewCrossings.end(), Crossings.begin(), Crossings.end());
   }
   // A new part reads all tokens so far, and their state crosses the connection
   // between the domains twice. The streams of a lost engine together fill it
@@ -163,6 +166,7 @@
   if (domainCrossings(NewPath) > domainCrossings(Path) &&
       m_Stream.moveElsewhere("part-lost"))
     return;
+  m_Planner.links().take(NewCrossings);
   ++attempt().m_Repaths;
   attempt().m_IsRepathing = true;
   auto Self = m_Stream.self();
@@ -174,9 +178,11 @@
         std::int64_t((Now - attempt().m_LastProgressAt).count() / 1000)}});
   m_Context.callEndpoint(Path.front().m_Endpoint,
                          m_Context.protocol().repathCall(m_Job.m_Id, NewPath),
-                         [this, Self, Ordered = m_Stream.attempt(),
-                          NewPath](const CallReply &Reply) {
+                         [this, Self, Ordered = m_Stream.attempt(), NewPath,
+                          NewCrossings](const CallReply &Reply) mutable {
                            Ordered->m_IsRepathing = false;
+                           if (Reply.m_Status >= 300)
+                             m_Planner.links().giveBack(NewCrossings);
                            if (!Self->hasEnded() && Self->attempt() == Ordered)
                              handleRepath(Reply.m_Status, NewPath);
                          });
