Watch engines by idle connections to see crashes early

The crash of an engine that is not the first of its path is only seen by the silence of streams (260 ms or more) and then by a report of the first engine.

The representatives of a failure domain keep an idle connection to each of its engines with layers. The connections count towards the limit of the pool for endpoints, which closes them first.

--- a/src/gateway/ConnectionPool.cpp
+++ b/src/gateway/ConnectionPool.cpp
@@ -80,7 +80,8 @@
 }
 
 void ConnectionPool::closeExcess() {
-  while (open() > m_MaxOpen && closeOldest())
+  while (open() > m_MaxOpen &&
+         ((m_CloseOther && m_CloseOther()) || closeOldest()))
     continue;
 }
 
--- a/src/gateway/ConnectionPool.h
+++ b/src/gateway/ConnectionPool.h
@@ -3,6 +3,7 @@
 
 #include "gateway/HttpConnection.h"
 
+#include <functional>
 #include <limits>
 #include <unordered_map>
 #include <vector>
@@ -26,11 +27,21 @@
   /// Closes the connections whose idle timeout has passed.
   void expire(Time Now);
   std::size_t size() const;
-  /// Number of open connections from this pool, idle or in use.
+  /// Number of open connections that count, idle or in use.
   std::size_t open() const { return m_OpenToken.use_count() - 1; }
   /// While more than this are open, idle ones are closed, beginning with the
   /// one that has been idle for longest.
   void setMaxOpen(std::size_t Connections) { m_MaxOpen = Connections; }
+  /// Held by an open connection that is not from this pool, but counts as one.
+  std::shared_ptr<const void> openToken() const { return m_OpenToken; }
+  /// CloseOne is called before idle connections are closed; it closes one of
+  /// those outside the pool, or returns false if there is none.
+  void setReclaimer(std::function<bool()> CloseOne) {
+    m_CloseOther = std::move(CloseOne);
+  }
+  /// True if connections may be opened that no request needs: an eighth of the
+  /// maximum is left.
+  bool hasRoomForIdle() const { return open() < m_MaxOpen - m_MaxOpen / 8; }
 
 private:
   struct IdleConnection {
@@ -48,6 +59,7 @@
   /// number of references counts them.
   std::shared_ptr<const void> m_OpenToken = std::make_shared<char>();
   std::size_t m_MaxOpen = std::numeric_limits<std::size_t>::max();
+  std::function<bool()> m_CloseOther;
   std::unordered_map<std::string, std::vector<IdleConnection>> m_Idle;
 };
 
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -109,6 +109,12 @@
           [this](const FleetTable::Handle &Endpoint) {
             notifySuspicion(Endpoint);
           }),
+      m_EngineWatch(
+          m_Loop, m_ConnectionPool, m_Settings.m_FailureDomain,
+          [this] { return now(); },
+          [this](const FleetTable::Handle &Engine) {
+            suspect(Engine, "connection-closed", CrashedTime);
+          }),
       m_TickTimer(m_Loop), m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
   auto Listen = [this](const std::string &Address, RequestHandler &Handler,
                        std::size_t MaxConnections) {
@@ -689,6 +695,8 @@
   m_CallConnections.expire(Now);
   m_Fleet.expire(Now);
   m_VMs.expire(Now);
+  m_EngineWatch.update(m_Fleet.endpoints(),
+                       m_VMs.isRepresentative() && !isStopping());
   m_CrashGuard.tick(m_PlacementDuty.wasLeader());
   noteEndedRests();
   updateGauges();
@@ -699,6 +707,7 @@
   m_Metrics.setRestingEndpoints(m_Fleet.restingEndpoints(Now));
   m_Metrics.setLimitedEndpoints(m_Fleet.limitedEndpoints());
   m_Metrics.setLeavingEndpoints(m_Fleet.leavingEndpoints());
+  m_Metrics.setWatchedEngines(m_EngineWatch.size());
   m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
   for (std::size_t Use = 0; Use < MemoryUseCount; ++Use)
     m_Metrics.setMemory(static_cast<MemoryUse>(Use),
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -6,6 +6,7 @@
 #include "gateway/CrashGuard.h"
 #include "gateway/DigestExchange.h"
 #include "gateway/EndpointClient.h"
+#include "gateway/EngineWatch.h"
 #include "gateway/ForwardContext.h"
 #include "gateway/GatewaySettings.h"
 #include "gateway/MetricsHandler.h"
@@ -207,6 +208,7 @@
   CallerListener *m_CallerListener = nullptr;
   DigestExchange m_Digests;
   SuspicionRecorder m_SuspicionRecorder;
+  EngineWatch m_EngineWatch;
   boost::asio::steady_timer m_TickTimer;
   boost::asio::signal_set m_Signals;
   std::uint64_t m_Ticks = 0;
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -89,6 +89,9 @@
   Gauge &m_LeavingEndpoints =
       gauge(m_Registry, "parsleyring_leaving_endpoints",
             "Listed endpoints that get no new requests since they leave.");
+  Gauge &m_WatchedEngines =
+      gauge(m_Registry, "parsleyring_watched_engines",
+            "Engines to which this VM keeps an idle connection open.");
   Gauge &m_Running = gauge(m_Registry, "parsleyring_requests_running",
                            "Requests in progress.");
   Family<Gauge> &m_Memory =
@@ -191,6 +194,10 @@
   m_Families->m_LeavingEndpoints.Set(static_cast<double>(Endpoints));
 }
 
+void NodeMetrics::setWatchedEngines(std::size_t Engines) {
+  m_Families->m_WatchedEngines.Set(static_cast<double>(Engines));
+}
+
 void NodeMetrics::setRunning(std::size_t Requests, std::size_t Connections) {
   m_Families->m_Running.Set(static_cast<double>(Requests));
   m_Families->m_Connections.Set(static_cast<double>(Connections));
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -37,6 +37,7 @@
   /// Counts an endpoint that stated that it is leaving, by how it was learnt.
   void countLeaving(std::string_view Source);
   void setLeavingEndpoints(std::size_t Endpoints);
+  void setWatchedEngines(std::size_t Engines);
   void setRunning(std::size_t Requests, std::size_t Connections);
   void countDroppedLogLines(std::uint64_t Lines);
   void setMemory(MemoryUse Use, std::size_t Bytes);
