Leave a crashed engine soon also after a recent event

A stream whose last event was at most 130 ms old when this VM found a part of its path to have crashed stayed on it until its own silence limit: 260 ms or three times its usual pause between events.

The tick now looks at such a stream as soon as its last event is 130 ms old. Events that arrive meanwhile end the suspicion, as before.

integration/EngineCrashTest kills the process of an engine in the middle of paths. StreamWithARecentEventLeavesTheCrashedEngine failed without the change to StreamForward (two of two runs) and passes with it (two of two).

--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -43,6 +43,11 @@
 // The same while little memory is left.
 static constexpr std::size_t MaxUnsentTightBytes = 8 << 10;
 
+// A stream that still gets events need not leave a suspect endpoint.
+static bool isLeavingSuspects(Duration Silence) {
+  return Silence > MinSilence / 2;
+}
+
 static double leadingNumber(std::string_view Text, double Default) {
   long long Number = 0;
   auto [End, Error] =
@@ -808,6 +813,15 @@
   return std::max<Duration>(MinSilence, Usual);
 }
 
+// True if this VM itself suspects a part of the path. Events since then would
+// have ended the suspicion.
+bool StreamForward::hasOwnSuspectPart(Time Now) const {
+  for (const PathStage &Part : m_Attempt->path())
+    if (Part.m_Endpoint->m_OwnSuspectUntil > Now)
+      return true;
+  return false;
+}
+
 bool StreamForward::hasSuspectPart(Time Now) const {
   for (const PathStage &Part : m_Attempt->path())
     if (Part.m_Endpoint->m_SuspectUntil > Now + FleetEndpoint::RejectionPause)
@@ -830,14 +844,18 @@
     return;
   Duration Silence = Now - m_Attempt->m_LastProgressAt;
   checkPaces(Silence);
-  if (m_IsDone || Silence < silenceLimit())
+  if (m_IsDone)
+    return;
+  // handleSuspect() leaves streams whose last event is recent.
+  bool IsPartLost = isLeavingSuspects(Silence) && hasOwnSuspectPart(Now);
+  if (Silence < silenceLimit() && !IsPartLost)
     return;
   if (Silence > MaxSilence && m_Attempt->isTrickling()) {
     exclude(m_Attempt->firstEngine());
     retryElsewhere("trickling");
     return;
   }
-  if (hasSuspectPart(Now)) {
+  if (IsPartLost || hasSuspectPart(Now)) {
     replaceParts();
     return;
   }
@@ -887,9 +905,8 @@
   if (m_IsDone || !m_Attempt || m_Attempt->m_HasEnded ||
       m_Attempt->m_IsRepathing)
     return;
-  // A stream that still gets events need not leave the endpoint.
   if (m_Attempt->uses(Endpoint) &&
-      m_Context.now() - m_Attempt->m_LastProgressAt > MinSilence / 2)
+      isLeavingSuspects(m_Context.now() - m_Attempt->m_LastProgressAt))
     replaceParts();
 }
 
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -70,6 +70,7 @@
   Duration silenceLimit() const;
   void handleReport(const std::optional<EngineReport> &Report);
   bool hasSuspectPart(Time Now) const;
+  bool hasOwnSuspectPart(Time Now) const;
   void replaceParts();
   void handleRepath(unsigned Status, const LayerPath &Path);
   /// Sends the request on a new path and leaves the current attempt open.
