Serve connections of ScriptedServer at the same time

The server of the tests read one connection after the other, so the idle connection of EngineWatch held up all requests: integration/FaultyEndpointTest TrailersProveNothing got 504 instead of 502. Endpoints of the platform serve many connections, so each one gets a thread.

integration/FaultyEndpointTest passes (9 tests), and so do gateway/ConnectionPoolTest and gateway/ConnectionProbeTest.

--- a/tests/support/ScriptedServer.cpp
+++ b/tests/support/ScriptedServer.cpp
@@ -31,9 +31,13 @@
     if (!isReadable(m_Listener))
       continue;
     int Connection = ::accept(m_Listener, nullptr, nullptr);
-    answer(Connection);
-    ::close(Connection);
+    m_Connections.emplace_back([this, Connection] {
+      answer(Connection);
+      ::close(Connection);
+    });
   }
+  for (std::thread &Connection : m_Connections)
+    Connection.join();
 }
 
 void ScriptedServer::answer(int Connection) {
--- a/tests/support/ScriptedServer.h
+++ b/tests/support/ScriptedServer.h
@@ -4,12 +4,13 @@
 #include <atomic>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace parsleyring {
 
 /// A TCP server on a free loopback port that reads a request, sends fixed bytes
 /// and then closes the connection, or keeps the connection open and sends
-/// nothing more.
+/// nothing more. A connection without a request does not hold up others.
 class ScriptedServer {
 public:
   enum class End { Close, KeepOpen };
@@ -33,6 +34,7 @@
   std::atomic<bool> m_IsStopping{false};
   std::atomic<bool> m_HasRequest{false};
   std::atomic<bool> m_WasClosedByClient{false};
+  std::vector<std::thread> m_Connections; ///< Used by serve() only.
   std::thread m_Thread;
 };
 
