Confirm the crash of engines that another VM tells

Only two VMs of a failure domain watch its engines. On the others, streams stayed at an engine that was told as suspect until their silence limit, since the VM that told it may be the one that is cut off.

A VM whose requests use an engine that is told as suspect now opens up to two connections to it. If both are refused, the engine has crashed for this VM as well, and its streams leave it. The watch is restricted to layered services: the entries of plain endpoints may state layers, too.

--- a/src/gateway/EngineWatch.cpp
+++ b/src/gateway/EngineWatch.cpp
@@ -59,14 +59,19 @@
 
 EngineWatch::~EngineWatch() { m_Pool.setReclaimer(nullptr); }
 
-void EngineWatch::update(
-    const std::map<std::string, FleetTable::Handle> &Endpoints, bool IsOn) {
+void EngineWatch::update(const EngineWatchPolicy::Engines &Endpoints,
+                         bool IsOn) {
   for (const FleetTable::Handle &Ended :
        m_Policy.update(Endpoints, m_FailureDomain, IsOn, m_Now()))
     close(*Ended);
   connectDue();
 }
 
+void EngineWatch::check(const FleetTable::Handle &Engine) {
+  m_Policy.check(Engine, m_Now());
+  connectDue();
+}
+
 void EngineWatch::connectDue() {
   for (const FleetTable::Handle &Engine :
        m_Policy.takeDue(m_Now(), m_Pool.hasRoomForIdle()))
@@ -131,6 +136,10 @@
   FleetTable::Handle Engine = Given->m_Engine;
   Given->m_Timer.cancel();
   if (!Error) {
+    if (!m_Policy.noteAccepted(*Engine, m_Now())) {
+      close(*Engine);
+      return;
+    }
     boost::system::error_code Ignored;
     Given->m_Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
     int Socket = Given->m_Socket.native_handle();
@@ -141,7 +150,6 @@
     setsockopt(Socket, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes,
                sizeof(KeepAliveProbes));
     Given->m_IsOpen = true;
-    m_Policy.noteAccepted(*Engine, m_Now());
     read(Given);
     return;
   }
--- a/src/gateway/EngineWatch.h
+++ b/src/gateway/EngineWatch.h
@@ -30,10 +30,11 @@
               CrashHandler OnCrash);
   ~EngineWatch();
 
-  /// Follows a change of the list, or of whether this VM watches. To be called
-  /// several times per second.
-  void update(const std::map<std::string, FleetTable::Handle> &Endpoints,
-              bool IsOn);
+  /// Follows a change of the endpoints of layered services, or of whether this
+  /// VM watches. To be called several times per second.
+  void update(const EngineWatchPolicy::Engines &Endpoints, bool IsOn);
+  /// Checks an engine that another VM suspects.
+  void check(const FleetTable::Handle &Engine);
   /// Number of open connections.
   std::size_t size() const { return m_Policy.size(); }
 
--- a/src/gateway/EngineWatchPolicy.cpp
+++ b/src/gateway/EngineWatchPolicy.cpp
@@ -4,26 +4,30 @@
 
 namespace parsleyring {
 
-static bool isWatchable(const FleetEndpoint &Engine,
-                        const std::string &Domain) {
-  const EndpointEntry &Entry = Engine.m_Entry;
-  return Entry.m_FailureDomain == Domain &&
-         Entry.m_Layers.m_End > Entry.m_Layers.m_First && !Engine.m_IsRemoved &&
+// An engine that can crash: it has layers and does not end as planned.
+static bool isWatchable(const FleetEndpoint &Engine) {
+  const LayerRange &Layers = Engine.m_Entry.m_Layers;
+  return Layers.m_End > Layers.m_First && !Engine.m_IsRemoved &&
          !Engine.isLeaving();
 }
 
-EngineWatchPolicy::Engines EngineWatchPolicy::update(
-    const std::map<std::string, FleetTable::Handle> &Endpoints,
-    const std::string &Domain, bool IsOn, Time Now) {
+EngineWatchPolicy::Engines EngineWatchPolicy::update(const Engines &Endpoints,
+                                                     const std::string &Domain,
+                                                     bool IsOn, Time Now) {
   std::map<const FleetEndpoint *, WatchedEngine> Watched;
+  for (const auto &[Key, Entry] : m_Watched)
+    if (!Entry.m_IsWatched)
+      Watched[Key] = Entry;
   if (IsOn)
-    for (const auto &[Id, Endpoint] : Endpoints) {
-      if (!isWatchable(*Endpoint, Domain))
+    for (const FleetTable::Handle &Endpoint : Endpoints) {
+      if (Endpoint->m_Entry.m_FailureDomain != Domain ||
+          !isWatchable(*Endpoint))
         continue;
       auto Known = m_Watched.find(Endpoint.get());
       WatchedEngine &Entry = Watched[Endpoint.get()];
       if (Known != m_Watched.end()) {
         Entry = Known->second;
+        Entry.m_IsWatched = true;
         continue;
       }
       Entry.m_Engine = Endpoint;
@@ -37,6 +41,16 @@
   return Ended;
 }
 
+void EngineWatchPolicy::check(const FleetTable::Handle &Engine, Time Now) {
+  if (!isWatchable(*Engine) || find(*Engine))
+    return;
+  WatchedEngine &Entry = m_Watched[Engine.get()];
+  Entry.m_Engine = Engine;
+  Entry.m_DueAt = Now;
+  Entry.m_IsChecking = true;
+  Entry.m_IsWatched = false;
+}
+
 double EngineWatchPolicy::connects(Time Now) const {
   double Seconds =
       std::chrono::duration<double>(Now - m_ConnectsNotedAt).count();
@@ -96,6 +110,10 @@
 }
 
 void EngineWatchPolicy::waitForReconnect(WatchedEngine &Watched, Time Now) {
+  if (!Watched.m_IsWatched) {
+    m_Watched.erase(Watched.m_Engine.get());
+    return;
+  }
   Watched.m_State = State::Waiting;
   Watched.m_IsChecking = false;
   Watched.m_Refusals = 0;
@@ -104,14 +122,19 @@
       std::min<Duration>(2 * Watched.m_Interval, MaxReconnectInterval);
 }
 
-void EngineWatchPolicy::noteAccepted(const FleetEndpoint &Engine, Time Now) {
+bool EngineWatchPolicy::noteAccepted(const FleetEndpoint &Engine, Time Now) {
   WatchedEngine *Watched = find(Engine);
   if (!Watched)
-    return;
+    return false;
+  if (!Watched->m_IsWatched) {
+    m_Watched.erase(&Engine);
+    return false;
+  }
   Watched->m_State = State::Open;
   Watched->m_ConnectedAt = Now;
   Watched->m_IsChecking = false;
   Watched->m_Refusals = 0;
+  return true;
 }
 
 bool EngineWatchPolicy::noteRefused(const FleetEndpoint &Engine, Time Now) {
@@ -125,8 +148,7 @@
     Watched->m_DueAt = Now + ProbeInterval;
     return false;
   }
-  bool HasCrashed =
-      Watched->m_IsChecking && !Engine.m_IsRemoved && !Engine.isLeaving();
+  bool HasCrashed = Watched->m_IsChecking && isWatchable(Engine);
   waitForReconnect(*Watched, Now);
   return HasCrashed;
 }
--- a/src/gateway/EngineWatchPolicy.h
+++ b/src/gateway/EngineWatchPolicy.h
@@ -17,15 +17,23 @@
 /// its host answers, but no process listens there. Nothing else is a crash:
 /// silence may be that of a slow engine or of the network, and an engine that
 /// accepts a connection runs, even if it closes it again at once.
+///
+/// A suspicion that another VM tells is checked in the same way, since that VM
+/// may itself be cut off. The connection of such a check is not kept.
 class EngineWatchPolicy {
 public:
   using Engines = std::vector<FleetTable::Handle>;
 
-  /// Watches the engines with layers among Endpoints that are in Domain and do
-  /// not leave; none if IsOn is false. Returns those that are no longer
-  /// watched, whose connections are to be closed.
-  Engines update(const std::map<std::string, FleetTable::Handle> &Endpoints,
-                 const std::string &Domain, bool IsOn, Time Now);
+  /// Watches those of the endpoints of layered services that are in Domain,
+  /// have layers and do not leave; none if IsOn is false. Returns those that
+  /// are no longer watched, whose connections are to be closed.
+  Engines update(const Engines &Endpoints, const std::string &Domain, bool IsOn,
+                 Time Now);
+
+  /// Checks an engine that another VM suspects, whether this VM watches or not.
+  /// Endpoints without layers are left out: they run no parts of streams.
+  /// One that is watched is judged by its own connection.
+  void check(const FleetTable::Handle &Engine, Time Now);
 
   /// The engines to connect to now. MayOpen is false while connections are
   /// short: then only crashes are checked.
@@ -33,9 +41,9 @@
   /// When takeDue() returns further engines; Time::max() if none is waiting.
   Time nextDueAt(Time Now, bool MayOpen) const;
 
-  // Results of connecting. noteRefused() returns true if the engine is now
-  // known to have crashed.
-  void noteAccepted(const FleetEndpoint &Engine, Time Now);
+  // Results of connecting. noteAccepted() returns false if the connection is to
+  // be closed, noteRefused() true if the engine is now known to have crashed.
+  bool noteAccepted(const FleetEndpoint &Engine, Time Now);
   bool noteRefused(const FleetEndpoint &Engine, Time Now);
   /// There was no answer in time, or any other error.
   void noteUnanswered(const FleetEndpoint &Engine, Time Now);
@@ -77,10 +85,11 @@
     Duration m_Interval = MinReconnectInterval;
     bool m_IsChecking = false; ///< The open connection was closed.
     int m_Refusals = 0;        ///< Of the check.
+    bool m_IsWatched = true;   ///< False for check().
   };
 
   WatchedEngine *find(const FleetEndpoint &Engine);
-  static void waitForReconnect(WatchedEngine &Watched, Time Now);
+  void waitForReconnect(WatchedEngine &Watched, Time Now);
   double connects(Time Now) const;
   /// When Count connections are available.
   Time connectsAt(double Count, Time Now) const;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -433,14 +433,18 @@
 }
 
 // Endpoints that another VM suspects get no new requests, but those in progress
-// stay: the other VM may be the one that is cut off or slow.
+// stay: the other VM may be the one that is cut off or slow. They leave if this
+// VM, too, finds that the endpoint has crashed.
 void GatewayNode::handleDigestChanges(const DigestChanges &Changes,
                                       const std::string &By) {
   Time Now = now();
-  for (const FleetTable::Handle &Endpoint : Changes.m_NewSuspects)
+  for (const FleetTable::Handle &Endpoint : Changes.m_NewSuspects) {
     m_Log.write(
         Now, "endpoint-suspect", "",
         {{"endpoint", Endpoint->m_Entry.m_Id}, {"reason", "told"}, {"by", By}});
+    if (Endpoint->m_Running > 0)
+      m_EngineWatch.check(Endpoint);
+  }
   for (const EndpointIncarnation &Endpoint : Changes.m_NewLeaving)
     m_LeavingRecorder.logTold(Endpoint, By);
   for (const FleetTable::Handle &Endpoint : Changes.m_NewLimits) {
@@ -695,13 +699,25 @@
   m_CallConnections.expire(Now);
   m_Fleet.expire(Now);
   m_VMs.expire(Now);
-  m_EngineWatch.update(m_Fleet.endpoints(),
-                       m_VMs.isRepresentative() && !isStopping());
+  updateEngineWatch();
   m_CrashGuard.tick(m_PlacementDuty.wasLeader());
   noteEndedRests();
   updateGauges();
 }
 
+// Endpoints of plain services are left out, whatever layers they state.
+void GatewayNode::updateEngineWatch() {
+  EngineWatchPolicy::Engines Engines;
+  if (const std::shared_ptr<const RouteTable> &Table = m_Configuration.table())
+    for (const auto &[Name, Service] : Table->m_Services) {
+      if (!Service.isLayered())
+        continue;
+      auto Endpoints = m_Fleet.endpointsOfService(Name);
+      Engines.insert(Engines.end(), Endpoints.begin(), Endpoints.end());
+    }
+  m_EngineWatch.update(Engines, m_VMs.isRepresentative() && !isStopping());
+}
+
 void GatewayNode::updateGauges() {
   Time Now = now();
   m_Metrics.setRestingEndpoints(m_Fleet.restingEndpoints(Now));
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -146,6 +146,7 @@
   void tickRequests();
   void tickMemory();
   void tickMaintenance();
+  void updateEngineWatch();
   void updateGauges();
   void recordPace(FleetEndpoint &Endpoint, double Pace);
   void pollSlowEngines();
--- a/tests/gateway/EngineWatchPolicyTest.cpp
+++ b/tests/gateway/EngineWatchPolicyTest.cpp
@@ -24,7 +24,10 @@
     return Engine;
   }
   Policy::Engines update(bool IsOn = true) {
-    return m_Policy.update(m_Endpoints, "a", IsOn, m_Now);
+    Policy::Engines Endpoints;
+    for (const auto &[Id, Endpoint] : m_Endpoints)
+      Endpoints.push_back(Endpoint);
+    return m_Policy.update(Endpoints, "a", IsOn, m_Now);
   }
   /// Moves on to the next connections; false if there are none.
   bool connectNext() {
@@ -39,7 +42,7 @@
     FleetTable::Handle Engine = add("e");
     update();
     CHECK(connectNext());
-    m_Policy.noteAccepted(*Engine, m_Now);
+    CHECK(m_Policy.noteAccepted(*Engine, m_Now));
     m_Now += OpenTime;
     return Engine;
   }
@@ -265,4 +268,58 @@
   CHECK(!isCrashIfRefused(*Next));
 }
 
+// Guards against streams that stay at a crashed engine since only another VM
+// watches it, and against checks that turn into connections that are kept.
+TEST(EngineWatchPolicy, ChecksWhatAnotherVMSuspects) {
+  FleetTable::Handle Engine = add("e", "b");
+  m_Policy.check(Engine, m_Now);
+  // Neither a further report nor a change of the list begins it anew.
+  m_Policy.check(Engine, m_Now);
+  update(false);
+  CHECK(connectNext());
+  CHECK(!m_Policy.noteRefused(*Engine, m_Now));
+  CHECK(connectNext());
+  CHECK(m_Policy.noteRefused(*Engine, m_Now));
+  CHECK(!connectNext());
+  m_Policy.check(Engine, m_Now);
+  CHECK(connectNext());
+  CHECK(!m_Policy.noteAccepted(*Engine, m_Now));
+  LONGS_EQUAL(0, m_Policy.size());
+  CHECK(!connectNext());
+}
+
+// Guards against connections to endpoints that run no parts of streams.
+TEST(EngineWatchPolicy, ChecksNoEndpointWithoutLayers) {
+  FleetTable::Handle Plain = add("plain");
+  Plain->m_Entry.m_Layers = {};
+  m_Policy.check(Plain, m_Now);
+  CHECK(!connectNext());
+}
+
+// Guards against a suspicion that is taken over from a VM that is cut off.
+TEST(EngineWatchPolicy, SuspicionOfAnotherVMIsNoProof) {
+  FleetTable::Handle Engine = add("e");
+  m_Policy.check(Engine, m_Now);
+  CHECK(connectNext());
+  CHECK(!m_Policy.noteRefused(*Engine, m_Now));
+  CHECK(connectNext());
+  m_Policy.noteUnanswered(*Engine, m_Now);
+  CHECK(!connectNext());
+  // A watched engine is judged by its own connection.
+  FleetTable::Handle Watched = openEngine();
+  m_Policy.check(Watched, m_Now);
+  CHECK(!connectNext());
+  LONGS_EQUAL(1, m_Policy.size());
+}
+
+// Guards against a check that goes on as such after the engine is watched.
+TEST(EngineWatchPolicy, WatchTakesOverACheck) {
+  FleetTable::Handle Engine = add("e");
+  m_Policy.check(Engine, m_Now);
+  update();
+  CHECK(connectNext());
+  CHECK(m_Policy.noteAccepted(*Engine, m_Now));
+  LONGS_EQUAL(1, m_Policy.size());
+}
+
 PARSLEYRING_TEST_MAIN
--- a/tests/gateway/EngineWatchTest.cpp
+++ b/tests/gateway/EngineWatchTest.cpp
@@ -56,10 +56,13 @@
           if (Error)
             return;
           ++m_Accepted;
-          if (m_IsResetting)
+          if (m_IsResetting) {
             Socket.set_option(asio::socket_base::linger(true, 0));
-          else
+            // The destructor would not reset it.
+            Socket.close();
+          } else {
             m_Sockets.push_back(std::move(Socket));
+          }
           accept();
         });
   }
@@ -106,15 +109,20 @@
     Added->m_Entry.m_Layers = {0, 10};
     m_Endpoints[Id] = Added;
   }
-  void update() { m_Watch->update(m_Endpoints, true); }
+  void update(bool IsOn = true) {
+    EngineWatchPolicy::Engines Endpoints;
+    for (const auto &[Id, Endpoint] : m_Endpoints)
+      Endpoints.push_back(Endpoint);
+    m_Watch->update(Endpoints, IsOn);
+  }
   /// Lets the time of the watch pass, and runs what is due.
   void pass(Duration Period) {
     m_Now += Period;
     update();
-    run([] { return false; }, 20ms);
+    runUntil([] { return false; }, 20ms);
   }
   /// Runs the loop until Condition is true, or for Limit.
-  bool run(const std::function<bool()> &Condition, Duration Limit = 20s) {
+  bool runUntil(const std::function<bool()> &Condition, Duration Limit = 20s) {
     auto End = std::chrono::steady_clock::now() + Limit;
     while (!Condition() && std::chrono::steady_clock::now() < End) {
       m_Loop.restart();
@@ -125,7 +133,7 @@
   /// Waits for a connection to each engine and makes it old.
   void openAll() {
     update();
-    CHECK(run([this] { return m_Watch->size() == m_Endpoints.size(); }));
+    CHECK(runUntil([this] { return m_Watch->size() == m_Endpoints.size(); }));
     pass(10s);
   }
 };
@@ -142,7 +150,7 @@
   LONGS_EQUAL(0, Sound.receivedBytes());
   Crashing.stopListening();
   Crashing.closeConnections();
-  CHECK(run([this] {
+  CHECK(runUntil([this] {
     m_Now += 1ms;
     return !m_Crashed.empty();
   }));
@@ -161,7 +169,7 @@
   openAll();
   for (int Round = 2; Round < 5; ++Round) {
     Engine.closeConnections();
-    CHECK(run([&] {
+    CHECK(runUntil([&] {
       m_Now += 1ms;
       return Engine.accepted() == Round && m_Watch->size() == 1;
     }));
@@ -171,7 +179,7 @@
 }
 
 // Guards against an engine at its limit of connections that is taken to have
-// crashed: its reset may arrive before this VM knows that it is connected.
+// crashed.
 TEST(EngineWatch, EngineThatResetsAtOnceRuns) {
   FakeEngine Engine(m_Loop);
   add("e", Engine);
@@ -184,6 +192,29 @@
   CHECK(m_Crashed.empty());
 }
 
+// Guards against a reset that arrives before this VM knows that it is
+// connected, and is taken for a refusal.
+TEST(EngineWatch, ResetWhileConnectingIsNoRefusal) {
+  asio::io_context EngineLoop;
+  FakeEngine Engine(EngineLoop);
+  add("e", Engine);
+  openAll();
+  EngineLoop.poll();
+  LONGS_EQUAL(1, Engine.accepted());
+  Engine.beginResetting();
+  Engine.closeConnections();
+  CHECK(runUntil([this] { return m_Watch->size() == 0; }));
+  for (int Round = 0; Round < 20; ++Round) {
+    m_Now += 500ms;
+    update();
+    EngineLoop.restart();
+    EngineLoop.poll();
+    runUntil([] { return false; }, 5ms);
+  }
+  CHECK(Engine.accepted() > 2);
+  CHECK(m_Crashed.empty());
+}
+
 // Guards against an engine that opens its listener anew and is taken to have
 // crashed.
 TEST(EngineWatch, EngineThatOnlyStopsListeningRuns) {
@@ -196,7 +227,7 @@
   LONGS_EQUAL(1, m_Watch->size());
   Engine.listenAgain();
   Engine.closeConnections();
-  CHECK(run([&] {
+  CHECK(runUntil([&] {
     m_Now += 1ms;
     return Engine.accepted() == 2 && m_Watch->size() == 1;
   }));
@@ -224,7 +255,7 @@
     pass(1s);
   LONGS_EQUAL(2, m_Watch->size());
   Requests.clear();
-  CHECK(run([this] {
+  CHECK(runUntil([this] {
     pass(1s);
     return m_Watch->size() == 4;
   }));
@@ -237,7 +268,7 @@
   add("e", Engine);
   openAll();
   LONGS_EQUAL(1, m_Pool.open());
-  m_Watch->update(m_Endpoints, false);
+  update(false);
   LONGS_EQUAL(0, m_Watch->size());
   LONGS_EQUAL(0, m_Pool.open());
   openAll();
--- a/tests/integration/EngineCrashTest.cpp
+++ b/tests/integration/EngineCrashTest.cpp
@@ -1,3 +1,6 @@
+#include "core/SocketAddress.h"
+#include "membership/LoadDigest.h"
+#include "store/VMLease.h"
 #include "support/CallerThreads.h"
 #include "support/Eventually.h"
 #include "support/GatewayTestServers.h"
@@ -5,6 +8,9 @@
 #include "support/ProcessRunner.h"
 #include "support/TestMain.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <nlohmann/json.hpp>
 
 #include <atomic>
@@ -23,6 +29,9 @@
 static constexpr int Streams = 3;
 static constexpr int LastEvent = 40;
 
+/// Deadline of a request that has a silence limit of 12 s after 4 s.
+static const std::string BeforeSilenceLimitMs = "13000";
+
 static std::string eventText(int Id) {
   return "id: " + std::to_string(Id) + "\ndata: event\n\n";
 }
@@ -34,6 +43,15 @@
   return Text;
 }
 
+static void sendDatagram(const std::string &Address, const std::string &Bytes) {
+  std::optional<SocketAddress> Target = parseSocketAddress(Address);
+  boost::asio::io_context Loop;
+  boost::asio::ip::udp::socket Socket(Loop, boost::asio::ip::udp::v4());
+  Socket.send_to(
+      boost::asio::buffer(Bytes),
+      {boost::asio::ip::make_address(Target->m_Host), Target->m_Port});
+}
+
 /// A process that listens and keeps idle connections open.
 static std::unique_ptr<ProcessRunner> listeningProcess(std::string &Address) {
   auto Process = std::make_unique<ProcessRunner>(
@@ -130,6 +148,7 @@
 TEST_GROUP(EngineCrash) {
   FakeMetadataStore m_Store;
   FirstEngine m_First;
+  GatewayOptions m_Options{"vm-0", "", {}};
   std::unique_ptr<GatewayProcess> m_Gateway;
   std::unique_ptr<ProcessRunner> m_Middle;
   std::unique_ptr<ProcessRunner> m_Spare;
@@ -146,7 +165,7 @@
     Entry["layers"]["target"] = EndLayer;
     m_Store.put("servers/" + Id, Entry.dump());
   }
-  void start() {
+  void start(int Watched = 2) {
     json Configuration = json::parse(gatewayConfiguration(1));
     for (json &Route : Configuration["routes"])
       Route["timeout_ms"] = 60000;
@@ -155,9 +174,10 @@
     m_Spare = listeningProcess(m_SpareAddress);
     list("first", m_First.address(), 0, 5);
     list("middle", m_MiddleAddress, 5, 10);
-    m_Gateway = std::make_unique<GatewayProcess>("vm-0", m_Store.address());
+    m_Options.m_StoreAddress = m_Store.address();
+    m_Gateway = std::make_unique<GatewayProcess>(m_Options);
     CHECK(m_Gateway->waitUntilReady());
-    waitForWatched(2);
+    waitForWatched(Watched);
   }
   void waitForWatched(int Engines) {
     std::string Line =
@@ -167,7 +187,8 @@
                  .m_Body.find(Line) != std::string::npos;
     }));
   }
-  static HttpRequest request(int Number) {
+  static HttpRequest request(int Number,
+                             const std::string &DeadlineMs = "60000") {
     HttpRequest Request;
     Request.m_Method = "POST";
     Request.m_Path = "/stream/a";
@@ -175,16 +196,23 @@
     Request.m_Headers = {{"Host", "host"},
                          {"Attempt-Id", "id-" + std::to_string(Number)},
                          {"Authorization", "Bearer key-1"},
-                         {"Deadline-Ms", "60000"}};
+                         {"Deadline-Ms", DeadlineMs}};
     return Request;
   }
-  void startStreams(CallerThreads & Callers) {
+  void startStreams(CallerThreads & Callers,
+                    const std::string &DeadlineMs = "60000") {
     for (int Number = 0; Number < Streams; ++Number)
-      Callers.add([this, Number] {
+      Callers.add([this, Number, DeadlineMs] {
         m_Answers[Number] =
-            sendHttp(m_Gateway->callerAddress(), request(Number));
+            sendHttp(m_Gateway->callerAddress(), request(Number, DeadlineMs));
       });
   }
+  /// Lets the streams pause for 4 s before an event, so that their silence
+  /// limit is 12 s from then on, and holds them up after it.
+  void pauseBefore(int Event) {
+    m_First.setDelay(Event, 4s);
+    m_First.setHeldEvent(Event + 1);
+  }
   void checkAnswers() const {
     for (const HttpAnswer &Answer : m_Answers) {
       LONGS_EQUAL(200, Answer.m_Status);
@@ -221,18 +249,15 @@
 }
 
 // Guards against a stream whose last event was recent when the crash was found,
-// and which then waits for its silence limit. After a pause of 4 s between two
-// events, that is 12 s, which is beyond the timeout of the request.
+// and which then waits for its silence limit.
 TEST(EngineCrash, StreamWithARecentEventLeavesTheCrashedEngine) {
   static constexpr int CrashEvent = 2;
-  m_First.setHeldEvent(CrashEvent + 1);
-  m_First.setDelay(CrashEvent, 4s);
+  pauseBefore(CrashEvent);
   start();
   list("spare", m_SpareAddress, 5, 10);
   waitForWatched(3);
   std::this_thread::sleep_for(1s);
-  HttpRequest Request = request(0);
-  Request.m_Headers["Deadline-Ms"] = "13000";
+  HttpRequest Request = request(0, BeforeSilenceLimitMs);
   std::string Received;
   bool HasCrashed = false;
   Request.m_OnChunk = [&](std::string_view Bytes) {
@@ -253,6 +278,35 @@
   LONGS_EQUAL(1, m_First.streams());
 }
 
+// Guards against streams that stay at a crashed engine since their VM does not
+// watch it: two larger VMs are the representatives. They tell what they saw.
+TEST(EngineCrash, StreamsLeaveACrashedEngineThatAnotherVMTells) {
+  for (const std::string Name : {"big-0", "big-1"})
+    m_Store.put(VMLease::VMPrefix + Name,
+                VMLease::encodeEntry({Name, "127.0.0.1:1", "zone-a", 8}));
+  FreePort DigestPort;
+  m_Options.m_DigestPort = parseSocketAddress(DigestPort.address())->m_Port;
+  pauseBefore(2);
+  start(0);
+  CallerThreads Callers;
+  startStreams(Callers, BeforeSilenceLimitMs);
+  CHECK(eventually([&] { return m_First.heldStreams() == Streams; }));
+  list("spare", m_SpareAddress, 5, 10);
+  m_Middle->kill();
+  LoadDigest Digest{"big-0", false, 1, {}};
+  Digest.m_Loads.push_back({"middle", 0, 0, 0, 4000});
+  // The entry of the spare engine arrives at some time. Datagrams may be lost.
+  CHECK(eventually([&] {
+    sendDatagram(DigestPort.address(), Digest.encode());
+    ++Digest.m_Number;
+    return m_First.newPaths().size() == Streams;
+  }));
+  Callers.join();
+  checkAnswers();
+  LONGS_EQUAL(Streams, m_First.streams());
+  waitForWatched(0);
+}
+
 // Guards against an engine that is only silent and is taken to have crashed.
 TEST(EngineCrash, PausedEngineHasNotCrashed) {
   start();
