Take a reset while connecting for a process that listens

An endpoint of a plain service at its limit of connections accepts a connection and resets it at once. If the reset arrived before this VM knew that it was connected, the probe reported a refusal, and two of them a crash.

gateway/ConnectionProbeTest ResetIsNoRefusal fails without the change and passes with it.

--- a/src/gateway/ConnectionProbe.cpp
+++ b/src/gateway/ConnectionProbe.cpp
@@ -45,9 +45,10 @@
         Running->m_Timer.cancel();
         boost::system::error_code Ignored;
         Running->m_Socket.close(Ignored);
-        bool IsRefused = Error == asio::error::connection_refused ||
-                         Error == asio::error::connection_reset;
-        OnResult(!Error      ? ProbeResult::Accepted
+        // A reset while connecting comes from a process that had accepted.
+        bool IsAccepted = !Error || Error == asio::error::connection_reset;
+        bool IsRefused = Error == asio::error::connection_refused;
+        OnResult(IsAccepted  ? ProbeResult::Accepted
                  : IsRefused ? ProbeResult::Refused
                              : ProbeResult::Unknown);
       });
