--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -109,6 +109,12 @@
           [this](const FleetTable::Handle &Endpoint) {
             notifySuspicion(Endpoint);
           }),
+      m_EngineWatch(
+          m_Loop, m_ConnectionPool, m_Settings.m_FailureDomain,
+          [this] { return now(); },
+          [this](const FleetTable::Handle &Engine) {
+            suspect(Engine, "connection-closed", CrashedTime);
+          }),
       m_TickTimer(m_Loop), m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
   auto Listen = [this](const std::string &Address, RequestHandler &Handler,
                        std::size_t MaxConnections) {
@@ -470,14 +476,18 @@
 }
 
 // Endpoints that another VM suspects get no new requests, but those in progress
-// stay: the other VM may be the one that is cut off or slow.
+// stay: the other VM may be the one that is cut off or slow. They leave if this
+// VM, too, finds that the endpoint has crashed.
 void GatewayNode::handleDigestChanges(const DigestChanges &Changes,
                                       const std::string &By) {
   Time Now = now();
-  for (const FleetTable::Handle &Endpoint : Changes.m_NewSuspects)
+  for (const FleetTable::Handle &Endpoint : Changes.m_NewSuspects) {
     m_Log.write(
         Now, "endpoint-suspect", "",
         {{"endpoint", Endpoint->m_Entry.m_Id}, {"reason", "told"}, {"by", By}});
+    if (Endpoint->m_Running > 0)
+      m_EngineWatch.check(Endpoint);
+  }
   for (const EndpointIncarnation &Endpoint : Changes.m_NewLeaving)
     m_LeavingRecorder.logTold(Endpoint, By);
   for (const FleetTable::Handle &Endpoint : Changes.m_NewLimits) {
@@ -734,6 +744,7 @@
   m_CallConnections.expire(Now);
   m_Fleet.expire(Now);
   m_VMs.expire(Now);
+  updateEngineWatch();
   m_CrashGuard.tick(m_PlacementDuty.wasLeader());
   noteEndedRests();
   updateGauges();
@@ -759,11 +770,25 @@
   m_Digests.setLinkDemand(Demand);
 }
 
+// Endpoints of plain services are left out, whatever layers they state.
+void GatewayNode::updateEngineWatch() {
+  EngineWatchPolicy::Engines Engines;
+  if (const std::shared_ptr<const RouteTable> &Table = m_Configuration.table())
+    for (const auto &[Name, Service] : Table->m_Services) {
+      if (!Service.isLayered())
+        continue;
+      auto Endpoints = m_Fleet.endpointsOfService(Name);
+      Engines.insert(Engines.end(), Endpoints.begin(), Endpoints.end());
+    }
+  m_EngineWatch.update(Engines, m_VMs.isRepresentative() && !isStopping());
+}
+
 void GatewayNode::updateGauges() {
   Time Now = now();
   m_Metrics.setRestingEndpoints(m_Fleet.restingEndpoints(Now));
   m_Metrics.setLimitedEndpoints(m_Fleet.limitedEndpoints());
   m_Metrics.setLeavingEndpoints(m_Fleet.leavingEndpoints());
+  m_Metrics.setWatchedEngines(m_EngineWatch.size());
   m_Metrics.setRunning(m_Requests.size(), m_CallerListener->size());
   for (std::size_t Use = 0; Use < MemoryUseCount; ++Use)
     m_Metrics.setMemory(static_cast<MemoryUse>(Use),
--- a/src/gateway/StreamRecovery.cpp
+++ b/src/gateway/StreamRecovery.cpp
@@ -19,6 +19,11 @@
 static constexpr Duration MaxSilence = std::chrono::milliseconds(1200);
 static constexpr int MaxRepaths = 3;
 
+// A stream that still gets events need not leave a suspect endpoint.
+static bool isLeavingSuspects(Duration Silence) {
+  return Silence > MinSilence / 2;
+}
+
 static int domainCrossings(const LayerPath &Path) {
   int Crossings = 0;
   for (std::size_t Index = 1; Index < Path.size(); ++Index)
@@ -37,6 +42,15 @@
   return std::max<Duration>(MinSilence, Usual);
 }
 
+// True if this VM itself suspects a part of the path. Events since then would
+// have ended the suspicion.
+bool StreamRecovery::hasOwnSuspectPart(Time Now) const {
+  for (const PathStage &Part : attempt().path())
+    if (Part.m_Endpoint->m_OwnSuspectUntil > Now)
+      return true;
+  return false;
+}
+
 bool StreamRecovery::hasSuspectPart(Time Now) const {
   for (const PathStage &Part : attempt().path())
     if (Part.m_Endpoint->m_SuspectUntil > Now + FleetEndpoint::RejectionPause)
@@ -59,14 +73,18 @@
     return;
   Duration Silence = Now - attempt().m_LastProgressAt;
   checkPaces(Silence);
-  if (m_Stream.hasEnded() || Silence < silenceLimit())
+  if (m_Stream.hasEnded())
+    return;
+  // handleSuspect() leaves streams whose last event is recent.
+  bool IsPartLost = isLeavingSuspects(Silence) && hasOwnSuspectPart(Now);
+  if (Silence < silenceLimit() && !IsPartLost)
     return;
   if (Silence > MaxSilence && attempt().isTrickling()) {
     m_Planner.exclude(attempt().firstEngine());
     m_Stream.retryElsewhere("trickling");
     return;
   }
-  if (hasSuspectPart(Now)) {
+  if (IsPartLost || hasSuspectPart(Now)) {
     replaceParts();
     return;
   }
@@ -115,9 +133,8 @@
 void StreamRecovery::handleSuspect(const FleetTable::Handle &Endpoint) {
   if (attempt().m_HasEnded || attempt().m_IsRepathing)
     return;
-  // A stream that still gets events need not leave the endpoint.
   if (attempt().uses(Endpoint) &&
-      m_Context.now() - attempt().m_LastProgressAt > MinSilence / 2)
+      isLeavingSuspects(m_Context.now() - attempt().m_LastProgressAt))
     replaceParts();
 }
 
--- a/src/gateway/StreamRecovery.h
+++ b/src/gateway/StreamRecovery.h
@@ -54,6 +54,7 @@
   void checkPaces(Duration Silence);
   Duration silenceLimit() const;
   void handleReport(const std::optional<EngineReport> &Report);
+  bool hasOwnSuspectPart(Time Now) const;
   bool hasSuspectPart(Time Now) const;
   void replaceParts();
   void handleRepath(unsigned Status, const LayerPath &Path);
