Give the platform client's answered test calls an ample timeout

Seen: HttpPlatformClientTest aborted with "PUT /v1/kv/k?cas=3: Read" in 2 of 12 runs at a load near 48.

Cause: the calls that get an answer had a timeout of 200 ms, which the thread of the stand-in can miss on a busy machine. cpp-httplib reports a timeout of the answer as Read.

Change: calls that get an answer have 30 s; those that get none keep 200 ms. The case Writes also runs with the late stand-in, which fails with 200 ms.

--- a/tests/platform/HttpPlatformClientTest.cpp
+++ b/tests/platform/HttpPlatformClientTest.cpp
@@ -14,15 +14,21 @@
 using namespace parsleyring;
 using Kind = PlatformError::Kind;
 
+/// For calls that get no answer.
 static constexpr Duration ShortTimeout = std::chrono::milliseconds(200);
+/// For calls that get an answer. On a busy machine the thread of the server may
+/// run later than ShortTimeout.
+static constexpr Duration AnswerTimeout = std::chrono::seconds(30);
 
-/// Accepts one connection, reads one request, and sends the given bytes.
+/// Accepts one connection, reads one request, and sends the given bytes after
+/// the given delay.
 class SingleAnswerServer {
 public:
   enum class ServerMode { Close, KeepOpen, RefuseConnections };
 
-  SingleAnswerServer(const std::string &Answer, ServerMode Mode)
-      : m_Socket(socket(AF_INET, SOCK_STREAM, 0)) {
+  SingleAnswerServer(const std::string &Answer, ServerMode Mode,
+                     Duration Delay = {})
+      : m_Socket(socket(AF_INET, SOCK_STREAM, 0)), m_Delay(Delay) {
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -62,6 +68,7 @@
     while (Connection >= 0 && m_Request.find("\r\n\r\n") == std::string::npos &&
            (Count = recv(Connection, Buffer, sizeof(Buffer), 0)) > 0)
       m_Request.append(Buffer, static_cast<std::size_t>(Count));
+    std::this_thread::sleep_for(m_Delay);
     send(Connection, Answer.data(), Answer.size(), MSG_NOSIGNAL);
     while (Mode == ServerMode::KeepOpen && recv(Connection, Buffer, 1, 0) > 0)
       ;
@@ -69,6 +76,7 @@
   }
 
   int m_Socket;
+  const Duration m_Delay;
   int m_Port = 0;
   std::string m_Request;
   std::thread m_Thread;
@@ -89,7 +97,9 @@
       SingleAnswerServer::ServerMode Mode =
           SingleAnswerServer::ServerMode::Close) {
     SingleAnswerServer Server(Answer, Mode);
-    HttpPlatformClient Client(Server.address(), ShortTimeout);
+    bool IsAnswered = Mode != SingleAnswerServer::ServerMode::KeepOpen;
+    HttpPlatformClient Client(Server.address(),
+                              IsAnswered ? AnswerTimeout : ShortTimeout);
     try {
       if (Operation == Call::Read)
         Client.read("key");
@@ -108,7 +118,7 @@
   {
     SingleAnswerServer Server(answer("200 OK", Body),
                               SingleAnswerServer::ServerMode::Close);
-    HttpPlatformClient Client(Server.address(), ShortTimeout);
+    HttpPlatformClient Client(Server.address(), AnswerTimeout);
     auto Value = Client.read("config/a b?");
     STRCMP_EQUAL("hi", Value->m_Value.c_str());
     LONGS_EQUAL(7, Value->m_ModifyIndex);
@@ -119,7 +129,7 @@
     SingleAnswerServer Server(
         answer("404 Not Found", "", "X-Consul-Index: 12\r\n"),
         SingleAnswerServer::ServerMode::Close);
-    HttpPlatformClient Client(Server.address(), ShortTimeout);
+    HttpPlatformClient Client(Server.address(), AnswerTimeout);
     auto Result = Client.watch("k", 5, std::chrono::seconds(5));
     CHECK_FALSE(Result.m_Value.has_value());
     LONGS_EQUAL(12, Result.m_Index);
@@ -128,13 +138,16 @@
   }
 }
 
-// Guards against a compare-and-swap without its condition.
+// Guards against a compare-and-swap without its condition, and against this
+// test failing because a busy machine runs the thread of the server late.
 TEST(HttpPlatformClient, Writes) {
-  SingleAnswerServer Server(answer("200 OK", "false\n"),
-                            SingleAnswerServer::ServerMode::Close);
-  HttpPlatformClient Client(Server.address(), ShortTimeout);
-  CHECK_FALSE(Client.compareAndSwap("k", "v", 3));
-  STRCMP_CONTAINS("PUT /v1/kv/k?cas=3 HTTP/1.1", Server.request().c_str());
+  for (Duration Delay : {Duration::zero(), 2 * ShortTimeout}) {
+    SingleAnswerServer Server(answer("200 OK", "false\n"),
+                              SingleAnswerServer::ServerMode::Close, Delay);
+    HttpPlatformClient Client(Server.address(), AnswerTimeout);
+    CHECK_FALSE(Client.compareAndSwap("k", "v", 3));
+    STRCMP_CONTAINS("PUT /v1/kv/k?cas=3 HTTP/1.1", Server.request().c_str());
+  }
 }
 
 // Guards against a write reported as not sent although it may take effect, and
