--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -6,7 +6,6 @@
 
 #include <csignal>
 #include <malloc.h>
-#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -19,14 +18,9 @@
 static constexpr Duration TickInterval = std::chrono::milliseconds(40);
 // Ticks between the maintenance of digests, connections and listed endpoints.
 static constexpr std::uint64_t MaintenanceTicks = 6;
-static constexpr std::uint64_t PlacementTicks = 10;
-static constexpr std::uint64_t ChangedPlacementTicks = 2;
-// How long all endpoints of a silent failure domain get no new requests.
-static constexpr Duration DomainSuspectTime = std::chrono::milliseconds(1500);
 // How long a crashed engine gets no new requests. Its entry expires after about
 // the same time.
 static constexpr Duration CrashedTime = std::chrono::seconds(4);
-static constexpr Duration OrderTimeout = std::chrono::milliseconds(600);
 // Within about this time a starting gateway has its configuration, and callers
 // have left a stopping one.
 static constexpr const char *RetryAfterSeconds = "0.3";
@@ -40,208 +34,21 @@
 // process.
 static constexpr Duration StopMargin = std::chrono::milliseconds(350);
 
-// The memory of a VM whose settings do not name it.
-static constexpr std::size_t DefaultMemoryBytes = 256 << 20;
 // For all requests of the load balancer, metrics and other VMs together.
 static constexpr std::size_t InternalMemoryBytes = 8 << 20;
-// Descriptors that the platform keeps for files.
-static constexpr std::size_t FileDescriptors = 200;
-static constexpr std::size_t MinConnections = 16;
-// Of a process without a limit.
-static constexpr std::size_t MaxDescriptors = 65536;
-// The part of the sockets that callers may hold, and that each of the other
-// listeners may hold.
-static constexpr std::size_t CallerSocketPart = 2;
-static constexpr std::size_t InternalSocketPart = 8;
 // Callers that found no memory are told to return at this rate, so that they do
 // not all meet the same lack of memory again.
 static constexpr double MemoryReturnsPerSecond = 20;
 static constexpr Duration FirstMemoryReturn = std::chrono::milliseconds(300);
-// Internal requests have no bodies that are used; a short one is not an error.
-static constexpr std::uint64_t MaxInternalBodyBytes = 4 << 10;
-
-static std::size_t socketLimit(const GatewaySettings &Settings) {
-  std::size_t Descriptors = Settings.m_MaxDescriptors;
-  if (Descriptors == 0) {
-    rlimit Limit{};
-    getrlimit(RLIMIT_NOFILE, &Limit);
-    Descriptors = std::min<std::size_t>(Limit.rlim_cur, MaxDescriptors);
-  }
-  return Descriptors > FileDescriptors ? Descriptors - FileDescriptors
-                                       : MinConnections;
-}
-
-static std::size_t callerConnectionLimit(const GatewaySettings &Settings) {
-  if (Settings.m_MaxCallerConnections > 0)
-    return Settings.m_MaxCallerConnections;
-  return std::max(MinConnections, socketLimit(Settings) / CallerSocketPart);
-}
-
-// What callers, and the calls and internal requests of VMs, leave.
-static std::size_t endpointConnectionLimit(const GatewaySettings &Settings) {
-  std::size_t Sockets = socketLimit(Settings);
-  std::size_t Others =
-      callerConnectionLimit(Settings) + Sockets / InternalSocketPart;
-  return std::max(MinConnections, Sockets - std::min(Sockets, Others));
-}
-
-static std::size_t memoryLimit(const GatewaySettings &Settings) {
-  std::size_t Memory =
-      Settings.m_MemoryBytes > 0 ? Settings.m_MemoryBytes : DefaultMemoryBytes;
-  return static_cast<std::size_t>(static_cast<double>(Memory) *
-                                  Settings.m_RequestMemoryShare);
-}
-
-namespace {
-
-/// Base of the handlers of internal requests. Uses the default limits and never
-/// reports that it is stopping.
-class InternalHandler : public RequestHandler {
-public:
-  explicit InternalHandler(GatewayNode &Node) : m_Node(Node) {
-    m_Limits.m_MaxBodyBytes = MaxInternalBodyBytes;
-  }
-  Time now() const override { return m_Node.now(); }
-  const TransferTimeouts &transferTimeouts() const override {
-    return m_Node.transferTimeouts();
-  }
-  MemoryBudget &memoryBudget() override {
-    return m_Node.internalMemoryBudget();
-  }
-  std::string clientOf(const boost::beast::http::fields &,
-                       const std::string &Address) const override {
-    return Address;
-  }
-  void
-  awaitMemory(const std::shared_ptr<CallerConnection> &Connection) override {
-    m_Node.awaitMemory(Connection);
-  }
-  AnswerFields refuseReceipt(ReceiptRefusal Cause,
-                             const boost::beast::http::fields &Head,
-                             const std::string &Client,
-                             std::size_t HeldBytes) override {
-    return m_Node.refuseReceipt(Cause, Head, Client, HeldBytes);
-  }
-  void handleClosed(ConnectionClose Cause,
-                    const std::string &Address) override {
-    m_Node.handleClosed(Cause, Address);
-  }
-  const CallerLimits &limits() const override { return m_Limits; }
-  bool isStopping() const override { return false; }
-  void handleMalformed(unsigned, const std::string &) override {}
-
-protected:
-  GatewayNode &m_Node;
-
-private:
-  CallerLimits m_Limits;
-};
-
-} // namespace
-
-/// Answers the load balancer's ready check: 503 before the first configuration
-/// and during shutdown.
-class GatewayNode::ReadyHandler final : public InternalHandler {
-public:
-  using InternalHandler::InternalHandler;
-  void
-  handleRequest(CallerRequest,
-                const std::shared_ptr<CallerConnection> &Connection) override {
-    bool IsReady = m_Node.m_Configuration.table() && !m_Node.isStopping();
-    Connection->answer(IsReady ? 200 : 503, {}, "");
-  }
-};
-
-/// Serves the items read from the store to other VMs by long poll: answers when
-/// there are newer items or the wait of the call is over. Also serves the
-/// state that the store may lack.
-class GatewayNode::PeerHandler final : public InternalHandler {
-public:
-  using InternalHandler::InternalHandler;
-  void
-  handleRequest(CallerRequest Request,
-                const std::shared_ptr<CallerConnection> &Connection) override {
-    if (Request.m_Target == PeerState::Target) {
-      answerState(*Connection);
-      return;
-    }
-    auto Call = PeerItemsCall::parse(Request.m_Target);
-    if (!Call) {
-      Connection->answer(404, {}, "");
-      return;
-    }
-    if (m_Node.m_StoreWatcher.hasNewerThan(Call->m_Version) ||
-        Call->m_Wait == Duration::zero() || !m_Node.m_StoreWatcher.isFresh())
-      answer(*Connection, Call->m_Version);
-    else
-      m_WaitingCalls.push_back(
-          {Connection, Call->m_Version, now() + Call->m_Wait});
-  }
-  void answerAll() {
-    answerIf([](const WaitingCall &) { return true; });
-  }
-  void answerDue(Time Now) {
-    // Without recent contact to the store, all waiting calls end at once, so
-    // that the other VMs can use another source.
-    bool IsFresh = m_Node.m_StoreWatcher.isFresh();
-    answerIf([Now, IsFresh](const WaitingCall &Entry) {
-      return Now >= Entry.m_Until || !IsFresh;
-    });
-  }
-
-private:
-  struct WaitingCall {
-    std::shared_ptr<CallerConnection> m_Connection;
-    StoreVersion m_Version;
-    Time m_Until{};
-  };
-
-  void answerState(CallerConnection &Connection) {
-    PeerState State{m_Node.m_Configuration.text(),
-                    m_Node.m_Fleet.leavingIncarnations(),
-                    m_Node.m_Fleet.statedLeaving()};
-    Connection.answer(200, {{"Content-Type", "application/cbor"}},
-                      State.encode());
-  }
-  void answer(CallerConnection &Connection, const StoreVersion &Version) {
-    Connection.answer(200, {{"Content-Type", "application/cbor"}},
-                      m_Node.m_StoreWatcher.itemsSince(Version).encode());
-  }
-  template <typename Condition> void answerIf(Condition IsDue) {
-    std::vector<WaitingCall> Remaining;
-    for (WaitingCall &Entry : m_WaitingCalls) {
-      if (Entry.m_Connection->isClosed())
-        continue;
-      if (IsDue(Entry))
-        answer(*Entry.m_Connection, Entry.m_Version);
-      else
-        Remaining.push_back(std::move(Entry));
-    }
-    m_WaitingCalls = std::move(Remaining);
-  }
-
-  std::vector<WaitingCall> m_WaitingCalls;
-};
-
-/// Serves the metrics page.
-class GatewayNode::MetricsHandler final : public InternalHandler {
-public:
-  using InternalHandler::InternalHandler;
-  void
-  handleRequest(CallerRequest,
-                const std::shared_ptr<CallerConnection> &Connection) override {
-    Connection->answer(200, {{"Content-Type", "text/plain; version=0.0.4"}},
-                       m_Node.m_Metrics.text());
-  }
-};
 
 GatewayNode::GatewayNode(GatewaySettings Settings, const StoreProtocol &Store,
                          const EndpointProtocol &Endpoints,
                          const RecordFormat &Records)
-    : m_Settings(std::move(Settings)), m_Protocol(Endpoints),
+    : m_Settings(std::move(Settings)), m_ResourceLimits(m_Settings),
+      m_Protocol(Endpoints),
       m_Records(Records), m_TransferTimeouts{m_Settings.m_ReceiveTimeout,
                                              m_Settings.m_SendStallTimeout},
-      m_MemoryBudget(memoryLimit(m_Settings)),
+      m_MemoryBudget(m_ResourceLimits.requestMemory()),
       m_InternalMemoryBudget(InternalMemoryBytes),
       m_Log(STDOUT_FILENO, m_Settings.m_VM),
       m_Random(std::random_device{}()), m_Self{m_Settings.m_VM,
@@ -283,15 +90,25 @@
       m_Lease(
           m_Loop, m_StoreClient, Store, [this] { return now(); },
           m_Settings.m_StoreAddress, m_Self),
-      m_ReadyHandler(std::make_unique<ReadyHandler>(*this)),
-      m_PeerHandler(std::make_unique<PeerHandler>(*this)),
-      m_MetricsHandler(std::make_unique<MetricsHandler>(*this)),
+      m_PlacementDuty({m_Lease, m_Configuration, m_StoreWatcher, m_Fleet,
+                       Endpoints, m_EndpointClient, m_Log, m_Metrics},
+                      [this] { return now(); }),
+      m_ReadyHandler(*this, m_InternalMemoryBudget, m_Configuration),
+      m_PeerHandler(*this, m_InternalMemoryBudget,
+                    {m_Configuration, m_Fleet, m_StoreWatcher}),
+      m_MetricsHandler(*this, m_InternalMemoryBudget, m_Metrics),
       m_Digests(
           m_Loop, m_Settings.m_DigestAddress, m_Self, m_VMs, m_Fleet,
           m_StoreWatcher, m_Configuration, [this] { return now(); },
           [this](const DigestChanges &Changes, const std::string &By) {
             handleDigestChanges(Changes, By);
           }),
+      m_SuspicionRecorder(
+          {m_Fleet, m_Digests, m_Log}, m_Settings.m_FailureDomain,
+          [this] { return now(); },
+          [this](const FleetTable::Handle &Endpoint) {
+            notifySuspicion(Endpoint);
+          }),
       m_TickTimer(m_Loop), m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
   auto Listen = [this](const std::string &Address, RequestHandler &Handler,
                        std::size_t MaxConnections) {
@@ -300,14 +117,13 @@
     return m_Listeners.back().get();
   };
   m_CallerListener = Listen(m_Settings.m_CallerAddress, *this,
-                            callerConnectionLimit(m_Settings));
-  std::size_t MaxInternal =
-      std::max(MinConnections, socketLimit(m_Settings) / InternalSocketPart);
-  Listen(m_Settings.m_ReadyAddress, *m_ReadyHandler, MaxInternal);
-  Listen(m_Settings.m_PeerAddress, *m_PeerHandler, MaxInternal);
+                            m_ResourceLimits.callerConnections());
+  std::size_t MaxInternal = m_ResourceLimits.internalConnections();
+  Listen(m_Settings.m_ReadyAddress, m_ReadyHandler, MaxInternal);
+  Listen(m_Settings.m_PeerAddress, m_PeerHandler, MaxInternal);
   if (!m_Settings.m_MetricsAddress.empty())
-    Listen(m_Settings.m_MetricsAddress, *m_MetricsHandler, MaxInternal);
-  m_ConnectionPool.setMaxOpen(endpointConnectionLimit(m_Settings));
+    Listen(m_Settings.m_MetricsAddress, m_MetricsHandler, MaxInternal);
+  m_ConnectionPool.setMaxOpen(m_ResourceLimits.endpointConnections());
   m_CallConnections.setMaxOpen(MaxInternal);
   m_Metrics.setMemoryLimit(m_MemoryBudget.limit());
 }
@@ -320,7 +136,7 @@
                {"callers", m_Settings.m_CallerAddress},
                {"request_memory_bytes", std::int64_t(m_MemoryBudget.limit())},
                {"caller_connections",
-                std::int64_t(callerConnectionLimit(m_Settings))}});
+                std::int64_t(m_ResourceLimits.callerConnections())}});
   m_Signals.async_wait([this](boost::system::error_code Error, int Signal) {
     if (!Error)
       handleSignal(Signal);
@@ -446,22 +262,51 @@
   if (!Job.m_Service)
     return Refusal{503, "no-service"};
   Duration Timeout = Job.m_Route->m_Timeout;
-  std::string Text = Request.field(Names.m_Deadline);
+  if (auto Stated = callerTimeout(Request))
+    Timeout = std::min(Timeout, *Stated);
+  Job.m_Deadline = Request.m_ReceivedAt + Timeout;
+  return std::nullopt;
+}
+
+std::optional<Duration>
+GatewayNode::callerTimeout(const CallerRequest &Request) const {
+  // Longer times than any route's are cut off, since any number may be stated.
+  static constexpr std::int64_t MaxMilliseconds = 24 * 3600 * 1000;
+  std::string Text = Request.field(m_Protocol.headers().m_Deadline);
   std::int64_t Milliseconds = 0;
   auto [End, Error] =
       std::from_chars(Text.data(), Text.data() + Text.size(), Milliseconds);
-  // Compared in milliseconds, since any number of them may be stated.
-  if (!Text.empty() && Error == std::errc() &&
-      Milliseconds < Timeout / std::chrono::milliseconds(1))
-    Timeout =
-        std::chrono::milliseconds(std::max<std::int64_t>(0, Milliseconds));
-  Job.m_Deadline = Request.m_ReceivedAt + Timeout;
-  return std::nullopt;
+  if (Text.empty() || Error != std::errc())
+    return std::nullopt;
+  return std::chrono::milliseconds(
+      std::clamp<std::int64_t>(Milliseconds, 0, MaxMilliseconds));
+}
+
+// Requests that have waited for the first configuration. Those of callers that
+// have left meanwhile are dropped.
+void GatewayNode::tickStartup() {
+  if (m_StartupQueue.empty())
+    return;
+  bool IsReady = m_Configuration.table() || isStopping();
+  for (StartupQueue::WaitingRequest &Entry :
+       IsReady ? m_StartupQueue.takeAll() : m_StartupQueue.takeDue(now())) {
+    if (Entry.m_Caller->isClosed())
+      continue;
+    guard("request", [&] {
+      if (m_Configuration.table())
+        handleRequest(std::move(Entry.m_Request), Entry.m_Caller);
+      else
+        refuse(Entry.m_Request, *Entry.m_Caller, {503, "no-configuration"});
+    });
+  }
 }
 
 void GatewayNode::handleRequest(
     CallerRequest Request,
     const std::shared_ptr<CallerConnection> &Connection) {
+  if (!m_Configuration.table() && !isStopping() &&
+      m_StartupQueue.add(Request, Connection, callerTimeout(Request)))
+    return;
   ForwardJob Job;
   Job.m_Request = std::move(Request);
   Job.m_Caller = Connection;
@@ -585,7 +430,8 @@
 void GatewayNode::callEndpoint(const FleetTable::Handle &Endpoint,
                                const EndpointCall &Call,
                                HttpClient::Handler OnReply) {
-  m_EndpointClient.call(Endpoint, Call, OrderTimeout, std::move(OnReply));
+  m_EndpointClient.call(Endpoint, Call, EndpointClient::OrderTimeout,
+                        std::move(OnReply));
 }
 
 void GatewayNode::noteCallAnswer(const FleetTable::Handle &Endpoint,
@@ -606,43 +452,7 @@
 
 void GatewayNode::suspect(const FleetTable::Handle &Endpoint,
                           std::string_view Reason, Duration Period) {
-  Time Now = now();
-  bool IsNew = Endpoint->m_SuspectUntil <= Now;
-  Endpoint->m_SuspectUntil = std::max(Endpoint->m_SuspectUntil, Now + Period);
-  Endpoint->m_OwnSuspectUntil =
-      std::max(Endpoint->m_OwnSuspectUntil, Now + Period);
-  if (IsNew)
-    m_Log.write(Now, "endpoint-suspect", "",
-                {{"endpoint", Endpoint->m_Entry.m_Id},
-                 {"reason", Reason},
-                 {"running", std::int64_t(Endpoint->m_Running)}});
-  // A new suspicion is sent to the other VMs at once.
-  if (IsNew)
-    m_Digests.sendToDomainPeers();
-  notifySuspicion(Endpoint);
-  Endpoint->m_SilentAt = Now;
-  const std::string &Domain = Endpoint->m_Entry.m_FailureDomain;
-  if (IsNew && Domain != m_Settings.m_FailureDomain &&
-      m_Fleet.isDomainSilent(Domain, Now))
-    suspectDomain(Domain);
-}
-
-// Marks all endpoints of a failure domain that is cut off. Otherwise requests
-// would have to fail at each endpoint before it is marked.
-void GatewayNode::suspectDomain(const std::string &Domain) {
-  Time Now = now();
-  m_Log.write(Now, "failure-domain-suspect", "", {{"failure_domain", Domain}});
-  std::vector<FleetTable::Handle> Marked;
-  for (const auto &[Id, Endpoint] : m_Fleet.endpoints()) {
-    if (Endpoint->m_Entry.m_FailureDomain != Domain)
-      continue;
-    Endpoint->m_SuspectUntil =
-        std::max(Endpoint->m_SuspectUntil, Now + DomainSuspectTime);
-    if (Endpoint->m_Running > 0)
-      Marked.push_back(Endpoint);
-  }
-  for (const FleetTable::Handle &Endpoint : Marked)
-    notifySuspicion(Endpoint);
+  m_SuspicionRecorder.suspect(Endpoint, Reason, Period);
 }
 
 // Endpoints that another VM suspects get no new requests, but those in progress
@@ -823,7 +633,7 @@
 
 void GatewayNode::revisionChanged() {
   m_CrashGuard.update();
-  m_PeerHandler->answerAll();
+  m_PeerHandler.answerAll();
 }
 
 // Ticks
@@ -840,6 +650,7 @@
 
 void GatewayNode::tick() {
   ++m_Ticks;
+  tickStartup();
   tickRequests();
   tickMemory();
   guard("admission", [this] {
@@ -848,16 +659,12 @@
   });
   guard("store", [this] {
     m_StoreWatcher.tick();
-    m_PeerHandler->answerDue(now());
+    m_PeerHandler.answerDue(now());
   });
   if (m_Ticks % MaintenanceTicks == 0)
     guard("maintenance", [this] { tickMaintenance(); });
-  // A change of the list may leave layers without a holder.
-  bool HasNewList = m_PlacedGeneration != m_Fleet.generation();
-  if (m_Ticks % (HasNewList ? ChangedPlacementTicks : PlacementTicks) == 0) {
-    m_PlacedGeneration = m_Fleet.generation();
-    guard("placement", [this] { tickPlacement(); });
-  }
+  if (m_PlacementDuty.isDue(m_Ticks))
+    guard("placement", [this] { m_PlacementDuty.tick(isStopping()); });
   if (isStopping())
     tickShutdown();
 }
@@ -912,7 +719,7 @@
   m_CallConnections.expire(Now);
   m_Fleet.expire(Now);
   m_VMs.expire(Now);
-  m_CrashGuard.tick(m_WasLeader);
+  m_CrashGuard.tick(m_PlacementDuty.wasLeader());
   noteEndedRests();
   updateGauges();
 }
@@ -931,53 +738,6 @@
   m_CountedDroppedLines = m_Log.droppedLines();
 }
 
-void GatewayNode::tickPlacement() {
-  Time Now = now();
-  bool IsLeader = m_Lease.isLeader(Now) && !isStopping();
-  if (IsLeader != m_WasLeader) {
-    m_WasLeader = IsLeader;
-    m_Placement.clear();
-    m_Log.write(Now, IsLeader ? "duty-taken" : "duty-lost", "",
-                {{"era", std::int64_t(m_StoreWatcher.version().m_Era)},
-                 {"token", std::int64_t(m_Lease.fencingToken())}});
-  }
-  const std::shared_ptr<const RouteTable> &Table = m_Configuration.table();
-  if (!IsLeader || !Table || !m_StoreWatcher.isAvailable())
-    return;
-  for (const auto &[Name, Service] : Table->m_Services) {
-    if (!Service.isLayered())
-      continue;
-    for (const PlacementOrder &Order : m_Placement[Name].tick(
-             *Service.m_Engine, m_Fleet.endpointsOfService(Name), Now))
-      sendOrder(Name, Order);
-  }
-}
-
-void GatewayNode::sendOrder(const std::string &Service,
-                            const PlacementOrder &Order) {
-  FleetTable::Handle Endpoint = m_Fleet.find(Order.m_Endpoint);
-  if (!Endpoint)
-    return;
-  m_Metrics.countOrder("place");
-  m_Log.write(now(), "order", "",
-              {{"endpoint", Order.m_Endpoint},
-               {"first_layer", std::int64_t(Order.m_Layers.m_First)},
-               {"end_layer", std::int64_t(Order.m_Layers.m_End)},
-               {"token", std::int64_t(m_Lease.fencingToken())}});
-  m_EndpointClient.call(
-      Endpoint, m_Protocol.placeCall(Order.m_Layers), OrderTimeout,
-      [this, Service, Order](const CallReply &Reply) {
-        m_Log.write(now(), "order-answer", "",
-                    {{"endpoint", Order.m_Endpoint},
-                     {"status", std::int64_t(Reply.m_Status)},
-                     {"body", std::string_view(Reply.m_Body).substr(0, 200)}});
-        if (Reply.m_Status == 0)
-          m_Placement[Service].noteUnanswered(Order.m_Endpoint, now());
-        else if (Reply.m_Status >= 300)
-          m_Placement[Service].noteRefused(Order.m_Endpoint, now());
-      });
-}
-
 // Shutdown
 
 void GatewayNode::handleSignal(int Signal) {
