Resume streams that lose connections or stall repeatedly

Cause: four attempts without a token end a request. A failed connection counted as one, and four of them pass within milliseconds. After a stall, all endpoints of the route were avoided for the rest of the request; after two stalls that were all, so the planner took the cheapest route again, which is often the one that had just stalled.

Change: an attempt that found no connection is treated as a refusal for overload: it is not counted, and the delay before the next one grows to 640 ms. Endpoints of a stalled attempt, or of one that failed without a known culprit, are avoided until another attempt fails that way; endpoints known to be at fault are avoided for the whole request, as before. Audit records name both.

Evidence: on the previous code, AttemptsThatDidNotRunAreNotCounted (with ConnectFailed) and StalledRouteIsNotTakenAgainAtOnce fail; now all 23 cases of CompletionTest pass, as do ServiceCallTest, RouterInvariantsTest and RecordedTraceTest.

--- a/src/requests/Dispatcher.cpp
+++ b/src/requests/Dispatcher.cpp
@@ -23,7 +23,7 @@
   Query.m_PromptTokens = Req.m_PromptTokens + Req.m_Delivered;
   Query.m_MaxTokens = Req.m_MaxTokens - Req.m_Delivered;
   Query.m_PrefixHashes = Req.m_PrefixHashes;
-  Query.m_Avoid = Req.m_Avoid;
+  Query.m_Avoid = Req.avoided();
   return Query;
 }
 
--- a/src/requests/Request.h
+++ b/src/requests/Request.h
@@ -50,9 +50,10 @@
   AttemptNumber m_CurrentAttempt = 0; ///< 0: none.
   std::uint32_t m_Delivered = 0;      ///< Tokens sent to the caller.
   /// Attempts since the last delivered token, without those that an overloaded
-  /// or leaving endpoint refused.
+  /// or leaving endpoint refused or that found no connection.
   std::uint32_t m_AttemptsSinceProgress = 0;
-  /// Refusals for overload since the last delivered token.
+  /// Refusals for overload and failed connections since the last delivered
+  /// token.
   std::uint32_t m_RefusalsSinceProgress = 0;
   std::uint32_t m_OpenAttempts = 0; ///< Started, AttemptEnded not yet seen.
   /// A token arrived, or an attempt ended without proof that it did not run.
@@ -66,7 +67,17 @@
   bool m_HasClaim = false;
   Time m_NotBefore;                 ///< Earliest start of the next attempt.
   std::vector<std::string> m_Avoid; ///< Endpoints that failed this request.
+  /// All endpoints of the last attempt that stalled or failed without a known
+  /// culprit. Only of the last one: those of several attempts soon cover all
+  /// routes, and then the next attempt could take the same route again.
+  std::vector<std::string> m_LastSuspects;
 
+  /// The endpoints that the next attempt avoids if there is another route.
+  std::vector<std::string> avoided() const {
+    std::vector<std::string> Result = m_Avoid;
+    Result.insert(Result.end(), m_LastSuspects.begin(), m_LastSuspects.end());
+    return Result;
+  }
   /// True unless every attempt provably did no work.
   bool canHaveRun() const { return m_MayHaveRun || m_OpenAttempts > 0; }
   /// True if all tokens are delivered and only the explicit end is missing.
--- a/src/requests/RetrySystem.cpp
+++ b/src/requests/RetrySystem.cpp
@@ -8,9 +8,9 @@
 
 /// Attempts without a delivered token after which a request fails.
 static constexpr std::uint32_t MaxAttempts = 4;
-/// First delay after a refusal for overload. Doubles with each refusal to give
-/// the endpoint time, but only up to 640 ms, so that a slot that becomes free
-/// is taken soon.
+/// First delay after an attempt that did not run: a refusal for overload or a
+/// failed connection. Doubles with each of them to give the endpoint time, but
+/// only up to 640 ms, so that a slot that becomes free is taken soon.
 static constexpr Duration RefusalDelay = std::chrono::milliseconds(20);
 static constexpr std::uint32_t MaxDelayDoublings = 5;
 /// Keeps the list short for a long stream that is resumed often.
@@ -42,10 +42,12 @@
                                  const AttemptEnded &Report) {
   if (const std::string *Failed = namedFailedEndpoint(EndedAttempt, Report))
     return addAvoidedEndpoint(Req, *Failed);
-  std::size_t Count =
-      isProvablyNotRun(Report.m_Result) ? 1 : EndedAttempt.m_Route.size();
-  for (std::size_t Index = 0; Index < Count; ++Index)
-    addAvoidedEndpoint(Req, EndedAttempt.m_Route[Index].m_Hop.m_Endpoint);
+  if (isProvablyNotRun(Report.m_Result))
+    return addAvoidedEndpoint(Req,
+                              EndedAttempt.m_Route.front().m_Hop.m_Endpoint);
+  Req.m_LastSuspects.clear();
+  for (const Stage &RouteStage : EndedAttempt.m_Route)
+    Req.m_LastSuspects.push_back(RouteStage.m_Hop.m_Endpoint);
 }
 
 void RetrySystem::attemptEnded(EventContext &Context,
@@ -95,16 +97,14 @@
   // bounded.
   bool IsBudgetExempt =
       IsRefusal && Report.m_Result == AttemptResult::RefusedLeaving;
-  bool IsOverload =
-      IsRefusal && Report.m_Result == AttemptResult::RefusedNotRun;
-  // Refusals for overload do not count as attempts: four of them pass within
-  // 0.2 s, so engines that are full for longer would end streams that have most
-  // of their time left. The growing delay, the budget and the deadline bound
-  // them instead.
-  if (IsBudgetExempt || IsOverload)
+  // Refusals for overload and failed connections do not count as attempts: four
+  // of them pass within 0.2 s, so engines that are full, or a link that is
+  // down, for longer would end streams that have most of their time left. The
+  // growing delay, the budget and the deadline bound them instead.
+  if (IsRefusal)
     --Req.m_AttemptsSinceProgress;
   Duration Delay = Duration::zero();
-  if (IsOverload)
+  if (IsRefusal && !IsBudgetExempt)
     Delay = RefusalDelay *
             (1 << std::min(Req.m_RefusalsSinceProgress++, MaxDelayDoublings));
   retryOrFinish(Context, Req, std::string(name(Report.m_Result)),
@@ -139,11 +139,14 @@
 void RetrySystem::abandon(EventContext &Context, Request &Req,
                           Attempt &CurrentAttempt, const std::string &Reason,
                           const std::vector<std::string> &Avoid,
-                          bool IsBudgetExempt) {
+                          CulpritKnowledge Culprit, bool IsBudgetExempt) {
   CurrentAttempt.m_IsCancelled = true;
   Req.m_CurrentAttempt = 0;
-  for (const std::string &Endpoint : Avoid)
-    addAvoidedEndpoint(Req, Endpoint);
+  if (Culprit == CulpritKnowledge::Known)
+    for (const std::string &Endpoint : Avoid)
+      addAvoidedEndpoint(Req, Endpoint);
+  else
+    Req.m_LastSuspects = Avoid;
   Context.add(abandonRecord(Context.m_Now, CurrentAttempt, Reason, Avoid));
   Context.add(CancelAttempt{CurrentAttempt.m_Number});
   retryOrFinish(Context, Req, Reason, IsBudgetExempt, Duration::zero());
--- a/src/requests/RetrySystem.h
+++ b/src/requests/RetrySystem.h
@@ -18,12 +18,17 @@
         m_Endpoints(Endpoints) {}
 
   void attemptEnded(EventContext &Context, const AttemptEnded &Report);
+  enum class CulpritKnowledge {
+    Known,   ///< The endpoints given caused the failure.
+    Unknown, ///< One of them may have caused it.
+  };
   /// Cancels the current attempt, then retries or ends the request. Later
-  /// attempts of the request avoid the endpoints in Avoid. If IsBudgetExempt,
-  /// the retry takes nothing from the retry budget.
+  /// attempts of the request avoid the endpoints in Avoid; if the culprit is
+  /// unknown, until another attempt fails that way. If IsBudgetExempt, the
+  /// retry takes nothing from the retry budget.
   void abandon(EventContext &Context, Request &Req, Attempt &CurrentAttempt,
                const std::string &Reason, const std::vector<std::string> &Avoid,
-               bool IsBudgetExempt);
+               CulpritKnowledge Culprit, bool IsBudgetExempt);
   /// True if a further attempt is allowed, apart from budget and deadline.
   bool isRetryAllowed(const Request &Req) const;
   /// True if the next attempt takes from the retry budget of the pool.
--- a/src/requests/TimeoutSystem.cpp
+++ b/src/requests/TimeoutSystem.cpp
@@ -83,7 +83,8 @@
   // If no further attempt is allowed, the stalled one may still recover.
   if (Req.hasAllTokens() || tryReserveRetry(Context, Req))
     m_Retries.abandon(Context, Req, CurrentAttempt, "stalled",
-                      endpointsOf(CurrentAttempt), true);
+                      endpointsOf(CurrentAttempt),
+                      RetrySystem::CulpritKnowledge::Unknown, true);
 }
 
 void TimeoutSystem::replaceSlowCall(EventContext &Context, Request &Req,
@@ -92,7 +93,8 @@
     return;
   Req.m_WasSlowAttemptReplaced = true;
   m_Retries.abandon(Context, Req, CurrentAttempt, "slow",
-                    endpointsOf(CurrentAttempt), true);
+                    endpointsOf(CurrentAttempt),
+                    RetrySystem::CulpritKnowledge::Unknown, true);
 }
 
 bool TimeoutSystem::tryReserveRetry(const EventContext &Context,
--- a/src/requests/TokenSystem.cpp
+++ b/src/requests/TokenSystem.cpp
@@ -61,7 +61,7 @@
                               const std::string &FaultyEndpoint) {
   m_Endpoints.quarantine(Context, FaultyEndpoint, Reason, Req.m_Number);
   m_Retries.abandon(Context, Req, CurrentAttempt, Reason, {FaultyEndpoint},
-                    false);
+                    RetrySystem::CulpritKnowledge::Known, false);
 }
 
 } // namespace parsleyring
--- a/tests/requests/CompletionTest.cpp
+++ b/tests/requests/CompletionTest.cpp
@@ -215,35 +215,37 @@
 }
 
 // Guards against a stream that fails long before its time limit because all
-// remaining engines are full for some seconds.
-TEST(Completion, OverloadedEnginesDoNotUseUpTheAttempts) {
-  StartedCompletion Fixture;
-  Fixture.deliver(2);
-  Actions Decided = Fixture.endAttempt(Fixture.m_Start.m_Attempt,
-                                       AttemptResult::ConnectionLost);
-  Time FreeAgain = Fixture.m_Now + 5s;
-  int Sends = 0;
-  while (Fixture.m_Now < FreeAgain) {
-    CHECK(actionsOf<FinishRequest>(Decided).empty());
-    auto Next = actionsOf<StartCompletion>(Decided);
-    Sends += static_cast<int>(Next.size());
-    Decided = Next.empty() ? Fixture.runTicks(10ms)
-                           : Fixture.endAttempt(Next[0].m_Attempt,
-                                                AttemptResult::RefusedNotRun);
+// remaining engines are full, or cannot be reached, for some seconds.
+TEST(Completion, AttemptsThatDidNotRunAreNotCounted) {
+  for (AttemptResult Refusal :
+       {AttemptResult::RefusedNotRun, AttemptResult::ConnectFailed}) {
+    StartedCompletion Fixture;
+    Fixture.deliver(2);
+    Actions Decided = Fixture.endAttempt(Fixture.m_Start.m_Attempt,
+                                         AttemptResult::ConnectionLost);
+    Time FreeAgain = Fixture.m_Now + 5s;
+    int Sends = 0;
+    while (Fixture.m_Now < FreeAgain) {
+      CHECK(actionsOf<FinishRequest>(Decided).empty());
+      auto Next = actionsOf<StartCompletion>(Decided);
+      Sends += static_cast<int>(Next.size());
+      Decided = Next.empty() ? Fixture.runTicks(10ms)
+                             : Fixture.endAttempt(Next[0].m_Attempt, Refusal);
+    }
+    // The delay between attempts grows, so a full engine gets few of them.
+    CHECK(Sends <= 15);
+    while (actionsOf<StartCompletion>(Decided).empty())
+      Decided = Fixture.runTicks(10ms);
+    auto Resumed = actionsOf<StartCompletion>(Decided).at(0);
+    LONGS_EQUAL(2, Resumed.m_StartPosition);
+    for (std::uint32_t Position = 2; Position < 8; ++Position)
+      LONGS_EQUAL(
+          1,
+          actionsOf<DeliverToken>(Fixture.sendToken(Resumed, Position)).size());
+    CHECK(onlyFinish(
+              Fixture.endAttempt(Resumed.m_Attempt, AttemptResult::Finished))
+              .m_Outcome == Outcome::Completed);
   }
-  // The delay between attempts grows, so a full engine gets few of them.
-  CHECK(Sends <= 15);
-  while (actionsOf<StartCompletion>(Decided).empty())
-    Decided = Fixture.runTicks(10ms);
-  auto Resumed = actionsOf<StartCompletion>(Decided).at(0);
-  LONGS_EQUAL(2, Resumed.m_StartPosition);
-  for (std::uint32_t Position = 2; Position < 8; ++Position)
-    LONGS_EQUAL(
-        1,
-        actionsOf<DeliverToken>(Fixture.sendToken(Resumed, Position)).size());
-  CHECK(
-      onlyFinish(Fixture.endAttempt(Resumed.m_Attempt, AttemptResult::Finished))
-          .m_Outcome == Outcome::Completed);
 }
 
 // Guards against retrying a request that an engine rejected with a 4xx.
@@ -273,6 +275,25 @@
     CHECK_FALSE(usesEndpoint(Resumed.m_Route, Old.m_Hop.m_Endpoint));
 }
 
+// Guards against a stream that resumes on the route that has just stalled:
+// after two stalls the routes of both would count as failed, and no other is
+// left.
+TEST(Completion, StalledRouteIsNotTakenAgainAtOnce) {
+  for (std::uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    RouterFixture Fixture(Seed);
+    auto Start = actionsOf<StartCompletion>(Fixture.sendCompletion(1)).at(0);
+    Fixture.sendToken(Start, 0);
+    for (int Resume = 0; Resume < 3; ++Resume) {
+      std::vector<StartCompletion> Next;
+      while (Next.empty())
+        Next = actionsOf<StartCompletion>(Fixture.runTicks(10ms));
+      for (const Stage &Stalled : Start.m_Route)
+        CHECK_FALSE(usesEndpoint(Next.at(0).m_Route, Stalled.m_Hop.m_Endpoint));
+      Start = Next.at(0);
+    }
+  }
+}
+
 // Guards against cancelling the last allowed attempt, which would lose a slow
 // answer, and against requests that never end.
 TEST(Completion, StalledRequestFailsAtItsDeadline) {
