Choose the connection to close in logarithmic time

Cause: when a connection was accepted above the limit, CallerListener asked all connections for their state, and ConnectionLimit compared all of them. In a surge that is done for each new connection.

Change: connections report changes of their state to ConnectionLimit, which keeps them ordered by address, activity and time. CallerListener confirms only the state of the chosen one before it is closed, so that a connection that serves a request is not closed even if a change was not reported. The choice itself is as before.

Result: in a test with 2,000 connections and 2,000 more, 2,000 states are asked for, one for each connection closed.

--- a/src/gateway/CallerConnection.cpp
+++ b/src/gateway/CallerConnection.cpp
@@ -112,6 +112,8 @@
 }
 
 void CallerConnection::read() {
+  // Each change of the state by the caller ends here, or in noteOutput().
+  noteActivity();
   bool IsDiscarded = m_IsLingering || m_ClosesAfterWrite;
   bool IsFull = isBusy() && m_Buffer.size() >= MaxPipelinedBytes;
   if (m_IsReading || m_IsClosed || m_IsAwaitingMemory ||
@@ -559,6 +561,7 @@
   bool IsHeld = !m_BeingWritten.empty();
   m_OutputMemory.resize(IsHeld ? m_BeingWritten.capacity() + m_Output.capacity()
                                : 0);
+  noteActivity();
 }
 
 void CallerConnection::writeOutput() {
@@ -586,6 +589,7 @@
   if (m_IsClosed || isBusy() || m_ClosesAfterWrite || m_IsLingering)
     return;
   m_StateSince = m_Handler.now();
+  noteActivity();
   parseLater();
 }
 
@@ -612,6 +616,7 @@
   releaseRequest();
   m_ConnectionMemory.resize(0);
   m_OutputMemory.resize(0);
+  noteActivity();
   if (!m_OnDisconnect)
     return;
   auto Handler = std::move(m_OnDisconnect);
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -123,6 +123,10 @@
   bool isClosed() const { return m_IsClosed; }
   bool isIdle() const { return !m_IsAnswering && !m_IsReceiving; }
   ConnectionLimit::Activity activity() const;
+  /// Handler is called when activity() or activeAt() changes, and at the close.
+  void onActivity(std::function<void(const CallerConnection &)> Handler) {
+    m_OnActivity = std::move(Handler);
+  }
   /// Last time that the caller sent something, or the start of the state.
   Time activeAt() const { return std::max(m_StateSince, m_LastReadAt); }
   std::size_t unsentBytes() const {
@@ -182,6 +186,10 @@
 
   boost::asio::ip::tcp::socket m_Socket;
   const std::string m_Address;
+  void noteActivity() const {
+    if (m_OnActivity)
+      m_OnActivity(*this);
+  }
   RequestHandler &m_Handler;
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
@@ -189,6 +197,7 @@
   bool m_IsWriting = false;       ///< An asynchronous write is in progress.
   std::string m_Output;           ///< Waits until m_BeingWritten has been sent.
   std::string m_BeingWritten;     ///< Being written to the socket.
+  std::function<void(const CallerConnection &)> m_OnActivity;
   std::size_t m_WrittenBytes = 0; ///< Of m_BeingWritten.
   Time m_WriteProgressAt{};
   MemoryReservation m_ConnectionMemory;
--- a/src/gateway/CallerListener.cpp
+++ b/src/gateway/CallerListener.cpp
@@ -60,30 +60,41 @@
   std::string Address = m_Peer.address().to_string();
   auto Connection =
       std::make_shared<CallerConnection>(std::move(Socket), Address, m_Handler);
-  m_Connections[m_Limit.add(Address, m_Handler.now())] = Connection;
+  ConnectionNumber Number = m_Limit.add(Address, m_Handler.now());
+  m_Connections[Number] = Connection;
+  Connection->onActivity([this, Number](const CallerConnection &Changed) {
+    noteActivity(Number, Changed);
+  });
   Connection->start();
   closeExcess();
 }
 
+void CallerListener::noteActivity(ConnectionNumber Number,
+                                  const CallerConnection &Connection) {
+  if (Connection.isClosed()) {
+    m_Limit.remove(Number);
+    m_Closed.push_back(Number);
+    return;
+  }
+  m_Limit.setActivity(Number, Connection.activity(), Connection.activeAt());
+}
+
 void CallerListener::remove(ConnectionNumber Number) {
   m_Limit.remove(Number);
   m_Connections.erase(Number);
 }
 
-// What the connections do is only asked for when one of them has to go.
 void CallerListener::closeExcess() {
-  if (m_Limit.size() <= m_Limit.limit())
-    return;
-  std::vector<ConnectionNumber> Closed;
-  for (const auto &[Number, Connection] : m_Connections) {
-    m_Limit.setActivity(Number, Connection->activity(), Connection->activeAt());
-    if (Connection->isClosed())
-      Closed.push_back(Number);
-  }
-  for (ConnectionNumber Number : Closed)
-    remove(Number);
-  while (auto Excess = m_Limit.excess()) {
-    m_Connections.at(*Excess)->closeForLimit();
+  for (ConnectionNumber Number : m_Closed)
+    m_Connections.erase(Number);
+  m_Closed.clear();
+  auto CurrentState = [this](ConnectionNumber Number) {
+    const CallerConnection &Connection = *m_Connections.at(Number);
+    return ConnectionLimit::State{Connection.activity(), Connection.activeAt()};
+  };
+  while (auto Excess = m_Limit.confirmedExcess(CurrentState)) {
+    auto Connection = m_Connections.at(*Excess);
+    Connection->closeForLimit();
     remove(*Excess);
   }
 }
@@ -96,6 +107,7 @@
     if (Connection->isClosed())
       remove(Number);
   }
+  m_Closed.clear();
 }
 
 void CallerListener::closeIdle() {
--- a/src/gateway/CallerListener.h
+++ b/src/gateway/CallerListener.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <map>
+#include <vector>
 
 namespace parsleyring {
 
@@ -27,6 +28,8 @@
 private:
   void accept();
   void add(boost::asio::ip::tcp::socket Socket);
+  void noteActivity(ConnectionNumber Number,
+                    const CallerConnection &Connection);
   void closeExcess();
   void remove(ConnectionNumber Number);
 
@@ -36,6 +39,8 @@
   RequestHandler &m_Handler;
   ConnectionLimit m_Limit;
   std::map<ConnectionNumber, std::shared_ptr<CallerConnection>> m_Connections;
+  /// Closed, but still in m_Connections, which may be traversed at the close.
+  std::vector<ConnectionNumber> m_Closed;
 };
 
 } // namespace parsleyring
--- a/tests/admission/ConnectionLimitTest.cpp
+++ b/tests/admission/ConnectionLimitTest.cpp
@@ -124,4 +124,44 @@
   }
 }
 
+// Guards against accepting a connection above the limit at a cost that grows
+// with the number of connections: only the state of the chosen one is asked
+// for.
+TEST(ConnectionLimit, OnlyTheChosenConnectionIsAsked) {
+  static constexpr std::size_t Connections = 2000;
+  ConnectionLimit Limit(Connections);
+  int Asked = 0;
+  auto CurrentState = [&](ConnectionNumber Number) {
+    ++Asked;
+    return ConnectionLimit::State{Activity::Idle,
+                                  Start + std::chrono::milliseconds(Number)};
+  };
+  for (std::size_t Index = 1; Index <= 2 * Connections; ++Index) {
+    auto Number = Limit.add(std::to_string(Index % 50),
+                            Start + std::chrono::milliseconds(Index));
+    CHECK_EQUAL(Index, Number);
+    if (auto Excess = Limit.confirmedExcess(CurrentState))
+      Limit.remove(*Excess);
+  }
+  CHECK_EQUAL(Connections, Limit.size());
+  CHECK_EQUAL(static_cast<int>(Connections), Asked);
+}
+
+// Guards against closing a connection that serves a request by now.
+TEST(ConnectionLimit, OutdatedStateIsCorrected) {
+  ConnectionNumber Serving = add("many", Activity::Idle, 0s);
+  ConnectionNumber Active = add("many", Activity::Idle, 1s);
+  ConnectionNumber Idle = add("many", Activity::Idle, 2s);
+  add("few", Activity::Idle, 0s);
+  add("few", Activity::Idle, 3s);
+  auto Excess = m_Limit.confirmedExcess([&](ConnectionNumber Number) {
+    if (Number == Serving)
+      return ConnectionLimit::State{Activity::Serving, Start};
+    Duration ActiveAt = Number == Active ? 5s : 2s;
+    return ConnectionLimit::State{Activity::Idle, Start + ActiveAt};
+  });
+  CHECK(Excess.has_value());
+  CHECK_EQUAL(Idle, *Excess);
+}
+
 PARSLEYRING_TEST_MAIN
