Wake requests that wait for memory when memory is released

Cause: a connection that waits for memory does not read, and only the tick of 40 ms retried it, also if memory had been released in the meantime.

Change: MemoryBudget reports releases to MemoryWaitQueue, which posts one wake-up as a task of its own. Stalled requests are still refused on the tick only, which also retries all waiters.

--- a/src/admission/MemoryBudget.cpp
+++ b/src/admission/MemoryBudget.cpp
@@ -144,13 +144,18 @@
 void MemoryReservation::resize(std::size_t Bytes) {
   if (Bytes == m_Bytes)
     return;
+  bool IsRelease = Bytes < m_Bytes;
   m_Budget.change(*this, Bytes);
   m_Bytes = Bytes;
+  if (IsRelease && m_Budget.m_OnRelease)
+    m_Budget.m_OnRelease();
 }
 
 void MemoryReservation::setClient(const std::string &Client) {
+  // Not with resize(), which would report a release.
   std::size_t Bytes = m_Bytes;
-  resize(0);
+  m_Budget.change(*this, 0);
+  m_Bytes = 0;
   m_Client = Client;
   resize(Bytes);
 }
--- a/src/admission/MemoryBudget.h
+++ b/src/admission/MemoryBudget.h
@@ -54,6 +54,10 @@
   /// True if little is left, so that output that callers do not read is not to
   /// grow.
   bool isTight() const;
+  /// Handler is called after each release of memory; null for none.
+  void onRelease(std::function<void()> Handler) {
+    m_OnRelease = std::move(Handler);
+  }
   /// True if much memory has been freed since the last call that returned true,
   /// so that the allocator should return it to the system.
   bool takeTrimRequest(Time Now);
@@ -94,6 +98,7 @@
   std::list<MemoryReservation *> m_Receiving;
   /// Uses the part of FirstAnswerShare; null if no answer does.
   const MemoryReservation *m_FirstAnswer = nullptr;
+  std::function<void()> m_OnRelease;
 };
 
 /// Memory that one request, answer or connection holds. Freed with the object.
--- a/src/gateway/CallerConnection.h
+++ b/src/gateway/CallerConnection.h
@@ -3,6 +3,7 @@
 
 #include "admission/ConnectionLimit.h"
 #include "admission/MemoryBudget.h"
+#include "admission/MemoryWaitQueue.h"
 #include "fleet/RouteTable.h"
 #include "gateway/ReceivedBody.h"
 #include "parsleyring/Types.h"
@@ -96,7 +97,9 @@
 
 /// One connection of a caller. Reads one request at a time and writes its
 /// answer; detects a caller that disconnects during a request.
-class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
+class CallerConnection final
+    : public MemoryWaiter,
+      public std::enable_shared_from_this<CallerConnection> {
 public:
   /// Address is the IP address of the caller.
   CallerConnection(boost::asio::ip::tcp::socket Socket, std::string Address,
@@ -120,13 +123,13 @@
   void onDisconnect(std::function<void()> Handler) {
     m_OnDisconnect = std::move(Handler);
   }
-  bool isClosed() const { return m_IsClosed; }
-  bool isIdle() const { return !m_IsAnswering && !m_IsReceiving; }
-  ConnectionLimit::Activity activity() const;
   /// Handler is called when activity() or activeAt() changes, and at the close.
   void onActivity(std::function<void(const CallerConnection &)> Handler) {
     m_OnActivity = std::move(Handler);
   }
+  bool isClosed() const { return m_IsClosed; }
+  bool isIdle() const { return !m_IsAnswering && !m_IsReceiving; }
+  ConnectionLimit::Activity activity() const;
   /// Last time that the caller sent something, or the start of the state.
   Time activeAt() const { return std::max(m_StateSince, m_LastReadAt); }
   std::size_t unsentBytes() const {
@@ -138,10 +141,10 @@
   void closeForLimit();
   /// Goes on with a request that waits for memory, or refuses it if it has
   /// waited for MaxMemoryWait. Returns false if it still waits.
-  bool retryReceipt(Time Now);
+  bool retryReceipt(Time Now) override;
   /// Refuses a request of another connection that has stalled in favour of the
   /// one that waits here for memory. Returns false if there is none.
-  bool refuseStalled(Time Now);
+  bool refuseStalled(Time Now) override;
   /// Refuses the request that is being received, if any.
   void refuseReceipt(ReceiptRefusal Cause);
 
@@ -183,21 +186,21 @@
   void finishAnswer();
   void lingerClose();
   void close();
-
-  boost::asio::ip::tcp::socket m_Socket;
-  const std::string m_Address;
   void noteActivity() const {
     if (m_OnActivity)
       m_OnActivity(*this);
   }
+
+  boost::asio::ip::tcp::socket m_Socket;
+  const std::string m_Address;
   RequestHandler &m_Handler;
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
   std::function<void()> m_OnDisconnect;
+  std::function<void(const CallerConnection &)> m_OnActivity;
   bool m_IsWriting = false;       ///< An asynchronous write is in progress.
   std::string m_Output;           ///< Waits until m_BeingWritten has been sent.
   std::string m_BeingWritten;     ///< Being written to the socket.
-  std::function<void(const CallerConnection &)> m_OnActivity;
   std::size_t m_WrittenBytes = 0; ///< Of m_BeingWritten.
   Time m_WriteProgressAt{};
   MemoryReservation m_ConnectionMemory;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -93,6 +93,14 @@
       m_PlacementDuty({m_Lease, m_Configuration, m_StoreWatcher, m_Fleet,
                        Endpoints, m_EndpointClient, m_Log, m_Metrics},
                       [this] { return now(); }),
+      m_MemoryWaits(
+          {&m_MemoryBudget, &m_InternalMemoryBudget}, [this] { return now(); },
+          [this](MemoryWaitQueue::Task Wake) {
+            boost::asio::post(m_Loop, std::move(Wake));
+          },
+          [this](const MemoryWaitQueue::Task &Retry) {
+            guard("memory", Retry);
+          }),
       m_ReadyHandler(*this, m_InternalMemoryBudget, m_Configuration),
       m_PeerHandler(*this, m_InternalMemoryBudget,
                     {m_Configuration, m_Fleet, m_StoreWatcher}),
@@ -682,27 +690,9 @@
   }
 }
 
-// Requests that have stalled make room for those that wait.
 void GatewayNode::tickMemory() {
-  Time Now = now();
-  std::vector<std::weak_ptr<CallerConnection>> Waiting;
-  Waiting.swap(m_AwaitingMemory);
-  auto Retry = [&](const std::shared_ptr<CallerConnection> &Connection) {
-    bool IsWaiting = !Connection->retryReceipt(Now);
-    while (IsWaiting) {
-      if (!Connection->refuseStalled(Now))
-        break;
-      IsWaiting = !Connection->retryReceipt(Now);
-    }
-    if (IsWaiting)
-      m_AwaitingMemory.push_back(Connection);
-  };
-  // Nothing but this wakes the connections, so an exception in the request of
-  // one must not lose the others.
-  for (const auto &Entry : Waiting)
-    if (std::shared_ptr<CallerConnection> Connection = Entry.lock())
-      guard("memory", [&] { Retry(Connection); });
-  if (m_MemoryBudget.takeTrimRequest(Now))
+  m_MemoryWaits.tick();
+  if (m_MemoryBudget.takeTrimRequest(now()))
     malloc_trim(0);
 }
 
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -58,7 +58,7 @@
                        const std::string &Address) const override;
   void
   awaitMemory(const std::shared_ptr<CallerConnection> &Connection) override {
-    m_AwaitingMemory.push_back(Connection);
+    m_MemoryWaits.add(Connection);
   }
   AnswerFields refuseReceipt(ReceiptRefusal Cause,
                              const boost::beast::http::fields &Head,
@@ -202,7 +202,7 @@
   std::set<std::shared_ptr<ForwardedRequest>> m_Requests;
   StartupQueue m_StartupQueue;
   /// Connections with a request that waits for memory.
-  std::vector<std::weak_ptr<CallerConnection>> m_AwaitingMemory;
+  MemoryWaitQueue m_MemoryWaits;
   ReturnSchedule m_MemoryReturns;
 
   ReadyHandler m_ReadyHandler;
