Count read buffers and unfinished bytes of streams

Cause: MemoryBudget did not know of the read buffers of running connections to endpoints (16 KiB or more each), of received bytes of a stream that are no complete event (up to 128 KiB) and of bodies of answers that are no stream (up to 64 KiB).

Change: HttpConnection counts its buffer as MemoryUse::Connection, StreamAttempt the other bytes as MemoryUse::Answer. All of them are bounded and have arrived already, so they are counted without a check of the limit.

Result: AnswerMemoryTest BytesOfStreamsAreCounted passes; with the gateway before the change, it fails at CHECK(IsCounted).

--- a/src/gateway/ConnectionPool.cpp
+++ b/src/gateway/ConnectionPool.cpp
@@ -33,7 +33,7 @@
     Newest.m_Connection->close();
   }
   auto Connection =
-      std::make_shared<HttpConnection>(m_Loop, Address, m_OpenToken);
+      std::make_shared<HttpConnection>(m_Loop, Address, m_OpenToken, m_Memory);
   closeExcess();
   return Connection;
 }
--- a/src/gateway/ConnectionPool.h
+++ b/src/gateway/ConnectionPool.h
@@ -12,7 +12,11 @@
 /// Keeps idle connections to servers for reuse.
 class ConnectionPool {
 public:
-  explicit ConnectionPool(boost::asio::io_context &Loop) : m_Loop(Loop) {}
+  /// The read buffers of its connections are counted in Memory, if any, which
+  /// must outlive them.
+  explicit ConnectionPool(boost::asio::io_context &Loop,
+                          MemoryBudget *Memory = nullptr)
+      : m_Loop(Loop), m_Memory(Memory) {}
 
   using ConnectionList = std::vector<std::weak_ptr<HttpConnection>>;
 
@@ -44,6 +48,7 @@
   void closeExcess();
 
   boost::asio::io_context &m_Loop;
+  MemoryBudget *const m_Memory;
   /// Each open connection holds a reference to it until it closes, so the
   /// number of references counts them.
   std::shared_ptr<const void> m_OpenToken = std::make_shared<char>();
--- a/src/gateway/EventScanner.h
+++ b/src/gateway/EventScanner.h
@@ -21,6 +21,8 @@
   std::optional<Event> next();
   /// Number of received bytes that are not a complete event yet.
   std::size_t pendingBytes() const { return m_Pending.size(); }
+  /// Memory that the received bytes take.
+  std::size_t capacity() const { return m_Pending.capacity(); }
   /// True if the received bytes end inside an event.
   bool hasPartialEvent() const { return !m_Pending.empty(); }
   void clear();
--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -42,9 +42,19 @@
 static constexpr Duration IdleMargin = std::chrono::milliseconds(500);
 
 HttpConnection::HttpConnection(asio::io_context &Loop, std::string Address,
-                               std::shared_ptr<const void> OpenToken)
+                               std::shared_ptr<const void> OpenToken,
+                               MemoryBudget *Memory)
     : m_Loop(Loop), m_Address(std::move(Address)),
-      m_OpenToken(std::move(OpenToken)), m_Socket(Loop), m_ConnectTimer(Loop) {}
+      m_OpenToken(std::move(OpenToken)), m_Socket(Loop), m_ConnectTimer(Loop) {
+  if (Memory)
+    m_BufferMemory.emplace(*Memory, MemoryUse::Connection, "");
+}
+
+// The buffer is bounded, and it is in use already, so no limit applies.
+void HttpConnection::countBuffer() {
+  if (m_BufferMemory)
+    m_BufferMemory->resize(m_Buffer.capacity());
+}
 
 void HttpConnection::send(std::string Head,
                           std::shared_ptr<const std::string> Body,
@@ -142,7 +152,9 @@
     return;
   m_IsReading = true;
   auto Self = shared_from_this();
-  m_Socket.async_read_some(m_Buffer.prepare(ReadBytes),
+  auto Target = m_Buffer.prepare(ReadBytes);
+  countBuffer();
+  m_Socket.async_read_some(Target,
                            [Self](beast::error_code Error, std::size_t Size) {
                              Self->handleRead(Error, Size);
                            });
@@ -313,6 +325,7 @@
   m_OnIdleEnded = std::move(OnEnded);
   m_Parser.reset();
   m_Buffer = {};
+  countBuffer();
   std::uint64_t Watch = ++m_IdleWatch;
   auto Self = shared_from_this();
   m_Socket.async_wait(tcp::socket::wait_read, [Self, Watch](beast::error_code) {
--- a/src/gateway/HttpConnection.h
+++ b/src/gateway/HttpConnection.h
@@ -1,6 +1,7 @@
 #ifndef PARSLEYRING_GATEWAY_HTTPCONNECTION_H
 #define PARSLEYRING_GATEWAY_HTTPCONNECTION_H
 
+#include "admission/MemoryBudget.h"
 #include "parsleyring/Types.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -54,9 +55,11 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
 public:
   /// OpenToken, which may be null, is held until the connection is closed, so
-  /// that its owner can count the open ones.
+  /// that its owner can count the open ones. The read buffer is counted in
+  /// Memory, if any.
   HttpConnection(boost::asio::io_context &Loop, std::string Address,
-                 std::shared_ptr<const void> OpenToken = nullptr);
+                 std::shared_ptr<const void> OpenToken = nullptr,
+                 MemoryBudget *Memory = nullptr);
 
   /// Sends the bytes of a request, connecting first if needed. The exchange
   /// keeps the connection object alive until it has ended, and Body, which may
@@ -106,6 +109,7 @@
   void finish(ExchangeEnd End);
   void updateReuse();
   void releaseOutput();
+  void countBuffer();
 
   boost::asio::io_context &m_Loop;
   const std::string m_Address;
@@ -113,6 +117,7 @@
   boost::asio::ip::tcp::socket m_Socket;
   boost::asio::steady_timer m_ConnectTimer;
   boost::beast::flat_buffer m_Buffer;
+  std::optional<MemoryReservation> m_BufferMemory;
   std::optional<Parser> m_Parser;
   std::string m_Output;
   std::shared_ptr<const std::string> m_OutputBody; ///< Follows m_Output.
--- a/src/gateway/StreamAttempt.h
+++ b/src/gateway/StreamAttempt.h
@@ -6,6 +6,7 @@
 #include "gateway/PathLoad.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace parsleyring {
@@ -17,6 +18,8 @@
   ResponseHead m_Head;
   EventScanner m_Scanner;
   std::string m_RejectionBody; ///< Body of an answer that is not a stream.
+  /// Of the bytes received that have not been passed on.
+  std::optional<MemoryReservation> m_Memory;
   Time m_SentAt{};
   Time m_LastProgressAt{};
   Time m_FirstEventAt{};
@@ -47,6 +50,13 @@
         return true;
     return false;
   }
+  /// Counts the memory of the bytes received. They have an upper bound, and
+  /// they have arrived already, so no limit applies.
+  void countMemory(MemoryBudget &Budget, const std::string &Client) {
+    if (!m_Memory)
+      m_Memory.emplace(Budget, MemoryUse::Answer, Client);
+    m_Memory->resize(m_Scanner.capacity() + m_RejectionBody.capacity());
+  }
   void noteUnfinishedRead(Time Now) {
     if (Now - m_LastUnfinishedReadAt > MaxTricklingGap)
       m_UnfinishedReads = 0;
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -1,5 +1,6 @@
 #include "gateway/StreamForward.h"
 
+#include "core/ScopeGuard.h"
 #include "gateway/CrashGuard.h"
 
 #include <algorithm>
@@ -185,6 +186,10 @@
 
 void StreamForward::handleBody(const AttemptHandle &Attempt,
                                std::string_view Bytes) {
+  // Copies, since a rejection destroys the handler that holds them.
+  ScopeGuard CountMemory([Self = shared_from_this(), Counted = Attempt] {
+    Counted->countMemory(Self->m_Context.memoryBudget(), Self->m_Job.m_Account);
+  });
   if (!Attempt->m_IsStreaming) {
     Attempt->m_RejectionBody.append(Bytes);
     if (Attempt->m_RejectionBody.size() > MaxRejectionBytes)
--- a/tests/integration/AnswerMemoryTest.cpp
+++ b/tests/integration/AnswerMemoryTest.cpp
@@ -214,4 +214,43 @@
   ::close(Listener);
 }
 
+// Guards against bytes of a stream that take memory without being counted: an
+// event without an end, the body of an answer that is no stream, and the read
+// buffer of the connection.
+TEST(AnswerMemory, BytesOfStreamsAreCounted) {
+  static constexpr std::size_t Bytes = 50000;
+  for (bool IsStream : {true, false}) {
+    std::atomic<bool> IsReleased{false};
+    m_Gateway.reset();
+    start([&](const ReceivedCall &Call) {
+      FakeEndpointAnswer Answer;
+      if (Call.m_Path.rfind("/v1/", 0) == 0)
+        return Answer;
+      Answer.m_Status = IsStream ? 200 : 500;
+      Answer.m_Chunks = {"id: 1\ndata: " + std::string(Bytes, 'x'), "\n\n"};
+      Answer.m_BeforeChunk = [&](std::size_t Index) {
+        if (Index == 1)
+          eventually([&] { return IsReleased.load(); }, 20s);
+      };
+      return Answer;
+    });
+    json Entry = json::parse(serverEntry("model", m_Endpoint->address()));
+    Entry["layers"]["from"] = 0;
+    Entry["layers"]["target"] = 10;
+    m_Store.put("servers/m1", Entry.dump());
+    std::thread Caller([&] { send("/stream/a", "body", "stream"); });
+    bool IsCounted =
+        eventually([&] { return reserved("answer") >= Bytes; }, 15s);
+    double Connections = reserved("connection");
+    IsReleased = true;
+    Caller.join();
+    CHECK(IsCounted);
+    // The read buffer has 16 KiB, and few connections are open.
+    CHECK(Connections >= 16 << 10);
+    CHECK(eventually([&] { return reserved("answer") == 0; }, 15s));
+    m_Gateway.reset();
+    m_Endpoint.reset();
+  }
+}
+
 PARSLEYRING_TEST_MAIN
