--- a/tests/admission/MemoryWaitQueueTest.cpp
+++ b/tests/admission/MemoryWaitQueueTest.cpp
@@ -21,13 +21,13 @@
 
   bool retryReceipt(Time) override {
     ++m_Retries;
-    m_IsNested = m_IsNested || s_IsRetrying;
-    s_IsRetrying = true;
+    m_IsNested = m_IsNested || IsRetrying;
+    IsRetrying = true;
     m_IsServed = m_Memory.tryResize(m_Bytes);
     // A request that is served at once releases its memory during the retry.
     if (m_IsServed && m_EndsAtOnce)
       m_Memory.resize(0);
-    s_IsRetrying = false;
+    IsRetrying = false;
     if (m_Throws)
       throw std::runtime_error("retry");
     return m_IsServed;
@@ -41,10 +41,10 @@
   bool m_EndsAtOnce = false;
   bool m_Throws = false;
   bool m_IsNested = false;
-  static bool s_IsRetrying;
+  static bool IsRetrying;
 };
 
-bool FakeWaiter::s_IsRetrying = false;
+bool FakeWaiter::IsRetrying = false;
 
 } // namespace
 
