--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -55,8 +55,8 @@
                                                m_Settings.m_PeerAddress,
                                                m_Settings.m_FailureDomain,
                                                m_Settings.m_Cores},
-      m_VMs(m_Self, m_Settings.m_SeedAddresses), m_ConnectionPool(m_Loop),
-      m_CallConnections(m_Loop),
+      m_VMs(m_Self, m_Settings.m_SeedAddresses),
+      m_ConnectionPool(m_Loop, &m_MemoryBudget), m_CallConnections(m_Loop),
       m_HttpClient(m_Loop, m_CallConnections, [this] { return now(); }),
       m_LeavingRecorder({Endpoints, m_Fleet, m_Log, m_Metrics},
                         [this] { return now(); }),
@@ -93,6 +93,14 @@
       m_PlacementDuty({m_Lease, m_Configuration, m_StoreWatcher, m_Fleet,
                        Endpoints, m_EndpointClient, m_Log, m_Metrics},
                       [this] { return now(); }),
+      m_MemoryWaits(
+          {&m_MemoryBudget, &m_InternalMemoryBudget}, [this] { return now(); },
+          [this](MemoryWaitQueue::Task Wake) {
+            boost::asio::post(m_Loop, std::move(Wake));
+          },
+          [this](const MemoryWaitQueue::Task &Retry) {
+            guard("memory", Retry);
+          }),
       m_ReadyHandler(*this, m_InternalMemoryBudget, m_Configuration),
       m_PeerHandler(*this, m_InternalMemoryBudget,
                     {m_Configuration, m_Fleet, m_StoreWatcher}),
@@ -153,7 +161,9 @@
   while (!guard("event", [this] { m_Loop.run(); })) {
     // run() may be called again after a handler has thrown.
   }
-  m_Log.write(now(), "end", "", {});
+  m_Log.write(now(), "end", "",
+              {{"running", std::int64_t(m_Requests.size())},
+               {"connections", std::int64_t(m_CallerListener->size())}});
 }
 
 bool GatewayNode::guard(std::string_view Handler,
@@ -706,27 +716,9 @@
   }
 }
 
-// Requests that have stalled make room for those that wait.
 void GatewayNode::tickMemory() {
-  Time Now = now();
-  std::vector<std::weak_ptr<CallerConnection>> Waiting;
-  Waiting.swap(m_AwaitingMemory);
-  auto Retry = [&](const std::shared_ptr<CallerConnection> &Connection) {
-    bool IsWaiting = !Connection->retryReceipt(Now);
-    while (IsWaiting) {
-      if (!Connection->refuseStalled(Now))
-        break;
-      IsWaiting = !Connection->retryReceipt(Now);
-    }
-    if (IsWaiting)
-      m_AwaitingMemory.push_back(Connection);
-  };
-  // Nothing but this wakes the connections, so an exception in the request of
-  // one must not lose the others.
-  for (const auto &Entry : Waiting)
-    if (std::shared_ptr<CallerConnection> Connection = Entry.lock())
-      guard("memory", [&] { Retry(Connection); });
-  if (m_MemoryBudget.takeTrimRequest(Now))
+  m_MemoryWaits.tick();
+  if (m_MemoryBudget.takeTrimRequest(now()))
     malloc_trim(0);
 }
 
