--- a/tests/routing/LayerPathPlannerTest.cpp
+++ b/tests/routing/LayerPathPlannerTest.cpp
@@ -276,7 +276,7 @@
     std::vector<DomainLink> Crossings = linkCrossings(Path);
     return std::count(Crossings.begin(), Crossings.end(), Link) > 0;
   };
-  for (DomainLink Link :
+  for (const DomainLink &Link :
        {DomainLink("a", "b"), DomainLink("b", "c"), DomainLink("a", "c")}) {
     Query.m_ClosedLinks = {Link};
     LayerPath Path = plan(Query);
