Order waiting requests by urgency across accounts

The queue was fair between accounts first, so an urgent request waited for the turn of its account behind a burst of the least urgent kind. Each tick also charged accounts for requests that were not sent, so with one send per tick the first account by name got all of them.

Accounts are charged for sends only.

--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -29,17 +29,28 @@
   return Result;
 }
 
-std::optional<RequestNumber> FairQueue::displaceFor(const QueueEntry &Entry) {
-  auto WaitingPerShare = [](const Flow &Account, double Extra) {
-    return (static_cast<double>(Account.m_Waiting.size()) + Extra) /
-           Account.m_Share;
-  };
+const FairQueue::Flow *FairQueue::largestFlow() const {
   const Flow *Largest = nullptr;
   for (const auto &[Name, Account] : m_Flows)
     if (!Account.m_Waiting.empty() &&
         (!Largest ||
-         WaitingPerShare(Account, 0) > WaitingPerShare(*Largest, 0)))
+         waitingPerShare(Account, 0) > waitingPerShare(*Largest, 0)))
       Largest = &Account;
+  return Largest;
+}
+
+std::optional<RequestNumber> FairQueue::displace() {
+  const Flow *Largest = largestFlow();
+  if (!Largest)
+    return std::nullopt;
+  RequestNumber Displaced = Largest->m_Waiting.rbegin()->second;
+  erase(Displaced);
+  removeIdleFlows();
+  return Displaced;
+}
+
+std::optional<RequestNumber> FairQueue::displaceFor(const QueueEntry &Entry) {
+  const Flow *Largest = largestFlow();
   if (!Largest)
     return std::nullopt;
   auto Own = m_Flows.find(Entry.m_Account);
@@ -49,7 +60,7 @@
       (static_cast<double>(OwnWaiting) + 1) / std::max(Entry.m_Share, MinShare);
   // The comparison is strict, so that two accounts cannot displace each other
   // alternately.
-  if (WaitingPerShare(*Largest, 0) <= OwnWaitingPerShare)
+  if (waitingPerShare(*Largest, 0) <= OwnWaitingPerShare)
     return std::nullopt;
   RequestNumber Displaced = Largest->m_Waiting.rbegin()->second;
   erase(Displaced);
@@ -77,15 +88,30 @@
 
 std::optional<RequestNumber> FairQueue::pop(Time Now) {
   auto Next = front(Now);
-  if (!Next)
-    return Next;
-  const QueuedRequest &Entry = m_Entries.at(*Next);
+  if (Next)
+    take(*Next);
+  return Next;
+}
+
+bool FairQueue::take(RequestNumber Request) {
+  auto Found = m_Entries.find(Request);
+  if (Found == m_Entries.end())
+    return false;
+  const QueuedRequest &Entry = Found->second;
   Flow &Account = m_Flows.at(Entry.m_Account);
   m_VirtualTime = std::max(m_VirtualTime, Account.m_StartTag);
   Account.m_StartTag += Entry.m_Cost / Account.m_Share;
-  erase(*Next);
+  erase(Request);
   removeIdleFlows();
-  return Next;
+  return true;
+}
+
+std::vector<RequestNumber> FairQueue::order(Time Now) const {
+  FairQueue Copy = *this;
+  std::vector<RequestNumber> Order;
+  while (auto Next = Copy.pop(Now))
+    Order.push_back(*Next);
+  return Order;
 }
 
 bool FairQueue::remove(RequestNumber Request) {
