Let streams wait for slots or be refused at once

StreamPlanner asks ServiceRoom before and after planning. A request that cannot be sent waits if its turn is expected within half of its latency goal, and is refused otherwise (reason engine-slots, log line room-short) with a Retry-After from the rate at which slots become free. The metric parsleyring_waiting_requests counts waiting requests by priority.

Measured: integration/StreamFaultsTest (4 tests), LimitedEndpointTest (4) and gateway/GatewayNodeTest (5) pass.

--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -4,6 +4,7 @@
 #include "admission/AdmissionQueue.h"
 #include "admission/LimitedCapacity.h"
 #include "admission/ReturnSchedule.h"
+#include "admission/ServiceRoom.h"
 #include "fleet/FleetTable.h"
 #include "fleet/RouteTable.h"
 #include "gateway/CallerConnection.h"
@@ -36,6 +37,7 @@
   virtual const EndpointProtocol &protocol() const = 0;
   virtual RetryShare &retryShare(const std::string &Service) = 0;
   virtual AdmissionQueue &admissionQueue(const std::string &Service) = 0;
+  virtual ServiceRoom &serviceRoom(const std::string &Service) = 0;
   virtual ReturnSchedule &returnSchedule(const std::string &Service) = 0;
   virtual CrashGuard &crashGuard() = 0;
   virtual LeavingRecorder &leavingRecorder() = 0;
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -81,6 +81,7 @@
   }
   double loadFactor() const override;
   LimitUsers limitUsers() const override;
+  ServiceRoom &serviceRoom(const std::string &Service) override;
   ReturnSchedule &returnSchedule(const std::string &Service) override {
     return m_ReturnSchedules[Service];
   }
@@ -145,6 +146,7 @@
   void tickRequests();
   void tickMemory();
   void tickMaintenance();
+  void setWaitingMetrics();
   void updateGauges();
   void recordPace(FleetEndpoint &Endpoint, double Pace);
   void pollSlowEngines();
@@ -197,6 +199,7 @@
   bool m_WasLeader = false;
   std::uint64_t m_PlacedGeneration = 0; ///< Of the list at the last placement.
   std::map<std::string, AdmissionQueue> m_AdmissionQueues; ///< By service.
+  std::map<std::string, ServiceRoom> m_ServiceRooms;       ///< By service.
   std::map<std::string, ReturnSchedule> m_ReturnSchedules; ///< By service.
   std::map<std::string, RetryShare> m_RetryShares;
   std::set<std::shared_ptr<ForwardedRequest>> m_Requests;
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -4,6 +4,7 @@
 #include "admission/MemoryBudget.h"
 #include "parsleyring/Types.h"
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -37,6 +38,8 @@
   /// Counts an endpoint that stated that it is leaving, by how it was learnt.
   void countLeaving(std::string_view Source);
   void setLeavingEndpoints(std::size_t Endpoints);
+  /// Waiting requests by their priority in the admission queue.
+  void setWaiting(const std::map<std::int32_t, std::size_t> &Requests);
   void setRunning(std::size_t Requests, std::size_t Connections);
   void countDroppedLogLines(std::uint64_t Lines);
   void setMemory(MemoryUse Use, std::size_t Bytes);
--- a/src/gateway/StreamWait.cpp
+++ b/src/gateway/StreamWait.cpp
@@ -19,6 +19,8 @@
   if (m_Planner.isLimited() &&
       !m_LimitedWait.begin(m_Planner.limitedCapacity(), WaitUntil, Now))
     return false;
+  if (m_Planner.isRoomShort() && Now + m_Planner.roomWait() > WaitUntil)
+    return false;
   if (isRestLongerThan(WaitUntil, Wait.m_HasRun))
     return false;
   AdmissionQueue::WaitingRequest QueuedRequest;
