Revert the room of a service

Cause: with several first engines in each chain, slots are rarely what is scarce, and the decision is coarser than the planner's penalty for full slots.

--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -29,28 +29,17 @@
   return Result;
 }
 
-const FairQueue::Flow *FairQueue::largestFlow() const {
+std::optional<RequestNumber> FairQueue::displaceFor(const QueueEntry &Entry) {
+  auto WaitingPerShare = [](const Flow &Account, double Extra) {
+    return (static_cast<double>(Account.m_Waiting.size()) + Extra) /
+           Account.m_Share;
+  };
   const Flow *Largest = nullptr;
   for (const auto &[Name, Account] : m_Flows)
     if (!Account.m_Waiting.empty() &&
         (!Largest ||
-         waitingPerShare(Account, 0) > waitingPerShare(*Largest, 0)))
+         WaitingPerShare(Account, 0) > WaitingPerShare(*Largest, 0)))
       Largest = &Account;
-  return Largest;
-}
-
-std::optional<RequestNumber> FairQueue::displace() {
-  const Flow *Largest = largestFlow();
-  if (!Largest)
-    return std::nullopt;
-  RequestNumber Displaced = Largest->m_Waiting.rbegin()->second;
-  erase(Displaced);
-  removeIdleFlows();
-  return Displaced;
-}
-
-std::optional<RequestNumber> FairQueue::displaceFor(const QueueEntry &Entry) {
-  const Flow *Largest = largestFlow();
   if (!Largest)
     return std::nullopt;
   auto Own = m_Flows.find(Entry.m_Account);
@@ -60,7 +49,7 @@
       (static_cast<double>(OwnWaiting) + 1) / std::max(Entry.m_Share, MinShare);
   // The comparison is strict, so that two accounts cannot displace each other
   // alternately.
-  if (waitingPerShare(*Largest, 0) <= OwnWaitingPerShare)
+  if (WaitingPerShare(*Largest, 0) <= OwnWaitingPerShare)
     return std::nullopt;
   RequestNumber Displaced = Largest->m_Waiting.rbegin()->second;
   erase(Displaced);
@@ -88,30 +77,15 @@
 
 std::optional<RequestNumber> FairQueue::pop(Time Now) {
   auto Next = front(Now);
-  if (Next)
-    take(*Next);
-  return Next;
-}
-
-bool FairQueue::take(RequestNumber Request) {
-  auto Found = m_Entries.find(Request);
-  if (Found == m_Entries.end())
-    return false;
-  const QueuedRequest &Entry = Found->second;
+  if (!Next)
+    return Next;
+  const QueuedRequest &Entry = m_Entries.at(*Next);
   Flow &Account = m_Flows.at(Entry.m_Account);
   m_VirtualTime = std::max(m_VirtualTime, Account.m_StartTag);
   Account.m_StartTag += Entry.m_Cost / Account.m_Share;
-  erase(Request);
+  erase(*Next);
   removeIdleFlows();
-  return true;
-}
-
-std::vector<RequestNumber> FairQueue::order(Time Now) const {
-  FairQueue Copy = *this;
-  std::vector<RequestNumber> Order;
-  while (auto Next = Copy.pop(Now))
-    Order.push_back(*Next);
-  return Order;
+  return Next;
 }
 
 bool FairQueue::remove(RequestNumber Request) {
--- a/src/admission/FairQueue.h
+++ b/src/admission/FairQueue.h
@@ -39,21 +39,10 @@
   void setLimit(std::size_t Limit) { m_Limit = Limit; }
 
   PushResult push(Time Now, const QueueEntry &Entry);
-  /// Removes and returns the last request of the account that holds the most
-  /// requests per share; nothing if the queue is empty.
-  std::optional<RequestNumber> displace();
   /// The request that pop() would return.
   std::optional<RequestNumber> front(Time Now) const;
   /// Removes and returns the next request whose deadline has not passed.
   std::optional<RequestNumber> pop(Time Now);
-  /// All requests, in the order in which pop() would return them.
-  std::vector<RequestNumber> order(Time Now) const;
-  /// Removes the request and charges its account, as pop() does. Returns false
-  /// if it is not queued.
-  bool take(RequestNumber Request);
-  bool contains(RequestNumber Request) const {
-    return m_Entries.count(Request) > 0;
-  }
   /// Returns false if the request is not queued.
   bool remove(RequestNumber Request);
   /// Removes and returns the requests whose deadline has passed.
@@ -84,12 +73,6 @@
     Time m_Deadline;
   };
 
-  static double waitingPerShare(const Flow &Account, double Extra) {
-    return (static_cast<double>(Account.m_Waiting.size()) + Extra) /
-           Account.m_Share;
-  }
-  /// Null if the queue is empty.
-  const Flow *largestFlow() const;
   std::optional<RequestNumber> displaceFor(const QueueEntry &Entry);
   void erase(RequestNumber Request);
   void removeIdleFlows();
--- a/src/admission/ReturnSchedule.cpp
+++ b/src/admission/ReturnSchedule.cpp
@@ -5,18 +5,15 @@
 namespace parsleyring {
 
 Duration ReturnSchedule::next(Duration FirstDelay, double RequestsPerSecond,
-                              Time Now, int Priority) {
+                              Time Now) {
   double Seconds = std::chrono::duration<double>(MaxDelay).count();
   if (RequestsPerSecond > 0)
     Seconds = std::min(Seconds, 1 / RequestsPerSecond);
   Duration Interval(static_cast<std::int64_t>(Seconds * 1e6));
-  Time Return = Now + std::min(FirstDelay, MaxDelay);
-  for (const auto &[Each, LastReturn] : m_LastReturns)
-    if (Each <= Priority)
-      Return = std::max(Return, LastReturn + Interval);
-  Return = std::min(Return, Now + MaxDelay);
-  m_LastReturns[Priority] = Return;
-  return Return - Now;
+  Time Return =
+      std::max(Now + std::min(FirstDelay, MaxDelay), m_LastReturn + Interval);
+  m_LastReturn = std::min(Return, Now + MaxDelay);
+  return m_LastReturn - Now;
 }
 
 Duration ReturnSchedule::nextAfterRest(Time RestEnd, Time Now) {
--- a/src/admission/ReturnSchedule.h
+++ b/src/admission/ReturnSchedule.h
@@ -3,8 +3,6 @@
 
 #include "parsleyring/Types.h"
 
-#include <map>
-
 namespace parsleyring {
 
 /// Tells refused callers when to come back: one after the other, as fast as
@@ -13,10 +11,8 @@
 public:
   /// Returns the time until the caller should come back. FirstDelay is the time
   /// until the first request can be accepted again, RequestsPerSecond the rate
-  /// from then on. A caller returns after those of the same and of more urgent
-  /// priorities; 0 is the most urgent one.
-  Duration next(Duration FirstDelay, double RequestsPerSecond, Time Now,
-                int Priority = 0);
+  /// from then on.
+  Duration next(Duration FirstDelay, double RequestsPerSecond, Time Now);
 
   /// The same for callers whose requests are not accepted before RestEnd, which
   /// is later than Now. They return within RestReturnTime after it.
@@ -29,7 +25,7 @@
   static constexpr Duration RestReturnInterval = std::chrono::milliseconds(20);
 
 private:
-  std::map<int, Time> m_LastReturns; ///< By priority.
+  Time m_LastReturn{};
   Time m_LastReturnAfterRest{};
 };
 
--- a/src/fleet/FleetTable.h
+++ b/src/fleet/FleetTable.h
@@ -4,7 +4,6 @@
 #include "fleet/EndpointLimit.h"
 #include "fleet/EndpointRest.h"
 #include "fleet/LimitShare.h"
-#include "fleet/RateEstimate.h"
 #include "parsleyring/Types.h"
 
 #include <algorithm>
@@ -72,10 +71,6 @@
   double m_PeerTokens = 0; ///< Tokens times layers, other VMs' requests.
   std::uint32_t m_PeerRunning = 0;
   std::uint32_t m_PeerRunningAsFirst = 0;
-  /// Ends of requests that took up a slot here, of this VM and per second of
-  /// the other VMs.
-  RateEstimate m_FirstEnds;
-  double m_PeerFirstEnds = 0;
   double m_LatencyMs = 0; ///< Moving average at m_LatencyNotedAt; 0 if unknown.
   Time m_LatencyNotedAt{};
   double m_FailureRate = 0; ///< Moving average at m_FailureRateUpdatedAt.
@@ -84,7 +79,7 @@
   LimitShare m_LimitShare;
   EndpointRest m_Rest; ///< Holds for this VM alone.
   /// Requests per second that other VMs would send if there were no limit; only
-  /// reported while there is one, or if paths can begin here.
+  /// reported while there is one.
   double m_PeerDemand = 0;
   int m_ConsecutiveRejections = 0;
   Time m_RejectingSince{}; ///< First of the consecutive rejections.
@@ -98,10 +93,6 @@
   bool canServe(Time Now) const {
     return availability(Now) == EndpointAvailability::Available;
   }
-  /// True if paths of requests can begin here.
-  bool isFirstEngine() const {
-    return m_Entry.m_Layers.m_First == 0 && m_Entry.m_Layers.m_End > 0;
-  }
   /// When the endpoint is available again, unless it is removed or leaves.
   Time availableAt() const { return std::max(m_Rest.until(), m_SuspectUntil); }
   /// True if the limit of the endpoint, if any, allows this VM to send a
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -5,7 +5,6 @@
 #include "admission/LimitedCapacity.h"
 #include "admission/LinkRoom.h"
 #include "admission/ReturnSchedule.h"
-#include "admission/ServiceRoom.h"
 #include "fleet/FleetTable.h"
 #include "fleet/RouteTable.h"
 #include "gateway/CallerConnection.h"
@@ -38,7 +37,6 @@
   virtual const EndpointProtocol &protocol() const = 0;
   virtual RetryShare &retryShare(const std::string &Service) = 0;
   virtual AdmissionQueue &admissionQueue(const std::string &Service) = 0;
-  virtual ServiceRoom &serviceRoom(const std::string &Service) = 0;
   virtual ReturnSchedule &returnSchedule(const std::string &Service) = 0;
   virtual CrashGuard &crashGuard() = 0;
   virtual LeavingRecorder &leavingRecorder() = 0;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -383,18 +383,6 @@
   return Found->second;
 }
 
-ServiceRoom &GatewayNode::serviceRoom(const std::string &Service) {
-  return m_ServiceRooms.try_emplace(Service, random()).first->second;
-}
-
-void GatewayNode::setWaitingMetrics() {
-  std::map<std::int32_t, std::size_t> Waiting;
-  for (const auto &[Service, Queue] : m_AdmissionQueues)
-    for (const auto &[Priority, Size] : Queue.sizesByPriority())
-      Waiting[Priority] += Size;
-  m_Metrics.setWaiting(Waiting);
-}
-
 double GatewayNode::loadFactor() const {
   // Digests contain the load of the VMs that sent one recently; the others are
   // assumed to be as busy.
@@ -744,7 +732,6 @@
     m_Digests.sendToOtherDomains();
   for (const auto &Listener : m_Listeners)
     Listener->tick(Now);
-  setWaitingMetrics();
   m_ConnectionPool.expire(Now);
   m_CallConnections.expire(Now);
   m_Fleet.expire(Now);
--- a/src/gateway/GatewayNode.h
+++ b/src/gateway/GatewayNode.h
@@ -92,7 +92,6 @@
   }
   LinkUsers linkUsers(const DomainLink &Link,
                       const std::string &Service) const override;
-  ServiceRoom &serviceRoom(const std::string &Service) override;
   ReturnSchedule &returnSchedule(const std::string &Service) override {
     return m_ReturnSchedules[Service];
   }
@@ -158,7 +157,6 @@
   void tickMaintenance();
   void tickLinks();
   void updateEngineWatch();
-  void setWaitingMetrics();
   void updateGauges();
   void recordPace(FleetEndpoint &Endpoint, double Pace);
   void pollSlowEngines();
@@ -207,7 +205,6 @@
   VMLease m_Lease;
   PlacementDuty m_PlacementDuty;
   std::map<std::string, AdmissionQueue> m_AdmissionQueues; ///< By service.
-  std::map<std::string, ServiceRoom> m_ServiceRooms;       ///< By service.
   std::map<std::string, ReturnSchedule> m_ReturnSchedules; ///< By service.
   std::map<std::string, LinkRoom> m_LinkRooms;             ///< By service.
   std::map<std::string, RetryShare> m_RetryShares;
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -96,13 +96,6 @@
   Gauge &m_WatchedEngines =
       gauge(m_Registry, "parsleyring_watched_engines",
             "Engines to which this VM keeps an idle connection open.");
-  Family<Gauge> &m_Waiting =
-      BuildGauge()
-          .Name("parsleyring_waiting_requests")
-          .Help("Requests that wait for capacity, by priority; 0 is the most "
-                "urgent.")
-          .Register(m_Registry);
-  std::map<std::int32_t, Gauge *> m_WaitingByPriority;
   Gauge &m_Running = gauge(m_Registry, "parsleyring_requests_running",
                            "Requests in progress.");
   Family<Gauge> &m_Memory =
@@ -213,22 +206,6 @@
   m_Families->m_WatchedEngines.Set(static_cast<double>(Engines));
 }
 
-void NodeMetrics::setWaiting(
-    const std::map<std::int32_t, std::size_t> &Requests) {
-  auto &Gauges = m_Families->m_WaitingByPriority;
-  for (const auto &[Priority, Each] : Gauges)
-    Each->Set(0);
-  for (const auto &[Priority, Count] : Requests) {
-    // The queue sends higher numbers first, and streams that have begun before
-    // all others.
-    std::string Label = Priority > 0 ? "begun" : std::to_string(-Priority);
-    Gauge *&Each = Gauges[Priority];
-    if (!Each)
-      Each = &m_Families->m_Waiting.Add({{"priority", Label}});
-    Each->Set(static_cast<double>(Count));
-  }
-}
-
 void NodeMetrics::setRunning(std::size_t Requests, std::size_t Connections) {
   m_Families->m_Running.Set(static_cast<double>(Requests));
   m_Families->m_Connections.Set(static_cast<double>(Connections));
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -4,7 +4,6 @@
 #include "admission/MemoryBudget.h"
 #include "parsleyring/Types.h"
 
-#include <map>
 #include <memory>
 #include <string>
 
@@ -41,8 +40,6 @@
   void countLeaving(std::string_view Source);
   void setLeavingEndpoints(std::size_t Endpoints);
   void setWatchedEngines(std::size_t Engines);
-  /// Waiting requests by their priority in the admission queue.
-  void setWaiting(const std::map<std::int32_t, std::size_t> &Requests);
   void setRunning(std::size_t Requests, std::size_t Connections);
   void countDroppedLogLines(std::uint64_t Lines);
   void setMemory(MemoryUse Use, std::size_t Bytes);
--- a/src/gateway/StreamAttempt.h
+++ b/src/gateway/StreamAttempt.h
@@ -73,18 +73,11 @@
     return m_UnfinishedReads >= MinTricklingReads &&
            m_LastUnfinishedReadAt - m_FirstUnfinishedReadAt >= MinTricklingTime;
   }
-  /// Ends the load that the attempt is at the engines of its path.
-  void releasePath(Time Now) {
-    // An attempt without events may not have taken up a slot.
-    if (m_Events > 0 && !path().empty())
-      firstEngine()->m_FirstEnds.note(Now);
-    m_PathLoad.clear();
-  }
   /// Ends the exchange; no handler is called afterwards.
-  void close(Time Now) {
+  void close() {
     m_HasEnded = true;
     m_Connection->close();
-    releasePath(Now);
+    m_PathLoad.clear();
   }
 
   /// An event that arrives in pieces before and after a silence is no trickle.
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -10,12 +10,9 @@
 static constexpr Duration ConnectTimeout = std::chrono::milliseconds(250);
 static constexpr Duration MaxIdle = std::chrono::seconds(4);
 static constexpr int MaxSends = 3;
-// Callers that found no path return at this rate at least (requests per second
-// and VM), since nothing tells how many requests the next path can take.
-static constexpr double MinReturnRate = 4;
-static constexpr std::string_view NoRoomReason = "engine-slots";
 // Callers leave a stream after a pause of two seconds.
 static constexpr Duration MaxPauseForCapacity = std::chrono::milliseconds(1500);
+static constexpr double RetryAfterSeconds = 0.5;
 // An engine that crashes on a prompt does so when it begins to answer.
 static constexpr Duration HarmlessAnswerTime = std::chrono::milliseconds(300);
 // Limits of the memory that bytes without end take, in an answer that is no
@@ -57,12 +54,9 @@
   m_Job.m_Caller->onDisconnect(
       [Self] { Self->finish(ForwardOutcome::CallerLeft, "caller-left", 0); });
   m_Context.retryShare(m_Job.m_Service->m_Name).noteRequest(m_Context.now());
-  m_Context.serviceRoom(m_Job.m_Service->m_Name)
-      .noteArrival(m_Job.m_Priority, m_Job.m_Account, m_Context.now());
   if (endIfQuarantined() || trySend("first"))
     return;
-  std::string_view Reason = m_Planner.isRoomShort()         ? NoRoomReason
-                            : m_Planner.isLimited()         ? "endpoint-limit"
+  std::string_view Reason = m_Planner.isLimited()           ? "endpoint-limit"
                             : m_Planner.links().isLimited() ? LinkLimitReason
                             : areAllLeaving()               ? AllLeavingReason
                                                             : "no-path";
@@ -102,8 +96,8 @@
   if (!canSendAgain())
     return false;
   Time Now = m_Context.now();
-  LayerPath Path = m_Planner.planPath(enginesOfOpenAttempts(),
-                                      m_Wait.limitedWait(), mayHaveRun());
+  LayerPath Path =
+      m_Planner.planPath(enginesOfOpenAttempts(), m_Wait.limitedWait());
   if (Path.empty())
     return false;
   if (m_Sends > 0) {
@@ -113,7 +107,7 @@
   }
   ++m_Sends;
   ++m_CountedAttempts;
-  m_Planner.noteSent(Path);
+  m_Planner.noteSent();
   const HeaderNames &Names = m_Context.protocol().headers();
   const FleetTable::Handle First = Path.front().m_Endpoint;
   AnswerFields Extra{{Names.m_Path, m_Context.protocol().pathText(Path)}};
@@ -406,7 +400,7 @@
     if (End == ExchangeEnd::Closed)
       noteCutOff(*Attempt);
   }
-  Attempt->releasePath(m_Context.now());
+  Attempt->m_PathLoad.clear();
   m_SilentAttempts.erase(
       std::find(m_SilentAttempts.begin(), m_SilentAttempts.end(), Attempt));
 }
@@ -492,7 +486,7 @@
 
 void StreamForward::close(StreamAttempt &Attempt) {
   m_MayHaveRun = true;
-  Attempt.close(m_Context.now());
+  Attempt.close();
 }
 
 void StreamForward::closeSilentAttempts() {
@@ -545,7 +539,7 @@
   logAttempt("attempt-abandoned", *m_Attempt, Reason);
   // A connection that is released is kept open.
   if (m_Attempt->m_HasEnded)
-    m_Attempt->releasePath(m_Context.now());
+    m_Attempt->m_PathLoad.clear();
   else
     close(*m_Attempt);
   m_Attempt.reset();
@@ -569,14 +563,12 @@
     if (auto RestEnd = m_Planner.restEnd()) {
       answerResting(*RestEnd);
       finish(ForwardOutcome::Refused, EndpointRestReason, 503);
-    } else if (m_Planner.isRoomShort())
-      refuseWithoutRoom();
-    else if (m_Planner.isLimited())
+    } else if (m_Planner.isLimited())
       refuseLimited(Reason);
     else if (m_Planner.links().isLimited())
       refuseForLinks();
     else
-      refuseWithoutPath(Reason);
+      refuse(Reason, RetryAfterSeconds);
     return;
   }
   failRequest(Reason);
@@ -627,38 +619,6 @@
   finish(ForwardOutcome::Refused, Reason, 503);
 }
 
-void StreamForward::refuseWithoutRoom() {
-  Time Now = m_Context.now();
-  ServiceRoom &Room = m_Context.serviceRoom(m_Job.m_Service->m_Name);
-  double Rate = Room.rate(m_Job.m_Priority, Now);
-  Duration Wait = m_Planner.roomWait();
-  Duration Delay = m_Context.returnSchedule(m_Job.m_Service->m_Name)
-                       .next(Wait, Rate, Now, m_Job.m_Priority);
-  AdmissionQueue &Queue = m_Context.admissionQueue(m_Job.m_Service->m_Name);
-  m_Context.log().write(
-      Now, "room-short", m_Job.m_Id,
-      {{"service", m_Job.m_Service->m_Name},
-       {"priority", std::int64_t(m_Job.m_Priority)},
-       {"free_slots", Room.freeSlots()},
-       {"credit", Room.credit()},
-       {"requests_per_s", Rate},
-       {"waiting", std::int64_t(Queue.size())},
-       {"expected_wait_ms", std::int64_t(Wait.count() / 1000)},
-       {"load_factor", m_Context.loadFactor()},
-       {"retry_after_ms", std::int64_t(Delay.count() / 1000)}});
-  refuse(NoRoomReason, std::chrono::duration<double>(Delay).count());
-}
-
-void StreamForward::refuseWithoutPath(std::string_view Reason) {
-  Time Now = m_Context.now();
-  double Rate = std::max(MinReturnRate,
-                         m_Context.serviceRoom(m_Job.m_Service->m_Name).rate());
-  Duration Delay =
-      m_Context.returnSchedule(m_Job.m_Service->m_Name)
-          .next(m_Planner.pathDelay(), Rate, Now, m_Job.m_Priority);
-  refuse(Reason, std::chrono::duration<double>(Delay).count());
-}
-
 void StreamForward::refuseLimited(std::string_view Reason) {
   answerLimited(m_Planner.limitedCapacity());
   finish(ForwardOutcome::Refused, Reason, 503);
@@ -693,7 +653,7 @@
   if (m_Attempt) {
     Path = pathIds(m_Attempt->path());
     if (Outcome == ForwardOutcome::Completed)
-      m_Attempt->releasePath(m_Context.now());
+      m_Attempt->m_PathLoad.clear();
     else
       close(*m_Attempt);
     m_Attempt.reset();
@@ -706,7 +666,6 @@
              {"answer_tokens", m_Fields.m_AnswerTokens},
              {"planned_fill", m_PlannedFill},
              {"load_factor", m_Context.loadFactor()},
-             {"priority", std::int64_t(m_Job.m_Priority)},
              {"events", std::int64_t(m_Progress.m_Events)},
              {"first_event_ms",
               std::int64_t(m_Progress.m_FirstEventTime.count() / 1000)},
--- a/src/gateway/StreamForward.h
+++ b/src/gateway/StreamForward.h
@@ -84,9 +84,6 @@
                   std::string_view Reason);
 
   void refuse(std::string_view Reason, double RetryAfter);
-  /// Refuses a request since the slots of first engines are full.
-  void refuseWithoutRoom();
-  void refuseWithoutPath(std::string_view Reason);
   void refuseLimited(std::string_view Reason);
   void refuseForLinks();
   void failRequest(std::string_view Reason);
--- a/src/gateway/StreamPlanner.cpp
+++ b/src/gateway/StreamPlanner.cpp
@@ -4,11 +4,6 @@
 
 namespace parsleyring {
 
-// Bounds of the time after which a caller without a path may return: the layers
-// of a lost engine are not elsewhere sooner, and another engine may have them.
-static constexpr Duration MinPathDelay = std::chrono::milliseconds(100);
-static constexpr Duration MaxPathDelay = std::chrono::seconds(1);
-
 double StreamPlanner::answerTokensLeft() const {
   const auto &Engine = m_Job.m_Service->m_Engine;
   double PerEvent = Engine ? Engine->m_TokensPerEvent : 1;
@@ -64,67 +59,9 @@
     Path.front().m_Endpoint->m_LimitShare.noteDemand(m_Context.now());
 }
 
-Duration StreamPlanner::remainingGoal() const {
-  return m_Job.m_Request.m_ReceivedAt + m_Job.m_Route->m_LatencyGoal / 2 -
-         m_Context.now();
-}
-
-Duration StreamPlanner::roomWait() const {
-  std::size_t Ahead = m_Context.admissionQueue(m_Job.m_Service->m_Name)
-                          .sizeBefore(-m_Job.m_Priority, m_Job.m_Account);
-  return room().expectedWait(Ahead, m_Job.m_Priority, m_Job.m_Account,
-                             remainingGoal(), m_Context.now());
-}
-
-Duration StreamPlanner::pathDelay() const {
-  Time Now = m_Context.now();
-  Duration Delay = ReturnSchedule::MaxDelay;
-  for (const FleetTable::Handle &Engine :
-       m_Context.fleet().endpointsOfService(m_Job.m_Service->m_Name)) {
-    EndpointAvailability Availability = Engine->availability(Now);
-    if (Availability == EndpointAvailability::Resting ||
-        Availability == EndpointAvailability::Suspect)
-      Delay = std::min(Delay, Duration(Engine->availableAt() - Now));
-  }
-  return std::clamp<Duration>(Delay, MinPathDelay, MaxPathDelay);
-}
-
-bool StreamPlanner::updateRoom(const LimitedWait *Wait) {
-  Time Now = m_Context.now();
-  AdmissionQueue &Queue = m_Context.admissionQueue(m_Job.m_Service->m_Name);
-  ServiceLoad Load;
-  double LoadFactor = m_Context.loadFactor();
-  for (const FleetTable::Handle &Engine : firstEngines()) {
-    Load.m_Engines.emplace_back(*Engine, LoadFactor, Now);
-    double Demand = Engine->m_LimitShare.demand(Now);
-    Load.m_OwnDemand += Demand;
-    Load.m_Demand += (Demand + Engine->m_PeerDemand) * LoadFactor;
-  }
-  Load.m_VMs = m_Context.limitUsers().m_VMs;
-  room().update(Load, Queue.size(), Now);
-  Queue.setRate(room().rate(), m_Job.m_Route->m_LatencyGoal / 2);
-  bool IsOvertaking =
-      !Wait && room().isScarce() && Queue.sizeFrom(-m_Job.m_Priority) > 0;
-  return !IsOvertaking &&
-         room().hasCredit(m_Job.m_Priority, m_Job.m_Account, Now);
-}
-
-bool StreamPlanner::hasRoom(const FleetEndpoint &Engine) const {
-  Time Now = m_Context.now();
-  return room().mayBegin(FirstEngineLoad(Engine, m_Context.loadFactor(), Now),
-                         m_Job.m_Priority, m_Job.m_Account, remainingGoal(),
-                         Now);
-}
-
-void StreamPlanner::noteSent(const LayerPath &Path) {
-  m_IsDemandCounted = false;
-  room().noteSent(m_Job.m_Priority, m_Job.m_Account,
-                  Path.front().m_Endpoint->m_Entry.m_Id, m_Context.now());
-}
-
 // Engines that state a limit are left to the requests that already wait.
-bool StreamPlanner::isWithinLimit(FleetEndpoint &Engine,
-                                  const LimitedWait *Wait) const {
+bool StreamPlanner::mayBegin(FleetEndpoint &Engine,
+                             const LimitedWait *Wait) const {
   if (Wait)
     return Wait->allows(Engine, m_Context.limitUsers(), m_Context.random(),
                         m_Context.now());
@@ -149,12 +86,7 @@
 
 LayerPath
 StreamPlanner::planPath(const std::vector<FleetTable::Handle> &OpenEngines,
-                        const LimitedWait *Wait, bool MayHaveRun) {
-  bool HasCredit = updateRoom(Wait) || MayHaveRun;
-  m_IsLimited = false;
-  m_IsRoomShort = !HasCredit;
-  if (Wait && !HasCredit)
-    return {};
+                        const LimitedWait *Wait) {
   PathQuery Query = pathQuery();
   const EngineModel &Model = *m_Job.m_Service->m_Engine;
   Query.m_Layers = {0, Model.m_Layers};
@@ -165,29 +97,20 @@
     Query.m_Excluded = OpenEngines;
     Path = Plan();
   }
-  bool IsRoomDenied = false;
-  auto MayBegin = [&](FleetEndpoint &Engine) {
-    if (!isWithinLimit(Engine, Wait))
-      return false;
-    bool HasRoom = MayHaveRun || hasRoom(Engine);
-    IsRoomDenied = IsRoomDenied || !HasRoom;
-    return HasRoom;
-  };
-  bool IsAllowed = Path.empty() || MayBegin(*Path.front().m_Endpoint);
+  bool IsAllowed = Path.empty() || mayBegin(*Path.front().m_Endpoint, Wait);
   noteDemand(Path);
-  m_IsRoomShort = !HasCredit && !Path.empty();
-  if (!IsAllowed && HasCredit) {
+  m_IsLimited = false;
+  if (!IsAllowed) {
     for (const FleetTable::Handle &Engine : firstEngines())
-      if (!MayBegin(*Engine))
+      if (!mayBegin(*Engine, Wait))
         Query.m_NotFirst.push_back(Engine);
     Path = Plan();
     noteDemand(Path);
-    m_IsRoomShort = Path.empty() && IsRoomDenied;
-    m_IsLimited = Path.empty() && !IsRoomDenied;
+    m_IsLimited = Path.empty();
   }
   // A waiting request is planned again and again.
   m_IsDemandCounted = true;
-  return HasCredit ? Path : LayerPath();
+  return Path;
 }
 
 LayerPath StreamPlanner::planReplacement(const LayerPath &Path,
--- a/src/gateway/StreamPlanner.h
+++ b/src/gateway/StreamPlanner.h
@@ -26,30 +26,21 @@
 
   /// Plans a path for the next attempt. OpenEngines are the first engines of
   /// open attempts; Wait is null unless the request is in the admission queue.
-  /// A request that may have run (MayHaveRun) does not give way to others.
   LayerPath planPath(const std::vector<FleetTable::Handle> &OpenEngines,
-                     const LimitedWait *Wait, bool MayHaveRun);
+                     const LimitedWait *Wait);
   /// Plans a replacement of the part Index of Path, of which NewPath replaces
   /// the parts before it.
   LayerPath planReplacement(const LayerPath &Path, std::size_t Index,
                             const LayerPath &NewPath);
   void exclude(const FleetTable::Handle &Endpoint);
   /// The next attempt counts in the demand again.
-  void noteSent(const LayerPath &Path);
+  void noteSent() { m_IsDemandCounted = false; }
 
   /// Only limits of engines kept the last attempt from being sent.
   bool isLimited() const { return m_IsLimited; }
   LimitedCapacity limitedCapacity() const;
   /// The links that the last plan crosses, and those that kept it from a path.
   StreamLinks &links() { return m_Links; }
-  /// Only full slots of first engines, or requests that are sent before this
-  /// one, kept the last attempt from being sent.
-  bool isRoomShort() const { return m_IsRoomShort; }
-  /// Expected time until the service has room for the request.
-  Duration roomWait() const;
-  /// Until an engine that gets no requests now may get some again, if there is
-  /// no path.
-  Duration pathDelay() const;
   /// When there is a path, if engines at rest are all that is missing.
   std::optional<Time> restEnd() const;
   /// Tokens of the prompt and of the answer that is left.
@@ -60,17 +51,7 @@
   LayerPath planWithinLinks(const PathQuery &Query);
   PathQuery pathQuery() const;
   std::vector<FleetTable::Handle> firstEngines() const;
-  bool isWithinLimit(FleetEndpoint &Engine, const LimitedWait *Wait) const;
-  /// Updates the room of the service; returns false if the request must not be
-  /// sent to any engine now.
-  bool updateRoom(const LimitedWait *Wait);
-  bool hasRoom(const FleetEndpoint &Engine) const;
-  ServiceRoom &room() const {
-    return m_Context.serviceRoom(m_Job.m_Service->m_Name);
-  }
-  /// What remains of the time within which the request is to get a slot. The
-  /// other half of the goal is for its way through the engines.
-  Duration remainingGoal() const;
+  bool mayBegin(FleetEndpoint &Engine, const LimitedWait *Wait) const;
   void noteDemand(const LayerPath &Path);
 
   ForwardContext &m_Context;
@@ -83,7 +64,6 @@
   /// no other one.
   std::vector<FleetTable::Handle> m_ExcludedEndpoints;
   bool m_IsLimited = false;
-  bool m_IsRoomShort = false;
   /// The next attempt is counted in the demand for the engine that it needs.
   bool m_IsDemandCounted = false;
 };
--- a/src/gateway/StreamWait.cpp
+++ b/src/gateway/StreamWait.cpp
@@ -26,8 +26,6 @@
   if (m_Planner.isLimited() &&
       !m_LimitedWait.begin(m_Planner.limitedCapacity(), WaitUntil, Now))
     return false;
-  if (m_Planner.isRoomShort() && Now + m_Planner.roomWait() > WaitUntil)
-    return false;
   if (isRestLongerThan(WaitUntil, Wait.m_HasRun) ||
       !mayWaitForLinks(WaitUntil, Wait.m_HasRun))
     return false;
--- a/src/membership/LoadDigest.cpp
+++ b/src/membership/LoadDigest.cpp
@@ -10,8 +10,7 @@
 
 using nlohmann::json;
 
-// A smaller demand (requests per second) at a limited endpoint, or rate of
-// ends, is not reported.
+// A smaller demand (requests per second) at a limited endpoint is not reported.
 static constexpr double MinReportedDemand = 0.001;
 // A smaller demand (kbit/s) for a link is not reported.
 static constexpr std::int64_t MinReportedKilobits = 10;
@@ -33,7 +32,7 @@
 } // namespace
 
 // Appends the state of the limit, its rate in thousandths, its age in
-// milliseconds, the demand in thousandths and the rate of ends in thousandths.
+// milliseconds and the demand in thousandths.
 static void appendLimit(json &Fields, const LoadDigest::Load &Entry) {
   auto Thousandths = [](double Rate) {
     return std::llround(std::min(Rate, MaxEncodedRate) * 1000);
@@ -50,10 +49,9 @@
   Fields.push_back(Thousandths(Rate));
   Fields.push_back(AgeMs);
   Fields.push_back(Thousandths(Entry.m_Demand));
-  Fields.push_back(Thousandths(Entry.m_FirstEnds));
 }
 
-// Digests of earlier versions have no limits, or no rate of ends.
+// Digests of earlier versions have no limits.
 static void readLimit(const json &Fields, LoadDigest::Load &Entry) {
   static constexpr std::size_t Offset = 6;
   if (Fields.size() < Offset + 4)
@@ -70,8 +68,6 @@
   else if (State == LimitState::Ended)
     Entry.m_Limit = LimitReport{std::nullopt, Age};
   Entry.m_Demand = std::min(Number(3) / 1000, MaxEncodedRate);
-  if (Fields.size() > Offset + 4)
-    Entry.m_FirstEnds = std::min(Number(4) / 1000, MaxEncodedRate);
 }
 
 static json encodeLinks(const std::vector<LoadDigest::LinkDemand> &Links) {
@@ -122,7 +118,7 @@
     json Fields = {Entry.m_Endpoint,  std::llround(Entry.m_Tokens),
                    Entry.m_Running,   std::llround(Entry.m_Pace * 100),
                    Entry.m_SuspectMs, Entry.m_RunningAsFirst};
-    if (Entry.m_Limit || Entry.m_Demand > 0 || Entry.m_FirstEnds > 0)
+    if (Entry.m_Limit || Entry.m_Demand > 0)
       appendLimit(Fields, Entry);
     Loads.push_back(std::move(Fields));
   }
@@ -213,7 +209,6 @@
     Endpoint->m_PeerRunning += Sign * Load.m_Running;
     Endpoint->m_PeerRunningAsFirst += Sign * Load.m_RunningAsFirst;
     Endpoint->m_PeerDemand += Sign * Load.m_Demand;
-    Endpoint->m_PeerFirstEnds += Sign * Load.m_FirstEnds;
   }
 }
 
@@ -301,7 +296,6 @@
     Endpoint->m_PeerRunning = 0;
     Endpoint->m_PeerRunningAsFirst = 0;
     Endpoint->m_PeerDemand = 0;
-    Endpoint->m_PeerFirstEnds = 0;
   }
   for (auto &[VM, Known] : m_Entries) {
     resolve(Known, Fleet);
@@ -331,15 +325,14 @@
     bool IsOwnPaceRecent = Endpoint->m_IsOwnPace && Endpoint->isPaceRecent(Now);
     double Pace = IsOwnPaceRecent ? Endpoint->m_Pace : 0;
     std::optional<LimitReport> Limit = Endpoint->m_Limit.ownReport(Now);
-    bool HasDemand = Endpoint->m_Limit.rate() || Endpoint->isFirstEngine();
-    double Demand = HasDemand ? Endpoint->m_LimitShare.demand(Now) : 0;
-    double FirstEnds = Endpoint->m_FirstEnds.rate(Now);
+    double Demand =
+        Endpoint->m_Limit.rate() ? Endpoint->m_LimitShare.demand(Now) : 0;
     if (Endpoint->m_Running == 0 && SuspectMs == 0 && Pace == 0 && !Limit &&
-        Demand < MinReportedDemand && FirstEnds < MinReportedDemand)
+        Demand < MinReportedDemand)
       continue;
     Digest.m_Loads.push_back({Id, Endpoint->m_Tokens, Endpoint->m_Running, Pace,
                               SuspectMs, Endpoint->m_RunningAsFirst, Limit,
-                              Demand, FirstEnds});
+                              Demand});
   }
   return Digest;
 }
@@ -380,7 +373,6 @@
       Target.m_RunningAsFirst += Load.m_RunningAsFirst;
       Target.m_Pace = std::max(Target.m_Pace, Load.m_Pace);
       Target.m_Demand += Load.m_Demand;
-      Target.m_FirstEnds += Load.m_FirstEnds;
       if (isNewer(Load.m_Limit, Target.m_Limit))
         Target.m_Limit = Load.m_Limit;
     }
--- a/src/membership/LoadDigest.h
+++ b/src/membership/LoadDigest.h
@@ -29,8 +29,6 @@
     /// Requests per second that the sender would send if there were no limit; 0
     /// if it knows of none.
     double m_Demand = 0;
-    /// Ends per second of the sender's requests that took up a slot.
-    double m_FirstEnds = 0;
   };
 
   /// Demand for the link between two failure domains.
