Log what is wrong with a malformed answer

Operators saw a 502 and `malformed` in the metrics when an endpoint sent an answer whose head cannot be read, and no line that said what was wrong with it: the finding of the parser was dropped in HttpConnection.

The finding is kept with the connection and logged as `answer-malformed` with the endpoint, for plain requests and for streams. Reports of engines name it in `engine-report-invalid`.

integration/MalformedAnswerTest is new. A stand-in sends 14 forms of a field name with a blank or a control byte, in the final and in an interim answer, on three kinds of routes, and the store sends such a name in each answer.

--- a/src/gateway/EndpointClient.cpp
+++ b/src/gateway/EndpointClient.cpp
@@ -34,7 +34,8 @@
 EndpointClient::readReport(const FleetTable::Handle &Endpoint,
                            const CallReply &Reply) {
   if (Reply.m_End == ExchangeEnd::Malformed) {
-    m_OnInvalidReport(Endpoint, "the answer is not an HTTP response");
+    m_OnInvalidReport(Endpoint,
+                      "not a valid HTTP response: " + Reply.m_Finding);
     return EngineReport();
   }
   if (!Reply.isOk())
--- a/src/gateway/ForwardContext.cpp
+++ b/src/gateway/ForwardContext.cpp
@@ -156,6 +156,13 @@
       {{"endpoint", Endpoint->m_Entry.m_Id}, {"other_request", OtherId}});
 }
 
+void ForwardedRequest::logMalformedAnswer(const FleetTable::Handle &Endpoint,
+                                          const HttpConnection &Connection) {
+  m_Context.log().write(m_Context.now(), "answer-malformed", m_Job.m_Id,
+                        {{"endpoint", Endpoint->m_Entry.m_Id},
+                         {"finding", Connection.finding()}});
+}
+
 bool ForwardedRequest::areAllLeaving() const {
   bool HasLeaving = false;
   for (const FleetTable::Handle &Endpoint :
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -121,6 +121,9 @@
   /// Logs that Endpoint sent the copy of an answer to another request.
   void logForeignAnswer(const FleetTable::Handle &Endpoint,
                         const std::string &OtherId);
+  /// Logs what is wrong with the answer of Endpoint on this connection.
+  void logMalformedAnswer(const FleetTable::Handle &Endpoint,
+                          const HttpConnection &Connection);
   /// The body of the request, which keeps Self, this object, until it is sent.
   std::shared_ptr<const std::string>
   sharedBody(const std::shared_ptr<ForwardedRequest> &Self) const {
--- a/src/gateway/HttpClient.cpp
+++ b/src/gateway/HttpClient.cpp
@@ -47,7 +47,7 @@
   Handlers.m_OnBody = [Pending](std::string_view Bytes) {
     Pending->m_Reply.m_Body.append(Bytes);
     if (Pending->m_Reply.m_Body.size() > MaxBodyBytes)
-      Pending->m_Connection->rejectResponse();
+      Pending->m_Connection->rejectResponse("the body is too long");
   };
   Handlers.m_OnEnd = [this, Pending](ExchangeEnd End) {
     finish(*Pending, End);
@@ -66,6 +66,7 @@
     m_ConnectionPool.release(Pending.m_Connection, m_Now());
   } else {
     Pending.m_Reply.m_Status = 0;
+    Pending.m_Reply.m_Finding = Pending.m_Connection->finding();
     Pending.m_Connection->close();
   }
   Pending.m_Connection.reset();
--- a/src/gateway/HttpClient.h
+++ b/src/gateway/HttpClient.h
@@ -12,6 +12,7 @@
 struct CallReply {
   ExchangeEnd m_End = ExchangeEnd::Closed;
   unsigned m_Status = 0; ///< 0 if no complete response arrived.
+  std::string m_Finding; ///< What is wrong with a malformed response.
   ResponseHead m_Head;
   std::string m_Body;
 
--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -81,6 +81,7 @@
   m_IsReusable = false;
   m_IsPaused = false;
   m_InterimResponses = 0;
+  m_Finding.clear();
   resetParser();
 }
 
@@ -168,7 +169,7 @@
   try {
     parse(Error);
   } catch (...) {
-    rejectResponse();
+    rejectResponse("a handler failed");
     close();
     throw;
   }
@@ -201,7 +202,10 @@
   m_Parser->eager(true);
 }
 
-void HttpConnection::rejectResponse() {
+void HttpConnection::rejectResponse(std::string Finding) {
+  if (!m_IsRunning)
+    return;
+  m_Finding = std::move(Finding);
   m_IsReusable = false;
   finish(ExchangeEnd::Malformed);
 }
@@ -218,9 +222,12 @@
     if (Error || Used == 0)
       break;
   }
-  if (m_InterimResponses > MaxInterimResponses ||
-      (m_Buffer.size() > MaxUnparsedBytes && !m_Parser->is_done())) {
-    rejectResponse();
+  if (m_InterimResponses > MaxInterimResponses) {
+    rejectResponse("too many interim responses");
+    return;
+  }
+  if (m_Buffer.size() > MaxUnparsedBytes && !m_Parser->is_done()) {
+    rejectResponse("a line without end");
     return;
   }
   if (Error == http::error::need_more)
@@ -239,7 +246,7 @@
     return;
   }
   if (Error && Error != http::error::partial_message) {
-    finish(ExchangeEnd::Malformed);
+    rejectResponse(Error.message());
     return;
   }
   if (Error || ReadError) {
--- a/src/gateway/HttpConnection.h
+++ b/src/gateway/HttpConnection.h
@@ -69,8 +69,11 @@
   /// Reads the next response, after one that did not belong to the request.
   void receiveNextResponse(ExchangeHandlers Handlers);
   void close();
-  /// Ends the exchange, whose response is not usable, and closes.
-  void rejectResponse();
+  /// Ends the exchange, whose response is not usable, and closes. Finding says
+  /// why in a few words.
+  void rejectResponse(std::string Finding);
+  /// Why the last exchange has ended as Malformed; empty if it has not.
+  const std::string &finding() const { return m_Finding; }
   void pauseReading() { m_IsPaused = true; }
   bool isPaused() const { return m_IsPaused; }
   void resumeReading();
@@ -124,6 +127,7 @@
   ExchangeHandlers m_Handlers;
   std::function<void()> m_OnIdleEnded;
   std::optional<Duration> m_IdleTimeout;
+  std::string m_Finding;
   bool m_IsConnected = false;
   bool m_IsClosed = false;
   bool m_IsRunning = false;
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -182,7 +182,7 @@
     Self->appendBody(*Sent, Bytes);
     if (Sent->m_Body.size() >
         (Sent->m_IsSealed ? MaxAnswerBytes : MaxUnprovedBytes))
-      Sent->m_Connection->rejectResponse();
+      Sent->m_Connection->rejectResponse("the body is too long");
   };
   Handlers.m_OnEnd = [Self, Sent](ExchangeEnd End) {
     Self->handleEnd(Sent, End);
@@ -256,6 +256,8 @@
   Ended->m_Endpoint->noteResult(false, Now - Ended->m_SentAt, Now);
   m_Context.metrics().countAttempt(name(End));
   markEnded(*Ended);
+  if (End == ExchangeEnd::Malformed)
+    logMalformedAnswer(Ended->m_Endpoint, *Ended->m_Connection);
   if (End == ExchangeEnd::ConnectFailed) {
     m_Context.suspect(Ended->m_Endpoint, "connect-failed", ConnectFailedTime);
     --m_Sends;
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -196,7 +196,7 @@
   if (!Attempt->m_IsStreaming) {
     Attempt->m_RejectionBody.append(Bytes);
     if (Attempt->m_RejectionBody.size() > MaxRejectionBytes)
-      Attempt->m_Connection->rejectResponse();
+      Attempt->m_Connection->rejectResponse("the body is too long");
     return;
   }
   Attempt->m_Scanner.add(Bytes);
@@ -209,7 +209,7 @@
       Attempt->noteUnfinishedRead(m_Context.now());
   }
   if (isOpen(Attempt) && Attempt->m_Scanner.pendingBytes() > MaxEventBytes)
-    Attempt->m_Connection->rejectResponse();
+    Attempt->m_Connection->rejectResponse("an event is too long");
 }
 
 bool StreamForward::hasNextEvent(const StreamAttempt &Attempt) const {
@@ -334,6 +334,8 @@
       End == ExchangeEnd::Complete ? std::to_string(Attempt->m_Head.m_Status)
                                    : std::string(name(End)));
   bool IsComplete = End == ExchangeEnd::Complete;
+  if (End == ExchangeEnd::Malformed)
+    logMalformedAnswer(Attempt->firstEngine(), *Attempt->m_Connection);
   if (IsComplete && !Attempt->m_IsStreaming && receiveOwnAnswer(Attempt))
     return;
   Attempt->m_HasEnded = true;
--- /dev/null
+++ b/tests/integration/MalformedAnswerTest.cpp
@@ -0,0 +1,148 @@
+#include "support/Eventually.h"
+#include "support/GatewayTestServers.h"
+#include "support/HttpCalls.h"
+#include "support/RawHttpServer.h"
+#include "support/TestMain.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace parsleyring;
+
+static const std::string ProofFields = "Server-Seal: s\r\nAttempt-Id: id-1\r\n";
+static const std::string Event = "id: 1\ndata: a\n\n";
+
+/// An answer with this status line and these field lines, which bears the
+/// endpoint's proof and an event as its body.
+static std::string sealedAnswer(const std::string &StatusLine,
+                                const std::string &FieldLines) {
+  return StatusLine + "\r\n" + ProofFields + FieldLines +
+         "Content-Length: " + std::to_string(Event.size()) + "\r\n\r\n" + Event;
+}
+
+TEST_GROUP(MalformedAnswer) {
+  FakeMetadataStore m_Store;
+  std::mutex m_Mutex; ///< Guards the answer.
+  std::string m_Answer;
+  std::atomic<int> m_Requests{0};
+  std::atomic<int> m_ReusedConnections{0};
+  std::unique_ptr<RawHttpServer> m_Endpoint;
+  std::unique_ptr<GatewayProcess> m_Gateway;
+
+  void setup() override {
+    m_Endpoint =
+        std::make_unique<RawHttpServer>([this](const RawRequest &Call) {
+          ++m_Requests;
+          m_ReusedConnections += Call.m_Index > 0;
+          std::lock_guard<std::mutex> Lock(m_Mutex);
+          return m_Answer;
+        });
+    m_Store.put("op/config", gatewayConfiguration(1));
+  }
+  void teardown() override {
+    m_Gateway.reset();
+    m_Endpoint.reset();
+  }
+  void start() {
+    m_Gateway = std::make_unique<GatewayProcess>("vm-0", m_Store.address());
+    CHECK(m_Gateway->waitUntilReady());
+  }
+  /// Lists the endpoint that gives malformed answers for both services.
+  void listFaulty() {
+    m_Store.put("servers/plain-1", serverEntry("plain", m_Endpoint->address()));
+    m_Store.put("servers/model-1", serverEntry("model", m_Endpoint->address()));
+  }
+  void setAnswer(const std::string &Answer) {
+    std::lock_guard<std::mutex> Lock(m_Mutex);
+    m_Answer = Answer;
+  }
+  HttpAnswer send(const std::string &Path) const {
+    HttpRequest Request;
+    Request.m_Method = "POST";
+    Request.m_Path = Path;
+    Request.m_Headers = {{"Host", "host"},
+                         {"Attempt-Id", "id-1"},
+                         {"Authorization", "Bearer key-1"},
+                         {"Deadline-Ms", "2500"}};
+    return sendHttp(m_Gateway->callerAddress(), Request);
+  }
+  /// Sends a request on each kind of route to the endpoint, which gives this
+  /// answer. Callers must get a failure that promises nothing, and the
+  /// connection to the endpoint must not be used again.
+  void checkRejected(const std::string &Answer) {
+    setAnswer(Answer);
+    for (const char *Path : {"/once/a", "/repeat/a", "/stream/a"}) {
+      std::string Case = Path + (": " + Answer);
+      int RequestsBefore = m_Requests;
+      HttpAnswer Received = send(Path);
+      CHECK_TEXT(m_Requests > RequestsBefore, Case.c_str());
+      LONGS_EQUAL_TEXT(502, Received.m_Status, Case.c_str());
+      STRCMP_EQUAL_TEXT("", Received.m_Body.c_str(), Case.c_str());
+      STRCMP_EQUAL_TEXT("", Received.header("Server-Seal").c_str(),
+                        Case.c_str());
+      LONGS_EQUAL_TEXT(0, m_ReusedConnections, Case.c_str());
+    }
+  }
+  bool logs(const std::string &Text) {
+    return eventually([&] {
+      return m_Gateway->process().output().find(Text) != std::string::npos;
+    });
+  }
+};
+
+// Guards against a field name with a blank or a control byte that is passed
+// on, or that hides the field that delimits the body.
+TEST(MalformedAnswer, FieldNameThatIsNoTokenIsNotPassedOn) {
+  const std::string Lines[] = {
+      "X Bad: v\r\n",
+      "X-Bad : v\r\n",
+      "X-Bad\t: v\r\n",
+      "X\tBad: v\r\n",
+      std::string("X\0Bad: v\r\n", 10),
+      "X\001Bad: v\r\n",
+      "X-Bad\x7f: v\r\n",
+      "X\rBad: v\r\n",
+      "X\nBad: v\r\n",
+      "X Bad:\r\n",
+      ": v\r\n",
+      "X-Bad\r\n",
+      "Content-Length : 3\r\n",
+      "Transfer-Encoding : chunked\r\n",
+  };
+  listFaulty();
+  start();
+  for (const std::string &Line : Lines) {
+    checkRejected(sealedAnswer("HTTP/1.1 200 OK", Line));
+    checkRejected("HTTP/1.1 103 Early\r\n" + Line + "\r\n" +
+                  sealedAnswer("HTTP/1.1 200 OK", ""));
+  }
+  CHECK(logs("\"answer-malformed\""));
+  CHECK(logs("bad field"));
+}
+
+// Guards against answers of the store that are used although their head is
+// malformed, and against requests that are refused because of them.
+TEST(MalformedAnswer, StoreWithMalformedAnswersCountsAsAway) {
+  FakeEndpoint Endpoint([](const ReceivedCall &) {
+    FakeEndpointAnswer Answer;
+    Answer.m_Body = "done";
+    return Answer;
+  });
+  m_Store.put("servers/plain-1", serverEntry("plain", Endpoint.address()));
+  start();
+  LONGS_EQUAL(200, send("/repeat/a").m_Status);
+  m_Store.setMalformed(true);
+  m_Store.put("op/config", gatewayConfiguration(2, false));
+  CHECK(logs("\"store-lost\""));
+  LONGS_EQUAL(200, send("/repeat/a").m_Status);
+  CHECK(m_Gateway->process().output().find("\"version\":2") ==
+        std::string::npos);
+  m_Store.setMalformed(false);
+  CHECK(logs("\"version\":2"));
+  LONGS_EQUAL(404, send("/repeat/a").m_Status);
+}
+
+PARSLEYRING_TEST_MAIN
--- a/tests/support/GatewayTestServers.cpp
+++ b/tests/support/GatewayTestServers.cpp
@@ -153,6 +153,7 @@
   std::uint64_t m_Era = 1;
   std::size_t m_Calls = 0;
   bool m_IsDown = false;
+  bool m_IsMalformed = false;
   std::unique_ptr<LoopbackServer> m_Server;
 
   void putLocked(const std::string &Key, const std::string &Value);
@@ -224,6 +225,8 @@
   json Answer;
   ++m_Calls;
   Response.set_header("Store-Era", std::to_string(m_Era));
+  if (m_IsMalformed)
+    Response.set_header("X Bad", "v");
   if (m_IsDown) {
     Response.status = 503;
     return;
@@ -300,6 +303,12 @@
   m_Implementation->m_Changed.notify_all();
 }
 
+void FakeMetadataStore::setMalformed(bool IsMalformed) {
+  std::lock_guard<std::mutex> Lock(m_Implementation->m_Mutex);
+  m_Implementation->m_IsMalformed = IsMalformed;
+  m_Implementation->m_Changed.notify_all();
+}
+
 // GatewayProcess
 
 GatewayProcess::GatewayProcess(const GatewayOptions &Options)
--- a/tests/support/GatewayTestServers.h
+++ b/tests/support/GatewayTestServers.h
@@ -70,6 +70,8 @@
   bool has(const std::string &Key) const;
   /// While the store is down, it answers each call with 503.
   void setDown(bool IsDown);
+  /// While it is set, each answer has a field whose name has a blank.
+  void setMalformed(bool IsMalformed);
   /// Keeps a copy of all items.
   void keepCopy();
   /// Restores the copy and begins a new era. Revisions are given out again.
