Reject answers whose status is not one of a final answer

Callers got a sealed answer of a plain endpoint whose status line was `HTTP/1.1 000 ` as their answer, with the status line `HTTP/1.1 0 <unknown-status>`, on routes that may be repeated and on others. With no length of a body the request waited until its deadline (504).

Cause: Boost.Beast takes any three digits as a status, and nothing behind it asked whether a final answer can have that status. Below 500 an answer that bears the endpoint's proof counts as a success, so 000 did, and 600 to 999 were passed on as failures of the endpoint. Zero also stands for "no head has arrived" in ResponseHead and for "no response" in CallReply, so that a head with 000 counted as absent wherever they are read.

HttpConnection, through which every answer of endpoints, engines, the store and other VMs passes, now decides it once, as soon as the head is parsed: a final status is 200 to 599, 1xx before it is skipped, 101 is neither, since no request asks for another protocol. All others end the exchange as malformed before OnHead, so that a head which is delivered never has status 0, no statement of a broken head is read, the connection is closed, and the request counts as one that may have run: repeated elsewhere if that is allowed, 502 otherwise. 600 and above have no meaning that a caller could act on.

integration/MalformedAnswerTest, before: 000 reached the caller (httplib reports no answer) in StatusOutsideTheFinalOnesIsNotPassedOn, 504 after 2.5 s in StatusZeroIsNoAnswerInAnyForm, and in IdempotentRequestGoesToAnotherEndpoint the caller got 000 although a sound endpoint was there. Now all six cases pass: 502 for 17 answers on three kinds of routes each, and 200 of the other endpoint. StreamIsNotResumedWithAMalformedAnswer passed before, too.

--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -34,6 +34,10 @@
 static constexpr std::size_t MaxUnparsedBytes = 2 * MaxResponseHeaderBytes;
 // A server may send some before the response.
 static constexpr int MaxInterimResponses = 8;
+// Others have no meaning in HTTP. 1xx statuses only precede the response, and
+// 101 answers a request that no caller's connection passes on.
+static constexpr unsigned MinFinalStatus = 200;
+static constexpr unsigned MaxFinalStatus = 599;
 // During a network partition the kernel would by default wait for minutes
 // before it gives up on unacknowledged bytes.
 static constexpr unsigned UnacknowledgedTimeoutMs = 5000;
@@ -183,10 +187,30 @@
     read();
 }
 
-// Returns true if the parsed response only announces that the server goes on.
-bool HttpConnection::skipInterimResponse() {
+// True if the parser has just completed a head.
+bool HttpConnection::hasNewHead() const {
+  return m_Parser->is_header_done() && !m_Parser->eager();
+}
+
+// True if the parsed response only announces that the server goes on.
+bool HttpConnection::isInterimResponse() const {
+  unsigned Status = m_Parser->get().result_int();
+  return Status >= 100 && Status < 200 && Status != 101;
+}
+
+// The parser accepts any three digits as a status.
+std::string HttpConnection::headFinding() const {
   unsigned Status = m_Parser->get().result_int();
-  if (!m_Parser->is_done() || Status < 100 || Status >= 200 || Status == 101)
+  if (isInterimResponse() ||
+      (Status >= MinFinalStatus && Status <= MaxFinalStatus))
+    return "";
+  std::string Digits = std::to_string(Status);
+  return "status " + std::string(3 - Digits.size(), '0') + Digits;
+}
+
+// Returns true if the parsed response was an interim one, and begins the next.
+bool HttpConnection::skipInterimResponse() {
+  if (!m_Parser->is_done() || !isInterimResponse())
     return false;
   ++m_InterimResponses;
   resetParser();
@@ -196,7 +220,7 @@
 // The parser adds the fields of a trailer to those of the head. They are no
 // part of it: whether they arrive with it depends on the packets.
 void HttpConnection::keepHeadFields() {
-  if (!m_Parser->is_header_done() || m_Parser->eager())
+  if (!hasNewHead())
     return;
   m_HeadFields = m_Parser->get().base();
   m_Parser->eager(true);
@@ -215,7 +239,14 @@
   beast::error_code Error;
   while (m_Buffer.size() > 0 && !m_Parser->is_done()) {
     std::size_t Used = m_Parser->put(m_Buffer.data(), Error);
+    std::string Finding;
+    if (!Error && hasNewHead())
+      Finding = headFinding();
     m_Buffer.consume(Used);
+    if (!Finding.empty()) {
+      rejectResponse(std::move(Finding));
+      return;
+    }
     if (!Error && skipInterimResponse())
       continue;
     keepHeadFields();
--- a/src/gateway/HttpConnection.h
+++ b/src/gateway/HttpConnection.h
@@ -27,9 +27,9 @@
 };
 std::string_view name(ExchangeEnd Value);
 
-/// Status line and header fields of a response.
+/// Status line and header fields of a final response.
 struct ResponseHead {
-  unsigned m_Status = 0;
+  unsigned m_Status = 0; ///< 200 to 599; 0: no head has arrived.
   boost::beast::http::fields m_Fields;
 
   std::string field(const std::string &Name) const {
@@ -41,9 +41,10 @@
   }
 };
 
-/// Callbacks of one exchange. OnEnd is called once, as the last one; after
-/// close() none is called. If one throws, the exchange ends as Malformed, and
-/// the exception leaves the event loop.
+/// Callbacks of one exchange. OnHead is only called with the head of a valid
+/// final response. OnEnd is called once, as the last one; after close() none is
+/// called. If one throws, the exchange ends as Malformed, and the exception
+/// leaves the event loop.
 struct ExchangeHandlers {
   std::function<void(const ResponseHead &)> m_OnHead;
   std::function<void(std::string_view)> m_OnBody;
@@ -105,6 +106,10 @@
   void read();
   void handleRead(boost::beast::error_code Error, std::size_t Size);
   void parse(boost::beast::error_code ReadError);
+  bool hasNewHead() const;
+  bool isInterimResponse() const;
+  /// What is wrong with the parsed head; empty if it is valid.
+  std::string headFinding() const;
   bool skipInterimResponse();
   void resetParser();
   void keepHeadFields();
--- a/tests/integration/MalformedAnswerTest.cpp
+++ b/tests/integration/MalformedAnswerTest.cpp
@@ -2,6 +2,7 @@
 #include "support/GatewayTestServers.h"
 #include "support/HttpCalls.h"
 #include "support/RawHttpServer.h"
+#include "support/ScriptedServer.h"
 #include "support/TestMain.h"
 
 #include <atomic>
@@ -93,6 +94,35 @@
   }
 };
 
+// Guards against a status that no final answer can have and that reaches the
+// caller as the status of an answer.
+TEST(MalformedAnswer, StatusOutsideTheFinalOnesIsNotPassedOn) {
+  listFaulty();
+  start();
+  for (const char *Status : {"000", "001", "099", "101", "600", "999"})
+    for (const char *Type : {"application/json", "text/event-stream"})
+      checkRejected(
+          sealedAnswer(std::string("HTTP/1.1 ") + Status + " ",
+                       std::string("Content-Type: ") + Type + "\r\n"));
+  CHECK(logs("\"answer-malformed\""));
+  CHECK(logs("status 000"));
+}
+
+// Guards against the same in an answer without a proof, without a body, after
+// an interim answer, or with a statement that the request has not run.
+TEST(MalformedAnswer, StatusZeroIsNoAnswerInAnyForm) {
+  listFaulty();
+  start();
+  checkRejected("HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n");
+  checkRejected("HTTP/1.1 000 \r\n" + ProofFields + "\r\n");
+  checkRejected("HTTP/1.1 000 None\r\n" + ProofFields +
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  checkRejected("HTTP/1.1 103 Early\r\n\r\n" +
+                sealedAnswer("HTTP/1.1 000 ", ""));
+  checkRejected("HTTP/1.1 000 \r\n" + ProofFields +
+                "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+}
+
 // Guards against a field name with a blank or a control byte that is passed
 // on, or that hides the field that delimits the body.
 TEST(MalformedAnswer, FieldNameThatIsNoTokenIsNotPassedOn) {
@@ -123,6 +153,64 @@
   CHECK(logs("bad field"));
 }
 
+// Guards against a stream that has begun and whose next engine gives a
+// malformed answer: what it sends must not be joined to the stream.
+TEST(MalformedAnswer, StreamIsNotResumedWithAMalformedAnswer) {
+  for (const std::string &Answer :
+       {sealedAnswer("HTTP/1.1 000 ", ""),
+        sealedAnswer("HTTP/1.1 200 OK", "X Bad: v\r\n")}) {
+    std::atomic<int> Streams{0};
+    FakeEndpoint First([&](const ReceivedCall &Call) {
+      FakeEndpointAnswer Begun;
+      Begun.m_IsTruncated = Call.m_Path == "/stream/a";
+      if (Begun.m_IsTruncated) {
+        ++Streams;
+        Begun.m_Chunks = {Event};
+      }
+      return Begun;
+    });
+    setAnswer(Answer);
+    m_Store.put("servers/first", serverEntry("model", First.address()));
+    m_Store.remove("servers/model-1");
+    start();
+    int RequestsBefore = m_Requests;
+    m_Store.put("servers/model-1", serverEntry("model", m_Endpoint->address()));
+    // The first choice between the two is arbitrary.
+    CHECK(eventually([&] {
+      int StreamsBefore = Streams;
+      HttpAnswer Received = send("/stream/a");
+      if (Received.m_Status == 200)
+        FAIL("an incomplete stream counts as complete");
+      CHECK(Received.m_Body.empty() || Received.m_Body == Event);
+      return Streams > StreamsBefore && m_Requests > RequestsBefore;
+    }));
+    m_Gateway.reset();
+  }
+}
+
+// Guards against an idempotent request that fails although a sound endpoint
+// could have answered it.
+TEST(MalformedAnswer, IdempotentRequestGoesToAnotherEndpoint) {
+  ScriptedServer Sound(sealedAnswer("HTTP/1.1 200 OK", ""),
+                       ScriptedServer::End::Close);
+  m_Store.put("servers/plain-2", serverEntry("plain", Sound.address()));
+  m_Store.put("servers/model-2", serverEntry("model", Sound.address()));
+  listFaulty();
+  for (const std::string &Answer :
+       {sealedAnswer("HTTP/1.1 000 ", ""),
+        sealedAnswer("HTTP/1.1 200 OK", "X Bad: v\r\n")})
+    for (const char *Path : {"/repeat/a", "/stream/a"}) {
+      setAnswer(Answer);
+      start();
+      int RequestsBefore = m_Requests;
+      // The first choice between the two is arbitrary.
+      for (int Count = 0; Count < 20 && m_Requests == RequestsBefore; ++Count)
+        LONGS_EQUAL(200, send(Path).m_Status);
+      CHECK(m_Requests > RequestsBefore);
+      m_Gateway.reset();
+    }
+}
+
 // Guards against answers of the store that are used although their head is
 // malformed, and against requests that are refused because of them.
 TEST(MalformedAnswer, StoreWithMalformedAnswersCountsAsAway) {
