Reject answers with a field line that begins with a blank

Callers got a sealed answer with the lines `X-Other: v` and ` X-Bad: v` as their answer, with the second line passed on as part of the first one's value. If the line was ` Content-Length: 3`, the answer had no length any more, so that its body was read to the end of the connection: another body than the endpoint's.

Cause: Boost.Beast takes a line that begins with a blank or a tab for the continuation of the line before. HTTP no longer allows that in responses; a gateway may only reject the message or replace the fold by blanks, and the latter hides a field whose name is spoiled at its start.

HttpConnection looks for such a line in the bytes of each head, also of an interim one, and ends the exchange as malformed. Beast parses a head only when all of it has been received, so the bytes that the parser used up are the whole head and no part of the body. Trailers are neither passed on nor read.

integration/MalformedAnswerTest on the code before: FieldNameAfterABlankIsNotPassedOn got 200 with such an answer, and StreamIsNotResumedWithAMalformedAnswer a stream that counted as complete. Both pass, with eight forms of such a head on three kinds of routes.

--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -34,8 +34,8 @@
 static constexpr std::size_t MaxUnparsedBytes = 2 * MaxResponseHeaderBytes;
 // A server may send some before the response.
 static constexpr int MaxInterimResponses = 8;
-// Others have no meaning in HTTP. 1xx statuses only precede the response, and
-// 101 answers a request that no caller's connection passes on.
+// Of a final response; others have no meaning in HTTP. 1xx statuses precede it,
+// except 101, which answers a request for another protocol: none is sent.
 static constexpr unsigned MinFinalStatus = 200;
 static constexpr unsigned MaxFinalStatus = 599;
 // During a network partition the kernel would by default wait for minutes
@@ -198,8 +198,13 @@
   return Status >= 100 && Status < 200 && Status != 101;
 }
 
-// The parser accepts any three digits as a status.
-std::string HttpConnection::headFinding() const {
+// The parser accepts any three digits as a status, and takes a line that begins
+// with a blank for the continuation of the one before. Such a line is no longer
+// allowed in responses, and may be a field whose name is spoiled, also one that
+// delimits the body.
+std::string HttpConnection::headFinding(std::string_view Bytes) const {
+  if (Bytes.find("\r\n ") != Bytes.npos || Bytes.find("\r\n\t") != Bytes.npos)
+    return "a field line begins with a blank";
   unsigned Status = m_Parser->get().result_int();
   if (isInterimResponse() ||
       (Status >= MinFinalStatus && Status <= MaxFinalStatus))
@@ -241,7 +246,8 @@
     std::size_t Used = m_Parser->put(m_Buffer.data(), Error);
     std::string Finding;
     if (!Error && hasNewHead())
-      Finding = headFinding();
+      Finding = headFinding(
+          {static_cast<const char *>(m_Buffer.data().data()), Used});
     m_Buffer.consume(Used);
     if (!Finding.empty()) {
       rejectResponse(std::move(Finding));
--- a/src/gateway/HttpConnection.h
+++ b/src/gateway/HttpConnection.h
@@ -108,8 +108,9 @@
   void parse(boost::beast::error_code ReadError);
   bool hasNewHead() const;
   bool isInterimResponse() const;
-  /// What is wrong with the parsed head; empty if it is valid.
-  std::string headFinding() const;
+  /// What is wrong with the parsed head, whose bytes are Bytes; empty if it is
+  /// valid.
+  std::string headFinding(std::string_view Bytes) const;
   bool skipInterimResponse();
   void resetParser();
   void keepHeadFields();
--- a/tests/integration/MalformedAnswerTest.cpp
+++ b/tests/integration/MalformedAnswerTest.cpp
@@ -153,12 +153,35 @@
   CHECK(logs("bad field"));
 }
 
+// Guards against a field line that begins with a blank and is taken for the
+// continuation of the one before: it would be passed on in that one's value,
+// and hide the field that delimits the body.
+TEST(MalformedAnswer, FieldNameAfterABlankIsNotPassedOn) {
+  listFaulty();
+  start();
+  for (const char *Line : {" X-Bad: v\r\n", "\tX-Bad: v\r\n", " \r\n"}) {
+    std::string Folded = std::string("X-Other: v\r\n") + Line;
+    checkRejected(sealedAnswer("HTTP/1.1 200 OK", Folded));
+    checkRejected("HTTP/1.1 103 Early\r\n" + Folded + "\r\n" +
+                  sealedAnswer("HTTP/1.1 200 OK", ""));
+  }
+  checkRejected("HTTP/1.1 200 OK\r\n" + ProofFields +
+                "X-Other: v\r\n Content-Length: 3\r\n\r\n" + Event);
+  checkRejected("HTTP/1.1 200 OK\r\n" + ProofFields +
+                "X-Other: v\r\n Transfer-Encoding: chunked\r\n"
+                "Content-Length: 3\r\n\r\n" +
+                Event);
+  CHECK(logs("\"answer-malformed\""));
+  CHECK(logs("begins with a blank"));
+}
+
 // Guards against a stream that has begun and whose next engine gives a
 // malformed answer: what it sends must not be joined to the stream.
 TEST(MalformedAnswer, StreamIsNotResumedWithAMalformedAnswer) {
   for (const std::string &Answer :
        {sealedAnswer("HTTP/1.1 000 ", ""),
-        sealedAnswer("HTTP/1.1 200 OK", "X Bad: v\r\n")}) {
+        sealedAnswer("HTTP/1.1 200 OK", "X Bad: v\r\n"),
+        sealedAnswer("HTTP/1.1 200 OK", "X-Other: v\r\n X-Bad: v\r\n")}) {
     std::atomic<int> Streams{0};
     FakeEndpoint First([&](const ReceivedCall &Call) {
       FakeEndpointAnswer Begun;
@@ -198,7 +221,8 @@
   listFaulty();
   for (const std::string &Answer :
        {sealedAnswer("HTTP/1.1 000 ", ""),
-        sealedAnswer("HTTP/1.1 200 OK", "X Bad: v\r\n")})
+        sealedAnswer("HTTP/1.1 200 OK", "X Bad: v\r\n"),
+        sealedAnswer("HTTP/1.1 200 OK", "X-Other: v\r\n X-Bad: v\r\n")})
     for (const char *Path : {"/repeat/a", "/stream/a"}) {
       setAnswer(Answer);
       start();
