Do not take a malformed report for the crash of an engine

Callers of streams were refused with 503 for 4 s because the only engine had closed the connection of one request and then answered the question for its report with a malformed head, such as one with a blank in a field name. The stream's shared prompt parts were recorded as suspects of a crash.

Cause: CrashDetector asked for CallReply::m_Status being 0, which stands for each call without a complete response, and left out only time-outs. A malformed answer has status 0, too, though an engine that sends anything runs.

It now asks how the call has ended: only a refused or closed connection speaks for a crash, as before a status of 421.

Of the other readers of a zero, PlacementDuty takes a malformed answer to an order for an order without an answer, which is true; StoreWriter, StoreWatcher and VMLease for a call that failed, and repeat it.

--- a/src/gateway/CrashDetector.cpp
+++ b/src/gateway/CrashDetector.cpp
@@ -92,8 +92,9 @@
   }
   m_Client.call(Endpoint, m_Protocol.reportCall(), ReportTimeout,
                 [this, Asked](const CallReply &Reply) {
-                  bool HasFailed = Reply.m_Status == 0 &&
-                                   Reply.m_End != ExchangeEnd::TimedOut;
+                  // An engine that sends anything still runs.
+                  bool HasFailed = Reply.m_End == ExchangeEnd::ConnectFailed ||
+                                   Reply.m_End == ExchangeEnd::Closed;
                   handleResult(Asked, HasFailed || Reply.m_Status ==
                                                        OtherIncarnationStatus);
                 });
--- a/tests/integration/CrashingPromptTest.cpp
+++ b/tests/integration/CrashingPromptTest.cpp
@@ -342,4 +342,28 @@
   CHECK(Output.find("endpoint-crashed") == std::string::npos);
 }
 
+// Guards against an engine that counts as crashed although it has answered, if
+// with a head that is malformed.
+TEST(CrashingPrompt, MalformedReportIsNoCrash) {
+  std::atomic<int> Reports{0};
+  FakeEndpoint Engine([&](const ReceivedCall &Call) {
+    FakeEndpointAnswer Answer;
+    Answer.m_ClosesConnection = Call.m_Path == "/stream/a";
+    if (!Answer.m_ClosesConnection) {
+      Answer.m_Headers["X Bad"] = "v";
+      ++Reports;
+    }
+    return Answer;
+  });
+  m_Store.put("servers/m0", serverEntry("model", Engine.address()));
+  startGateway();
+  for (int Count = 0; Count < 3; ++Count) {
+    LONGS_EQUAL(502, sendStream("bbbb0001", 0));
+    std::this_thread::sleep_for(100ms);
+  }
+  CHECK(eventually([&] { return Reports >= 3; }));
+  std::string Output = m_Gateways[0]->process().output();
+  CHECK(Output.find("endpoint-crashed") == std::string::npos);
+}
+
 PARSLEYRING_TEST_MAIN
