Reject malformed heads in the clients of the router

Callers of the product's own interface got the answer of a service with status 000, 103 or 600, and one whose field names had a blank or a control byte, as a finished answer. With `Content-Length : 3` the body was another one than the service's. An engine with such a head counted as one whose stream broke off, and a value of the platform's store was used whatever the head was.

Cause: cpp-httplib takes any three digits as a status, skips 100 alone of the interim answers, takes all bytes before a colon for the name of a field, and neither EndpointConnection nor HttpPlatformClient asked.

checkResponseHead() is what both now ask. EndpointConnection asks before the body is received, which may be a stream, and once more for answers without a body, for which the library calls no handler. Attempts end as malformed, which the router treats as possibly run; reads of the platform's store fail without effect, and the effect of a write is unknown.

Failed before, pass now: endpoints/ServiceClientTest (StatusOutsideTheFinalOnesIsMalformed, FieldNameThatIsNoTokenIsMalformed: both finished), endpoints/EngineClientTest (MalformedHeadsAreNotUsed: connection-lost), platform/HttpPlatformClientTest (MalformedHeadsAreNotUsed: the value was read).

Not covered: the library leaves out lines without a colon or without a value and hands over neither, so that an answer with `X Bad:` is passed on without that line.

--- a/src/http/EndpointConnection.cpp
+++ b/src/http/EndpointConnection.cpp
@@ -1,5 +1,7 @@
 #include "http/EndpointConnection.h"
 
+#include "http/ResponseHead.h"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -38,7 +40,18 @@
                               httplib::Error &Error) {
   m_BytesSent = 0;
   m_Fault = SocketStream::Fault::None;
-  return send(Request, Response, Error);
+  m_HeadFinding.clear();
+  // Called before the body is received, which may be a stream.
+  Request.response_handler = [this, Next = Request.response_handler](
+                                 const httplib::Response &Received) {
+    m_HeadFinding = checkResponseHead(Received);
+    return m_HeadFinding.empty() && (!Next || Next(Received));
+  };
+  if (!send(Request, Response, Error))
+    return false;
+  // The library does not call the handler for answers without a body.
+  m_HeadFinding = checkResponseHead(Response);
+  return m_HeadFinding.empty();
 }
 
 bool EndpointConnection::registerSocket(int Descriptor) {
--- a/src/http/EndpointConnection.h
+++ b/src/http/EndpointConnection.h
@@ -22,13 +22,17 @@
   /// Time by which the answer to the next request must be complete.
   void setDeadline(SteadyTime Deadline) { m_Deadline = Deadline; }
 
-  /// Sends a request and receives the answer. False if it is incomplete.
+  /// Sends a request and receives the answer. False if it is incomplete or its
+  /// head is not valid.
   bool call(httplib::Request &Request, httplib::Response &Response,
             httplib::Error &Error);
 
   /// Bytes sent by the last request, and its error.
   std::uint64_t bytesSent() const { return m_BytesSent; }
   SocketStream::Fault fault() const { return m_Fault; }
+  /// What is wrong with the head of the last answer; empty if it is valid or
+  /// was not received.
+  const std::string &headFinding() const { return m_HeadFinding; }
 
 protected:
   bool create_and_connect_socket(Socket &Target,
@@ -47,6 +51,7 @@
   SteadyTime m_Deadline = SteadyTime::max();
   std::uint64_t m_BytesSent = 0;
   SocketStream::Fault m_Fault = SocketStream::Fault::None;
+  std::string m_HeadFinding;
 
   mutable std::mutex m_Mutex;
   /// Guarded by m_Mutex. Reset to -1 before the socket may be closed.
--- a/src/platform/HttpPlatformClient.cpp
+++ b/src/platform/HttpPlatformClient.cpp
@@ -4,6 +4,7 @@
 
 #include "core/SocketAddress.h"
 #include "http/MessageBytes.h"
+#include "http/ResponseHead.h"
 
 #include <condition_variable>
 #include <httplib.h>
@@ -128,6 +129,11 @@
           CallEffect == Effect::None || isBeforeSending(Error) ? Kind::NoEffect
                                                                : Kind::Unknown,
           Method + " " + Target + ": " + httplib::to_string(Error));
+    std::string Finding = checkResponseHead(Response);
+    if (!Finding.empty())
+      throw PlatformError(CallEffect == Effect::None ? Kind::NoEffect
+                                                     : Kind::Unknown,
+                          Method + " " + Target + ": " + Finding);
     Response.body = std::move(Answer);
     return Response;
   }
--- a/tests/endpoints/EngineClientTest.cpp
+++ b/tests/endpoints/EngineClientTest.cpp
@@ -100,6 +100,19 @@
     checkResult(AttemptResult::Malformed, StreamHead + chunk(Text));
 }
 
+// Guards against an answer that counts as a stream, or as no answer at all,
+// although its head is malformed.
+TEST(EngineClient, MalformedHeadsAreNotUsed) {
+  const std::string Stream =
+      "Transfer-Encoding: chunked\r\n\r\n" + chunk(token(0, "null"));
+  for (const char *Head :
+       {"HTTP/1.1 000 \r\n", "HTTP/1.1 103 Early\r\n", "HTTP/1.1 600 \r\n",
+        "HTTP/1.1 200 OK\r\nX Bad: v\r\n", "HTTP/1.1 200 OK\r\nX-Bad : v\r\n",
+        "HTTP/1.1 200 OK\r\n X-Bad: v\r\n"})
+    checkResult(AttemptResult::Malformed, Head + Stream);
+  STRCMP_EQUAL("", m_Text.c_str());
+}
+
 // Guards against treating a request as not run (and so safe to retry) although
 // the engine did not say so.
 TEST(EngineClient, RefusalNeedsStatementOfTheEngine) {
--- a/tests/endpoints/ServiceClientTest.cpp
+++ b/tests/endpoints/ServiceClientTest.cpp
@@ -53,6 +53,33 @@
     checkResult(AttemptResult::ConnectionLost, Answer);
 }
 
+// Guards against an answer that is passed on although its status is none that
+// an answer can have.
+TEST(ServiceClient, StatusOutsideTheFinalOnesIsMalformed) {
+  for (const char *Status : {"000", "099", "101", "103", "199", "600", "999"})
+    for (const char *Body :
+         {"Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\nword",
+          "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"})
+      checkResult(AttemptResult::Malformed,
+                  std::string("HTTP/1.1 ") + Status + " \r\n" + Body);
+  STRCMP_EQUAL("status 0 is not one of a final answer",
+               attempt("HTTP/1.1 000 \r\n\r\n").m_Detail.c_str());
+}
+
+// Guards against a field name that is passed on, or that hides the field that
+// delimits the body.
+TEST(ServiceClient, FieldNameThatIsNoTokenIsMalformed) {
+  for (const char *Line :
+       {"X Bad: v", "X-Bad : v", "X-Bad\t: v", " X-Bad: v", "\tX-Bad: v",
+        "X\001Bad: v", "X-Bad\x7f: v", "X\rBad: v", "Content-Length : 3",
+        "Transfer-Encoding : chunked", ": v"})
+    for (const char *Status : {"200 OK", "204 None"})
+      checkResult(AttemptResult::Malformed, std::string("HTTP/1.1 ") + Status +
+                                                "\r\n" + Line +
+                                                "\r\nContent-Length: 4\r\n"
+                                                "\r\nword");
+}
+
 // Guards against retrying a call that may have run.
 TEST(ServiceClient, NotRunOnlyIfConnectFailedOrStated) {
   CHECK(runAt(refusingAddress()).m_Result == AttemptResult::ConnectFailed);
--- a/tests/platform/HttpPlatformClientTest.cpp
+++ b/tests/platform/HttpPlatformClientTest.cpp
@@ -180,6 +180,22 @@
   }
 }
 
+// Guards against an answer that is used although its head is malformed.
+TEST(HttpPlatformClient, MalformedHeadsAreNotUsed) {
+  const std::string Value = R"([{"Key":"k","Value":"aGk=","ModifyIndex":7}])";
+  for (const char *Status : {"000 ", "103 Early", "600 "}) {
+    CHECK(errorOf(Call::Read, answer(Status, Value)) == Kind::NoEffect);
+    CHECK(errorOf(Call::Write, answer(Status, "true")) == Kind::Unknown);
+  }
+  for (const char *Line : {"X Bad: v\r\n", "X-Bad : v\r\n", " X-Bad: v\r\n"}) {
+    CHECK(errorOf(Call::Read, answer("200 OK", Value, Line)) == Kind::NoEffect);
+    CHECK(errorOf(Call::Write, answer("200 OK", "true", Line)) ==
+          Kind::Unknown);
+    CHECK(errorOf(Call::Write, answer("413 Too Large", "", Line)) ==
+          Kind::Unknown);
+  }
+}
+
 // Guards against a shutdown that waits for the end of a watch.
 TEST(HttpPlatformClient, ShutDownEndsCalls) {
   SingleAnswerServer Server("", SingleAnswerServer::ServerMode::KeepOpen);
