Remember stream requests that crash engines

Cause: a stream was known to the crash quarantine by the shared parts of its prompt only. One that crashes engines by its last part was not remembered.

The fingerprint of the request, with the parts of its prompt, is now a suspect beside the shared parts, with its times of sending, and repetitions are refused with `request-quarantined`: 503 with the rest of the quarantine as Retry-After, 502 if they were sent. Plain requests keep their fingerprint.

A part goes no longer before every request, or one frequent part would explain the crashes of each request that has it. The suspect without an answer that explains most crashes is the cause, a part if both explain the same. A part that was answered before goes before such a request only if it explains two crashes more. A harmful part is still found: its requests have fewer crashes each than it has.

RequestQuarantineTest has three new cases for the choice between parts and requests.

--- a/src/admission/CrashQuarantine.cpp
+++ b/src/admission/CrashQuarantine.cpp
@@ -18,6 +18,10 @@
 // crashed too.
 static constexpr int MinSuccessive = 2;
 
+// Crashes by which a prompt part that was answered before must exceed a request
+// to be the cause in its place. One may have another reason.
+static constexpr int MinExcessOfPart = 2;
+
 static constexpr std::size_t MaxCrashes = 512;
 static constexpr std::size_t MaxAnsweredSuspects = 20000;
 // How often old evidence is dropped.
@@ -197,20 +201,41 @@
 
 // Of two suspects that were cut off by the same crashes, the one with fewer
 // requests is the cause: a harmless one that is as frequent in crashes is that
-// because it is frequent in general. A prompt part goes before a request, which
-// has no crashes that its parts do not have.
+// because it is frequent in general. If these are the same, a prompt part goes
+// before a request, which has no crashes that its parts do not have.
 bool CrashQuarantine::isBetterCause(const std::string &Suspect,
                                     const Evidence &Facts,
                                     const std::string &OtherSuspect,
                                     const Evidence &OtherFacts) const {
-  bool IsRequest = EndpointCrash::isRequestSuspect(Suspect);
-  bool IsOtherRequest = EndpointCrash::isRequestSuspect(OtherSuspect);
-  bool IsNew = &requirement(Suspect) == &NeverAnswered;
-  bool IsOtherNew = &requirement(OtherSuspect) == &NeverAnswered;
-  return std::make_tuple(IsRequest, !IsNew, -Facts.m_Crashes,
-                         Facts.m_Requests) <
-         std::make_tuple(IsOtherRequest, !IsOtherNew, -OtherFacts.m_Crashes,
-                         OtherFacts.m_Requests);
+  auto Rank = [this](const std::string &Id, const Evidence &Found) {
+    bool IsRequest = EndpointCrash::isRequestSuspect(Id);
+    bool WasAnswered = &requirement(Id) == &AnsweredBefore;
+    return std::make_tuple(WasAnswered, WasAnswered && IsRequest,
+                           -Found.m_Crashes, Found.m_Requests, IsRequest);
+  };
+  return Rank(Suspect, Facts) < Rank(OtherSuspect, OtherFacts);
+}
+
+// All prompts with a part that was answered before may have been cut off by the
+// crashes of one request. The part is the cause only if it has clearly more
+// crashes than the request that has most.
+const std::string &CrashQuarantine::bestCause(
+    const std::map<std::string, Evidence> &Candidates) const {
+  auto IsBetter = [this](const auto &Left, const auto &Right) {
+    return isBetterCause(Left.first, Left.second, Right.first, Right.second);
+  };
+  const auto Best =
+      std::min_element(Candidates.begin(), Candidates.end(), IsBetter);
+  if (!EndpointCrash::isRequestSuspect(Best->first) ||
+      &requirement(Best->first) == &AnsweredBefore)
+    return Best->first;
+  auto Part = Candidates.end();
+  for (auto Each = Candidates.begin(); Each != Candidates.end(); ++Each)
+    if (!EndpointCrash::isRequestSuspect(Each->first) &&
+        Each->second.m_Crashes >= Best->second.m_Crashes + MinExcessOfPart &&
+        (Part == Candidates.end() || IsBetter(*Each, *Part)))
+      Part = Each;
+  return Part == Candidates.end() ? Best->first : Part->first;
 }
 
 // Takes the best cause, leaves out the crashes that it explains, and goes on
@@ -233,15 +258,11 @@
   }
   std::map<std::string, Quarantine> Causes;
   while (!Candidates.empty()) {
-    auto Best =
-        std::min_element(Candidates.begin(), Candidates.end(),
-                         [this](const auto &Left, const auto &Right) {
-                           return isBetterCause(Left.first, Left.second,
-                                                Right.first, Right.second);
-                         });
-    const std::string Cause = Best->first;
-    Causes[Cause] = {Best->second.m_Crashes,
-                     Best->second.m_LastAt + requirement(Cause).m_Period};
+    // A copy, since the candidate will be erased.
+    const std::string Cause = bestCause(Candidates);
+    const Evidence &Best = Candidates[Cause];
+    Causes[Cause] = {Best.m_Crashes,
+                     Best.m_LastAt + requirement(Cause).m_Period};
     std::set<std::string> Affected;
     for (std::size_t Index : IndicesBySuspect[Cause]) {
       MergedCrash &Crash = Crashes[Index];
--- a/src/admission/CrashQuarantine.h
+++ b/src/admission/CrashQuarantine.h
@@ -117,6 +117,8 @@
   bool isBetterCause(const std::string &Suspect, const Evidence &Facts,
                      const std::string &OtherSuspect,
                      const Evidence &OtherFacts) const;
+  const std::string &
+  bestCause(const std::map<std::string, Evidence> &Candidates) const;
   std::map<std::string, Quarantine> findCauses(Time Now);
 
   static constexpr std::size_t MaxAnsweredRequests = 10000;
--- a/src/gateway/CrashGuard.h
+++ b/src/gateway/CrashGuard.h
@@ -31,7 +31,7 @@
              std::function<Time()> Now, CrashHandler OnCrash);
 
   bool hasQuarantine() const { return m_Quarantine.size() > 0; }
-  /// True if crashes have cut off requests of plain services lately.
+  /// True if crashes have cut off requests lately that may be repeated.
   bool hasRequestSuspects() const { return m_Quarantine.hasRequestSuspects(); }
   /// When the quarantine of these suspects ends; empty if there is none.
   std::optional<Time>
@@ -40,12 +40,18 @@
   }
   /// An endpoint has answered a request with these suspects, and still runs.
   void noteAnswer(const std::vector<std::string> &Suspects);
-  /// Engine has closed the connection of a request whose prompt has these
-  /// parts, before it was answered.
-  void noteCutOff(const FleetTable::Handle &Engine,
-                  const std::vector<std::string> &PromptParts) {
+  /// Engine has closed the connection of this request, which was sent at
+  /// SentAt and whose prompt shares these parts with others, before it was
+  /// answered.
+  void noteStreamCutOff(const FleetTable::Handle &Engine,
+                        const std::vector<std::string> &PromptParts,
+                        const std::string &RequestSuspect, Time SentAt) {
+    // Other requests have these parts, too, so no time of sending shows that
+    // the cause was sent again.
     m_Detector.noteCutOff(Engine, PromptParts, Time{},
                           CrashDetector::Method::Report);
+    m_Detector.noteCutOff(Engine, {RequestSuspect}, SentAt,
+                          CrashDetector::Method::Report);
   }
   /// Endpoint, of a plain service, has closed the connection of this request,
   /// which was sent at SentAt, before any answer.
--- a/src/gateway/ForwardContext.cpp
+++ b/src/gateway/ForwardContext.cpp
@@ -1,6 +1,8 @@
 #include "gateway/ForwardContext.h"
 
 #include "core/NameTable.h"
+#include "gateway/CrashGuard.h"
+#include "gateway/RequestFingerprint.h"
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -13,6 +15,10 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
+// Larger bodies are hashed only while there are requests that may have crashed
+// endpoints, since that holds up the event loop.
+static constexpr std::size_t MaxEagerHashBytes = 64 << 10;
+
 static constexpr NameTable<ForwardOutcome, 5> ForwardOutcomeNames{
     {"completed", "refused", "failed", "broken", "caller-left"}};
 
@@ -269,6 +275,31 @@
                           {{"endpoint", Id}, {"requests_per_s", *Rate}});
 }
 
+const std::string &ForwardedRequest::requestSuspect() {
+  if (m_RequestSuspect.empty()) {
+    std::string PromptParts;
+    if (m_Job.m_Service->isLayered())
+      PromptParts =
+          m_Job.m_Request.field(m_Context.protocol().headers().m_PromptParts);
+    m_RequestSuspect = EndpointCrash::requestSuspect(
+        requestFingerprint(m_Job.m_Request, m_Job.m_Account, PromptParts));
+  }
+  return m_RequestSuspect;
+}
+
+std::optional<Time> ForwardedRequest::requestQuarantinedUntil() {
+  CrashGuard &Guard = m_Context.crashGuard();
+  return Guard.hasQuarantine() ? Guard.quarantinedUntil({requestSuspect()})
+                               : std::nullopt;
+}
+
+void ForwardedRequest::noteRequestAnswered() {
+  CrashGuard &Guard = m_Context.crashGuard();
+  bool IsLarge = m_Job.m_Request.m_Body.size() > MaxEagerHashBytes;
+  if (!IsLarge || Guard.hasRequestSuspects())
+    Guard.noteAnswer({requestSuspect()});
+}
+
 void ForwardedRequest::answerLimited(const LimitedCapacity &Capacity) {
   Duration Delay = m_Context.returnSchedule(m_Job.m_Service->m_Name)
                        .next(Capacity.m_Delay, Capacity.m_RequestsPerSecond,
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -150,6 +150,13 @@
   void answerResting(Time RestEnd);
   /// Answers with a status that leaves open whether the request has run.
   void answerFailed(unsigned Status);
+  /// By which the crash guard knows the request and its repetitions.
+  const std::string &requestSuspect();
+  /// When the quarantine of the request ends; empty if there is none.
+  std::optional<Time> requestQuarantinedUntil();
+  /// Tells the crash guard that an endpoint has answered the request and still
+  /// runs.
+  void noteRequestAnswered();
   /// Counts and logs the end of the request; Details are added to the line.
   void recordEnd(ForwardOutcome Outcome, std::string_view Reason,
                  unsigned Status,
@@ -160,6 +167,7 @@
   ForwardContext &m_Context;
   ForwardJob m_Job;
   bool m_IsDone = false;
+  std::string m_RequestSuspect; ///< Empty until it is needed.
 
 private:
   void noteLimit(const FleetTable::Handle &Endpoint, const ResponseHead &Head,
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -1,7 +1,6 @@
 #include "gateway/PlainForward.h"
 
 #include "gateway/CrashGuard.h"
-#include "gateway/RequestFingerprint.h"
 
 #include <algorithm>
 #include <charconv>
@@ -30,9 +29,6 @@
 // Answers whose reading has paused go on when there is room for so much more.
 static constexpr std::size_t ResumeBytes = 16 << 10;
 static constexpr int MaxCutOffs = 2;
-// Larger bodies are hashed only while there are requests that may have crashed
-// endpoints, since that holds up the event loop.
-static constexpr std::size_t MaxEagerHashBytes = 64 << 10;
 // Penalty for an endpoint in another failure domain, in requests in progress.
 static constexpr double RemotePenaltyRequests = 1.5;
 
@@ -106,19 +102,6 @@
   return BestAllowed;
 }
 
-const std::string &PlainForward::suspect() {
-  if (m_Suspect.empty())
-    m_Suspect = EndpointCrash::requestSuspect(
-        requestFingerprint(m_Job.m_Request, m_Job.m_Account));
-  return m_Suspect;
-}
-
-std::optional<Time> PlainForward::quarantinedUntil() {
-  CrashGuard &Guard = m_Context.crashGuard();
-  return Guard.hasQuarantine() ? Guard.quarantinedUntil({suspect()})
-                               : std::nullopt;
-}
-
 // True if the request has been cut off by two endpoints and one of them is
 // known to have crashed. If the request is the cause, a third endpoint would
 // crash as well, which may be the last one.
@@ -137,7 +120,7 @@
 bool PlainForward::trySend(std::string_view Reason) {
   if (m_Sends >= m_Job.m_Route->m_MaxAttempts || hasCrashedEndpoints())
     return false;
-  if (quarantinedUntil()) {
+  if (requestQuarantinedUntil()) {
     m_IsQuarantined = true;
     return false;
   }
@@ -273,12 +256,12 @@
 void PlainForward::noteCutOff(Attempt &Ended) {
   Time Now = m_Context.now();
   Ended.m_IsCutOff = true;
-  m_Context.crashGuard().noteRequestCutOff(Ended.m_Endpoint, suspect(),
+  m_Context.crashGuard().noteRequestCutOff(Ended.m_Endpoint, requestSuspect(),
                                            Ended.m_SentAt);
   m_Context.log().write(
       Now, "attempt-cut-off", m_Job.m_Id,
       {{"endpoint", Ended.m_Endpoint->m_Entry.m_Id},
-       {"suspect", suspect()},
+       {"suspect", requestSuspect()},
        {"taken_ms", std::int64_t((Now - Ended.m_SentAt).count() / 1000)},
        {"reused_connection", std::int64_t(Ended.m_IsReused)}});
 }
@@ -315,9 +298,7 @@
   Ended->m_Endpoint->noteResult(!IsFailure, Taken, Now);
   if (IsProved) {
     keepConnection(Ended->m_Connection, Head);
-    bool IsLarge = m_Job.m_Request.m_Body.size() > MaxEagerHashBytes;
-    if (!IsLarge || m_Context.crashGuard().hasRequestSuspects())
-      m_Context.crashGuard().noteAnswer({suspect()});
+    noteRequestAnswered();
   } else {
     // Nothing shows that the endpoint gave this answer to this request, or that
     // what it says is true.
@@ -420,7 +401,7 @@
 // 503 states that the request has not run; 502 and 504 leave that open.
 void PlainForward::finishWithoutAnswer(std::string_view Reason) {
   std::optional<Time> Quarantined =
-      m_IsQuarantined ? quarantinedUntil() : std::nullopt;
+      m_IsQuarantined ? requestQuarantinedUntil() : std::nullopt;
   if (Quarantined && Reason != "timeout")
     Reason = "request-quarantined";
   if (!m_MayHaveRun) {
--- a/src/gateway/PlainForward.h
+++ b/src/gateway/PlainForward.h
@@ -40,10 +40,6 @@
   double cost(const FleetEndpoint &Endpoint, double LowestLatencyMs) const;
   bool wasTried(const FleetTable::Handle &Endpoint) const;
   FleetTable::Handle chooseEndpoint();
-  /// By which the crash guard knows the request and its repetitions.
-  const std::string &suspect();
-  /// When the quarantine of the request ends; empty if there is none.
-  std::optional<Time> quarantinedUntil();
   bool hasCrashedEndpoints() const;
   /// False if no endpoint, attempt or retry budget is left, or if the request
   /// crashes endpoints.
@@ -71,7 +67,6 @@
   void forwardAnswer(Attempt &Ended);
   void finish(ForwardOutcome Outcome, std::string_view Reason, unsigned Status);
 
-  std::string m_Suspect; ///< Empty until it is needed.
   std::vector<AttemptHandle> m_Attempts;
   AttemptHandle m_LastFailure; ///< 5xx answer to forward if no retry works.
   int m_Sends = 0;             ///< Attempts, without failed connects.
--- a/src/gateway/RequestFingerprint.cpp
+++ b/src/gateway/RequestFingerprint.cpp
@@ -11,7 +11,8 @@
 static constexpr std::size_t FingerprintBytes = 16;
 
 std::string requestFingerprint(const CallerRequest &Request,
-                               const std::string &Account) {
+                               const std::string &Account,
+                               const std::string &PromptParts) {
   std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)> Context(
       EVP_MD_CTX_new(), EVP_MD_CTX_free);
   if (!Context || !EVP_DigestInit_ex(Context.get(), EVP_sha256(), nullptr))
@@ -28,6 +29,8 @@
   // Repetitions may differ in their query.
   Add(Request.m_Target.substr(0, Request.m_Target.find('?')));
   Add(Request.m_Body);
+  if (!PromptParts.empty())
+    Add(PromptParts);
   unsigned char Digest[EVP_MAX_MD_SIZE];
   EVP_DigestFinal_ex(Context.get(), Digest, nullptr);
   static constexpr char Digits[] = "0123456789abcdef";
--- a/src/gateway/RequestFingerprint.h
+++ b/src/gateway/RequestFingerprint.h
@@ -8,9 +8,11 @@
 namespace parsleyring {
 
 /// Identifies repetitions of a request: equal on all VMs if the client account,
-/// the method, the host, the path and the body are.
+/// the method, the host, the path and the body are, and for a stream the parts
+/// of its prompt as stated in its header; empty for other requests.
 std::string requestFingerprint(const CallerRequest &Request,
-                               const std::string &Account);
+                               const std::string &Account,
+                               const std::string &PromptParts = "");
 
 } // namespace parsleyring
 
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -298,25 +298,32 @@
     return;
   m_Attempt->m_IsAnswered = true;
   m_Context.crashGuard().noteAnswer(m_Fields.m_SharedParts);
+  noteRequestAnswered();
 }
 
 // The engine may have crashed, perhaps because of this request.
 void StreamForward::noteCutOff(const StreamAttempt &Attempt) {
   if (!Attempt.m_IsAnswered)
-    m_Context.crashGuard().noteCutOff(Attempt.firstEngine(),
-                                      m_Fields.m_SharedParts);
+    m_Context.crashGuard().noteStreamCutOff(Attempt.firstEngine(),
+                                            m_Fields.m_SharedParts,
+                                            requestSuspect(), Attempt.m_SentAt);
 }
 
-// Ends the request if a part of its prompt crashes engines, unless it has been
-// answered already, which shows that it does not. Returns true if it was ended.
+// Ends the request if it or a part of its prompt crashes engines, unless it has
+// been answered already, which shows that it does not. Returns true if it was
+// ended.
 bool StreamForward::endIfQuarantined() {
   if (m_Progress.m_Events > 0)
     return false;
   std::optional<Time> Until =
       m_Context.crashGuard().quarantinedUntil(m_Fields.m_SharedParts);
+  std::string_view Reason = "prompt-quarantined";
+  if (!Until) {
+    Until = requestQuarantinedUntil();
+    Reason = "request-quarantined";
+  }
   if (!Until)
     return false;
-  static constexpr std::string_view Reason = "prompt-quarantined";
   if (mayHaveRun()) {
     failRequest(Reason);
     return true;
@@ -506,6 +513,7 @@
       {{"reason", Reason},
        {"path", pathIds(Attempt.path())},
        {"prompt_parts", joined(m_Fields.m_SharedParts)},
+       {"suspect", m_RequestSuspect},
        {"events", std::int64_t(m_Progress.m_Events)},
        {"attempt_events", std::int64_t(Attempt.m_Events)},
        {"silent_ms",
--- a/tests/admission/RequestQuarantineTest.cpp
+++ b/tests/admission/RequestQuarantineTest.cpp
@@ -336,6 +336,55 @@
   LONGS_EQUAL(1, m_Quarantine.size());
 }
 
+// Guards against sound prompts that are refused for one that crashes engines,
+// since they share a part with it and no engine is left that could answer them.
+TEST(RequestQuarantine, RequestGoesBeforeAPartThatWasAnswered) {
+  for (int Engine = 0; Engine < 6; ++Engine) {
+    Time At = Start + Engine * 300ms;
+    EndpointCrash Crash{"e" + std::to_string(Engine), At, {}};
+    Crash.m_Suspects = {{"part", 4, true}, {Sound, 1, true, At - 60ms}};
+    // The last crash has another reason.
+    if (Engine < 5)
+      Crash.m_Suspects.push_back({Guilty, 1, false, At - 60ms});
+    m_Quarantine.addCrash("vm-0", std::move(Crash));
+    m_Quarantine.update(At);
+  }
+  CHECK(m_Quarantine.isQuarantined(Guilty));
+  LONGS_EQUAL(1, m_Quarantine.size());
+}
+
+// Guards against a sound part without an answer so far that is refused since it
+// was on most of the engines that a request has crashed.
+TEST(RequestQuarantine, RequestWithMoreCrashesGoesBeforeAPart) {
+  for (int Engine = 0; Engine < 4; ++Engine) {
+    Time At = Start + Engine * 300ms;
+    EndpointCrash Crash{"e" + std::to_string(Engine), At, {}};
+    Crash.m_Suspects = {{Guilty, 1, false, At - 60ms}};
+    if (Engine > 0)
+      Crash.m_Suspects.push_back({"part", 1, false});
+    m_Quarantine.addCrash("vm-0", std::move(Crash));
+    m_Quarantine.update(At);
+  }
+  CHECK(m_Quarantine.isQuarantined(Guilty));
+  LONGS_EQUAL(1, m_Quarantine.size());
+}
+
+// Guards against a harmful part that is found late, since each of the requests
+// that have it is taken for the cause of the crashes that it was on.
+TEST(RequestQuarantine, PartOfSeveralRequestsGoesBeforeEach) {
+  for (int Engine = 0; Engine < 6; ++Engine) {
+    Time At = Start + Engine * 300ms;
+    std::string Request =
+        EndpointCrash::requestSuspect(std::to_string(Engine / 3));
+    EndpointCrash Crash{"e" + std::to_string(Engine), At, {}};
+    Crash.m_Suspects = {{"part", 1, true}, {Request, 1, false, At - 60ms}};
+    m_Quarantine.addCrash("vm-0", std::move(Crash));
+    m_Quarantine.update(At);
+  }
+  CHECK(m_Quarantine.isQuarantined("part"));
+  LONGS_EQUAL(1, m_Quarantine.size());
+}
+
 // Guards against a request that reaches endpoints again and again in a service
 // of any size, and against sound requests that stay refused.
 TEST(RequestQuarantine, GuiltyRequestIsFoundAmongSoundOnes) {
--- a/tests/gateway/RequestFingerprintTest.cpp
+++ b/tests/gateway/RequestFingerprintTest.cpp
@@ -50,6 +50,9 @@
   Other.m_Body = "ody";
   CHECK(Original != fingerprint(Other));
   CHECK(Original != requestFingerprint(m_Request, "other"));
+  std::string Prompt = requestFingerprint(m_Request, "account", "aa:1,bb:2");
+  CHECK(Original != Prompt);
+  CHECK(Prompt != requestFingerprint(m_Request, "account", "aa:1,bc:2"));
 }
 
 // Guards against a body that is read beyond its end, or not to its end.
--- a/tests/integration/CrashingPromptTest.cpp
+++ b/tests/integration/CrashingPromptTest.cpp
@@ -21,6 +21,8 @@
 // Bounds of the platform: crashes after which a part must be known, the time
 // that the VMs have for it, and how many requests may still reach an engine.
 static constexpr int MaxCrashes = 5;
+// The same for a single request.
+static constexpr int MaxRequestCrashes = 3;
 static constexpr std::chrono::milliseconds StableTime = 3000ms;
 static constexpr int MaxLateRequests = 3;
 
@@ -149,6 +151,7 @@
   FakeMetadataStore m_Store;
   std::vector<std::unique_ptr<GatewayProcess>> m_Gateways;
   std::atomic<int> m_Requests{0};
+  std::atomic<int> m_Prompts{0};
 
   void setup() override { m_Store.put("op/config", gatewayConfiguration(1)); }
   void teardown() override { m_Gateways.clear(); }
@@ -160,18 +163,23 @@
   /// Sends a prompt with this part between a part that all prompts share and
   /// one of its own.
   int sendStream(const std::string &Part, std::size_t Gateway) {
+    return sendPrompt("aaaa0001:40," + Part + ":30,ffff" +
+                          std::to_string(++m_Prompts) + ":30",
+                      Gateway);
+  }
+  /// Sends a prompt of these parts; the last one is no part of others.
+  int sendPrompt(const std::string &Parts, std::size_t Gateway) {
     std::string Number = std::to_string(++m_Requests);
     HttpRequest Request;
     Request.m_Method = "POST";
     Request.m_Path = "/stream/a";
     Request.m_Body = "the body";
-    Request.m_Headers = {
-        {"Host", "host"},
-        {"Attempt-Id", "id-" + Number},
-        {"Authorization", "Bearer key-1"},
-        {"Token-Count", "100,20"},
-        {"Prompt-Prefix", "aaaa0001:40," + Part + ":30,ffff" + Number + ":30"},
-        {"Deadline-Ms", "2500"}};
+    Request.m_Headers = {{"Host", "host"},
+                         {"Attempt-Id", "id-" + Number},
+                         {"Authorization", "Bearer key-1"},
+                         {"Token-Count", "100,20"},
+                         {"Prompt-Prefix", Parts},
+                         {"Deadline-Ms", "2500"}};
     return sendHttp(m_Gateways[Gateway]->callerAddress(), Request).m_Status;
   }
 };
@@ -241,6 +249,70 @@
   CHECK_TEXT(After.share() >= Before.share() / 2, Message.c_str());
 }
 
+// Guards against a request that crashes engine after engine by the last part of
+// its prompt, or whose prompt has no other part: no VM remembers that it never
+// got an answer. Sound requests that share its other parts must still be
+// served.
+TEST(CrashingPrompt, RequestThatCrashesEnginesReachesNoFurtherOnes) {
+  for (const std::string &Parts :
+       {"aaaa0001:40,bbbb0001:30," + CrashingPart + ":30",
+        CrashingPart + ":30"}) {
+    CrashingEngines Engines(m_Store, 8);
+    for (int Count = 0; Count < 3; ++Count)
+      startGateway();
+    AnswerCount Sound;
+    std::atomic<bool> IsCounted{false};
+    std::atomic<bool> IsStopping{false};
+    std::vector<std::thread> Callers;
+    for (unsigned Caller = 0; Caller < 6; ++Caller)
+      Callers.emplace_back([&, Caller] {
+        std::minstd_rand Random(Caller + 1);
+        while (!IsStopping) {
+          std::string Part = "bbbb000" + std::to_string(Random() % 4);
+          bool Counts = IsCounted;
+          int Status = sendStream(Part, Random() % 3);
+          Sound.m_Sent += Counts;
+          Sound.m_Answered += Counts && Status == 200;
+          std::this_thread::sleep_for(std::chrono::milliseconds(Random() % 40));
+        }
+      });
+    std::this_thread::sleep_for(1s);
+    std::thread CrashingCaller([&] {
+      for (std::size_t Number = 0; !IsStopping; ++Number) {
+        sendPrompt(Parts, Number % 3);
+        std::this_thread::sleep_for(50ms);
+      }
+    });
+    eventually([&] { return Engines.crashes() >= MaxRequestCrashes; }, 5s);
+    std::this_thread::sleep_for(StableTime);
+    int RequestsBefore = Engines.crashingRequests();
+    IsCounted = true;
+    std::this_thread::sleep_for(StableTime);
+    IsStopping = true;
+    CrashingCaller.join();
+    for (std::thread &Caller : Callers)
+      Caller.join();
+    int LateRequests = Engines.crashingRequests() - RequestsBefore;
+    std::string Message = Parts + ": " + std::to_string(LateRequests) +
+                          " late requests, " + std::to_string(RequestsBefore) +
+                          " before, " + std::to_string(Engines.crashes()) +
+                          " crashes, " + std::to_string(Sound.m_Answered) +
+                          " of " + std::to_string(Sound.m_Sent) +
+                          " sound requests answered";
+    CHECK_TEXT(Engines.crashes() >= MaxRequestCrashes, Message.c_str());
+    CHECK_TEXT(LateRequests <= MaxLateRequests, Message.c_str());
+    CHECK_TEXT(Sound.m_Sent >= 20, Message.c_str());
+    CHECK_TEXT(Sound.share() >= 0.9, Message.c_str());
+    // A prompt part that is refused takes sound requests with it.
+    for (const auto &Gateway : m_Gateways)
+      CHECK_TEXT(Gateway->process().output().find(
+                     "suspect-quarantined\",\"suspect\":\"bbbb") ==
+                     std::string::npos,
+                 Message.c_str());
+    m_Gateways.clear();
+  }
+}
+
 // Guards against crashes that only the VM knows that saw them, since the store
 // was not available then: the other VMs and a new one would repeat them.
 TEST(CrashingPrompt, AllVMsKnowOfCrashesAfterAnOutageOfTheStore) {
