Start the stall in LinkLimitTest after all streams have started

Cause, by a trial: with one of the eight caller threads held up for 1 s the same check fails after 122 s. The engine's report names the stalled part as soon as it is asked, so the part is suspect before the late stream arrives. That stream finds no path and gets 503, which is right, the engine never sees eight streams, and the others end at their deadline while the test waits.

The engine now names the stalled part once all streams have started; the check, its bound and the number of streams are as before. With the thread held up for 1 s the case passes three times of three in 4.3 s, the whole test without it three times of three.

--- a/tests/integration/LinkLimitTest.cpp
+++ b/tests/integration/LinkLimitTest.cpp
@@ -224,8 +224,10 @@
     }
     if (Id.empty()) {
       json Entries = json::array();
-      for (const std::string &Each : Started)
-        Entries.push_back({{"id", Each}, {"address", Stalled.address()}});
+      // A stream that starts while the part is suspect finds no path.
+      if (Started.size() == Streams)
+        for (const std::string &Each : Started)
+          Entries.push_back({{"id", Each}, {"address", Stalled.address()}});
       Answer.m_Body = json{{"pace", 1.0}, {"stalled", Entries}}.dump();
       return Answer;
     }
