Let the fake endpoints accept connections that come together

Cause: cpp-httplib listens with a backlog of 5, so that the kernel drops the first SYN of the seventh and eighth connection if eight come before the server has accepted one. It is sent again after 1 s, while the gateway gives up connecting after 250 ms, answers 503 and keeps the engine out, as it should.

Evidence: in a loop of the whole test beside four busy processes, on a scratch copy that prints the gateway's log, the seventh run failed. Six streams had started; the log has `endpoint-suspect` with `connect-failed` 250 ms after the start, and two requests refused for it. That the earlier failures had the same cause is not shown, but they fit.

LoopbackServer, which FakeEndpoint and FakeMetadataStore use, now listens with the largest backlog: `ss` shows 4096 for its sockets, where it showed 5.

--- a/tests/support/GatewayTestServers.cpp
+++ b/tests/support/GatewayTestServers.cpp
@@ -8,6 +8,8 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include <sys/socket.h>
+
 #include <chrono>
 #include <condition_variable>
 #include <thread>
@@ -40,7 +42,14 @@
       else
         m_Server.Delete(".*", Respond);
     }
+    socket_t Listener = INVALID_SOCKET;
+    m_Server.set_socket_options(
+        [&Listener](socket_t Socket) { Listener = Socket; });
     int Port = m_Server.bind_to_any_port("127.0.0.1");
+    m_Server.set_socket_options(nullptr);
+    // The library listens with a backlog of 5. More connections that come
+    // together would wait for a second SYN, for longer than the gateway does.
+    ::listen(Listener, SOMAXCONN);
     m_Address = "127.0.0.1:" + std::to_string(Port);
     m_Thread = std::thread([this] { m_Server.listen_after_bind(); });
     eventually([this] { return m_Server.is_running(); });
