--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -42,7 +42,7 @@
   Gateway Node(Temporary, "edge-1", loopbackIp(10), Platform.address());
   Node.start(Pipe[1]);
   close(Pipe[1]);
-  if (!Node.awaitReady(5000))
+  if (!Node.awaitReady(20000))
     return CannotRun;
   sleepMs(4000); // Longer than stable_ms.
 
