--- a/review/8/case.cc
+++ b/review/seen-2/hidden-request/case.cc
@@ -1,6 +1,6 @@
 // Clients send requests whose Transfer-Encoding does not end with chunked. What
 // follows the head looks like a request of its own.
-#include "../standin-2/standins.h"
+#include "../../standin-2/standins.h"
 
 using namespace review;
 
