Let nobody in when the list of accounts is empty

Cause: the reader of the configuration set RouteTable::m_HasAccounts to "the list is not empty", and the gateway asks for a key only where it is set. An empty list, which lets nobody in, had the same value as the absence of the list, which leaves the routes open. The store, other VMs and a start all use this one reader.

Now m_AccountCount is empty without a list and 0 for an empty one, and requiresKey() decides by it. A request with any key then gets the same 401 as one with an unknown key; routes that ask for no key are served as before.

--- a/src/fleet/RouteTable.cpp
+++ b/src/fleet/RouteTable.cpp
@@ -22,6 +22,12 @@
   ++m_RouteCount;
 }
 
+// A list without entries asks for a key as any other does: no key is valid
+// then. Only the absence of the list leaves the routes open.
+bool RouteTable::requiresKey(const RouteRule &Route) const {
+  return m_AccountCount && !Route.m_IsAnonymous;
+}
+
 std::shared_ptr<const RouteRule> RouteTable::find(const std::string &Host,
                                                   std::string_view Path) const {
   auto Routes = m_RoutesByHost.find(Host);
--- a/src/fleet/RouteTable.h
+++ b/src/fleet/RouteTable.h
@@ -77,9 +77,14 @@
   CallerLimits m_Limits;
   std::map<std::string, ServiceRule, std::less<>> m_Services;
   std::unordered_map<std::string, AccountRule> m_AccountsByKey;
-  bool m_HasAccounts = false;
+  /// Number of accounts, with and without keys. Empty if there is no list of
+  /// accounts; a list without entries has 0.
+  std::optional<std::size_t> m_AccountCount;
 
   void addRoute(RouteRule Rule);
+  /// True if a request on this route is only allowed with a key of
+  /// m_AccountsByKey.
+  bool requiresKey(const RouteRule &Route) const;
   /// The rule with the longest prefix of Path; null if there is none.
   std::shared_ptr<const RouteRule> find(const std::string &Host,
                                         std::string_view Path) const;
--- a/src/gateway/GatewayNode.cpp
+++ b/src/gateway/GatewayNode.cpp
@@ -265,7 +265,7 @@
   Job.m_Priority = Job.m_Route->m_Priority;
   const HeaderNames &Names = m_Protocol.headers();
   Job.m_Id = Request.field(Names.m_RequestId);
-  if (Table->m_HasAccounts && !Job.m_Route->m_IsAnonymous) {
+  if (Table->requiresKey(*Job.m_Route)) {
     if (!hasBearerScheme(Request.field("Authorization")))
       return Refusal{401, "no-key"};
     const AccountRule *Account = accountOf(Request.m_Fields);
--- a/tests/integration/RestoredStoreTest.cpp
+++ b/tests/integration/RestoredStoreTest.cpp
@@ -7,6 +7,8 @@
 
 #include "core/SocketAddress.h"
 
+#include <nlohmann/json.hpp>
+
 #include <chrono>
 #include <memory>
 #include <thread>
@@ -68,6 +70,11 @@
   void writeVersion(int Version, bool HasRepeatRoute = true) {
     m_Store.put("op/config", gatewayConfiguration(Version, HasRepeatRoute));
   }
+  void writeEmptyAccountList(int Version) {
+    auto Root = nlohmann::json::parse(gatewayConfiguration(Version));
+    Root["tenants"] = nlohmann::json::array();
+    m_Store.put("op/config", Root.dump());
+  }
   void restore(std::chrono::milliseconds Outage) {
     m_Store.setDown(true);
     std::this_thread::sleep_for(Outage);
@@ -188,6 +195,29 @@
   LONGS_EQUAL(2, versions(*m_Gateways.back()).front());
 }
 
+// Guards against a withdrawal of all accounts that is taken back, or that opens
+// all routes, on a VM that has it from another one: the store is out of reach
+// for one VM, and has an older copy when another VM starts.
+TEST(RestoredStore, EmptyAccountListStaysInForce) {
+  FakeEndpoint Endpoint(
+      [](const ReceivedCall &) { return FakeEndpointAnswer(); });
+  m_Store.put("servers/e1", serverEntry("plain", Endpoint.address()));
+  startGateways();
+  for (std::size_t Gateway = 0; Gateway < VMCount; ++Gateway)
+    LONGS_EQUAL(200, send(Gateway));
+  m_Store.keepCopy();
+  m_Proxy.setFaults(R"({"lose_to_server": true, "lose_to_client": true})");
+  writeEmptyAccountList(2);
+  checkInForceInTime(2);
+  restore(300ms);
+  std::this_thread::sleep_for(1s);
+  CHECK(startGateway(m_Store.address()).waitUntilReady());
+  std::size_t CallsBefore = Endpoint.calls().size();
+  for (std::size_t Gateway = 0; Gateway < m_Gateways.size(); ++Gateway)
+    LONGS_EQUAL(401, send(Gateway));
+  LONGS_EQUAL(CallsBefore, Endpoint.calls().size());
+}
+
 // Guards against a VM that was suspended while a change applied, and does not
 // hear of it any more since the copy is older.
 TEST(RestoredStore, VMThatMissedAChangeTakesItFromOthers) {
--- a/tests/platform/PlatformRecordFormatTest.cpp
+++ b/tests/platform/PlatformRecordFormatTest.cpp
@@ -34,6 +34,30 @@
   CHECK(!Table->service("plain")->isLayered());
 }
 
+// Guards against an empty list of accounts, or one without keys, that is taken
+// for the absence of a list, which leaves all routes open.
+TEST(PlatformRecordFormat, EmptyAccountListRequiresKeys) {
+  auto RequiresKey = [&](const json &Accounts, bool IsAnonymous) {
+    json Root = json::parse(gatewayConfiguration(7));
+    Root["routes"][0]["anonymous"] = IsAnonymous;
+    Root.erase("tenants");
+    if (!Accounts.is_null())
+      Root["tenants"] = Accounts;
+    auto Table = m_Records.parseConfiguration(Root.dump(), m_Finding);
+    return Table->requiresKey(*Table->find("host", "/once/a"));
+  };
+  const json Lists[] = {json::array(), json::parse(R"([{"name": "a"}])"),
+                        json::parse(R"([{"name": "a", "api_keys": []}])"),
+                        json::parse(R"([{"name": "a", "api_keys": ["k"]}])")};
+  for (const json &Accounts : Lists) {
+    CHECK(RequiresKey(Accounts, false));
+    CHECK(!RequiresKey(Accounts, true));
+  }
+  const json NoList;
+  CHECK(!RequiresKey(NoList, false));
+  CHECK(!RequiresKey(NoList, true));
+}
+
 // Guards against a partly read configuration that replaces a valid one.
 TEST(PlatformRecordFormat, RejectsInvalidConfiguration) {
   CHECK(!m_Records.parseConfiguration("[]", m_Finding));
--- a/tests/requests/CompletionTest.cpp
+++ b/tests/requests/CompletionTest.cpp
@@ -466,6 +466,31 @@
   CHECK(Refused.m_RetryAfterSeconds > 0);
 }
 
+// Guards against a document from which the last account is removed and that
+// then lets every request in, with the removed key, an unknown one or none.
+TEST(Completion, DocumentWithoutAccountsAdmitsNobody) {
+  auto Configuration = testDocument();
+  Configuration->m_Accounts.clear();
+  RouterFixture Fixture;
+  Fixture.handle(ConfigurationApplied{2, Configuration});
+  RequestNumber Number = 0;
+  for (const char *KeyHash : {"key", "other", ""}) {
+    FinishRequest Completion = onlyFinish(Fixture.handle(
+        CompletionArrived{++Number, KeyHash, "model", 1, 8, 0, {}}));
+    FinishRequest Call = onlyFinish(Fixture.handle(ServiceCallArrived{
+        ++Number, KeyHash, "ledger", "POST", "/pay", "", "body"}));
+    for (const FinishRequest &Refused : {Completion, Call}) {
+      LONGS_EQUAL(401, Refused.m_Status);
+      STRCMP_EQUAL("unknown-key", Refused.m_Code.c_str());
+      CHECK(Refused.m_Outcome == Outcome::NotRun);
+    }
+  }
+  // The first account that is added is let in.
+  Fixture.handle(ConfigurationApplied{3, testDocument()});
+  LONGS_EQUAL(
+      1, actionsOf<StartCompletion>(Fixture.sendCompletion(++Number)).size());
+}
+
 // Guards against rejections with a wrong status, code or outcome.
 TEST(Completion, Rejections) {
   struct Case {
