--- a/tests/integration/AccountListTest.cpp
+++ b/tests/integration/AccountListTest.cpp
@@ -164,6 +164,31 @@
   checkAdmitsNobody();
 }
 
+// Guards against a list of accounts that cannot be read and that opens the
+// routes: the list before it stays in force, and without one nothing runs.
+TEST(AccountList, UnreadableListIsNotTaken) {
+  for (const json &Unreadable :
+       {json(nullptr), json::object(), json("key-1")}) {
+    write(Unreadable);
+    m_Gateway = std::make_unique<GatewayProcess>("vm-0", m_Store.address());
+    CHECK(eventually([&] { return logs("\"configuration-rejected\""); }));
+    HttpRequest Request = makeRequest("/once/a", "key-1");
+    LONGS_EQUAL(503, sendHttp(m_Gateway->callerAddress(), Request).m_Status);
+    apply(json::array({account("first", {"key-1"})}));
+    write(Unreadable);
+    std::string Line = "\"event\":\"configuration-rejected\"";
+    CHECK(eventually([&] {
+      return m_Gateway->process().output().find(
+                 Line, m_Gateway->process().output().find(Line) + 1) !=
+             std::string::npos;
+    }));
+    checkServed("/once/a", "key-1", "first");
+    checkRefused("key-that-never-was");
+    checkRefused("");
+    m_Gateway.reset();
+  }
+}
+
 // Guards against a configuration without a list of accounts that asks for keys,
 // and against a list that is added or removed without effect.
 TEST(AccountList, WithoutAListNoKeyIsNeeded) {
--- a/tests/platform/PlatformRecordFormatTest.cpp
+++ b/tests/platform/PlatformRecordFormatTest.cpp
@@ -58,6 +58,21 @@
   CHECK(!RequiresKey(NoList, true));
 }
 
+// Guards against a list of accounts that cannot be read and that is taken for
+// the absence of a list.
+TEST(PlatformRecordFormat, UnreadableAccountListIsRejected) {
+  for (const char *Accounts :
+       {"null", "{}", "7", "true", R"("account")", "[null]", "[7]", "[[]]",
+        R"([{"api_keys": ["k"]}])", R"([{"name": "a", "api_keys": "k"}])",
+        R"([{"name": "a", "api_keys": [null]}])"}) {
+    json Root = json::parse(gatewayConfiguration(7));
+    Root["tenants"] = json::parse(Accounts);
+    m_Finding.clear();
+    CHECK_TEXT(!m_Records.parseConfiguration(Root.dump(), m_Finding), Accounts);
+    STRCMP_CONTAINS("tenants", m_Finding.c_str());
+  }
+}
+
 // Guards against a partly read configuration that replaces a valid one.
 TEST(PlatformRecordFormat, RejectsInvalidConfiguration) {
   CHECK(!m_Records.parseConfiguration("[]", m_Finding));
