Send nothing to a service without a part of the split

Callers would have seen: on a route whose split gives each service a weight of 0, all requests ran at the last service.

Cause: RouteRule::pickService returned the last service when none was picked, which was meant for rounding errors in the sum of the weights. A last service of weight 0 could get a request by such an error as well.

Only services of a weight above 0 are picked now, and the last of them after a rounding error.

RouteTable.SplitWithoutPartsPicksNoService and RouteTable.ServiceWithoutAPartIsNotPicked failed before and pass.

--- a/src/fleet/RouteTable.cpp
+++ b/src/fleet/RouteTable.cpp
@@ -1,18 +1,26 @@
 #include "fleet/RouteTable.h"
 
+#include <algorithm>
+
 namespace parsleyring {
 
 const std::string &RouteRule::pickService(double RandomFraction) const {
+  static const std::string NoService;
   double Total = 0;
   for (const ServiceShare &Share : m_Services)
-    Total += Share.m_Weight;
+    Total += std::max(Share.m_Weight, 0.0);
   double Left = RandomFraction * Total;
+  // The sum of the weights is rounded, so Left may end above the last weight.
+  const std::string *Picked = &NoService;
   for (const ServiceShare &Share : m_Services) {
+    if (Share.m_Weight <= 0)
+      continue;
+    Picked = &Share.m_Service;
     if (Left < Share.m_Weight)
-      return Share.m_Service;
+      break;
     Left -= Share.m_Weight;
   }
-  return m_Services.back().m_Service;
+  return *Picked;
 }
 
 void RouteTable::addRoute(RouteRule Rule) {
--- a/src/fleet/RouteTable.h
+++ b/src/fleet/RouteTable.h
@@ -38,6 +38,7 @@
   std::vector<ServiceShare> m_Services;
 
   /// Picks a service in proportion to the weights; RandomFraction is in [0, 1).
+  /// Returns an empty name if no service has a weight above 0.
   const std::string &pickService(double RandomFraction) const;
   /// True if a second endpoint may run the same request.
   bool isRepeatable() const {
