Tell in logs and metrics how many accounts and keys are valid

A configuration without a valid key is legal and may be a mistake, and neither the log nor the metrics told it from one without a list of accounts: both have no account, and their callers are treated in opposite ways.

The line "configuration" now has requires_key, accounts and keys, the line "configuration-without-keys" follows when a version comes into force that lets nobody in, and three gauges have the same numbers.

Evidence: AccountList.LogAndMetricsTellWhoIsLetIn failed before and passes.

--- a/src/fleet/RouteTable.h
+++ b/src/fleet/RouteTable.h
@@ -86,6 +86,9 @@
   /// True if a request on this route is only allowed with a key of
   /// m_AccountsByKey.
   bool requiresKey(const RouteRule &Route) const;
+  /// True if there is a list of accounts and none of them has a key, so that
+  /// only anonymous routes are served.
+  bool lacksKeys() const { return m_AccountCount && m_AccountsByKey.empty(); }
   /// The rule with the longest prefix of Path; null if there is none.
   std::shared_ptr<const RouteRule> find(const std::string &Host,
                                         std::string_view Path) const;
--- a/src/gateway/ActiveConfiguration.cpp
+++ b/src/gateway/ActiveConfiguration.cpp
@@ -65,12 +65,23 @@
 
 void ActiveConfiguration::activate(Configuration Newer) {
   m_InForce = std::move(Newer);
+  std::optional<std::size_t> Accounts = table()->m_AccountCount;
+  std::size_t Keys = table()->m_AccountsByKey.size();
   m_Used.m_Metrics.setConfigurationVersion(version());
+  m_Used.m_Metrics.setConfigurationAccounts(Accounts, Keys);
   m_Used.m_Log.write(m_Now(), "configuration", "",
                      {{"version", std::int64_t(version())},
                       {"source", m_InForce.m_Source},
                       {"revision", std::int64_t(m_Revision)},
-                      {"routes", std::int64_t(table()->routeCount())}});
+                      {"routes", std::int64_t(table()->routeCount())},
+                      {"requires_key", std::int64_t(Accounts.has_value())},
+                      {"accounts", std::int64_t(Accounts.value_or(0))},
+                      {"keys", std::int64_t(Keys)}});
+  if (table()->lacksKeys())
+    m_Used.m_Log.write(m_Now(), "configuration-without-keys", "",
+                       {{"version", std::int64_t(version())},
+                        {"accounts", std::int64_t(Accounts.value_or(0))},
+                        {"keys", std::int64_t(Keys)}});
 }
 
 void ActiveConfiguration::askPeersAtStart() {
--- a/src/gateway/NodeMetrics.cpp
+++ b/src/gateway/NodeMetrics.cpp
@@ -78,6 +78,13 @@
           .Add({}, SecondsBuckets);
   Gauge &m_Version = gauge(m_Registry, "parsleyring_configuration_version",
                            "Version of the configuration in force.");
+  Gauge &m_RequiresKey =
+      gauge(m_Registry, "parsleyring_configuration_requires_key",
+            "1 if requests need a key, except on anonymous routes.");
+  Gauge &m_Accounts = gauge(m_Registry, "parsleyring_configuration_accounts",
+                            "Client accounts of the configuration in force.");
+  Gauge &m_Keys = gauge(m_Registry, "parsleyring_configuration_keys",
+                        "Valid keys of the configuration in force.");
   Gauge &m_ConfirmationAge =
       gauge(m_Registry, "parsleyring_configuration_confirmation_age_seconds",
             "Time since the configuration was known to be the newest one.");
@@ -160,6 +167,13 @@
   m_Families->m_Version.Set(static_cast<double>(Version));
 }
 
+void NodeMetrics::setConfigurationAccounts(std::optional<std::size_t> Accounts,
+                                           std::size_t Keys) {
+  m_Families->m_RequiresKey.Set(Accounts ? 1 : 0);
+  m_Families->m_Accounts.Set(static_cast<double>(Accounts.value_or(0)));
+  m_Families->m_Keys.Set(static_cast<double>(Keys));
+}
+
 void NodeMetrics::setConfirmationAge(Duration Age) {
   m_Families->m_ConfirmationAge.Set(seconds(Age));
 }
--- a/src/gateway/NodeMetrics.h
+++ b/src/gateway/NodeMetrics.h
@@ -5,6 +5,7 @@
 #include "parsleyring/Types.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace parsleyring {
@@ -26,6 +27,10 @@
   void countLinkCrossing();
   void observeFirstEvent(Duration Taken);
   void setConfigurationVersion(ConfigurationVersion Version);
+  /// Accounts is empty if the configuration has no list of accounts, so that
+  /// requests need no key.
+  void setConfigurationAccounts(std::optional<std::size_t> Accounts,
+                                std::size_t Keys);
   /// Age of the last confirmation that the store's items are the newest ones.
   void setConfirmationAge(Duration Age);
   void countEndpointCrash();
--- a/tests/integration/AccountListTest.cpp
+++ b/tests/integration/AccountListTest.cpp
@@ -207,4 +207,38 @@
   checkServed("/once/a", "key-that-never-was", "");
 }
 
+// Guards against a state that lets nobody in, perhaps by mistake, and that
+// neither the log nor the metrics explain.
+TEST(AccountList, LogAndMetricsTellWhoIsLetIn) {
+  auto Metrics = [&] {
+    return sendHttp(m_Gateway->metricsAddress(), {"GET", "/metrics"}).m_Body;
+  };
+  auto CheckShown = [&](const char *RequiresKey, const char *Accounts,
+                        const char *Keys) {
+    CHECK(logs(std::string("\"requires_key\":") + RequiresKey +
+               ",\"accounts\":" + Accounts + ",\"keys\":" + Keys));
+    std::string Text = Metrics();
+    std::string Name = "\nparsleyring_configuration_";
+    STRCMP_CONTAINS((Name + "requires_key " + RequiresKey + "\n").c_str(),
+                    Text.c_str());
+    STRCMP_CONTAINS((Name + "accounts " + Accounts + "\n").c_str(),
+                    Text.c_str());
+    STRCMP_CONTAINS((Name + "keys " + Keys + "\n").c_str(), Text.c_str());
+  };
+  const std::string NoKeysLine = "\"event\":\"configuration-without-keys\"";
+  write(std::nullopt);
+  start();
+  CheckShown("0", "0", "0");
+  apply(json::array(
+      {account("first", {"key-1", "key-2"}), account("second", {"key-3"})}));
+  CheckShown("1", "2", "3");
+  CHECK(!logs(NoKeysLine));
+  apply(json::array({account("first", json::array())}));
+  CheckShown("1", "1", "0");
+  CHECK(logs(NoKeysLine + ",\"version\":3,\"accounts\":1,\"keys\":0"));
+  apply(NoAccounts);
+  CheckShown("1", "0", "0");
+  CHECK(logs(NoKeysLine + ",\"version\":4,\"accounts\":0,\"keys\":0"));
+}
+
 PARSLEYRING_TEST_MAIN
