Do not take a reset during a request for the end of its answer

Callers got a part of an answer as a complete 200. An endpoint answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. A stream cut in the same way ended for its caller as if it were complete and was not resumed.

Cause: Linux tells the error that has ended a connection once, to the first read or write that fails. Reads after it return the bytes received and then 0, as after an orderly close, which is what ends a body without a length. HttpConnection::write() dropped the error of its write. Traced with strace in parsleyring-gateway: sendmsg() = -1 ECONNRESET, recvfrom() = 0, then the part goes to the caller. The event loop performs a pending write before a pending read, so this is the usual order. The kernel's time-out of a connection whose server reads nothing for 5 s (ETIMEDOUT) is told in the same way.

The error of the write is now kept, and endCause() decides with it: an end of the input is orderly unless the write failed with another error than a broken pipe, which is what a write gets if the server had closed in an orderly way before the error. If the input ends while the write has no result yet, the write is stopped, and its result is awaited. So the rule does not depend on the order of the two handlers, and a server that only shuts down its side does not hold up its complete answer. A connection whose write failed is not used again.

Such an answer ends as one cut by its server does: the request may have run, an idempotent one is sent again within its attempts and the retry budget, a stream is resumed, the endpoint's failure counts. The new log line answer-incomplete names the endpoint, the error and how much of the request was written.

A refusal with Not-Executed and without a length, whose server then closes with the upload unread, was passed on only because of this fault. The whole statement is in the head, so it now holds also if the exchange is cut after the head.

--- a/src/gateway/ForwardContext.cpp
+++ b/src/gateway/ForwardContext.cpp
@@ -169,6 +169,24 @@
                          {"finding", Connection.finding()}});
 }
 
+void ForwardedRequest::logIncompleteAnswer(const FleetTable::Handle &Endpoint,
+                                           const HttpConnection &Connection,
+                                           const ResponseHead &Head) {
+  m_Context.log().write(
+      m_Context.now(), "answer-incomplete", m_Job.m_Id,
+      {{"endpoint", Endpoint->m_Entry.m_Id},
+       {"finding", Connection.finding()},
+       {"status", std::int64_t(Head.m_Status)},
+       {"written_bytes", std::int64_t(Connection.writtenBytes())},
+       {"request_bytes", std::int64_t(Connection.requestBytes())}});
+}
+
+bool ForwardedRequest::isCutRefusal(const ResponseHead &Head,
+                                    ExchangeEnd End) const {
+  return End == ExchangeEnd::Closed &&
+         provesNotRun(Head, m_Context.protocol().headers(), m_Job.m_Id);
+}
+
 bool ForwardedRequest::areAllLeaving() const {
   bool HasLeaving = false;
   for (const FleetTable::Handle &Endpoint :
--- a/src/gateway/ForwardContext.h
+++ b/src/gateway/ForwardContext.h
@@ -124,6 +124,13 @@
   /// Logs what is wrong with the answer of Endpoint on this connection.
   void logMalformedAnswer(const FleetTable::Handle &Endpoint,
                           const HttpConnection &Connection);
+  /// Logs why the answer that began with Head has ended before it was complete.
+  void logIncompleteAnswer(const FleetTable::Handle &Endpoint,
+                           const HttpConnection &Connection,
+                           const ResponseHead &Head);
+  /// True if the exchange was cut after Head, which proves that the request has
+  /// not run. Nothing of its body is passed on, so none of it is needed.
+  bool isCutRefusal(const ResponseHead &Head, ExchangeEnd End) const;
   /// The body of the request, which keeps Self, this object, until it is sent.
   std::shared_ptr<const std::string>
   sharedBody(const std::shared_ptr<ForwardedRequest> &Self) const {
--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <charconv>
+#include <utility>
 
 namespace parsleyring {
 
@@ -66,6 +67,9 @@
   m_Output = std::move(Head);
   m_OutputBody = std::move(Body);
   m_HasWritten = false;
+  m_WriteError = {};
+  m_RequestBytes = m_Output.size() + (m_OutputBody ? m_OutputBody->size() : 0);
+  m_WrittenBytes = 0;
   beginExchange(std::move(Handlers));
   if (m_IsConnected)
     write();
@@ -138,13 +142,26 @@
   std::array<asio::const_buffer, 2> Buffers{asio::buffer(m_Output)};
   if (m_OutputBody)
     Buffers[1] = asio::buffer(*m_OutputBody);
-  asio::async_write(m_Socket, Buffers, [Self](beast::error_code, std::size_t) {
-    Self->m_IsWriting = false;
-    Self->releaseOutput();
-  });
+  auto BytesToWrite = [Self](beast::error_code Error, std::size_t Written) {
+    Self->m_WrittenBytes = Written;
+    return Self->m_IsEndPending ? 0 : asio::transfer_all()(Error, Written);
+  };
+  asio::async_write(m_Socket, Buffers, BytesToWrite,
+                    [Self](beast::error_code Error, std::size_t Size) {
+                      Self->handleWritten(Error, Size);
+                    });
   read();
 }
 
+void HttpConnection::handleWritten(beast::error_code Error, std::size_t Size) {
+  m_IsWriting = false;
+  m_WriteError = Error;
+  m_WrittenBytes = Size;
+  releaseOutput();
+  if (std::exchange(m_IsEndPending, false))
+    handleInput(asio::error::eof);
+}
+
 void HttpConnection::releaseOutput() {
   m_OutputBody.reset();
   std::string().swap(m_Output);
@@ -153,7 +170,7 @@
 // Feeds the parser directly: Boost.Beast's read operations would not return
 // before a chunked message is complete.
 void HttpConnection::read() {
-  if (m_IsReading || m_IsPaused || m_IsClosed)
+  if (m_IsReading || m_IsEndPending || m_IsPaused || m_IsClosed)
     return;
   m_IsReading = true;
   auto Self = shared_from_this();
@@ -170,8 +187,22 @@
   if (!m_IsRunning)
     return;
   m_Buffer.commit(Size);
+  // Only the result of the write tells whether this is an orderly end, see
+  // endCause(). The server may not read the rest of the request.
+  if (Error == asio::error::eof && m_IsWriting) {
+    m_IsEndPending = true;
+    beast::error_code Ignored;
+    m_Socket.cancel(Ignored);
+    return;
+  }
+  handleInput(Error);
+}
+
+void HttpConnection::handleInput(beast::error_code ReadError) {
+  if (!m_IsRunning)
+    return;
   try {
-    parse(Error);
+    parse(ReadError);
   } catch (...) {
     rejectResponse("a handler failed");
     close();
@@ -187,6 +218,18 @@
     read();
 }
 
+// The kernel reports the error that has ended a connection once, to the first
+// read or write that fails; reads after a failed write end as after an orderly
+// close. A write fails with a broken pipe if the server had closed in an
+// orderly way before the error.
+beast::error_code HttpConnection::endCause(beast::error_code ReadError) const {
+  bool IsCauseKnownToWrite = m_WriteError &&
+                             m_WriteError != asio::error::operation_aborted &&
+                             m_WriteError != asio::error::broken_pipe;
+  return ReadError == asio::error::eof && IsCauseKnownToWrite ? m_WriteError
+                                                              : ReadError;
+}
+
 // True if the parser has just completed a head.
 bool HttpConnection::hasNewHead() const {
   return m_Parser->is_header_done() && !m_Parser->eager();
@@ -271,7 +314,8 @@
     Error = {};
   // A body without a length ends with an orderly close of the connection, but
   // not with a reset.
-  if (!Error && ReadError == asio::error::eof && m_Parser->got_some() &&
+  beast::error_code EndCause = endCause(ReadError);
+  if (!Error && EndCause == asio::error::eof && m_Parser->got_some() &&
       !m_Parser->is_done())
     m_Parser->put_eof(Error);
   deliverReceived();
@@ -287,6 +331,8 @@
     return;
   }
   if (Error || ReadError) {
+    m_Finding = EndCause == asio::error::eof ? "closed before its end"
+                                             : EndCause.message();
     finish(ExchangeEnd::Closed);
     return;
   }
@@ -318,7 +364,7 @@
 void HttpConnection::updateReuse() {
   // If the request is not fully written, the server would read the next one as
   // its continuation.
-  m_IsReusable = m_Parser->keep_alive() && !m_IsWriting;
+  m_IsReusable = m_Parser->keep_alive() && !m_IsWriting && !m_WriteError;
   m_IdleTimeout.reset();
   auto KeepAlive = m_Parser->get()[http::field::keep_alive];
   std::string_view Text(KeepAlive.data(), KeepAlive.size());
--- a/src/gateway/HttpConnection.h
+++ b/src/gateway/HttpConnection.h
@@ -73,8 +73,12 @@
   /// Ends the exchange, whose response is not usable, and closes. Finding says
   /// why in a few words.
   void rejectResponse(std::string Finding);
-  /// Why the last exchange has ended as Malformed; empty if it has not.
+  /// Why the last exchange has ended as Malformed or Closed; empty if it has
+  /// not.
   const std::string &finding() const { return m_Finding; }
+  /// Size of the last request, and how many bytes of it the kernel has taken.
+  std::size_t requestBytes() const { return m_RequestBytes; }
+  std::size_t writtenBytes() const { return m_WrittenBytes; }
   void pauseReading() { m_IsPaused = true; }
   bool isPaused() const { return m_IsPaused; }
   void resumeReading();
@@ -103,9 +107,14 @@
   void beginExchange(ExchangeHandlers Handlers);
   void connect(Duration Timeout);
   void write();
+  void handleWritten(boost::beast::error_code Error, std::size_t Size);
   void read();
   void handleRead(boost::beast::error_code Error, std::size_t Size);
+  /// Parses what has been read. ReadError is that of the last read, if any.
+  void handleInput(boost::beast::error_code ReadError);
   void parse(boost::beast::error_code ReadError);
+  /// Why the input has ended: eof if the server has ended it in an orderly way.
+  boost::beast::error_code endCause(boost::beast::error_code ReadError) const;
   bool hasNewHead() const;
   bool isInterimResponse() const;
   /// What is wrong with the parsed head, whose bytes are Bytes; empty if it is
@@ -139,10 +148,14 @@
   bool m_IsRunning = false;
   bool m_HasWritten = false;
   bool m_IsWriting = false;
+  boost::beast::error_code m_WriteError; ///< Of the current request.
+  std::size_t m_RequestBytes = 0;
+  std::size_t m_WrittenBytes = 0;
   boost::beast::http::fields m_HeadFields; ///< Until they are delivered.
   bool m_IsHeadDelivered = false;
   bool m_IsPaused = false;
   bool m_IsReading = false;
+  bool m_IsEndPending = false; ///< The input has ended during the write.
   bool m_IsReusable = false;
   int m_InterimResponses = 0;    ///< Of the current exchange.
   std::uint64_t m_IdleWatch = 0; ///< Number of the current watchIdle().
--- a/src/gateway/PlainForward.cpp
+++ b/src/gateway/PlainForward.cpp
@@ -231,7 +231,7 @@
 void PlainForward::handleEnd(const AttemptHandle &Ended, ExchangeEnd End) {
   if (m_IsDone)
     return;
-  if (End == ExchangeEnd::Complete) {
+  if (End == ExchangeEnd::Complete || isCutRefusal(Ended->m_Head, End)) {
     handleAnswer(Ended);
     return;
   }
@@ -247,8 +247,10 @@
     retryOrFinish("connect-failed");
     return;
   }
-  bool IsCutOff = End == ExchangeEnd::Closed && Ended->m_Head.m_Status == 0;
-  if (IsCutOff)
+  bool HasHead = Ended->m_Head.m_Status != 0;
+  if (End == ExchangeEnd::Closed && HasHead)
+    logIncompleteAnswer(Ended->m_Endpoint, *Ended->m_Connection, Ended->m_Head);
+  else if (End == ExchangeEnd::Closed)
     noteCutOff(*Ended);
   handleUnknownOutcome(Ended, name(End));
 }
--- a/src/gateway/StreamForward.cpp
+++ b/src/gateway/StreamForward.cpp
@@ -340,9 +340,14 @@
   m_Context.metrics().countAttempt(
       End == ExchangeEnd::Complete ? std::to_string(Attempt->m_Head.m_Status)
                                    : std::string(name(End)));
-  bool IsComplete = End == ExchangeEnd::Complete;
+  bool IsComplete =
+      End == ExchangeEnd::Complete || isCutRefusal(Attempt->m_Head, End);
   if (End == ExchangeEnd::Malformed)
     logMalformedAnswer(Attempt->firstEngine(), *Attempt->m_Connection);
+  if (!IsComplete && End == ExchangeEnd::Closed &&
+      Attempt->m_Head.m_Status != 0)
+    logIncompleteAnswer(Attempt->firstEngine(), *Attempt->m_Connection,
+                        Attempt->m_Head);
   if (IsComplete && !Attempt->m_IsStreaming && receiveOwnAnswer(Attempt))
     return;
   Attempt->m_HasEnded = true;
