Do not report a reset to SocketStream's readers as an end

SocketStream::read() returned 0 for a reset as for an orderly close. For cpp-httplib that is the end of a body without a length, so a part of such an answer counted as complete. Seen by users of EndpointConnection: the load tool counted a cut answer of a service as a complete one. ServiceClient rejects answers without a length or chunks, and EngineClient wants an end mark, so no caller of the router got one.

The fault of a failed call is now Reset unless the peer had closed in an orderly way before (end of input, or EPIPE of a write), and read() returns 0 only then. A fault that a write has met stays, since reads after it end as after an orderly close.

CallerServer and ConsoleServer, which use the stream for requests, ask only for TooLong and TimedOut, and read no body up to the end of the connection.

--- a/src/http/SocketStream.cpp
+++ b/src/http/SocketStream.cpp
@@ -60,6 +60,14 @@
   return false;
 }
 
+// The kernel reports a reset once, to the first call that fails; reads after a
+// failed write end as after an orderly close. A write fails with EPIPE if the
+// peer had closed in an orderly way before.
+void SocketStream::noteEnd(int Error) {
+  bool IsOrderly = m_Fault != Fault::Reset && (Error == 0 || Error == EPIPE);
+  m_Fault = IsOrderly ? Fault::Closed : Fault::Reset;
+}
+
 bool SocketStream::fillBuffer() {
   for (;;) {
     if (!waitFor(POLLIN))
@@ -73,7 +81,7 @@
     }
     if (Count < 0 && (errno == EINTR || errno == EAGAIN))
       continue;
-    m_Fault = Fault::Closed;
+    noteEnd(Count < 0 ? errno : 0);
     return false;
   }
 }
@@ -104,7 +112,7 @@
     if (errno == EINTR)
       continue;
     if (errno != EAGAIN) {
-      m_Fault = Fault::Closed;
+      noteEnd(errno);
       return -1;
     }
     if (!waitFor(POLLOUT))
--- a/src/http/SocketStream.h
+++ b/src/http/SocketStream.h
@@ -17,7 +17,13 @@
 /// on the bytes read, and reports the bytes sent and the reason of a failure.
 class SocketStream final : public httplib::Stream {
 public:
-  enum class Fault { None, Closed, TimedOut, TooLong };
+  enum class Fault {
+    None,
+    Closed, ///< The peer closed in an orderly way.
+    Reset,  ///< The connection was reset or failed in another way.
+    TimedOut,
+    TooLong
+  };
 
   explicit SocketStream(int Socket) : m_Socket(Socket) {}
 
@@ -41,6 +47,7 @@
 
   bool is_readable() const override;
   bool is_writable() const override;
+  /// 0 only at an orderly end of the input; -1 for all other faults.
   ssize_t read(char *Data, size_t Size) override;
   ssize_t write(const char *Data, size_t Size) override;
   void get_remote_ip_and_port(std::string &Ip, int &Port) const override;
@@ -51,6 +58,8 @@
   static constexpr std::size_t BufferBytes = 16 * 1024;
 
   bool waitFor(short Events);
+  /// Error is the errno of the failed call; 0 at the end of the input.
+  void noteEnd(int Error);
   bool fillBuffer();
 
   int m_Socket;
