Show that answers of the store and metrics end as failures on a reset

HttpPlatformClient and the console's poll of the routers' versions read with the stream of cpp-httplib, which reports a reset as an error. Both tests pass without a change; they guard the same cause as in SocketStream.

--- a/tests/console/ConsolePagesTest.cpp
+++ b/tests/console/ConsolePagesTest.cpp
@@ -187,6 +187,18 @@
   CHECK(Age >= 7199 && Age < 7300);
 }
 
+// Guards against a version that is read from metrics of which a part is
+// missing, since the router has reset the connection.
+TEST(ConsolePages, MetricsEndedByAResetAreNotUsed) {
+  ScriptedServer Router(
+      "HTTP/1.1 200 OK\r\n\r\nparsleyring_configuration_version 3\n",
+      {ScriptedServer::End::Reset, std::chrono::milliseconds(20), 0, 0});
+  RouterVersion Polled =
+      pollRouterVersions({{"vm-1", Router.address()}}).front();
+  LONGS_EQUAL(0, Polled.m_Version);
+  STRCMP_EQUAL("no answer", Polled.m_Problem.c_str());
+}
+
 // Guards against pages that other sites can frame or that can run scripts, and
 // against health and metrics pages that need a session.
 TEST(ConsolePages, HeadersAndStatusPages) {
--- a/tests/platform/HttpPlatformClientTest.cpp
+++ b/tests/platform/HttpPlatformClientTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/HttpPlatformClient.h"
 
+#include "support/ScriptedServer.h"
 #include "support/TestMain.h"
 
 #include <arpa/inet.h>
@@ -196,6 +197,18 @@
   }
 }
 
+// Guards against an answer without a length that is used although its server
+// has reset the connection, so that a part of it may be missing.
+TEST(HttpPlatformClient, AnswersEndedByAResetAreNotUsed) {
+  ScriptedServer Server(
+      "HTTP/1.1 200 OK\r\n\r\n"
+      R"([{"Key":"k","Value":"aGk=","ModifyIndex":7}])",
+      {ScriptedServer::End::Reset, std::chrono::milliseconds(20), 0, 0});
+  HttpPlatformClient Client(Server.address(), AnswerTimeout);
+  CHECK_THROWS(PlatformError, Client.read("key"));
+  CHECK_THROWS(PlatformError, Client.compareAndSwap("key", "value", 1));
+}
+
 // Guards against a shutdown that waits for the end of a watch.
 TEST(HttpPlatformClient, ShutDownEndsCalls) {
   SingleAnswerServer Server("", SingleAnswerServer::ServerMode::KeepOpen);
