Forward a reset through the emulated proxy

A reset by the server behind parsleyring-emulator proxy reached the client as an orderly close, so tests through the proxy saw a part of an answer without a length as a complete one: 200 with "part" in the new case of integration/ProxyEmulatorTest, which fails before. The proxy now resets both connections if a read or a write on one of them has failed. Connections that a fault closes (cut, drop_answer_after) are closed as before.

--- a/src/emulator/TcpProxy.cpp
+++ b/src/emulator/TcpProxy.cpp
@@ -54,10 +54,6 @@
   return Socket;
 }
 
-static bool isTransientError(int Error) {
-  return Error == EAGAIN || Error == EINTR;
-}
-
 TcpProxy::TcpProxy(const std::string &Listen, const std::string &To) {
   std::tie(m_Host, m_Port) = splitAddress(Listen);
   std::tie(m_ToHost, m_ToPort) = splitAddress(To);
@@ -257,7 +253,7 @@
     std::string Bytes(ChunkBytes, '\0');
     ssize_t Count = recv(Stream.m_From, Bytes.data(), Bytes.size(), 0);
     if (Count < 0)
-      return isTransientError(errno);
+      return noteError(Stream, errno);
     Stream.m_HasLostBytes |= IsDiscarding;
     if (Stream.m_HasLostBytes)
       Bytes.clear();
@@ -283,7 +279,7 @@
       return false;
     ssize_t Count = send(Stream.m_To, Bytes.data(), Size, MSG_NOSIGNAL);
     if (Count < 0)
-      return isTransientError(errno);
+      return noteError(Stream, errno);
     Stream.m_SentBytes += static_cast<std::uint64_t>(Count);
     if (Active.m_BytesPerSecond > 0)
       SendAllowedAt = std::max(SendAllowedAt, Now - CheckInterval) +
@@ -303,7 +299,17 @@
   return true;
 }
 
+bool TcpProxy::noteError(OneWayStream &Stream, int Error) {
+  Stream.m_HasFailed = Error != EAGAIN && Error != EINTR;
+  return !Stream.m_HasFailed;
+}
+
 void TcpProxy::closeConnection(Connection &Link) {
+  if (Link.m_ToServer.m_HasFailed || Link.m_ToClient.m_HasFailed) {
+    linger Abort{1, 0};
+    for (int Socket : {Link.m_ToServer.m_From, Link.m_ToServer.m_To})
+      setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Abort, sizeof(Abort));
+  }
   close(Link.m_ToServer.m_From);
   close(Link.m_ToServer.m_To);
 }
--- a/src/emulator/TcpProxy.h
+++ b/src/emulator/TcpProxy.h
@@ -75,6 +75,7 @@
     bool m_HasEnded = false;       ///< The sender has closed its side.
     bool m_IsEndForwarded = false; ///< The receiver's side was shut down.
     bool m_HasLostBytes = false;   ///< Bytes were discarded.
+    bool m_HasFailed = false;      ///< One of the connections was reset.
   };
 
   struct Connection {
@@ -106,6 +107,9 @@
   static bool sendDueChunks(OneWayStream &Stream, std::uint64_t Limit,
                             const Faults &Active, Clock::time_point Now,
                             Clock::time_point &SendAllowedAt);
+  /// True if the failed call on a socket of Stream can be repeated.
+  static bool noteError(OneWayStream &Stream, int Error);
+  /// Resets both connections if one of them was reset.
   static void closeConnection(Connection &Link);
 
   std::string m_Host;
--- a/tests/integration/ProxyEmulatorTest.cpp
+++ b/tests/integration/ProxyEmulatorTest.cpp
@@ -1,6 +1,7 @@
 #include "support/Eventually.h"
 #include "support/HttpCalls.h"
 #include "support/ProcessRunner.h"
+#include "support/ScriptedServer.h"
 #include "support/TestMain.h"
 
 #include <nlohmann/json.hpp>
@@ -64,6 +65,20 @@
   LONGS_EQUAL(1, executions("dropped"));
 }
 
+// Guards against a reset that reaches the client as an orderly close: a client
+// that takes a part of an answer for a complete one would not be tested.
+TEST(ProxyEmulator, ResetIsForwarded) {
+  ScriptedServer Server(
+      "HTTP/1.1 200 OK\r\n\r\npart",
+      {ScriptedServer::End::Reset, std::chrono::milliseconds(50), 0, 0});
+  ProcessRunner Proxy{
+      "parsleyring-emulator",
+      {"proxy", "--listen", "127.0.0.1:0", "--to", Server.address()}};
+  HttpAnswer Received = sendHttp(Proxy.waitForLine("listening"), {"GET", "/x"});
+  LONGS_EQUAL(0, Received.m_Status);
+  STRCMP_EQUAL("part", Received.m_Body.c_str());
+}
+
 // Guards against a cut link that only delays calls instead of refusing them.
 TEST(ProxyEmulator, CutRefusesUntilHealed) {
   LONGS_EQUAL(200, call("a").m_Status);
