--- a/src/gateway/HttpConnection.cpp
+++ b/src/gateway/HttpConnection.cpp
@@ -142,6 +142,7 @@
   std::array<asio::const_buffer, 2> Buffers{asio::buffer(m_Output)};
   if (m_OutputBody)
     Buffers[1] = asio::buffer(*m_OutputBody);
+  // Nothing more is written once the input has ended, see handleRead().
   auto BytesToWrite = [Self](beast::error_code Error, std::size_t Written) {
     Self->m_WrittenBytes = Written;
     return Self->m_IsEndPending ? 0 : asio::transfer_all()(Error, Written);
@@ -188,7 +189,8 @@
     return;
   m_Buffer.commit(Size);
   // Only the result of the write tells whether this is an orderly end, see
-  // endCause(). The server may not read the rest of the request.
+  // endCause(). The write is cancelled, since a server that has ended its
+  // response may never read the rest of the request.
   if (Error == asio::error::eof && m_IsWriting) {
     m_IsEndPending = true;
     beast::error_code Ignored;
@@ -223,11 +225,12 @@
 // close. A write fails with a broken pipe if the server had closed in an
 // orderly way before the error.
 beast::error_code HttpConnection::endCause(beast::error_code ReadError) const {
-  bool IsCauseKnownToWrite = m_WriteError &&
-                             m_WriteError != asio::error::operation_aborted &&
-                             m_WriteError != asio::error::broken_pipe;
-  return ReadError == asio::error::eof && IsCauseKnownToWrite ? m_WriteError
-                                                              : ReadError;
+  bool HasWriteFailed =
+      m_WriteError && m_WriteError != asio::error::operation_aborted;
+  if (ReadError != asio::error::eof || !HasWriteFailed ||
+      m_WriteError == asio::error::broken_pipe)
+    return ReadError;
+  return m_WriteError;
 }
 
 // True if the parser has just completed a head.
