--- a/tests/integration/EarlyAnswerTest.cpp
+++ b/tests/integration/EarlyAnswerTest.cpp
@@ -182,6 +182,30 @@
   }
 }
 
+// Guards against a part of the first answer that is passed on while the answer
+// to the hedged request is still to come.
+TEST(EarlyAnswer, HedgedRequestWaitsForTheWholeAnswer) {
+  FakeEndpoint Sound([](const ReceivedCall &) {
+    std::this_thread::sleep_for(500ms);
+    FakeEndpointAnswer Answer;
+    Answer.m_Body = "done";
+    return Answer;
+  });
+  // The reset comes after the hedged request and before its answer.
+  ScriptedServer Faulty(sealedAnswer(""), script(End::Reset, 400ms));
+  m_Store.put("servers/plain-1", serverEntry("plain", Faulty.address()));
+  m_Store.put("servers/plain-2", serverEntry("plain", Sound.address()));
+  startGateway();
+  // The first choice between the two is arbitrary.
+  for (int Count = 0; Count < 20 && !hasLogged("\"answer-incomplete\"");
+       ++Count) {
+    HttpAnswer Received = send("/repeat/a");
+    LONGS_EQUAL(200, Received.m_Status);
+    STRCMP_EQUAL("done", Received.m_Body.c_str());
+  }
+  CHECK(eventually([&] { return hasLogged("\"answer-incomplete\""); }));
+}
+
 // Guards against a stream that ends for its caller where an engine has reset
 // it, although another engine could go on with it.
 TEST(EarlyAnswer, StreamGoesOnAtAnotherEngine) {
